Let callers hold the descriptors that are there, and close those that stand for nothing

Checked: memory 21 of 64 MB, CPU 0.17 s in the worst second, so neither is short; the log shows few errors of claims. At fault: RESERVE = 160 in __main__ left (256 - 160) / 2 = 48 places for callers, and IDLE = 120 and PATIENCE = 20 in http1/server kept them for callers that ask once and stay or never speak.

The reserve is now 24, as the door accepts no more in one go than there are places; claims have 0.4 of the rest. Callers between requests go after 2 s once half of the places are taken, after 20 s otherwise; a silent one or half a request after 2 s. With all places taken, those that stand longest without a job make room.

--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -306,6 +306,36 @@
     assert caller.at_end()
 
 
+def test_a_caller_that_says_nothing_is_let_go(make: Make, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server, "PATIENCE", 0.0)
+    world = make(0)
+    assert world.caller().at_end()
+    assert world.logged("caller-connection") == ["silent"]
+
+
+def test_callers_that_stand_for_nothing_make_room_for_one_that_asks(make: Make) -> None:
+    world = make()
+    busy = world.ask()
+    node = world.nodes[0].accept()
+    node.read()
+    for _ in range(3 * world.sidecar.server.most):
+        world.caller()
+    late = world.ask()
+    other = world.nodes[0].accept()
+    other.read()  # it had its turn though nobody had left
+    assert world.run(lambda: len(world.sidecar.server.connections)) <= world.sidecar.server.most
+    for wire, caller in ((node, busy), (other, late)):
+        wire.answer(200, b"here")
+        assert caller.read()[2] == b"here"
+
+
+def test_few_descriptors_leave_callers_and_claims_enough(make: Make) -> None:
+    world = make(0)
+    callers, claims = world.sidecar.server.most, world.sidecar.pool.most
+    assert min(callers, claims) > world.config.sockets / 3  # callers may hold a third for requests
+    assert callers + claims < world.config.sockets - 16
+
+
 @pytest.mark.parametrize(
     ("status", "first"),
     [(404, "GET / HTTP/1.1"), (404, "GET x HTTP/1.1"), (405, "POST /menu HTTP/1.1"), (405, "PUT /x HTTP/1.1"),
--- a/wheatring/__main__.py
+++ b/wheatring/__main__.py
@@ -10,7 +10,8 @@
 
 from wheatring import config, log
 
-RESERVE = 160  # descriptors kept for the log, discovery, the reactor, and callers accepted in one go
+RESERVE = 24  # descriptors kept for the log, the reactor, the door, the configuration and calls to discovery
+CLAIMS = 0.4  # part of the rest that is for claims: callers' requests may hold a third, and others are idle
 ARRIVING = 0.6  # seconds after SIGTERM in which new connections may still arrive, with some to spare
 
 
@@ -31,15 +32,16 @@
         self.clock = Clock(reactor)
         self.exchange = Exchange(self.clock, settings.contract.answer_slack)
         self.driver = Driver(Balancer(settings, told.seed), self.exchange, self.clock)
-        most = (told.sockets - RESERVE) // 2
+        places = told.sockets - RESERVE
+        claims = int(places * CLAIMS)
         self.pool = Pool(
-            reactor, self.clock, self.exchange, limits.connect_timeout, limits.idle_timeout, most
+            reactor, self.clock, self.exchange, limits.connect_timeout, limits.idle_timeout, claims
         )
         self.machine_list = MachineList(
             reactor, self.clock, told.discovery, self.pool.addresses, self.driver.feed
         )
         self.driver.machine_list = self.machine_list
-        self.server = Server(reactor, self.clock, self.exchange, settings.classes, most)
+        self.server = Server(reactor, self.clock, self.exchange, settings.classes, places - claims)
 
     def start(self) -> int:
         self.machine_list.known(self.told.known)
--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from twisted.internet.protocol import ServerFactory
+from twisted.internet.tcp import Port
 
 from lapisway.interface import Effect, RequestClass
 from wheatring import log
@@ -25,10 +26,16 @@
     502: b"Bad Gateway", 503: b"Service Unavailable",
 }  # fmt: skip
 
-SWEEP = 1.0  # seconds between looks for callers that keep a connection for nothing
-PATIENCE = 20.0  # seconds in which a request that has begun must be whole
-IDLE = 120.0  # seconds after which a connection between requests is closed
+SWEEP = 0.25  # seconds between looks for callers that keep a connection for nothing
+# Seconds in which a request must be whole, from its first byte or, for the first one, from the connect.
+# A caller that sends none is owed a word within 3 s.
+PATIENCE = 2.0
+IDLE = 20.0  # seconds after which a connection between requests is closed
+IDLE_CROWDED = 2.0  # the same once half of the places are taken: a caller may rely on no more
 LINGER = 2.0  # seconds in which a caller may read the answer to what could not be read
+# Seconds that a connection keeps its place without a job when all places are taken: enough for a caller
+# that has just connected to write its request, and a crowd that says nothing can't shut the others out.
+STAND = 0.3
 
 
 def response(status: int, body: bytes = b"", more: bytes = b"", *, close: bool = False) -> bytes:
@@ -59,7 +66,7 @@
         self.lingering = False
         self.paused = False
         self.since = server.clock.now()  # of the present state: between requests, or in the middle of one
-        self.waiting = False  # a request has begun and is not whole
+        self.waiting = True  # a request is awaited and not whole; the first one from the connect on
 
     def connectionMade(self) -> None:
         super().connectionMade()
@@ -165,18 +172,32 @@
         self.transport.loseWriteConnection()
         self.code = f"bad-request-{status}"
 
-    def look(self, now: float) -> None:
+    def look(self, now: float, idle: float) -> None:
         """Close what is kept for nothing."""
         if self.code:
             # A caller that reads nothing must not keep its connection for ever.
-            if now > self.since + (LINGER if self.lingering else PATIENCE):
+            if now > self.since + LINGER:
                 self.abort(self.code)
         elif self.job is None and self.waiting:
-            if now > self.since + (LINGER if self.server.stopping else PATIENCE):
-                self.reject(408, "request not whole in time")
-        elif self.job is None and now > self.since + IDLE:
+            if now > self.since + PATIENCE:
+                self.give_up("silent")
+        elif self.job is None and now > self.since + idle:
             self.close("idle")
 
+    def make_room(self) -> None:
+        """Give the place up to a caller that waits for one."""
+        if self.code:
+            self.abort(self.code)
+        else:
+            self.give_up("full")
+
+    def give_up(self, code: str) -> None:
+        """Wait no longer. A caller that is in the middle of a request gets an answer."""
+        if self.reader.started:
+            self.reject(408, "request not whole in time")
+        else:
+            self.close(code)
+
     def ended(self, orderly: bool) -> None:
         self.server.went(self)
         if self.job is not None:
@@ -184,6 +205,16 @@
             self.server.exchange.leave(job)
 
 
+class Door(Port):
+    """The listening socket. It takes no more callers in one go than there are places for."""
+
+    def doRead(self) -> None:
+        server = self.factory
+        assert isinstance(server, Server)
+        self.numberAccepts = max(1, min(self.numberAccepts, server.most - len(server.connections)))
+        super().doRead()  # type: ignore[no-untyped-call]
+
+
 class Server(ServerFactory):
     noisy = False
 
@@ -205,7 +236,9 @@
         return CallerConnection(self)
 
     def listen(self, host: str, port: int) -> int:
-        self.port = self.reactor.listenTCP(port, self, backlog=511, interface=host)
+        factory: Any = self  # Twisted's interfaces are not known to the type checker
+        self.port = Door(port, factory, 511, host, self.reactor)
+        self.port.startListening()
         bound: int = self.port.getHost().port
         return bound
 
@@ -215,6 +248,7 @@
             # Beyond this the process would run out of descriptors; callers wait in the backlog.
             self.full = True
             self.port.stopReading()
+            self.clear()
 
     def went(self, connection: CallerConnection) -> None:
         self.connections.discard(connection)
@@ -223,11 +257,23 @@
             if self.port is not None:
                 self.port.startReading()
 
+    def clear(self) -> None:
+        """While all places are taken, free those that have stood longest without a job."""
+        if not self.full:
+            return
+        now = self.clock.now()
+        standing = [c for c in self.connections if c.job is None and now > c.since + STAND]
+        standing.sort(key=lambda c: c.since)
+        for connection in standing[: max(1, self.most // 8)]:
+            connection.make_room()
+        self.clock.at(now + STAND / 6, self.clear)
+
     def sweep(self) -> None:
         now = self.clock.now()
         self.clock.at(now + SWEEP, self.sweep)
+        idle = IDLE_CROWDED if 2 * len(self.connections) > self.most else IDLE
         for connection in list(self.connections):
-            connection.look(now)
+            connection.look(now, idle)
 
     def job_from(self, message: Message) -> Job:
         """The job that a request asks for; Refused says what is wrong with it."""
@@ -281,5 +327,5 @@
             self.port.stopListening()
             self.port = None
         for connection in list(self.connections):
-            if connection.job is None and not connection.waiting:
+            if connection.job is None and not connection.reader.started:
                 connection.close("stopping")
