Read the configuration again on SIGHUP and move to its discovery at once

At fault: __main__ left SIGHUP to its default. LB_DISCOVERY is set there too and would have stood over the new file, so on a second reading the file's discovery wins.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from tests.world import FAR, SETTINGS, Peer, Wire, entry
+from tests.world import FAR, SETTINGS, Peer, Wire, entry, list_body
 from wheatring import config
 from wheatring.__main__ import main
 
@@ -66,6 +66,37 @@
     discovery.close()
 
 
+def test_told_to_reload_it_moves_to_the_new_discovery_and_outlives_a_broken_file(tmp_path: Path) -> None:
+    old, new, file = Peer(), Peer(), tmp_path / "c.json"
+    file.write_text(json.dumps(told(discovery="127.0.0.1:9")), encoding="utf-8")
+    with subprocess.Popen(
+        [sys.executable, "-m", "wheatring"],
+        env={**os.environ, "LB_CONFIG": str(file), "LB_DISCOVERY": f"127.0.0.1:{old.port}"},
+        stdout=subprocess.PIPE,
+        text=True,
+    ) as process:
+        assert process.stdout is not None
+        watch = old.accept()
+        watch.read()
+        file.write_text(json.dumps(told(settings=None)), encoding="utf-8")
+        process.send_signal(signal.SIGHUP)
+        line = next(line for line in process.stdout if line.startswith("not-reloaded"))
+        assert "settings: missing" in line
+        file.write_text(json.dumps(told(discovery=f"127.0.0.1:{new.port}")), encoding="utf-8")
+        process.send_signal(signal.SIGHUP)
+        moved = new.accept()
+        assert moved.read()[0] == "GET /v1/servers HTTP/1.1"
+        assert watch.at_end()
+        process.send_signal(signal.SIGHUP)  # nothing new: the call that is under way goes on
+        next(line for line in process.stdout if line.startswith("reloaded"))
+        moved.answer(200, list_body(2, reset=True))
+        assert moved.read()[0].startswith("GET /v1/servers?index=2&")
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(FAR) == 0
+    old.close()
+    new.close()
+
+
 @pytest.mark.parametrize(
     ("key", "changes"),
     [
--- a/wheatring/__main__.py
+++ b/wheatring/__main__.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import time
+from collections.abc import Mapping
 from typing import Any
 
 from wheatring import config, log
@@ -49,6 +50,17 @@
         log.line("listening", name=self.told.name, host=self.told.listen[0], port=port)
         return port
 
+    def reload(self, environment: Mapping[str, str]) -> None:
+        """Read the configuration again. One that can't be used leaves all as it is."""
+        try:
+            told = config.read(environment, again=True)
+        except config.ConfigError as bad:
+            log.line("not-reloaded", why=str(bad))
+            return
+        log.line("reloaded", discovery=":".join(map(str, told.discovery)))
+        if not self.server.stopping:
+            self.machine_list.move(told.discovery)
+
     def stop(self) -> None:
         """Answer what has come and what still arrives, then exit."""
         if not self.server.stopping:
@@ -71,6 +83,7 @@
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload, it must not end us
     try:
         told = config.read(os.environ)
     except config.ConfigError as bad:
@@ -97,6 +110,10 @@
     def told_to_stop(number: int, frame: object) -> None:
         reactor.callFromThread(sidecar.stop)
 
+    def told_to_reload(number: int, frame: object) -> None:
+        reactor.callFromThread(sidecar.reload, os.environ)
+
+    signal.signal(signal.SIGHUP, told_to_reload)
     signal.signal(signal.SIGTERM, told_to_stop)
     signal.signal(signal.SIGINT, told_to_stop)
     reactor.run(installSignalHandlers=False)
--- a/wheatring/config.py
+++ b/wheatring/config.py
@@ -1,7 +1,8 @@
 """The one place where the configuration is read, checked and given its defaults.
 
 LB_CONFIG names a JSON file; LB_NAME, LB_LISTEN and LB_DISCOVERY, where set, stand over what it says. Its
-`settings` are the simulator's, nested; the adapter's own reading of them is used.
+`settings` are the simulator's, nested; the adapter's own reading of them is used. When the file is read
+again, what it says of discovery stands over LB_DISCOVERY, which is as old as the process.
 """
 
 from __future__ import annotations
@@ -72,7 +73,7 @@
     return str(value)
 
 
-def read(environment: Mapping[str, str]) -> Config:
+def read(environment: Mapping[str, str], *, again: bool = False) -> Config:
     where = environment.get("LB_CONFIG")
     if not where:
         raise ConfigError("LB_CONFIG: not set")
@@ -80,7 +81,7 @@
         data = json.loads(Path(where).read_text(encoding="utf-8"))
     except OSError as bad:
         raise ConfigError(f"LB_CONFIG: {bad.strerror}: {where}") from bad
-    except ValueError as bad:
+    except (ValueError, RecursionError) as bad:
         raise ConfigError(f"LB_CONFIG: not JSON: {bad}") from bad
     if not isinstance(data, dict):
         raise ConfigError("LB_CONFIG: not a JSON object")
@@ -88,6 +89,7 @@
     def told(key: str) -> object:
         return environment.get(f"LB_{key.upper()}") or data.get(key)
 
+    discovery = (again and data.get("discovery")) or told("discovery")
     name = told("name")
     if not isinstance(name, str) or not name:
         raise ConfigError("name: missing")
@@ -126,7 +128,7 @@
     return Config(
         name=name,
         listen=_address("listen", told("listen")),
-        discovery=_address("discovery", told("discovery")),
+        discovery=_address("discovery", discovery),
         seed=number,
         sockets=sockets,
         known=known,
--- a/wheatring/http1/machine_list.py
+++ b/wheatring/http1/machine_list.py
@@ -207,7 +207,7 @@
     def subscribe(self) -> None:
         if not self.watching:
             self.watching = True
-            self.watch()
+            self.watch(self.watcher)
 
     def unsubscribe(self) -> None:
         if self.watching:
@@ -215,6 +215,19 @@
             self.watcher.done = None
             self.watcher.stop("unsubscribed")
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Discovery is elsewhere now. Its versions may be others there, so the whole list comes first; until
+        it has come, what is held stands."""
+        if address == self.address:
+            return
+        self.watching = False
+        self.watcher.done = None
+        self.watcher.stop("moved")
+        self.address = address
+        self.watcher = _Caller(self.reactor, self.clock, address)
+        self.version = None
+        self.subscribe()
+
     def fetch(self) -> None:
         caller = _Caller(self.reactor, self.clock, self.address)
 
@@ -225,9 +238,9 @@
 
         caller.call("/v1/servers", self.clock.now() + WHOLE, done)
 
-    def watch(self) -> None:
-        if not self.watching:
-            return
+    def watch(self, watcher: _Caller) -> None:
+        if not self.watching or watcher is not self.watcher or watcher.done is not None:
+            return  # it was called off, or begun anew, since this call was put off
         self.called = now = self.clock.now()
         if self.version is None:
             self.watcher.call("/v1/servers", now + WHOLE, self.watched)
@@ -237,7 +250,7 @@
 
     def watched(self, message: Message | None) -> None:
         if self.read(message):
-            self.clock.at(self.called + SPACING, self.watch)
+            self.clock.at(self.called + SPACING, self.watch, self.watcher)
         else:
             self.watching = False
             self.watcher.stop("watch-failed")
