Conclude no crowd from few calls, and learn the usual latency from more than one answer

Seen: with the sidecar's own losses gone, nearly all that was lost were refusals by the module's gate, with 8 to 20 calls in flight and answers after 0.5 s (aim 2.5 s). Checked by logging what the gate saw at each refusal: base latency 0.06 s where the mean was 0.6 s, as it stood at the first, fastest answer and rises by a thousandth an answer; calls stuck at a silent endpoint counted as queue; failed connects of dead endpoints took room away. Ruled out: claims (few failed), CPU (0.15 s in the worst second), descriptors. At fault: Norm.learn, Balancer.admits and observe in lapisway/policy.py.

The first room is 0.4 instead of 0.5, as the base is larger. Tests fail without it. The server's look for room while full is one timer now; a crowd that came and went could start several.

--- a/lapisway/policy.py
+++ b/lapisway/policy.py
@@ -40,6 +40,8 @@
 LATE = 0.1  # share of late answers at which the gate is as tight as it should be
 SILENT = 4.0  # answers that should have come meanwhile from an endpoint that counts as silent
 STAY_AWAY = 0.15  # least advice to a refused client, as a part of the aim; it is drawn up to twice that
+KNOWN = 10  # answers from which on latencies say what is usual: the first to come are the fastest
+FEW = 20  # calls in flight from which the time they take can be told: one long one among few says nothing
 PATIENCE = 20.0  # deviations above the mean at which an attempt is given up
 
 
@@ -64,15 +66,17 @@
 
     mean: float = 0.0
     deviation: float = 0.0
-    base: float = 0.0  # mean when unloaded: follows the mean down faster than up
+    base: float = 0.0  # mean when unloaded: follows the mean down faster than up, once that is known
+    count: int = 0
 
     def learn(self, latency: float) -> None:
+        self.count += 1
         if not self.mean:
             self.mean, self.deviation, self.base = latency, latency / 2, latency
         self.deviation += LEARN / 2 * (abs(latency - self.mean) - self.deviation)
         self.mean += LEARN / 2 * (latency - self.mean)
         gap = self.mean - self.base
-        self.base += (LEARN / 10 if gap < 0 else LEARN / 200) * gap
+        self.base += (1.0 if self.count <= KNOWN else LEARN / 10 if gap < 0 else LEARN / 200) * gap
 
 
 @dataclass(slots=True)
@@ -112,7 +116,7 @@
         self.capacity = 1.0  # of the near endpoints, in warm ones
         self.in_flight = 0
         self.served = self.served_at = 0.0
-        self.room = 0.5  # part of the time between unloaded latency and aim that queues may take
+        self.room = 0.4  # part of the time between unloaded latency and aim that queues may take
         self.refused_at = -inf
         self.usual = 0.0  # calls in flight while the gate is open
         self.started: float | None = None
@@ -171,12 +175,17 @@
     def admits(self, now: float, request: Request) -> bool:
         """When every server slows, first sends would pass unchecked and all end late. So the front refuses
         what would end late at the present congestion; low worth is left less room than high."""
-        norm, rate, in_flight = request.norm, self.served_rate(now), self.in_flight
-        if self.settings.tier or not in_flight or not norm.base or not rate:
+        norm, rate = request.norm, self.served_rate(now)
+        if self.settings.tier or not norm.base or not rate:
             return True
-        if now - self.refused_at > 1:
+        # What an endpoint holds that is quiet while others answer is no queue for the calls that these get.
+        quiet = max((e.progress for e in self.ready), default=0.0) - request.cls.aim
+        in_flight = sum(e.in_flight for e in self.ready if e.progress > quiet)
+        calm = now - self.refused_at > 1
+        if calm:
             self.usual += LEARN / 20 * (in_flight - self.usual)
-        elif in_flight <= self.usual:  # or it would shut out slower servers, which fewer calls make no faster
+        # Nor is it shut below the usual: fewer calls would make servers that have turned slow no faster.
+        if in_flight < FEW or (not calm and in_flight <= self.usual):
             return True
         congestion = in_flight / rate  # by Little's law, how many times the unloaded latency is taken
         density = self.density(request.cls) / max(map(self.density, self.settings.classes))
@@ -309,7 +318,7 @@
                 self.room = min(1.0, max(0.1, self.room + LEARN / 10 * (LATE - late)))
             request.norm.learn(event.latency)
             self.norm.learn(event.latency)
-        if outcome is Outcome.REJECTED or outcome is Outcome.CONNECT_FAILED:
+        if outcome is Outcome.REJECTED:
             self.room = max(0.1, self.room - LEARN / 10 * (1 - LATE))  # full servers: no room for queues
         if outcome is Outcome.SERVED:
             self.tokens = min(MAX_TOKENS, self.tokens + TOKEN_RATIO)
@@ -359,13 +368,16 @@
     def burden(self, now: float, endpoint: Endpoint) -> float:
         """What an endpoint's calls in flight are scaled by: it is slow, fails, or has gone silent."""
         fade = self.fade(now, endpoint)
-        slowness = 1 + (endpoint.slowness - 1) * fade
-        if endpoint.in_flight and self.norm.mean:
-            silence = (now - endpoint.progress) * endpoint.in_flight / self.norm.mean
-            slowness = max(slowness, silence / SILENT)
+        slowness = max(1 + (endpoint.slowness - 1) * fade, self.silence(now, endpoint) / SILENT)
         crowd = (1 + self.others(now, endpoint)) / (1 + self.mean_report)
         return slowness * crowd * (1 + FAIL_WEIGHT * endpoint.failing * fade) / (endpoint.entry.rating or 1.0)
 
+    def silence(self, now: float, endpoint: Endpoint) -> float:
+        """Answers that should have come from an endpoint since its last one."""
+        if not endpoint.in_flight or not self.norm.mean:
+            return 0.0
+        return (now - endpoint.progress) * endpoint.in_flight / self.norm.mean
+
     def others(self, now: float, endpoint: Endpoint) -> float:
         """Work of other copies by the endpoint's last report; an old one says no more than the mean."""
         fade = exp(endpoint.reported_at - now) if endpoint.reported_at else 0.0
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -411,6 +411,8 @@
     other = world.nodes[0].accept()
     other.read()  # it had its turn though nobody had left
     assert world.run(lambda: len(world.sidecar.server.connections)) <= world.sidecar.server.most
+    looks = [c for c in world.run(reactor.getDelayedCalls) if c.func == world.sidecar.server.clear]
+    assert len(looks) <= 1
     for wire, caller in ((node, busy), (other, late)):
         wire.answer(200, b"here")
         assert caller.read()[2] == b"here"
--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -11,7 +11,7 @@
 
 from lapisway.interface import Effect, RequestClass
 from wheatring import log
-from wheatring.clock import Clock
+from wheatring.clock import Clock, Timer
 from wheatring.exchange import Answer, Exchange, Final, Job
 from wheatring.http1.connection import Connection
 from wheatring.http1.parser import MAX_BODY, MAX_HEAD, BadMessage, Message, Request
@@ -236,6 +236,7 @@
         self.stopping = False
         self.port: Any = None
         self.full = False
+        self.clearing: Timer | None = None  # the next look, or a crowd that comes and goes would start many
         self.sweep()
 
     def buildProtocol(self, addr: object) -> CallerConnection:
@@ -254,7 +255,8 @@
             # Beyond this the process would run out of descriptors; callers wait in the backlog.
             self.full = True
             self.port.stopReading()
-            self.clear()
+            if self.clearing is None:
+                self.clear()
 
     def went(self, connection: CallerConnection) -> None:
         self.connections.discard(connection)
@@ -265,6 +267,7 @@
 
     def clear(self) -> None:
         """While all places are taken, free those that have stood longest without a job."""
+        self.clearing = None
         if not self.full:
             return
         now = self.clock.now()
@@ -272,7 +275,7 @@
         standing.sort(key=lambda c: c.since)
         for connection in standing[: max(1, self.most // 8)]:
             connection.make_room()
-        self.clock.at(now + STAND / 6, self.clear)
+        self.clearing = self.clock.at(now + STAND / 6, self.clear)
 
     def sweep(self) -> None:
         now = self.clock.now()
