--- a/lapisway/policy.py
+++ b/lapisway/policy.py
@@ -56,7 +56,6 @@
     failing: float = 0.0  # share of failures among recent attempts
     seen: float = 0.0  # when these two were last updated
     progress: float = 0.0  # when it last answered or, if idle then, got work
-    turned_away: int = 0  # calls in a row that it turned away: it may be draining, before the list says so
     reported: float = 0.0  # requests it said it held
     reported_at: float = 0.0
 
@@ -319,9 +318,8 @@
                 self.room = min(1.0, max(0.1, self.room + LEARN / 10 * (LATE - late)))
             request.norm.learn(event.latency)
             self.norm.learn(event.latency)
-        endpoint.turned_away = endpoint.turned_away + 1 if outcome is Outcome.REJECTED else 0
-        if endpoint.turned_away == 1:  # one that turns all away may drain: that says nothing of queues
-            self.room = max(0.1, self.room - LEARN / 10 * (1 - LATE))  # a full server: no room for queues
+        if outcome is Outcome.REJECTED:
+            self.room = max(0.1, self.room - LEARN / 10 * (1 - LATE))  # full servers: no room for queues
         if outcome is Outcome.SERVED:
             self.tokens = min(MAX_TOKENS, self.tokens + TOKEN_RATIO)
             self.served = self.served * exp(self.served_at - now) + request.norm.base
@@ -372,7 +370,6 @@
         fade = self.fade(now, endpoint)
         slowness = max(1 + (endpoint.slowness - 1) * fade, self.silence(now, endpoint) / SILENT)
         crowd = (1 + self.others(now, endpoint)) / (1 + self.mean_report)
-        slowness *= 1 + endpoint.turned_away * fade
         return slowness * crowd * (1 + FAIL_WEIGHT * endpoint.failing * fade) / (endpoint.entry.rating or 1.0)
 
     def silence(self, now: float, endpoint: Endpoint) -> float:
