Read the operators' own file, named on the command line

operators.py is its one reader; SIGHUP reads it again, and a bad one changes nothing. The run line names the file in deploy/, which turns nothing on.

--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,87 @@
+"""The operators' file: read, checked, and read again, through the command line."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from tests.test_process import told
+from tests.world import FAR
+from wheatring import operators
+from wheatring.__main__ import main
+
+SECRET = "5ec2e7"
+
+
+@pytest.mark.parametrize(
+    ("key", "text"),
+    [
+        ("drill.keys", "drill.keys = 1"),
+        ("line 2", f"# a comment\n{SECRET}"),
+        ("line 1", "= 1"),
+    ],
+)
+def test_a_wrong_file_ends_it_with_one_line_that_names_the_key(
+    key: str, text: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    (tmp_path / "c.json").write_text(json.dumps(told()), encoding="utf-8")
+    (tmp_path / "o").write_text(text, encoding="utf-8")
+    monkeypatch.setenv("LB_CONFIG", str(tmp_path / "c.json"))
+    assert main(["--operators", str(tmp_path / "o")]) == 2
+    out, err = capsys.readouterr()
+    assert out == "" and err.startswith(f"wheatring: {key}: ") and err.count("\n") == 1
+    assert SECRET not in err
+
+
+@pytest.mark.parametrize("kind", ["missing", "not-utf-8"])
+def test_a_file_that_was_named_must_be_readable(kind: str, tmp_path: Path) -> None:
+    if kind == "not-utf-8":
+        (tmp_path / "o").write_bytes(b"\xff\xfe")
+    with pytest.raises(operators.OperatorsError, match="--operators: "):
+        operators.read(str(tmp_path / "o"))
+
+
+def test_the_default_file_is_read_where_none_is_named_and_need_not_be_there(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.chdir(tmp_path)
+    assert operators.find(None) is None
+    assert operators.read(None) == operators.Operators()
+    (tmp_path / "deploy").mkdir()
+    (tmp_path / operators.DEFAULT).write_text("# nothing\n", encoding="utf-8")
+    assert operators.find(None) == operators.DEFAULT
+    assert operators.find("named") == "named"
+
+
+def test_the_file_in_the_repository_turns_nothing_on() -> None:
+    file = Path(__file__).parent.parent / operators.DEFAULT
+    assert operators.read(str(file)) == operators.Operators()
+
+
+def test_told_to_reload_it_outlives_a_broken_file(tmp_path: Path) -> None:
+    (tmp_path / "c.json").write_text(json.dumps(told()), encoding="utf-8")
+    file = tmp_path / "o"
+    file.write_text("# nothing\n", encoding="utf-8")
+    with subprocess.Popen(
+        [sys.executable, "-m", "wheatring", "--operators", str(file)],
+        env={**os.environ, "LB_CONFIG": str(tmp_path / "c.json")},
+        stdout=subprocess.PIPE,
+        text=True,
+    ) as process:
+        assert process.stdout is not None
+        assert process.stdout.readline().startswith("listening")
+        file.write_text("what.is = this", encoding="utf-8")
+        process.send_signal(signal.SIGHUP)
+        line = next(line for line in process.stdout if line.startswith("operators-not-reloaded"))
+        assert "what.is: unknown" in line
+        file.unlink()
+        process.send_signal(signal.SIGHUP)
+        next(line for line in process.stdout if line.startswith("operators-not-reloaded"))
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(FAR) == 0
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -125,7 +125,7 @@
 ) -> None:  # fmt: skip
     (tmp_path / "c.json").write_text(json.dumps(told(**changes)), encoding="utf-8")
     monkeypatch.setenv("LB_CONFIG", str(tmp_path / "c.json"))
-    assert main() == 2
+    assert main([]) == 2
     out, err = capsys.readouterr()
     assert out == "" and err.count("\n") == 1
     assert f"{key}:" in err or f"setting {key}" in err
--- a/tests/world.py
+++ b/tests/world.py
@@ -21,10 +21,12 @@
 from wheatring import log
 from wheatring.__main__ import Sidecar
 from wheatring.config import Config, pairs
+from wheatring.operators import Operators
 
 reactor: Any = installed
 T = TypeVar("T")
 FAR = 30.0
+NO_OPERATORS = Operators()
 
 CLASSES = [
     {"name": "menu", "slo": 2500000, "deadline": 6000000, "effect": "pure", "late_worth": 0.25},
@@ -116,7 +118,7 @@
 class World:
     """A sidecar with so many nodes, and a discovery that the story may answer for."""
 
-    def __init__(self, nodes: int = 1) -> None:
+    def __init__(self, nodes: int = 1, operators: Operators = NO_OPERATORS) -> None:
         self.lines: list[tuple[str, dict[str, object]]] = []
         self.said = threading.Condition()
         self.nodes = [Peer() for _ in range(nodes)]
@@ -130,7 +132,7 @@
         )  # fmt: skip
 
         def start() -> tuple[Sidecar, int]:
-            sidecar = Sidecar(reactor, self.config)
+            sidecar = Sidecar(reactor, self.config, operators)
             return sidecar, sidecar.start()
 
         log.line = self._line
--- a/wheatring/__main__.py
+++ b/wheatring/__main__.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+import argparse
 import os
 import signal
 import sys
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any
 
-from wheatring import config, log
+from wheatring import commands, config, log, operators
 
 RESERVE = 24  # descriptors kept for the log, the reactor, the door, the configuration and calls to discovery
 CLAIMS = 0.4  # part of the rest that is for claims: callers' requests may hold a third, and others are idle
@@ -17,7 +18,7 @@
 
 
 class Sidecar:
-    def __init__(self, reactor: Any, told: config.Config) -> None:
+    def __init__(self, reactor: Any, told: config.Config, asked: operators.Operators) -> None:
         from lapisway.policy import Balancer
         from wheatring.clock import Clock
         from wheatring.driver import Driver
@@ -30,6 +31,7 @@
         limits = settings.limits
         self.reactor = reactor
         self.told = told
+        self.asked = asked  # by the operators
         self.clock = Clock(reactor)
         self.exchange = Exchange(self.clock, settings.contract.answer_slack)
         self.driver = Driver(Balancer(settings, told.seed), self.exchange, self.clock)
@@ -50,8 +52,16 @@
         log.line("listening", name=self.told.name, host=self.told.listen[0], port=port)
         return port
 
-    def reload(self, environment: Mapping[str, str]) -> None:
-        """Read the configuration again. One that can't be used leaves all as it is."""
+    def reload(self, environment: Mapping[str, str], file: str | None) -> None:
+        """Read both files again. One that can't be used changes nothing of what it is for."""
+        try:
+            asked = operators.read(file)
+        except operators.OperatorsError as bad:
+            log.line("operators-not-reloaded", why=str(bad))
+        else:
+            if asked != self.asked:
+                log.line("operators-reloaded")
+                self.asked = asked
         try:
             told = config.read(environment, again=True)
         except config.ConfigError as bad:
@@ -82,11 +92,17 @@
             self.clock.at(self.clock.now(), self.reactor.stop)  # once these connections have had their lines
 
 
-def main() -> int:
+def main(argv: Sequence[str] | None = None) -> int:
+    return serve(commands.parser().parse_args(argv))
+
+
+def serve(args: argparse.Namespace) -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload, it must not end us
+    file = commands.operators_file(args)
     try:
         told = config.read(os.environ)
-    except config.ConfigError as bad:
+        asked = operators.read(file)
+    except (config.ConfigError, operators.OperatorsError) as bad:
         print(f"wheatring: {bad}", file=sys.stderr)
         return 2
     log.not_blocking()
@@ -100,7 +116,7 @@
 
     observers: Any = [log.twisted_failures]
     globalLogBeginner.beginLoggingTo(observers, redirectStandardIO=False)
-    sidecar = Sidecar(reactor, told)
+    sidecar = Sidecar(reactor, told, asked)
     try:
         sidecar.start()
     except error.CannotListenError as bad:
@@ -111,7 +127,7 @@
         reactor.callFromThread(sidecar.stop)
 
     def told_to_reload(number: int, frame: object) -> None:
-        reactor.callFromThread(sidecar.reload, os.environ)
+        reactor.callFromThread(sidecar.reload, os.environ, file)
 
     signal.signal(signal.SIGHUP, told_to_reload)
     signal.signal(signal.SIGTERM, told_to_stop)
