Add drills: a signed plan delays or aborts an exact share of one class's requests

They stand between exchange and driver, so a held job keeps its id, its overdue timer and its one answer, is ended by a caller that leaves, and is answered after SIGTERM. Off, nothing is imported and nothing hooked.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import threading
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import pytest
 
 from lapisway import interface as i
 from lapisway.policy import Balancer
+from tests.world import NO_OPERATORS, World, reactor
+from wheatring import log
+from wheatring.operators import Operators
 
 SAFE = i.RequestClass("read", aim=1.0, deadline=4.0, effect=i.Effect.SAFE, late_worth=0.5)
 KEYED = i.RequestClass(
@@ -75,3 +80,26 @@
     made = Copy()
     made.view(*entries("a", "b", "c", "d"))
     return made
+
+
+@pytest.fixture(scope="session")
+def running() -> Iterator[None]:
+    thread = threading.Thread(target=reactor.run, kwargs={"installSignalHandlers": False})
+    thread.start()
+    yield
+    reactor.callFromThread(reactor.stop)
+    thread.join()
+
+
+@pytest.fixture
+def make(running: None, monkeypatch: pytest.MonkeyPatch) -> Iterator[Callable[..., World]]:
+    monkeypatch.setattr(log, "line", log.line)  # the world sets its own; this puts the real one back
+    worlds: list[World] = []
+
+    def build(nodes: int = 1, operators: Operators = NO_OPERATORS) -> World:
+        worlds.append(World(nodes, operators))
+        return worlds[-1]
+
+    yield build
+    for world in worlds:
+        world.end()
--- /dev/null
+++ b/tests/test_drills.py
@@ -0,0 +1,166 @@
+"""Drills over loopback sockets, and their plans through the command line."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from functools import partial
+from pathlib import Path
+
+import pytest
+
+from tests.world import Wire, World, reactor
+from wheatring import drills, operators
+from wheatring.__main__ import main
+
+Make = Callable[..., World]
+KEY = "00ff" * 16
+PLAN = "class=menu;from=1000;until=900000000000000"
+LONG = "drill.share = 100\ndrill.delay.ms = 100000"
+
+
+def settings(more: str, plan: str = PLAN) -> operators.Operators:
+    drill = operators.parse(f"drill.key = {KEY}\ndrill.plan = {plan}\n{more}").drill
+    return operators.Operators(replace(drill, plan=drills.signed(drill)))
+
+
+def served(node: Wire, caller: Wire) -> dict[str, str]:
+    node.read()
+    node.answer(200, b"ok")
+    first, fields, _ = caller.read()
+    assert first == "HTTP/1.1 200 OK"
+    return fields
+
+
+def test_an_aborted_share_is_exact_marked_counted_and_one_class_s(make: Make) -> None:
+    world = make(1, settings("drill.share = 30\ndrill.abort = true"))
+    caller = world.caller()
+    node = None
+    for n in range(1, 21):
+        world.run(lambda: world.sidecar.switch(world.sidecar.asked))  # nothing new: it goes on
+        world.ask("menu", caller)
+        if n * 30 // 100 > (n - 1) * 30 // 100:
+            first, fields, _ = caller.read()
+            assert first == "HTTP/1.1 503 Service Unavailable"
+            assert (fields["x-drill"], fields["retry-after"]) == ("1", "0.200")
+        else:
+            node = node or world.nodes[0].accept()
+            assert "x-drill" not in served(node, caller)
+    assert node is not None
+    for _ in range(10):
+        assert "x-drill" not in served(node, world.ask("order", caller))
+    lines = [values for event, values in world.lines if event == "drill"]
+    assert [(v["drill"], v["drill_requests_total"]) for v in lines] == [(1, n) for n in range(1, 7)]
+    assert lines[0]["job"] == "c4"
+    world.run(lambda: world.sidecar.switch(operators.Operators()))
+    for _ in range(10):
+        assert "x-drill" not in served(node, world.ask("menu", caller))
+
+
+def test_a_delayed_job_is_held_by_the_exchange_then_served_and_marked(make: Make) -> None:
+    world = make(1, settings("drill.share = 100\ndrill.delay.ms = 1"))
+    caller = world.ask()
+    assert served(world.nodes[0].accept(), caller)["x-drill"] == "1"
+
+
+def test_a_delay_is_cut_to_the_time_left_and_an_abort_comes_after_it(make: Make) -> None:
+    world = make(1, settings(f"{LONG}\ndrill.abort = true"))
+    first, fields, _ = world.ask(left=400).read()
+    assert (first, fields["x-drill"]) == ("HTTP/1.1 503 Service Unavailable", "1")
+    (line,) = [values for event, values in world.lines if event == "drill"]
+    assert 0 < int(str(line["delay_ms"])) <= 300
+    assert "overdue" not in [event for event, _ in world.lines]
+
+
+def test_a_held_job_s_id_is_taken_and_a_caller_that_leaves_ends_it(make: Make) -> None:
+    world = make(1, settings(LONG))
+    seen: list[object] = []
+    world.run(lambda: setattr(world.sidecar.driver, "feed", seen.append))
+    caller = world.ask()
+    world.logged("drill")
+    world.asked -= 1
+    assert world.ask().read()[0] == "HTTP/1.1 409 Conflict"
+    caller.close()
+    world.logged("caller-connection")
+    assert world.run(lambda: world.sidecar.exchange.open) == 0
+    release = world.sidecar.drills.release if world.sidecar.drills else None
+    assert release not in [call.func for call in world.run(reactor.getDelayedCalls)]
+    assert seen == []  # the module never heard of it
+
+
+def test_a_held_job_is_answered_after_sigterm(make: Make) -> None:
+    world = make(1, settings("drill.share = 100\ndrill.delay.ms = 200"))
+    caller = world.ask()
+    world.logged("drill")
+    world.run(world.sidecar.server.stop_keeping)
+    world.run(world.sidecar.server.close_between)
+    assert served(world.nodes[0].accept(), caller)["x-drill"] == "1"
+    assert caller.at_end()
+
+
+def test_the_window_holds_its_first_millisecond_and_not_its_last(make: Make) -> None:
+    world = make(1, settings("drill.share = 100\ndrill.abort = true", "class=menu;from=5000;until=5100"))
+    made = world.sidecar.drills
+    assert made is not None
+
+    def at(ms: float) -> bool:
+        world.sidecar.clock.unix = lambda: ms / 1000
+        return made.running()
+
+    assert [world.run(partial(at, ms)) for ms in (4999.9, 5000, 5099.9, 5100)] == [False, True, True, False]
+    caller = world.caller()
+    world.ask("menu", caller)
+    assert "x-drill" not in served(world.nodes[0].accept(), caller)
+    world.run(partial(at, 5000))
+    assert world.ask("menu", caller).read()[1]["x-drill"] == "1"
+    world.run(made.look)
+    world.sidecar.clock.unix = lambda: 5.1
+    world.logged("drill-over", 2)  # though nobody asks for anything
+    assert [event for event, _ in world.lines if event.startswith("drill-")] == ["drill-on", "drill-over"] * 2
+
+
+@pytest.mark.parametrize(
+    ("warning", "change"),
+    [
+        ("drill.key: not set", {"key": None}),
+        ("drill.plan: not set", {"plan": ""}),
+        ("drill.plan: not signed", {"plan": PLAN}),
+        ("drill.plan: bad signature", {"plan": f"{PLAN};sig={'0' * 64}"}),
+        ("drill.plan: bad signature", {"key": b"another"}),
+        ("drill.plan: unknown class", {"plan": PLAN.replace("menu", "soup")}),
+        ("drill.plan: ends before it begins", {"plan": "class=menu;from=7;until=7"}),
+        ("drill.plan: not class=NAME;from=MS;until=MS", {"plan": "class=menu;from=7"}),
+        ("drill.delay.ms, drill.abort: neither is set", {"abort": False}),
+    ],
+)
+def test_a_plan_that_can_t_be_used_is_a_warning_and_no_drill(
+    make: Make, warning: str, change: dict[str, object]
+) -> None:
+    drill = replace(settings("drill.share = 100\ndrill.abort = true").drill, **change)  # type: ignore[arg-type]
+    plan = str(change.get("plan", ""))
+    if plan and "sign" not in warning:
+        assert drill.key is not None
+        drill = replace(drill, plan=f"{plan};sig={drills.signature(drill.key, plan)}")
+    world = make(1, operators.Operators(drill))
+    assert [v["warning"] for event, v in world.lines if event == "drill-off"] == [warning]
+    caller = world.ask()
+    assert "x-drill" not in served(world.nodes[0].accept(), caller)
+
+
+def test_the_command_line_signs_what_a_sidecar_then_takes(
+    make: Make, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    file = tmp_path / "o"
+    file.write_text(f"drill.key = {KEY}\ndrill.abort = true\ndrill.share = 100\n", encoding="utf-8")
+    assert main(["drill", "sign", "--operators", str(file)]) == 2
+    assert capsys.readouterr().err == "wheatring: drill.plan: not set\n"
+    assert main(["drill", "sign", "--operators", str(file), PLAN]) == 0
+    signed = capsys.readouterr().out.strip()
+    assert signed.startswith(f"{PLAN};sig=") and KEY not in signed
+    file.write_text(file.read_text(encoding="utf-8") + f"drill.plan = {signed}\n", encoding="utf-8")
+    assert main(["--operators", str(file), "drill", "sign"]) == 0
+    assert capsys.readouterr().out.strip() == signed
+    world = make(1)
+    assert world.sidecar.drills is None
+    world.run(lambda: world.sidecar.switch(operators.read(str(file))))
+    assert world.ask().read()[1]["x-drill"] == "1"
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+from fractions import Fraction
 from pathlib import Path
 
 import pytest
@@ -25,6 +26,12 @@
         ("drill.keys", "drill.keys = 1"),
         ("line 2", f"# a comment\n{SECRET}"),
         ("line 1", "= 1"),
+        ("drill.share", "drill.share = 10\ndrill.share = 11"),
+        ("drill.plan", "drill.plan ="),
+        ("drill.key", f"drill.key = {SECRET}x"),
+        ("drill.share", "drill.share = 100.5"),
+        ("drill.delay.ms", "drill.delay.ms = -1"),
+        ("drill.abort", "drill.abort = yes"),
     ],
 )
 def test_a_wrong_file_ends_it_with_one_line_that_names_the_key(
@@ -59,6 +66,17 @@
     assert operators.find("named") == "named"
 
 
+def test_each_setting_is_read_and_no_secret_is_shown() -> None:
+    plan = "class=menu;from=1;until=2;sig=ab"
+    read = operators.parse(
+        f"drill.key = {SECRET}\n\n drill.plan={plan} \ndrill.share = 2.5\n"
+        "drill.delay.ms = 250\ndrill.abort = true"
+    )
+    key = bytes.fromhex(SECRET)
+    assert read.drill == operators.Drill(key, plan, Fraction(5, 2), 0.25, True)
+    assert SECRET not in repr(read) and repr(key) not in repr(read)
+
+
 def test_the_file_in_the_repository_turns_nothing_on() -> None:
     file = Path(__file__).parent.parent / operators.DEFAULT
     assert operators.read(str(file)) == operators.Operators()
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import socket
-import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any
 
 import pytest
 
 from lapisway import interface as i
 from tests.world import World, entry, list_body, reactor
-from wheatring import log
 from wheatring.exchange import Job
 from wheatring.http1 import client, server
 from wheatring.http1.parser import Request
@@ -19,29 +17,6 @@
 Make = Callable[..., World]
 
 
-@pytest.fixture(scope="module", autouse=True)
-def running() -> Iterator[None]:
-    thread = threading.Thread(target=reactor.run, kwargs={"installSignalHandlers": False})
-    thread.start()
-    yield
-    reactor.callFromThread(reactor.stop)
-    thread.join()
-
-
-@pytest.fixture
-def make(monkeypatch: pytest.MonkeyPatch) -> Iterator[Make]:
-    monkeypatch.setattr(log, "line", log.line)  # the world sets its own; this puts the real one back
-    worlds: list[World] = []
-
-    def build(nodes: int = 1) -> World:
-        worlds.append(World(nodes))
-        return worlds[-1]
-
-    yield build
-    for world in worlds:
-        world.end()
-
-
 def test_a_job_passes_unchanged_and_its_connections_are_kept(make: Make) -> None:
     world = make()
     caller, body = world.caller(), b"a=1\r\n\r\n\x00\xff"
--- a/wheatring/__main__.py
+++ b/wheatring/__main__.py
@@ -8,10 +8,13 @@
 import sys
 import time
 from collections.abc import Mapping, Sequence
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from wheatring import commands, config, log, operators
 
+if TYPE_CHECKING:  # what belongs to a feature is imported once that is turned on
+    from wheatring.drills import Drills
+
 RESERVE = 24  # descriptors kept for the log, the reactor, the door, the configuration and calls to discovery
 CLAIMS = 0.4  # part of the rest that is for claims: callers' requests may hold a third, and others are idle
 ARRIVING = 0.6  # seconds after SIGTERM in which new connections may still arrive, with some to spare
@@ -31,7 +34,7 @@
         limits = settings.limits
         self.reactor = reactor
         self.told = told
-        self.asked = asked  # by the operators
+        self.asked = operators.Operators()  # by the operators, and in effect
         self.clock = Clock(reactor)
         self.exchange = Exchange(self.clock, settings.contract.answer_slack)
         self.driver = Driver(Balancer(settings, told.seed), self.exchange, self.clock)
@@ -45,6 +48,8 @@
         )
         self.driver.machine_list = self.machine_list
         self.server = Server(reactor, self.clock, self.exchange, settings.classes, places - claims)
+        self.drills: Drills | None = None
+        self.switch(asked)
 
     def start(self) -> int:
         self.machine_list.known(self.told.known)
@@ -52,6 +57,16 @@
         log.line("listening", name=self.told.name, host=self.told.listen[0], port=port)
         return port
 
+    def switch(self, asked: operators.Operators) -> None:
+        """Put into effect what the operators may change while it serves."""
+        if self.drills is None and asked.drill != self.asked.drill:
+            from wheatring.drills import Drills
+
+            self.drills = Drills(self.exchange, self.clock, self.server.classes, self.told.settings.limits)
+        if self.drills is not None:
+            self.drills.switch(asked.drill)
+        self.asked = asked
+
     def reload(self, environment: Mapping[str, str], file: str | None) -> None:
         """Read both files again. One that can't be used changes nothing of what it is for."""
         try:
@@ -61,7 +76,7 @@
         else:
             if asked != self.asked:
                 log.line("operators-reloaded")
-                self.asked = asked
+                self.switch(asked)
         try:
             told = config.read(environment, again=True)
         except config.ConfigError as bad:
@@ -88,12 +103,15 @@
         else:
             self.machine_list.unsubscribe()
             self.pool.close()
+            if self.drills is not None:
+                self.drills.stop()
             log.line("stopped")
             self.clock.at(self.clock.now(), self.reactor.stop)  # once these connections have had their lines
 
 
 def main(argv: Sequence[str] | None = None) -> int:
-    return serve(commands.parser().parse_args(argv))
+    args = commands.parser().parse_args(argv)
+    return serve(args) if args.call is None else commands.run(args)
 
 
 def serve(args: argparse.Namespace) -> int:
--- a/wheatring/clock.py
+++ b/wheatring/clock.py
@@ -21,6 +21,7 @@
         # Unix time is only ever converted with this one offset, so that equal times stay equal.
         self.unix_offset = time.time() - time.monotonic()
         self.now = time.monotonic
+        self.unix = time.time  # in seconds, for what others state in it and no deadline hangs on
 
     def at(self, instant: float, call: Callable[..., object], *args: object) -> Timer:
         timer: Timer = self.reactor.callLater(max(0.0, instant - self.now()), call, *args)
--- a/wheatring/commands.py
+++ b/wheatring/commands.py
@@ -1,8 +1,10 @@
-"""The command line."""
+"""The command line: its words, and the commands that don't serve."""
 
 from __future__ import annotations
 
 import argparse
+import sys
+from dataclasses import replace
 
 from wheatring import operators
 
@@ -17,8 +19,36 @@
     top = argparse.ArgumentParser(
         prog="wheatring", parents=[file], description="A sidecar load balancer. Without a command, it serves."
     )
+    top.set_defaults(call=None)
+    groups = top.add_subparsers(title="commands", metavar="COMMAND")
+
+    drill = groups.add_parser("drill", help="make drills").add_subparsers(required=True, metavar="COMMAND")
+    sign = drill.add_parser("sign", parents=[file], help="print a drill's plan with its signature")
+    sign.add_argument(
+        "plan", nargs="?",
+        help="class=NAME;from=MS;until=MS, in Unix milliseconds (default: the file's drill.plan)",
+    )  # fmt: skip
+    sign.set_defaults(call=drill_sign)
     return top
 
 
 def operators_file(args: argparse.Namespace) -> str | None:
     return operators.find(getattr(args, "operators", None))
+
+
+def drill_sign(args: argparse.Namespace) -> int:
+    from wheatring import drills
+
+    told = operators.read(operators_file(args)).drill
+    print(drills.signed(told if args.plan is None else replace(told, plan=args.plan)))
+    return 0
+
+
+def run(args: argparse.Namespace) -> int:
+    """Carry out a command; what can't be done is one line and status 2."""
+    try:
+        status: int = args.call(args)
+    except (operators.OperatorsError, OSError) as bad:
+        print(f"wheatring: {bad}", file=sys.stderr)
+        return 2
+    return status
--- /dev/null
+++ b/wheatring/drills.py
@@ -0,0 +1,165 @@
+"""Drills: while a signed plan says so, a share of one class's jobs is delayed, aborted or both.
+
+A drill stands between the exchange and the driver. What it holds is the exchange's already, with its id, its
+deadline and its one answer; the module sees a delayed job once its delay is over, an aborted one never.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import re
+from collections.abc import Mapping
+from fractions import Fraction
+from typing import NamedTuple
+
+from lapisway.interface import Limits, RequestClass
+from lapisway.policy import STAY_AWAY
+from wheatring import log
+from wheatring.clock import Clock, Timer
+from wheatring.exchange import Answer, Exchange, Final, Job
+from wheatring.operators import Drill, OperatorsError
+
+MARGIN = 0.25  # seconds before its deadline, or a quarter of its time left, at which no job is held any more
+LOOK = 5.0  # seconds between looks at the time at least, which may be set anew
+
+_PLAN = re.compile(r"class=([!-:<-~]+);from=([0-9]{1,15});until=([0-9]{1,15})")
+
+
+class PlanError(OperatorsError):
+    """A plan that can't be used; the text begins with the key at fault."""
+
+
+class Plan(NamedTuple):
+    class_name: str
+    begin: int  # Unix time in milliseconds, as the plan says it
+    end: int  # the first one that is not in it
+
+
+def _plan(text: str) -> Plan:
+    match = _PLAN.fullmatch(text)
+    if match is None:
+        raise PlanError("drill.plan: not class=NAME;from=MS;until=MS")
+    plan = Plan(match[1], int(match[2]), int(match[3]))
+    if plan.begin >= plan.end:
+        raise PlanError("drill.plan: ends before it begins")
+    return plan
+
+
+def signature(key: bytes, text: str) -> str:
+    return hmac.new(key, text.encode(), hashlib.sha256).hexdigest()
+
+
+def signed(drill: Drill) -> str:
+    """The settings' plan with its signature; one that it has already is made anew."""
+    if drill.key is None:
+        raise PlanError("drill.key: not set")
+    if not drill.plan:
+        raise PlanError("drill.plan: not set")
+    text = drill.plan.partition(";sig=")[0]
+    _plan(text)
+    return f"{text};sig={signature(drill.key, text)}"
+
+
+def checked(drill: Drill, classes: Mapping[str, RequestClass]) -> Plan:
+    """The settings' plan, if it is signed and can be carried out."""
+    text, sig, given = drill.plan.partition(";sig=")
+    if drill.plan and not sig:
+        raise PlanError("drill.plan: not signed")
+    right = signed(drill).rpartition("=")[2]
+    if not hmac.compare_digest(given.encode(), right.encode()):
+        raise PlanError("drill.plan: bad signature")
+    plan = _plan(text)
+    if plan.class_name not in classes:
+        raise PlanError("drill.plan: unknown class")
+    if not drill.delay and not drill.abort:
+        raise PlanError("drill.delay.ms, drill.abort: neither is set")
+    return plan
+
+
+class Drills:
+    def __init__(
+        self, exchange: Exchange, clock: Clock, classes: Mapping[str, RequestClass], limits: Limits
+    ) -> None:
+        self.exchange = exchange
+        self.clock = clock
+        self.classes = classes
+        self.limits = limits
+        self.pass_on = exchange.on_job
+        exchange.on_job = self.job_came
+        self.told = Drill()
+        self.plan: Plan | None = None
+        self.on = False
+        self.owed = Fraction(0)  # percent: a job is due at 100, so that the share is exact
+        self.total = 0
+        self.next_look: Timer | None = None
+
+    def switch(self, told: Drill) -> None:
+        """Go by these settings from now on. Unchanged ones leave a drill as it is."""
+        if told == self.told:
+            return
+        self.told, self.plan, self.owed = told, None, Fraction(0)
+        if told != Drill():
+            try:
+                self.plan = checked(told, self.classes)
+            except PlanError as bad:
+                log.line("drill-off", warning=str(bad))
+        self.look()
+
+    def look(self) -> None:
+        """Tell of the window's ends when they come, also while nobody asks for anything."""
+        if self.next_look is not None and self.next_look.active():
+            self.next_look.cancel()
+        self.running()
+        now, plan = self.clock.unix() * 1000, self.plan
+        if plan is not None and now < plan.end:
+            wait = ((plan.begin if now < plan.begin else plan.end) - now) / 1000
+            self.next_look = self.clock.at(self.clock.now() + min(wait, LOOK), self.look)
+
+    def running(self) -> bool:
+        plan = self.plan
+        on = plan is not None and plan.begin <= self.clock.unix() * 1000 < plan.end
+        if on != self.on:
+            self.on = on
+            log.line("drill-on" if on else "drill-over", drill_requests_total=self.total)
+        return on
+
+    def job_came(self, job: Job) -> None:
+        if not self.running() or self.plan is None or job.class_name != self.plan.class_name:
+            self.pass_on(job)
+            return
+        self.owed += self.told.share
+        if self.owed < 100:
+            self.pass_on(job)
+            return
+        self.owed -= 100
+        self.total += 1
+        job.drill = True
+        now, abort = self.clock.now(), self.told.abort
+        left = job.deadline - now
+        delay = min(self.told.delay, left - min(MARGIN, left / 4))  # there must be time for an answer
+        log.line(
+            "drill", drill=1, job=job.ident, of=job.class_name, delay_ms=round(delay * 1000),
+            abort=int(abort), drill_requests_total=self.total,
+        )  # fmt: skip
+        if delay > 0:
+            job.held = self.clock.at(now + delay, self.release, job, abort)
+        else:
+            self.release(job, abort)
+
+    def release(self, job: Job, abort: bool) -> None:
+        job.held = None
+        if abort:
+            self.exchange.answer(job, Answer(Final.REFUSED, retry_after=self.stay_away(job)))
+        else:
+            self.pass_on(job)
+
+    def stay_away(self, job: Job) -> float:
+        """The module's least advice. Its random numbers are its own, and jobs due for a drill are apart."""
+        advice = STAY_AWAY * self.classes[job.class_name].aim
+        return min(advice, self.limits.max_retry_after) if self.limits.retry_after else 0.0
+
+    def stop(self) -> None:
+        if self.next_look is not None and self.next_look.active():
+            self.next_look.cancel()
+        log.line("drill-total", drill_requests_total=self.total)
--- a/wheatring/driver.py
+++ b/wheatring/driver.py
@@ -46,7 +46,8 @@
         self.feed(i.NewRequest(job.number, job.class_name, left, client_retry=job.repeat))
 
     def job_left(self, job: Job) -> None:
-        self.feed(i.ClientGone(job.number))
+        if job.number:  # the module knows of it
+            self.feed(i.ClientGone(job.number))
 
     def claim_ended(self, claim: Claim) -> None:
         job = claim.job
--- a/wheatring/exchange.py
+++ b/wheatring/exchange.py
@@ -45,6 +45,8 @@
     number: int = 0  # the decision module's id of the job
     over: bool = False
     overdue: Timer | None = None
+    drill: bool = False  # taken for a drill, which its answer says
+    held: Timer | None = None  # by that drill, until then
 
 
 @dataclass(slots=True, eq=False)
@@ -172,6 +174,9 @@
         if job.overdue is not None:
             job.overdue.cancel()
             job.overdue = None
+        if job.held is not None:
+            job.held.cancel()
+            job.held = None
         for claim in job.claims:
             if claim.outcome is None and not claim.written and claim.drop is not None:
                 self._stop(claim, Outcome.NOT_SENT)  # a connect still under way must not lead to a send
--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -138,16 +138,17 @@
         self.job = None
         close = not self.keep_alive or self.server.stopping
         self.keep_alive = not close
+        mark = b"X-Drill: 1\r\n" if job.drill else b""
         if answer.final is Final.SERVED:
             message = answer.content
             assert isinstance(message, Message)
-            self.say(response(200, message.body, message.end_to_end(), close=close))
+            self.say(response(200, message.body, mark + message.end_to_end(), close=close))
         elif answer.final is Final.REFUSED:
             wait = answer.retry_after
             more = b"Retry-After: %s\r\n" % (b"%.3f" % (ceil(wait * 1000) / 1000)) if wait > 0 else b""
-            self.say(response(503, more=more, close=close))
+            self.say(response(503, more=mark + more, close=close))
         else:
-            self.say(response(502, close=close))
+            self.say(response(502, more=mark, close=close))
         if self.paused:
             self.paused = False
             self.transport.resumeProducing()
--- a/wheatring/operators.py
+++ b/wheatring/operators.py
@@ -5,20 +5,41 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import re
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from fractions import Fraction
 from pathlib import Path
+from typing import TypeVar
+
+T = TypeVar("T")
 
 DEFAULT = "deploy/operator.properties"  # read where none is named, if it is there
 
+_SECRET = re.compile(r"(?:[0-9A-Fa-f]{2})+")
+_WHOLE = re.compile(r"[0-9]{1,12}")
+_PERCENT = re.compile(r"[0-9]{1,3}(?:\.[0-9]{1,6})?")
+
 
 class OperatorsError(ValueError):
     """An operators' file that can't be used; the text begins with the key at fault."""
 
 
+@dataclass(frozen=True, slots=True)
+class Drill:
+    key: bytes | None = field(default=None, repr=False)
+    plan: str = ""
+    share: Fraction = Fraction(10)  # percent of the class's requests
+    delay: float = 0.0
+    abort: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Operators:
     """All that the file says; what it leaves out is off."""
 
+    drill: Drill = Drill()
+
 
 class _Properties:
     """The file's pairs; each is taken once, by its reader."""
@@ -38,12 +59,54 @@
                 raise OperatorsError(f"{key}: has no value")
             self.values[key] = value
 
+    def take(self, key: str, read: Callable[[str], T], default: T) -> T:
+        if key not in self.values:
+            return default
+        try:
+            return read(self.values.pop(key))
+        except ValueError as bad:
+            raise OperatorsError(f"{key}: {bad}") from None
+
+
+def _secret(text: str) -> bytes:
+    if not _SECRET.fullmatch(text):
+        raise ValueError("not a secret in hex")
+    return bytes.fromhex(text)
+
+
+def _switch(text: str) -> bool:
+    if text not in ("true", "false"):
+        raise ValueError("neither true nor false")
+    return text == "true"
+
+
+def _whole(least: int, most: int) -> Callable[[str], int]:
+    def read(text: str) -> int:
+        if not _WHOLE.fullmatch(text) or not least <= int(text) <= most:
+            raise ValueError(f"not a whole number from {least} to {most}")
+        return int(text)
+
+    return read
+
+
+def _percent(text: str) -> Fraction:
+    if not _PERCENT.fullmatch(text) or Fraction(text) > 100:
+        raise ValueError("not a number from 0 to 100")
+    return Fraction(text)
+
 
 def parse(text: str) -> Operators:
     has = _Properties(text)
+    drill = Drill(
+        key=has.take("drill.key", _secret, None),
+        plan=has.take("drill.plan", str, ""),
+        share=has.take("drill.share", _percent, Fraction(10)),
+        delay=has.take("drill.delay.ms", _whole(0, 3_600_000), 0) / 1000,
+        abort=has.take("drill.abort", _switch, False),
+    )
     for key in has.values:
         raise OperatorsError(f"{key}: unknown")
-    return Operators()
+    return Operators(drill)
 
 
 def find(named: str | None) -> str | None:
