Add the audit: chained lines on standard error for each change of state, and their check

wheatring audit verify tells the first bad line. Signals are taken before the line that says it listens: under load a story's SIGHUP came between the two and was ignored, so it waited for ever (serve in __main__.py set the handlers after sidecar.start).

--- /dev/null
+++ b/tests/test_audit.py
@@ -0,0 +1,244 @@
+"""The audit: a process's own lines, and what `wheatring audit verify` finds in them."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import pytest
+from twisted.internet.task import Clock as Reactor
+
+from tests.test_process import told
+from tests.world import FAR, Wire
+from wheatring import audit, log, operators
+from wheatring.__main__ import main
+from wheatring.clock import Clock
+
+KEY = "0a" * 32
+
+
+@contextmanager
+def begin(tmp_path: Path, asked: str, stderr: int) -> Iterator[subprocess.Popen[str]]:
+    (tmp_path / "c.json").write_text(json.dumps(told(name="n 3")), encoding="utf-8")
+    (tmp_path / "o").write_text(asked, encoding="utf-8")
+    with subprocess.Popen(
+        [sys.executable, "-m", "wheatring", "--operators", str(tmp_path / "o")],
+        env={**os.environ, "LB_CONFIG": str(tmp_path / "c.json")},
+        stdout=subprocess.PIPE,
+        stderr=stderr,
+        text=True,
+    ) as process:
+        try:
+            yield process
+        finally:
+            process.kill()  # or a story that fails would wait for it
+
+
+def until(process: subprocess.Popen[str], event: str) -> str:
+    assert process.stdout is not None
+    return next(line for line in process.stdout if line.startswith(event))
+
+
+def fields(line: str) -> dict[str, str]:
+    assert line.startswith("AUDIT ")
+    return dict(pair.split("=") for pair in line.split()[1:])
+
+
+def test_each_change_of_state_is_a_line_and_a_copy_and_two_starts_verify(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    copy, heard = tmp_path / "audit.log", ""
+    for _ in range(2):
+        with begin(tmp_path, f"audit.file = {copy}\n", subprocess.PIPE) as process:
+            until(process, "listening")
+            with open(tmp_path / "o", "a", encoding="utf-8") as file:
+                file.write(f"drill.key = {KEY}\ndrill.plan = no\n")
+            process.send_signal(signal.SIGHUP)
+            until(process, "reloaded")
+            process.send_signal(signal.SIGTERM)
+            assert process.stdout is not None and process.stderr is not None
+            assert process.wait(FAR) == 0
+            heard += process.stderr.read()
+    assert copy.read_text(encoding="utf-8") == heard and KEY not in heard
+    lines = [fields(line) for line in heard.splitlines()]
+    once = [
+        ("start", "platform"), ("config", "platform"), ("config", "operators"),
+        ("config", "operators"), ("key", "operators"), ("config", "platform"), ("stop", "platform"),
+    ]  # fmt: skip
+    assert [(line["event"], line["actor"]) for line in lines] == once * 2
+    assert [line["seq"] for line in lines] == [*"1234567"] * 2
+    assert (lines[4]["key"], lines[4]["change"], lines[4]["name"]) == ("drill.key", "added", "n%203")
+    assert main(["audit", "verify", str(copy)]) == 0
+    out = capsys.readouterr().out.splitlines()
+    assert out[0] == "ok" and "lost from the end" in out[1]
+
+
+def test_a_reader_of_standard_error_that_stalls_holds_nothing_up_and_loses_nothing(tmp_path: Path) -> None:
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    filled = 0
+    with pytest.raises(BlockingIOError):
+        while True:
+            filled += os.write(writer, b"\n" * 65536)
+    with begin(tmp_path, "audit.on = true\n", writer) as process:
+        os.close(writer)
+        port = until(process, "listening").rpartition("=")[2]
+        caller = Wire(socket.create_connection(("127.0.0.1", int(port)), FAR))
+        caller.send(b"GET /healthz HTTP/1.1\r\n\r\n")
+        assert caller.read()[0] == "HTTP/1.1 200 OK"
+        caller.close()
+        with open(reader, "rb") as stderr:
+            stderr.read(filled)
+            process.send_signal(signal.SIGTERM)
+            rest = stderr.read()
+        assert process.wait(FAR) == 0
+    assert [line.split()[1] for line in rest.splitlines()] == [b"seq=1", b"seq=2", b"seq=3", b"seq=4"]
+    assert audit.verify(rest.splitlines(keepends=True)) == ""
+
+
+class Error:
+    """Standard error that takes what it is told to take."""
+
+    fstat = os.fstat
+    set_blocking = os.set_blocking
+
+    def __init__(self, *takes: int) -> None:
+        self.takes = list(takes)
+        self.got = b""
+
+    def write(self, number: int, data: bytes) -> int:
+        taken = self.takes.pop(0) if self.takes else len(data)
+        if taken < 0:
+            raise BlockingIOError
+        self.got += data[:taken]
+        return len(data[:taken])
+
+
+@pytest.fixture
+def lines(monkeypatch: pytest.MonkeyPatch) -> list[bytes]:
+    """Five lines of one sidecar among other lines, and two of another."""
+    error = Error()
+    monkeypatch.setattr(audit, "os", error)
+    told = {"n3": ("start", "config", "config", "drill-on", "stop"), "n4": ("start", "stop")}
+    for name, events in told.items():
+        made = audit.Audit(name, Clock(Reactor()), "")
+        for event in events:
+            made.record(event, "platform", more=f"a b={name}")
+    kept = error.got.splitlines(keepends=True)
+    return [b"listening name=n3\n", *kept[:2], b"AUDITOR?\n".lower(), *kept[2:]]
+
+
+def rehashed(line: bytes, old: bytes, new: bytes) -> bytes:
+    body, _, rest = line.removeprefix(b"AUDIT ").partition(b" prev=")
+    body, prev = body.replace(old, new), rest[:64]
+    made = audit.chained(prev.decode(), body.decode()).encode()
+    return b"AUDIT " + body + b" prev=" + prev + b" hash=" + made + b"\n"
+
+
+def test_what_is_whole_verifies_also_cut_at_its_end(lines: list[bytes]) -> None:
+    assert len(lines) == 9 and audit.verify(lines) == ""
+    assert audit.verify(lines[:5]) == ""  # what the report says can't be seen
+    assert audit.verify([*lines, *lines]) != ""
+
+
+@pytest.mark.parametrize(
+    ("bad", "how"),
+    [
+        (2, "edit"), (3, "edit"), (6, "edit"), (3, "remove"), (2, "remove"), (5, "swap"), (3, "half"),
+        (9, "half"), (9, "stub"), (5, "renumber"), (3, "double"), (2, "double"), (2, "rename"), (2, "rehash"),
+        (7, "skip"),
+    ],
+)  # fmt: skip
+def test_the_first_bad_line_is_told(
+    lines: list[bytes], bad: int, how: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    at = bad - 1
+    line = lines[at]
+    match how:
+        case "edit":
+            lines[at] = line.replace(b"actor=platform", b"actor=operators")
+        case "remove":
+            del lines[at]
+            bad += lines[at][:5] != b"AUDIT"
+        case "swap":
+            lines[at : at + 2] = [lines[at + 1], line]
+        case "half":
+            lines[at] = line[:40]
+        case "stub":
+            lines[at] = line[:3]
+        case "renumber":
+            lines[at] = line.replace(b"seq=3", b"seq=4")
+        case "double":
+            lines.insert(bad, line)
+            bad += 1
+        case "rename":  # a line of one start can't begin another's
+            lines[at] = rehashed(line, b"name=n3", b"name=n9")
+        case "rehash":  # an edited line with a right hash breaks the next one's chain
+            lines[at] = rehashed(line, b"platform", b"nobody")
+            bad += 1
+        case "skip":  # and a gap is one even where the chain holds
+            lines[at] = rehashed(line, b"seq=5", b"seq=6")
+    (tmp_path / "log").write_bytes(b"".join(lines))
+    assert main(["audit", "verify", str(tmp_path / "log")]) == 1
+    out = capsys.readouterr().out
+    assert out.startswith(f"line {bad} is bad (") and "can't be seen" in out
+
+
+def test_a_log_without_an_audit_is_not_ok(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    (tmp_path / "log").write_bytes(b"listening name=n3\n")
+    assert main(["audit", "verify", str(tmp_path / "log")]) == 1
+    assert main(["audit", "verify", str(tmp_path / "none")]) == 2
+    assert "No such file" in capsys.readouterr().err
+
+
+def test_a_line_that_is_taken_in_parts_comes_whole(monkeypatch: pytest.MonkeyPatch) -> None:
+    error, reactor = Error(-1, 10, -1, 20), Reactor()
+    monkeypatch.setattr(audit, "os", error)
+    kept = audit.Audit("n3", Clock(reactor), "")
+    kept.record("start", "platform")
+    kept.record("stop", "platform")
+    assert error.got == b""
+    reactor.advance(1)
+    assert len(error.got) == 10
+    reactor.advance(1)
+    assert audit.verify(error.got.splitlines(keepends=True)) == "" and error.got.count(b"\n") == 2
+
+
+def test_what_waits_is_bounded_and_what_is_lost_is_said(monkeypatch: pytest.MonkeyPatch) -> None:
+    said: list[str] = []
+    monkeypatch.setattr(log, "line", lambda event, **values: said.append(event))
+    monkeypatch.setattr(audit, "os", Error(*[-1] * 9999))
+    kept = audit.Audit("n3", Clock(Reactor()), "")
+    for _ in range(audit.MOST + 2):
+        kept.record("config", "platform")
+    assert len(kept.waiting) == audit.MOST and said == ["audit-lost"] * 2
+    kept.close()
+    assert said == ["audit-lost"] * 3
+
+
+def test_a_copy_that_can_t_be_written_is_one_warning(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
+    said: list[str] = []
+    monkeypatch.setattr(log, "line", lambda event, **values: said.append(event))
+    kept = audit.Audit("n3", Clock(Reactor()), str(tmp_path))
+    kept.record("start", "platform")
+    kept.record("stop", "platform")
+    assert said == ["audit-file-failed"]
+    assert audit.verify(capfd.readouterr().err.encode().splitlines(keepends=True)) == ""
+
+
+def test_only_changed_keys_are_told(capfd: pytest.CaptureFixture[str]) -> None:
+    kept = audit.Audit("n3", Clock(Reactor()), "")
+    one, two = (operators.parse(f"drill.key = {key}") for key in ("aa", "bb"))
+    for old, new in ((operators.Operators(), one), (one, one), (one, two), (two, operators.Operators())):
+        kept.keys(old, new)
+    told = [fields(line)["change"] for line in capfd.readouterr().err.splitlines()]
+    assert told == ["added", "replaced", "removed"]
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -32,6 +32,7 @@
         ("drill.share", "drill.share = 100.5"),
         ("drill.delay.ms", "drill.delay.ms = -1"),
         ("drill.abort", "drill.abort = yes"),
+        ("audit.on", "audit.on = 1"),
     ],
 )
 def test_a_wrong_file_ends_it_with_one_line_that_names_the_key(
@@ -74,6 +75,8 @@
     )
     key = bytes.fromhex(SECRET)
     assert read.drill == operators.Drill(key, plan, Fraction(5, 2), 0.25, True)
+    assert not read.audit.on and operators.parse("audit.on = true").audit.on
+    assert operators.parse("audit.file = a=b").audit == operators.Audit(True, "a=b")
     assert SECRET not in repr(read) and repr(key) not in repr(read)
 
 
--- a/wheatring/__main__.py
+++ b/wheatring/__main__.py
@@ -13,6 +13,7 @@
 from wheatring import commands, config, log, operators
 
 if TYPE_CHECKING:  # what belongs to a feature is imported once that is turned on
+    from wheatring.audit import Audit
     from wheatring.drills import Drills
 
 RESERVE = 24  # descriptors kept for the log, the reactor, the door, the configuration and calls to discovery
@@ -35,6 +36,7 @@
         self.reactor = reactor
         self.told = told
         self.asked = operators.Operators()  # by the operators, and in effect
+        self.first_asked = asked
         self.clock = Clock(reactor)
         self.exchange = Exchange(self.clock, settings.contract.answer_slack)
         self.driver = Driver(Balancer(settings, told.seed), self.exchange, self.clock)
@@ -49,20 +51,35 @@
         self.driver.machine_list = self.machine_list
         self.server = Server(reactor, self.clock, self.exchange, settings.classes, places - claims)
         self.drills: Drills | None = None
-        self.switch(asked)
+        self.audit: Audit | None = None
+        if asked.audit.on:
+            from wheatring.audit import Audit
+
+            self.audit = Audit(told.name, self.clock, asked.audit.file)
 
     def start(self) -> int:
         self.machine_list.known(self.told.known)
         port = self.server.listen(*self.told.listen)
         log.line("listening", name=self.told.name, host=self.told.listen[0], port=port)
+        self.record("start", "platform")
+        self.record("config", "platform")
+        self.record("config", "operators")
+        self.switch(self.first_asked)
         return port
 
+    def record(self, event: str, actor: str) -> None:
+        if self.audit is not None:
+            self.audit.record(event, actor)
+
     def switch(self, asked: operators.Operators) -> None:
         """Put into effect what the operators may change while it serves."""
+        if self.audit is not None:
+            self.audit.keys(self.asked, asked)
         if self.drills is None and asked.drill != self.asked.drill:
             from wheatring.drills import Drills
 
-            self.drills = Drills(self.exchange, self.clock, self.server.classes, self.told.settings.limits)
+            limits = self.told.settings.limits
+            self.drills = Drills(self.exchange, self.clock, self.server.classes, limits, self.record)
         if self.drills is not None:
             self.drills.switch(asked.drill)
         self.asked = asked
@@ -74,6 +91,8 @@
         except operators.OperatorsError as bad:
             log.line("operators-not-reloaded", why=str(bad))
         else:
+            if file is not None:
+                self.record("config", "operators")
             if asked != self.asked:
                 log.line("operators-reloaded")
                 self.switch(asked)
@@ -82,6 +101,7 @@
         except config.ConfigError as bad:
             log.line("not-reloaded", why=str(bad))
             return
+        self.record("config", "platform")
         log.line("reloaded", discovery=":".join(map(str, told.discovery)))
         if not self.server.stopping:
             self.machine_list.move(told.discovery)
@@ -90,6 +110,7 @@
         """Answer what has come and what still arrives, then exit."""
         if not self.server.stopping:
             log.line("stopping", open=self.exchange.open)
+            self.record("stop", "platform")
             self.server.stop_keeping()
             self.clock.at(self.clock.now() + ARRIVING, self.close)
 
@@ -105,6 +126,8 @@
             self.pool.close()
             if self.drills is not None:
                 self.drills.stop()
+            if self.audit is not None:
+                self.audit.close()
             log.line("stopped")
             self.clock.at(self.clock.now(), self.reactor.stop)  # once these connections have had their lines
 
@@ -135,11 +158,6 @@
     observers: Any = [log.twisted_failures]
     globalLogBeginner.beginLoggingTo(observers, redirectStandardIO=False)
     sidecar = Sidecar(reactor, told, asked)
-    try:
-        sidecar.start()
-    except error.CannotListenError as bad:
-        print(f"wheatring: listen: {bad}", file=sys.stderr)
-        return 2
 
     def told_to_stop(number: int, frame: object) -> None:
         reactor.callFromThread(sidecar.stop)
@@ -147,9 +165,15 @@
     def told_to_reload(number: int, frame: object) -> None:
         reactor.callFromThread(sidecar.reload, os.environ, file)
 
+    # Before it says that it listens, from when on all of these may come.
     signal.signal(signal.SIGHUP, told_to_reload)
     signal.signal(signal.SIGTERM, told_to_stop)
     signal.signal(signal.SIGINT, told_to_stop)
+    try:
+        sidecar.start()
+    except error.CannotListenError as bad:
+        print(f"wheatring: listen: {bad}", file=sys.stderr)
+        return 2
     reactor.run(installSignalHandlers=False)
     return 0
 
--- /dev/null
+++ b/wheatring/audit.py
@@ -0,0 +1,168 @@
+"""The audit: each change of state is one line on standard error, chained to the one before by its hash.
+
+    AUDIT seq=4 ms=1733900000123 name=n3 event=config actor=platform prev=9c2e… hash=51ab…
+
+`hash` is SHA-256 over the previous hash and all that stands between `AUDIT ` and ` prev=`. Values are quoted
+as in URLs, so that neither a space nor a line's end can be part of one. The first line of a start takes for
+its previous hash that of its own name and time.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import os
+import re
+from collections import deque
+from collections.abc import Iterable
+from stat import S_ISFIFO, S_ISSOCK
+from urllib.parse import quote
+
+from wheatring import log
+from wheatring.clock import Clock, Timer
+from wheatring.operators import Operators
+
+MOST = 1000  # lines that wait for a reader of standard error
+RETRY = 0.05  # seconds between tries while it reads nothing
+
+UNSEEN = "note: lines lost from the end of any start, and starts lost whole, can't be seen from the rest"
+
+_LINE = re.compile(
+    rb"AUDIT (seq=([1-9][0-9]{0,15}) ms=([0-9]{1,15}) name=(\S+) event=\S+ actor=\S+(?: [a-z]+=\S*)*)"
+    rb" prev=([0-9a-f]{64}) hash=([0-9a-f]{64})"
+)
+
+
+def _origin(name: str, ms: int) -> str:
+    """What the first line of a start chains from. `name` is quoted, so the two can't run into one another."""
+    return hashlib.sha256(f"{name} {ms}".encode()).hexdigest()
+
+
+def chained(prev: str, fields: str) -> str:
+    return hashlib.sha256(f"{prev} {fields}".encode()).hexdigest()
+
+
+def _quoted(value: object) -> str:
+    return quote(str(value), safe="/:.,", errors="surrogatepass")
+
+
+class Audit:
+    def __init__(self, name: str, clock: Clock, file: str) -> None:
+        self.name = _quoted(name)
+        self.clock = clock
+        self.file = file
+        self.seq = 0
+        self.prev = ""
+        self.waiting: deque[bytes] = deque()
+        self.retry: Timer | None = None
+        self.file_failed = False
+        if S_ISFIFO(os.fstat(2).st_mode) or S_ISSOCK(os.fstat(2).st_mode):
+            os.set_blocking(2, False)  # a reader that stalls must not hold up the jobs
+
+    def record(self, event: str, actor: str, **more: object) -> None:
+        self.seq += 1
+        ms = int(self.clock.unix() * 1000)
+        if self.seq == 1:
+            self.prev = _origin(self.name, ms)
+        fields = f"seq={self.seq} ms={ms} name={self.name} event={event} actor={actor}"
+        fields += "".join(f" {key}={_quoted(value)}" for key, value in more.items())
+        made = chained(self.prev, fields)
+        data = f"AUDIT {fields} prev={self.prev} hash={made}\n".encode()
+        self.prev = made
+        if self.file:
+            self.copy(data)
+        if len(self.waiting) < MOST:
+            self.waiting.append(data)
+        else:  # the chain shows the gap as well
+            log.line("audit-lost", warning="standard error is not read", seq=self.seq)
+        if self.retry is None:
+            self.flush()
+
+    def keys(self, old: Operators, new: Operators) -> None:
+        """Which keys of the operators' file differ, and how; never what they are."""
+        before, after = _keys(old), _keys(new)
+        for key in sorted(before.keys() | after.keys()):
+            if before.get(key) != after.get(key):
+                change = "added" if key not in before else "removed" if key not in after else "replaced"
+                self.record("key", "operators", key=key, change=change)
+
+    def copy(self, data: bytes) -> None:
+        """One whole line at the end of the lasting file, which may be moved away between any two."""
+        try:
+            how = os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_NONBLOCK | os.O_CLOEXEC
+            file = os.open(self.file, how, 0o640)
+            try:
+                if os.write(file, data) < len(data):
+                    os.write(file, b"\n")  # half a line must not swallow the next
+                    raise OSError(0, "not written whole")
+            finally:
+                os.close(file)
+        except OSError as bad:
+            if not self.file_failed:
+                self.file_failed = True
+                log.line("audit-file-failed", warning=bad.strerror, file=self.file)
+
+    def flush(self) -> None:
+        """Write what waits, as far as standard error takes it."""
+        self.retry = None
+        while self.waiting:
+            data = self.waiting[0]
+            try:
+                written = os.write(2, data)
+            except BlockingIOError:
+                written = 0
+            except OSError as bad:  # nobody can read it any more
+                log.line("audit-lost", warning=bad.strerror, lines=len(self.waiting))
+                self.waiting.clear()
+                return
+            if written == len(data):
+                self.waiting.popleft()
+                continue
+            self.waiting[0] = data[written:]
+            if not written:
+                self.retry = self.clock.at(self.clock.now() + RETRY, self.flush)
+                return
+
+    def close(self) -> None:
+        """One last try. The line of the stop has waited at least as long as callers may still arrive."""
+        if self.retry is not None:
+            self.retry.cancel()
+        self.flush()
+        if self.waiting:
+            log.line("audit-lost", warning="standard error is not read", lines=len(self.waiting))
+
+
+def _keys(told: Operators) -> dict[str, object]:
+    return {"drill.key": told.drill.key} if told.drill.key is not None else {}
+
+
+def verify(file: Iterable[bytes]) -> str:
+    """The first bad line of a log of one or more starts and sidecars, and why; nothing if there is none."""
+    chains: dict[bytes, tuple[int, bytes]] = {}  # by name: the last line's seq and hash
+    starts: set[tuple[bytes, bytes]] = set()
+    found = False
+    for number, whole in enumerate(file, 1):
+        line = whole.removesuffix(b"\n")
+        if not line.startswith(b"AUDIT") and not (line and b"AUDIT".startswith(line)):
+            continue
+        found = True
+        match = _LINE.fullmatch(line)
+        why = "not a whole audit line"
+        if match is not None:
+            fields, seq, ms, name, prev, made = match.groups()
+            if chained(prev.decode(), fields.decode("latin-1")).encode() != made:
+                why = "its hash is not that of its fields"
+            elif int(seq) == 1:
+                known = (name, ms) in starts
+                starts.add((name, ms))
+                right = prev.decode() == _origin(name.decode("latin-1"), int(ms))
+                why = "a start told twice" if known else "" if right else "not chained from its name and time"
+            elif name not in chains:
+                why = f"seq {int(seq)} before any start of its sidecar"
+            elif int(seq) != chains[name][0] + 1:
+                why = f"seq {int(seq)} follows {chains[name][0]}"
+            else:
+                why = "" if prev == chains[name][1] else "not chained from the line before"
+            chains[name] = (int(seq), made)
+        if why:
+            return f"line {number} is bad ({why}): {line.decode('ascii', 'backslashreplace')}"
+    return "" if found else "there is no audit line"
--- a/wheatring/commands.py
+++ b/wheatring/commands.py
@@ -29,6 +29,11 @@
         help="class=NAME;from=MS;until=MS, in Unix milliseconds (default: the file's drill.plan)",
     )  # fmt: skip
     sign.set_defaults(call=drill_sign)
+
+    audit = groups.add_parser("audit", help="check audits").add_subparsers(required=True, metavar="COMMAND")
+    verify = audit.add_parser("verify", parents=[file], help="find the first bad line of a saved log")
+    verify.add_argument("file")
+    verify.set_defaults(call=audit_verify)
     return top
 
 
@@ -44,6 +49,16 @@
     return 0
 
 
+def audit_verify(args: argparse.Namespace) -> int:
+    from wheatring import audit
+
+    with open(args.file, "rb") as file:
+        bad = audit.verify(file)
+    print(bad or "ok")
+    print(audit.UNSEEN)
+    return 1 if bad else 0
+
+
 def run(args: argparse.Namespace) -> int:
     """Carry out a command; what can't be done is one line and status 2."""
     try:
--- a/wheatring/drills.py
+++ b/wheatring/drills.py
@@ -9,7 +9,7 @@
 import hashlib
 import hmac
 import re
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from fractions import Fraction
 from typing import NamedTuple
 
@@ -79,12 +79,18 @@
 
 class Drills:
     def __init__(
-        self, exchange: Exchange, clock: Clock, classes: Mapping[str, RequestClass], limits: Limits
+        self,
+        exchange: Exchange,
+        clock: Clock,
+        classes: Mapping[str, RequestClass],
+        limits: Limits,
+        record: Callable[..., None],
     ) -> None:
         self.exchange = exchange
         self.clock = clock
         self.classes = classes
         self.limits = limits
+        self.record = record
         self.pass_on = exchange.on_job
         exchange.on_job = self.job_came
         self.told = Drill()
@@ -99,6 +105,7 @@
         if told == self.told:
             return
         self.told, self.plan, self.owed = told, None, Fraction(0)
+        self.running()  # the drill that was on is over, also where the next one begins at once
         if told != Drill():
             try:
                 self.plan = checked(told, self.classes)
@@ -122,6 +129,7 @@
         if on != self.on:
             self.on = on
             log.line("drill-on" if on else "drill-over", drill_requests_total=self.total)
+            self.record("drill-on" if on else "drill-over", "operators")
         return on
 
     def job_came(self, job: Job) -> None:
--- a/wheatring/operators.py
+++ b/wheatring/operators.py
@@ -34,11 +34,18 @@
     abort: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Audit:
+    on: bool = False
+    file: str = ""  # a lasting copy
+
+
 @dataclass(frozen=True, slots=True)
 class Operators:
     """All that the file says; what it leaves out is off."""
 
     drill: Drill = Drill()
+    audit: Audit = Audit()
 
 
 class _Properties:
@@ -104,9 +111,11 @@
         delay=has.take("drill.delay.ms", _whole(0, 3_600_000), 0) / 1000,
         abort=has.take("drill.abort", _switch, False),
     )
+    file = has.take("audit.file", str, "")
+    audit = Audit(has.take("audit.on", _switch, False) or bool(file), file)
     for key in has.values:
         raise OperatorsError(f"{key}: unknown")
-    return Operators(drill)
+    return Operators(drill, audit)
 
 
 def find(named: str | None) -> str | None:
