--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -237,8 +237,9 @@
 
 def test_only_changed_keys_are_told(capfd: pytest.CaptureFixture[str]) -> None:
     kept = audit.Audit("n3", Clock(Reactor()), "")
-    one, two = (operators.parse(f"drill.key = {key}") for key in ("aa", "bb"))
+    one, two = (operators.parse(f"drill.key = {key}\ntokens.key.k1 = aa") for key in ("aa", "bb"))
     for old, new in ((operators.Operators(), one), (one, one), (one, two), (two, operators.Operators())):
         kept.keys(old, new)
-    told = [fields(line)["change"] for line in capfd.readouterr().err.splitlines()]
-    assert told == ["added", "replaced", "removed"]
+    told = [(fields(line)["key"], fields(line)["change"]) for line in capfd.readouterr().err.splitlines()]
+    both = ("drill.key", "tokens.key.k1")
+    assert told == [*((k, "added") for k in both), (both[0], "replaced"), *((k, "removed") for k in both)]
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -33,6 +33,11 @@
         ("drill.delay.ms", "drill.delay.ms = -1"),
         ("drill.abort", "drill.abort = yes"),
         ("audit.on", "audit.on = 1"),
+        ("tokens.key.k1", f"tokens.key.k1 = {SECRET}0"),
+        ("tokens.key.a;b", f"tokens.key.a;b = {SECRET}"),
+        ("tokens.key.", f"tokens.key. = {SECRET}"),
+        ("tokens.issue.kid", f"tokens.key.k1 = {SECRET}\ntokens.issue.kid = k2"),
+        ("tokens.skew.s", "tokens.skew.s = 1.5"),
     ],
 )
 def test_a_wrong_file_ends_it_with_one_line_that_names_the_key(
@@ -77,6 +82,9 @@
     assert read.drill == operators.Drill(key, plan, Fraction(5, 2), 0.25, True)
     assert not read.audit.on and operators.parse("audit.on = true").audit.on
     assert operators.parse("audit.file = a=b").audit == operators.Audit(True, "a=b")
+    held = operators.parse(f"tokens.key.k1={SECRET}\ntokens.issue.kid = k1\ntokens.skew.s = 5")
+    assert held.tokens == operators.Tokens({"k1": key}, "k1", 5)
+    read = operators.Operators(read.drill, tokens=held.tokens)
     assert SECRET not in repr(read) and repr(key) not in repr(read)
 
 
--- a/wheatring/__main__.py
+++ b/wheatring/__main__.py
@@ -82,6 +82,12 @@
             self.drills = Drills(self.exchange, self.clock, self.server.classes, limits, self.record)
         if self.drills is not None:
             self.drills.switch(asked.drill)
+        if asked.tokens.keys:
+            from wheatring.tokens import Guard
+
+            self.server.guard = Guard(asked.tokens, self.clock)
+        else:
+            self.server.guard = None
         self.asked = asked
 
     def reload(self, environment: Mapping[str, str], file: str | None) -> None:
--- a/wheatring/audit.py
+++ b/wheatring/audit.py
@@ -132,7 +132,12 @@
 
 
 def _keys(told: Operators) -> dict[str, object]:
-    return {"drill.key": told.drill.key} if told.drill.key is not None else {}
+    keys: dict[str, object] = {f"tokens.key.{kid}": key for kid, key in told.tokens.keys.items()}
+    if told.drill.key is not None:
+        keys["drill.key"] = told.drill.key
+    if told.tokens.issue:
+        keys["tokens.issue.kid"] = told.tokens.issue
+    return keys
 
 
 def verify(file: Iterable[bytes]) -> str:
--- a/wheatring/commands.py
+++ b/wheatring/commands.py
@@ -4,6 +4,7 @@
 
 import argparse
 import sys
+import time
 from dataclasses import replace
 
 from wheatring import operators
@@ -34,6 +35,13 @@
     verify = audit.add_parser("verify", parents=[file], help="find the first bad line of a saved log")
     verify.add_argument("file")
     verify.set_defaults(call=audit_verify)
+
+    token = groups.add_parser("token", help="make tokens").add_subparsers(required=True, metavar="COMMAND")
+    issue = token.add_parser("issue", parents=[file], help="print a token, made with tokens.issue.kid")
+    issue.add_argument("--holder", required=True, help="whom it is for")
+    issue.add_argument("--rights", required=True, help="the classes that it opens, with commas between")
+    issue.add_argument("--ttl", required=True, type=int, metavar="SECONDS", help="how long it is good")
+    issue.set_defaults(call=token_issue)
     return top
 
 
@@ -59,6 +67,16 @@
     return 1 if bad else 0
 
 
+def token_issue(args: argparse.Namespace) -> int:
+    from wheatring import tokens
+
+    if args.ttl < 1:
+        raise operators.OperatorsError("--ttl: must be 1 or more")
+    told = operators.read(operators_file(args)).tokens
+    print(tokens.issue(told, args.holder, args.rights, int(time.time()) + args.ttl))
+    return 0
+
+
 def run(args: argparse.Namespace) -> int:
     """Carry out a command; what can't be done is one line and status 2."""
     try:
--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable, Container, Mapping
 from math import ceil
 from typing import Any
 
@@ -21,9 +22,10 @@
 _ONCE = frozenset((b"x-correlation-id", b"x-service-class", b"x-time-left-ms", b"idempotency-key"))
 
 REASONS = {
-    400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
-    409: b"Conflict", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
-    500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable",
+    400: b"Bad Request", 401: b"Unauthorized", 403: b"Forbidden", 404: b"Not Found",
+    405: b"Method Not Allowed", 408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large",
+    431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
+    503: b"Service Unavailable",
 }  # fmt: skip
 
 SWEEP = 0.25  # seconds between looks for callers that keep a connection for nothing
@@ -48,10 +50,11 @@
 class Refused(Exception):
     """A request that is not taken as a job; `status` says why."""
 
-    def __init__(self, status: int, why: str, more: bytes = b"") -> None:
+    def __init__(self, status: int, why: str, more: bytes = b"", body: bytes = b"") -> None:
         super().__init__(why)
         self.status = status
         self.more = more
+        self.body = body
 
 
 class CallerConnection(Connection):
@@ -125,7 +128,7 @@
             if refused.status == 400:
                 self.reject(400, str(refused))
             else:
-                self.say(response(refused.status, more=refused.more, close=not self.keep_alive))
+                self.say(response(refused.status, refused.body, refused.more, close=not self.keep_alive))
             return
         except Exception as bug:  # a request that trips us up is answered all the same
             log.line("request-broken", why=repr(bug))
@@ -235,6 +238,7 @@
         self.most = most
         self.connections: set[CallerConnection] = set()
         self.stopping = False
+        self.guard: Callable[[Mapping[bytes, bytes]], Container[str]] | None = None
         self.port: Any = None
         self.full = False
         self.clearing: Timer | None = None  # the next look, or a crowd that comes and goes would start many
@@ -289,6 +293,7 @@
         """The job that a request asks for; Refused says what is wrong with it."""
         fields = message.fields
         method, target = message.first
+        rights = None if self.guard is None else self.guard(fields)
         if not message.repeated.isdisjoint(_ONCE):
             raise Refused(400, "a field that may come once came twice")
         if target[:1] != b"/":
@@ -300,6 +305,8 @@
         known = self.classes.get(name.decode("latin-1"))
         if known is None:
             raise Refused(404, "class")
+        if rights is not None and known.name not in rights:
+            raise Refused(403, "rights", body=b"class not in rights")
         allowed = b"GET" if known.effect is Effect.SAFE else b"POST"
         if method != allowed:
             raise Refused(405, "method", b"Allow: %s\r\n" % allowed)
--- a/wheatring/operators.py
+++ b/wheatring/operators.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from fractions import Fraction
 from pathlib import Path
@@ -18,6 +18,7 @@
 
 _SECRET = re.compile(r"(?:[0-9A-Fa-f]{2})+")
 _WHOLE = re.compile(r"[0-9]{1,12}")
+_KID = re.compile(r"[A-Za-z0-9._-]+")
 _PERCENT = re.compile(r"[0-9]{1,3}(?:\.[0-9]{1,6})?")
 
 
@@ -40,12 +41,20 @@
     file: str = ""  # a lasting copy
 
 
+@dataclass(frozen=True, slots=True)
+class Tokens:
+    keys: Mapping[str, bytes] = field(default_factory=dict, repr=False)  # by kid; none: no checking
+    issue: str = ""  # the kid to issue with
+    skew: int = 30  # seconds that a token still counts past its end
+
+
 @dataclass(frozen=True, slots=True)
 class Operators:
     """All that the file says; what it leaves out is off."""
 
     drill: Drill = Drill()
     audit: Audit = Audit()
+    tokens: Tokens = Tokens()
 
 
 class _Properties:
@@ -113,9 +122,19 @@
     )
     file = has.take("audit.file", str, "")
     audit = Audit(has.take("audit.on", _switch, False) or bool(file), file)
+    prefix = "tokens.key."
+    kids = [key.removeprefix(prefix) for key in has.values if key.startswith(prefix)]
+    for kid in kids:
+        if not _KID.fullmatch(kid):
+            raise OperatorsError(f"{prefix}{kid}: only letters, digits, '.', '_' and '-' may name a key")
+    keys = {kid: has.take(prefix + kid, _secret, b"") for kid in kids}
+    issue = has.take("tokens.issue.kid", str, "")
+    if issue and issue not in keys:
+        raise OperatorsError("tokens.issue.kid: there is no such key")
+    tokens = Tokens(keys, issue, has.take("tokens.skew.s", _whole(0, 86_400), 30))
     for key in has.values:
         raise OperatorsError(f"{key}: unknown")
-    return Operators(drill, audit)
+    return Operators(drill, audit, tokens)
 
 
 def find(named: str | None) -> str | None:
--- /dev/null
+++ b/wheatring/tokens.py
@@ -0,0 +1,99 @@
+"""Tokens: what a caller may ask for, as a signed statement that it brings with each request.
+
+    base64url(payload).base64url(mac)    payload: kid=k2;holder=courier-17;rights=place-order;exp=1734000000
+
+The mac is HMAC-SHA256 with the key that `kid` names, over the payload's bytes as they came.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import re
+from base64 import urlsafe_b64decode, urlsafe_b64encode
+from collections.abc import Mapping
+
+from wheatring.clock import Clock
+from wheatring.http1.server import Refused
+from wheatring.operators import OperatorsError, Tokens
+
+_BEARER = re.compile(rb"bearer +(\S.*)", re.IGNORECASE)
+_CODED = re.compile(rb"[A-Za-z0-9_-]+")
+_FIELDS = ("kid", "holder", "rights", "exp")
+_EXP = re.compile(r"[0-9]{1,12}")
+_HOLDER = re.compile(r"[!-:<-~]+")  # all that can be seen in ASCII, but for the semicolon
+_RIGHT = re.compile(r"[!-+.-:<-~-]+")  # nor, in a right, the comma
+
+
+class TokenError(ValueError):
+    """A token that counts for nothing."""
+
+
+def _encoded(data: bytes) -> bytes:
+    return urlsafe_b64encode(data).rstrip(b"=")
+
+
+def _decoded(text: bytes) -> bytes:
+    """Only the one way to write them: else one token could be written in several."""
+    if not _CODED.fullmatch(text) or len(text) % 4 == 1:
+        raise TokenError("forged")
+    data = urlsafe_b64decode(text + b"=" * (-len(text) % 4))
+    if _encoded(data) != text:
+        raise TokenError("forged")
+    return data
+
+
+def _mac(key: bytes, payload: bytes) -> bytes:
+    return hmac.new(key, payload, hashlib.sha256).digest()
+
+
+def issue(told: Tokens, holder: str, rights: str, exp: int) -> str:
+    """A token for these rights, good until `exp` in Unix time."""
+    if not told.issue:
+        raise OperatorsError("tokens.issue.kid: not set")
+    if not _HOLDER.fullmatch(holder):
+        raise OperatorsError("--holder: only printable ASCII without spaces and semicolons")
+    if not all(map(_RIGHT.fullmatch, rights.split(","))):
+        raise OperatorsError("--rights: classes with commas between, without spaces and semicolons")
+    if not _EXP.fullmatch(str(exp)):
+        raise OperatorsError("--ttl: the token would expire too late")
+    payload = f"kid={told.issue};holder={holder};rights={rights};exp={exp}".encode("ascii")
+    return (_encoded(payload) + b"." + _encoded(_mac(told.keys[told.issue], payload))).decode("ascii")
+
+
+def rights(told: Tokens, token: bytes, now: float) -> frozenset[str]:
+    """The classes that a token opens at a Unix time; TokenError says why there are none."""
+    coded, _, mac = token.partition(b".")
+    payload = _decoded(coded)
+    found: dict[str, str] = {}
+    for part in payload.decode("latin-1").split(";"):
+        name, equals, value = part.partition("=")
+        if not equals or not value or name in found or name not in _FIELDS:
+            raise TokenError("forged")
+        found[name] = value
+    key = told.keys.get(found.get("kid", ""))
+    if key is None or len(found) < len(_FIELDS) or not _EXP.fullmatch(found["exp"]):
+        raise TokenError("forged")
+    if not hmac.compare_digest(_decoded(mac), _mac(key, payload)):
+        raise TokenError("forged")
+    if now > int(found["exp"]) + told.skew:
+        raise TokenError("expired")
+    return frozenset(found["rights"].split(","))
+
+
+class Guard:
+    """What the server asks, before there is a job, for the classes that a request's token opens."""
+
+    def __init__(self, told: Tokens, clock: Clock) -> None:
+        self.told = told
+        self.clock = clock
+
+    def __call__(self, fields: Mapping[bytes, bytes]) -> frozenset[str]:
+        match = _BEARER.fullmatch(fields.get(b"authorization", b""))
+        try:
+            if match is None:
+                raise TokenError("missing")
+            return rights(self.told, match[1], self.clock.unix())
+        except TokenError as bad:
+            body = f"token {bad}".encode()
+            raise Refused(401, "token", b"WWW-Authenticate: Bearer\r\n", body) from None
