Add captures: a ring of what the module saw and chose, and its replay

Recorder stands in for the module before its driver and writes each event with its exact instant and each action as lines; replay makes the same lines with the same code. Send now says which endpoints were drawn for it. The run line turns it on; it imports nothing elsewhere.

--- a/lapisway/interface.py
+++ b/lapisway/interface.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from math import inf, isfinite
+from typing import NamedTuple
 
 
 class Effect(Enum):
@@ -285,6 +286,14 @@
 # Actions
 
 
+class Drawn(NamedTuple):
+    """One that was drawn for a pick, as the copy saw it then."""
+
+    endpoint: str
+    in_flight: int  # this copy's own calls
+    report: float | None  # requests that it last said it held
+
+
 @dataclass(slots=True)
 class Send:
     """Start an attempt."""
@@ -292,6 +301,7 @@
     request: int
     endpoint: str
     timeout: float
+    drawn: tuple[Drawn, ...] = ()  # for records: nothing is to be done with it
 
 
 @dataclass(slots=True)
--- a/lapisway/policy.py
+++ b/lapisway/policy.py
@@ -14,9 +14,9 @@
 
 # fmt: off
 from lapisway.interface import (
-    Action, AttemptEnded, ClientGone, Effect, EndpointEntry, EndpointState, Event, Fail, Group, LoadReport,
-    NewRequest, Outcome, Refuse, RequestClass, Send, SetTimer, Settings, StreamStarted, Subscribe, TimerDue,
-    View, ViewKind,
+    Action, AttemptEnded, ClientGone, Drawn, Effect, EndpointEntry, EndpointState, Event, Fail, Group,
+    LoadReport, NewRequest, Outcome, Refuse, RequestClass, Send, SetTimer, Settings, StreamStarted, Subscribe,
+    TimerDue, View, ViewKind,
 )
 # fmt: on
 
@@ -209,7 +209,7 @@
 
     def send(self, now: float, request: Request, out: list[Action]) -> None:
         self.turns += 1 / self.capacity
-        endpoint = self.pick(now, request)
+        endpoint, drawn = self.pick(now, request)
         left = request.deadline - now
         hopeless = left < request.norm.base / 2  # work for it would be wasted here and below
         if endpoint is None or left <= 0 or hopeless or not self.repeatable(now, request):
@@ -222,6 +222,9 @@
             patience = norm.mean + PATIENCE * norm.deviation
             if patience + norm.mean < left and len(request.attempts) + 1 < self.max_attempts():
                 timeout = patience
+        seen = tuple(
+            Drawn(e.entry.endpoint, e.in_flight, e.reported if e.reported_at else None) for e in drawn
+        )
         request.attempts.append(endpoint)
         request.sent_at = now
         request.outstanding += 1
@@ -230,7 +233,7 @@
         endpoint.in_flight += 1
         self.in_flight += 1
         endpoint.turn = self.turns + 1 / self.warmth(now, endpoint)
-        out.append(Send(request.ident, endpoint.entry.endpoint, timeout))
+        out.append(Send(request.ident, endpoint.entry.endpoint, timeout, seen))
 
     def max_attempts(self) -> int:
         return min(MAX_ATTEMPTS, self.settings.limits.max_attempts)
@@ -338,15 +341,17 @@
 
     # Placement
 
-    def pick(self, now: float, request: Request) -> Endpoint | None:
-        """The lighter of two random ready endpoints; wider draws only while no fit one has come up."""
+    def pick(self, now: float, request: Request) -> tuple[Endpoint | None, list[Endpoint]]:
+        """The lighter of two random ready endpoints; wider draws only while no fit one has come up. Also
+        all that were drawn."""
         pools = [self.near, self.near, self.ready, self.ready, self.ready]
         if request.may_have_run and request.cls.effect is Effect.KEYED and request.cls.group is not Group.ALL:
             first = request.may_have_run[1].entry
             pools = [self.groups.get(first.cell if request.cls.group is Group.CELL else first.zone, [])] * 3
-        best, least = None, 0.0
+        best, least, seen = None, 0.0, {}
         for pool in pools:
             for drawn in self.draw(pool):
+                seen[drawn.entry.endpoint] = drawn
                 if self.warmth(now, drawn) < 1 and self.turns < drawn.turn:
                     continue
                 burden = self.burden(now, drawn)
@@ -359,7 +364,7 @@
                     best, least, fit = drawn, load, burden < UNFIT
             if best is not None and fit:
                 break
-        return best
+        return best, list(seen.values())
 
     def draw(self, pool: list[Endpoint]) -> list[Endpoint]:
         pools = [pool, pool, self.far] if pool is self.near else [pool, pool]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -96,8 +96,8 @@
     monkeypatch.setattr(log, "line", log.line)  # the world sets its own; this puts the real one back
     worlds: list[World] = []
 
-    def build(nodes: int = 1, operators: Operators = NO_OPERATORS) -> World:
-        worlds.append(World(nodes, operators))
+    def build(nodes: int = 1, operators: Operators = NO_OPERATORS, capture: bool = False) -> World:
+        worlds.append(World(nodes, operators, capture))
         return worlds[-1]
 
     yield build
--- /dev/null
+++ b/tests/test_capture.py
@@ -0,0 +1,345 @@
+"""Captures: what a sidecar records, the ring it goes to, and the replay through the command line."""
+
+from __future__ import annotations
+
+import errno
+import json
+import os
+import re
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from types import SimpleNamespace
+
+import pytest
+from twisted.internet.task import Clock as Reactor
+
+from lapisway import interface as i
+from lapisway.benchlink import settings_from
+from lapisway.policy import Balancer
+from tests.test_process import told
+from tests.world import FAR, SETTINGS, Wire, World, entry, list_body
+from wheatring import operators
+from wheatring.__main__ import main
+from wheatring.capture import record, ring
+from wheatring.clock import Clock
+from wheatring.config import pairs
+
+Make = Callable[..., World]
+DECISION = re.compile(
+    r"d \d{13} \S+ \S+ \d+( [^ :]+:\d+/\d+/(-|[\d.]+))* \S+ (send|refuse|fail|timer)( \S+)*"
+)
+
+
+def opened(folder: Path, files: int = 4, kb: int = 192) -> ring.Ring:
+    return ring.Ring(str(folder), "n/3", files, kb * 1024, Clock(Reactor()))
+
+
+def play(to: ring.Ring, seed: int, count: int) -> None:
+    """A start of the module amid events of every kind that a sidecar has, drawn by the seed."""
+    draw, now = Random(seed), 100.0
+    for line in record.header("n/3", seed, 1_700_000_000.25, SETTINGS):
+        to.write(line)
+    balancer = Balancer(settings_from(pairs(SETTINGS)), seed)
+    recorder = record.Recorder(balancer, 1_700_000_000.25, to.write, "c/{}".format, lambda node: 2)
+    nodes = ["-", "a b", "c:1/2", "d,e", "f%", "g\ud800", "g\ud801", "h"]
+    out: list[tuple[i.Send, int]] = []
+    timers: list[int] = []
+    sent: dict[int, int] = {}
+    kept = (i.ViewKind.CACHED, i.ViewKind.FULL)
+
+    def view(kind: i.ViewKind) -> i.View:
+        states = [i.EndpointState.READY] * draw.choice([0, 4, 4]) + [i.EndpointState.DRAINING]
+        entries = [
+            i.EndpointEntry(name, draw.choice(states), "z,1", "", 3, draw.choice([1, 0.5]), started)
+            for name, started in zip(nodes, [0, now] * 4, strict=True)
+        ]
+        return i.View(kind, tuple(entries), draw.randrange(99))
+
+    event: i.Event = view(i.ViewKind.CACHED)
+    for number in range(1, count):
+        for action in recorder.handle(now, event):
+            match action:
+                case i.Send(request):
+                    out.append((action, sent.get(request, 0)))
+                    sent[request] = sent.get(request, 0) + 1
+                case i.SetTimer(token):
+                    timers.append(token)
+        now += draw.expovariate(100.0)
+        what = draw.random()
+        if what < 0.4:
+            name = draw.choice(["menu", "order", "unsafe", "un known"])
+            event = i.NewRequest(number, name, draw.random() * 6, client_retry=what < 0.1)
+        elif what < 0.85 and out:
+            send, attempt = out.pop(draw.randrange(len(out)))
+            report = i.LoadReport(in_flight=draw.random()) if what < 0.6 else None
+            how = draw.choice([i.Outcome.SERVED, *i.Outcome])
+            served, latency = how is i.Outcome.SERVED, draw.random()
+            event = i.AttemptEnded(send.request, attempt, how, send.endpoint, latency, served, report)
+        elif what < 0.95 and timers:
+            event = i.TimerDue(timers.pop())
+        elif what < 0.98:
+            event = i.ClientGone(draw.randrange(number))
+        else:
+            event = view(draw.choice([*kept, i.ViewKind.DELTA, i.ViewKind.FAILED]))
+    to.close()
+    assert set(recorder.asked) == set(balancer.requests)
+
+
+def replayed(folder: Path, capsys: pytest.CaptureFixture[str]) -> tuple[int, list[str]]:
+    status = main(["capture", "replay", str(folder)])
+    return status, capsys.readouterr().out.splitlines()
+
+
+def lines_in(folder: Path) -> list[str]:
+    return [line for path in sorted(folder.iterdir()) for line in path.read_text("ascii").splitlines()]
+
+
+def test_an_unchanged_module_decides_the_same_again(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    for seed in (1, 2, 3):
+        play(opened(tmp_path, 40), seed, 3000)
+    status, out = replayed(tmp_path, capsys)
+    assert status == 0 and len(out) == 1
+    assert re.fullmatch(r"n/3: \d{4,} lines of 3 starts compared, 0 differ", out[0])
+    lines = lines_in(tmp_path)
+    assert lines[0] == "h n%2F3 seed=0000000000000001"
+    decisions = [line for line in lines if line.startswith("d ")]
+    assert all(map(DECISION.fullmatch, decisions))
+    for word in (" send ", " refuse ", " fail", " timer ", ":0/2/0.", "%2D:"):
+        assert any(word in line for line in decisions), word
+
+
+@pytest.mark.parametrize(
+    ("pick", "old", "new"),
+    [
+        (r"d .* h send .*", " h send", " f%25 send"), (r"d .*:1/2/.*", ":1/2", ":7/2"),
+        (r"d .*refuse.*", "refuse 0", "refuse 1"), (r"d .*fail", "fail", "refuse 0.0"),
+        (r"d .*timer.*", "timer ", "timer 9"), (r"d .*send.*", r"$", "1"),
+        (r"a timer.*", "timer 0", "timer 1"), (r"d .* menu .*", None, ""),
+        (r"d .* menu .*", "", "double"),
+    ],
+)  # fmt: skip
+def test_a_decision_that_differs_is_told(
+    pick: str, old: str | None, new: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    play(opened(tmp_path), 1, 1000)
+    (path,) = tmp_path.iterdir()
+    lines = path.read_text("ascii").splitlines()
+    at = next(n for n, line in enumerate(lines) if n > 50 and re.fullmatch(pick, line))
+    before = lines[at]
+    lines[at] = re.sub(old, new, before, count=1) if old else before
+    lines[at : at + 1] = [before] * 2 if new == "double" else [] if old is None else [lines[at]]
+    at += new == "double"
+    path.write_text("\n".join(lines) + "\n", "ascii")
+    status, out = replayed(tmp_path, capsys)
+    assert status == 1 and out[-1].endswith(" 1 differ")
+    assert f"{path.name}:{at + 1} differs" in out[0]
+    assert out[1] == ("  recorded nothing" if old is None else f"  recorded {lines[at]}")
+    assert out[2].split()[2:4] == ([] if new == "double" else before.split()[1:3])
+
+
+def test_what_the_pool_held_is_nothing_that_the_module_decides(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    play(opened(tmp_path), 1, 500)
+    (path,) = tmp_path.iterdir()
+    path.write_text(path.read_text("ascii").replace("/2/", "/9/"), "ascii")
+    assert replayed(tmp_path, capsys)[0] == 0
+
+
+def test_where_the_header_was_overwritten_replay_says_so_and_goes_on_from_the_next(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    play(opened(tmp_path, 3, 8), 1, 2000)
+    status, out = replayed(tmp_path, capsys)
+    assert status == 1 and "the header has been overwritten" in out[0]
+    assert out[1] == "n/3: 0 lines of 0 starts compared, 0 differ"
+    play(opened(tmp_path, 3, 8), 2, 50)
+    status, out = replayed(tmp_path, capsys)
+    assert status == 0 and "the header has been overwritten" in out[0]
+    assert re.fullmatch(r"n/3: [1-9]\d* lines of 1 start compared, 0 differ", out[1])
+
+
+def with_os(monkeypatch: pytest.MonkeyPatch, **changes: object) -> None:
+    theirs = {name: getattr(os, name) for name in dir(os)}
+    monkeypatch.setattr(ring, "os", SimpleNamespace(**{**theirs, **changes}))
+
+
+def size_of(folder: Path) -> int:
+    return sum(path.stat().st_size for path in folder.iterdir())
+
+
+def test_the_ring_stays_in_its_size_and_splits_no_line(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    sizes: list[int] = []
+
+    def looked(path: str | Path, flags: int, mode: int = 0o777) -> int:
+        made = os.open(path, flags, mode)
+        if flags & os.O_CREAT:
+            sizes.append(size_of(tmp_path) + 2048)  # as large as it may get before the next one is opened
+        return made
+
+    with_os(monkeypatch, open=looked)
+    for start in range(4):
+        to = opened(tmp_path, 3, 2)
+        for number in range(300):
+            to.write(f"t {start} {number} {'x' * (number % 90)}")
+        to.close()
+        assert size_of(tmp_path) <= 3 * 2048
+    assert len(sizes) > 20 and max(sizes) <= 3 * 2048
+    lines = lines_in(tmp_path)
+    assert all(re.fullmatch(r"t \d \d+ x*", line) for line in lines) and lines[-1].startswith("t 3 299 ")
+    assert [path.name[:13] for path in tmp_path.iterdir()] == ["capture-n%2F3"] * 3
+
+
+def test_a_ring_that_is_told_to_hold_less_holds_less(tmp_path: Path) -> None:
+    for files, kb in ((2, 8), (3, 2), (9, 1), (2, 50)):
+        to = opened(tmp_path, files, kb)
+        assert size_of(tmp_path) <= files * kb * 1024
+        for number in range(2000):
+            to.write(f"t {number}")
+        to.close()
+        assert size_of(tmp_path) <= files * kb * 1024 and len(list(tmp_path.iterdir())) <= files
+
+
+def test_a_new_start_goes_on_in_the_newest_file_also_after_half_a_line(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    play(opened(tmp_path), 1, 300)
+    (path,) = tmp_path.iterdir()
+    whole = path.read_bytes()
+    path.write_bytes(whole[:-3])
+    play(opened(tmp_path), 2, 300)
+    assert list(tmp_path.iterdir()) == [path] and path.read_bytes().startswith(whole[:-3] + b"!\n")
+    status, out = replayed(tmp_path, capsys)
+    assert status == 0 and "can't be replayed up to the next start" in out[0]
+    assert out[-1].endswith("2 starts compared, 0 differ")
+
+
+def test_a_start_that_was_killed_before_its_last_lines_differs_in_nothing(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    play(opened(tmp_path), 1, 300)
+    (path,) = tmp_path.iterdir()
+    lines = path.read_bytes().splitlines(keepends=True)
+    last = max(n for n, line in enumerate(lines) if line.startswith(b"d "))
+    path.write_bytes(b"".join(lines[:last]))
+    status, out = replayed(tmp_path, capsys)
+    assert status == 0 and "ends 1 lines early" in out[0]
+
+
+def test_what_fits_no_file_is_left_out_and_said(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    play(ring.Ring(str(tmp_path), "n3", 400, 500, Clock(Reactor())), 1, 100)  # the settings alone take more
+    lines = lines_in(tmp_path)
+    assert lines[0].startswith("h ") and re.fullmatch(r"x \d{3}", lines[1])
+    assert max(path.stat().st_size for path in tmp_path.iterdir()) <= 500
+    status, out = replayed(tmp_path, capsys)
+    assert status == 1 and "can't be replayed" in out[0] and out[-1].endswith("0 starts compared, 0 differ")
+
+
+def test_a_file_that_lacks_ends_what_can_be_replayed(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    play(opened(tmp_path, 40, 8), 1, 1000)
+    sorted(tmp_path.iterdir())[2].unlink()
+    status, out = replayed(tmp_path, capsys)
+    assert status == 0 and "can't be replayed" in out[0] and out[-1].endswith("1 start compared, 0 differ")
+
+
+def test_an_empty_folder_is_no_capture(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    assert replayed(tmp_path, capsys) == (1, [f"there is no capture in {tmp_path}"])
+    assert main(["capture", "replay", str(tmp_path / "none")]) == 2
+
+
+def flush(world: World) -> None:
+    made = world.sidecar.ring
+    assert made is not None
+    world.run(made.flush)
+
+
+@pytest.mark.parametrize("when", ["first", "later"])
+def test_a_folder_that_can_t_be_written_is_one_warning_and_it_serves(
+    when: str, make: Make, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    folder = tmp_path if when == "later" else tmp_path / "none"
+    world = make(1, operators.parse(f"capture.dir = {folder}"), True)
+    flush(world)
+
+    def full(file: int, data: bytes) -> int:
+        raise OSError(errno.ENOSPC, "full")
+
+    with_os(monkeypatch, write=full)
+    for _ in range(3):
+        caller = world.ask()
+        node = world.first()
+        node.read()
+        node.answer(200, b"ok", "Connection: close\r\n")
+        assert caller.read()[2] == b"ok"
+        flush(world)
+    assert [event for event, _ in world.lines].count("capture-off") == 1
+
+
+def test_a_sidecar_s_own_record_replays(
+    make: Make, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    world = make(2, operators.parse(f"capture.dir = {tmp_path}"), True)
+    watch = world.discovery.accept()
+    watch.read()
+    items = [entry("n0", world.nodes[0], lifecycle="DRAINING"), entry("odd: 1/2", world.nodes[1])]
+    watch.answer(200, list_body(8, *items, reset=True))
+    watch.read()
+    caller = world.ask()
+    for status, more in ((500, "Connection: close\r\n"), (200, "")):
+        node = world.first()
+        node.read()
+        node.answer(status, b"ok", more)
+    assert caller.read()[2] == b"ok"
+    world.ask("order").close()
+    world.logged("caller-connection")
+    flush(world)
+    lines = lines_in(tmp_path)
+    assert [line.partition(" ")[0] for line in lines].count("v") == 2
+    decisions = [line.split() for line in lines if line.startswith("d ")]
+    assert decisions[0][2:4] == ["c1", "menu"] and int(decisions[0][4]) <= 6000
+    assert {line[2] for line in decisions} == {"c1", "c2"} and "timer" in decisions[1]
+    assert "odd%3A%201%2F2:0/0/-" in decisions[0] and "odd%3A%201%2F2:0/1/-" in decisions[-1]
+    status, out = replayed(tmp_path, capsys)
+    assert status == 0 and out[-1].startswith("test: ") and out[-1].endswith("1 start compared, 0 differ")
+
+
+def test_a_killed_process_s_record_replays_in_another_whatever_the_hash_seed(tmp_path: Path) -> None:
+    (tmp_path / "c.json").write_text(json.dumps(told(name="n3", discovery="127.0.0.1:9")), encoding="utf-8")
+    (tmp_path / "tmp").mkdir()
+    environment = {**os.environ, "LB_CONFIG": str(tmp_path / "c.json"), "TMPDIR": str(tmp_path / "tmp")}
+    command = [sys.executable, "-m", "wheatring"]
+    for seed in (1, 2):
+        with subprocess.Popen(
+            [*command, "--capture"],
+            env={**environment, "PYTHONHASHSEED": str(seed)},
+            stdout=subprocess.PIPE,
+            text=True,
+        ) as process:
+            assert process.stdout is not None
+            port = int(process.stdout.readline().rpartition("=")[2])
+            caller = Wire(socket.create_connection(("127.0.0.1", port), FAR))
+            caller.send(b"GET /menu HTTP/1.1\r\nX-Correlation-Id: c1\r\n\r\n")
+            assert caller.read()[0] == "HTTP/1.1 503 Service Unavailable"
+            far = time.monotonic() + FAR
+            while sum(line.startswith("d ") for line in lines_in(tmp_path / "tmp")) < seed:  # it writes soon
+                assert time.monotonic() < far
+            process.kill()
+            caller.close()
+    lines = lines_in(tmp_path / "tmp")
+    assert [line for line in lines if line.startswith("h ")] == ["h n3 seed=8c1f30d27a5be964"] * 2
+    done = subprocess.run(
+        [*command, "capture", "replay", str(tmp_path / "tmp")],
+        env={**environment, "PYTHONHASHSEED": "3"}, capture_output=True, text=True, check=False,
+    )  # fmt: skip
+    assert done.returncode == 0 and done.stdout.endswith("2 starts compared, 0 differ\n"), done
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -38,6 +38,9 @@
         ("tokens.key.", f"tokens.key. = {SECRET}"),
         ("tokens.issue.kid", f"tokens.key.k1 = {SECRET}\ntokens.issue.kid = k2"),
         ("tokens.skew.s", "tokens.skew.s = 1.5"),
+        ("capture.files", "capture.files = 0"),
+        ("capture.files", "capture.files = 11"),
+        ("capture.file.kb", "capture.file.kb = much"),
     ],
 )
 def test_a_wrong_file_ends_it_with_one_line_that_names_the_key(
@@ -82,6 +85,7 @@
     assert read.drill == operators.Drill(key, plan, Fraction(5, 2), 0.25, True)
     assert not read.audit.on and operators.parse("audit.on = true").audit.on
     assert operators.parse("audit.file = a=b").audit == operators.Audit(True, "a=b")
+    assert operators.parse("capture.files=11\ncapture.dir=/x").capture == operators.Capture(11, 196608, "/x")
     held = operators.parse(f"tokens.key.k1={SECRET}\ntokens.issue.kid = k1\ntokens.skew.s = 5")
     assert held.tokens == operators.Tokens({"k1": key}, "k1", 5)
     read = operators.Operators(read.drill, tokens=held.tokens)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -21,6 +21,21 @@
     assert abs(held["a"] - held["b"]) <= 6  # one random choice would stray by more
 
 
+def test_a_send_says_which_endpoints_were_drawn_for_it_and_what_they_held() -> None:
+    copy = Copy()
+    copy.view(*entries("a"), i.EndpointEntry("b", started_at=copy.now))
+    sends = [copy.send() for _ in range(20)]
+    busy = Counter[str]()
+    passed_over = 0
+    for send in sends:
+        assert send.endpoint in {drawn.endpoint for drawn in send.drawn} <= {"a", "b"}
+        assert all((drawn.in_flight, drawn.report) == (busy[drawn.endpoint], None) for drawn in send.drawn)
+        lightest = min(send.drawn, key=lambda drawn: drawn.in_flight)
+        passed_over += lightest.endpoint != send.endpoint  # cold, and it is not its turn yet
+        busy[send.endpoint] += 1
+    assert passed_over
+
+
 def test_slow_failing_and_silent_endpoints_are_avoided() -> None:
     def share(spoil: str) -> float:
         copy = Copy(3)
--- a/tests/world.py
+++ b/tests/world.py
@@ -118,7 +118,7 @@
 class World:
     """A sidecar with so many nodes, and a discovery that the story may answer for."""
 
-    def __init__(self, nodes: int = 1, operators: Operators = NO_OPERATORS) -> None:
+    def __init__(self, nodes: int = 1, operators: Operators = NO_OPERATORS, capture: bool = False) -> None:
         self.lines: list[tuple[str, dict[str, object]]] = []
         self.said = threading.Condition()
         self.nodes = [Peer() for _ in range(nodes)]
@@ -128,11 +128,11 @@
         known = {"generation": 7, "instances": [entry(f"n{n}", p) for n, p in enumerate(self.nodes)]}
         self.config = Config(
             name="test", listen=("127.0.0.1", 0), discovery=("127.0.0.1", self.discovery.port), seed=1,
-            sockets=256, known=known, settings=settings_from(pairs(SETTINGS)),
+            sockets=256, known=known, settings=settings_from(pairs(SETTINGS)), given=SETTINGS,
         )  # fmt: skip
 
         def start() -> tuple[Sidecar, int]:
-            sidecar = Sidecar(reactor, self.config, operators)
+            sidecar = Sidecar(reactor, self.config, operators, capture)
             return sidecar, sidecar.start()
 
         log.line = self._line
--- a/wheatring/__main__.py
+++ b/wheatring/__main__.py
@@ -13,7 +13,9 @@
 from wheatring import commands, config, log, operators
 
 if TYPE_CHECKING:  # what belongs to a feature is imported once that is turned on
+    from lapisway.policy import Balancer
     from wheatring.audit import Audit
+    from wheatring.capture.ring import Ring
     from wheatring.drills import Drills
 
 RESERVE = 24  # descriptors kept for the log, the reactor, the door, the configuration and calls to discovery
@@ -22,7 +24,9 @@
 
 
 class Sidecar:
-    def __init__(self, reactor: Any, told: config.Config, asked: operators.Operators) -> None:
+    def __init__(
+        self, reactor: Any, told: config.Config, asked: operators.Operators, capture: bool = False
+    ) -> None:
         from lapisway.policy import Balancer
         from wheatring.clock import Clock
         from wheatring.driver import Driver
@@ -39,7 +43,8 @@
         self.first_asked = asked
         self.clock = Clock(reactor)
         self.exchange = Exchange(self.clock, settings.contract.answer_slack)
-        self.driver = Driver(Balancer(settings, told.seed), self.exchange, self.clock)
+        balancer = Balancer(settings, told.seed)
+        self.driver = Driver(balancer, self.exchange, self.clock)
         places = told.sockets - RESERVE
         claims = int(places * CLAIMS)
         self.pool = Pool(
@@ -50,6 +55,9 @@
         )
         self.driver.machine_list = self.machine_list
         self.server = Server(reactor, self.clock, self.exchange, settings.classes, places - claims)
+        self.ring: Ring | None = None
+        if capture:
+            self.capture(balancer)
         self.drills: Drills | None = None
         self.audit: Audit | None = None
         if asked.audit.on:
@@ -57,6 +65,19 @@
 
             self.audit = Audit(told.name, self.clock, asked.audit.file)
 
+    def capture(self, balancer: Balancer) -> None:
+        from wheatring.capture import record
+        from wheatring.capture.ring import Ring
+
+        asked, told, clock = self.first_asked.capture, self.told, self.clock
+        folder = asked.folder or os.environ.get("TMPDIR") or "/tmp"
+        self.ring = Ring(folder, told.name, asked.files, asked.size, clock)
+        for line in record.header(told.name, told.seed, clock.unix_offset, told.given):
+            self.ring.write(line)
+        self.driver.balancer = record.Recorder(
+            balancer, clock.unix_offset, self.ring.write, self.driver.ident, self.pool.idle_at
+        )
+
     def start(self) -> int:
         self.machine_list.known(self.told.known)
         port = self.server.listen(*self.told.listen)
@@ -134,6 +155,8 @@
                 self.drills.stop()
             if self.audit is not None:
                 self.audit.close()
+            if self.ring is not None:
+                self.ring.close()
             log.line("stopped")
             self.clock.at(self.clock.now(), self.reactor.stop)  # once these connections have had their lines
 
@@ -163,7 +186,7 @@
 
     observers: Any = [log.twisted_failures]
     globalLogBeginner.beginLoggingTo(observers, redirectStandardIO=False)
-    sidecar = Sidecar(reactor, told, asked)
+    sidecar = Sidecar(reactor, told, asked, args.capture)
 
     def told_to_stop(number: int, frame: object) -> None:
         reactor.callFromThread(sidecar.stop)
--- /dev/null
+++ b/wheatring/capture/replay.py
@@ -0,0 +1,181 @@
+"""Feeds a captured record to the module again and tells each decision that differs."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections import deque
+from collections.abc import Callable, Iterator
+from contextlib import suppress
+from pathlib import Path
+from urllib.parse import unquote
+
+from lapisway import interface as i
+from lapisway.benchlink import settings_from
+from lapisway.policy import Balancer
+from wheatring.capture.record import REPORT, Recorder
+from wheatring.capture.ring import CUT, files_in
+from wheatring.config import pairs
+
+_IDLE = re.compile(r"(:[0-9]+)/[^/ ]*/")  # what the pool held, of which the module knows nothing
+
+
+def _word(text: str) -> str:
+    return "" if text == "-" else unquote(text, errors="surrogatepass")
+
+
+def _number(text: str) -> float | None:
+    return None if text == "-" else float(text)
+
+
+def _entry(text: str) -> i.EndpointEntry:
+    name, state, zone, kind, cell, rating, started = text.split(",")
+    return i.EndpointEntry(
+        _word(name), i.EndpointState(state), _word(zone), _word(kind), int(cell), float(rating),
+        float(started),
+    )  # fmt: skip
+
+
+def _report(text: str) -> i.LoadReport | None:
+    return None if text == "-" else i.LoadReport(*map(_number, text.split(",", len(REPORT) - 1)))
+
+
+def _event(kind: str, parts: list[str]) -> i.Event:
+    match kind, parts:
+        case "r", [number, _, name, left, repeat]:
+            return i.NewRequest(int(number), _word(name), float(left), client_retry=repeat == "1")
+        case "o", [number, attempt, outcome, node, latency, closed, report]:
+            return i.AttemptEnded(
+                int(number), int(attempt), i.Outcome(outcome), _word(node), float(latency), closed == "1",
+                _report(report),
+            )  # fmt: skip
+        case "g", [number]:
+            return i.ClientGone(int(number))
+        case "t", [token]:
+            return i.TimerDue(int(token))
+        case "v", [view, version, *entries]:
+            return i.View(i.ViewKind(view), tuple(map(_entry, entries)), int(version))
+    raise ValueError("not a line of a record")
+
+
+def _lines(files: list[tuple[int, Path]]) -> Iterator[tuple[str, str]]:
+    """Each line with its place; where a file lacks, an `x` line stands for it."""
+    last = files[0][0] - 1
+    for number, path in files:
+        if number != last + 1:
+            yield path.name, "x a file lacks before this one"
+        last = number
+        with open(path, encoding="ascii", errors="replace", newline="\n") as file:
+            for count, line in enumerate(file, 1):
+                if line.endswith(CUT) or not line.endswith("\n"):
+                    line = "x cut\n"
+                yield f"{path.name}:{count}", line.removesuffix("\n")
+
+
+class Replay:
+    """One sidecar's record."""
+
+    def __init__(self, name: str, say: Callable[[str], None]) -> None:
+        self.name = name
+        self.say = say
+        self.seed: int | None = None
+        self.recorder: Recorder | None = None  # none: there is nothing to go on from until the next start
+        self.idents: dict[int, str] = {}
+        self.due: deque[str] = deque()  # lines that the module's last actions make
+        self.starts = self.compared = self.differ = self.passed = 0
+
+    def run(self, files: list[tuple[int, Path]]) -> bool:
+        """Whether something could be replayed, and nothing differed."""
+        place = ""
+        for place, line in _lines(files):
+            try:
+                self.take(place, line)
+            except (ValueError, KeyError, IndexError, TypeError, OverflowError) as bad:
+                self.lost(place, f"can't be read: {bad}")
+        self.end(place)
+        starts = f"{self.starts} start{'s' * (self.starts != 1)}"
+        self.say(f"{self.name}: {self.compared} lines of {starts} compared, {self.differ} differ")
+        return self.starts > 0 and not self.differ
+
+    def take(self, place: str, line: str) -> None:
+        kind, *parts = line.split(" ")
+        if kind == "h":
+            self.end(place)
+            self.recorder = None
+            self.seed = int(parts[1].removeprefix("seed="), 16)
+        elif kind == "s" and self.seed is not None:
+            offset, _, settings = line[2:].partition(" ")
+            self.begin(float(offset), json.loads(settings))
+        elif self.recorder is None:
+            self.passed += 1
+        elif kind in ("d", "a", "c"):
+            self.compare(place, line)
+        elif kind == "x":
+            self.lost(place, "something was left out here")
+        else:
+            self.settle(place)
+            self.feed(kind, parts)
+
+    def begin(self, offset: float, settings: object) -> None:
+        assert self.seed is not None
+        balancer = Balancer(settings_from(pairs(settings)), self.seed)
+        self.seed = None
+        self.idents.clear()
+        self.due.clear()
+        self.recorder = Recorder(
+            balancer, offset, self.due.append, self.idents.__getitem__, lambda node: "?"
+        )  # fmt: skip
+        self.starts += 1
+
+    def feed(self, kind: str, parts: list[str]) -> None:
+        assert self.recorder is not None
+        now, event = float(parts[1]), _event(kind, parts[2:])
+        if isinstance(event, i.NewRequest):
+            self.idents[event.request] = _word(parts[3])
+        with suppress(Exception):  # a line of the record says that it broke
+            self.recorder.handle(now, event)
+        self.due.popleft()  # the event itself
+
+    def compare(self, place: str, line: str) -> None:
+        self.compared += 1
+        again = self.due.popleft() if self.due else None
+        if again is None or _IDLE.sub(r"\1/?/", again) != _IDLE.sub(r"\1/?/", line):
+            self.tell(place, line, again)
+
+    def settle(self, place: str) -> None:
+        """All that the module said to the last event must have been in the record."""
+        while self.due:
+            self.tell(f"before {place}", None, self.due.popleft())
+
+    def end(self, place: str) -> None:
+        """A sidecar that is killed may leave its last event without all that came of it."""
+        if self.due:
+            self.say(f"{self.name}: {place}: the record of a start ends {len(self.due)} lines early")
+            self.due.clear()
+        self.tell_passed()
+
+    def tell(self, place: str, recorded: str | None, again: str | None) -> None:
+        self.differ += 1
+        self.say(f"{self.name}: {place} differs")
+        self.say(f"  recorded {recorded or 'nothing'}")
+        self.say(f"  replayed {again or 'nothing'}")
+
+    def lost(self, place: str, why: str) -> None:
+        self.say(f"{self.name}: {place}: {why}; what follows can't be replayed up to the next start")
+        self.recorder = self.seed = None
+        self.due.clear()
+
+    def tell_passed(self) -> None:
+        if self.passed and not self.starts:
+            self.say(f"{self.name}: the header has been overwritten: {self.passed} lines can't be replayed")
+        elif self.passed:
+            self.say(f"{self.name}: {self.passed} lines were passed over")
+        self.passed = 0
+
+
+def replay(folder: Path, say: Callable[[str], None]) -> bool:
+    found = files_in(folder)
+    if not found:
+        say(f"there is no capture in {folder}")
+    good = [Replay(name, say).run(files) for name, files in found.items()]
+    return bool(good) and all(good)
--- a/wheatring/commands.py
+++ b/wheatring/commands.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from dataclasses import replace
+from pathlib import Path
 
 from wheatring import operators
 
@@ -20,6 +21,7 @@
     top = argparse.ArgumentParser(
         prog="wheatring", parents=[file], description="A sidecar load balancer. Without a command, it serves."
     )
+    top.add_argument("--capture", action="store_true", help="record what the decisions see and choose")
     top.set_defaults(call=None)
     groups = top.add_subparsers(title="commands", metavar="COMMAND")
 
@@ -42,6 +44,13 @@
     issue.add_argument("--rights", required=True, help="the classes that it opens, with commas between")
     issue.add_argument("--ttl", required=True, type=int, metavar="SECONDS", help="how long it is good")
     issue.set_defaults(call=token_issue)
+
+    record = groups.add_parser("capture", help="read records")
+    again = record.add_subparsers(required=True, metavar="COMMAND").add_parser(
+        "replay", parents=[file], help="tell each decision that differs"
+    )
+    again.add_argument("folder", type=Path)
+    again.set_defaults(call=capture_replay)
     return top
 
 
@@ -77,6 +86,12 @@
     return 0
 
 
+def capture_replay(args: argparse.Namespace) -> int:
+    from wheatring.capture import replay
+
+    return 0 if replay.replay(args.folder, print) else 1
+
+
 def run(args: argparse.Namespace) -> int:
     """Carry out a command; what can't be done is one line and status 2."""
     try:
--- a/wheatring/config.py
+++ b/wheatring/config.py
@@ -40,6 +40,7 @@
     sockets: int
     known: object
     settings: Settings
+    given: Mapping[str, object]  # the settings as they came
 
 
 def _address(key: str, text: object) -> tuple[str, int]:
@@ -133,4 +134,5 @@
         sockets=sockets,
         known=known,
         settings=read_settings,
+        given=settings,
     )
--- a/wheatring/driver.py
+++ b/wheatring/driver.py
@@ -6,7 +6,6 @@
 from typing import Protocol
 
 from lapisway import interface as i
-from lapisway.policy import Balancer
 from wheatring import log
 from wheatring.clock import Clock
 from wheatring.exchange import Answer, Claim, Exchange, Final, Job
@@ -22,8 +21,14 @@
     def fetch(self) -> None: ...
 
 
+class Decisions(Protocol):
+    """The decision module, or what stands in for it."""
+
+    def handle(self, now: float, event: i.Event) -> list[i.Action]: ...
+
+
 class Driver:
-    def __init__(self, balancer: Balancer, exchange: Exchange, clock: Clock) -> None:
+    def __init__(self, balancer: Decisions, exchange: Exchange, clock: Clock) -> None:
         self.balancer = balancer
         self.exchange = exchange
         self.clock = clock
@@ -55,6 +60,10 @@
         latency = self.clock.now() - claim.begun
         self.feed(i.AttemptEnded(job.number, claim.number, claim.outcome, claim.node, latency, job.over))
 
+    def ident(self, number: int) -> str:
+        job = self.jobs.get(number)
+        return job.ident if job is not None else ""
+
     # Events in, actions out
 
     def feed(self, event: i.Event) -> None:
--- a/wheatring/http1/client.py
+++ b/wheatring/http1/client.py
@@ -250,6 +250,9 @@
             if not idle:
                 del self.idle_ones[connection.place]
 
+    def idle_at(self, node: str) -> int:
+        return len(self.idle_ones.get(Place(node, self.addresses.get(node, "")), ()))
+
     def retire_oldest(self) -> bool:
         oldest = min((q[0] for q in self.idle_ones.values() if q), key=lambda c: c.idle_since, default=None)
         if oldest is None:
--- a/wheatring/operators.py
+++ b/wheatring/operators.py
@@ -15,6 +15,8 @@
 T = TypeVar("T")
 
 DEFAULT = "deploy/operator.properties"  # read where none is named, if it is there
+# The temporary folder counts as memory, of which a sidecar may have as little as 32 MB.
+MOST_TEMPORARY = 2 * 1024 * 1024
 
 _SECRET = re.compile(r"(?:[0-9A-Fa-f]{2})+")
 _WHOLE = re.compile(r"[0-9]{1,12}")
@@ -48,6 +50,13 @@
     skew: int = 30  # seconds that a token still counts past its end
 
 
+@dataclass(frozen=True, slots=True)
+class Capture:
+    files: int = 4
+    size: int = 192 * 1024  # bytes of each
+    folder: str = ""  # a lasting one; else the temporary one
+
+
 @dataclass(frozen=True, slots=True)
 class Operators:
     """All that the file says; what it leaves out is off."""
@@ -55,6 +64,7 @@
     drill: Drill = Drill()
     audit: Audit = Audit()
     tokens: Tokens = Tokens()
+    capture: Capture = Capture()
 
 
 class _Properties:
@@ -132,9 +142,17 @@
     if issue and issue not in keys:
         raise OperatorsError("tokens.issue.kid: there is no such key")
     tokens = Tokens(keys, issue, has.take("tokens.skew.s", _whole(0, 86_400), 30))
+    capture = Capture(
+        has.take("capture.files", _whole(1, 10_000), 4),
+        has.take("capture.file.kb", _whole(1, 1_000_000), 192) * 1024,
+        has.take("capture.dir", str, ""),
+    )
+    if not capture.folder and capture.files * capture.size > MOST_TEMPORARY:
+        most = MOST_TEMPORARY // 1024
+        raise OperatorsError(f"capture.files: over {most} KiB with capture.file.kb, and no capture.dir")
     for key in has.values:
         raise OperatorsError(f"{key}: unknown")
-    return Operators(drill, audit, tokens)
+    return Operators(drill, audit, tokens, capture)
 
 
 def find(named: str | None) -> str | None:
