--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -2,20 +2,16 @@
 
 from __future__ import annotations
 
-import json
 import os
 import signal
 import socket
 import subprocess
-import sys
-from collections.abc import Iterator
-from contextlib import contextmanager
 from pathlib import Path
 
 import pytest
 from twisted.internet.task import Clock as Reactor
 
-from tests.test_process import told
+from tests.test_process import begin, until
 from tests.world import FAR, Wire
 from wheatring import audit, log, operators
 from wheatring.__main__ import main
@@ -24,28 +20,6 @@
 KEY = "0a" * 32
 
 
-@contextmanager
-def begin(tmp_path: Path, asked: str, stderr: int) -> Iterator[subprocess.Popen[str]]:
-    (tmp_path / "c.json").write_text(json.dumps(told(name="n 3")), encoding="utf-8")
-    (tmp_path / "o").write_text(asked, encoding="utf-8")
-    with subprocess.Popen(
-        [sys.executable, "-m", "wheatring", "--operators", str(tmp_path / "o")],
-        env={**os.environ, "LB_CONFIG": str(tmp_path / "c.json")},
-        stdout=subprocess.PIPE,
-        stderr=stderr,
-        text=True,
-    ) as process:
-        try:
-            yield process
-        finally:
-            process.kill()  # or a story that fails would wait for it
-
-
-def until(process: subprocess.Popen[str], event: str) -> str:
-    assert process.stdout is not None
-    return next(line for line in process.stdout if line.startswith(event))
-
-
 def fields(line: str) -> dict[str, str]:
     assert line.startswith("AUDIT ")
     return dict(pair.split("=") for pair in line.split()[1:])
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import re
+import signal
+import socket
+import subprocess
 from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
@@ -9,7 +13,8 @@
 
 import pytest
 
-from tests.world import Wire, World, reactor
+from tests.test_process import begin, until
+from tests.world import FAR, Wire, World, reactor
 from wheatring import drills, operators
 from wheatring.__main__ import main
 
@@ -164,3 +169,24 @@
     assert world.sidecar.drills is None
     world.run(lambda: world.sidecar.switch(operators.read(str(file))))
     assert world.ask().read()[1]["x-drill"] == "1"
+
+
+def test_a_process_says_what_its_drills_came_to(tmp_path: Path) -> None:
+    asked = settings("drill.share = 100").drill
+    told = f"drill.key = {KEY}\ndrill.plan = {asked.plan}\ndrill.share = 100\ndrill.abort = true\n"
+    with begin(tmp_path, f"{told}audit.on = true\n", subprocess.PIPE) as process:
+        port = int(until(process, "listening").rpartition("=")[2])
+        caller = Wire(socket.create_connection(("127.0.0.1", port), FAR))
+        caller.send(b"GET /menu HTTP/1.1\r\nX-Correlation-Id: c1\r\n\r\n")
+        first, fields, _ = caller.read()
+        assert (first, fields["x-drill"]) == ("HTTP/1.1 503 Service Unavailable", "1")
+        (tmp_path / "o").write_text("audit.on = true\n", encoding="utf-8")
+        process.send_signal(signal.SIGHUP)
+        until(process, "drill-over")
+        process.send_signal(signal.SIGTERM)
+        assert "drill_requests_total=1" in until(process, "drill-total")
+        assert process.wait(FAR) == 0 and process.stderr is not None
+        events = re.findall(r"event=(\S+)", process.stderr.read())
+        caller.close()
+    start = ["start", "config", "config", "key", "drill-on"]
+    assert events == [*start, "config", "key", "drill-over", "config", "stop"]
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 import json
-import os
 import signal
 import subprocess
-import sys
-from fractions import Fraction
 from pathlib import Path
 
 import pytest
 
-from tests.test_process import told
+from tests.test_process import begin, told, until
 from tests.world import FAR
 from wheatring import operators
 from wheatring.__main__ import main
@@ -29,7 +26,7 @@
         ("drill.share", "drill.share = 10\ndrill.share = 11"),
         ("drill.plan", "drill.plan ="),
         ("drill.key", f"drill.key = {SECRET}x"),
-        ("drill.share", "drill.share = 100.5"),
+        ("drill.share", "drill.share = 100.000001"),
         ("drill.delay.ms", "drill.delay.ms = -1"),
         ("drill.abort", "drill.abort = yes"),
         ("audit.on", "audit.on = 1"),
@@ -82,7 +79,7 @@
         "drill.delay.ms = 250\ndrill.abort = true"
     )
     key = bytes.fromhex(SECRET)
-    assert read.drill == operators.Drill(key, plan, Fraction(5, 2), 0.25, True)
+    assert read.drill == operators.Drill(key, plan, 2_500_000, 0.25, True)
     assert not read.audit.on and operators.parse("audit.on = true").audit.on
     assert operators.parse("audit.file = a=b").audit == operators.Audit(True, "a=b")
     assert operators.parse("capture.files=11\ncapture.dir=/x").capture == operators.Capture(11, 196608, "/x")
@@ -97,24 +94,25 @@
     assert operators.read(str(file)) == operators.Operators()
 
 
+def test_nothing_of_a_feature_that_is_off_is_imported(tmp_path: Path) -> None:
+    with begin(tmp_path, "", subprocess.PIPE, "-X", "importtime") as process:
+        until(process, "listening")
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(FAR) == 0 and process.stderr is not None
+        imported = {line.rpartition(" ")[2].strip() for line in process.stderr}
+    assert "wheatring.driver" in imported
+    off = {"drills", "audit", "tokens", "capture"}
+    assert off.isdisjoint(name.removeprefix("wheatring.").partition(".")[0] for name in imported)
+
+
 def test_told_to_reload_it_outlives_a_broken_file(tmp_path: Path) -> None:
-    (tmp_path / "c.json").write_text(json.dumps(told()), encoding="utf-8")
-    file = tmp_path / "o"
-    file.write_text("# nothing\n", encoding="utf-8")
-    with subprocess.Popen(
-        [sys.executable, "-m", "wheatring", "--operators", str(file)],
-        env={**os.environ, "LB_CONFIG": str(tmp_path / "c.json")},
-        stdout=subprocess.PIPE,
-        text=True,
-    ) as process:
-        assert process.stdout is not None
-        assert process.stdout.readline().startswith("listening")
-        file.write_text("what.is = this", encoding="utf-8")
+    with begin(tmp_path, "# nothing\n") as process:
+        until(process, "listening")
+        (tmp_path / "o").write_text("what.is = this", encoding="utf-8")
         process.send_signal(signal.SIGHUP)
-        line = next(line for line in process.stdout if line.startswith("operators-not-reloaded"))
-        assert "what.is: unknown" in line
-        file.unlink()
+        assert "what.is: unknown" in until(process, "operators-not-reloaded")
+        (tmp_path / "o").unlink()
         process.send_signal(signal.SIGHUP)
-        next(line for line in process.stdout if line.startswith("operators-not-reloaded"))
+        until(process, "operators-not-reloaded")
         process.send_signal(signal.SIGTERM)
         assert process.wait(FAR) == 0
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -8,6 +8,8 @@
 import socket
 import subprocess
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -27,6 +29,31 @@
     return {**good, **changes}
 
 
+@contextmanager
+def begin(
+    tmp_path: Path, asked: str, stderr: int | None = None, *more: str
+) -> Iterator[subprocess.Popen[str]]:
+    """The program, with this in its operators' file."""
+    (tmp_path / "c.json").write_text(json.dumps(told(name="n 3")), encoding="utf-8")
+    (tmp_path / "o").write_text(asked, encoding="utf-8")
+    with subprocess.Popen(
+        [sys.executable, *more, "-m", "wheatring", "--operators", str(tmp_path / "o")],
+        env={**os.environ, "LB_CONFIG": str(tmp_path / "c.json")},
+        stdout=subprocess.PIPE,
+        stderr=stderr,
+        text=True,
+    ) as process:
+        try:
+            yield process
+        finally:
+            process.kill()  # or a story that fails would wait for it
+
+
+def until(process: subprocess.Popen[str], event: str) -> str:
+    assert process.stdout is not None
+    return next(line for line in process.stdout if line.startswith(event))
+
+
 def test_it_answers_what_it_has_taken_and_then_ends_when_told_to(tmp_path: Path) -> None:
     node, discovery = Peer(), Peer()
     known = {"generation": 3, "instances": [entry("n0", node)]}
--- a/wheatring/capture/replay.py
+++ b/wheatring/capture/replay.py
@@ -122,9 +122,7 @@
         self.seed = None
         self.idents.clear()
         self.due.clear()
-        self.recorder = Recorder(
-            balancer, offset, self.due.append, self.idents.__getitem__, lambda node: "?"
-        )  # fmt: skip
+        self.recorder = Recorder(balancer, offset, self.due.append, self.idents.__getitem__, lambda node: "?")
         self.starts += 1
 
     def feed(self, kind: str, parts: list[str]) -> None:
--- a/wheatring/capture/ring.py
+++ b/wheatring/capture/ring.py
@@ -95,11 +95,9 @@
 
     def _go_on(self) -> None:
         """Go on after what an earlier start has left."""
-        found = [path for _, path in files_in(self.folder).get(self.name, [])]
-        self.held.extend((path, path.stat().st_size) for path in found)
-        if found:
-            match = _NAME.fullmatch(found[-1].name)
-            self.number = int(match[2]) if match else 0
+        for number, path in files_in(self.folder).get(self.name, []):
+            self.number = number
+            self.held.append((path, path.stat().st_size))
         if not self.held or self.held[-1][1] + len(CUT) >= self.size:
             self._turn()
             return
--- a/wheatring/drills.py
+++ b/wheatring/drills.py
@@ -10,7 +10,6 @@
 import hmac
 import re
 from collections.abc import Callable, Mapping
-from fractions import Fraction
 from typing import NamedTuple
 
 from lapisway.interface import Limits, RequestClass
@@ -18,7 +17,7 @@
 from wheatring import log
 from wheatring.clock import Clock, Timer
 from wheatring.exchange import Answer, Exchange, Final, Job
-from wheatring.operators import Drill, OperatorsError
+from wheatring.operators import PERCENT, Drill, OperatorsError
 
 MARGIN = 0.25  # seconds before its deadline, or a quarter of its time left, at which no job is held any more
 LOOK = 5.0  # seconds between looks at the time at least, which may be set anew
@@ -96,7 +95,7 @@
         self.told = Drill()
         self.plan: Plan | None = None
         self.on = False
-        self.owed = Fraction(0)  # percent: a job is due at 100, so that the share is exact
+        self.owed = 0  # of a job, that is 100 percent: one is due when it is whole
         self.total = 0
         self.next_look: Timer | None = None
 
@@ -104,7 +103,7 @@
         """Go by these settings from now on. Unchanged ones leave a drill as it is."""
         if told == self.told:
             return
-        self.told, self.plan, self.owed = told, None, Fraction(0)
+        self.told, self.plan, self.owed = told, None, 0
         self.running()  # the drill that was on is over, also where the next one begins at once
         if told != Drill():
             try:
@@ -137,10 +136,10 @@
             self.pass_on(job)
             return
         self.owed += self.told.share
-        if self.owed < 100:
+        if self.owed < 100 * PERCENT:
             self.pass_on(job)
             return
-        self.owed -= 100
+        self.owed -= 100 * PERCENT
         self.total += 1
         job.drill = True
         now, abort = self.clock.now(), self.told.abort
--- a/wheatring/operators.py
+++ b/wheatring/operators.py
@@ -8,20 +8,20 @@
 import re
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from fractions import Fraction
 from pathlib import Path
 from typing import TypeVar
 
 T = TypeVar("T")
 
 DEFAULT = "deploy/operator.properties"  # read where none is named, if it is there
+PERCENT = 1_000_000  # shares are whole numbers of millionths of a percent, so that they add up exactly
 # The temporary folder counts as memory, of which a sidecar may have as little as 32 MB.
 MOST_TEMPORARY = 2 * 1024 * 1024
 
 _SECRET = re.compile(r"(?:[0-9A-Fa-f]{2})+")
 _WHOLE = re.compile(r"[0-9]{1,12}")
 _KID = re.compile(r"[A-Za-z0-9._-]+")
-_PERCENT = re.compile(r"[0-9]{1,3}(?:\.[0-9]{1,6})?")
+_PERCENT = re.compile(r"([0-9]{1,3})(?:\.([0-9]{1,6}))?")
 
 
 class OperatorsError(ValueError):
@@ -32,7 +32,7 @@
 class Drill:
     key: bytes | None = field(default=None, repr=False)
     plan: str = ""
-    share: Fraction = Fraction(10)  # percent of the class's requests
+    share: int = 10 * PERCENT  # of the class's requests
     delay: float = 0.0
     abort: bool = False
 
@@ -115,10 +115,12 @@
     return read
 
 
-def _percent(text: str) -> Fraction:
-    if not _PERCENT.fullmatch(text) or Fraction(text) > 100:
+def _percent(text: str) -> int:
+    match = _PERCENT.fullmatch(text)
+    share = int(match[1]) * PERCENT + int((match[2] or "").ljust(6, "0")) if match else -1
+    if not 0 <= share <= 100 * PERCENT:
         raise ValueError("not a number from 0 to 100")
-    return Fraction(text)
+    return share
 
 
 def parse(text: str) -> Operators:
@@ -126,7 +128,7 @@
     drill = Drill(
         key=has.take("drill.key", _secret, None),
         plan=has.take("drill.plan", str, ""),
-        share=has.take("drill.share", _percent, Fraction(10)),
+        share=has.take("drill.share", _percent, 10 * PERCENT),
         delay=has.take("drill.delay.ms", _whole(0, 3_600_000), 0) / 1000,
         abort=has.take("drill.abort", _switch, False),
     )
