--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -6,6 +6,7 @@
 import json
 import os
 import re
+import signal
 import socket
 import subprocess
 import sys
@@ -21,8 +22,8 @@
 from lapisway import interface as i
 from lapisway.benchlink import settings_from
 from lapisway.policy import Balancer
-from tests.test_process import told
-from tests.world import FAR, SETTINGS, Wire, World, entry, list_body
+from tests.test_process import begin, told, until
+from tests.world import FAR, SETTINGS, Peer, Wire, World, entry, list_body
 from wheatring import operators
 from wheatring.__main__ import main
 from wheatring.capture import record, ring
@@ -343,3 +344,26 @@
         env={**environment, "PYTHONHASHSEED": "3"}, capture_output=True, text=True, check=False,
     )  # fmt: skip
     assert done.returncode == 0 and done.stdout.endswith("2 starts compared, 0 differ\n"), done
+
+
+def test_what_came_last_before_the_stop_is_in_the_record(tmp_path: Path) -> None:
+    node, folder = Peer(), tmp_path / "kept"
+    folder.mkdir()
+    known = {"generation": 3, "instances": [entry("n0", node)]}
+    with begin(tmp_path, f"capture.dir = {folder}\n", capture=True, known=known) as process:
+        port = int(until(process, "listening").rpartition("=")[2])
+        caller = Wire(socket.create_connection(("127.0.0.1", port), FAR))
+        caller.send(b"GET /menu HTTP/1.1\r\nX-Correlation-Id: c1\r\n\r\n")
+        wire = node.accept()
+        wire.read()
+        process.send_signal(signal.SIGTERM)
+        far = time.monotonic() + FAR
+        with pytest.raises(ConnectionRefusedError):  # it only waits for this answer now
+            while time.monotonic() < far:
+                socket.create_connection(("127.0.0.1", port), FAR).close()
+        wire.answer(200, b"ok")
+        assert caller.read()[2] == b"ok"
+        assert process.wait(FAR) == 0
+        caller.close()
+    node.close()
+    assert [line.split()[5] for line in lines_in(folder) if line.startswith("o ")] == ["served"]
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -121,7 +121,10 @@
     world.run(made.look)
     world.sidecar.clock.unix = lambda: 5.1
     world.logged("drill-over", 2)  # though nobody asks for anything
-    assert [event for event, _ in world.lines if event.startswith("drill-")] == ["drill-on", "drill-over"] * 2
+    for more in ("drill.share = 50", "drill.share = 60"):  # one drill ends where the next one takes its place
+        world.run(lambda more=more: world.sidecar.switch(settings(f"drill.abort = true\n{more}")))  # type: ignore[misc]
+    events = [event for event, _ in world.lines if event.startswith("drill-")]
+    assert events == [*["drill-on", "drill-over"] * 3, "drill-on"]
 
 
 @pytest.mark.parametrize(
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -31,13 +31,14 @@
 
 @contextmanager
 def begin(
-    tmp_path: Path, asked: str, stderr: int | None = None, *more: str
+    tmp_path: Path, asked: str, stderr: int | None = None, *python: str, capture: bool = False, **changes: Any
 ) -> Iterator[subprocess.Popen[str]]:
     """The program, with this in its operators' file."""
-    (tmp_path / "c.json").write_text(json.dumps(told(name="n 3")), encoding="utf-8")
+    (tmp_path / "c.json").write_text(json.dumps(told(**{"name": "n 3", **changes})), encoding="utf-8")
     (tmp_path / "o").write_text(asked, encoding="utf-8")
     with subprocess.Popen(
-        [sys.executable, *more, "-m", "wheatring", "--operators", str(tmp_path / "o")],
+        [sys.executable, *python, "-m", "wheatring", "--operators", str(tmp_path / "o")]
+        + ["--capture"] * capture,
         env={**os.environ, "LB_CONFIG": str(tmp_path / "c.json")},
         stdout=subprocess.PIPE,
         stderr=stderr,
