Move the core, the operators' features and the command line into packages

Need: the lab has to import the exchange, the driver and the clock without what wires them, and has a group of commands of its own.

Change: exchange, driver and clock go to core/, drills, audit, tokens and captures to ops/, the command line to commands/; imports follow, nothing else does.

--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -13,9 +13,10 @@
 
 from tests.test_process import begin, until
 from tests.world import FAR, Wire
-from wheatring import audit, log, operators
+from wheatring import log, operators
 from wheatring.__main__ import main
-from wheatring.clock import Clock
+from wheatring.core.clock import Clock
+from wheatring.ops import audit
 
 KEY = "0a" * 32
 
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -26,9 +26,9 @@
 from tests.world import FAR, SETTINGS, Peer, Wire, World, entry, list_body
 from wheatring import operators
 from wheatring.__main__ import main
-from wheatring.capture import record, ring
-from wheatring.clock import Clock
 from wheatring.config import pairs
+from wheatring.core.clock import Clock
+from wheatring.ops.capture import record, ring
 
 Make = Callable[..., World]
 DECISION = re.compile(
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -15,8 +15,9 @@
 
 from tests.test_process import begin, until
 from tests.world import FAR, Wire, World, reactor
-from wheatring import drills, operators
+from wheatring import operators
 from wheatring.__main__ import main
+from wheatring.ops import drills
 
 Make = Callable[..., World]
 KEY = "00ff" * 16
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -100,9 +100,8 @@
         process.send_signal(signal.SIGTERM)
         assert process.wait(FAR) == 0 and process.stderr is not None
         imported = {line.rpartition(" ")[2].strip() for line in process.stderr}
-    assert "wheatring.driver" in imported
-    off = {"drills", "audit", "tokens", "capture"}
-    assert off.isdisjoint(name.removeprefix("wheatring.").partition(".")[0] for name in imported)
+    assert "wheatring.core.driver" in imported
+    assert not any(name.startswith("wheatring.ops") for name in imported)
 
 
 def test_told_to_reload_it_outlives_a_broken_file(tmp_path: Path) -> None:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -10,7 +10,7 @@
 
 from lapisway import interface as i
 from tests.world import World, entry, list_body, reactor
-from wheatring.exchange import Job
+from wheatring.core.exchange import Job
 from wheatring.http1 import client, server
 from wheatring.http1.parser import Request
 
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -11,8 +11,9 @@
 import pytest
 
 from tests.world import Wire, World
-from wheatring import operators, tokens
+from wheatring import operators
 from wheatring.__main__ import main
+from wheatring.ops import tokens
 
 Make = Callable[..., World]
 OLD, NEW = "aa" * 32, "bb" * 32
--- a/wheatring/__main__.py
+++ b/wheatring/__main__.py
@@ -14,9 +14,9 @@
 
 if TYPE_CHECKING:  # what belongs to a feature is imported once that is turned on
     from lapisway.policy import Balancer
-    from wheatring.audit import Audit
-    from wheatring.capture.ring import Ring
-    from wheatring.drills import Drills
+    from wheatring.ops.audit import Audit
+    from wheatring.ops.capture.ring import Ring
+    from wheatring.ops.drills import Drills
 
 RESERVE = 24  # descriptors kept for the log, the reactor, the door, the configuration and calls to discovery
 CLAIMS = 0.4  # part of the rest that is for claims: callers' requests may hold a third, and others are idle
@@ -28,9 +28,9 @@
         self, reactor: Any, told: config.Config, asked: operators.Operators, capture: bool = False
     ) -> None:
         from lapisway.policy import Balancer
-        from wheatring.clock import Clock
-        from wheatring.driver import Driver
-        from wheatring.exchange import Exchange
+        from wheatring.core.clock import Clock
+        from wheatring.core.driver import Driver
+        from wheatring.core.exchange import Exchange
         from wheatring.http1.client import Pool
         from wheatring.http1.machine_list import MachineList
         from wheatring.http1.server import Server
@@ -61,13 +61,13 @@
         self.drills: Drills | None = None
         self.audit: Audit | None = None
         if asked.audit.on:
-            from wheatring.audit import Audit
+            from wheatring.ops.audit import Audit
 
             self.audit = Audit(told.name, self.clock, asked.audit.file)
 
     def capture(self, balancer: Balancer) -> None:
-        from wheatring.capture import record
-        from wheatring.capture.ring import Ring
+        from wheatring.ops.capture import record
+        from wheatring.ops.capture.ring import Ring
 
         asked, told, clock = self.first_asked.capture, self.told, self.clock
         folder = asked.folder or os.environ.get("TMPDIR") or "/tmp"
@@ -97,14 +97,14 @@
         if self.audit is not None:
             self.audit.keys(self.asked, asked)
         if self.drills is None and asked.drill != self.asked.drill:
-            from wheatring.drills import Drills
+            from wheatring.ops.drills import Drills
 
             limits = self.told.settings.limits
             self.drills = Drills(self.exchange, self.clock, self.server.classes, limits, self.record)
         if self.drills is not None:
             self.drills.switch(asked.drill)
         if asked.tokens.keys:
-            from wheatring.tokens import Guard
+            from wheatring.ops.tokens import Guard
 
             self.server.guard = Guard(asked.tokens, self.clock)
         else:
--- a/wheatring/commands.py
+++ b/wheatring/commands/__init__.py
@@ -59,7 +59,7 @@
 
 
 def drill_sign(args: argparse.Namespace) -> int:
-    from wheatring import drills
+    from wheatring.ops import drills
 
     told = operators.read(operators_file(args)).drill
     print(drills.signed(told if args.plan is None else replace(told, plan=args.plan)))
@@ -67,7 +67,7 @@
 
 
 def audit_verify(args: argparse.Namespace) -> int:
-    from wheatring import audit
+    from wheatring.ops import audit
 
     with open(args.file, "rb") as file:
         bad = audit.verify(file)
@@ -77,7 +77,7 @@
 
 
 def token_issue(args: argparse.Namespace) -> int:
-    from wheatring import tokens
+    from wheatring.ops import tokens
 
     if args.ttl < 1:
         raise operators.OperatorsError("--ttl: must be 1 or more")
@@ -87,7 +87,7 @@
 
 
 def capture_replay(args: argparse.Namespace) -> int:
-    from wheatring.capture import replay
+    from wheatring.ops.capture import replay
 
     return 0 if replay.replay(args.folder, print) else 1
 
--- a/wheatring/driver.py
+++ b/wheatring/core/driver.py
@@ -7,8 +7,8 @@
 
 from lapisway import interface as i
 from wheatring import log
-from wheatring.clock import Clock
-from wheatring.exchange import Answer, Claim, Exchange, Final, Job
+from wheatring.core.clock import Clock
+from wheatring.core.exchange import Answer, Claim, Exchange, Final, Job
 
 
 class MachineList(Protocol):
--- a/wheatring/exchange.py
+++ b/wheatring/core/exchange.py
@@ -13,7 +13,7 @@
 
 from lapisway.interface import Outcome
 from wheatring import log
-from wheatring.clock import Clock, Timer
+from wheatring.core.clock import Clock, Timer
 
 
 class Final(Enum):
--- a/wheatring/http1/client.py
+++ b/wheatring/http1/client.py
@@ -12,8 +12,8 @@
 
 from lapisway.interface import Outcome
 from wheatring import log
-from wheatring.clock import Clock, Timer
-from wheatring.exchange import Claim, Exchange
+from wheatring.core.clock import Clock, Timer
+from wheatring.core.exchange import Claim, Exchange
 from wheatring.http1.connection import Connection
 from wheatring.http1.parser import BadMessage, Message, Request
 
--- a/wheatring/http1/machine_list.py
+++ b/wheatring/http1/machine_list.py
@@ -12,7 +12,7 @@
 
 from lapisway.interface import EndpointEntry, EndpointState, View, ViewKind
 from wheatring import address, log
-from wheatring.clock import Clock, Timer
+from wheatring.core.clock import Clock, Timer
 from wheatring.http1.connection import Connection
 from wheatring.http1.parser import BadMessage, Message
 
--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -12,8 +12,8 @@
 
 from lapisway.interface import Effect, RequestClass
 from wheatring import log
-from wheatring.clock import Clock, Timer
-from wheatring.exchange import Answer, Exchange, Final, Job
+from wheatring.core.clock import Clock, Timer
+from wheatring.core.exchange import Answer, Exchange, Final, Job
 from wheatring.http1.connection import Connection
 from wheatring.http1.parser import MAX_BODY, MAX_HEAD, BadMessage, Message, Request
 
--- a/wheatring/audit.py
+++ b/wheatring/ops/audit.py
@@ -18,7 +18,7 @@
 from urllib.parse import quote
 
 from wheatring import log
-from wheatring.clock import Clock, Timer
+from wheatring.core.clock import Clock, Timer
 from wheatring.operators import Operators
 
 MOST = 1000  # lines that wait for a reader of standard error
--- a/wheatring/capture/replay.py
+++ b/wheatring/ops/capture/replay.py
@@ -13,9 +13,9 @@
 from lapisway import interface as i
 from lapisway.benchlink import settings_from
 from lapisway.policy import Balancer
-from wheatring.capture.record import REPORT, Recorder
-from wheatring.capture.ring import CUT, files_in
 from wheatring.config import pairs
+from wheatring.ops.capture.record import REPORT, Recorder
+from wheatring.ops.capture.ring import CUT, files_in
 
 _IDLE = re.compile(r"(:[0-9]+)/[^/ ]*/")  # what the pool held, of which the module knows nothing
 
--- a/wheatring/capture/ring.py
+++ b/wheatring/ops/capture/ring.py
@@ -10,7 +10,7 @@
 from urllib.parse import quote, unquote
 
 from wheatring import log
-from wheatring.clock import Clock, Timer
+from wheatring.core.clock import Clock, Timer
 
 SOON = 0.2  # seconds in which lines are written
 BATCH = 16 * 1024  # bytes that are written at once
--- a/wheatring/drills.py
+++ b/wheatring/ops/drills.py
@@ -15,8 +15,8 @@
 from lapisway.interface import Limits, RequestClass
 from lapisway.policy import STAY_AWAY
 from wheatring import log
-from wheatring.clock import Clock, Timer
-from wheatring.exchange import Answer, Exchange, Final, Job
+from wheatring.core.clock import Clock, Timer
+from wheatring.core.exchange import Answer, Exchange, Final, Job
 from wheatring.operators import PERCENT, Drill, OperatorsError
 
 MARGIN = 0.25  # seconds before its deadline, or a quarter of its time left, at which no job is held any more
--- a/wheatring/tokens.py
+++ b/wheatring/ops/tokens.py
@@ -13,7 +13,7 @@
 from base64 import urlsafe_b64decode, urlsafe_b64encode
 from collections.abc import Mapping
 
-from wheatring.clock import Clock
+from wheatring.core.clock import Clock
 from wheatring.http1.server import Refused
 from wheatring.operators import OperatorsError, Tokens
 
