Hand time, doors and the log in, so that a sidecar runs on any reactor

Need: the lab runs many sidecars in one process and in virtual time. Four things still came from the process: the monotonic clock in clock.py, a real port made by Door whatever the reactor, the log's descriptor, and the order of two sets of connections, which follows addresses in memory and so differs from run to run.

Change: Clock takes both times from what it is given; the daemon sets its reactor's to the monotonic clock, as before. A reactor may bring doors of its own, which keep to the same room. The log can be diverted. Connections stand in the order in which they came.

--- a/tests/world.py
+++ b/tests/world.py
@@ -19,8 +19,8 @@
 
 from lapisway.benchlink import settings_from
 from wheatring import log
-from wheatring.__main__ import Sidecar
 from wheatring.config import Config, pairs
+from wheatring.daemon import Sidecar
 from wheatring.operators import Operators
 
 reactor: Any = installed
--- a/wheatring/core/clock.py
+++ b/wheatring/core/clock.py
@@ -14,14 +14,15 @@
 
 
 class Clock:
-    """Instants are seconds of the monotonic clock: steps of the system's time must not move deadlines."""
+    """Instants are seconds of the reactor's clock, which the daemon sets to the monotonic one: steps of the
+    system's time must not move deadlines. Both times are handed in, so that they can be others."""
 
-    def __init__(self, reactor: Any) -> None:
+    def __init__(self, reactor: Any, unix: Callable[[], float] = time.time) -> None:
         self.reactor = reactor
+        self.now: Callable[[], float] = reactor.seconds
+        self.unix = unix  # in seconds, for what others state in it and no deadline hangs on
         # Unix time is only ever converted with this one offset, so that equal times stay equal.
-        self.unix_offset = time.time() - time.monotonic()
-        self.now = time.monotonic
-        self.unix = time.time  # in seconds, for what others state in it and no deadline hangs on
+        self.unix_offset = unix() - self.now()
 
     def at(self, instant: float, call: Callable[..., object], *args: object) -> Timer:
         timer: Timer = self.reactor.callLater(max(0.0, instant - self.now()), call, *args)
--- /dev/null
+++ b/wheatring/daemon.py
@@ -0,0 +1,209 @@
+"""One real sidecar, the daemon. Wires the parts, takes the signals, runs the reactor."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import time
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING, Any
+
+from wheatring import config, log, operators
+
+if TYPE_CHECKING:  # what belongs to a feature is imported once that is turned on
+    from lapisway.policy import Balancer
+    from wheatring.ops.audit import Audit
+    from wheatring.ops.capture.ring import Ring
+    from wheatring.ops.drills import Drills
+
+RESERVE = 24  # descriptors kept for the log, the reactor, the door, the configuration and calls to discovery
+CLAIMS = 0.4  # part of the rest that is for claims: callers' requests may hold a third, and others are idle
+ARRIVING = 0.6  # seconds after SIGTERM in which new connections may still arrive, with some to spare
+
+
+class Sidecar:
+    """All parts of one sidecar, wired on the reactor that is handed in. Time is that reactor's, Unix time
+    (seconds) what `unix` says."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        told: config.Config,
+        asked: operators.Operators,
+        capture: bool = False,
+        unix: Callable[[], float] = time.time,
+    ) -> None:
+        from lapisway.policy import Balancer
+        from wheatring.core.clock import Clock
+        from wheatring.core.driver import Driver
+        from wheatring.core.exchange import Exchange
+        from wheatring.http1.client import Pool
+        from wheatring.http1.machine_list import MachineList
+        from wheatring.http1.server import Server
+
+        settings = told.settings
+        limits = settings.limits
+        self.reactor = reactor
+        self.told = told
+        self.asked = operators.Operators()  # by the operators, and in effect
+        self.first_asked = asked
+        self.clock = Clock(reactor, unix)
+        self.exchange = Exchange(self.clock, settings.contract.answer_slack)
+        balancer = Balancer(settings, told.seed)
+        self.driver = Driver(balancer, self.exchange, self.clock)
+        places = told.sockets - RESERVE
+        claims = int(places * CLAIMS)
+        self.pool = Pool(
+            reactor, self.clock, self.exchange, limits.connect_timeout, limits.idle_timeout, claims
+        )
+        self.machine_list = MachineList(
+            reactor, self.clock, told.discovery, self.pool.addresses, self.driver.feed
+        )
+        self.driver.machine_list = self.machine_list
+        self.server = Server(reactor, self.clock, self.exchange, settings.classes, places - claims)
+        self.ring: Ring | None = None
+        if capture:
+            self.capture(balancer)
+        self.drills: Drills | None = None
+        self.audit: Audit | None = None
+        if asked.audit.on:
+            from wheatring.ops.audit import Audit
+
+            self.audit = Audit(told.name, self.clock, asked.audit.file)
+
+    def capture(self, balancer: Balancer) -> None:
+        from wheatring.ops.capture import record
+        from wheatring.ops.capture.ring import Ring
+
+        asked, told, clock = self.first_asked.capture, self.told, self.clock
+        folder = asked.folder or os.environ.get("TMPDIR") or "/tmp"
+        self.ring = Ring(folder, told.name, asked.files, asked.size, clock)
+        for line in record.header(told.name, told.seed, clock.unix_offset, told.given):
+            self.ring.write(line)
+        self.driver.balancer = record.Recorder(
+            balancer, clock.unix_offset, self.ring.write, self.driver.ident, self.pool.idle_at
+        )
+
+    def start(self) -> int:
+        self.machine_list.known(self.told.known)
+        port = self.server.listen(*self.told.listen)
+        log.line("listening", name=self.told.name, host=self.told.listen[0], port=port)
+        self.record("start", "platform")
+        self.record("config", "platform")
+        self.record("config", "operators")
+        self.switch(self.first_asked)
+        return port
+
+    def record(self, event: str, actor: str) -> None:
+        if self.audit is not None:
+            self.audit.record(event, actor)
+
+    def switch(self, asked: operators.Operators) -> None:
+        """Put into effect what the operators may change while it serves."""
+        if self.audit is not None:
+            self.audit.keys(self.asked, asked)
+        if self.drills is None and asked.drill != self.asked.drill:
+            from wheatring.ops.drills import Drills
+
+            limits = self.told.settings.limits
+            self.drills = Drills(self.exchange, self.clock, self.server.classes, limits, self.record)
+        if self.drills is not None:
+            self.drills.switch(asked.drill)
+        if asked.tokens.keys:
+            from wheatring.ops.tokens import Guard
+
+            self.server.guard = Guard(asked.tokens, self.clock)
+        else:
+            self.server.guard = None
+        self.asked = asked
+
+    def reload(self, environment: Mapping[str, str], file: str | None) -> None:
+        """Read both files again. One that can't be used changes nothing of what it is for."""
+        try:
+            asked = operators.read(file)
+        except operators.OperatorsError as bad:
+            log.line("operators-not-reloaded", why=str(bad))
+        else:
+            if file is not None:
+                self.record("config", "operators")
+            if asked != self.asked:
+                log.line("operators-reloaded")
+                self.switch(asked)
+        try:
+            told = config.read(environment, again=True)
+        except config.ConfigError as bad:
+            log.line("not-reloaded", why=str(bad))
+            return
+        self.record("config", "platform")
+        log.line("reloaded", discovery=":".join(map(str, told.discovery)))
+        if not self.server.stopping:
+            self.machine_list.move(told.discovery)
+
+    def stop(self) -> None:
+        """Answer what has come and what still arrives, then exit."""
+        if not self.server.stopping:
+            log.line("stopping", open=self.exchange.open)
+            self.record("stop", "platform")
+            self.server.stop_keeping()
+            self.clock.at(self.clock.now() + ARRIVING, self.close)
+
+    def close(self) -> None:
+        self.server.close_between()
+        self.finish()
+
+    def finish(self) -> None:
+        if self.exchange.open or self.server.connections:
+            self.clock.at(self.clock.now() + 0.02, self.finish)
+        else:
+            self.machine_list.unsubscribe()
+            self.pool.close()
+            if self.drills is not None:
+                self.drills.stop()
+            if self.audit is not None:
+                self.audit.close()
+            if self.ring is not None:
+                self.ring.close()
+            log.line("stopped")
+            self.clock.at(self.clock.now(), self.reactor.stop)  # once these connections have had their lines
+
+
+def serve(file: str | None, capture: bool) -> int:
+    """Serve until told to stop; `file` is the operators'. The exit status: 2 where it could not start."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload, it must not end us
+    try:
+        told = config.read(os.environ)
+        asked = operators.read(file)
+    except (config.ConfigError, operators.OperatorsError) as bad:
+        print(f"wheatring: {bad}", file=sys.stderr)
+        return 2
+    log.not_blocking()
+    from twisted.internet import error
+    from twisted.internet import reactor as installed
+
+    reactor: Any = installed  # Twisted's own type lacks half of its methods
+    from twisted.logger import globalLogBeginner
+
+    reactor.seconds = time.monotonic  # or a step of the system's time would hold up or hurry all timers
+
+    observers: Any = [log.twisted_failures]
+    globalLogBeginner.beginLoggingTo(observers, redirectStandardIO=False)
+    sidecar = Sidecar(reactor, told, asked, capture)
+
+    def told_to_stop(number: int, frame: object) -> None:
+        reactor.callFromThread(sidecar.stop)
+
+    def told_to_reload(number: int, frame: object) -> None:
+        reactor.callFromThread(sidecar.reload, os.environ, file)
+
+    # Before it says that it listens, from when on all of these may come.
+    signal.signal(signal.SIGHUP, told_to_reload)
+    signal.signal(signal.SIGTERM, told_to_stop)
+    signal.signal(signal.SIGINT, told_to_stop)
+    try:
+        sidecar.start()
+    except error.CannotListenError as bad:
+        print(f"wheatring: listen: {bad}", file=sys.stderr)
+        return 2
+    reactor.run(installSignalHandlers=False)
+    return 0
--- a/wheatring/http1/client.py
+++ b/wheatring/http1/client.py
@@ -205,7 +205,7 @@
         self.most = most
         self.addresses: dict[str, str] = {}
         self.idle_ones: dict[Place, deque[ClaimConnection]] = {}
-        self.connections: set[ClaimConnection] = set()
+        self.connections: dict[ClaimConnection, None] = {}  # in the order in which they came
         self.dialling = 0
         exchange.start_claim = self.start
         exchange.close_idle = self.close_idle
@@ -235,14 +235,14 @@
         self.dialling -= 1
 
     def up(self, connection: ClaimConnection) -> None:
-        self.connections.add(connection)
+        self.connections[connection] = None
 
     def keep(self, connection: ClaimConnection) -> None:
         connection.idle_since = self.clock.now()
         self.idle_ones.setdefault(connection.place, deque()).append(connection)
 
     def gone(self, connection: ClaimConnection) -> None:
-        self.connections.discard(connection)
+        self.connections.pop(connection, None)
         idle = self.idle_ones.get(connection.place)
         if idle is not None:
             if connection in idle:
--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -39,6 +39,7 @@
 # Seconds that a connection keeps its place without a job when all places are taken: enough for a caller
 # that has just connected to write its request, and a crowd that says nothing can't shut the others out.
 STAND = 0.3
+BACKLOG = 511  # callers that may wait at the door
 
 
 def response(status: int, body: bytes = b"", more: bytes = b"", *, close: bool = False) -> bytes:
@@ -221,22 +222,32 @@
     def doRead(self) -> None:
         server = self.factory
         assert isinstance(server, Server)
-        self.numberAccepts = max(1, min(self.numberAccepts, server.most - len(server.connections)))
+        self.numberAccepts = max(1, min(self.numberAccepts, server.room))
         super().doRead()  # type: ignore[no-untyped-call]
 
 
+def open_door(port: int, server: Server, backlog: int, host: str, reactor: Any) -> Door:
+    factory: Any = server  # Twisted's interfaces are not known to the type checker
+    door = Door(port, factory, backlog, host, reactor)
+    door.startListening()
+    return door
+
+
 class Server(ServerFactory):
     noisy = False
 
     def __init__(
         self, reactor: Any, clock: Clock, exchange: Exchange, classes: tuple[RequestClass, ...], most: int
     ) -> None:
+        # A reactor without sockets brings doors of its own; they keep to `room` as well.
+        self.open_door: Callable[..., Any] = getattr(reactor, "open_door", open_door)
         self.reactor = reactor
         self.clock = clock
         self.exchange = exchange
         self.classes = {c.name: c for c in classes}
         self.most = most
-        self.connections: set[CallerConnection] = set()
+        # In the order in which they came: in an order of memory's, two runs of one day would differ.
+        self.connections: dict[CallerConnection, None] = {}
         self.stopping = False
         self.guard: Callable[[Mapping[bytes, bytes]], Container[str]] | None = None
         self.port: Any = None
@@ -248,14 +259,17 @@
         return CallerConnection(self)
 
     def listen(self, host: str, port: int) -> int:
-        factory: Any = self  # Twisted's interfaces are not known to the type checker
-        self.port = Door(port, factory, 511, host, self.reactor)
-        self.port.startListening()
+        self.port = self.open_door(port, self, BACKLOG, host, self.reactor)
         bound: int = self.port.getHost().port
         return bound
 
+    @property
+    def room(self) -> int:
+        """Places for callers that are free."""
+        return self.most - len(self.connections)
+
     def came(self, connection: CallerConnection) -> None:
-        self.connections.add(connection)
+        self.connections[connection] = None
         if len(self.connections) >= self.most and not self.full and self.port is not None:
             # Beyond this the process would run out of descriptors; callers wait in the backlog.
             self.full = True
@@ -264,7 +278,7 @@
                 self.clear()
 
     def went(self, connection: CallerConnection) -> None:
-        self.connections.discard(connection)
+        self.connections.pop(connection, None)
         if self.full and len(self.connections) < self.most:
             self.full = False
             if self.port is not None:
--- a/wheatring/log.py
+++ b/wheatring/log.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Mapping
-from contextlib import suppress
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager, suppress
 from stat import S_ISFIFO
 from typing import Any
 
+Sink = Callable[[str, Mapping[str, object]], None]
+
 LONGEST = 160  # of a value: what peers send must not flood the log
 
 
@@ -18,12 +20,35 @@
     return text if text.isprintable() and text and not {" ", '"', "="} & set(text) else ascii(text)
 
 
-def line(event: str, /, **values: object) -> None:
+def shown(event: str, values: Mapping[str, object]) -> str:
+    """One entry as it stands in the log, without its line's end."""
     pairs = "".join(f" {name}={_shown(value)}" for name, value in values.items())
+    return f"{event}{pairs}"
+
+
+def _out(event: str, values: Mapping[str, object]) -> None:
     # A log that nobody reads must neither end the process nor stop it. One write a line: on a pipe it is
     # whole or, when nobody reads and the pipe is full, fails at once.
     with suppress(OSError):
-        os.write(1, f"{event}{pairs}\n".encode("ascii", "backslashreplace"))
+        os.write(1, f"{shown(event, values)}\n".encode("ascii", "backslashreplace"))
+
+
+_sink: Sink = _out
+
+
+def line(event: str, /, **values: object) -> None:
+    _sink(event, values)
+
+
+@contextmanager
+def diverted(sink: Sink) -> Iterator[None]:
+    """All entries go to `sink` instead: many sidecars in one process would write into one another's log."""
+    global _sink
+    before, _sink = _sink, sink
+    try:
+        yield
+    finally:
+        _sink = before
 
 
 def not_blocking() -> None:
