--- /dev/null
+++ b/wheatring/lab/origins.py
@@ -0,0 +1,37 @@
+"""Where each request in the world comes from. Side knowledge of the models: no sidecar may ever see it."""
+
+from __future__ import annotations
+
+from random import Random
+
+
+class Origin:
+    """One first try of a client, shared by its retries and by all calls below it.
+
+    `size` is its work in seconds on a standard core, `key` its idempotency key ("" where its class is safe).
+    """
+
+    __slots__ = ("class_index", "first", "key", "size")
+
+    def __init__(self, first: int, class_index: int, size: float, key: str) -> None:
+        self.first = first
+        self.class_index = class_index
+        self.size = size
+        self.key = key
+
+
+class Origins:
+    """Correlation ids and their origins. An id is fresh for each try and for each call of a node."""
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+        self.of: dict[str, Origin] = {}
+
+    def new(self, origin: Origin) -> str:
+        ident = f"{self.random.getrandbits(64):016x}"
+        self.of[ident] = origin
+        return ident
+
+    def forget(self, ident: str) -> None:
+        """Nothing of it is out any more."""
+        self.of.pop(ident, None)
