--- a/wheatring/lab/book.py
+++ b/wheatring/lab/book.py
@@ -63,6 +63,9 @@
     def made(self, node: str, ident: str) -> str:
         """The node has served it: the stamp that its answer's body must bear, fresh for each attempt."""
 
+    def effect(self, node: str, ident: str, key: str) -> None:
+        """Running it had an effect: no node had dropped it as a repeat of its key."""
+
     def worked(self, node: str, ident: str, work: float) -> None:
         """So much work (seconds on a standard core) was done for an attempt that is over at the node."""
 
