--- a/wheatring/lab/outcome.py
+++ b/wheatring/lab/outcome.py
@@ -17,7 +17,7 @@
 
 
 class Second(Struct):
-    """One second of the day, counted at the front: a first try belongs to the second in which it was asked."""
+    """One second of the day. A first try belongs to the second in which it was asked."""
 
     asked: int = 0
     in_time: int = 0
