Hold the imports to the house, and move the README's reference to pages

Change: a test reads every import and fails on one that goes sideways or up; what is allowed besides is stated in it by name. It found one at once: tokens took Refused from the HTTP server above it, which now stands in core.

--- a/tests/test_example.py
+++ b/tests/test_example.py
@@ -1,4 +1,4 @@
-"""The README's example runs as it stands there."""
+"""The example of the decisions alone runs as it stands there."""
 
 from __future__ import annotations
 
@@ -6,12 +6,12 @@
 
 import pytest
 
-README = Path(__file__).parent.parent / "README.md"
+PAGE = Path(__file__).parent.parent / "docs" / "design" / "decisions.md"
 
 
-def test_the_readme_s_example_runs(capsys: pytest.CaptureFixture[str]) -> None:
-    code = README.read_text(encoding="utf-8").split("```python\n")[1].split("```")[0]
-    exec(compile(code, str(README), "exec"), {})
+def test_the_example_of_the_decisions_runs(capsys: pytest.CaptureFixture[str]) -> None:
+    code = PAGE.read_text(encoding="utf-8").split("```python\n")[1].split("```")[0]
+    exec(compile(code, str(PAGE), "exec"), {})
     printed = capsys.readouterr().out.splitlines()
     assert len(printed) == 3
     assert printed[0].startswith("send 1 to endpoint-")
--- /dev/null
+++ b/tests/test_house.py
@@ -0,0 +1,79 @@
+"""The house: a package imports what stands on a lower floor, never beside or above."""
+
+from __future__ import annotations
+
+import ast
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+
+# The first that fits counts. The faces of one floor don't know one another.
+FLOORS = (
+    ("wheatring.__main__", 8),
+    ("wheatring.commands", 7),
+    ("wheatring.lab", 6),
+    ("wheatring.daemon", 5),
+    ("wheatring.plugin", 5),
+    ("wheatring.http1", 4),
+    ("wheatring.core", 3),
+    ("wheatring.ops", 3),
+    ("wheatring.config", 1),
+    ("wheatring.operators", 1),
+    ("wheatring.log", 1),
+    ("wheatring.address", 1),
+    ("wheatring", 0),
+    ("lapisway", 1),
+)
+# Stated by name, so that a new one is a decision: who may import it, and what.
+STATED = {
+    ("wheatring.ops", "wheatring.core"),  # the features are hooks on the core
+    ("wheatring.config", "wheatring.address"),
+    ("wheatring.config", "lapisway"),
+    ("wheatring.operators", "wheatring.config"),
+}
+HOOKS = {"wheatring.http1": "wheatring.ops"}  # a hook of a line or two, and only when it is turned on
+
+
+def floor(module: str) -> tuple[str, int]:
+    for name, height in FLOORS:
+        if module == name or module.startswith(name + "."):
+            return name, height
+    raise AssertionError(f"{module} has no floor")
+
+
+def imports(path: Path) -> set[str]:
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if isinstance(node, ast.Import):
+            found.update(alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module is not None:
+            assert node.level == 0, f"{path}: a relative import"
+            for alias in node.names:
+                inner = ROOT / Path(*node.module.split(".")) / alias.name
+                whole = inner.is_dir() or inner.with_suffix(".py").exists()
+                found.add(f"{node.module}.{alias.name}" if whole else node.module)
+    return {name for name in found if name.partition(".")[0] in ("wheatring", "lapisway")}
+
+
+def sources() -> list[Path]:
+    return sorted(p for top in ("wheatring", "lapisway") for p in (ROOT / top).rglob("*.py"))
+
+
+@pytest.mark.parametrize("path", sources(), ids=lambda path: str(path.relative_to(ROOT)))
+def test_a_module_imports_only_what_stands_below_it(path: Path) -> None:
+    module = ".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__")
+    name, height = floor(module)
+    for imported in imports(path):
+        other, below = floor(imported)
+        if other == name or (name, other) in STATED or HOOKS.get(name) == other:
+            continue
+        assert below < height, f"{module} (floor {height}) imports {imported} (floor {below})"
+
+
+def test_the_models_of_the_lab_know_nothing_of_the_sidecar() -> None:
+    """What a model knew of the parts it is to test, it could not test."""
+    for path in sorted((ROOT / "wheatring" / "lab" / "models").rglob("*.py")):
+        for imported in imports(path):
+            assert imported.startswith("wheatring.lab"), f"{path.name} imports {imported}"
--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -14,6 +14,7 @@
 from wheatring import log
 from wheatring.core.clock import Clock, Timer
 from wheatring.core.exchange import Answer, Exchange, Final, Job
+from wheatring.core.refused import Refused
 from wheatring.http1.connection import Connection
 from wheatring.http1.parser import MAX_BODY, MAX_HEAD, BadMessage, Message, Request
 
@@ -48,16 +49,6 @@
     )  # fmt: skip
 
 
-class Refused(Exception):
-    """A request that is not taken as a job; `status` says why."""
-
-    def __init__(self, status: int, why: str, more: bytes = b"", body: bytes = b"") -> None:
-        super().__init__(why)
-        self.status = status
-        self.more = more
-        self.body = body
-
-
 class CallerConnection(Connection):
     """One caller. It is answered one request at a time, in the order in which they came."""
 
--- a/wheatring/ops/tokens.py
+++ b/wheatring/ops/tokens.py
@@ -14,7 +14,7 @@
 from collections.abc import Mapping
 
 from wheatring.core.clock import Clock
-from wheatring.http1.server import Refused
+from wheatring.core.refused import Refused
 from wheatring.operators import OperatorsError, Tokens
 
 _BEARER = re.compile(rb"bearer +(\S.*)", re.IGNORECASE)
