--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -44,7 +44,7 @@
 
 
 def imports(path: Path) -> set[str]:
-    found = set()
+    found: set[str] = set()
     for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
         if isinstance(node, ast.Import):
             found.update(alias.name for alias in node.names)
