--- a/wheatring/lab/settings.py
+++ b/wheatring/lab/settings.py
@@ -1,4 +1,4 @@
-"""What a sidecar of a planned day is told: its configuration's `settings`, in the platform's form and units."""
+"""What a sidecar of a planned day is told: its `settings`, in the platform's form and units."""
 
 from __future__ import annotations
 
