--- a/wheatring/lab/drawn.py
+++ b/wheatring/lab/drawn.py
@@ -1,7 +1,7 @@
 """Reads a day that the operators' simulator has drawn (JSON, times in microseconds) into a plan.
 
 For calibration: the same machines, load and troubles here and there, so that the two figures can be compared
-day by day. What the form names and the lab has no model for is left out; `plan_of` says in its docstring what.
+day by day. What the form names and the lab has no model for is left out; `plan_of` says what.
 """
 
 from __future__ import annotations
