Add twelve faults that can be planted in the sidecar's own code

Need: a lab that finds nothing proves nothing; it must be shown to find faults that are known to be there.

Change: lab/faults.py names twelve, each the replacement of one piece of one function, planted for the length of a block and undone again. Planting fails where the code no longer holds the piece.

--- /dev/null
+++ b/wheatring/lab/faults.py
@@ -0,0 +1,171 @@
+"""Faults to plant in the sidecar's own code, one at a time, to see that the lab finds them.
+
+Each replaces one piece of one function's text. Where the text no longer holds that piece exactly once,
+planting fails and says so: a fault that is not there proves nothing.
+"""
+
+from __future__ import annotations
+
+import ast
+import importlib
+import inspect
+import textwrap
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any, NamedTuple
+
+
+class Fault(NamedTuple):
+    """`where` is MODULE:CLASS.FUNCTION, or MODULE:FUNCTION; `scenario` one that can show it."""
+
+    name: str
+    what: str
+    where: str
+    old: str
+    new: str
+    scenario: str
+
+
+FAULTS = (
+    Fault(
+        "written-when-over",
+        "a connect that comes up late writes its claim though the job is over",
+        "wheatring.http1.client:_Fresh.connectionMade",
+        "if self.first.wanted:",
+        "if True:",
+        "faults",
+    ),
+    Fault(
+        "kept-unclean",
+        "a connection with bytes left on it is kept for the next claim",
+        "wheatring.http1.client:ClaimConnection.answered",
+        "if not self.flushed or self.reader.started:",
+        "if False:",
+        "faults",
+    ),
+    Fault(
+        "drain-ignored",
+        "a node that drains goes on getting new work",
+        "lapisway.policy:Balancer.update",
+        "if entry.state is not EndpointState.READY:",
+        "if entry.state is EndpointState.GONE:",
+        "faults",
+    ),
+    Fault(
+        "answer-lost",
+        "a job whose claim is given up for time is not told of it",
+        "wheatring.core.exchange:Exchange._late",
+        "self._stop(claim, Outcome.TIMED_OUT if claim.written else Outcome.CONNECT_FAILED)",
+        "pass",
+        "faults",
+    ),
+    Fault(
+        "timer-kept",
+        "the guard against overdue jobs is not called off when a job is answered",
+        "wheatring.core.exchange:Exchange._close",
+        "job.overdue.cancel()",
+        "pass",
+        "faults",
+    ),
+    Fault(
+        "unsafe-repeated",
+        "what may have run is sent again though that does harm",
+        "lapisway.policy:Balancer.repeatable",
+        "if request.may_have_run is None or request.cls.effect is Effect.SAFE:",
+        "if True:",
+        "faults",
+    ),
+    Fault(
+        "reset-never-ran",
+        "a connection that breaks after the request's last byte counts as proof that nothing ran",
+        "wheatring.http1.client:ClaimConnection.fail",
+        "Outcome.RESET if self.flushed else Outcome.CONNECT_FAILED",
+        "Outcome.CONNECT_FAILED",
+        "faults",
+    ),
+    Fault(
+        "cold-as-warm",
+        "a cold node gets its even share at once",
+        "lapisway.policy:Balancer.warmth",
+        "if endpoint.entry.started_at <= 0 or age >= contract.cold:",
+        "if True:",
+        "faults",
+    ),
+    Fault(
+        "caller-kept",
+        "the job of a caller that has left stays open",
+        "wheatring.core.exchange:Exchange.leave",
+        "self._close(job)",
+        "pass",
+        "faults",
+    ),
+    Fault(
+        "half-answer-served",
+        "an answer that ends before its length is passed on as whole",
+        "wheatring.http1.parser:Reader.end",
+        "if self.state is _State.UNTIL_CLOSE else None",
+        "if self.message is not None else None",
+        "faults",
+    ),
+    Fault(
+        "watch-not-renewed",
+        "a watch that has failed is not begun again",
+        "wheatring.http1.machine_list:MachineList.read",
+        "self.on_view(View(ViewKind.FAILED))",
+        "pass",
+        "faults",
+    ),
+    Fault(
+        "closed-with-jobs",
+        "told to stop, it closes connections whose callers wait for answers",
+        "wheatring.http1.server:Server.close_between",
+        "if connection.job is None and not connection.reader.started:",
+        "if True:",
+        "faults",
+    ),
+)
+
+
+class NoLongerFits(ValueError):
+    """The code has changed: the fault can't be planted as it stands."""
+
+
+@contextmanager
+def planted(fault: Fault) -> Iterator[None]:
+    """The sidecar's code with this fault in it, in this process, until the end of the block."""
+    module_name, _, path = fault.where.partition(":")
+    owner: Any = importlib.import_module(module_name)
+    scope = vars(owner)
+    *outer, name = path.split(".")
+    for part in outer:
+        owner = getattr(owner, part)
+    before = vars(owner)[name]
+    setattr(owner, name, _changed(fault, before, scope))
+    try:
+        yield
+    finally:
+        setattr(owner, name, before)
+
+
+def _changed(fault: Fault, function: Any, scope: dict[str, Any]) -> Any:
+    text = textwrap.dedent(inspect.getsource(function))
+    if text.count(fault.old) != 1:
+        raise NoLongerFits(f"{fault.name}: {fault.where} no longer holds {fault.old!r} once")
+    changed = text.replace(fault.old, fault.new)
+    ast.parse(changed)
+    made: dict[str, Any] = {}
+    exec(compile(changed, f"<fault {fault.name}>", "exec"), scope, made)
+    (result,) = made.values()
+    if function.__closure__ is not None:  # it says super(): give it the class that it knew
+        result = type(result)(
+            _with_class(changed, fault), scope, result.__name__, result.__defaults__, function.__closure__
+        )
+    return result
+
+
+def _with_class(text: str, fault: Fault) -> Any:
+    """The code of the function as compiled inside a class, with the cell that `super()` needs."""
+    body = "class _C:\n" + textwrap.indent(text, "    ")
+    module = compile(body, f"<fault {fault.name}>", "exec")
+    inner = next(c for c in module.co_consts if inspect.iscode(c))
+    return next(c for c in inner.co_consts if inspect.iscode(c))
