Run real sidecars in virtual time: processes, kernel-like sockets, links and faults

The lab needs whole fleets in one process, on a clock that it drives itself. Twisted's own TCP transports run on sockets that behave as a kernel's: handshake and accept queue, a window for each direction, segments, FIN, RST and half-close. A transport of our own was weighed against that: it would be a little faster, but the order of callbacks, producers and closing would have to be proven anew, and Twisted's stay what they are. Faults (refused, hanging and late connects, cuts, vanished hosts, slow ways, clock steps) tell programs no more than TCP would.

--- /dev/null
+++ b/wheatring/lab/net/process.py
@@ -0,0 +1,307 @@
+"""One program on one host: the reactor that its code runs on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from itertools import count
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from twisted.internet.defer import Deferred, fail
+from twisted.internet.error import AlreadyCalled, AlreadyCancelled, DNSLookupError
+from twisted.internet.interfaces import IReactorTCP, IReactorTime
+from twisted.internet.main import CONNECTION_LOST
+from twisted.internet.posixbase import _DisconnectSelectableMixin
+from twisted.python import failure
+from zope.interface import implementer  # type: ignore[import-untyped]
+
+from wheatring.lab.net.connects import CONNECTED, LISTENING
+from wheatring.lab.net.sockets import Socket
+from wheatring.lab.net.time import Event
+from wheatring.lab.net.transports import Connector, Door, Port, log_failure
+
+if TYPE_CHECKING:
+    from wheatring.lab.net.network import Host, Network
+
+lost: Any = failure.Failure(CONNECTION_LOST)  # type: ignore[no-untyped-call]
+
+WAITING, SOON, CALLED, CANCELLED = range(4)
+
+
+class Delayed:
+    """What `callLater` returns: Twisted's IDelayedCall."""
+
+    __slots__ = ("args", "event", "func", "kw", "process", "state", "time")
+
+    def __init__(self, process: Process, time: float, func: Any, args: Any, kw: Any) -> None:
+        self.process = process
+        self.time = time
+        self.func = func
+        self.args = args
+        self.kw = kw
+        self.state = SOON
+        self.event: Event | None = None
+
+    def getTime(self) -> float:
+        return self.time
+
+    def active(self) -> bool:
+        return self.state < CALLED
+
+    def cancel(self) -> None:
+        self._check()
+        self.state = CANCELLED
+        if self.event is not None:
+            self.event.cancel()
+        self.func = self.args = self.kw = None
+
+    def reset(self, secondsFromNow: float) -> None:
+        self._check()
+        self._move(self.process.seconds() + secondsFromNow)
+
+    def delay(self, secondsLater: float) -> None:
+        self._check()
+        self._move(self.time + secondsLater)
+
+    def _check(self) -> None:
+        if self.state == CANCELLED:
+            raise AlreadyCancelled
+        if self.state == CALLED:
+            raise AlreadyCalled
+
+    def _move(self, instant: float) -> None:
+        if self.event is not None:
+            self.event.cancel()
+        self.time = instant
+        self.process.put(self)
+
+
+class Left(NamedTuple):
+    """What a process has not ended itself."""
+
+    timers: list[Delayed]
+    ports: list[Socket]
+    connections: list[Socket]
+
+
+@implementer(IReactorTime, IReactorTCP)
+class Process(_DisconnectSelectableMixin):
+    """Runs what is due in turns, as a reactor: calls that were put off, then sockets that are ready. No call
+    of one that is dead is ever run. An exception in a callback goes to Twisted's log, as on any reactor.
+
+    `descriptors` are the sockets that it holds, in the order in which they came.
+    """
+
+    def __init__(self, network: Network, host: Host, name: str) -> None:
+        self.network = network
+        self.host = host
+        self.name = name
+        self.time = network.time
+        self.seconds = network.time.now
+        self.alive = True
+        self.stopping = False
+        self.on_stop: Callable[[], None] | None = None  # called as it stops, while all that is left is there
+        self.descriptors: dict[Socket, None] = {}
+        self.number = count(3).__next__
+        self._soon: list[Delayed] = []
+        self._ready: list[Any] = []
+        self._turning = False
+
+    def unix(self) -> float:
+        """Unix time in seconds, as the host's clock tells it."""
+        network = self.network
+        offset = network.epoch + network.clock_offset + self.host.clock_offset
+        return self.time.instant - self.time.start + offset
+
+    # Calls
+
+    def callLater(self, delay: float, callable: Callable[..., Any], *args: object, **kw: object) -> Delayed:
+        assert delay >= 0, f"{delay} is not greater than or equal to 0 seconds"
+        delayed = Delayed(self, self.time.instant + delay, callable, args, kw)
+        if delay > 0:
+            delayed.state = WAITING
+            delayed.event = self.time.at(delayed.time, self._due, delayed)
+        else:
+            self.put(delayed)
+        return delayed
+
+    def callFromThread(self, callable: Callable[..., Any], *args: object, **kw: object) -> None:
+        self.callLater(0, callable, *args, **kw)
+
+    def put(self, delayed: Delayed) -> None:
+        if delayed.time > self.time.instant:
+            delayed.state = WAITING
+            delayed.event = self.time.at(delayed.time, self._due, delayed)
+        else:
+            delayed.state = SOON
+            delayed.event = None
+            self._soon.append(delayed)
+            self._turn_soon()
+
+    def getDelayedCalls(self) -> list[Delayed]:
+        """Those not yet called, in their order."""
+        soon = [d for d in self._soon if d.state == SOON]
+        waiting = [event[1][0] for event in self.time.pending() if event[0] == self._due]
+        return soon + waiting
+
+    def run(self, call: Callable[..., Any], *args: object) -> Any:
+        """Call from outside, as this process: what it raises is raised."""
+        before, self.time.running = self.time.running, self
+        try:
+            return call(*args)
+        finally:
+            self.time.running = before
+
+    def _due(self, delayed: Delayed) -> None:
+        if not self.alive:
+            return
+        self.time.running = self
+        call, args, kw = delayed.func, delayed.args, delayed.kw
+        delayed.state = CALLED
+        delayed.event = delayed.func = delayed.args = delayed.kw = None
+        try:
+            call(*args, **kw)
+        except Exception:
+            log_failure()
+        self.time.running = None
+
+    # Turns
+
+    def _turn_soon(self) -> None:
+        if not self._turning:
+            self._turning = True
+            self.time.post(self.time.instant, self._turn)
+
+    def _turn(self) -> None:
+        self._turning = False
+        if self._soon:
+            soon, self._soon = self._soon, []
+            for delayed in soon:
+                if delayed.state == SOON:
+                    self._due(delayed)
+        if self._ready:
+            ready, self._ready = self._ready, []
+            for watcher in ready:
+                watcher.queued = False
+                if self.alive:
+                    self.serve(watcher)
+
+    def queue(self, watcher: Any) -> None:
+        """Serve a transport or port in the next turn."""
+        if not watcher.queued:
+            watcher.queued = True
+            self._ready.append(watcher)
+            if not self._turning:
+                self._turning = True
+                self.time.post(self.time.instant, self._turn)
+
+    def serve(self, watcher: Any) -> None:
+        """Let a transport or port do what its socket is ready for: as Twisted's epoll reactor does."""
+        if not (watcher.reading or watcher.writing):
+            return
+        socket = watcher.socket
+        why: Any = None
+        in_read = False
+        self.time.running = self
+        can_read = watcher.reading and socket.readable()
+        can_write = watcher.writing and socket.writable()
+        if not can_read and socket.hung():
+            why = CONNECTION_LOST
+        else:
+            try:
+                if can_read:
+                    why = watcher.doRead()
+                    in_read = True
+                if can_write and not why:
+                    why = watcher.doWrite()
+                    in_read = False
+            except Exception as broken:
+                why = broken
+                log_failure()
+        if why:
+            self._disconnectSelectable(watcher, why, in_read)  # type: ignore[no-untyped-call]
+        if watcher.reading and socket.readable():
+            self.queue(watcher)
+        elif watcher.writing:
+            self.want(watcher)
+        self.time.running = None
+
+    def want(self, watcher: Any) -> None:
+        """Serve a transport once it can write."""
+        socket = watcher.socket
+        if socket.writable():
+            self.queue(watcher)
+        elif socket.state == CONNECTED:
+            socket.out.wait()
+
+    def removeReader(self, watcher: Any) -> None:
+        watcher.reading = False
+
+    def removeWriter(self, watcher: Any) -> None:
+        watcher.writing = False
+
+    # TCP
+
+    def connectTCP(
+        self, host: str, port: int, factory: Any, timeout: float | None = 30, bindAddress: Any = None
+    ) -> Connector:
+        connector = Connector(host, port, factory, timeout, bindAddress, self)  # type: ignore[arg-type]
+        connector.connect()
+        return connector
+
+    def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> Port:
+        listening = Port(port, factory, backlog, interface, self)
+        listening.startListening()
+        return listening
+
+    def open_door(self, port: int, factory: Any, backlog: int, host: str, reactor: Any) -> Door:
+        """Listen as `http1.server.open_door` does: no more is accepted in one go than `factory.room`."""
+        door = Door(port, factory, backlog, host, reactor)
+        door.startListening()
+        return door
+
+    def resolve(self, name: str, timeout: object = ()) -> Deferred[str]:
+        return fail(DNSLookupError(f"{name}: hosts have no names here"))
+
+    # Descriptors
+
+    def opened(self, socket: Socket) -> None:
+        self.descriptors[socket] = None
+
+    def shut(self, socket: Socket) -> None:
+        self.descriptors.pop(socket, None)
+
+    def left(self) -> Left:
+        """What there is now of timers, listening sockets and connections, open or under way."""
+        ports = [s for s in self.descriptors if s.state == LISTENING]
+        return Left(self.getDelayedCalls(), ports, [s for s in self.descriptors if s.state != LISTENING])
+
+    # Its end
+
+    def stop(self) -> None:
+        """End in an orderly way, in a later turn."""
+        if not self.stopping and self.alive:
+            self.stopping = True
+            self.callLater(0, self._stop)
+
+    def _stop(self) -> None:
+        if self.on_stop is not None:
+            self.on_stop()
+        for socket in list(self.descriptors):
+            watcher = socket.watcher
+            if self.alive and watcher is not None and (watcher.reading or watcher.writing):
+                try:
+                    watcher.connectionLost(lost)
+                except Exception:
+                    log_failure()
+        self.kill()
+
+    def kill(self) -> None:
+        """End as by SIGKILL: the kernel closes its sockets. To a peer that is a FIN, or a reset where bytes
+        were unread; what was sent is delivered first, and what it sends later is answered with a reset."""
+        if self.alive:
+            self.alive = False
+            self._soon.clear()
+            self._ready.clear()
+            for socket in list(self.descriptors):
+                socket.close()
+            self.host.processes.remove(self)
--- /dev/null
+++ b/wheatring/lab/net/sockets.py
@@ -0,0 +1,265 @@
+"""Sockets as a kernel has them: what its calls return, when one is readable or writable, FIN and RST.
+
+The calls are those of `socket.socket` in non-blocking mode, with the same errors.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+import socket
+import struct
+from collections import deque
+from typing import TYPE_CHECKING, Any
+
+from wheatring.lab.net import connects
+from wheatring.lab.net.connects import CONNECTED, CONNECTING, LISTENING, NEW
+from wheatring.lab.net.links import FIN, OPEN, RST, Stream
+
+if TYPE_CHECKING:
+    from wheatring.lab.net.process import Process
+
+Address = tuple[str, int]
+
+
+class Socket:
+    """One TCP socket of a process. `watcher` is the Twisted transport or port that waits for it, if any."""
+
+    __slots__ = (
+        "_fin_sent", "_number", "_options", "backlog", "broken", "chunks", "closed", "deaf", "door",
+        "eof", "error", "half_open", "into", "local", "out", "process", "queue", "remote", "sent_at", "state",
+        "watcher",
+    )  # fmt: skip
+
+    out: Stream
+    into: Stream
+
+    def __init__(self, process: Process) -> None:
+        self.process = process
+        self.watcher: Any = None
+        self.state = NEW
+        self.local: Address = (process.host.name, 0)
+        self.remote: Address | None = None
+        self.closed = False
+        self.deaf = False  # bytes that arrive are answered with a reset
+        self.eof = False  # the peer's FIN has arrived
+        self.broken = False  # it was reset or has timed out, or its connect failed
+        self.error = 0  # why, until a call has told it
+        self.sent_at = 0.0
+        self.chunks: deque[tuple[bytes, float]] = deque()  # unread, each with the instant of its sending
+        self.backlog = 0
+        self.queue: deque[Socket] = deque()  # connections that wait to be accepted
+        self.half_open = 0  # and those whose handshake is under way
+        self.door: Socket | None = None  # the listening socket of one whose handshake is under way
+        self._fin_sent = False
+        self._options: dict[tuple[int, int], Any] = {}
+        self._number = process.number()
+
+    # What a kernel tells of it
+
+    def readable(self) -> bool:
+        return bool(self.chunks or self.queue) or self.eof or self.broken
+
+    def writable(self) -> bool:
+        if self.state != CONNECTED or self.broken or self._fin_sent:
+            return self.broken or self._fin_sent
+        return self.out.writable()
+
+    def hung(self) -> bool:
+        """Over in both directions."""
+        return self.broken or (self.eof and self._fin_sent)
+
+    def wake(self) -> None:
+        """Something has changed: whoever waits for it may have work."""
+        watcher = self.watcher
+        if watcher is not None and (watcher.reading or watcher.writing) and not watcher.queued:
+            watcher.reactor.serve(watcher)
+
+    # Calls
+
+    def fileno(self) -> int:
+        return -1 if self.closed else self._number
+
+    def setblocking(self, blocking: bool) -> None:
+        """It never blocks."""
+
+    def getsockname(self) -> Address:
+        return self.local
+
+    def getpeername(self) -> Address:
+        if self.remote is None:
+            raise _error(errno.ENOTCONN)
+        return self.remote
+
+    def setsockopt(self, level: int, option: int, value: Any) -> None:
+        """SO_SNDBUF is the whole window of what this end sends."""
+        self._options[level, option] = value
+        if (level, option) == (socket.SOL_SOCKET, socket.SO_SNDBUF) and self.state == CONNECTED:
+            self.out.window = value
+
+    def getsockopt(self, level: int, option: int) -> Any:
+        if (level, option) == (socket.SOL_SOCKET, socket.SO_ERROR):
+            error, self.error = self.error, 0
+            return error
+        return self._options.get((level, option), 0)
+
+    def bind(self, address: Address) -> None:
+        host, port = address
+        if host not in ("", "0.0.0.0", self.process.host.name):
+            raise _error(errno.EADDRNOTAVAIL)
+        if port in self.process.host.listeners:
+            raise _error(errno.EADDRINUSE)
+        self.local = (self.process.host.name, port or self.process.host.free_port())
+
+    def listen(self, backlog: int) -> None:
+        self.backlog = backlog
+        self.state = LISTENING
+        self.process.host.listeners[self.local[1]] = self
+
+    def accept(self) -> tuple[Socket, Address]:
+        if not self.queue:
+            raise BlockingIOError(errno.EWOULDBLOCK, "nobody waits")
+        accepted = self.queue.popleft()
+        self.process.opened(accepted)
+        assert accepted.remote is not None
+        return accepted, accepted.remote
+
+    def child(self, client: Socket) -> Socket:
+        """The end of a new connection to this listening socket; no descriptor until it is accepted."""
+        server = Socket(self.process)
+        server.local, server.remote = self.local, client.local
+        server.door = self
+        return server
+
+    def unopened(self) -> None:
+        """Its handshake is over, in whatever way."""
+        if self.door is not None:
+            self.door.half_open -= 1
+            self.door = None
+
+    def connect_ex(self, address: Address) -> int:
+        if self.state == NEW:
+            if not self.local[1]:
+                self.local = (self.local[0], self.process.host.free_port())
+            self.state = CONNECTING
+            self.remote = address
+            connects.begin(self)
+            return errno.EINPROGRESS
+        if self.broken:
+            return self.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) or errno.ECONNREFUSED
+        return (
+            errno.EISCONN
+            if self.state == CONNECTED
+            else errno.EALREADY
+            if self.state == CONNECTING
+            else errno.EINVAL
+        )
+
+    def recv(self, size: int) -> bytes:
+        chunks = self.chunks
+        if chunks:
+            data, self.sent_at = chunks.popleft()
+            if chunks or len(data) > size:
+                data = self._more(data, size)
+            self.into.freed(len(data))
+            return data
+        if self.eof:
+            return b""
+        if self.error:
+            raise _error(self.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+        if self.broken:
+            return b""
+        raise BlockingIOError(errno.EWOULDBLOCK, "nothing to read")
+
+    def _more(self, data: bytes, size: int) -> bytes:
+        while self.chunks and len(data) < size:
+            data += self.chunks.popleft()[0]
+        if len(data) > size:
+            self.chunks.appendleft((data[size:], self.sent_at))
+            data = data[:size]
+        return data
+
+    def send(self, data: bytes) -> int:
+        if self.error:
+            raise _error(self.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+        if self.broken or self._fin_sent:
+            raise _error(errno.EPIPE)
+        if self.state != CONNECTED:
+            raise _error(errno.ENOTCONN)
+        return self.out.send(data)
+
+    def shutdown(self, how: int) -> None:
+        if self.state != CONNECTED or self.broken:
+            raise _error(errno.ENOTCONN)
+        if how != socket.SHUT_WR:
+            self.deaf = True
+        if how != socket.SHUT_RD and not self._fin_sent:
+            self._fin_sent = True
+            self.out.put(FIN)
+
+    def close(self) -> None:
+        """Unread bytes, or SO_LINGER with no time, make it a reset; else what was sent and a FIN go out."""
+        if self.closed:
+            return
+        self.closed = True
+        self.watcher = None
+        self.process.shut(self)
+        if self.state == LISTENING:
+            del self.process.host.listeners[self.local[1]]
+            for waiting in self.queue:
+                waiting.drop()
+        elif self.state == CONNECTED:
+            self.drop(self._orderly())
+
+    def drop(self, orderly: bool = False) -> None:
+        """This end is gone."""
+        self.closed = self.deaf = True
+        if not self.broken:
+            if self.chunks or not orderly:
+                self.out.reset()
+            elif not self._fin_sent:
+                self._fin_sent = True
+                self.out.put(FIN)
+        self.chunks.clear()
+
+    def _orderly(self) -> bool:
+        linger = self._options.get((socket.SOL_SOCKET, socket.SO_LINGER))
+        return linger is None or struct.unpack("ii", linger) != (1, 0)
+
+    # What arrives
+
+    def told(self, what: object) -> None:
+        if what == RST:
+            self.over(errno.EPIPE if self.eof else errno.ECONNRESET)
+        elif what == FIN:
+            self.eof = True
+            self.wake()
+        elif what == OPEN:
+            connects.complete(self)
+
+    def over(self, error: int) -> None:
+        """The connection has ended without a goodbye."""
+        if not self.broken:
+            self.broken = True
+            if self.state == CONNECTED:
+                self.out.lose()
+                self.out.over = True
+            if not self.closed:
+                self.error = error
+                self.wake()
+
+    def broken_off(self) -> None:
+        """Bytes came after this end had said that it reads no more."""
+        self.out.reset()
+        self.over(errno.ECONNRESET)
+
+    def refused(self) -> None:
+        if self.state == CONNECTING:
+            self.over(errno.ECONNREFUSED)
+
+    def timed_out(self) -> None:
+        self.over(errno.ETIMEDOUT)
+
+
+def _error(number: int) -> OSError:
+    return OSError(number, os.strerror(number))
--- /dev/null
+++ b/wheatring/lab/net/transports.py
@@ -0,0 +1,176 @@
+"""Twisted's own TCP transports and ports on sockets of ours.
+
+Only what touches a reactor's descriptors, a real socket or Twisted's log is replaced. Producers, closing and
+the order of callbacks are Twisted's.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet import error, tcp
+from twisted.internet.main import CONNECTION_LOST
+from twisted.python import log
+
+from wheatring.lab.net.sockets import Socket
+
+cannot_listen: Any = error.CannotListenError  # Twisted's own type says nothing of its arguments
+log_failure: Any = log.err
+Why = Any  # None, or the exception for which a transport ends
+
+
+class Watching:
+    """Tells its process what it waits for."""
+
+    reactor: Any
+    socket: Any
+    reading = False
+    writing = False
+    queued = False  # for the next turn
+
+    def startReading(self) -> None:
+        if not self.reading:
+            socket = self.socket
+            socket.watcher = self
+            self.reading = True
+            if socket.readable():
+                self.reactor.queue(self)
+
+    def stopReading(self) -> None:
+        self.reading = False
+
+    def startWriting(self) -> None:
+        if not self.writing:
+            self.socket.watcher = self
+            self.writing = True
+            self.reactor.want(self)
+
+    def stopWriting(self) -> None:
+        self.writing = False
+
+
+class Transport(Watching):
+    """What both ends of a connection share."""
+
+    connected: Any
+    protocol: Any
+    producer: Any
+    streamingProducer: bool
+    bufferSize: int
+    SEND_LIMIT: int
+    _tempDataBuffer: list[bytes]
+    _tempDataLen: int
+    _writeDisconnected: bool
+
+    @property
+    def sent_at(self) -> float:
+        """When the peer sent the first of the bytes that `dataReceived` has got last."""
+        sent: float = self.socket.sent_at
+        return sent
+
+    def write(self, data: bytes) -> None:
+        if data.__class__ is not bytes and not isinstance(data, bytes):
+            raise TypeError("Data must be bytes")
+        if data and self.connected and not self._writeDisconnected:
+            self._tempDataBuffer.append(data)
+            self._tempDataLen += len(data)
+            if self.producer is not None and self.streamingProducer:
+                self._maybePauseProducer()
+            if not self.writing:
+                self.startWriting()
+
+    def _maybePauseProducer(self) -> None:
+        super()._maybePauseProducer()  # type: ignore[misc]
+
+    def writeSomeData(self, data: Any) -> Any:
+        if len(data) > self.SEND_LIMIT:
+            data = data[: self.SEND_LIMIT]
+        try:
+            return self.socket.send(data if data.__class__ is bytes else bytes(data))
+        except BlockingIOError:
+            return 0
+        except OSError:
+            return CONNECTION_LOST
+
+
+class Server(Transport, tcp.Server):
+    """The end of a connection that was accepted."""
+
+
+class Client(Transport, tcp.Client):
+    """The end of a connection that was asked for."""
+
+    connector: Any
+
+    def createInternetSocket(self) -> Any:
+        process = self.connector.reactor
+        socket = Socket(process)
+        process.opened(socket)
+        return socket
+
+
+make_client: Any = Client
+
+
+class Connector(tcp.Connector):
+    def _makeTransport(self) -> Any:
+        return make_client(self.host, self.port, self.bindAddress, self, self.reactor)
+
+
+class Port(Watching, tcp.Port):
+    """A listening port."""
+
+    transport: Any = Server
+    factory: Any
+    interface: str
+
+    def startListening(self) -> None:
+        socket = Socket(self.reactor)
+        try:
+            socket.bind((self.interface, self.port or 0))
+        except OSError as bad:
+            raise cannot_listen(self.interface, self.port, bad) from bad
+        self.reactor.opened(socket)
+        socket.listen(self.backlog)
+        self._realPortNumber = socket.local[1]
+        self.factory.doStart()
+        self.connected = True
+        self.socket = socket
+        self.fileno = socket.fileno  # type: ignore[method-assign]
+        self.numberAccepts = 100
+        self.startReading()
+
+    def doRead(self) -> Why:
+        try:
+            accepted = 0
+            while accepted < self.numberAccepts:
+                try:
+                    socket, address = self.socket.accept()
+                except BlockingIOError:
+                    break
+                accepted += 1
+                protocol = self.factory.buildProtocol(self._buildAddr(address))  # type: ignore[no-untyped-call]
+                if protocol is None:
+                    socket.close()
+                    continue
+                number = self.sessionno
+                self.sessionno = number + 1
+                transport = self.transport(socket, protocol, address, self, number, self.reactor)
+                protocol.makeConnection(transport)
+            if accepted == self.numberAccepts:
+                self.numberAccepts += 20
+            else:
+                self.numberAccepts = max(1, accepted)
+        except Exception:
+            log_failure()
+
+    def _logConnectionLostMsg(self) -> None:
+        """Ports come and go too often here for a line each."""
+
+
+class Door(Port):
+    """Accepts no more in one go than its factory has room for."""
+
+    def doRead(self) -> Why:
+        self.numberAccepts = max(1, min(self.numberAccepts, self.factory.room))
+        super().doRead()
