--- /dev/null
+++ b/tests/lab/machine_world.py
@@ -0,0 +1,142 @@
+"""What the stories of a machine share: a clock of a heap, a book that remembers, a tier with one node."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from heapq import heappop, heappush
+from random import Random
+from typing import Any, cast
+
+from wheatring.lab.book import Book
+from wheatring.lab.models.effects import Effects
+from wheatring.lab.models.machine import Machine
+from wheatring.lab.models.visit import Below, Verdict, Visit
+from wheatring.lab.origins import Origin, Origins
+from wheatring.lab.plan import ClassPlan, KindPlan, NodePlan, RulesPlan, TierPlan
+
+
+class Due:
+    __slots__ = ("args", "call", "live")
+
+    def __init__(self, call: Callable[..., object], args: tuple[Any, ...]) -> None:
+        self.call = call
+        self.args = args
+        self.live = True
+
+    def cancel(self) -> None:
+        assert self.live, "cancelled once it had come due"
+        self.live = False
+
+    def active(self) -> bool:
+        return self.live
+
+
+class Heap:
+    """Virtual time."""
+
+    def __init__(self, start: float = 0.0) -> None:
+        self.time = start
+        self.heap: list[tuple[float, int, Due]] = []
+        self.count = 0
+
+    def now(self) -> float:
+        return self.time
+
+    def at(self, instant: float, call: Callable[..., object], *args: object) -> Due:
+        due = Due(call, args)
+        self.count += 1
+        heappush(self.heap, (instant if instant > self.time else self.time, self.count, due))
+        return due
+
+    def run(self, until: float) -> None:
+        heap = self.heap
+        while heap and heap[0][0] <= until:
+            instant, _, due = heappop(heap)
+            if due.live:
+                self.time = instant
+                due.live = False
+                due.call(*due.args)
+        self.time = until
+
+
+class Noted:
+    """A book that remembers what it was told."""
+
+    def __init__(self) -> None:
+        self.told: list[tuple[Any, ...]] = []
+
+    def __getattr__(self, name: str) -> Callable[..., str]:
+        def tell(*args: object, **values: object) -> str:
+            self.told.append((name, *args, *values.values()))
+            return f"stamp{len(self.told)}"
+
+        return tell
+
+    def of(self, name: str) -> list[tuple[Any, ...]]:
+        return [each[1:] for each in self.told if each[0] == name]
+
+
+CLASSES = (
+    ClassPlan(name="view", share=0.6, work=0.25),
+    ClassPlan(name="order", share=0.4, work=0.45, effect="keyed", window=10.0),
+    ClassPlan(name="once", share=0.0, work=0.45, effect="unsafe"),
+)
+
+
+class World:
+    """One node of a tier on a clock of its own. `ended` lists verdicts by (instant, name, verdict)."""
+
+    def __init__(
+        self,
+        kind: KindPlan | None = None,
+        *,
+        speed: float = 1.0,
+        below: Below | None = None,
+        calls: float = 0.0,
+        passes_deadline: bool = True,
+        rules: RulesPlan | None = None,
+        classes: tuple[ClassPlan, ...] = CLASSES,
+        cold: bool = False,
+        start: float = 0.0,
+        **tier: Any,
+    ) -> None:
+        self.time = Heap(start)
+        self.noted = Noted()
+        book = cast(Book, self.noted)
+        self.origins = Origins(Random("origins"))
+        self.effects = Effects(self.time, classes, book)
+        self.ended: list[tuple[float, str, Verdict]] = []
+        self.names: dict[str, str] = {}
+        plan = TierPlan(name="front", work=1.0, kinds=(kind or KindPlan(name="plain"),), **tier)
+        node = NodePlan(name="n1", tier=0, kind=0, speed=speed, host="127.0.0.1")
+        self.machine = Machine(
+            node, plan, 0, classes, self.time, Random("machine"), self.origins, book, below, calls,
+            effects=self.effects, rules=rules, passes_deadline=passes_deadline,
+        )  # fmt: skip
+        self.machine.start(cold)
+
+    def send(
+        self, name: str, work: float, *, index: int = 0, key: str = "", left: float = 6.0, ident: str = ""
+    ) -> Visit:
+        """A request arrives now. `ident`: of a request whose attempt this is, too."""
+        if not ident:
+            ident = self.origins.new(Origin(0, index, work, key))
+            self.names[ident] = name
+
+        def reply(verdict: Verdict, stamp: str) -> None:
+            assert (stamp != "") == (verdict is Verdict.SERVED)
+            self.ended.append((round(self.time.time, 6), name, verdict))
+
+        visit = Visit(ident, "s1", left, self.time.time, reply)
+        self.machine.visit(visit)
+        return visit
+
+    def run(self, until: float) -> list[tuple[float, str, Verdict]]:
+        """Plays until then; gives what has ended since the last call."""
+        self.time.run(until)
+        ended, self.ended = self.ended, []
+        return ended
+
+    def work_of(self) -> dict[str, float]:
+        """Work told of, by the request's name."""
+        return {self.names[ident]: round(work, 6) for _, ident, work in self.noted.of("worked")}
