--- /dev/null
+++ b/wheatring/lab/wire/node.py
@@ -0,0 +1,297 @@
+"""A node's machine on HTTP/1.1: what sidecars connect to."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Any, Protocol
+
+from twisted.internet import protocol
+from twisted.internet.protocol import ServerFactory
+from twisted.python.failure import Failure
+
+from wheatring.lab.book import Book
+from wheatring.lab.models.visit import Verdict, Visit
+from wheatring.lab.origins import Origins
+from wheatring.lab.plan import TierPlan
+from wheatring.lab.timers import Timer, Timers
+from wheatring.lab.wire.form import Forms
+from wheatring.lab.wire.http import Cutter, Malformed, Message
+
+ERROR = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+AWAY = b"HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+BAD = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+NOBODY = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+
+
+class Node(Protocol):
+    """The part of a machine's model that is used here; it tells the book what becomes of a visit itself, but
+    that it arrived and that it was turned away."""
+
+    name: str
+
+    @property
+    def full(self) -> bool:
+        """Its table of connections is; it would not take one more."""
+
+    def connect(self) -> float | None: ...
+
+    def disconnect(self) -> None: ...
+
+    def visit(self, visit: Visit) -> None: ...
+
+    def abandoned(self, visit: Visit) -> None: ...
+
+
+def spoilt(random: Random) -> tuple[bytes, bool]:
+    """An answer that can't be read, and whether the connection ends behind it."""
+    form = random.randrange(6)
+    ends = random.random() < 0.5
+    if form == 0:
+        return random.randbytes(200), ends
+    if form == 1:
+        return b"HTTP/1.1 200 OK\r\nX-Pad: " + b"a" * 24_000, ends
+    if form == 2:
+        return b"HTTP/1.1 200 OK\r\nContent-Length: 64\r\n\r\nhalf an answer", ends
+    if form == 3:
+        return b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nand so on", ends
+    if form == 4:
+        return b"HTTP/1.1 200 OK\r\nContent-Length: -14\r\n\r\nless than none", ends
+    return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nno chunk\r\n0\r\n\r\n", ends
+
+
+class NodeConnection(protocol.Protocol):
+    """One connection of a sidecar. It carries one request at a time."""
+
+    transport: Any
+
+    def __init__(self, peer: NodePeer, sidecar: str, delay: float) -> None:
+        self.peer = peer
+        self.sidecar = sidecar
+        self.delay = delay  # of the first request, for the handshake
+        self.cutter = Cutter(responses=False)
+        self.visit: Visit | None = None
+        self.begun = False  # the visit is at the machine
+        self.keep_alive = True
+        self.over = False  # this side has ended it
+        self.since = 0.0  # idle from then on
+        self.timer: Timer | None = None
+
+    def connectionMade(self) -> None:
+        peer = self.peer
+        peer.connections[self] = None
+        self.transport.setTcpNoDelay(True)
+        self.since = peer.timers.now()
+        self.timer = peer.timers.at(self.since + peer.idle, self._look)
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.over:
+            return
+        peer, cutter = self.peer, self.cutter
+        if self.visit is not None:
+            # Two requests at once on one connection: it can't be told which one an answer is for.
+            peer.book.note("second-request", node=peer.node.name, sidecar=self.sidecar)
+            self._abort()
+            return
+        if not cutter.started:
+            at = getattr(self.transport, "sent_at", None)
+            peer.book.sending(self.sidecar, peer.node.name, peer.timers.now() if at is None else at)
+        try:
+            message = cutter.feed(data)
+        except Malformed as bad:
+            self._reject(str(bad), "")
+            return
+        if message is None:
+            return
+        if cutter.started:
+            self._reject("more than one request", "")
+            return
+        self._take(message)
+
+    def _reject(self, why: str, ident: str) -> None:
+        """No caller has written this so."""
+        peer = self.peer
+        peer.book.note("bad-request", node=peer.node.name, sidecar=self.sidecar, ident=ident, why=why)
+        self._write(BAD)
+        self._close()
+
+    def _take(self, message: Message) -> None:
+        peer, fields = self.peer, message.fields
+        name = fields.get(b"x-correlation-id")
+        if name is None:
+            self._write(NOBODY)
+            return
+        ident = name.decode("latin-1")
+        origin = peer.origins.of.get(ident)
+        if origin is None:
+            self._reject("unknown id", ident)
+            return
+        if not peer.forms.fits(message, name, origin):
+            self._reject("changed on its way", ident)
+            return
+        left = fields.get(b"x-time-left-ms", b"0")
+        if not left.isdigit() or len(left) > 12:
+            self._reject("time left", ident)
+            return
+        self.keep_alive = message.keep_alive
+        node = peer.node
+        now = peer.timers.now()
+        visit = self.visit = Visit(ident, self.sidecar, int(left) / 1000, now, self._reply)
+        peer.book.arrived(self.sidecar, node.name, ident)
+        if self.delay > 0:
+            peer.timers.at(now + self.delay, self._begin, visit)
+            self.delay = 0.0
+        else:
+            self.begun = True
+            node.visit(visit)
+
+    def _begin(self, visit: Visit) -> None:
+        """The handshake is over."""
+        if visit is self.visit and not self.over:
+            self.begun = True
+            self.peer.node.visit(visit)
+
+    def _reply(self, verdict: Verdict, stamp: str) -> None:
+        visit = self.visit
+        if visit is None or self.over:
+            return
+        self.visit = None
+        self.begun = False
+        if verdict is Verdict.SERVED:
+            body = stamp.encode("latin-1")
+            self._write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        elif verdict is Verdict.ERROR:
+            self._write(ERROR)
+        elif verdict is Verdict.AWAY:
+            self.peer.book.turned_away(self.peer.node.name, visit.ident)
+            self._write(AWAY)
+        elif verdict is Verdict.RESET:
+            self._abort()
+        else:
+            data, ends = spoilt(self.peer.random)
+            self._write(data)
+            if ends:
+                self._close()
+        if not self.keep_alive:
+            self._close()
+
+    def _write(self, data: bytes) -> None:
+        self.since = self.peer.timers.now()
+        self.transport.write(data)
+
+    def _close(self) -> None:
+        if not self.over:
+            self.over = True
+            self.transport.loseConnection()
+
+    def _abort(self) -> None:
+        if not self.over:
+            self._forget()
+            self.over = True
+            self.transport.abortConnection()
+
+    def reset(self) -> None:
+        """The node's process has ended."""
+        self._abort()
+        self.went()
+
+    def _look(self) -> None:
+        """Close what has stood idle for too long."""
+        peer = self.peer
+        now = peer.timers.now()
+        self.timer = None
+        if self.over:
+            return
+        due = self.since + peer.idle if self.visit is None else now + peer.idle
+        if due <= now:
+            self._close()
+        else:
+            self.timer = peer.timers.at(due, self._look)
+
+    def _forget(self) -> None:
+        """Nobody is there for an answer any more."""
+        visit, self.visit = self.visit, None
+        if visit is None:
+            return
+        if self.begun:
+            self.peer.node.abandoned(visit)
+        else:
+            visit.gone = True
+            self.peer.book.ended(self.peer.node.name, visit.ident)
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
+        # A sidecar that only ends its sending has abandoned the attempt as well: Twisted then closes both.
+        self.over = True
+        self._forget()
+        self.went()
+
+    def went(self) -> None:
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.timer = None
+        self.peer.went(self)
+
+
+class NodePeer(ServerFactory):
+    """Listens for one node. Which sidecar a connection belongs to is told by its host (`whose`).
+
+    `rtt` gives the seconds of a round trip to a host at present. `on_full` is told when the table of
+    connections is full and when it is no more, so that a network can leave connects without an answer. A
+    request that no caller has written so gets 400 and a note `bad-request` in the book.
+    """
+
+    noisy = False
+
+    def __init__(
+        self,
+        node: Node,
+        tier: TierPlan,
+        timers: Timers,
+        random: Random,
+        origins: Origins,
+        forms: Forms,
+        book: Book,
+        whose: Callable[[str], str],
+        rtt: Callable[[str], float],
+        on_full: Callable[[bool], None] | None = None,
+    ) -> None:
+        self.node = node
+        self.timers = timers
+        self.random = random
+        self.origins = origins
+        self.forms = forms
+        self.book = book
+        self.whose = whose
+        self.rtt = rtt
+        self.on_full = on_full
+        self.idle = tier.conn_idle
+        self.handshake_rtts = tier.handshake_rtts
+        self.connections: dict[NodeConnection, None] = {}  # in the order in which they came
+        self.full = False
+
+    def buildProtocol(self, addr: Any) -> NodeConnection | None:
+        """None, for which the connection is closed, where the machine does not accept it."""
+        wait = self.node.connect()
+        self.look()
+        if wait is None:
+            return None
+        return NodeConnection(self, self.whose(addr.host), wait + self.handshake_rtts * self.rtt(addr.host))
+
+    def look(self) -> None:
+        """See whether the table is full: what it holds or can hold has changed."""
+        full = self.node.full
+        if full != self.full:
+            self.full = full
+            if self.on_full is not None:
+                self.on_full(full)
+
+    def went(self, connection: NodeConnection) -> None:
+        if connection in self.connections:
+            del self.connections[connection]
+            self.node.disconnect()
+            self.look()
+
+    def reset(self) -> None:
+        """The node's process has ended: so have all its connections."""
+        for connection in list(self.connections):
+            connection.reset()
