Let the machine list make its calls through a caller that can be another

So the list now asks a Caller, of which the HTTP one is the first, and reads its answers to plain values in one overridable place.

--- a/wheatring/http1/machine_list.py
+++ b/wheatring/http1/machine_list.py
@@ -5,7 +5,7 @@
 import json
 from collections.abc import Callable, Mapping
 from math import isfinite
-from typing import Any
+from typing import Any, Protocol
 
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
@@ -98,8 +98,26 @@
         self.factory.down(self)
 
 
+Done = Callable[[Any], None]  # what a call brought, not yet read; None: it failed
+
+
+class Caller(Protocol):
+    """Makes one call to discovery after another; each ends in one answer or, as None, in a failure."""
+
+    done: Done | None  # of the call that is out
+
+    def call(self, index: int | None, deadline: float, done: Done) -> None:
+        """Ask for what is newer than a version, to wait for it until WAIT is over, or for the whole list."""
+
+    def stop(self, code: str) -> None:
+        """Give the call up: it has failed."""
+
+    def close(self, code: str) -> None:
+        """No further call will be made."""
+
+
 class _Caller(ClientFactory):
-    """Makes one call after another on one connection; each ends in one answer or, as None, in a failure."""
+    """Makes its calls one after another on one connection."""
 
     noisy = False
 
@@ -109,13 +127,13 @@
         self.address = address
         self.connection: _Call | None = None
         self.connector: Any = None
-        self.path = ""
-        self.done: Callable[[Message | None], None] | None = None
+        self.index: int | None = None
+        self.done: Done | None = None
         self.deadline = 0.0  # of the present call
         self.late: Timer | None = None
 
-    def call(self, path: str, deadline: float, done: Callable[[Message | None], None]) -> None:
-        self.path, self.done, self.deadline = path, done, deadline
+    def call(self, index: int | None, deadline: float, done: Done) -> None:
+        self.index, self.done, self.deadline = index, done, deadline
         if self.connection is not None:
             self.write()
         else:
@@ -131,7 +149,10 @@
         assert self.connection is not None
         self.set_deadline(self.deadline)
         host, port = self.address
-        text = f"GET {self.path} HTTP/1.1\r\nHost: {host}:{port}\r\nAccept: application/json\r\n\r\n"
+        path = "/v1/servers"
+        if self.index is not None:
+            path += f"?index={self.index}&wait={int(WAIT * 1000)}"
+        text = f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\nAccept: application/json\r\n\r\n"
         self.connection.transport.write(text.encode("ascii"))
 
     def buildProtocol(self, addr: object) -> _Call:
@@ -154,7 +175,7 @@
         if not message.keep_alive or connection.reader.started or self.done is None:
             self.connection = None
             connection.close("not-kept")
-        self.end(message if message.first[0] == b"200" else None)
+        self.end(message.body if message.first[0] == b"200" else None)
 
     def down(self, connection: _Call) -> None:
         if connection is self.connection:  # the end of one that was given up is nobody's news
@@ -170,13 +191,17 @@
             self.connector.stopConnecting()
         self.end(None)
 
-    def end(self, message: Message | None) -> None:
+    def close(self, code: str) -> None:
+        if self.connection is not None:
+            self.connection.close(code)
+
+    def end(self, answer: bytes | None) -> None:
         if self.late is not None and self.late.active():
             self.late.cancel()
         self.late = None
         done, self.done = self.done, None
         if done is not None:
-            done(message)
+            done(answer)
 
 
 class MachineList:
@@ -194,12 +219,19 @@
         self.addresses = addresses
         self.on_view = on_view
         self.version: int | None = None
-        self.watcher = _Caller(reactor, clock, address)
         self.reactor = reactor
         self.address = address
+        self.watcher = self.caller()
         self.watching = False
         self.called = 0.0
 
+    def caller(self) -> Caller:
+        return _Caller(self.reactor, self.clock, self.address)
+
+    def plain(self, answer: Any) -> object:
+        """An answer's plain values; ValueError or RecursionError where it can't be read."""
+        return json.loads(answer)
+
     def known(self, held: object) -> None:
         """The list as last held, from the configuration."""
         self.take(held, ViewKind.CACHED)
@@ -229,38 +261,34 @@
         self.subscribe()
 
     def fetch(self) -> None:
-        caller = _Caller(self.reactor, self.clock, self.address)
+        caller = self.caller()
 
-        def done(message: Message | None) -> None:
-            self.read(message)
-            if caller.connection is not None:
-                caller.connection.close("fetched")
+        def done(answer: Any) -> None:
+            self.read(answer)
+            caller.close("fetched")
 
-        caller.call("/v1/servers", self.clock.now() + WHOLE, done)
+        caller.call(None, self.clock.now() + WHOLE, done)
 
-    def watch(self, watcher: _Caller) -> None:
+    def watch(self, watcher: Caller) -> None:
         if not self.watching or watcher is not self.watcher or watcher.done is not None:
             return  # it was called off, or begun anew, since this call was put off
         self.called = now = self.clock.now()
-        if self.version is None:
-            self.watcher.call("/v1/servers", now + WHOLE, self.watched)
-        else:
-            path = f"/v1/servers?index={self.version}&wait={int(WAIT * 1000)}"
-            self.watcher.call(path, now + WAIT + SLACK, self.watched)
+        wait = WHOLE if self.version is None else WAIT + SLACK
+        self.watcher.call(self.version, now + wait, self.watched)
 
-    def watched(self, message: Message | None) -> None:
-        if self.read(message):
+    def watched(self, answer: Any) -> None:
+        if self.read(answer):
             self.clock.at(self.called + SPACING, self.watch, self.watcher)
         else:
             self.watching = False
             self.watcher.stop("watch-failed")
 
-    def read(self, message: Message | None) -> bool:
+    def read(self, answer: Any) -> bool:
         """Pass on what a call brought; a call that failed or can't be read is one FAILED view."""
         try:
-            if message is None:
+            if answer is None:
                 raise ListError("the call failed")
-            self.take(json.loads(message.body), None)
+            self.take(self.plain(answer), None)
         except (ValueError, RecursionError) as bad:
             log.line("list-failed", why=str(bad))
             self.on_view(View(ViewKind.FAILED))
