--- /dev/null
+++ b/tests/lab/direct_world.py
@@ -0,0 +1,206 @@
+"""The shared helper of the direct grain's stories: a sidecar amid a node and a discovery with a script."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from itertools import count
+from math import inf
+from random import Random
+from typing import Any, NamedTuple
+
+from lapisway.interface import Effect, Limits, Outcome, RequestClass, Settings
+from wheatring.core.exchange import Claim
+from wheatring.lab.direct.links import DirectLinks
+from wheatring.lab.direct.node import DirectNode
+from wheatring.lab.direct.sidecar import DirectSidecar
+from wheatring.lab.direct.way import DirectAsked, DirectWay
+from wheatring.lab.models.visit import Verdict, Visit
+from wheatring.lab.plan import NetPlan, TierPlan
+
+LINK = 0.001  # seconds from any host to any other, drawn without jitter
+EFFECTS = (Effect.SAFE, Effect.KEYED, Effect.UNSAFE)
+
+
+class Due:
+    def __init__(self, call: Callable[..., object], args: tuple[object, ...]) -> None:
+        self.call: Callable[..., object] | None = call
+        self.args = args
+
+    def cancel(self) -> None:
+        assert self.call is not None, "not to be called once it has come due"
+        self.call = None
+
+    def active(self) -> bool:
+        return self.call is not None
+
+
+class Time:
+    """Virtual time, as small as it can be."""
+
+    def __init__(self) -> None:
+        self.instant = 1000.0
+        self.heap: list[tuple[float, int, Due]] = []
+        self.number = count().__next__
+
+    def now(self) -> float:
+        return self.instant
+
+    def at(self, instant: float, call: Callable[..., object], *args: object) -> Due:
+        due = Due(call, args)
+        heapq.heappush(self.heap, (max(instant, self.instant), self.number(), due))
+        return due
+
+    def run(self, seconds: float = inf) -> None:
+        """Play so much time, or all that is to come."""
+        until = self.instant + seconds
+        while self.heap and self.heap[0][0] <= until:
+            self.step()
+        if until < inf:
+            self.instant = until
+
+    def step(self) -> None:
+        """Play the next event."""
+        self.instant, _, due = heapq.heappop(self.heap)
+        call, due.call = due.call, None
+        if call is not None:
+            call(*due.args)
+
+
+class Told:
+    """A book that only keeps what it is told: (what, values...)."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[object, ...]] = []
+
+    def __getattr__(self, what: str) -> Callable[..., Any]:
+        return lambda *values: self.lines.append((what, *values))
+
+    def all(self, what: str) -> list[tuple[object, ...]]:
+        return [line[1:] for line in self.lines if line[0] == what]
+
+
+class Troubles:
+    refusing = False
+    connect_delay = 0.0
+
+
+class Script:
+    """A node's machine, which holds its visits until the story replies, or replies `at_once`."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.running = True
+        self.full = False
+        self.connections = 0
+        self.visits: list[Visit] = []
+        self.gone: list[Visit] = []
+        self.at_once: Verdict | None = None
+        self._troubles = Troubles()
+
+    @property
+    def troubles(self) -> Troubles:
+        return self._troubles
+
+    def connect(self) -> float | None:
+        if self.full:
+            return None
+        self.connections += 1
+        return 0.0
+
+    def disconnect(self) -> None:
+        self.connections -= 1
+
+    def visit(self, visit: Visit) -> None:
+        self.visits.append(visit)
+        if self.at_once is not None:
+            visit.reply(self.at_once, "stamp")
+
+    def abandoned(self, visit: Visit) -> None:
+        self.gone.append(visit)
+
+
+class Listed(NamedTuple):
+    name: str
+    address: str
+    zone: str = ""
+    kind: str = ""
+    cell: int = 0
+
+
+class Answer(NamedTuple):
+    generation: int
+    reset: bool
+    lines: tuple[tuple[Listed, str, float, int], ...]
+
+
+class Call:
+    def __init__(self, index: int | None, wait: float, done: Callable[[Answer | None], None]) -> None:
+        self.index = index
+        self.wait = wait
+        self.done = done
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+
+class Registry:
+    """Discovery, which answers when the story does."""
+
+    def __init__(self) -> None:
+        self.calls: list[Call] = []
+
+    def call(
+        self, sidecar: str, index: int | None, wait: float, done: Callable[[Answer | None], None]
+    ) -> Call:
+        self.calls.append(Call(index, wait, done))
+        return self.calls[-1]
+
+
+class World:
+    """One sidecar "s" on "h" with the node "n" on "m", a caller on "c" and discovery on "d"."""
+
+    def __init__(self, attempts: int = 1, handshake_rtts: float = 0.0, idle: float = 30.0) -> None:
+        self.time = Time()
+        self.book: Any = Told()
+        book = self.book
+        net = NetPlan(same=LINK, cross=LINK, client=LINK, jitter=0.0)
+        self.links = DirectLinks(net, {}, self.time, Random(1))
+        self.machine = Script("n")
+        tier = TierPlan(name="t", work=1.0, handshake_rtts=handshake_rtts, conn_idle=idle)
+        self.node = DirectNode(self.machine, "m", tier, self.time, self.links, book)
+        self.registry = Registry()
+        self.way = DirectWay(self.time, self.links, book, {"s": ("c", "h")})
+        classes = tuple(RequestClass(e.value, 1.0, 2.0, 1.0, 1.0, effect=e, window=10.0) for e in EFFECTS)
+        limits = Limits(max_attempts=attempts, connect_timeout=0.25, idle_timeout=30.0, max_retry_after=1.0)
+        self.settings = Settings(classes, limits=limits, must_ask=True)
+        self.claims: list[Claim] = []
+        self.replies: list[tuple[str, float]] = []
+        self.sidecar = self.start()
+
+    def start(self) -> DirectSidecar:
+        known = {"generation": 1, "instances": [self.listed()]}
+        sidecar = DirectSidecar(
+            "s", "h", self.settings, 7, known, timers=self.time, unix=lambda: 0.0, links=self.links,
+            nodes={"n": self.node}, registry=self.registry, discovery=("d", 1), book=self.book, way=self.way,
+        )  # fmt: skip
+        ended = sidecar.exchange.on_claim_ended
+
+        def noted(claim: Claim) -> None:
+            self.claims.append(claim)
+            ended(claim)
+
+        sidecar.exchange.on_claim_ended = noted
+        sidecar.start()
+        return sidecar
+
+    @staticmethod
+    def listed(**more: object) -> dict[str, object]:
+        return {"instanceId": "n", "hostPort": "m:1", "lifecycle": "SERVING", "startedAtMs": 0, **more}
+
+    def ask(self, ident: str = "a", index: int = 0, left: float = 2.0) -> DirectAsked:
+        return self.way.ask("s", ident, index, left, "", False, lambda *end: self.replies.append(end))
+
+    def outcomes(self) -> list[Outcome | None]:
+        return [claim.outcome for claim in self.claims]
--- /dev/null
+++ b/tests/lab/test_direct.py
@@ -0,0 +1,274 @@
+"""Stories of the direct grain: each way in which a claim, a request or a sidecar can end without bytes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from lapisway.interface import Outcome
+from tests.lab.direct_world import LINK, Answer, Listed, World
+from wheatring.lab.models.visit import Verdict
+
+
+def replying(verdict: Verdict) -> Callable[[World], None]:
+    def set_up(world: World) -> None:
+        world.machine.at_once = verdict
+
+    return set_up
+
+
+def refusing(world: World) -> None:
+    world.machine.troubles.refusing = True
+
+
+def not_running(world: World) -> None:
+    world.machine.running = False
+
+
+def full(world: World) -> None:
+    world.machine.full = True
+
+
+def late_connects(world: World) -> None:
+    world.machine.troubles.connect_delay = 0.3
+
+
+def vanished(world: World) -> None:
+    world.links.vanish("m")
+
+
+def unheard(world: World) -> None:
+    world.links.cut(["m"], ["h"], one_way=True)
+
+
+def unlisted(world: World) -> None:
+    world.sidecar.pool.addresses.clear()
+
+
+@pytest.mark.parametrize(
+    ("set_up", "outcome", "after", "arrived"),
+    [
+        (replying(Verdict.SERVED), Outcome.SERVED, 4 * LINK, 1),
+        (replying(Verdict.ERROR), Outcome.ERROR, 4 * LINK, 1),
+        (replying(Verdict.AWAY), Outcome.REJECTED, 4 * LINK, 1),
+        (replying(Verdict.RESET), Outcome.RESET, 4 * LINK, 1),
+        (replying(Verdict.SPOILT), Outcome.RESET, 4 * LINK, 1),
+        (refusing, Outcome.CONNECT_FAILED, 2 * LINK, 0),
+        (not_running, Outcome.CONNECT_FAILED, 2 * LINK, 0),
+        (full, Outcome.CONNECT_FAILED, 0.25, 0),
+        (late_connects, Outcome.CONNECT_FAILED, 0.25, 0),
+        (vanished, Outcome.CONNECT_FAILED, 0.25, 0),
+        (unheard, Outcome.CONNECT_FAILED, 0.25, 0),
+        (unlisted, Outcome.CONNECT_FAILED, 0.0, 0),
+        (lambda world: None, Outcome.TIMED_OUT, 2.0, 1),  # it hangs
+    ],
+)
+def test_each_end_of_a_claim(
+    set_up: Callable[[World], None], outcome: Outcome, after: float, arrived: int
+) -> None:
+    world = World()
+    set_up(world)
+    world.ask()
+    world.time.run(LINK)  # until the sidecar has it
+    began = world.time.now()
+    while not world.claims:
+        world.time.step()
+    assert world.outcomes() == [outcome]
+    assert world.time.now() - began == pytest.approx(after)
+    assert len(world.book.all("arrived")) == len(world.machine.visits) == arrived
+    assert len(world.book.all("turned_away")) == (outcome is Outcome.REJECTED)
+    if set_up is unheard:  # the node has accepted a connection that its sidecar has given up
+        assert world.machine.connections == 1
+        world.links.heal(["m"], ["h"], one_way=True)
+    world.time.run(1.0)
+    kept = outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.REJECTED)
+    assert world.machine.connections == len(world.node.lines) == len(world.sidecar.pool.lines) == kept
+
+
+def test_a_node_that_dies_resets_what_it_holds_and_what_is_on_the_way() -> None:
+    world = World()
+    world.ask("a")
+    world.ask("b")
+    world.time.run(4 * LINK)
+    world.ask("c")
+    world.time.run(1.5 * LINK)
+    assert len(world.machine.visits) == 2 and len(world.sidecar.pool.lines) == 2
+    world.machine.running = False
+    world.node.down()
+    world.time.run(2 * LINK)
+    assert sorted(world.outcomes(), key=str) == [Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.RESET]
+    assert world.machine.connections == 0 and not world.sidecar.pool.lines
+
+
+def test_a_claim_that_is_given_up_closes_its_connection_and_leaves_the_node() -> None:
+    world = World()
+    world.ask()
+    world.time.run(4 * LINK)
+    (visit,) = world.machine.visits
+    (job,) = world.sidecar.driver.jobs.values()
+    world.sidecar.exchange.abandon(job.claims[0])
+    assert world.outcomes() == [Outcome.CANCELLED] and not world.sidecar.pool.lines
+    assert not world.machine.gone
+    world.time.run(LINK)
+    assert world.machine.gone == [visit] and world.machine.connections == 0
+    visit.reply(Verdict.SERVED, "too late")
+    world.time.run(1.0)
+    assert world.outcomes() == [Outcome.CANCELLED] and world.replies == [("refused", 0.0)]
+
+
+def test_a_claim_whose_caller_left_in_its_connect_is_never_written_and_the_connection_is_kept() -> None:
+    world = World()
+    asked = world.ask()
+    world.time.run(LINK)
+    asked.leave()
+    world.time.run(1.0)
+    assert world.outcomes() == [Outcome.NOT_SENT] and not world.machine.visits
+    assert world.book.all("left") == [("s", "a")] and not world.replies
+    world.machine.at_once = Verdict.SERVED
+    world.ask("b")
+    world.time.run(4 * LINK)
+    assert world.replies == [("served", 0.0)] and world.machine.connections == 1
+
+
+def test_a_connection_is_used_again_and_only_its_first_request_pays_for_the_handshake() -> None:
+    world = World(handshake_rtts=2.0)
+    world.machine.at_once = Verdict.SERVED
+    for ident, time in (("a", 10 * LINK), ("b", 4 * LINK)):
+        world.ask(ident)
+        world.time.run(time - LINK / 2)
+        assert not world.replies
+        world.time.run(LINK)
+        assert world.replies.pop() == ("served", 0.0)
+    assert world.machine.connections == 1
+
+
+def test_a_connection_closes_when_it_has_stood_idle() -> None:
+    for idle, after in ((30.0, 0.7 * 30.0), (5.0, 5.0)):  # the sidecar closes it first, or the node
+        world = World(idle=idle)
+        world.machine.at_once = Verdict.SERVED
+        world.ask()
+        world.time.run(after - 0.5)
+        assert world.machine.connections == len(world.sidecar.pool.lines) == 1
+        world.time.run(2.0)
+        assert world.machine.connections == len(world.sidecar.pool.lines) == 0
+
+
+def test_a_request_that_crosses_the_end_of_its_connection_ends_in_a_reset() -> None:
+    world = World()
+    world.machine.at_once = Verdict.SERVED
+    world.ask("a")
+    world.time.run(1.0)
+    world.ask("b")
+    world.time.run(LINK / 2)
+    world.node.down()
+    world.time.run(4 * LINK)
+    assert world.outcomes() == [Outcome.SERVED, Outcome.RESET] and len(world.machine.visits) == 1
+
+
+def test_what_a_cut_holds_up_arrives_some_time_after_it() -> None:
+    world = World()
+    world.machine.at_once = Verdict.SERVED
+    world.ask("a")
+    world.time.run(0.1)
+    world.links.cut(["h"], ["m"])
+    world.ask("b")
+    world.time.run(0.3)
+    assert len(world.machine.visits) == 1
+    world.links.heal(["h"], ["m"])
+    world.time.run(0.5)
+    assert world.replies == [("served", 0.0), ("served", 0.0)]
+
+
+def test_answers_come_back_with_their_stamp_their_advice_and_the_time_they_take() -> None:
+    world = World()
+    world.machine.at_once = Verdict.SERVED
+    world.ask("a")
+    world.time.run(5.5 * LINK)
+    assert not world.replies
+    world.time.run(LINK)
+    world.machine.at_once = Verdict.ERROR
+    world.ask("b", index=2)
+    world.machine.running = False
+    world.time.run(1.0)
+    assert world.replies == [("served", 0.0), ("failed", 0.0)]
+    assert world.book.all("taken") == [("s", "a", 0, "", 1002.0), ("s", "b", 2, "", 1002.0 + 6.5 * LINK)]
+    assert world.book.all("answered") == [("s", "a", "served", "stamp", 0.0), ("s", "b", "failed", "", 0.0)]
+
+
+def test_a_sidecar_told_to_stop_takes_what_still_arrives_and_ends_when_nothing_is_open() -> None:
+    world = World()
+    world.ask("a")
+    world.time.run(0.1)
+    world.sidecar.terminate()
+    world.time.run(0.5)
+    world.ask("b")
+    world.time.run(0.2)
+    assert len(world.machine.visits) == 2
+    world.ask("c")
+    world.time.run(0.1)
+    assert world.replies == [("unreached", 0.0)] and not world.book.all("sidecar_down")
+    for visit in world.machine.visits:
+        visit.reply(Verdict.SERVED, "x")
+    world.time.run(0.1)
+    assert world.replies[1:] == [("served", 0.0)] * 2
+    assert world.book.all("sidecar_down") == [("s", False)] and world.machine.connections == 0
+    world.time.run(100.0)
+    assert not world.time.heap, "a process that has ended leaves no timers"
+
+
+def test_a_sidecar_that_is_killed_loses_what_it_had_and_nothing_of_it_acts_any_more() -> None:
+    world = World()
+    world.ask("a")
+    world.ask("b")
+    world.time.run(0.1)
+    world.sidecar.kill()
+    world.ask("c")
+    world.time.run(0.1)
+    assert world.replies == [("lost", 0.0), ("lost", 0.0), ("unreached", 0.0)]
+    assert world.machine.gone == world.machine.visits and world.machine.connections == 0
+    assert not world.claims and world.book.all("sidecar_down") == [("s", True)]
+    world.start()
+    world.machine.at_once = Verdict.SERVED
+    world.ask("d")
+    world.time.run(0.1)
+    assert world.replies[3:] == [("served", 0.0)]
+
+
+def test_more_callers_than_places_wait_at_the_door() -> None:
+    world = World()
+    world.sidecar.most = 1
+    first = world.ask("a")
+    for ident in "bcd":
+        world.ask(ident)
+    world.time.run(0.1)
+    assert len(world.machine.visits) == 1
+    world.machine.visits[0].reply(Verdict.SERVED, "x")
+    world.time.run(0.1)
+    assert [visit.ident for visit in world.machine.visits] == ["a", "b"]
+    first.leave()
+    assert len(world.book.all("taken")) == 4
+
+
+def test_the_machine_list_watches_moves_on_and_begins_again_after_a_failure() -> None:
+    world = World()
+    calls = world.registry.calls
+    world.time.run(10.0)
+    assert [(c.index, c.wait) for c in calls] == [(1, 50.0)]
+    other = Listed("n2", "m:2")
+    calls[0].done(Answer(2, False, ((other, "ready", 0.0, 0),)))
+    world.time.run(0.1)
+    assert world.sidecar.pool.addresses == {"n": "m:1", "n2": "m:2"} and calls[1].index == 2
+    calls[1].done(Answer(3, False, ((other, "gone", 0.0, 0),)))
+    world.time.run(0.1)
+    assert "n2" not in world.sidecar.pool.addresses
+    calls[2].done(None)
+    world.time.run(5.0)
+    assert [c.index for c in calls[3:]] == [3]
+    world.time.run(60.0)  # nobody answers: the sidecar gives the call up and asks anew
+    assert calls[3].cancelled and [c.index for c in calls[4:]] == [3]
+    world.sidecar.kill()
+    world.time.run(1.0)
+    assert calls[4].cancelled
+    world.time.run(100.0)
+    assert len(calls) == 5
--- /dev/null
+++ b/wheatring/lab/direct/clock.py
@@ -0,0 +1,26 @@
+"""The clock of one sidecar process in virtual time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from wheatring.core.clock import Clock
+from wheatring.lab.timers import Timer, Timers
+
+
+class DirectClock(Clock):
+    """The core's clock on the world's timers. Once its process has ended, nothing of it is called."""
+
+    def __init__(self, timers: Timers, unix: Callable[[], float]) -> None:
+        self.timers = timers
+        self.now = timers.now
+        self.unix = unix
+        self.unix_offset = unix() - self.now()
+        self.over = False
+
+    def at(self, instant: float, call: Callable[..., object], *args: object) -> Timer:
+        return self.timers.at(instant, self.run, call, args)
+
+    def run(self, call: Callable[..., object], args: tuple[object, ...]) -> None:
+        if not self.over:
+            call(*args)
--- /dev/null
+++ b/wheatring/lab/direct/machine_list.py
@@ -0,0 +1,175 @@
+"""Discovery's client without bytes: the service's own watch, on the registry's model."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from typing import Any, Protocol
+
+from lapisway.interface import View
+from wheatring.core.clock import Timer
+from wheatring.http1.machine_list import DIAL, WAIT, Caller, Done, MachineList
+from wheatring.lab.book import NodeState
+from wheatring.lab.direct.clock import DirectClock
+from wheatring.lab.direct.links import Links
+
+LIFECYCLES: dict[NodeState, str] = {"ready": "SERVING", "draining": "DRAINING", "gone": "DELETED"}
+
+
+class Pending(Protocol):
+    def cancel(self) -> None:
+        """The call's connection has been closed. Nothing happens to one that has ended."""
+
+
+class Registry(Protocol):
+    """What is needed of discovery's model."""
+
+    def call(self, sidecar: str, index: int | None, wait: float, done: Callable[[Any], None]) -> Pending:
+        """A call has arrived: for the whole list, or for what is newer than a version, which waits up to so
+        many seconds. `done`, never called from within, gets the answer, or None where the call fails."""
+
+
+class _Out:
+    """One call that is out."""
+
+    __slots__ = ("deadline", "index", "over", "pending")
+
+    def __init__(self, index: int | None, deadline: float) -> None:
+        self.index = index
+        self.deadline = deadline
+        self.pending: Pending | None = None  # once discovery has it
+        self.over = False  # for the sidecar
+
+
+class DirectCaller:
+    """One connection to discovery, and the calls on it, one after another."""
+
+    def __init__(self, owner: DirectList) -> None:
+        self.owner = owner
+        self.there = owner.address[0]
+        self.done: Done | None = None
+        self.out: _Out | None = None
+        self.up = False
+        self.late: Timer | None = None
+
+    def call(self, index: int | None, deadline: float, done: Done) -> None:
+        self.done = done
+        clock = self.owner.clock
+        out = self.out = _Out(index, deadline)
+        if self.up:
+            self.set_deadline(deadline)
+            self.to_there(self.arrive, out)
+        else:
+            self.set_deadline(min(deadline, clock.now() + DIAL))
+            self.to_there(self.knock, out)
+
+    def set_deadline(self, instant: float) -> None:
+        if self.late is not None and self.late.active():
+            self.late.cancel()
+        self.late = self.owner.clock.at(instant, self.stop, "late")
+
+    def to_there(self, call: Callable[[_Out], None], out: _Out) -> None:
+        self.owner.links.send(self.owner.host, self.there, 0.0, call, out)
+
+    def to_here(self, call: Callable[..., None], *args: object) -> None:
+        self.owner.links.send(self.there, self.owner.host, 0.0, call, *args)
+
+    # The steps of a call, at discovery and back here
+
+    def knock(self, out: _Out) -> None:
+        self.to_here(self.connected, out)
+
+    def connected(self, out: _Out) -> None:
+        if not out.over:
+            self.up = True
+            self.set_deadline(out.deadline)
+            self.to_there(self.arrive, out)
+
+    def arrive(self, out: _Out) -> None:
+        if not out.over:
+            wait = 0.0 if out.index is None else WAIT
+            registry, name = self.owner.registry, self.owner.name
+            out.pending = registry.call(name, out.index, wait, partial(self.to_here, self.answered, out))
+
+    def answered(self, out: _Out, answer: Any) -> None:
+        if not out.over:
+            self.up = answer is not None
+            self.end(answer)
+
+    # Ends
+
+    def stop(self, code: str) -> None:
+        self.hang_up()
+        self.end(None)
+
+    def close(self, code: str) -> None:
+        self.up = False
+
+    def hang_up(self) -> None:
+        """Close the connection, of which discovery hears some time later."""
+        self.up = False
+        out = self.out
+        if out is not None and not out.over:
+            out.over = True
+            if out.pending is not None:
+                self.owner.links.send(self.owner.host, self.there, 0.0, out.pending.cancel)
+
+    def end(self, answer: Any) -> None:
+        if self.late is not None and self.late.active():
+            self.late.cancel()
+        self.late = None
+        if self.out is not None:
+            self.out.over = True
+            self.out = None
+        done, self.done = self.done, None
+        if done is not None:
+            done(answer)
+
+
+class DirectList(MachineList):
+    """The machine list of one sidecar. All but the calls themselves is the service's own."""
+
+    def __init__(
+        self,
+        clock: DirectClock,
+        name: str,
+        host: str,
+        discovery: tuple[str, int],
+        registry: Registry,
+        links: Links,
+        addresses: dict[str, str],
+        on_view: Callable[[View], None],
+    ) -> None:
+        self.clock: DirectClock
+        self.name = name
+        self.host = host
+        self.registry = registry
+        self.links = links
+        super().__init__(None, clock, discovery, addresses, on_view)
+
+    def caller(self) -> Caller:
+        return DirectCaller(self)
+
+    def plain(self, answer: Any) -> object:
+        """As the answer's JSON is read."""
+        return {
+            "generation": answer.generation,
+            "reset": answer.reset,
+            "instances": [
+                {
+                    "instanceId": node.name,
+                    "hostPort": node.address,
+                    "zone": node.zone,
+                    "machineType": node.kind,
+                    "cell": node.cell,
+                    "lifecycle": LIFECYCLES[state],
+                    "startedAtMs": started_ms,
+                }
+                for node, state, _, started_ms in answer.lines
+            ],
+        }
+
+    def die(self) -> None:
+        """Its process has ended: what is out is closed, and nobody hears of it."""
+        assert isinstance(self.watcher, DirectCaller)
+        self.watcher.hang_up()
--- /dev/null
+++ b/wheatring/lab/direct/pool.py
@@ -0,0 +1,284 @@
+"""The client side without bytes: claims become visits, on a pool of kept connections.
+
+It keeps to the rules of the HTTP client's pool, and gives the outcomes that this would give.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+
+from lapisway.interface import Outcome
+from wheatring import log
+from wheatring.core.clock import Timer
+from wheatring.core.exchange import Claim, Exchange
+from wheatring.http1.client import SWEEP, Place
+from wheatring.lab.book import Book
+from wheatring.lab.direct.clock import DirectClock
+from wheatring.lab.direct.links import Links
+from wheatring.lab.direct.node import DirectNode
+from wheatring.lab.models.visit import Verdict, Visit
+
+
+class Call:
+    """What a job of this grain carries. `left`: seconds that its caller waits."""
+
+    __slots__ = ("ident", "key", "left")
+
+    def __init__(self, ident: str, key: str, left: float) -> None:
+        self.ident = ident
+        self.key = key
+        self.left = left
+
+
+class Line:
+    """One connection to a node, both ends of it. It carries one claim at a time.
+
+    `alive`, `claim` and what is about it are the sidecar's, who hears of things a link's delay after they
+    happened; `visit`, `begun`, `handshake`, `node_idle` and `reply_arrival` are the node's.
+    """
+
+    __slots__ = (
+        "alive", "arrival", "begun", "claim", "first", "handshake", "host", "idle_since", "late", "node",
+        "node_idle", "place", "pool", "reply_arrival", "there", "visit",
+    )  # fmt: skip
+
+    def __init__(self, pool: DirectPool, place: Place, node: DirectNode, claim: Claim) -> None:
+        self.pool = pool
+        self.place = place
+        self.node = node
+        self.host = pool.host
+        self.there = node.host
+        self.first: Claim | None = claim  # for which it is made
+        self.late: Timer | None = None  # while it comes up
+        self.claim: Claim | None = None
+        self.alive = False
+        self.idle_since = 0.0
+        self.arrival = 0.0  # of what was last sent on it
+        self.visit: Visit | None = None
+        self.begun = False  # the visit is at the machine
+        self.handshake = 0.0  # seconds that it still costs the first request
+        self.node_idle = 0.0
+        self.reply_arrival = 0.0
+
+    # Coming up
+
+    def dial(self) -> None:
+        pool, claim = self.pool, self.first
+        assert claim is not None
+        claim.drop = self.keep_on
+        by = min(claim.give_up, pool.clock.now() + pool.connect_time)
+        self.late = pool.clock.at(by, self.not_up)
+        pool.links.send(self.host, self.there, 0.0, self.node.knock, self)
+
+    def keep_on(self) -> None:
+        """The claim is not wanted any more; the connection, once up, is kept for others."""
+
+    def refused(self) -> None:
+        if self.late is not None and not self.pool.clock.over:
+            self.late.cancel()
+            self.not_up()
+
+    def not_up(self) -> None:
+        """Refused, or not up in time."""
+        claim, self.first, self.late = self.first, None, None
+        self.pool.dialling -= 1
+        assert claim is not None
+        self.pool.exchange.end(claim, Outcome.CONNECT_FAILED)
+
+    def accepted(self) -> None:
+        pool = self.pool
+        if self.late is None or pool.clock.over:
+            self.hang_up()  # it was given up meanwhile
+            return
+        self.late.cancel()
+        self.late = None
+        pool.dialling -= 1
+        pool.lines[self] = None
+        self.alive = True
+        claim, self.first = self.first, None
+        assert claim is not None
+        if claim.wanted:
+            self.carry(claim)
+        else:
+            pool.keep(self)
+
+    # Claims
+
+    def carry(self, claim: Claim) -> None:
+        """Write a claim's request: from here on it may have run."""
+        pool = self.pool
+        self.claim = claim
+        claim.drop = self.drop
+        claim.written = True
+        now = pool.clock.now()
+        left = int((claim.give_up - now) * 1000) / 1000 or 0.001  # as the wire states it
+        pool.book.sending(pool.name, self.node.name, now)
+        visit = Visit(claim.job.ident, pool.name, left, now, self.reply)
+        self.arrival = pool.links.send(self.host, self.there, self.arrival, self.node.request, self, visit)
+
+    def reply(self, verdict: Verdict, stamp: str) -> None:
+        """At the node: it answers its visit, or breaks the connection."""
+        node = self.node
+        visit, self.visit = self.visit, None
+        if visit is None:
+            return
+        self.begun = False
+        if verdict is Verdict.RESET:
+            node.close(self)
+            return
+        if verdict is Verdict.AWAY:
+            node.book.turned_away(node.name, visit.ident)
+        self.node_idle = node.timers.now()
+        self.reply_arrival = node.links.send(
+            self.there, self.host, self.reply_arrival, self.answered, visit, verdict, stamp
+        )
+
+    def answered(self, visit: Visit, verdict: Verdict, stamp: str) -> None:
+        claim = self.claim
+        if claim is None or self.pool.clock.over:
+            return
+        self.claim = None
+        if verdict is Verdict.SPOILT:  # nothing more on the connection can be trusted
+            self.close()
+            self.pool.exchange.end(claim, Outcome.RESET)
+            return
+        self.pool.keep(self)
+        if verdict is Verdict.SERVED:
+            self.pool.exchange.end(claim, Outcome.SERVED, stamp)
+        elif verdict is Verdict.AWAY:
+            self.pool.exchange.end(claim, Outcome.REJECTED)
+        else:
+            self.pool.exchange.end(claim, Outcome.ERROR)
+
+    # Its end
+
+    def drop(self) -> None:
+        """Stop working on the claim: to a node, abandoning is closing."""
+        self.claim = None
+        self.close()
+
+    def close(self) -> None:
+        """End it from the sidecar's side."""
+        if self.alive:
+            self.alive = False
+            self.pool.gone(self)
+            self.hang_up()
+
+    def hang_up(self) -> None:
+        self.pool.links.send(self.host, self.there, self.arrival, self.node.drop, self)
+
+    def ended(self) -> None:
+        """The node's end of it is gone, and the sidecar's machine has heard of it."""
+        if self.late is not None and not self.pool.clock.over:
+            self.late.cancel()  # it ended before it was heard to be up
+            self.not_up()
+        elif self.alive and not self.pool.clock.over:
+            self.alive = False
+            self.pool.gone(self)
+            claim, self.claim = self.claim, None
+            if claim is not None:
+                self.pool.exchange.end(claim, Outcome.RESET)
+
+
+class DirectPool:
+    """Starts claims, and keeps clean connections for the next ones; the last one used goes out first."""
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        nodes: Mapping[str, DirectNode],
+        clock: DirectClock,
+        exchange: Exchange,
+        links: Links,
+        book: Book,
+        connect_time: float,
+        idle: float,
+        most: int,
+    ) -> None:
+        self.name = name
+        self.host = host
+        self.nodes = nodes
+        self.clock = clock
+        self.timers = clock.timers
+        self.exchange = exchange
+        self.links = links
+        self.book = book
+        self.connect_time = connect_time
+        self.idle = idle * 0.7  # as the HTTP client's
+        self.most = most
+        self.addresses: dict[str, str] = {}
+        self.idle_ones: dict[Place, deque[Line]] = {}
+        self.lines: dict[Line, None] = {}  # in the order in which they came
+        self.dialling = 0
+        exchange.start_claim = self.start
+        exchange.close_idle = self.close_idle
+        self.sweep()
+
+    def start(self, claim: Claim) -> None:
+        address = self.addresses.get(claim.node)
+        if address is None:
+            # The list no longer says where the node is.
+            self.clock.at(self.clock.now(), self.exchange.end, claim, Outcome.CONNECT_FAILED)
+            return
+        place = Place(claim.node, address)
+        idle = self.idle_ones.get(place)
+        if idle:
+            idle.pop().carry(claim)
+            return
+        if len(self.lines) + self.dialling >= self.most and not self.retire_oldest():
+            log.line("too-many-connections", most=self.most)
+            self.clock.at(self.clock.now(), self.exchange.end, claim, Outcome.CONNECT_FAILED)
+            return
+        line = Line(self, place, self.nodes[claim.node], claim)
+        self.dialling += 1
+        line.dial()
+
+    def keep(self, line: Line) -> None:
+        line.idle_since = self.clock.now()
+        idle = self.idle_ones.get(line.place)
+        if idle is None:
+            idle = self.idle_ones[line.place] = deque()
+        idle.append(line)
+
+    def gone(self, line: Line) -> None:
+        self.lines.pop(line, None)
+        idle = self.idle_ones.get(line.place)
+        if idle is not None:
+            if line in idle:
+                idle.remove(line)
+            if not idle:
+                del self.idle_ones[line.place]
+
+    def retire_oldest(self) -> bool:
+        oldest = min((q[0] for q in self.idle_ones.values() if q), key=lambda c: c.idle_since, default=None)
+        if oldest is None:
+            return False
+        oldest.close()
+        return True
+
+    def close_idle(self, node: str) -> None:
+        place = Place(node, self.addresses.get(node, ""))
+        for line in list(self.idle_ones.get(place, ())):
+            line.close()
+
+    def reset(self) -> None:
+        """Its host is back after a silence: nobody there knows of the connections any more."""
+        for line in list(self.lines):
+            line.hang_up()
+            line.ended()
+
+    def close(self) -> None:
+        """Its process ends, and all connections with it."""
+        for line in list(self.lines):
+            line.claim = None
+            line.close()
+
+    def sweep(self) -> None:
+        now = self.clock.now()
+        self.clock.at(now + SWEEP, self.sweep)
+        for place, idle in list(self.idle_ones.items()):
+            gone = self.addresses.get(place.node) != place.address
+            while idle and (gone or now - idle[0].idle_since > self.idle):
+                idle[0].close()
--- /dev/null
+++ b/wheatring/lab/direct/sidecar.py
@@ -0,0 +1,168 @@
+"""One sidecar process without bytes: the service's core and decisions, wired as the daemon wires them."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING
+
+from lapisway.interface import Settings
+from lapisway.policy import Balancer
+from wheatring.core.driver import Driver
+from wheatring.core.exchange import Answer, Exchange, Job
+from wheatring.daemon import ARRIVING, CLAIMS, RESERVE
+from wheatring.lab.book import Book
+from wheatring.lab.direct.clock import DirectClock
+from wheatring.lab.direct.links import Links
+from wheatring.lab.direct.machine_list import DirectList, Registry
+from wheatring.lab.direct.node import DirectNode
+from wheatring.lab.direct.pool import Call, DirectPool
+from wheatring.lab.timers import Timers
+
+if TYPE_CHECKING:
+    from wheatring.lab.direct.way import DirectAsked, DirectWay
+
+LOOK = 0.02  # seconds between looks whether a stopping sidecar is done, as the daemon's
+
+
+class DirectSidecar:
+    """One process of a sidecar, from its start to its end; a restart is another one.
+
+    `known` is the list as last held, in the platform's form; `unix` its host's Unix time in seconds;
+    `on_end` is told of its end, and whether it was killed.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        settings: Settings,
+        seed: int,
+        known: object,
+        *,
+        timers: Timers,
+        unix: Callable[[], float],
+        links: Links,
+        nodes: Mapping[str, DirectNode],
+        registry: Registry,
+        discovery: tuple[str, int],
+        book: Book,
+        way: DirectWay,
+        sockets: int = 1024,
+        on_end: Callable[[bool], None] = lambda killed: None,
+    ) -> None:
+        self.name = name
+        self.host = host
+        self.known = known
+        self.book = book
+        self.way = way
+        self.on_end = on_end
+        self.clock = DirectClock(timers, unix)
+        self.exchange = Exchange(self.clock, settings.contract.answer_slack)
+        self.driver = Driver(Balancer(settings, seed), self.exchange, self.clock)
+        places = sockets - RESERVE
+        claims = int(places * CLAIMS)
+        limits = settings.limits
+        self.pool = DirectPool(
+            name, host, nodes, self.clock, self.exchange, links, book, limits.connect_timeout,
+            limits.idle_timeout, claims,
+        )  # fmt: skip
+        self.machine_list = DirectList(
+            self.clock, name, host, discovery, registry, links, self.pool.addresses, self.driver.feed
+        )
+        self.driver.machine_list = self.machine_list
+        self.classes = settings.classes
+        self.most = places - claims  # callers at once; more wait at the door
+        self.held: dict[DirectAsked, None] = {}  # taken and not answered, in the order in which they came
+        self.door: deque[DirectAsked] = deque()
+        self.open = False  # it takes requests
+        self.stopping = False
+
+    def start(self) -> None:
+        """It listens from now on."""
+        self.machine_list.known(self.known)
+        self.open = True
+        self.way.running[self.name] = self
+        self.book.sidecar_up(self.name)
+
+    # Requests
+
+    def take(self, asked: DirectAsked) -> None:
+        """A request has arrived."""
+        if len(self.held) >= self.most:
+            self.door.append(asked)
+            return
+        cls = self.classes[asked.index]
+        left = min(cls.deadline, asked.left)  # no caller waits longer than its class
+        job = Job(
+            asked.ident, cls.name, self.clock.now() + left, Call(asked.ident, asked.key, left), asked.repeat
+        )
+        asked.job = job
+        self.held[asked] = None
+        self.exchange.submit(job).addCallback(self.answer, asked)
+
+    def answer(self, answer: Answer, asked: DirectAsked) -> None:
+        self.held.pop(asked, None)
+        asked.answer(answer)
+        if self.door:
+            self.next()
+
+    def leave(self, asked: DirectAsked) -> None:
+        """Its caller has closed its connection."""
+        if self.clock.over:
+            return
+        if asked.job is None:
+            if asked in self.door:
+                self.door.remove(asked)
+            return
+        self.held.pop(asked, None)
+        self.exchange.leave(asked.job)
+        if self.door:
+            self.next()
+
+    def next(self) -> None:
+        """A place is free: not from within the end of the last one that had it."""
+        self.clock.at(self.clock.now(), self.admit)
+
+    def admit(self) -> None:
+        while self.door and len(self.held) < self.most:
+            self.take(self.door.popleft())
+
+    # Its end
+
+    def terminate(self) -> None:
+        """SIGTERM: answer what has come and what still arrives, then end."""
+        if not self.stopping and not self.clock.over:
+            self.stopping = True
+            self.book.sidecar_stopping(self.name)
+            self.clock.at(self.clock.now() + ARRIVING, self.close)
+
+    def close(self) -> None:
+        self.open = False
+        self.finish()
+
+    def finish(self) -> None:
+        if self.exchange.open or self.door:
+            self.clock.at(self.clock.now() + LOOK, self.finish)
+        else:
+            self.machine_list.unsubscribe()
+            self.end(killed=False)
+
+    def kill(self) -> None:
+        """Its process ends at once."""
+        if not self.clock.over:
+            self.machine_list.die()
+            self.end(killed=True)
+
+    def end(self, killed: bool) -> None:
+        self.open = False
+        self.pool.close()
+        self.clock.over = True
+        if self.way.running.get(self.name) is self:
+            del self.way.running[self.name]
+        self.book.sidecar_down(self.name, killed)
+        for asked in [*self.held, *self.door]:
+            asked.cut_off()
+        self.held.clear()
+        self.door.clear()
+        self.on_end(killed)
--- /dev/null
+++ b/wheatring/lab/direct/way.py
@@ -0,0 +1,130 @@
+"""The way into a sidecar without bytes: requests and answers each take a link's delay."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from math import ceil
+from typing import TYPE_CHECKING
+
+from wheatring.core.exchange import Answer, Final, Job
+from wheatring.lab.book import Book, Kind
+from wheatring.lab.direct.links import Links
+from wheatring.lab.models.way import Done
+from wheatring.lab.timers import Timers
+
+if TYPE_CHECKING:
+    from wheatring.lab.direct.sidecar import DirectSidecar
+
+KINDS: dict[Final, Kind] = {Final.SERVED: "served", Final.REFUSED: "refused", Final.FAILED: "failed"}
+
+
+class DirectAsked:
+    """One request that is out."""
+
+    __slots__ = (
+        "arrival", "deadline", "done", "gone", "here", "ident", "index", "job", "key", "left", "process",
+        "repeat", "sidecar", "there", "way",
+    )  # fmt: skip
+
+    def __init__(
+        self,
+        way: DirectWay,
+        sidecar: str,
+        ident: str,
+        index: int,
+        left: float,
+        key: str,
+        repeat: bool,
+        done: Done,
+    ) -> None:
+        self.way = way
+        self.sidecar = sidecar
+        self.ident = ident
+        self.index = index
+        self.deadline = way.timers.now() + left
+        self.left = max(1, int(left * 1000)) / 1000  # as the wire states it
+        self.key = key
+        self.repeat = repeat
+        self.done = done
+        self.here, self.there = way.hosts[sidecar]
+        self.gone = False
+        self.arrival = 0.0
+        self.process: DirectSidecar | None = None  # that has taken it
+        self.job: Job | None = None
+
+    def arrive(self) -> None:
+        if self.gone:
+            return
+        way = self.way
+        process = way.running.get(self.sidecar)
+        if process is None or not process.open:
+            self.back(self.unreached)
+            return
+        self.process = process
+        way.book.taken(self.sidecar, self.ident, self.index, self.key, self.deadline)
+        process.take(self)
+
+    def back(self, call: Callable[..., object], *args: object) -> None:
+        """What the sidecar's machine says gets to the caller."""
+        self.way.links.send(self.there, self.here, 0.0, call, *args)
+
+    def unreached(self) -> None:
+        if not self.gone:
+            self.gone = True
+            self.done("unreached", 0.0)
+
+    def answer(self, answer: Answer) -> None:
+        """The sidecar has answered it."""
+        if not self.gone:
+            self.back(self.answered, answer)
+
+    def answered(self, answer: Answer) -> None:
+        if self.gone:
+            return
+        self.gone = True
+        kind = KINDS[answer.final]
+        stamp = str(answer.content) if kind == "served" else ""
+        advice = ceil(answer.retry_after * 1000) / 1000 if kind == "refused" else 0.0
+        self.way.book.answered(self.sidecar, self.ident, kind, stamp, advice)
+        self.done(kind, advice)
+
+    def cut_off(self) -> None:
+        """The sidecar has ended without an answer to it."""
+        if not self.gone:
+            self.back(self.lost)
+
+    def lost(self) -> None:
+        if not self.gone:
+            self.gone = True
+            self.way.book.lost(self.sidecar, self.ident, "reset")
+            self.done("lost", 0.0)
+
+    def leave(self) -> None:
+        if self.gone:
+            return
+        self.gone = True
+        process, way = self.process, self.way
+        if process is None:  # it has not arrived, and will not
+            return
+        way.book.left(self.sidecar, self.ident)
+        way.links.send(self.here, self.there, self.arrival, process.leave, self)
+
+
+class DirectWay:
+    """Carries requests to the sidecars that run. `hosts`: for each sidecar, its callers' host and its own."""
+
+    def __init__(
+        self, timers: Timers, links: Links, book: Book, hosts: Mapping[str, tuple[str, str]]
+    ) -> None:
+        self.timers = timers
+        self.links = links
+        self.book = book
+        self.hosts = hosts
+        self.running: dict[str, DirectSidecar] = {}
+
+    def ask(
+        self, sidecar: str, ident: str, index: int, left: float, key: str, repeat: bool, done: Done
+    ) -> DirectAsked:
+        asked = DirectAsked(self, sidecar, ident, index, left, key, repeat, done)
+        asked.arrival = self.links.send(asked.here, asked.there, 0.0, asked.arrive)
+        return asked
