--- a/wheatring/lab/book.py
+++ b/wheatring/lab/book.py
@@ -29,8 +29,17 @@
     def taken(self, sidecar: str, ident: str, index: int, key: str, deadline: float) -> None:
         """The request's last byte is written on a connection that the sidecar's machine accepted."""
 
-    def answered(self, sidecar: str, ident: str, kind: Kind, stamp: str, retry_after: float) -> None:
-        """Its caller has the last byte of an answer. `stamp` is the body of a served one, else ""."""
+    def answered(
+        self,
+        sidecar: str,
+        ident: str,
+        kind: Kind,
+        stamp: str,
+        retry_after: float,
+        written: float | None = None,
+    ) -> None:
+        """Its caller has the last byte of an answer. `stamp` is the body of a served one, else "". `written`:
+        when its first byte left the sidecar, where that is known."""
 
     def lost(self, sidecar: str, ident: str, why: str) -> None:
         """The connection ended without a whole answer, or what came can't be read."""
@@ -54,8 +63,9 @@
     def sending(self, sidecar: str, node: str, at: float) -> None:
         """The first byte of an attempt left the sidecar at that instant."""
 
-    def arrived(self, sidecar: str, node: str, ident: str) -> None:
-        """The last byte of an attempt is at the node: it may run from now on."""
+    def arrived(self, sidecar: str, node: str, ident: str, sent: float | None = None) -> None:
+        """The last byte of an attempt is at the node: it may run from now on. `sent`: when its first byte
+        left the sidecar, as told by `sending`, where that is known."""
 
     def turned_away(self, node: str, ident: str) -> None:
         """The node has answered that it never ran."""
--- /dev/null
+++ b/wheatring/lab/rules/__init__.py
@@ -0,0 +1,13 @@
+"""The book kept: each event is held to the rules as it is told, and the figures of service are kept.
+
+`Ledger` is the book; `Trace` writes or hashes every event. Each rule has a module that can be read alone:
+`answers` (the first, and what is served), `duplicates` (the second), `drains` (the third), `cold` (the
+fourth), `bounds`; `links` says what the rules allow for links. May import the lab's `plan`, `book` and
+`outcome`, and nothing of models, attachments or the sidecar.
+"""
+
+from wheatring.lab.rules.breaches import MisuseError
+from wheatring.lab.rules.ledger import Ledger
+from wheatring.lab.rules.trace import Trace, replay_line
+
+__all__ = ["Ledger", "MisuseError", "Trace", "replay_line"]
--- /dev/null
+++ b/wheatring/lab/rules/answers.py
@@ -0,0 +1,63 @@
+"""The first rule, and what is served: whether the end of a request is what its sidecar owed it.
+
+A request is owed one final answer by its deadline and the grace. Its caller must be there until then: one
+that leaves earlier is owed nothing. What a killed sidecar held is forgiven, but not what it had taken more
+than 0.7 s after SIGTERM: its door should have been closed by then. What a sidecar that ends by itself has not
+answered is lost. A cut between both sides excuses what it may have held up.
+"""
+
+from __future__ import annotations
+
+from wheatring.lab.rules.breaches import Breaches
+from wheatring.lab.rules.links import Links
+from wheatring.lab.rules.requests import Attempt, Request
+
+STILL_COMES = 0.7  # seconds after SIGTERM in which requests may still come
+
+
+class Answers:
+    def __init__(self, grace: float, links: Links, breaches: Breaches) -> None:
+        self.grace = grace
+        self.links = links
+        self.breaches = breaches
+
+    def late(self, request: Request, at: float) -> None:
+        """The request got an answer at an instant past its deadline and grace."""
+        if not self._excused(request):
+            over = at - request.deadline
+            self._breach(request, f"{request.sidecar} answered {over:.3f} s after the deadline.")
+
+    def unanswered(self, request: Request, at: float) -> None:
+        """The request got no answer until an instant at which its caller gave up, or its sidecar ended."""
+        if at > request.deadline + self.grace and not request.forgiven and not self._excused(request):
+            self._breach(request, f"{request.sidecar} had given no answer {self.grace} s after the deadline.")
+
+    def lost(self, request: Request, why: str) -> None:
+        if request.forgiven or self.links.cut(request.sidecar, request.taken, self.breaches.now()):
+            return
+        self._breach(request, f"{request.sidecar} lost a request that it had taken: {why}.")
+
+    def dropped(self, request: Request) -> None:
+        """The connection ended as if between requests, and an attempt shows that this one had been read."""
+        if not request.forgiven:
+            what = f"{request.sidecar} had read the request, and closed its connection unanswered."
+            self._breach(request, what)
+
+    def served(self, request: Request, stamp: str) -> Attempt | None:
+        """The attempt that made the answer."""
+        for attempt in request.attempts:
+            if attempt.stamp == stamp and stamp:
+                return attempt
+        owner = stamp.partition("-")[2]
+        if owner and owner != request.ident:
+            what = f"{request.sidecar} served an answer that a node had made for the request {owner}."
+        else:
+            what = f"{request.sidecar} served an answer that no node had made."
+        self.breaches.add("served", what, ident=request.ident, sidecar=request.sidecar)
+        return None
+
+    def _excused(self, request: Request) -> bool:
+        return self.links.cut(request.sidecar, request.taken, request.deadline + self.grace)
+
+    def _breach(self, request: Request, what: str) -> None:
+        self.breaches.add("answer", what, ident=request.ident, sidecar=request.sidecar)
--- /dev/null
+++ b/wheatring/lab/rules/drains.py
@@ -0,0 +1,203 @@
+"""The third rule: what each sidecar has been told of each node, or counts as told, and since when.
+
+A change counts as told, written or not:
+
+- within a call that may wait, 2 s after that wait ends; within another, `told_within` after both were there;
+- without a call, `ask_within` after the last one, four times as long where that one failed.
+
+A call that ends untold leaves a change to the next one. Where news reaches a sidecar out of discovery's
+order, the older news changes nothing.
+"""
+
+from __future__ import annotations
+
+from wheatring.lab.book import NodeState
+from wheatring.lab.plan import Plan
+
+AFTER_WAIT = 2.0
+AFTER_FAILURE = 4
+KEPT = 16  # changes of one node that are remembered
+
+
+class Change:
+    """One change that discovery has to tell. `order` numbers all of them."""
+
+    __slots__ = ("at", "order", "started", "state")
+
+    def __init__(self, order: int, at: float, state: NodeState, started: float) -> None:
+        self.order = order
+        self.at = at
+        self.state = state
+        self.started = started
+
+
+class Ear:
+    """What one sidecar has been told since its start."""
+
+    __slots__ = ("calls", "counted", "failed", "heard", "news", "off", "pending", "quiet")
+
+    def __init__(self, at: float) -> None:
+        self.calls: list[tuple[float, float]] = []  # out: since when, and how long each may wait
+        self.quiet = at  # without a call since then
+        self.failed = False  # so it seems of the last call
+        self.news = at - 1.0  # when it was last told anything
+        self.pending: dict[str, list[Change]] = {}  # by node
+        self.heard: dict[str, Change] = {}  # the newest, by node
+        self.counted: dict[str, Change] = {}  # the newest that counted as told before it was, by node
+        self.off: dict[str, float] = {}  # nodes that it may send nothing new to, and since when it knows
+
+
+class Drains:
+    def __init__(self, plan: Plan) -> None:
+        self.rules = plan.rules
+        self.must_ask = plan.discovery.must_ask
+        self.tier_of = {node.name: node.tier for node in plan.nodes}
+        self.sends_to = {sidecar.name: 0 for sidecar in plan.sidecars}
+        self.sends_to.update({node.name: node.tier + 1 for node in plan.nodes})
+        self.ears: dict[str, Ear] = {}
+        self.changes: dict[str, list[Change]] = {}  # by node, the oldest first
+        self.orders = 0
+        self.suspects: dict[str, None] = {}  # nodes that were ever told as draining or gone
+        self.late = 0  # changes that were told after they counted as told
+
+    # Sidecars
+
+    def up(self, sidecar: str, at: float) -> None:
+        ear = self.ears[sidecar] = Ear(at)
+        tier = self.sends_to.get(sidecar)
+        for node, changes in self.changes.items():
+            if self.tier_of.get(node) == tier:
+                ear.pending[node] = [changes[-1]]
+
+    def down(self, sidecar: str) -> None:
+        self.ears.pop(sidecar, None)
+
+    def asking(self, sidecar: str, wait: float, at: float) -> None:
+        ear = self.ear(sidecar, at)
+        self._settle(ear, at)
+        ear.calls.append((at, wait))
+
+    def unheard(self, sidecar: str, at: float) -> None:
+        ear = self.ears.get(sidecar)
+        if ear is None or not ear.calls:
+            return  # the call of a process that has ended
+        self._settle(ear, at)
+        # Which one it is nobody says. The one that waits less is over sooner.
+        since, wait = call = min(ear.calls, key=lambda each: each[0] + each[1])
+        ear.calls.remove(call)
+        ear.quiet = at
+        # An answer without news ends a wait, so a call that brought nothing and did not wait has failed.
+        ear.failed = ear.news < since and at < since + max(wait, 1e-9)
+
+    def ear(self, sidecar: str, at: float) -> Ear:
+        ear = self.ears.get(sidecar)
+        if ear is None:
+            self.up(sidecar, at)
+            ear = self.ears[sidecar]
+        return ear
+
+    # News
+
+    def known(self, node: str, state: NodeState, started: float, at: float) -> None:
+        self.orders += 1
+        change = Change(self.orders, at, state, started)
+        changes = self.changes.setdefault(node, [])
+        changes.append(change)
+        del changes[:-KEPT]
+        if state != "ready":
+            self.suspects[node] = None
+        tier = self.tier_of.get(node)
+        for sidecar, ear in self.ears.items():
+            if self.sends_to.get(sidecar) == tier:
+                pending = ear.pending.setdefault(node, [])
+                pending.append(change)
+                del pending[:-KEPT]
+
+    def told(self, sidecar: str, node: str, state: NodeState, started: float, at: float) -> None:
+        ear = self.ear(sidecar, at)
+        ear.news = at
+        self._settle_node(ear, node, at)
+        change = None
+        for each in reversed(self.changes.get(node, ())):
+            if each.state == state and each.started == started:
+                change = each
+                break
+        if change is None:  # discovery tells what it never knew: news all the same
+            self.orders += 1
+            change = Change(self.orders, at, state, started)
+        heard = ear.heard.get(node)
+        if heard is not None and heard.order >= change.order:
+            if ear.counted.pop(node, None) is change:
+                self.late += 1
+            return
+        pending = ear.pending.get(node)
+        if pending is not None:
+            left = [each for each in pending if each.order > change.order]
+            if left:
+                ear.pending[node] = left
+            else:
+                del ear.pending[node]
+        self._hear(ear, node, change, at)
+
+    def _hear(self, ear: Ear, node: str, change: Change, at: float) -> None:
+        ear.heard[node] = change
+        if change.state == "ready":
+            ear.off.pop(node, None)
+        else:
+            self.suspects[node] = None
+            ear.off.setdefault(node, at)
+
+    # What counts as told
+
+    def _counts_from(self, ear: Ear, change: Change) -> float:
+        """From when on it counts as told, should the sidecar go on as it does."""
+        rules = self.rules
+        if not self.must_ask:
+            return change.at + rules.told_within
+        if not ear.calls:
+            times = AFTER_FAILURE if ear.failed else 1
+            return max(change.at, ear.quiet) + times * rules.ask_within
+        last = 0.0
+        for since, wait in ear.calls:
+            until = since + wait
+            if wait > 0 and change.at <= until:
+                last = max(last, until + AFTER_WAIT)
+            else:
+                last = max(last, max(change.at, since) + rules.told_within)
+        return last
+
+    def _settle(self, ear: Ear, at: float) -> None:
+        for node in list(ear.pending):
+            self._settle_node(ear, node, at)
+
+    def _settle_node(self, ear: Ear, node: str, at: float) -> None:
+        pending = ear.pending.get(node)
+        while pending:
+            counts = self._counts_from(ear, pending[0])
+            if counts > at:
+                return
+            change = ear.counted[node] = pending.pop(0)
+            self._hear(ear, node, change, counts)
+        if pending is not None:
+            del ear.pending[node]
+
+    # What the rules ask
+
+    def off_since(self, sidecar: str, node: str, at: float) -> float | None:
+        """Since when the sidecar knows, at an instant, that the node drains or is gone; None: it does not."""
+        ear = self.ears.get(sidecar)
+        if ear is None:
+            return None
+        if node in ear.pending:
+            self._settle_node(ear, node, at)
+        return ear.off.get(node)
+
+    def told_of(self, sidecar: str, node: str, since: float, at: float) -> bool:
+        """Whether the sidecar knows, at an instant, that the node runs by a change known after `since`."""
+        ear = self.ears.get(sidecar)
+        if ear is None:
+            return False
+        if node in ear.pending:
+            self._settle_node(ear, node, at)
+        heard = ear.heard.get(node)
+        return heard is not None and heard.state == "ready" and heard.at >= since
--- /dev/null
+++ b/wheatring/lab/rules/figures.py
@@ -0,0 +1,180 @@
+"""The figures of service: kept second by second while a day is played, made one figure at its end.
+
+A first try belongs to the second in which it was asked. It earns its worth when it is served within its aim,
+`late_worth` of it when served later, and nothing else.
+"""
+
+from __future__ import annotations
+
+from math import ceil
+from typing import Any
+
+from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
+
+from wheatring.lab.book import End
+from wheatring.lab.outcome import ClassFigures, Outcome, Second
+from wheatring.lab.plan import Plan
+
+WINDOW = 10  # seconds in a row, of which the worst counts
+LONGEST_MS = 60_000
+
+
+def percentile(times: list[float], share: float) -> float:
+    """The least of the sorted times that is no less than so large a share of them; 0 without any."""
+    return times[max(0, ceil(share * len(times)) - 1)] if times else 0.0
+
+
+def histogram() -> Any:  # the library has no types
+    return HdrHistogram(1, LONGEST_MS, 3)
+
+
+class Figures:
+    """`start`: the instant at which the day begins. Instants that are handed in never go back."""
+
+    def __init__(self, plan: Plan, start: float) -> None:
+        self.plan = plan
+        self.start = start
+        self.seconds: list[Second] = [Second()]
+        self.present = self.seconds[0]
+        self.number = 0  # of the present second
+        self.until = start + 1.0
+        self.classes = [ClassFigures(each.name) for each in plan.classes]
+        self.earned = [0.0 for _ in plan.classes]
+        self.earned_late = 0.0
+        self.unserved_late = 0.0  # worth that was left unserved after its aim
+        self.open: dict[int, tuple[int, float, int]] = {}  # first tries: class, instant, second
+        self.times: dict[int, list[float]] = {}  # ms, by second
+        self.horizon = int(max([each.deadline for each in plan.classes], default=0.0)) + 2
+        self.histograms = [histogram() for _ in plan.classes]
+
+    # While the day is played
+
+    def second(self, at: float) -> Second:
+        """The present second, which moves on."""
+        if at >= self.until:
+            number = self.number = max(self.number + 1, int(at - self.start))
+            while len(self.seconds) <= number:
+                self.seconds.append(Second())
+            self.present = self.seconds[number]
+            self.until = self.start + number + 1
+            for each in [each for each in self.times if each < number - self.horizon]:
+                self._close(each)
+        return self.present
+
+    def asked(self, first: int, index: int, at: float) -> None:
+        second = self.second(at)
+        figures = self.classes[index]
+        self.open[first] = (index, at, self.number)
+        second.asked += 1
+        second.worth += self.plan.classes[index].worth
+        figures.asked += 1
+
+    def settled(self, first: int, end: End, at: float) -> None:
+        index, since, number = self.open.pop(first)
+        second, figures, plan = self.seconds[number], self.classes[index], self.plan.classes[index]
+        took = at - since
+        if end == "served":
+            earned = plan.worth
+            if took <= plan.aim:
+                second.in_time += 1
+                figures.in_time += 1
+            else:
+                second.late += 1
+                figures.late += 1
+                earned *= plan.late_worth
+                self.earned_late += earned
+            second.earned += earned
+            self.earned[index] += earned
+            times = self.times.get(number)
+            if times is None:
+                times = self.times[number] = []
+            times.append(took * 1000)
+            self.histograms[index].record_value(min(LONGEST_MS, max(1, round(took * 1000))))
+            return
+        if end == "refused":
+            second.refused += 1
+            figures.refused += 1
+        else:
+            second.failed += 1
+            figures.failed += 1
+        if took > plan.aim:
+            self.unserved_late += plan.worth
+
+    def _close(self, number: int) -> None:
+        """No more answers come for this second."""
+        times = sorted(self.times.pop(number))
+        second = self.seconds[number]
+        second.p50_ms = round(percentile(times, 0.5), 3)
+        second.p99_ms = round(percentile(times, 0.99), 3)
+
+    # At its end
+
+    def finish(self, at: float) -> None:
+        """First tries that are still open have failed."""
+        self.second(at)
+        for first in list(self.open):
+            self.settled(first, "timeout", at)
+        for number in list(self.times):
+            self._close(number)
+
+    def worst_window(self) -> float:
+        """The least service of ten seconds in a row, within the time in which first tries arrive."""
+        whole = int(self.plan.length + 1e-9)
+        seconds = self.seconds[: max(whole, 1)]
+        worst = 1.0
+        for since in range(max(1, len(seconds) - WINDOW + 1)):
+            window = seconds[since : since + WINDOW]
+            worth = sum([second.worth for second in window])
+            if worth > 0:
+                worst = min(worst, sum([second.earned for second in window]) / worth)
+        return worst
+
+    def asked_work(self) -> float:
+        """Work that was asked for, by the classes' means and the tiers' shares."""
+        share = calls = 0.0
+        for number, tier in enumerate(self.plan.tiers):
+            calls = calls * tier.calls if number else 1.0
+            share += calls * tier.work
+        return share * sum(
+            [figures.asked * each.work for figures, each in zip(self.classes, self.plan.classes, strict=True)]
+        )
+
+    def outcome(self, grain: str, at: float, wall_s: float, waste: float, choke_price: float) -> Outcome:
+        """The figures of a day that was finished. `waste`: work for no answer over work asked for;
+        `choke_price`: what choked machines take off G."""
+        plan, goal = self.plan, self.plan.goal
+        worth = sum([second.worth for second in self.seconds])
+        whole = sum([second.earned for second in self.seconds]) / worth if worth > 0 else 1.0
+        worst_class, every = 1.0, histogram()
+        for index, figures in enumerate(self.classes):
+            times = self.histograms[index]
+            every.add(times)
+            figures.p50_ms = float(times.get_value_at_percentile(50))
+            figures.p99_ms = float(times.get_value_at_percentile(99))
+            asked = figures.asked * plan.classes[index].worth
+            if asked > 0:
+                figures.earned = self.earned[index] / asked
+                worst_class = min(worst_class, figures.earned)
+        worst_window = self.worst_window()
+        g = goal.whole * whole + goal.worst_window * worst_window + goal.worst_class * worst_class
+        g -= waste * goal.waste + choke_price
+        if worth > 0:
+            g -= goal.late_fail * self.unserved_late / worth
+        encoded = every.encode()
+        return Outcome(
+            scenario=plan.scenario,
+            seed=plan.seed,
+            grain=grain,
+            requests=sum([figures.asked for figures in self.classes]),
+            service=whole,
+            g=g,
+            whole=whole,
+            worst_window=worst_window,
+            worst_class=worst_class,
+            waste=waste,
+            simulated_s=at - self.start,
+            wall_s=wall_s,
+            classes=self.classes,
+            seconds=self.seconds,
+            latency=encoded.decode("ascii"),
+        )
--- /dev/null
+++ b/wheatring/lab/rules/ledger.py
@@ -0,0 +1,290 @@
+"""The ledger: the book that holds each event to the rules and keeps the figures.
+
+What `Outcome.counts` tells, by name:
+
+| name | counts |
+| --- | --- |
+| `taken` | requests taken by sidecars, calls of nodes among them |
+| `tries` | of these, tries of clients |
+| `answered`, `refused`, `failed` | answers that served, refused and failed, at all tiers |
+| `lost`, `untaken`, `left`, `forgiven` | other ends of requests; the last is what killed sidecars held |
+| `unsent_late` | tries refused or failed past half of their time, or not answered, without an attempt |
+| `unsent_late_worth` | their worth |
+| `attempts`, `turned_away` | attempts that arrived, and of these what never ran |
+| `sends`, `drains_checked` | first bytes sent, and of these to nodes that ever drained or were gone |
+| `effects` | runs that had an effect |
+| `told_late` | changes that a sidecar was told after they counted as told |
+| `cold_starts`, `cold_over` | starts that were watched, and how many of these were pushed over, by whomever |
+| `worth_asked`, `worth_in_time`, `worth_late` | sums of worth: asked for, earned in time, earned late |
+| `work_asked`, `work_done`, `work_useful` | seconds on a standard core: by the classes' means, done, of use |
+| any other | notes of that name; those named `unconnected` are failed connects of sidecars |
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from wheatring.lab.book import End, NodeState
+from wheatring.lab.outcome import Outcome
+from wheatring.lab.plan import Plan
+from wheatring.lab.rules import bounds
+from wheatring.lab.rules.answers import STILL_COMES
+from wheatring.lab.rules.cold import ColdStarts
+from wheatring.lab.rules.drains import Drains
+from wheatring.lab.rules.duplicates import ON_SOCKETS
+from wheatring.lab.rules.pages import Pages
+from wheatring.lab.rules.trace import Family, Trace, text
+
+HAPPENED = ("event", "event_over", "fell")  # notes that the outcome tells one by one
+
+
+class Ledger(Pages):
+    """Implements `Book`. `now` gives the world's instants, of which `start` is the day's first.
+
+    `family` gives a request's first try, by which work is traced from calls up to the client's answer; see
+    `work.py`. What can't have happened raises `MisuseError`: the fault is then of who told it.
+    """
+
+    def __init__(
+        self,
+        plan: Plan,
+        grain: str,
+        now: Callable[[], float],
+        start: float,
+        trace: Trace | None = None,
+        family: Family | None = None,
+    ) -> None:
+        super().__init__(plan, now, start, trace, family)
+        self.grain = grain
+        self.drains = Drains(plan)
+        self.kinds = {each.name: plan.tiers[each.tier].kinds[each.kind] for each in plan.nodes}
+        self.stopping: dict[str, float] = {}  # sidecars, since SIGTERM
+        self.cold = ColdStarts(plan.rules, self.drains, self.breaches)
+        self.choked_nodes: dict[str, None] = {}
+        self.sends = self.checked = self.forgiven = 0
+        self.notes: dict[str, float] = {}
+        self.happened: list[tuple[float, str]] = []
+
+    def happens(self, what: str) -> None:
+        self.happened.append((self.since(self.now()), what))
+
+    # Clients
+
+    def asked(self, first: int, index: int) -> None:
+        at = self.now()
+        self.figures.asked(first, index, at)
+        if self.trace is not None:
+            self.trace.line(at, "", f"asked first={first} index={index}", first)
+
+    def settled(self, first: int, end: End, tries: int) -> None:
+        at = self.now()
+        self.figures.settled(first, end, at)
+        if self.trace is not None:
+            self.trace.line(at, "", f"settled first={first} end={end} tries={tries}", first)
+
+    # Sidecars
+
+    def sidecar_up(self, sidecar: str) -> None:
+        at = self.now()
+        self.down.discard(sidecar)
+        self.stopping.pop(sidecar, None)
+        self.drains.up(sidecar, at)
+        if at > self.start and sidecar in self.front:
+            self.happens(f"sidecar {sidecar} starts")
+        if self.trace is not None:
+            self.trace.line(at, "", f"sidecar_up sidecar={sidecar}")
+
+    def sidecar_stopping(self, sidecar: str) -> None:
+        at = self.now()
+        self.stopping[sidecar] = at
+        self.happens(f"sidecar {sidecar} is told to stop")
+        if self.trace is not None:
+            self.trace.line(at, "", f"sidecar_stopping sidecar={sidecar}")
+
+    def sidecar_down(self, sidecar: str, killed: bool) -> None:
+        at = self.now()
+        told = self.stopping.get(sidecar)
+        held = self.held.get(sidecar, {})
+        if self.trace is not None:
+            self.trace.line(at, "", f"sidecar_down sidecar={sidecar} killed={killed}")
+        if sidecar in self.front or not killed:
+            self.happens(f"sidecar {sidecar} {'is killed' if killed else 'ends'}")
+        if not killed and told is None:
+            what = f"{sidecar} ended by itself, and nobody had told it to."
+            self.breaches.add("answer", what, sidecar=sidecar)
+        last = float("inf") if told is None else told + STILL_COMES
+        for request in held.values():
+            self.answers.unanswered(request, at)
+            # What is not forgiven is judged by what its caller is told of next: it may come as untaken.
+            if at > request.deadline + self.grace:
+                request.forgiven = True  # it has been judged
+            elif killed and request.taken <= last:
+                request.forgiven = True
+                self.forgiven += 1
+        held.clear()
+        self.down.add(sidecar)
+        self.down_at[sidecar] = at
+        self.drains.down(sidecar)
+
+    # Attempts
+
+    def sending(self, sidecar: str, node: str, at: float) -> None:
+        self.sends += 1
+        if node in self.drains.suspects:
+            self._drain(sidecar, node, at)
+        if self.trace is not None:
+            line = f"sending sidecar={sidecar} node={node} at={self.since(at)!r}"
+            self.trace.line(self.now(), "", line)
+
+    def _drain(self, sidecar: str, node: str, at: float) -> None:
+        self.checked += 1
+        off = self.drains.off_since(sidecar, node, at)
+        if off is not None and at > off + self.plan.rules.drain_grace + ON_SOCKETS:
+            after = at - off
+            what = f"{sidecar} sent to {node} {after:.3f} s after it knew that it drains or is gone."
+            place = self.breaches.add("drain", what, sidecar=sidecar, node=node)
+            if place >= 0:
+                self.drain_at[sidecar, node, at] = place
+
+    # Nodes and discovery
+
+    def node_up(self, node: str, capacity: Callable[[], float]) -> None:
+        at = self.now()
+        self.cold.watched.pop(node, None)
+        if at > self.start:
+            self.happens(f"node {node} starts")
+            self.cold.up(node, self.kinds[node], capacity, at)
+        if self.trace is not None:
+            self.trace.line(at, "", f"node_up node={node}")
+
+    def node_down(self, node: str) -> None:
+        at = self.now()
+        self.cold.watched.pop(node, None)
+        self.work.node_down(node)
+        self.happens(f"node {node} ends")
+        if self.trace is not None:
+            self.trace.line(at, "", f"node_down node={node}")
+
+    def offered(self, node: str, sidecar: str, work: float) -> None:
+        if node in self.cold.watched:
+            self.cold.offered(node, sidecar, work, self.now())
+        if self.trace is not None:
+            self.trace.line(self.now(), "", f"offered node={node} sidecar={sidecar} work={work!r}")
+
+    def choked(self, node: str) -> None:
+        self.choked_nodes[node] = None
+        self.happens(f"node {node} chokes")
+        if self.trace is not None:
+            self.trace.line(self.now(), "", f"choked node={node}")
+
+    def known(self, node: str, state: NodeState, started: float) -> None:
+        at = self.now()
+        self.drains.known(node, state, started, at)
+        if self.trace is not None:
+            self.trace.line(at, "", f"known node={node} state={state} started={started!r}")
+
+    def told(self, sidecar: str, node: str, state: NodeState, started: float) -> None:
+        at = self.now()
+        self.drains.told(sidecar, node, state, started, at)
+        if self.trace is not None:
+            line = f"told sidecar={sidecar} node={node} state={state} started={started!r}"
+            self.trace.line(at, "", line)
+
+    def asking(self, sidecar: str, wait: float) -> None:
+        at = self.now()
+        self.drains.asking(sidecar, wait, at)
+        if self.trace is not None:
+            self.trace.line(at, "", f"asking sidecar={sidecar} wait={wait!r}")
+
+    def unheard(self, sidecar: str) -> None:
+        at = self.now()
+        self.drains.unheard(sidecar, at)
+        if self.trace is not None:
+            self.trace.line(at, "", f"unheard sidecar={sidecar}")
+
+    # All
+
+    def note(self, what: str, **values: object) -> None:
+        self.notes[what] = self.notes.get(what, 0) + 1
+        if what == "unconnected":
+            self.figures.second(self.now()).unconnected += 1
+        if what in HAPPENED or self.trace is not None:
+            pairs = " ".join([f"{name}={text(value)}" for name, value in values.items()])
+            if what in HAPPENED:
+                self.happens(f"{what} {pairs}")
+            if self.trace is not None:
+                self.trace.line(self.now(), str(values.get("ident", "")), f"{what} {pairs}")
+
+    # The end
+
+    def finish(self, wall_s: float, leftovers: Mapping[str, Mapping[str, int]]) -> Outcome:
+        """Judge what is still open, and reckon. The day is over: nothing may be told afterwards."""
+        at = self.now()
+        for request in self.requests.values():
+            if not request.over:
+                if request.forgiven:
+                    continue
+                if request.sidecar in self.down:
+                    self.answers.lost(request, "its process ended")
+                else:
+                    self.answers.unanswered(request, at)
+            if self.alone and len(request.attempts) > 1:
+                for attempt in request.attempts:
+                    if attempt.out:
+                        attempt.ended = at
+                        self.duplicates.ended(request, attempt)
+        bounds.judge(leftovers, self.plan.limits, self.breaches)
+        figures = self.figures
+        figures.finish(at)
+        asked_work = figures.asked_work()
+        waste = max(0.0, self.work.done - self.work.useful) / asked_work if asked_work > 0 else 0.0
+        outcome = figures.outcome(self.grain, at, wall_s, waste, self._choke_price())
+        outcome.breaches = self.breaches.kept
+        outcome.breach_count = self.breaches.count
+        outcome.attempts_by_tier = self.by_tier
+        outcome.attempts_each = self.by_tier[0] / self.tries if self.by_tier and self.tries else 0.0
+        outcome.node_work = self.work.by_node
+        outcome.happened = self.happened
+        outcome.counts = self._counts(asked_work)
+        outcome.trace_hash = self.trace.hash if self.trace is not None else ""
+        return outcome
+
+    def _choke_price(self) -> float:
+        price = 0.0
+        for number, tier in enumerate(self.plan.tiers):
+            nodes = [node.name for node in self.plan.nodes if node.tier == number]
+            if tier.choke is not None and nodes:
+                price += tier.choke.price * len([n for n in nodes if n in self.choked_nodes]) / len(nodes)
+        return price
+
+    def _counts(self, asked_work: float) -> dict[str, float]:
+        figures, ends = self.figures, self.ends
+        earned = sum([second.earned for second in figures.seconds])
+        return {
+            "taken": self.taken_count,
+            "tries": self.tries,
+            "answered": ends["served"],
+            "refused": ends["refused"],
+            "failed": ends["failed"],
+            "lost": ends["lost"],
+            "untaken": ends["unknown"],
+            "left": ends["left"],
+            "forgiven": self.forgiven,
+            "unsent_late": self.unsent,
+            "unsent_late_worth": self.unsent_worth,
+            "attempts": sum(self.by_tier),
+            "turned_away": self.away,
+            "sends": self.sends,
+            "drains_checked": self.checked,
+            "effects": self.effects,
+            "told_late": self.drains.late,
+            "cold_starts": self.cold.count,
+            "cold_over": self.cold.over,
+            "worth_asked": sum([second.worth for second in figures.seconds]),
+            "worth_in_time": earned - figures.earned_late,
+            "worth_late": figures.earned_late,
+            "work_asked": asked_work,
+            "work_done": self.work.done,
+            "work_useful": self.work.useful,
+            **self.notes,
+        }
--- /dev/null
+++ b/wheatring/lab/rules/work.py
@@ -0,0 +1,68 @@
+"""Where work went: what was done at all tiers, and how much of it served an answer that a client got."""
+
+from __future__ import annotations
+
+from wheatring.lab.plan import Plan
+from wheatring.lab.rules.requests import Attempt, Request
+from wheatring.lab.rules.trace import Family
+
+ROOT = Attempt("", 0.0, 0.0)  # stands for the client, above all visits
+
+
+class Work:
+    """An attempt's work is of use once it made the answer that its caller got. That of a call goes to the
+    visit that it was made for, and so up to the client.
+
+    The visit above a call is the one of the same first try at the node whose sidecar was called: `family`
+    says which. Without it, a call that was served counts as of use.
+    """
+
+    def __init__(self, plan: Plan, front: set[str], family: Family | None) -> None:
+        last = len(plan.tiers) - 1
+        self.front = front
+        self.family = family
+        self.visits: dict[str, dict[int, Attempt]] = {
+            each.name: {} for each in plan.nodes if each.tier < last
+        }
+        self.done = 0.0
+        self.useful = 0.0
+        self.by_node = {each.name: 0.0 for each in plan.nodes}
+
+    def begins(self, ident: str, attempt: Attempt) -> None:
+        """An attempt that may call the next tier has arrived."""
+        first = self.family(ident) if self.family is not None else None
+        if first is not None:
+            self.visits[attempt.node][first] = attempt
+
+    def used(self, request: Request, attempt: Attempt) -> None:
+        """The attempt made the answer that the request's caller has."""
+        above: Attempt | None = ROOT
+        if request.sidecar not in self.front and self.family is not None:
+            visits, first = self.visits.get(request.sidecar), self.family(request.ident)
+            above = visits.get(first) if visits is not None and first is not None else None
+        if above is not None and above is not attempt and attempt.into is None:
+            attempt.into = above
+            self.credit(above, attempt.work)
+
+    def credit(self, attempt: Attempt, work: float) -> None:
+        """Work may be told after the answers that it served."""
+        while attempt is not ROOT:
+            attempt.work += work
+            if attempt.into is None:
+                return
+            attempt = attempt.into
+        self.useful += work
+
+    def worked(self, node: str, request: Request | None, work: float) -> None:
+        self.by_node[node] += work
+        self.done += work
+        if request is not None:
+            for attempt in request.attempts:
+                if attempt.node == node and not attempt.done and not attempt.away:
+                    attempt.done = True
+                    self.credit(attempt, work)
+                    return
+
+    def node_down(self, node: str) -> None:
+        if node in self.visits:
+            self.visits[node].clear()
