Read, check and draw the lab's scenarios, and list, check and plan them

A scenario is TOML, laid over the library scenario that it extends, decoded strictly, checked for what can't be meant together, and drawn to a plan: each path of it has random numbers of its own, so that one key does not move the draws of others. Events are gone through in the order of time against the fleet as it is by then, so that no node is named that does not run and none is taken down twice.

--- /dev/null
+++ b/tests/lab/scenarios.py
@@ -0,0 +1,117 @@
+"""What the tests of scenarios share: a small good text, and what makes a plan unsound."""
+
+from __future__ import annotations
+
+from math import inf
+
+from wheatring.lab.plan import EventPlan, Plan
+
+# Each table once, as little as it needs.
+GOOD = """
+title = "Good"
+what = "For tests."
+tail = 6
+
+[traffic]
+rate = 20
+
+[[class]]
+name = "ask"
+share = 1
+work = 0.1
+
+[[tier]]
+name = "near"
+nodes = 3
+work = 0.5
+
+[[tier.kind]]
+name = "any"
+
+[[tier]]
+name = "far"
+times = 2
+work = 0.5
+calls = 2
+
+[[tier.kind]]
+name = "fast"
+speed = [1.5, 2]
+
+[[tier.kind]]
+name = "late"
+"""
+
+
+def event(**keys: object) -> str:
+    """An event's table, to be added to a text."""
+
+    def said(value: object) -> str:
+        return str(value).lower() if isinstance(value, bool) else repr(value).replace("'", '"')
+
+    return "\n[[event]]\n" + "".join(f"{key} = {said(value)}\n" for key, value in keys.items())
+
+
+def _down(plan: Plan, event: EventPlan) -> float:
+    """When a node that this takes down is up again."""
+    if event.kind not in ("drain", "kill", "vanish") or event.replaced_by:
+        return inf
+    leaving = event.extra if event.kind == "drain" else 0.0
+    return event.at + leaving + (event.length or inf)
+
+
+def unsound(plan: Plan) -> list[str]:
+    """What no plan may have, whatever the seed."""
+    bad: list[str] = []
+    nodes = {node.name: node for node in plan.nodes}
+    fronts = {one.name: one for one in plan.sidecars}
+    own = {node.name for node in plan.nodes if node.tier < len(plan.tiers) - 1}
+    hosts = {node.host for node in plan.nodes} | {one.host for one in plan.sidecars}
+    if len(nodes) < len(plan.nodes) or len(fronts) < len(plan.sidecars) or nodes.keys() & fronts.keys():
+        bad.append("a name twice")
+    if len({node.host for node in plan.nodes if node.up}) < sum(node.up for node in plan.nodes):
+        bad.append("an address twice")
+    for node in plan.nodes:
+        if not 0 <= node.kind < len(plan.tiers[node.tier].kinds) or node.speed <= 0:
+            bad.append(f"{node.name}: kind or speed")
+    up = {node.name: 0.0 if node.up else inf for node in plan.nodes}  # from when on it runs
+    held: dict[str, float] = {}  # addresses of what is replaced, until when
+    sidecar_up: dict[str, float] = {}
+    last = 0.0
+    for event in plan.events:
+        if not last <= event.at < plan.length + plan.tail:
+            bad.append(f"{event.kind} at {event.at}: out of order, or of the day")
+        last = event.at
+        for name in event.nodes:
+            if name not in nodes:
+                bad.append(f"{event.kind}: no node {name}")
+            elif event.kind == "start":
+                if up[name] != inf:
+                    bad.append(f"start of {name}, which runs")
+                up[name] = event.at
+            elif up[name] > event.at:
+                bad.append(f"{event.kind} of {name} at {event.at}, which does not run")
+            elif event.kind in ("drain", "kill", "vanish"):
+                up[name] = _down(plan, event)
+                held[nodes[name].host] = event.at + event.extra
+        if event.replaced_by:
+            new = nodes[event.replaced_by]
+            if new.up or up[new.name] != inf or len(event.nodes) != 1 or not event.length:
+                bad.append(f"{event.nodes} replaced by {new.name}")
+            up[new.name] = event.at + event.extra + event.length
+            if new.tier != nodes[event.nodes[0]].tier or held.get(new.host, 0.0) >= up[new.name]:
+                bad.append(f"{new.name} stands in another tier, or where another still runs")
+        for name in event.sidecars:
+            if name not in fronts and name not in own:
+                bad.append(f"{event.kind}: no sidecar {name}")
+            elif sidecar_up.get(name, 0.0) > event.at or up.get(name, 0.0) > event.at:
+                bad.append(f"{event.kind} of {name}'s sidecar, which does not run")
+            sidecar_up[name] = event.at + event.extra + event.length
+        if not hosts.issuperset(event.hosts) or not hosts.issuperset(event.others):
+            bad.append(f"{event.kind}: no such host")
+        if (event.kind in ("partition", "latency")) != bool(event.hosts and event.others):
+            bad.append(f"{event.kind}: {len(event.hosts)} hosts, {len(event.others)} others")
+    never = [name for name, at in up.items() if at == inf and not nodes[name].up]
+    gone = {name for event in plan.events for name in event.nodes if event.kind != "start"}
+    bad += [f"{name} is never started" for name in never if name not in gone]
+    return bad
--- a/wheatring/commands/__init__.py
+++ b/wheatring/commands/__init__.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from wheatring import operators
+from wheatring.commands import lab
 
 
 def parser() -> argparse.ArgumentParser:
@@ -51,6 +52,8 @@
     )
     again.add_argument("folder", type=Path)
     again.set_defaults(call=capture_replay)
+
+    lab.add(groups)
     return top
 
 
--- /dev/null
+++ b/wheatring/commands/lab.py
@@ -0,0 +1,126 @@
+"""`wheatring lab ...`: scenarios listed, checked, drawn to plans, played.
+
+Each command is one function `add_NAME(commands)`, named in COMMANDS, which makes its parser by `command`.
+What its call needs of the lab is imported within the call: the program starts without the lab's packages.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    Commands = argparse._SubParsersAction[argparse.ArgumentParser]
+
+
+def command(
+    commands: Commands,
+    name: str,
+    call: Callable[[argparse.Namespace], int],
+    what: str,
+) -> argparse.ArgumentParser:
+    """The parser of a further command. A scenario that can't be used ends its call with status 2."""
+    parser = commands.add_parser(name, help=what, description=what)
+    parser.set_defaults(call=lambda args: _guarded(call, args))
+    return parser
+
+
+def _guarded(call: Callable[[argparse.Namespace], int], args: argparse.Namespace) -> int:
+    try:
+        from wheatring.lab.scenario.load import ScenarioError
+    except ModuleNotFoundError as bad:
+        print(f"wheatring: lab: needs what `pip install wheatring[lab]` installs: {bad}", file=sys.stderr)
+        return 2
+    try:
+        return call(args)
+    except ScenarioError as bad:
+        print(bad, file=sys.stderr)
+        return 2
+
+
+def scenario(parser: argparse.ArgumentParser) -> None:
+    """The words that say which day is meant: `scenario` and `seed`."""
+    parser.add_argument("scenario", metavar="NAME|FILE", help="of the library, or a TOML file")
+    parser.add_argument("--seed", type=int, default=1, metavar="N", help="of the draw (default: 1)")
+
+
+def add_list(commands: Commands) -> None:
+    command(commands, "list", list_scenarios, "the scenarios of the library")
+
+
+def list_scenarios(args: argparse.Namespace) -> int:
+    import textwrap
+
+    from wheatring.lab.scenario.load import load, names
+
+    for name in names():
+        found = load(name).scenario
+        print(f"{name}: {found.title}")
+        print(textwrap.fill(found.what, 100, initial_indent="    ", subsequent_indent="    "))
+    return 0
+
+
+def add_check(commands: Commands) -> None:
+    parser = command(commands, "check", check, "tell what is wrong with scenarios, and draw each a few times")
+    parser.add_argument("files", nargs="+", metavar="NAME|FILE")
+    parser.add_argument(
+        "--draws", type=int, default=20, metavar="N", help="seeds to draw each with (default: 20)"
+    )
+
+
+def check(args: argparse.Namespace) -> int:
+    from wheatring.lab.scenario.draw import draw
+    from wheatring.lab.scenario.load import ScenarioError, load
+
+    status = 0
+    for where in args.files:
+        try:
+            found = load(where)
+            for seed in range(1, args.draws + 1):
+                try:
+                    draw(found, seed)
+                except ScenarioError as bad:
+                    raise ScenarioError(f"{found.where}: seed {seed}", bad.faults) from None
+        except ScenarioError as bad:
+            print(bad, file=sys.stderr)
+            status = 2
+        else:
+            print(f"{where}: ok")
+    return status
+
+
+def add_plan(commands: Commands) -> None:
+    parser = command(commands, "plan", plan, "draw a day, tell its figures, and write it out")
+    scenario(parser)
+    parser.add_argument("--json", metavar="FILE", help="write the whole plan there; -: to standard output")
+
+
+def plan(args: argparse.Namespace) -> int:
+    import msgspec
+
+    from wheatring.lab.scenario.draw import draw, summary
+    from wheatring.lab.scenario.load import load
+
+    drawn = draw(load(args.scenario), args.seed)
+    told = msgspec.json.format(msgspec.json.encode(drawn), indent=1) + b"\n" if args.json else b""
+    if args.json == "-":
+        print(told.decode(), end="")
+        return 0
+    if args.json:
+        Path(args.json).write_bytes(told)
+    print("\n".join(summary(drawn).lines()))
+    return 0
+
+
+COMMANDS = (add_list, add_check, add_plan)
+
+
+def add(groups: Commands) -> None:
+    """The group, under the program's commands."""
+    group = groups.add_parser("lab", help="play the systems that the sidecar serves, in virtual time")
+    commands = group.add_subparsers(required=True, metavar="COMMAND")
+    for add_one in COMMANDS:
+        add_one(commands)
--- /dev/null
+++ b/wheatring/lab/scenario/draw.py
@@ -0,0 +1,152 @@
+"""A scenario and a seed to a plan. The same text and seed give the same plan, to the byte."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+from wheatring.lab.plan import (
+    ChokePlan,
+    ClassPlan,
+    ClientPlan,
+    DiscoveryPlan,
+    GoalPlan,
+    KindPlan,
+    LimitsPlan,
+    NetPlan,
+    Plan,
+    RulesPlan,
+    TierPlan,
+    TrafficPlan,
+)
+from wheatring.lab.scenario.capacity import Summary, capacity, demand, summary
+from wheatring.lab.scenario.events import Expansion
+from wheatring.lab.scenario.fleet import Fleet
+from wheatring.lab.scenario.load import Found, ScenarioError
+from wheatring.lab.scenario.numbers import Draws
+from wheatring.lab.scenario.schema import Choke, Kind, Scenario, Tier, Traffic
+from wheatring.lab.scenario.told import Unsound
+
+__all__ = ["Summary", "draw", "summary"]
+
+_CAPACITY = 4.0  # of discovery, where the scenario does not say
+
+
+def draw(found: Found, seed: int) -> Plan:
+    """The day of that seed. A draw that contradicts itself is a ScenarioError."""
+    try:
+        return _Day(found.scenario, Draws(seed)).plan(found.name)
+    except Unsound as bad:
+        raise ScenarioError(found.where, [bad.fault]) from None
+
+
+class _Day:
+    def __init__(self, scenario: Scenario, draws: Draws) -> None:
+        self.scenario = scenario
+        self.draws = draws
+
+    def plan(self, name: str) -> Plan:
+        given, draws = self.scenario, self.draws
+        length, tail = draws.number("length", given.length), draws.number("tail", given.tail)
+        classes = tuple(draws.plain(ClassPlan, f"class.{one.name}", one) for one in given.classes)
+        tiers = tuple(map(self._tier, given.tiers))
+        fleet = Fleet(draws, given)
+        first = tuple(fleet.nodes.values())
+        asked = demand(classes, tiers)
+        rate = min(able / work for able, work in zip(capacity(first, tiers), asked, strict=True))
+        events = Expansion(draws, given, fleet, length + tail).made
+        start = given.sidecar_start
+        return Plan(
+            scenario=name,
+            seed=draws.seed,
+            length=length,
+            tail=tail,
+            epoch=given.epoch,
+            front_notice=draws.number("front.notice", given.front.notice),
+            passes_deadline=draws.choice("passes_deadline", given.passes_deadline),
+            classes=classes,
+            tiers=tiers,
+            nodes=tuple(fleet.nodes.values()),
+            sidecars=fleet.sidecars,
+            traffic=self._traffic(given.traffic, rate, length),
+            net=draws.plain(NetPlan, "net", given.net),
+            clients=draws.plain(ClientPlan, "clients", given.clients),
+            discovery=self._discovery(fleet),
+            rules=draws.plain(RulesPlan, "rules", given.rules),
+            limits=draws.plain(LimitsPlan, "limits", given.limits),
+            goal=draws.plain(GoalPlan, "goal", given.goal),
+            events=tuple(events),
+            sidecar_start=(start[0], start[1]) if isinstance(start, tuple) else (start, start),
+        )
+
+    def _tier(self, given: Tier) -> TierPlan:
+        path = f"tier.{given.name}"
+        kinds = tuple(self._kind(f"{path}.kind.{kind.name}", kind) for kind in given.kinds)
+        return self.draws.plain(
+            TierPlan, path, given, kinds=kinds, choke=self._choke(f"{path}.choke", given.choke)
+        )
+
+    def _kind(self, path: str, given: Kind) -> KindPlan:
+        cores = self.draws.whole(f"{path}.cores", given.cores)
+        slots = self.draws.number(f"{path}.slots_per_core", given.slots_per_core)
+        queue = self.draws.number(f"{path}.queue_per_core", given.queue_per_core)
+        knee = self.draws.number(f"{path}.knee_per_core", given.knee_per_core)
+        return self.draws.plain(
+            KindPlan, path, given,
+            cores=cores, slots=max(1, round(slots * cores)), queue=round(queue * cores), knee=knee * cores,
+        )  # fmt: skip
+
+    def _choke(self, path: str, given: Choke | None) -> ChokePlan | None:
+        if given is None:
+            return None
+        share = self.draws.number(f"{path}.share", given.share)
+        there = self.draws.random(f"{path}.there").random() < share
+        return self.draws.plain(ChokePlan, path, given) if there else None
+
+    def _traffic(self, given: Traffic, most: float, length: float) -> TrafficPlan:
+        """`most`: first tries a second that use up the tier that runs out first."""
+        draws = self.draws
+        if given.rate is not None:
+            rate = draws.number("traffic.rate", given.rate)
+        else:
+            rate = float(f"{draws.number('traffic.load', given.load or 0.0) * most:.6g}")
+        points = list(given.points) if given.points is not None else self._shape(given)
+        lasting = [*points, (1.0, points[-1][1])]  # the last factor stays
+        mean = sum((one + other) / 2 * (to - at) for (at, one), (to, other) in pairwise(lasting))
+        return TrafficPlan(
+            rate=rate,
+            shape=tuple((round(at * length, 6), float(f"{factor / mean:.9g}")) for at, factor in points),
+            burst_cv=draws.number("traffic.burst_cv", given.burst_cv),
+            burst=draws.number("traffic.burst", given.burst),
+        )
+
+    def _shape(self, given: Traffic) -> list[tuple[float, float]]:
+        """Points (part of the day, factor) of a shape that is given by a word."""
+        draws = self.draws
+        word = draws.choice("traffic.shape", given.shape)
+        swing = draws.number("traffic.swing", given.swing)
+        if word == "ramp":
+            return [(0.0, 1.0 - swing), (1.0, 1.0 + swing)]
+        if word == "steady":
+            return [(0.0, 1.0)]
+        humps = draws.whole("traffic.humps", given.humps)
+        points = [(0.0, 1.0 - swing)]
+        for hump in range(humps):
+            random = draws.random(f"traffic.humps:{hump}")
+            points.append(((hump + random.uniform(0.3, 0.7)) / humps, 1.0 + swing * random.uniform(0.6, 1.4)))
+            points.append(((hump + 1) / humps, 1.0 - swing))
+        return points
+
+    def _discovery(self, fleet: Fleet) -> DiscoveryPlan:
+        given, draws = self.scenario.discovery, self.draws
+        call = draws.number("discovery.call_lines", given.call_lines)
+        if given.lines_per_s is not None:
+            lines = draws.number("discovery.lines_per_s", given.lines_per_s)
+        else:
+            callers = [len(fleet.sidecars), *map(len, fleet.tiers[:-1])]
+            whole = sum(
+                number * (call + len(tier)) for number, tier in zip(callers, fleet.tiers, strict=True)
+            )
+            times = draws.number("discovery.capacity", given.capacity or _CAPACITY)
+            within = draws.number("rules.ask_within", self.scenario.rules.ask_within)
+            lines = float(f"{times * whole / within:.6g}")
+        return draws.plain(DiscoveryPlan, "discovery", given, call_lines=call, lines_per_s=lines)
--- /dev/null
+++ b/wheatring/lab/scenario/events.py
@@ -0,0 +1,252 @@
+"""Events of a scenario to events of a plan: who is struck, repeats, and what takes several steps.
+
+Steps are gone through in the order of their instants, against the fleet as it is by then: nobody is named who
+does not run, nobody is taken down who is down already, and what comes in a machine's place is a planned node.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Sequence
+from functools import partial
+from math import inf
+from typing import Any
+
+from wheatring.lab.plan import EventKind, EventPlan
+from wheatring.lab.scenario.fleet import Fleet
+from wheatring.lab.scenario.forms import FORMS
+from wheatring.lab.scenario.numbers import Draws
+from wheatring.lab.scenario.schema import Event, Scenario
+from wheatring.lab.scenario.sound import labelled
+from wheatring.lab.scenario.told import Fault, Unsound
+
+_Call = Callable[[float], None]
+
+
+class Expansion:
+    """Goes through a day once; `made` holds what it gave, in the order of time."""
+
+    def __init__(self, draws: Draws, scenario: Scenario, fleet: Fleet, end: float) -> None:
+        self.made: list[EventPlan] = []
+        self.fleet = fleet
+        self.draws = draws
+        self._end = end
+        self.tiers = [tier.name for tier in scenario.tiers]
+        self._steps: list[tuple[float, int, int, _Call]] = []
+        self._serial = 0
+        for place, (label, event) in enumerate(labelled(scenario.events)):
+            one = _One(self, place, f"event.{label}", event)
+            first, every = one.number("at"), one.number("every")
+            for time in range(one.whole("times", 1)):
+                self.later(first + time * every, place, partial(one.begin, time))
+        while self._steps:
+            at, _, _, call = heapq.heappop(self._steps)
+            call(at)
+
+    def later(self, at: float, place: int, call: _Call) -> None:
+        """What would come after the day's end does not come."""
+        at = round(at, 6)
+        if at < self._end:
+            self._serial += 1
+            heapq.heappush(self._steps, (at, place, self._serial, call))
+
+    def emit(self, at: float, kind: EventKind, **values: Any) -> None:
+        self.made.append(EventPlan(at=at, kind=kind, **values))
+
+
+class _One:
+    """One event of the scenario, with all its times and steps."""
+
+    def __init__(self, day: Expansion, place: int, path: str, event: Event) -> None:
+        self.day = day
+        self.place = place
+        self.path = path
+        self.event = event
+        self.form = FORMS[event.kind]
+        self.chosen: list[str] = []
+
+    # What it says, drawn
+
+    def _said(self, key: str, default: object = 0.0) -> Any:
+        value = getattr(self.event, key)
+        return self.form.may.get(key, default) if value is None else value
+
+    def number(self, key: str) -> float:
+        return self.day.draws.number(f"{self.path}.{key}", self._said(key))
+
+    def whole(self, key: str, default: int) -> int:
+        return self.day.draws.whole(f"{self.path}.{key}", self._said(key, default))
+
+    def switch(self, key: str) -> bool:
+        return bool(self.day.draws.choice(f"{self.path}.{key}", self._said(key, False)))
+
+    def _tier(self) -> int | None:
+        if self.event.tier is not None:
+            return self.day.tiers.index(self.event.tier)
+        if self.event.nodes is not None:
+            return self.day.fleet.nodes[self.event.nodes[0]].tier
+        return None
+
+    # Whom it strikes
+
+    def _pick(self, time: int, at: float, running: Sequence[str]) -> list[str]:
+        """Out of those that run: by name, all, or some in a drawn order; for further times the same again."""
+        anew = self.switch("anew")
+        if time and not anew:
+            return [name for name in self.chosen if name in running]
+        named = self.event.nodes or self.event.sidecars
+        if named:
+            for name in named:
+                if name not in running and not time:
+                    key = "nodes" if self.event.nodes else "sidecars"
+                    raise Unsound(Fault(f"{self.path}.{key}", f"{name} does not run at {at:g} s", named))
+            self.chosen = [name for name in named if name in running]
+            return self.chosen
+        if not running:
+            raise Unsound(Fault(f"{self.path}.at", "nothing that it could strike runs then", at))
+        order = self.day.draws.order(f"{self.path}.pick{time if anew else ''}", running)
+        if self.event.count is not None:
+            wanted = self.whole("count", 1)
+        elif self.event.part is not None:
+            wanted = max(1, round(self.number("part") * len(running)))
+        else:
+            wanted = len(running)
+        self.chosen = order[:wanted]
+        return self.chosen
+
+    def _nodes(self, time: int, at: float) -> list[str]:
+        tier, fleet = self._tier(), self.day.fleet
+        if self.event.nodes is not None:
+            running = [name for name in self.event.nodes if fleet.free[name] <= at]
+        else:
+            assert tier is not None
+            running = fleet.running(tier, at)
+        return self._pick(time, at, running)
+
+    def _sidecars(self, time: int, at: float) -> list[str]:
+        fleet = self.day.fleet
+        if self.event.sidecars is None:
+            return self._pick(time, at, fleet.sidecars_running(self._tier(), at))
+        free = [name for name in self.event.sidecars if fleet.sidecar_free[name] <= at]
+        return self._pick(time, at, [name for name in free if fleet.free.get(name, 0.0) <= at])
+
+    # What it does
+
+    def begin(self, time: int, at: float) -> None:
+        kind: Any = self.event.kind
+        figures = {key: self.number(key) for key in ("length", "size", "extra")}
+        if self.form.whom == "none":
+            self.day.emit(at, kind, **figures)
+        elif kind == "clock_step":
+            self._clock(time, at, figures)
+        elif self.form.whom == "link":
+            self._link(time, at, kind, figures)
+        elif kind == "start":
+            self._start(at)
+        elif self.form.whom == "sidecars":
+            self._end_sidecars(time, at)
+        elif kind in ("drain", "kill", "release", "restart"):
+            self._end_nodes(time, at)
+        else:
+            self._strike(time, at, kind, figures)
+
+    def _strike(self, time: int, at: float, kind: EventKind, figures: dict[str, float]) -> None:
+        names = self._nodes(time, at)
+        if kind == "vanish":
+            for name in names:
+                self.day.fleet.restarted(name, at + (figures["length"] or inf))
+        if names:
+            self.day.emit(at, kind, nodes=tuple(names), **figures)
+
+    def _clock(self, time: int, at: float, figures: dict[str, float]) -> None:
+        event = self.event
+        hosts: tuple[str, ...] = ()
+        if event.nodes is not None or event.tier is not None:
+            hosts = self._hosts(self._nodes(time, at))
+        elif event.sidecars is not None or event.part is not None or event.count is not None:
+            hosts = self._hosts(self._sidecars(time, at))
+        self.day.emit(at, "clock_step", hosts=hosts, **figures)
+
+    def _link(self, time: int, at: float, kind: EventKind, figures: dict[str, float]) -> None:
+        tier, fleet = self._tier(), self.day.fleet
+        names = self._nodes(time, at)
+        assert tier is not None
+        callers = fleet.running(tier - 1, at) if tier else [one.name for one in fleet.sidecars]
+        callers = self.day.draws.order(f"{self.path}.callers", callers)
+        wanted = self.whole("callers", 0) or len(callers)
+        if names and callers:
+            self.day.emit(
+                at, kind, hosts=self._hosts(callers[:wanted]), others=self._hosts(names),
+                one_way=self.switch("one_way"), **figures,
+            )  # fmt: skip
+
+    def _hosts(self, names: Sequence[str]) -> tuple[str, ...]:
+        return tuple(dict.fromkeys(self.day.fleet.host(name) for name in names))
+
+    def _start(self, at: float) -> None:
+        tier = self._tier()
+        assert tier is not None
+        fleet = self.day.fleet
+        if self.event.count is not None:
+            wanted = self.whole("count", 1)
+        else:
+            wanted = max(1, round(self.number("part") * len(fleet.running(tier, at))))
+        self.day.emit(at, "start", nodes=tuple(fleet.newcomer(tier, at) for _ in range(wanted)))
+
+    def _end_nodes(self, time: int, at: float) -> None:
+        """Drained or killed; all at once, or one after another."""
+        rolling = self.event.kind in ("release", "restart")
+        kind: EventKind = "kill" if self.event.kind == "kill" else "drain"
+        lead = self.number("lead" if rolling else "extra")
+        gap = self.number("gap" if rolling else "length")
+        replaced = self.event.kind == "release" or self.switch("replaced")
+        step = self.number("step") if rolling else 0.0
+        names = self._nodes(time, at)
+        if rolling or replaced:
+            for place, name in enumerate(names):
+                self.day.later(
+                    at + place * step, self.place, partial(self._end_node, name, kind, lead, gap, replaced)
+                )
+            return
+        for name in names:
+            self.day.fleet.restarted(name, at + lead + (gap or inf))
+        if names:
+            self.day.emit(at, kind, nodes=tuple(names), length=gap, extra=lead)
+
+    def _end_node(
+        self, name: str, kind: EventKind, lead: float, gap: float, replaced: bool, at: float
+    ) -> None:
+        fleet = self.day.fleet
+        if fleet.free[name] > at:
+            return  # something else has taken it down in the meantime
+        new = ""
+        if replaced:
+            same = self.day.draws.random(f"{self.path}.same_address:{name}").random()
+            new = fleet.successor(name, at + lead + gap, same < self.number("same_address"))
+        else:
+            fleet.restarted(name, at + lead + gap)
+        self.day.emit(at, kind, nodes=(name,), length=gap, extra=lead, replaced_by=new)
+
+    def _end_sidecars(self, time: int, at: float) -> None:
+        names = self._sidecars(time, at)
+        if self.event.kind in ("sidecar_kill", "sidecar_restart"):
+            self._end_them(names, self.event.kind, self.number("extra"), self.number("length"), at)
+            return
+        lead, gap = self.number("lead"), self.number("gap")
+        step, spread = self.number("step"), self.number("spread")
+        for place, name in enumerate(names):
+            random = self.day.draws.random(f"{self.path}.spread{time}:{name}")
+            delay = random.uniform(0.0, spread) if spread else place * step
+            self.day.later(
+                at + delay, self.place, partial(self._end_them, [name], "sidecar_restart", lead, gap)
+            )
+
+    def _end_them(self, names: list[str], kind: EventKind, lead: float, gap: float, at: float) -> None:
+        fleet = self.day.fleet
+        running = [
+            name for name in names if fleet.sidecar_free[name] <= at and fleet.free.get(name, 0.0) <= at
+        ]
+        for name in running:
+            fleet.sidecar_restarted(name, at + lead + gap)
+        if running:
+            self.day.emit(at, kind, sidecars=tuple(running), length=gap, extra=lead)
--- /dev/null
+++ b/wheatring/lab/scenario/fleet.py
@@ -0,0 +1,142 @@
+"""The machines of a day: the first ones, those that come in their place, and from when on each runs."""
+
+from __future__ import annotations
+
+from math import exp, inf, log, sqrt
+
+from wheatring.lab.plan import NodePlan, SidecarPlan
+from wheatring.lab.scenario.numbers import Draws, dealt
+from wheatring.lab.scenario.schema import Scenario
+from wheatring.lab.scenario.sound import FRONT, high
+from wheatring.lab.scenario.told import Fault, Unsound
+
+_SETTLED = 0.05  # what has come back is left alone until so long after
+_NETS = 16  # the first tier's addresses are in 127.16.0.0/16, the next one's in the net after it
+_MACHINES = 250 * 256  # addresses of a net that are used
+
+
+def _host(net: int, number: int) -> str:
+    return f"127.{net}.{number // 250}.{number % 250 + 1}"
+
+
+class Fleet:
+    """`free` and `sidecar_free` say from when on one runs with nothing planned that takes it down again."""
+
+    def __init__(self, draws: Draws, scenario: Scenario) -> None:
+        self.draws = draws
+        self.scenario = scenario
+        self.nodes: dict[str, NodePlan] = {}
+        self.tiers: list[list[str]] = []  # names of its machines, in the order in which they are planned
+        self.free: dict[str, float] = {}
+        self.sidecar_free: dict[str, float] = {}
+        self._start_up = high(scenario.sidecar_start) + _SETTLED
+        self._cells: list[int] = []
+        self._speeds: list[list[tuple[float, float]]] = []  # mean and cv of each kind
+        self._shares: list[list[float]] = []
+        self.sidecars = self._front()
+        self._front_hosts = {one.name: one.host for one in self.sidecars}
+        for tier in range(len(scenario.tiers)):
+            self._first(tier)
+
+    def _front(self) -> tuple[SidecarPlan, ...]:
+        front, zones = self.scenario.front, self.scenario.zones
+        made = []
+        for number in range(self.draws.whole("front.sidecars", front.sidecars)):
+            name = f"{FRONT}-{number + 1}"
+            start = self.draws.number(f"front.starts:{name}", front.starts)
+            zone = zones[number % len(zones)]
+            made.append(SidecarPlan(name=name, host=_host(1, number), zone=zone, start=start))
+            self.sidecar_free[name] = start + self._start_up
+        return tuple(made)
+
+    def _first(self, tier: int) -> None:
+        """A tier's machines that run from the start on."""
+        given, draws = self.scenario.tiers[tier], self.draws
+        path = f"tier.{given.name}"
+        if given.nodes is not None:
+            size = draws.whole(f"{path}.nodes", given.nodes)
+        else:
+            size = max(1, round(draws.number(f"{path}.times", given.times or 1.0) * len(self.tiers[0])))
+        kinds = [(f"{path}.kind.{kind.name}", kind) for kind in given.kinds]
+        self._shares.append([draws.number(f"{at}.share", kind.share) for at, kind in kinds])
+        self._speeds.append(
+            [
+                (draws.number(f"{at}.speed", kind.speed), draws.number(f"{at}.speed_cv", kind.speed_cv))
+                for at, kind in kinds
+            ]
+        )
+        self._cells.append(draws.whole(f"{path}.cell_size", given.cell_size))
+        self.tiers.append([])
+        names = [f"{given.name}-{number}" for number in range(1, size + 1)]
+        parts = dealt(size, self._shares[tier])
+        kind_of = [kind for kind, number in enumerate(parts) for _ in range(number)]
+        # Kinds are dealt in a drawn order, so that a name tells nothing of the machine.
+        dealt_to = dict(zip(draws.order(f"{path}.kinds", names), kind_of, strict=True))
+        for name in names:
+            self._add(tier, name, dealt_to[name], 0.0)
+
+    def _add(
+        self, tier: int, name: str, kind: int, start: float, like: NodePlan | None = None, host: str = ""
+    ) -> None:
+        """One machine more: it runs from the start on, or is started at an instant, where `like` stood."""
+        number = len(self.tiers[tier])
+        zones = self.scenario.zones
+        if number >= _MACHINES:
+            raise Unsound(Fault(f"tier.{self.scenario.tiers[tier].name}", "runs out of addresses"))
+        self.nodes[name] = NodePlan(
+            name=name,
+            tier=tier,
+            kind=kind,
+            speed=self._speed(tier, kind, name),
+            host=host or _host(_NETS + tier, number),
+            cell=like.cell if like else number // self._cells[tier],
+            zone=like.zone if like else zones[number % len(zones)],
+            up=start == 0.0,
+        )
+        self.tiers[tier].append(name)
+        self.restarted(name, start)
+
+    def _speed(self, tier: int, kind: int, name: str) -> float:
+        mean, cv = self._speeds[tier][kind]
+        if not cv:
+            return mean
+        sigma = sqrt(log(1 + cv * cv))
+        normal = self.draws.random(f"tier.{self.scenario.tiers[tier].name}.speed:{name}").gauss(0.0, 1.0)
+        return float(f"{mean * exp(sigma * normal - sigma * sigma / 2):.6g}")
+
+    def successor(self, name: str, start: float, same_address: bool) -> str:
+        """A new machine in the place of one that ends, of its kind, with a name of its own."""
+        like = self.nodes[name]
+        place, _, generation = name.partition(".")
+        new = f"{place}.{int(generation or 1) + 1}"
+        self._add(like.tier, new, like.kind, start, like, like.host if same_address else "")
+        self.free[name] = self.sidecar_free[name] = inf
+        return new
+
+    def newcomer(self, tier: int, start: float) -> str:
+        """A machine that is added to a tier."""
+        given = self.scenario.tiers[tier]
+        name = f"{given.name}-{1 + sum('.' not in other for other in self.tiers[tier])}"
+        kinds = range(len(given.kinds))
+        random = self.draws.random(f"tier.{given.name}.kind:{name}")
+        self._add(tier, name, random.choices(kinds, self._shares[tier])[0], start)
+        return name
+
+    def restarted(self, name: str, start: float) -> None:
+        """It starts, or starts again, at an instant; inf: never."""
+        self.free[name] = start + _SETTLED if start else 0.0
+        self.sidecar_free[name] = start + self._start_up
+
+    def sidecar_restarted(self, name: str, start: float) -> None:
+        self.sidecar_free[name] = start + self._start_up
+
+    def running(self, tier: int, at: float) -> list[str]:
+        return [name for name in self.tiers[tier] if self.free[name] <= at]
+
+    def sidecars_running(self, tier: int | None, at: float) -> list[str]:
+        """Those of the front, or a tier's nodes whose own run."""
+        names = [one.name for one in self.sidecars] if tier is None else self.running(tier, at)
+        return [name for name in names if self.sidecar_free[name] <= at]
+
+    def host(self, name: str) -> str:
+        return self.nodes[name].host if name in self.nodes else self._front_hosts[name]
--- /dev/null
+++ b/wheatring/lab/scenario/load.py
@@ -0,0 +1,166 @@
+"""Read a scenario: TOML, laid over the one that it extends, decoded to `schema`, and checked.
+
+What can't be used is a `ScenarioError`: one line a fault, `FILE: path.to.key: what is wrong, is VALUE`. In
+paths, entries of arrays go by their name, events without one by their kind, numbered from the second on.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+import tomllib
+from collections.abc import Iterable, Iterator, Mapping
+from importlib import resources
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+
+from wheatring.lab.scenario import sound, told
+from wheatring.lab.scenario.schema import Scenario
+
+_LIBRARY = resources.files("wheatring.lab.scenario") / "library"
+
+# Keys that say the same thing in different ways: one that is laid over the other takes its place.
+_INSTEAD: Mapping[str, tuple[tuple[str, ...], ...]] = {
+    "tier": (("nodes", "times"),),
+    "traffic": (("rate", "load"), ("shape", "points")),
+    "discovery": (("lines_per_s", "capacity"),),
+    "event": (("part", "count", "nodes", "sidecars"),),
+}
+Raw = dict[str, Any]
+
+
+class ScenarioError(ValueError):
+    """A scenario that can't be used. The text has a line for each fault."""
+
+    def __init__(self, where: str, faults: Iterable[told.Fault]) -> None:
+        self.faults = tuple(faults)
+        super().__init__("\n".join(f"{where}: {fault}" for fault in self.faults))
+
+
+class Found(NamedTuple):
+    """A scenario that is sound, by its name, and the file's name for messages."""
+
+    name: str
+    where: str
+    scenario: Scenario
+
+
+def names() -> list[str]:
+    """The scenarios of the library."""
+    return sorted(entry.name[:-5] for entry in _LIBRARY.iterdir() if entry.name.endswith(".toml"))
+
+
+def load(where: str | Path) -> Found:
+    """A scenario of the library by name, or one of a file: what has a suffix or a folder is a file."""
+    text = str(where)
+    if isinstance(where, str) and re.fullmatch(r"[A-Za-z0-9_-]+", text):
+        if text not in names():
+            raise ScenarioError(text, [told.Fault("", "no scenario of the library, and no file")])
+        return parse((_LIBRARY / f"{text}.toml").read_text(encoding="utf-8"), text, f"{text}.toml")
+    try:
+        content = Path(where).read_text(encoding="utf-8")
+    except OSError as bad:
+        raise ScenarioError(text, [told.Fault("", f"can't be read: {bad.strerror}")]) from None
+    except UnicodeDecodeError:
+        raise ScenarioError(text, [told.Fault("", "not UTF-8")]) from None
+    return parse(content, Path(where).stem, text)
+
+
+def parse(text: str, name: str, where: str) -> Found:
+    """The scenario that a text tells. `where` is what messages call it."""
+    try:
+        raw = _whole(text, where, (name,))
+        found = msgspec.convert(raw, Scenario)
+    except tomllib.TOMLDecodeError as bad:
+        raise ScenarioError(where, [told.Fault("", f"not TOML: {bad}")]) from None
+    except msgspec.ValidationError as bad:
+        raise ScenarioError(where, [told.fault(str(bad), raw)]) from None
+    faults = sound.faults(found)
+    if faults:
+        raise ScenarioError(where, faults)
+    return Found(name, where, found)
+
+
+def _whole(text: str, where: str, below: tuple[str, ...]) -> Raw:
+    """A text's tables, laid over those of what it extends."""
+    raw = tomllib.loads(text)
+    faults = [told.Fault(path, "must be finite", value) for path, value in _infinite(raw)]
+    if faults:
+        raise ScenarioError(where, faults)
+    base = raw.get("extends")
+    if not isinstance(base, str):
+        if raw.get("without"):
+            raise ScenarioError(where, [told.Fault("without", "there is no `extends`", raw["without"])])
+        return raw
+    if base not in names():
+        raise ScenarioError(where, [told.Fault("extends", "no scenario of the library", base)])
+    if base in below:
+        raise ScenarioError(where, [told.Fault("extends", "extends itself", base)])
+    under = _whole((_LIBRARY / f"{base}.toml").read_text(encoding="utf-8"), f"{base}.toml", (*below, base))
+    under.pop("without", None)
+    left_out = raw.get("without", [])
+    for path in left_out if isinstance(left_out, list) else []:
+        if not isinstance(path, str) or not _remove(under, path):
+            raise ScenarioError(where, [told.Fault("without", f"{base} has no such table", path)])
+    return _laid(under, raw, "")
+
+
+def _infinite(value: object, path: str = "") -> Iterator[tuple[str, object]]:
+    if isinstance(value, float) and not math.isfinite(value):
+        yield path, value
+    elif isinstance(value, dict):
+        for key, inner in value.items():
+            yield from _infinite(inner, f"{path}.{key}" if path else key)
+    elif isinstance(value, list):
+        labels = told.labels(value)
+        for label, inner in zip(labels, value, strict=True):
+            yield from _infinite(inner, f"{path}.{label}" if isinstance(inner, dict) else path)
+
+
+def _remove(raw: Raw, path: str) -> bool:
+    """Take out `table`, or the entry of an array of tables that is named by `array.name`."""
+    table, _, name = path.partition(".")
+    if not name:
+        return raw.pop(table, None) is not None
+    entries = raw.get(table)
+    if not isinstance(entries, list) or name not in told.labels(entries):
+        return False
+    del entries[told.labels(entries).index(name)]
+    return True
+
+
+def _laid(under: Raw, over: Raw, at: str) -> Raw:
+    laid = dict(under)
+    for keys in _INSTEAD.get(at, ()):
+        if any(key in over for key in keys):
+            for key in keys:
+                laid.pop(key, None)
+    for key, value in over.items():
+        below = under.get(key)
+        if isinstance(value, dict) and isinstance(below, dict):
+            laid[key] = _laid(below, value, key)
+        elif _tables(value) and _tables(below):
+            laid[key] = _entries(under[key], value, key)
+        else:
+            laid[key] = value
+    return laid
+
+
+def _tables(value: object) -> bool:
+    return isinstance(value, list) and bool(value) and all(isinstance(entry, dict) for entry in value)
+
+
+def _entries(under: list[Raw], over: list[Raw], at: str) -> list[Raw]:
+    """Those of the same name are laid over each other; all others are added."""
+    laid = list(under)
+    places = {entry["name"]: place for place, entry in enumerate(under) if isinstance(entry.get("name"), str)}
+    for entry in over:
+        name = entry.get("name")
+        place = places.pop(name, None) if isinstance(name, str) else None
+        if place is None:
+            laid.append(entry)
+        else:
+            laid[place] = _laid(laid[place], entry, at)
+    return laid
--- /dev/null
+++ b/wheatring/lab/scenario/numbers.py
@@ -0,0 +1,67 @@
+"""Draws: each path of a scenario has random numbers of its own, so that no key moves the draws of another."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from random import Random
+from typing import Any, TypeVar
+
+from msgspec import Struct, structs
+
+T = TypeVar("T")
+P = TypeVar("P", bound=Struct)
+
+Numbers = float | tuple[float, ...]
+Wholes = int | tuple[int, ...]
+
+
+class Draws:
+    """All draws of one seed, by path."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+
+    def random(self, path: str) -> Random:
+        return Random(f"{self.seed}:{path}")
+
+    def number(self, path: str, given: Numbers) -> float:
+        """A number, or one out of its range, to six places that count."""
+        if not isinstance(given, tuple):
+            return given
+        low, high = given
+        return min(high, max(low, float(f"{self.random(path).uniform(low, high):.6g}")))
+
+    def whole(self, path: str, given: Wholes) -> int:
+        return self.random(path).randint(*given) if isinstance(given, tuple) else given
+
+    def choice(self, path: str, given: T | tuple[T, ...]) -> T:
+        return self.random(path).choice(given) if isinstance(given, tuple) else given
+
+    def order(self, path: str, names: Iterable[str]) -> list[str]:
+        """Names in a drawn order. Which of two comes first does not hang on what other names there are."""
+        return sorted(names, key=lambda name: (self.random(f"{path}:{name}").random(), name))
+
+    def plain(self, into: type[P], path: str, given: Struct, **made: object) -> P:
+        """A part of a plan: what is not made already is drawn from the key of the same name."""
+        values: dict[str, Any] = dict(made)
+        for field in structs.fields(into):
+            if field.name not in values:
+                values[field.name] = self._value(
+                    f"{path}.{field.name}", field.type, getattr(given, field.name)
+                )
+        return into(**values)
+
+    def _value(self, path: str, kind: object, given: Any) -> object:
+        if kind is float:
+            return self.number(path, given)
+        return self.whole(path, given) if kind is int else self.choice(path, given)
+
+
+def dealt(total: int, shares: Sequence[float]) -> list[int]:
+    """Whole numbers as near to the shares as can be that add up to the total."""
+    exact = [total * share / sum(shares) for share in shares]
+    parts = [int(part) for part in exact]
+    left = sorted(range(len(parts)), key=lambda place: (parts[place] - exact[place], place))
+    for place in left[: total - sum(parts)]:
+        parts[place] += 1
+    return parts
--- /dev/null
+++ b/wheatring/lab/scenario/sound.py
@@ -0,0 +1,263 @@
+"""Whether the parts of a scenario agree: names, ranges, and what can't be meant together.
+
+What depends on the draw (whether a node still runs when it is to be drained) is found by the draw.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from itertools import pairwise
+
+import msgspec
+from msgspec import structs
+
+from wheatring.lab.scenario.forms import FORMS, SELECTORS, allowed
+from wheatring.lab.scenario.schema import Class, Discovery, Event, Goal, Kind, Rules, Scenario, Tier, Traffic
+from wheatring.lab.scenario.told import Fault, labels
+
+MOST_NODES = 20_000  # of a tier, for its addresses
+MOST_SIDECARS = 20_000
+FRONT = "front"  # the front's sidecars go by this, so no tier may
+
+
+def low(value: float | tuple[float, ...]) -> float:
+    return value[0] if isinstance(value, tuple) else value
+
+
+def high(value: float | tuple[float, ...]) -> float:
+    return value[-1] if isinstance(value, tuple) else value
+
+
+def labelled(events: Sequence[Event]) -> list[tuple[str, Event]]:
+    """Events with the names that they go by in messages and draws."""
+    return list(zip(labels([structs.asdict(event) for event in events]), events, strict=True))
+
+
+def faults(scenario: Scenario) -> list[Fault]:
+    found = list(_ranges(scenario, ""))
+    found += _doubled("class", [entry.name for entry in scenario.classes])
+    found += _doubled("tier", [entry.name for entry in scenario.tiers])
+    found += _doubled("event", [label for label, _ in labelled(scenario.events)])
+    if len(set(scenario.zones)) < len(scenario.zones):
+        found.append(Fault("zones", "has a name twice", scenario.zones))
+    if found:
+        return found  # what follows takes ranges and names for granted
+    for entry in scenario.classes:
+        found += _class(entry, scenario.tail)
+    for place, tier in enumerate(scenario.tiers):
+        found += _tier(tier, place == 0, scenario)
+    if high(scenario.front.sidecars) > MOST_SIDECARS:
+        found.append(Fault("front.sidecars", f"must be {MOST_SIDECARS} at most", scenario.front.sidecars))
+    if low(scenario.net.window) < high(scenario.net.segment):
+        found.append(Fault("net.segment", "over net.window", scenario.net.segment))
+    found += _traffic(scenario.traffic)
+    found += _discovery(scenario.discovery)
+    found += _goal(scenario.goal)
+    events = labelled(scenario.events)
+    for label, event in events:
+        found += _event(f"event.{label}", event, scenario)
+    found += _meeting(events)
+    return found
+
+
+def _ranges(table: msgspec.Struct, path: str) -> Iterator[Fault]:
+    """Each range must hold something, and each choice name a thing once."""
+    for field in structs.fields(table):
+        value = getattr(table, field.name)
+        at = f"{path}.{field.encode_name}" if path else field.encode_name
+        if isinstance(value, msgspec.Struct):
+            yield from _ranges(value, at)
+        elif isinstance(value, tuple) and value and isinstance(value[0], msgspec.Struct):
+            for label, entry in zip(labels([structs.asdict(one) for one in value]), value, strict=True):
+                yield from _ranges(entry, f"{at}.{label}")
+        elif isinstance(value, tuple) and value and type(value[0]) in (int, float) and value[0] > value[-1]:
+            yield Fault(at, "an empty range", value)
+
+
+def _doubled(path: str, names: Sequence[str]) -> Iterator[Fault]:
+    for place, name in enumerate(names):
+        if name in names[:place]:
+            yield Fault(f"{path}.{name}", "there is another of that name")
+
+
+def _class(entry: Class, tail: float | tuple[float, ...]) -> Iterator[Fault]:
+    path = f"class.{entry.name}"
+    if high(entry.aim) > low(entry.deadline):
+        yield Fault(f"{path}.aim", "over its deadline", entry.aim)
+    if high(entry.deadline) > low(tail):
+        yield Fault(f"{path}.deadline", "over `tail`, in which all must be answered", entry.deadline)
+
+
+def _tier(tier: Tier, first: bool, scenario: Scenario) -> Iterator[Fault]:
+    path = f"tier.{tier.name}"
+    if tier.name == FRONT:
+        yield Fault(f"{path}.name", "the front's sidecars go by it", tier.name)
+    if (tier.nodes is None) == (tier.times is None):
+        yield Fault(f"{path}.nodes", "either it or `times`, and not both, is needed", tier.nodes)
+    elif first and tier.nodes is None:
+        yield Fault(f"{path}.times", "the first tier needs `nodes`", tier.times)
+    elif _most(tier, scenario.tiers[0]) > MOST_NODES:
+        yield Fault(f"{path}.nodes", f"must be {MOST_NODES} at most", _most(tier, scenario.tiers[0]))
+    if first and tier.calls != 1.0:
+        yield Fault(f"{path}.calls", "each request visits the first tier once", tier.calls)
+    yield from _doubled(f"{path}.kind", [kind.name for kind in tier.kinds])
+    for kind in tier.kinds:
+        yield from _kind(f"{path}.kind.{kind.name}", kind, scenario.rules)
+    if tier.choke and high(tier.choke.below) >= low(tier.choke.at):
+        yield Fault(f"{path}.choke.below", "must be under `at`", tier.choke.below)
+
+
+def _kind(path: str, kind: Kind, rules: Rules) -> Iterator[Fault]:
+    if high(kind.cold) > low(rules.cold):
+        yield Fault(f"{path}.cold", "over rules.cold, which sidecars go by", kind.cold)
+    if high(kind.cold) > 0 and low(kind.cold_from) < high(rules.cold_from):
+        yield Fault(f"{path}.cold_from", "under rules.cold_from, which sidecars go by", kind.cold_from)
+    if high(kind.cold) == 0 and low(kind.cold_from) < 1:
+        yield Fault(f"{path}.cold_from", "it never gets warm: `cold` is 0", kind.cold_from)
+    if high(kind.pause) > 0 and low(kind.pause_every) == 0:
+        yield Fault(f"{path}.pause_every", "there are pauses: must be more than 0", kind.pause_every)
+
+
+def _traffic(traffic: Traffic) -> Iterator[Fault]:
+    if (traffic.rate is None) == (traffic.load is None):
+        yield Fault("traffic.rate", "either it or `load`, and not both, is needed", traffic.rate)
+    points = traffic.points
+    if points is None:
+        return
+    if traffic.shape != "steady":
+        yield Fault("traffic.shape", "there are points, which are a shape of their own", traffic.shape)
+    instants = [at for at, _ in points]
+    if instants[0] != 0.0 or any(one >= other for one, other in pairwise(instants)):
+        yield Fault("traffic.points", "must begin at 0 and rise", points)
+    elif not any(factor for _, factor in points):
+        yield Fault("traffic.points", "nothing arrives", points)
+
+
+def _discovery(discovery: Discovery) -> Iterator[Fault]:
+    if discovery.lines_per_s is not None and discovery.capacity is not None:
+        yield Fault("discovery.lines_per_s", "`capacity` says the same", discovery.lines_per_s)
+
+
+def _goal(goal: Goal) -> Iterator[Fault]:
+    parts = (goal.whole, goal.worst_window, goal.worst_class)
+    if abs(sum(map(low, parts)) - 1) > 1e-9 or abs(sum(map(high, parts)) - 1) > 1e-9:
+        yield Fault("goal.whole", "must be 1 together with worst_window and worst_class", goal.whole)
+
+
+def _event(path: str, event: Event, scenario: Scenario) -> Iterator[Fault]:
+    form = FORMS[event.kind]
+    keys = allowed(form)
+    for field in structs.fields(event):
+        value = getattr(event, field.name)
+        if value is not None and field.name not in keys:
+            yield Fault(f"{path}.{field.name}", f"not a key of {event.kind}", value)
+    for key in form.needs:
+        if getattr(event, key) is None:
+            yield Fault(f"{path}.{key}", f"missing: {event.kind} needs it")
+    if event.size is not None and not form.size[0] <= low(event.size) <= high(event.size) <= form.size[1]:
+        yield Fault(f"{path}.size", f"must be {form.size[0]:g} to {form.size[1]:g}", event.size)
+    if "length" in form.needs and event.length is not None and low(event.length) == 0:
+        yield Fault(f"{path}.length", "must be more than 0", event.length)
+    for key in ("gap", "step"):
+        value = getattr(event, key)
+        if value is not None and low(value) == 0:
+            yield Fault(f"{path}.{key}", "must be more than 0", value)
+    if event.same_address is not None and event.kind != "release" and event.replaced in (None, False):
+        yield Fault(f"{path}.same_address", "nothing is replaced", event.same_address)
+    if event.replaced not in (None, False) and (event.length is None or low(event.length) == 0):
+        yield Fault(f"{path}.length", "must be more than 0: it is replaced", event.length)
+    yield from _whom(path, event, scenario)
+    yield from _when(path, event, scenario)
+
+
+def _whom(path: str, event: Event, scenario: Scenario) -> Iterator[Fault]:
+    form = FORMS[event.kind]
+    said = [key for key in SELECTORS[form.whom] if getattr(event, key) is not None]
+    if len(said) > 1:
+        yield Fault(f"{path}.{said[1]}", f"`{said[0]}` says the same", getattr(event, said[1]))
+        return
+    names = event.nodes or event.sidecars
+    if not said and not form.whole and form.whom not in ("none", "hosts"):
+        choices = ", ".join(SELECTORS[form.whom])
+        yield Fault(f"{path}.{SELECTORS[form.whom][0]}", f"missing: one of {choices} is needed")
+    tiers = [tier.name for tier in scenario.tiers]
+    if event.tier is not None and event.tier not in tiers:
+        yield Fault(f"{path}.tier", "there is no such tier", event.tier)
+    elif event.tier is not None and names:
+        yield Fault(f"{path}.tier", f"`{said[0]}` names them already", event.tier)
+    elif event.tier is None and not names and form.whom in ("nodes", "new", "link"):
+        yield Fault(f"{path}.tier", f"missing: {event.kind} needs it")
+    elif event.tier == tiers[-1] and form.whom == "sidecars":
+        yield Fault(f"{path}.tier", "the last tier's nodes have no sidecars", event.tier)
+    elif event.tier is not None and form.whom == "hosts" and not said:
+        yield Fault(f"{path}.tier", "`part` or `count` says how many of it", event.tier)
+    least = {tier.name: _least(tier, scenario.tiers[0]) for tier in scenario.tiers}
+    if event.sidecars is not None:
+        least.pop(tiers[-1])
+        least[FRONT] = int(low(scenario.front.sidecars))
+    places = []
+    for name in names or ():
+        tier, _, number = name.rpartition("-")
+        known = number.isdecimal() and tier in least and 1 <= int(number) <= least[tier]
+        if not known or number != str(int(number)):
+            yield Fault(f"{path}.{said[0]}", f"{name} need not be there", names)
+            return
+        places.append(tier)
+    if names and len(set(names)) < len(names):
+        yield Fault(f"{path}.{said[0]}", "has a name twice", names)
+    if form.whom == "link" and len(set(places)) > 1:
+        yield Fault(f"{path}.nodes", "must be of one tier", names)
+
+
+def _when(path: str, event: Event, scenario: Scenario) -> Iterator[Fault]:
+    end = low(scenario.length) + low(scenario.tail)
+    if high(event.at) >= end:
+        yield Fault(f"{path}.at", "not before the end of the day", event.at)
+    if (event.every is None) != (event.times is None):
+        yield Fault(f"{path}.every", "goes together with `times`", event.every)
+        return
+    if event.every is None or event.times is None:
+        if event.anew is not None:
+            yield Fault(f"{path}.anew", "there is no `every`", event.anew)
+        return
+    if high(event.at) + high(event.every) * (high(event.times) - 1) >= end:
+        yield Fault(f"{path}.times", "the last is not before the end of the day", event.times)
+    if not event.anew and lasting(event) > low(event.every):
+        yield Fault(f"{path}.every", "the next begins before the one before is over", event.every)
+
+
+def lasting(event: Event) -> float:
+    """How long one of it may last, as far as it says."""
+    form = FORMS[event.kind]
+    if event.kind in ("release", "restart", "rolling_sidecars", "all_sidecars"):
+        return 0.0
+    leaving = high(event.extra or 0.0) if event.kind in ("drain", "sidecar_restart") else 0.0
+    return leaving + high(event.length or 0.0) if "length" in (*form.needs, *form.may) else 0.0
+
+
+def _meeting(events: list[tuple[str, Event]]) -> Iterator[Fault]:
+    """Discovery can't be in one state twice, nor both refuse and be silent, at the same time."""
+    states = ("discovery_down", "discovery_silent")
+    for place, (label, event) in enumerate(events):
+        if not event.kind.startswith("discovery_"):
+            continue
+        for other, before in events[:place]:
+            same = before.kind == event.kind or (before.kind in states and event.kind in states)
+            if same and _over(before) > low(event.at) and _over(event) > low(before.at):
+                yield Fault(f"event.{label}.at", f"overlaps event.{other}", event.at)
+
+
+def _over(event: Event) -> float:
+    return high(event.at) + high(event.every or 0.0) * (high(event.times or 1) - 1) + lasting(event)
+
+
+def _least(tier: Tier, first: Tier) -> int:
+    if tier.nodes is not None:
+        return int(low(tier.nodes))
+    return max(1, round(low(tier.times or 0.0) * low(first.nodes or 1)))
+
+
+def _most(tier: Tier, first: Tier) -> int:
+    if tier.nodes is not None:
+        return int(high(tier.nodes))
+    return max(1, round(high(tier.times or 0.0) * high(first.nodes or 1)))
