--- /dev/null
+++ b/tests/lab/test_study_compare.py
@@ -0,0 +1,98 @@
+"""What the statistics claim: against closed forms, on planted differences, and on none."""
+
+from __future__ import annotations
+
+from math import sqrt
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from tests.lab.study_runner import RUN, told
+from tests.lab.study_runner import job as made
+from wheatring.lab.study import StudyError, compare, figures, stats, store
+from wheatring.lab.study.jobs import Ended, function
+
+
+def test_power_and_quantiles_match_the_tables() -> None:
+    # Pairs for 80 % power at 5 %, by the effect's size (Cohen, as tabled for the paired t-test).
+    assert [stats.needed(size, 1.0) for size in (0.2, 0.5, 0.8)] == [199, 34, 15]
+    assert stats.needed(0.0, 1.0) is None and stats.needed(-0.5, 1.0) == 34
+    for freedom, value in ((4, 2.776), (9, 2.262), (30, 2.042), (1000, 1.962)):
+        assert stats.student(0.975, freedom) == pytest.approx(value, rel=0.01)
+
+
+def test_the_interval_is_that_of_the_closed_form_where_there_is_one() -> None:
+    drawn = Random("normal")
+    values = [drawn.gauss(3.0, 2.0) for _ in range(400)]
+    interval = stats.bootstrap(values, 1)
+    half = 1.96 * stats.spread(values) / sqrt(400)
+    assert interval.low == pytest.approx(stats.fmean(values) - half, abs=0.03)
+    assert interval.high == pytest.approx(stats.fmean(values) + half, abs=0.03)
+    assert stats.bootstrap(values, 1) == interval != stats.bootstrap(values, 2)
+    assert stats.bootstrap([1.0, 1.0, 1.0], 1) == stats.Interval(1.0, 1.0)
+
+
+def test_an_interval_holds_no_difference_in_about_95_of_100_trials(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Skewed and few, as differences of a day's figures are."""
+    monkeypatch.setattr(stats, "DRAWS", 2000)
+    drawn = Random("none")
+    trials = [[drawn.expovariate(1.0) - drawn.expovariate(1.0) for _ in range(12)] for _ in range(600)]
+    held = sum(stats.bootstrap(trial, number).holds(0.0) for number, trial in enumerate(trials))
+    assert 0.925 <= held / len(trials) <= 0.975
+
+
+def filled(file: Path, seeds: int, gain: float) -> compare.Comparison:
+    sides = [
+        [made(seed, told(gain=more, noise=0.01)) for seed in range(1, seeds + 1)] for more in (0.0, gain)
+    ]
+    with store.opened(file) as kept:
+        for job in (job for side in sides for job in side):
+            kept.keep(job, Ended("done", store.encoded(function(RUN)(job))))
+        names = ["g", "waste", "classes.menu-view.p99_ms", "latency.99.9", "counts.choked"]
+        return compare.compared(kept, sides[0], sides[1], names, ("plain", "more"))
+
+
+def test_a_planted_difference_is_found_by_pairing_and_its_looks_are_counted(tmp_path: Path) -> None:
+    """Days differ by 0.1 among each other, ten times the difference: only pairs can tell."""
+    found = filled(tmp_path / "runs.sqlite", 20, 0.02)
+    g, waste = found.differences[:2]
+    assert g.verdict == "B is better" and g.better > 15 and g.better + g.worse == found.pairs == 20
+    assert g.low is not None and g.high is not None and g.low < 0.02 < g.high
+    assert g.pairs_needed is not None and g.pairs_needed < 20
+    assert (waste.verdict, waste.equal, waste.pairs_needed) == ("equal", 20, None)
+    assert found.looks == [20]
+    assert filled(tmp_path / "runs.sqlite", 30, 0.02).looks == [20, 30]
+    found = filled(tmp_path / "runs.sqlite", 30, 0.02)
+    assert found.looks == [20, 30] and "looked at 2 times" in " ".join(compare.notes(found))
+    assert "up to 10%, not 5%" in " ".join(compare.notes(found))
+    worse = filled(tmp_path / "other.sqlite", 20, -0.02)
+    assert worse.differences[0].verdict == "B is worse"
+
+
+def test_seeds_without_both_sides_are_left_out_and_none_is_told(tmp_path: Path) -> None:
+    a, b = ([made(seed, told(gain=gain)) for seed in (1, 2)] for gain in (0, 1))
+    with store.opened(tmp_path / "runs.sqlite") as kept:
+        for job in (a[0], b[0], a[1]):
+            kept.keep(job, Ended("done", store.encoded(function(RUN)(job))))
+        kept.keep(b[1], Ended("died", why="planted"))
+        found = compare.compared(kept, a, b, ["g"], ("a", "b"))
+        assert (found.pairs, found.unpaired, found.differences[0].low) == (1, 1, None)
+        assert found.differences[0].verdict == "can't tell"
+        with pytest.raises(StudyError, match="no seed"):
+            compare.compared(kept, a[1:], b[1:], ["g"], ("a", "b"))
+        with pytest.raises(StudyError, match=r"figure gee: .* known are .*classes.menu-view.p99_ms"):
+            compare.compared(kept, a, b, ["gee"], ("a", "b"))
+
+
+def test_figures_are_found_by_name() -> None:
+    found = function(RUN)(made(1))
+    for name, value in (
+        ("g", found.g), ("classes.menu-view.p99_ms", 1900.0), ("attempts_by_tier.1", 20_000.0),
+        ("node_work.front-3", found.node_work["front-3"]), ("counts.never", 0.0),
+    ):  # fmt: skip
+        assert figures.figure(found, name) == value
+    assert figures.figure(found, "latency.50") < figures.figure(found, "latency.99")
+    for name in ("classes.menu-view", "seconds", "scenario", "g.x", "latency.x", "attempts_by_tier.9"):
+        with pytest.raises(StudyError):
+            figures.figure(found, name)
--- /dev/null
+++ b/wheatring/lab/study/compare.py
@@ -0,0 +1,175 @@
+"""Two sides, A and B, paired by scenario, seed and grain: what differs, how surely, and how many tell."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Mapping, Sequence
+from math import isfinite
+
+from msgspec import Struct
+from rich.console import Console
+from rich.table import Table
+
+from wheatring.lab.outcome import Outcome
+from wheatring.lab.study import StudyError, stats
+from wheatring.lab.study.figures import better, figure
+from wheatring.lab.study.jobs import Job
+from wheatring.lab.study.store import Row, Store
+
+LEVEL = 0.95
+POWER = 0.8
+
+Pair = tuple[Outcome, Outcome]
+Key = tuple[str, str, int, str, str, str]
+
+
+class Difference(Struct):
+    """Of one figure, B less A, over the pairs."""
+
+    figure: str
+    a: float  # mean
+    b: float
+    mean: float  # of the differences
+    low: float | None  # interval of the mean; None where a single pair tells of none
+    high: float | None
+    better: int  # pairs in which B is better; where neither can be called better: in which B is more
+    worse: int
+    equal: int
+    pairs_needed: int | None  # to tell a difference of that size; None: there is none
+    verdict: str
+
+
+class Comparison(Struct):
+    a: str
+    b: str
+    pairs: int
+    unpaired: int  # asked for, but at least one side is not there
+    looks: list[int]  # numbers of pairs with which this comparison has been looked at, this time among them
+    level: float
+    power: float
+    breaches_a: int
+    breaches_b: int
+    differences: list[Difference]
+
+
+def difference(name: str, pairs: Sequence[tuple[float, float]], seed: int) -> Difference:
+    deltas = [b - a for a, b in pairs]
+    mean = stats.fmean(deltas)
+    interval = stats.bootstrap(deltas, seed, LEVEL)
+    sign = better(name)
+    gains = sum(delta * (sign or 1) > 0 for delta in deltas)
+    losses = sum(delta * (sign or 1) < 0 for delta in deltas)
+    known = isfinite(interval.low)
+    return Difference(
+        figure=name,
+        a=stats.fmean(a for a, _ in pairs),
+        b=stats.fmean(b for _, b in pairs),
+        mean=mean,
+        low=interval.low if known else None,
+        high=interval.high if known else None,
+        better=gains,
+        worse=losses,
+        equal=len(deltas) - gains - losses,
+        pairs_needed=stats.needed(mean, stats.spread(deltas), POWER, LEVEL) if len(deltas) > 1 else None,
+        verdict=_verdict(interval, mean, sign),
+    )
+
+
+def _verdict(interval: stats.Interval, mean: float, sign: int) -> str:
+    if interval.holds(0.0):
+        return "can't tell" if interval.low != interval.high else "equal"
+    if not sign:
+        return "B is more" if mean > 0 else "B is less"
+    return "B is better" if mean * sign > 0 else "B is worse"
+
+
+def compared(
+    store: Store, a: Sequence[Job], b: Sequence[Job], names: Sequence[str], labels: tuple[str, str],
+    seed: int = 1,
+) -> Comparison:  # fmt: skip
+    """Of what the store holds: the jobs of `a` and `b` are pairs, in the same order. Raises StudyError."""
+    rows = {row.key(): row for row in store.rows() if row.state == "done"}
+    keys = [
+        (one.key(), other.key())
+        for one, other in zip(a, b, strict=True)
+        if one.key() in rows and other.key() in rows
+    ]
+    if not keys:
+        raise StudyError("nothing to compare: no seed has come to its end on both sides")
+    values: dict[str, list[tuple[float, float]]] = {name: [] for name in names}
+    for one, other in keys:
+        pair = (store.outcome(rows[one]), store.outcome(rows[other]))
+        for name in names:
+            values[name].append((figure(pair[0], name), figure(pair[1], name)))
+    return Comparison(
+        a=labels[0],
+        b=labels[1],
+        pairs=len(keys),
+        unpaired=len(a) - len(keys),
+        looks=store.look(_identity(a, b), len(keys)),
+        level=LEVEL,
+        power=POWER,
+        breaches_a=_breaches(rows, [one for one, _ in keys]),
+        breaches_b=_breaches(rows, [other for _, other in keys]),
+        differences=[difference(name, values[name], seed) for name in names],
+    )
+
+
+def _identity(a: Sequence[Job], b: Sequence[Job]) -> str:
+    """The same for the same two sides, whatever the seeds."""
+    sides = [sorted({str((*job.key()[:2], *job.key()[3:])) for job in side}) for side in (a, b)]
+    return hashlib.sha256(repr(sides).encode()).hexdigest()[:16]
+
+
+def _breaches(rows: Mapping[Key, Row], keys: Sequence[Key]) -> int:
+    return sum(rows[key].breaches or 0 for key in keys)
+
+
+def show(found: Comparison, console: Console) -> None:
+    console.print(f"A: {found.a}\nB: {found.b}", highlight=False, markup=False)
+    unpaired = f", {found.unpaired} without" if found.unpaired else ""
+    console.print(
+        f"{found.pairs} pairs{unpaired}; breaches: A {found.breaches_a}, B {found.breaches_b}",
+        highlight=False,
+    )
+    table = Table(box=None, header_style="bold", pad_edge=False)
+    table.add_column("figure")
+    for name in ("A", "B", "B - A", f"{found.level:.0%} interval", "better", "worse", "equal"):
+        table.add_column(name, justify="right", no_wrap=True)
+    table.add_column(f"pairs for {found.power:.0%}", justify="right", no_wrap=True)
+    table.add_column("so")
+    for line in found.differences:
+        interval = "-" if line.low is None or line.high is None else f"{line.low:+.4f} to {line.high:+.4f}"
+        unclear = "" if better(line.figure) else "*"
+        needed = "-" if line.pairs_needed is None else str(line.pairs_needed)
+        table.add_row(
+            line.figure, f"{line.a:.4f}", f"{line.b:.4f}", f"{line.mean:+.4f}", interval,
+            f"{line.better}{unclear}", f"{line.worse}{unclear}", str(line.equal), needed, line.verdict,
+        )  # fmt: skip
+    console.print(table)
+    for note in notes(found):
+        console.print(note, soft_wrap=True, highlight=False, markup=False)
+
+
+def notes(found: Comparison) -> list[str]:
+    """What keeps a reader from believing more than the figures say."""
+    told = []
+    if any(not better(line.figure) for line in found.differences):
+        told.append("* neither more nor less of it is better by itself: B is more, B is less")
+    miss = 1 - found.level
+    if len(found.looks) > 1:
+        counts = ", ".join(map(str, found.looks))
+        told.append(
+            f"This comparison has been looked at {len(found.looks)} times (with {counts} pairs). Looking"
+            " until it pleases finds differences where there are none: that one of the looks shows one has a"
+            f" chance of up to {min(1.0, miss * len(found.looks)):.0%}, not {miss:.0%}. Settle on a number of"
+            " seeds beforehand, or confirm on fresh ones."
+        )
+    else:
+        told.append(
+            "The intervals hold for one look, with a number of seeds settled beforehand. Adding seeds until"
+            " they please finds differences where there are none."
+        )
+    if len(found.differences) > 3:
+        told.append(f"Of {len(found.differences)} figures, one in twenty differs by chance.")
+    return told
--- /dev/null
+++ b/wheatring/lab/study/figures.py
@@ -0,0 +1,74 @@
+"""Figures of an outcome by name, such as `g`, `counts.choked`, `classes.menu-view.p99_ms`, `latency.99.9`."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import msgspec
+from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
+
+from wheatring.lab.outcome import Outcome
+from wheatring.lab.study import StudyError
+
+# More of all others is neither better nor worse by itself.
+MORE_IS_BETTER = ("g", "service", "whole", "worst_window", "worst_class", "earned", "in_time")
+LESS_IS_BETTER = (
+    "waste",
+    "breach_count",
+    "late",
+    "refused",
+    "failed",
+    "p50_ms",
+    "p99_ms",
+    "latency",
+    "attempts_each",
+)
+
+
+def better(name: str) -> int:
+    """1 where more is better, -1 where less is, 0 where it can't be said."""
+    parts = name.split(".")
+    last = parts[0] if parts[0] == "latency" else parts[-1]
+    if parts[0] == "counts":
+        return 0
+    return 1 if last in MORE_IS_BETTER else -1 if last in LESS_IS_BETTER else 0
+
+
+def percentile(outcome: Outcome, share: float) -> float:
+    """Of the first tries that were served, in ms; 0 where none was."""
+    if not outcome.latency:
+        return 0.0
+    return float(HdrHistogram.decode(outcome.latency).get_value_at_percentile(share))
+
+
+def figure(outcome: Outcome, name: str) -> float:
+    """Raises StudyError for a name that tells no figure. Counts that did not occur are 0."""
+    head, _, rest = name.partition(".")
+    try:
+        if head == "latency":
+            return percentile(outcome, float(rest))
+        if head == "counts" and rest:
+            return float(outcome.counts.get(rest, 0.0))
+        value: object = msgspec.to_builtins(getattr(outcome, head))
+        if head == "classes":
+            # A class's name may have dots of its own.
+            rest, _, last = rest.rpartition(".")
+            value = next(item for item in msgspec.to_builtins(outcome.classes) if item["name"] == rest)[last]
+        elif head == "node_work":
+            value = outcome.node_work[rest]
+        elif rest and isinstance(value, list):
+            value = value[int(rest)]
+        elif rest:
+            raise KeyError(rest)
+    except (AttributeError, KeyError, IndexError, ValueError, StopIteration):
+        raise StudyError(f"figure {name}: there is none of that name; {_names(outcome)}") from None
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise StudyError(f"figure {name}: not a number; {_names(outcome)}")
+    return float(value)
+
+
+def _names(outcome: Outcome) -> str:
+    plain: Mapping[str, object] = msgspec.to_builtins(outcome)
+    numbers = [name for name, value in plain.items() if isinstance(value, int | float)]
+    classes = [f"classes.{item.name}.p99_ms" for item in outcome.classes[:1]]
+    return "known are " + ", ".join([*numbers, *classes, "latency.99", "counts.NAME"])
--- /dev/null
+++ b/wheatring/lab/study/sweep.py
@@ -0,0 +1,170 @@
+"""A sweep: every seed of every scenario in every grain with all settings, over all cores."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from rich.console import Console
+from rich.progress import (
+    BarColumn,
+    MofNCompleteColumn,
+    Progress,
+    TextColumn,
+    TimeElapsedColumn,
+    TimeRemainingColumn,
+)
+from rich.table import Table
+
+from wheatring.lab.study import pool, stats
+from wheatring.lab.study.jobs import Ended, Job, replay
+from wheatring.lab.study.store import Row, Store
+
+
+@dataclass(slots=True)
+class Swept:
+    """What there is of the jobs that were asked for, those of earlier sweeps among them."""
+
+    asked: int
+    rows: list[Row] = field(default_factory=list)  # in the order of the jobs
+    played: int = 0  # by this sweep
+    stopped: bool = False  # by Ctrl-C
+
+    @property
+    def breaches(self) -> int:
+        return sum(row.breaches or 0 for row in self.rows)
+
+    @property
+    def status(self) -> int:
+        """1 if a rule was broken or a run did not come to its end, 130 if it was stopped."""
+        if self.breaches or any(row.state != "done" for row in self.rows):
+            return 1
+        return 130 if self.stopped else 0
+
+
+def play(
+    jobs: list[Job], store: Store, run: str, *, workers: int, limit: float, fail_fast: bool = False,
+    console: Console | None = None,
+) -> Swept:  # fmt: skip
+    """Play what the store does not have yet; runs that had not come to their end are played again.
+
+    `run` is module:function, `limit` seconds of wall time for each run. Raises StudyError.
+    """
+    kept = {row.key(): row for row in store.rows()}
+    wanted = {job.key(): job for job in jobs}
+    left = [job for key, job in wanted.items() if key not in kept or kept[key].state != "done"]
+    swept = Swept(asked=len(wanted))
+    if fail_fast and any(kept[key].breaches for key in wanted if key in kept):
+        left = []
+    with _progress(console) as progress:
+        before = [kept[key] for key in wanted if key in kept and kept[key].state == "done"]
+        breaches = sum(row.breaches or 0 for row in before)
+        lost = 0
+        task = progress.add_task("", total=len(left), rate="", breaches=breaches, lost=lost)
+
+        def ended(job: Job, how: Ended) -> bool:
+            nonlocal breaches, lost
+            row = kept[job.key()] = store.keep(job, how)
+            swept.played += 1
+            breaches += row.breaches or 0
+            lost += row.state != "done"
+            taken = progress.tasks[0].elapsed or 0.0
+            rate = f"{swept.played / taken:.2f} runs/s" if taken else ""
+            progress.update(task, advance=1, rate=rate, breaches=breaches, lost=lost)
+            return fail_fast and bool(row.breaches)
+
+        try:
+            pool.play(left, run, workers, limit, ended)
+        except KeyboardInterrupt:
+            swept.stopped = True
+    swept.rows = [kept[key] for key in wanted if key in kept]
+    return swept
+
+
+def _progress(console: Console | None) -> Progress:
+    return Progress(
+        BarColumn(), MofNCompleteColumn(), TextColumn("{task.fields[rate]}"),
+        TimeElapsedColumn(), TextColumn("left"), TimeRemainingColumn(),
+        TextColumn("breaches {task.fields[breaches]}"), TextColumn("lost {task.fields[lost]}"),
+        console=console or Console(stderr=True),
+    )  # fmt: skip
+
+
+Group = tuple[str, str, str, str]  # scenario, its hash, grain, settings
+
+
+def grouped(rows: Iterable[Row]) -> dict[Group, list[Row]]:
+    found: dict[Group, list[Row]] = {}
+    for row in rows:
+        found.setdefault((row.scenario, row.scenario_hash, row.grain, row.settings), []).append(row)
+    return found
+
+
+def first_breaches(rows: Iterable[Row]) -> dict[str, Row]:
+    """The first run that broke it, by rule."""
+    found: dict[str, Row] = {}
+    for row in rows:
+        for rule in (row.rules or "").split():
+            found.setdefault(rule, row)
+    return found
+
+
+def replay_of(row: Row) -> str:
+    return replay(row.scenario, row.seed, row.grain, row.settings)
+
+
+def summary(swept: Swept) -> list[dict[str, object]]:
+    """By scenario, grain and settings: what the table shows, as plain values."""
+    found: list[dict[str, object]] = []
+    for (scenario, hashed, grain, settings), rows in grouped(swept.rows).items():
+        done = [row for row in rows if row.g is not None and row.service is not None]
+        g = [row.g for row in done if row.g is not None]
+        service = [row.service for row in done if row.service is not None]
+        worst = min(done, key=lambda row: (row.g, row.seed), default=None)
+        found.append({
+            "scenario": scenario, "scenario_hash": hashed, "grain": grain, "settings": settings,
+            "runs": len(done), "lost": len(rows) - len(done),
+            "median_g": stats.median(g) if g else None, "worst_g": worst.g if worst else None,
+            "worst_seed": worst.seed if worst else None,
+            "median_service": stats.median(service) if service else None,
+            "breaches": sum(row.breaches or 0 for row in done),
+            "wall_s": sum(row.wall_s or 0.0 for row in done),
+        })  # fmt: skip
+    return found
+
+
+def show(swept: Swept, console: Console) -> None:
+    """The table, then a line on how to play each kind of breach and each lost run again."""
+    table = Table(box=None, header_style="bold", pad_edge=False)
+    for name in ("scenario", "grain", "settings"):
+        table.add_column(name, overflow="fold")
+    for name in ("runs", "median g", "worst g", "(seed)", "service", "breaches", "lost", "wall s"):
+        table.add_column(name, justify="right", no_wrap=True)
+    for line in summary(swept):
+        table.add_row(
+            str(line["scenario"]), str(line["grain"]), str(line["settings"]) or "-", str(line["runs"]),
+            _figure(line["median_g"]), _figure(line["worst_g"]), str(line["worst_seed"]),
+            _figure(line["median_service"]), _alarm(line["breaches"]), _alarm(line["lost"]),
+            f"{line['wall_s']:.1f}",
+        )  # fmt: skip
+    console.print(table)
+    for rule, row in first_breaches(swept.rows).items():
+        console.print(f"[red]{rule}[/] broken first by: {replay_of(row)}", soft_wrap=True, highlight=False)
+    lost = [row for row in swept.rows if row.state != "done"]
+    for row in lost[:10]:
+        console.print(f"[red]{row.state}[/] ", end="")
+        console.print(f"{replay_of(row)}  ({row.why})", soft_wrap=True, highlight=False, markup=False)
+    if len(lost) > 10:
+        console.print(f"and {len(lost) - 10} more that did not come to their end")
+    here = len(swept.rows) - len(lost)
+    if here < swept.asked:
+        why = "stopped: " if swept.stopped else ""
+        console.print(f"{why}{here} of {swept.asked} runs are there; the same command goes on with the rest")
+
+
+def _figure(value: object) -> str:
+    return f"{value:.3f}" if isinstance(value, float) else "-"
+
+
+def _alarm(value: object) -> str:
+    return f"[bold red]{value}[/]" if value else "0"
