Put the world together: models, book and grounds of both grains play a plan

Change: world/ wires the models, starts and ends sidecars and makes the plan's events happen; wire/ground.py attaches real sidecars on virtual sockets, direct/ground.py the core without bytes. Clients and nodes stay on the line for a moment past their time, or an answer that comes too late could not be seen. What the sidecar logs of a fault of its own is a breach.

--- /dev/null
+++ b/wheatring/lab/direct/ground.py
@@ -0,0 +1,139 @@
+"""The ground of the grain `exchange`: real core and decisions, jobs and claims without bytes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from wheatring.config import Config
+from wheatring.lab.direct.links import DirectLinks
+from wheatring.lab.direct.node import DirectNode
+from wheatring.lab.direct.sidecar import DirectSidecar
+from wheatring.lab.direct.way import DirectWay
+from wheatring.lab.models.below import Calls
+from wheatring.lab.models.discovery import Registry
+from wheatring.lab.models.machine import Machine
+from wheatring.lab.models.visit import Below
+from wheatring.lab.plan import EventPlan, NodePlan
+from wheatring.lab.world.ground import CLIENTS, DISCOVERY, LINGER, host_of_side, side_hosts, zones
+
+if TYPE_CHECKING:
+    from wheatring.lab.world.world import World
+
+
+class DirectGround:
+    def __init__(self, world: World) -> None:
+        plan = world.plan
+        self.world = world
+        self.time = world.time
+        self.links = DirectLinks(plan.net, zones(plan), world.time, world.random("net"))
+        self.hosts = side_hosts(plan)
+        callers = {node.name: node.host for node in plan.nodes}
+        self.way = DirectWay(
+            world.time,
+            self.links,
+            world.book,
+            {name: (callers.get(name, CLIENTS), host) for name, host in self.hosts.items()},
+        )
+        self.nodes: dict[str, DirectNode] = {}
+        self.sidecars: dict[str, DirectSidecar] = {}
+        self.steps: dict[str, float] = {}  # of hosts' clocks; "" for all of them
+        self.registry: Registry
+
+    def open_discovery(self, registry: Registry) -> None:
+        self.registry = registry
+
+    # Nodes
+
+    def below(self, node: NodePlan) -> Below:
+        return Calls(node.name, lambda: self.way, self.world.origins, self.time, LINGER)
+
+    def node_up(self, node: NodePlan, machine: Machine) -> None:
+        if node.name not in self.nodes:
+            tier = self.world.plan.tiers[node.tier]
+            self.nodes[node.name] = DirectNode(
+                machine, node.host, tier, self.time, self.links, self.world.book
+            )
+
+    def node_down(self, node: str) -> None:
+        self.nodes[node].down()
+
+    # Sidecars
+
+    def sidecar_up(self, name: str, told: Config, ended: Callable[[], None]) -> None:
+        host = self.hosts[name]
+
+        def over(killed: bool) -> None:
+            del self.sidecars[name]
+            if not killed:
+                ended()
+
+        sidecar = self.sidecars[name] = DirectSidecar(
+            name,
+            host,
+            told.settings,
+            told.seed,
+            told.known,
+            timers=self.time,
+            unix=lambda: self.unix(host),
+            links=self.links,
+            nodes=self.nodes,
+            registry=self.registry,
+            discovery=DISCOVERY,
+            book=self.world.book,
+            way=self.way,
+            sockets=told.sockets,
+            on_end=over,
+        )
+        sidecar.start()
+
+    def sidecar_stop(self, name: str) -> None:
+        self.sidecars[name].terminate()
+
+    def sidecar_kill(self, name: str) -> None:
+        self.sidecars[name].kill()
+
+    def unix(self, host: str) -> float:
+        return self.world.unix() + self.steps.get("", 0.0) + self.steps.get(host, 0.0)
+
+    # Faults
+
+    def begin(self, event: EventPlan) -> None:
+        self.turn(event, True)
+
+    def end(self, event: EventPlan) -> None:
+        self.turn(event, False)
+
+    def turn(self, event: EventPlan, on: bool) -> None:
+        """The machines' own troubles are seen to by who attaches them."""
+        if event.kind == "partition":
+            (self.links.cut if on else self.links.heal)(event.hosts, event.others, event.one_way)
+        elif event.kind == "latency":
+            self.links.slow(event.hosts, event.others, event.size if on else 1.0)
+        elif event.kind == "clock_step":
+            for host in event.hosts or ("",):
+                self.steps[host] = self.steps.get(host, 0.0) + (event.size if on else -event.size)
+
+    def vanish(self, node: NodePlan) -> None:
+        for host in self.machine_of(node):
+            self.links.vanish(host)
+
+    def back(self, node: NodePlan) -> None:
+        for host in self.machine_of(node):
+            self.links.back(host)
+        self.nodes[node.name].down()
+
+    def machine_of(self, node: NodePlan) -> list[str]:
+        return [node.host, host_of_side(node)] if node.name in self.hosts else [node.host]
+
+    # What is seen of the sidecars
+
+    def whose_turn(self) -> str:
+        return ""
+
+    def left_over(self) -> dict[str, dict[str, int]]:
+        found = {}
+        for name, sidecar in self.sidecars.items():
+            jobs = max(sidecar.exchange.open, len(sidecar.driver.jobs), len(sidecar.held))
+            found[name] = {"jobs": jobs, "claims": sum(line.claim is not None for line in sidecar.pool.lines)}
+        return found
--- a/wheatring/lab/direct/pool.py
+++ b/wheatring/lab/direct/pool.py
@@ -84,6 +84,7 @@
         claim, self.first, self.late = self.first, None, None
         self.pool.dialling -= 1
         assert claim is not None
+        self.pool.book.note("unconnected", sidecar=self.pool.name)
         self.pool.exchange.end(claim, Outcome.CONNECT_FAILED)
 
     def accepted(self) -> None:
--- a/wheatring/lab/models/machine.py
+++ b/wheatring/lab/models/machine.py
@@ -306,6 +306,11 @@
     def connections(self) -> int:
         return self.pace.connections
 
+    @property
+    def full(self) -> bool:
+        """Its table of connections is; it would not take one more."""
+        return self.pace.full
+
     @property
     def waiting(self) -> int:
         """Visits that wait for a slot."""
--- a/wheatring/lab/net/process.py
+++ b/wheatring/lab/net/process.py
@@ -101,6 +101,7 @@
         self.stopping = False
         self.on_stop: Callable[[], None] | None = None  # called as it stops, while all that is left is there
         self.descriptors: dict[Socket, None] = {}
+        self.most = 0  # descriptors at any time so far
         self.number = count(3).__next__
         self._soon: list[Delayed] = []
         self._ready: list[Any] = []
@@ -266,6 +267,8 @@
 
     def opened(self, socket: Socket) -> None:
         self.descriptors[socket] = None
+        if len(self.descriptors) > self.most:
+            self.most = len(self.descriptors)
 
     def shut(self, socket: Socket) -> None:
         self.descriptors.pop(socket, None)
--- a/wheatring/lab/rules/ledger.py
+++ b/wheatring/lab/rules/ledger.py
@@ -215,6 +215,10 @@
             if self.trace is not None:
                 self.trace.line(self.now(), str(values.get("ident", "")), f"{what} {pairs}")
 
+    def fault(self, sidecar: str, line: str) -> None:
+        """The sidecar's log tells of a fault of its own."""
+        self.breaches.add("fault", f"{sidecar} logged: {line}", sidecar=sidecar)
+
     # The end
 
     def finish(self, wall_s: float, leftovers: Mapping[str, Mapping[str, int]]) -> Outcome:
--- a/wheatring/lab/wire/discovery.py
+++ b/wheatring/lab/wire/discovery.py
@@ -41,26 +41,29 @@
     return values.get(b"index"), values.get(b"wait", 0) / 1000
 
 
+def as_json(answer: Answer) -> dict[str, Any]:
+    """An answer in discovery's form, as JSON values."""
+    return {
+        "generation": answer.generation,
+        "reset": answer.reset,
+        "instances": [
+            {
+                "instanceId": node.name,
+                "hostPort": node.address,
+                "zone": node.zone,
+                "machineType": node.kind,
+                "cell": node.cell,
+                "lifecycle": LIFECYCLES[state],
+                "weight": 1.0,
+                "startedAtMs": started_ms,
+            }
+            for node, state, _, started_ms in answer.lines
+        ],
+    }
+
+
 def body(answer: Answer) -> bytes:
-    return msgspec.json.encode(
-        {
-            "generation": answer.generation,
-            "reset": answer.reset,
-            "instances": [
-                {
-                    "instanceId": node.name,
-                    "hostPort": node.address,
-                    "zone": node.zone,
-                    "machineType": node.kind,
-                    "cell": node.cell,
-                    "lifecycle": LIFECYCLES[state],
-                    "weight": 1.0,
-                    "startedAtMs": started_ms,
-                }
-                for node, state, _, started_ms in answer.lines
-            ],
-        }
-    )
+    return msgspec.json.encode(as_json(answer))
 
 
 class _Connection(protocol.Protocol):
--- /dev/null
+++ b/wheatring/lab/wire/ground.py
@@ -0,0 +1,200 @@
+"""The ground of the grain `wire`: real sidecars on virtual sockets, every byte through their parsers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from lapisway.interface import TimerDue
+from wheatring.config import Config
+from wheatring.daemon import Sidecar
+from wheatring.lab.models.below import Calls
+from wheatring.lab.models.discovery import Registry
+from wheatring.lab.models.machine import Machine
+from wheatring.lab.models.visit import Below
+from wheatring.lab.net.network import Network
+from wheatring.lab.net.process import Process
+from wheatring.lab.plan import EventPlan, NodePlan
+from wheatring.lab.wire.caller import Caller
+from wheatring.lab.wire.discovery import DiscoveryPeer
+from wheatring.lab.wire.form import Forms
+from wheatring.lab.wire.node import NodePeer
+from wheatring.lab.world.ground import (
+    CLIENTS,
+    DISCOVERY,
+    LINGER,
+    PORT,
+    host_of_side,
+    side_hosts,
+    zones,
+)
+from wheatring.operators import Operators
+
+if TYPE_CHECKING:
+    from wheatring.lab.world.world import World
+
+NO_OPERATORS = Operators()
+BACKLOG = 511
+# What a sidecar that has nothing to do still waits for.
+PERIODIC = frozenset(("Server.sweep", "Server.clear", "Pool.sweep", "_Caller.stop", "MachineList.watch"))
+
+
+class WireGround:
+    def __init__(self, world: World) -> None:
+        plan = world.plan
+        self.world = world
+        self.time = world.time
+        self.book = world.book
+        self.zones = zones(plan)
+        self.net = Network(
+            world.time, plan.net, world.random("net"), lambda host: self.zones.get(host, ""), plan.epoch
+        )
+        self.hosts = side_hosts(plan)
+        self.whose = {host: name for name, host in self.hosts.items()}
+        self.forms = Forms(plan.classes)
+        self.way = self.caller(self.net.process("clients", CLIENTS), CLIENTS, plan.clients.connections)
+        self.processes: dict[str, Process] = {}  # of nodes
+        self.peers: dict[str, NodePeer] = {}
+        self.callers: dict[str, Caller] = {}  # of nodes
+        self.sidecars: dict[str, tuple[Process, Sidecar]] = {}
+        self.most: dict[str, int] = {}  # sockets that a sidecar's processes held at most
+
+    def caller(self, process: Process, host: str, most: int = 0) -> Caller:
+        return Caller(process, self.time, self.book, self.forms, self.where, host, most)
+
+    def where(self, sidecar: str) -> tuple[str, int]:
+        return self.hosts[sidecar], PORT
+
+    def sidecar_of(self, host: str) -> str:
+        return self.whose.get(host, "")
+
+    def open_discovery(self, registry: Registry) -> None:
+        host, port = DISCOVERY
+        process = self.net.process("discovery", host)
+        DiscoveryPeer(
+            registry,
+            self.book,
+            self.sidecar_of,
+            lambda factory: process.listenTCP(port, factory, BACKLOG, host),
+        )
+
+    # Nodes
+
+    def below(self, node: NodePlan) -> Below:
+        return Calls(node.name, lambda: self.callers.get(node.name), self.world.origins, self.time, LINGER)
+
+    def node_up(self, node: NodePlan, machine: Machine) -> None:
+        process = self.processes[node.name] = self.net.process(f"node {node.name}", node.host)
+        peer = self.peers[node.name] = NodePeer(
+            machine,
+            self.world.plan.tiers[node.tier],
+            self.time,
+            self.world.random(f"peer:{node.name}"),
+            self.world.origins,
+            self.forms,
+            self.book,
+            self.sidecar_of,
+            lambda host: self.round_trip(node.host, host),
+            lambda full: self.net.full(node.host, PORT, full),
+        )
+        self.net.full(node.host, PORT, False)
+        process.listenTCP(PORT, peer, BACKLOG, node.host)
+        if node.name in self.hosts:
+            self.callers[node.name] = self.caller(process, node.host)
+
+    def node_down(self, node: str) -> None:
+        self.callers.pop(node, None)
+        process, peer = self.processes.pop(node), self.peers.pop(node)
+        peer.reset()
+        # Its resets are on their way at this instant's end; what dies before that closes in good order.
+        self.time.at(self.time.now(), process.kill)
+
+    def round_trip(self, here: str, there: str) -> float:
+        host, other = self.net.host(here), self.net.host(there)
+        return host.link(other).delay() + other.link(host).delay()
+
+    # Sidecars
+
+    def sidecar_up(self, name: str, told: Config, ended: Callable[[], None]) -> None:
+        process = self.net.process(name, self.hosts[name])
+
+        def stopped() -> None:
+            self.gone(name)
+            self.book.sidecar_down(name, False)
+            ended()
+
+        process.on_stop = stopped
+        sidecar = process.run(Sidecar, process, told, NO_OPERATORS, False, process.unix)
+        self.sidecars[name] = (process, sidecar)
+        process.run(sidecar.start)
+        self.book.sidecar_up(name)
+
+    def gone(self, name: str) -> Process:
+        process, _ = self.sidecars.pop(name)
+        self.most[name] = max(self.most.get(name, 0), process.most)
+        return process
+
+    def sidecar_stop(self, name: str) -> None:
+        process, sidecar = self.sidecars[name]
+        self.book.sidecar_stopping(name)
+        process.callFromThread(sidecar.stop)
+
+    def sidecar_kill(self, name: str) -> None:
+        self.gone(name).kill()
+        self.book.sidecar_down(name, True)
+
+    # Faults
+
+    def begin(self, event: EventPlan) -> None:
+        self.turn(event, True)
+
+    def end(self, event: EventPlan) -> None:
+        self.turn(event, False)
+
+    def turn(self, event: EventPlan, on: bool) -> None:
+        for name in event.nodes:
+            host = self.world.nodes[name].host
+            troubles = self.world.machines[name].troubles
+            if event.kind == "refuse":
+                self.net.refuse(host, PORT, troubles.refusing)
+            elif event.kind == "late_connects":
+                self.net.late_connects(host, PORT, troubles.connect_delay)
+            elif event.kind == "conn_cap" and name in self.peers:
+                self.peers[name].look()
+        if event.kind == "partition":
+            (self.net.cut if on else self.net.heal)(event.hosts, event.others, event.one_way)
+        elif event.kind == "latency":
+            self.net.slow(event.hosts, event.others, event.size if on else 1.0)
+        elif event.kind == "clock_step":
+            self.net.step_clock(event.hosts, event.size if on else -event.size)
+
+    def vanish(self, node: NodePlan) -> None:
+        for host in self.machine_of(node):
+            self.net.vanish(host)
+
+    def back(self, node: NodePlan) -> None:
+        for host in self.machine_of(node):
+            self.net.back(host)
+
+    def machine_of(self, node: NodePlan) -> list[str]:
+        return [node.host, host_of_side(node)] if node.name in self.hosts else [node.host]
+
+    # What is seen of the sidecars
+
+    def whose_turn(self) -> str:
+        running = self.time.running
+        return running.name if isinstance(running, Process) else ""
+
+    def left_over(self) -> dict[str, dict[str, int]]:
+        found = {name: {"most_sockets": most} for name, most in self.most.items()}
+        for name, (process, sidecar) in self.sidecars.items():
+            counts = Counter(most_sockets=max(process.most, self.most.get(name, 0)))
+            counts["jobs"] = max(sidecar.exchange.open, len(sidecar.driver.jobs))
+            counts["claims"] = sum(each.claim is not None for each in sidecar.pool.connections)
+            counts["connections"] = sum(each.job is not None for each in sidecar.server.connections)
+            for call in process.left().timers:
+                known = call.func.__qualname__ in PERIODIC or call.args == (TimerDue(0),)
+                counts["timers"] += not known
+            found[name] = dict(counts)
+        return found
--- /dev/null
+++ b/wheatring/lab/world/ground.py
@@ -0,0 +1,85 @@
+"""A ground: what one grain gives the world to stand on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from wheatring.config import Config
+from wheatring.lab.models.discovery import Registry
+from wheatring.lab.models.machine import Machine
+from wheatring.lab.models.visit import Below
+from wheatring.lab.models.way import Way
+from wheatring.lab.plan import EventPlan, NodePlan, Plan
+
+PORT = 9000  # of every sidecar and node: each has a host of its own
+DISCOVERY = ("127.4.0.1", 8500)
+CLIENTS = "127.5.0.1"
+LINGER = 0.1  # seconds past their time in which callers still look for an answer: the rules' grace and some
+
+
+def host_of_side(node: NodePlan) -> str:
+    """The host of a node's own sidecar: its node's, in another net."""
+    first, second, rest = node.host.split(".", 2)
+    return f"{first}.{int(second) + 100}.{rest}"
+
+
+def side_hosts(plan: Plan) -> dict[str, str]:
+    """The host of every sidecar, by name."""
+    last = len(plan.tiers) - 1
+    hosts = {each.name: each.host for each in plan.sidecars}
+    return hosts | {node.name: host_of_side(node) for node in plan.nodes if node.tier < last}
+
+
+def zones(plan: Plan) -> dict[str, str]:
+    """The zone of every host but the clients'."""
+    found = {each.host: each.zone for each in plan.sidecars}
+    for node in plan.nodes:
+        found[node.host] = found[host_of_side(node)] = node.zone
+    some = next(iter(found.values()), "")
+    return {**found, DISCOVERY[0]: some}
+
+
+class Ground(Protocol):
+    """Processes by name. A node's own sidecar bears the node's name; it stands on a host of its own."""
+
+    @property
+    def way(self) -> Way:
+        """The clients' way into the front's sidecars."""
+
+    def open_discovery(self, registry: Registry) -> None: ...
+
+    def below(self, node: NodePlan) -> Below:
+        """The node's calls through its own sidecar."""
+
+    def node_up(self, node: NodePlan, machine: Machine) -> None:
+        """Its process listens."""
+
+    def node_down(self, node: str) -> None:
+        """Its process is gone: connections are reset, new ones refused."""
+
+    def sidecar_up(self, name: str, told: Config, ended: Callable[[], None]) -> None:
+        """Its process listens. `ended` is called once, when it has ended by itself."""
+
+    def sidecar_stop(self, name: str) -> None:
+        """SIGTERM."""
+
+    def sidecar_kill(self, name: str) -> None:
+        """SIGKILL: nothing of it runs any more, and `ended` is not called."""
+
+    def begin(self, event: EventPlan) -> None:
+        """Something of the network or the clocks goes wrong."""
+
+    def end(self, event: EventPlan) -> None: ...
+
+    def vanish(self, node: NodePlan) -> None:
+        """Its machine, with its own sidecar, falls silent."""
+
+    def back(self, node: NodePlan) -> None:
+        """It answers again, and its connections are reset."""
+
+    def whose_turn(self) -> str:
+        """The sidecar whose code runs now; "" where that is not known."""
+
+    def left_over(self) -> dict[str, dict[str, int]]:
+        """By sidecar: what should be gone once all is answered, counted by kind."""
--- /dev/null
+++ b/wheatring/lab/world/world.py
@@ -0,0 +1,221 @@
+"""A world: the plan's models, wired to each other and to a ground, and played from start to end."""
+
+from __future__ import annotations
+
+import time as process_time
+from collections.abc import Mapping
+from random import Random
+from typing import Any
+
+from wheatring import log
+from wheatring.lab.models.clients import Clients
+from wheatring.lab.models.discovery import Answer, Listed, Registry
+from wheatring.lab.models.effects import Effects
+from wheatring.lab.models.front import Front
+from wheatring.lab.models.machine import Machine
+from wheatring.lab.net.time import VirtualTime
+from wheatring.lab.origins import Origins
+from wheatring.lab.outcome import Outcome
+from wheatring.lab.plan import NodePlan, Plan
+from wheatring.lab.rules.ledger import Ledger
+from wheatring.lab.rules.trace import Trace
+from wheatring.lab.wire.discovery import as_json
+from wheatring.lab.world.events import Events
+from wheatring.lab.world.ground import PORT, Ground, host_of_side
+from wheatring.lab.world.seats import Seat, Seats
+
+START = 1000.0  # the clock at which the world begins
+LEAD = 2.0  # seconds from then until the day does: sidecars have started and have their lists
+# Entries of the log that tell of a fault of the sidecar's own: none of them may ever come.
+OURS = frozenset(
+    ("overdue", "unexpected", "job-broken", "claim-broken", "request-broken", "answer-broken",
+     "decision-broken", "action-broken", "not-carried-out")
+)  # fmt: skip
+SETTLE = 2.0  # seconds after the tail in which what was answered late has gone
+
+
+class World:
+    """One plan at one grain. `play` may be called once."""
+
+    def __init__(self, plan: Plan, grain: str, trace: Trace | None = None) -> None:
+        self.plan = plan
+        self.grain = grain
+        ties = self.random("ties") if plan.net.shuffle else None
+        self.time = VirtualTime(START, ties)
+        self.day = START + LEAD
+        self.trace = trace
+        self.origins = Origins(self.random("ids"))
+        self.book = Ledger(plan, grain, self.time.now, self.day, trace, self.origins.first)
+        self.registry = Registry(plan.discovery, self.time, self.unix, self.random("discovery"), self.book)
+        self.front = Front(self.time, self.random("front"), plan.front_notice)
+        self.ground = self.make_ground()
+        self.ground.open_discovery(self.registry)
+        self.seats = Seats(self.time, self.ground, self.came, self.stops, self.went)
+        self.nodes = {node.name: node for node in plan.nodes}
+        self.machines: dict[str, Machine] = {}
+        effects = Effects(self.time, plan.classes, self.book)
+        for node in plan.nodes:
+            self.add_machine(node, effects)
+        self.add_seats()
+        self.clients = Clients(
+            plan, self.time, self.random("clients"), self.origins, self.book, self.front, self.ground.way
+        )
+        self.events = Events(
+            self.time, self.ground, self.machines, self.registry, self.seats, self, self.book.happens
+        )
+
+    def random(self, name: str) -> Random:
+        """Random numbers of this world that hang on nothing but the plan's seed and a name."""
+        return Random(f"{self.plan.seed}:{name}")
+
+    def unix(self) -> float:
+        return self.plan.epoch + self.time.now() - START
+
+    def make_ground(self) -> Ground:
+        if self.grain == "wire":
+            from wheatring.lab.wire.ground import WireGround
+
+            return WireGround(self)
+        from wheatring.lab.direct.ground import DirectGround
+
+        return DirectGround(self)
+
+    # Its parts
+
+    def add_machine(self, node: NodePlan, effects: Effects) -> None:
+        plan, tier = self.plan, self.plan.tiers[node.tier]
+        last = node.tier + 1 == len(plan.tiers)
+        machine = self.machines[node.name] = Machine(
+            node,
+            tier,
+            node.tier,
+            plan.classes,
+            self.time,
+            self.random(f"node:{node.name}"),
+            self.origins,
+            self.book,
+            effects=effects,
+            below=None if last else self.ground.below(node),
+            calls=0.0 if last else plan.tiers[node.tier + 1].calls,
+            passes_deadline=plan.passes_deadline,
+            rules=plan.rules,
+        )
+        machine.on_fallen = lambda: self.fell(node.name)
+
+    def add_seats(self) -> None:
+        plan = self.plan
+        for number, told in enumerate(plan.sidecars):
+            self.add_seat(told.name, told.host, 0, number, len(plan.sidecars))
+        for tier in range(len(plan.tiers) - 1):
+            callers = [node for node in plan.nodes if node.tier == tier]
+            for number, node in enumerate(callers):
+                self.add_seat(node.name, host_of_side(node), tier + 1, number, len(callers))
+
+    def add_seat(self, name: str, host: str, tier: int, number: int, copies: int) -> None:
+        self.seats.seats[name] = Seat(self.plan, name, host, tier, number, copies, self.known)
+        self.registry.serve(name, tier)
+
+    def known(self, tier: int) -> dict[str, Any]:
+        """The machine list of a tier as it is known at present, in discovery's form."""
+        listing = self.registry.knowledge.listing(tier)
+        version = listing.view(listing.version)
+        lines = tuple(line for line in listing.whole(version) if line.state != "gone")
+        return as_json(Answer(version, True, lines))
+
+    # Sidecars come and go
+
+    def came(self, seat: Seat) -> None:
+        if seat.name not in self.nodes:
+            self.front.up(seat.name)
+
+    def stops(self, seat: Seat) -> None:
+        if seat.name not in self.nodes:
+            self.front.stopping(seat.name)
+
+    def went(self, seat: Seat) -> None:
+        if seat.name not in self.nodes:
+            self.front.down(seat.name)
+
+    # The lives of nodes
+
+    def start(self, name: str, cold: bool = True) -> None:
+        node, machine = self.nodes[name], self.machines[name]
+        if machine.running:
+            return
+        machine.start(cold)
+        self.ground.node_up(node, machine)
+        if cold:
+            self.registry.up(name, self.time.now())
+            if name in self.seats.seats:
+                self.seats.start(self.seats.seats[name], 0.0)
+
+    def drain(self, name: str) -> None:
+        if self.machines[name].running:
+            self.machines[name].drain()
+            self.registry.draining(name)
+
+    def stop(self, name: str) -> None:
+        if self.machines[name].running:
+            self.machines[name].stop()
+            self.ended(name)
+
+    def ended(self, name: str) -> None:
+        """The node's process is gone, and its sidecar goes with it."""
+        self.ground.node_down(name)
+        self.registry.down(name)
+        if name in self.seats.seats:
+            self.seats.kill(self.seats.seats[name], 0.0)
+
+    def fell(self, name: str) -> None:
+        """A cold node was pushed over: its process is gone and stays so."""
+        self.ended(name)
+
+    def vanish(self, name: str) -> None:
+        self.ground.vanish(self.nodes[name])
+        self.registry.vanished(name)
+
+    def back(self, name: str) -> None:
+        self.ground.back(self.nodes[name])
+        machine = self.machines[name]
+        if machine.running:
+            self.registry.up(name, machine.started_at)
+
+    # The day
+
+    def play(self) -> Outcome:
+        """Play the day to its end, and say what came of it."""
+        plan = self.plan
+        began = process_time.perf_counter()
+        for node in plan.nodes:
+            kind = plan.tiers[node.tier].kinds[node.kind].name
+            listed = Listed(node.name, f"{node.host}:{PORT}", node.zone, kind, node.cell, tier=node.tier)
+            self.registry.add(listed, node.up)
+            if node.up:
+                self.start(node.name, cold=False)
+        for seat in self.seats.seats.values():
+            if seat.name not in self.nodes or self.nodes[seat.name].up:
+                self.time.at(START, self.seats.up, seat)
+        self.events.schedule(self.day, plan.events)
+        self.time.at(self.day, self.clients.start)
+        with log.diverted(self.logged):
+            self.time.run(self.day + plan.length + plan.tail + SETTLE)
+        wall = process_time.perf_counter() - began
+        outcome = self.book.finish(wall, self.ground.left_over())
+        outcome.simulated_s = self.time.now() - START
+        return outcome
+
+    def logged(self, event: str, values: Mapping[str, object]) -> None:
+        """What the sidecars log, with the name of the one whose turn it is."""
+        if event in OURS:
+            self.book.fault(self.ground.whose_turn(), log.shown(event, values))
+        elif event == "claim-connection" and values.get("code") in ("connect-failed", "not-up-in-time"):
+            self.book.note("unconnected", sidecar=self.ground.whose_turn())
+        elif self.trace is not None:
+            self.trace.line(
+                self.time.now(), "", f"log sidecar={self.ground.whose_turn()} {log.shown(event, values)}"
+            )
+
+
+def play(plan: Plan, grain: str, trace: Trace | None = None) -> Outcome:
+    """Play a plan at a grain, `wire` or `exchange`. The same plan gives the same outcome but for `wall_s`."""
+    return World(plan, grain, trace).play()
