Know a sidecar by who is at its address now

Cause: a follower may come to the address of a node that is gone, and the two had one host in the table that tells sidecars apart, so that calls counted as another's.

Change: the table follows each start.

--- a/wheatring/lab/wire/ground.py
+++ b/wheatring/lab/wire/ground.py
@@ -51,7 +51,7 @@
             world.time, plan.net, world.random("net"), lambda host: self.zones.get(host, ""), plan.epoch
         )
         self.hosts = side_hosts(plan)
-        self.whose = {host: name for name, host in self.hosts.items()}
+        self.whose: dict[str, str] = {}  # by host: a follower may come to the address of one that is gone
         self.forms = Forms(plan.classes)
         self.way = self.caller(self.net.process("clients", CLIENTS), CLIENTS, plan.clients.connections)
         self.processes: dict[str, Process] = {}  # of nodes
@@ -118,6 +118,7 @@
 
     def sidecar_up(self, name: str, told: Config, ended: Callable[[], None]) -> None:
         process = self.net.process(name, self.hosts[name])
+        self.whose[self.hosts[name]] = name
 
         def stopped() -> None:
             self.gone(name)
