--- a/tests/lab/machine_world.py
+++ b/tests/lab/machine_world.py
@@ -45,7 +45,8 @@
     def at(self, instant: float, call: Callable[..., object], *args: object) -> Due:
         due = Due(call, args)
         self.count += 1
-        heappush(self.heap, (instant if instant > self.time else self.time, self.count, due))
+        assert self.count < 500_000, "time stands still"
+        heappush(self.heap, (max(instant, self.time), self.count, due))
         return due
 
     def run(self, until: float) -> None:
@@ -53,8 +54,7 @@
         while heap and heap[0][0] <= until:
             instant, _, due = heappop(heap)
             if due.live:
-                self.time = instant
-                due.live = False
+                self.time, due.live = instant, False
                 due.call(*due.args)
         self.time = until
 
@@ -81,25 +81,20 @@
     ClassPlan(name="order", share=0.4, work=0.45, effect="keyed", window=10.0),
     ClassPlan(name="once", share=0.0, work=0.45, effect="unsafe"),
 )
+RULES = RulesPlan(fall_multiple=2.5, fall_for=1.0)
 
 
 class World:
-    """One node of a tier on a clock of its own. `ended` lists verdicts by (instant, name, verdict)."""
+    """One node of a tier, of a kind and a tier as named, on a clock of its own.
+
+    `ended` lists verdicts by (instant, name, verdict).
+    """
 
     def __init__(
-        self,
-        kind: KindPlan | None = None,
-        *,
-        speed: float = 1.0,
-        below: Below | None = None,
-        calls: float = 0.0,
-        passes_deadline: bool = True,
-        rules: RulesPlan | None = None,
-        classes: tuple[ClassPlan, ...] = CLASSES,
-        cold: bool = False,
-        start: float = 0.0,
-        **tier: Any,
-    ) -> None:
+        self, *, below: Below | None = None, calls: float = 0.0, passes_deadline: bool = True,
+        classes: tuple[ClassPlan, ...] = CLASSES, cold_start: bool = False, start: float = 0.0,
+        speed: float = 1.0, tier: dict[str, Any] | None = None, **kind: Any,
+    ) -> None:  # fmt: skip
         self.time = Heap(start)
         self.noted = Noted()
         book = cast(Book, self.noted)
@@ -107,13 +102,13 @@
         self.effects = Effects(self.time, classes, book)
         self.ended: list[tuple[float, str, Verdict]] = []
         self.names: dict[str, str] = {}
-        plan = TierPlan(name="front", work=1.0, kinds=(kind or KindPlan(name="plain"),), **tier)
+        plan = TierPlan(name="front", work=1.0, kinds=(KindPlan(name="k", **kind),), **(tier or {}))
         node = NodePlan(name="n1", tier=0, kind=0, speed=speed, host="127.0.0.1")
         self.machine = Machine(
             node, plan, 0, classes, self.time, Random("machine"), self.origins, book, below, calls,
-            effects=self.effects, rules=rules, passes_deadline=passes_deadline,
+            effects=self.effects, rules=RULES, passes_deadline=passes_deadline,
         )  # fmt: skip
-        self.machine.start(cold)
+        self.machine.start(cold_start)
 
     def send(
         self, name: str, work: float, *, index: int = 0, key: str = "", left: float = 6.0, ident: str = ""
--- a/wheatring/lab/models/machine.py
+++ b/wheatring/lab/models/machine.py
@@ -142,6 +142,15 @@
         """A connection that was accepted has ended, in whatever way."""
         self.pace.disconnect()
 
+    @property
+    def connections(self) -> int:
+        return self.pace.connections
+
+    @property
+    def full(self) -> bool:
+        """Its table of connections is; it would not take one more."""
+        return self.pace.full
+
     # Visits
 
     def visit(self, visit: Visit) -> None:
@@ -300,16 +309,7 @@
         while self._stalled and not self.pace.still:
             self._stalled.popleft()()
 
-    # For figures
-
-    @property
-    def connections(self) -> int:
-        return self.pace.connections
-
-    @property
-    def full(self) -> bool:
-        """Its table of connections is; it would not take one more."""
-        return self.pace.full
+    # For figures, beside the length of `held`
 
     @property
     def waiting(self) -> int:
