Tell what a sidecar never read, and hold the HTTP peers to stories on the virtual network

A caller has to know whether a connection ended before or after its request was read: before, it sends the request again; after, the sidecar has lost it. The virtual network can tell (transports' `peer_read`), a real one can't, and there a kept connection that ended without a byte stands for it. Nodes and callers tell the book when first bytes left. A machine says whether its table is full, so that connects then get no answer.

--- /dev/null
+++ b/tests/lab/peers.py
@@ -0,0 +1,210 @@
+"""The shared helper of the stories of discovery and of the models' HTTP peers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from functools import partial
+from random import Random
+from typing import Any
+
+import pytest
+from twisted.internet.protocol import ClientFactory, Factory, Protocol, connectionDone
+from twisted.python import log
+from twisted.python.failure import Failure
+
+from wheatring.lab.models.discovery import Listed, Registry
+from wheatring.lab.models.visit import Verdict, Visit
+from wheatring.lab.models.way import Asked
+from wheatring.lab.net import Network, VirtualTime
+from wheatring.lab.origins import Origin, Origins
+from wheatring.lab.plan import ClassPlan, DiscoveryPlan, NetPlan, TierPlan
+from wheatring.lab.wire.caller import Caller
+from wheatring.lab.wire.discovery import DiscoveryPeer
+from wheatring.lab.wire.form import Forms
+from wheatring.lab.wire.node import NodePeer
+
+SAFE, KEYED = 0, 1
+FORMS = Forms(
+    [ClassPlan(name="read", share=1, work=0.1), ClassPlan(name="buy", share=1, work=0.1, effect="keyed")]
+)
+KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+TIER = TierPlan(name="t", work=1, conn_idle=5.0, handshake_rtts=2.0)
+
+
+class Book:
+    """Writes down what it is told, and when. Notes stand there by what they note."""
+
+    def __init__(self, timers: Any) -> None:
+        self.timers = timers
+        self.log: list[tuple[Any, ...]] = []
+        self.instants: list[float] = []
+
+    def __getattr__(self, what: str) -> Callable[..., None]:
+        if what.startswith("_"):
+            raise AttributeError(what)
+
+        def write(*values: Any, **more: Any) -> None:
+            self.instants.append(round(self.timers.now(), 6))
+            self.log.append((*values, *more.values()) if what == "note" else (what, *values))
+
+        return write
+
+    def clear(self) -> None:
+        self.log.clear()
+        self.instants.clear()
+
+    def of(self, *kinds: str) -> list[tuple[Any, ...]]:
+        return [entry for entry in self.log if entry[0] in kinds]
+
+    def timed(self, kind: str) -> list[tuple[Any, ...]]:
+        """Entries of one kind, with their instants in its place."""
+        return [(at, *e[1:]) for at, e in zip(self.instants, self.log, strict=True) if e[0] == kind]
+
+
+class Machine:
+    """Stands in for a node's model. Its verdict is set by the story; None: it hangs."""
+
+    name = "n1"
+
+    def __init__(self, book: Any, cap: int) -> None:
+        self.book = book
+        self.cap = cap
+        self.open = 0
+        self.verdict: Verdict | None = Verdict.SERVED
+        self.visits: list[Visit] = []
+
+    @property
+    def full(self) -> bool:
+        return self.open >= self.cap
+
+    def connect(self) -> float | None:
+        self.open += not self.full
+        return 0.004
+
+    def disconnect(self) -> None:
+        self.open -= 1
+
+    def visit(self, visit: Visit) -> None:
+        self.visits.append(visit)
+        if self.verdict is not None:
+            self.book.ended(self.name, visit.ident)
+            visit.reply(self.verdict, f"stamp-{visit.ident}")
+
+    def abandoned(self, visit: Visit) -> None:
+        visit.gone = True
+        self.book.ended(self.name, visit.ident)
+
+
+class Scripted(Protocol):
+    """A peer whose story says what it does with what comes."""
+
+    transport: Any = None
+
+    def __init__(self, got: Callable[[Scripted], None], first: bytes = b"") -> None:
+        self.got = got
+        self.first = first
+        self.reads = True
+        self.data = b""
+        self.why: Any = None
+
+    def connectionMade(self) -> None:
+        if not self.reads:
+            self.transport.pauseProducing()
+        if self.first:
+            self.transport.write(self.first)
+
+    def dataReceived(self, data: bytes) -> None:
+        self.data += data
+        self.got(self)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.why = reason.type
+
+
+def says(data: bytes, then: str = "") -> Callable[[Scripted], None]:
+    """Writes that, and may end the connection by a call of its transport."""
+
+    def got(line: Scripted) -> None:
+        line.transport.write(data)
+        if then:
+            getattr(line.transport, then)()
+
+    return got
+
+
+def factory(made: Any, build: Callable[[Any], Protocol]) -> Any:
+    made.noisy = False
+    made.buildProtocol = build
+    return made
+
+
+class Field:
+    """One virtual network: clients at 127.0.0.1, a scripted sidecar at .2, a node and discovery at .3."""
+
+    def __init__(self, cap: int = 100, most: int = 0) -> None:
+        self.time = VirtualTime()
+        self.book = Book(self.time)
+        book: Any = self.book
+        self.net = Network(self.time, NetPlan(same=0.001, jitter=0.0), Random(1))
+        self.clients, self.sidecar, self.node = [self.net.process(f"p{n}", f"127.0.0.{n}") for n in (1, 2, 3)]
+        self.origins = Origins(Random(2))
+        self.machine = Machine(book, cap)
+        full = partial(self.net.full, "127.0.0.3", 80)
+        rest = (self.time, Random(3), self.origins, FORMS, book, "at {}".format, lambda host: 0.002, full)
+        self.peer = NodePeer(self.machine, TIER, *rest)
+        self.node.listenTCP(80, self.peer)
+        plan = DiscoveryPlan(period=0.5, spread=0.0, lines_per_s=1000.0, call_lines=9.0)
+        self.registry = Registry(plan, self.time, self.node.unix, Random(4), book)
+        self.registry.add(Listed("n1", "127.0.0.3:80", "room", "fast", 2))
+        DiscoveryPeer(self.registry, book, "at {}".format, partial(self.node.listenTCP, 90))
+        self.lines: list[Scripted] = []
+        where = {"s": ("127.0.0.2", 80), "nobody": ("127.0.0.2", 81)}
+        self.caller = Caller(self.clients, self.time, book, FORMS, where.__getitem__, most=most)
+        self.ends: list[tuple[str, float]] = []
+        self.book.clear()
+
+    def serve(self, *steps: Callable[[Scripted], None], reads: bool = True) -> None:
+        """The sidecar is a script: what it does when something has come on its first, second, ... connection,
+        and on all further ones."""
+
+        def build(addr: object) -> Scripted:
+            self.lines.append(Scripted(steps[min(len(self.lines), len(steps) - 1)]))
+            self.lines[-1].reads = reads
+            return self.lines[-1]
+
+        self.sidecar.listenTCP(80, factory(Factory(), build))
+
+    def ask(self, sidecar: str = "s", index: int = SAFE, key: str = "", run: float = 0.0) -> Asked:
+        ident = self.origins.new(Origin(1, index, 0.1, key))
+        asked = self.caller.ask(sidecar, ident, index, 4.0, key, False, lambda *end: self.ends.append(end))
+        self.run(run)
+        return asked
+
+    def form(self, index: int = SAFE, key: str = "") -> bytes:
+        return FORMS.write(index, self.origins.new(Origin(1, index, 0.1, key)), 480, key, False)
+
+    def dial(self, data: bytes = b"", port: int = 80, run: float = 1.0) -> Scripted:
+        """A scripted connection of the sidecar to the node, or to discovery, that writes this first."""
+        line = Scripted(lambda line: None, data)
+        self.sidecar.connectTCP("127.0.0.3", port, factory(ClientFactory(), lambda addr: line), timeout=None)
+        self.run(run)
+        return line
+
+    def run(self, seconds: float = 1.0) -> None:
+        if seconds:
+            self.time.run(self.time.now() + seconds)
+
+
+@pytest.fixture
+def no_errors() -> Iterator[None]:
+    """What a callback raises ends in Twisted's log, where nobody would see it."""
+    errors: list[Any] = []
+
+    def observe(event: Any) -> None:
+        if event["isError"]:
+            errors.append(event)
+
+    log.addObserver(observe)
+    yield
+    log.removeObserver(observe)
+    assert not errors, log.textFromEventDict(errors[0])
--- a/tests/lab/test_discovery.py
+++ b/tests/lab/test_discovery.py
@@ -2,145 +2,93 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from functools import partial
-from heapq import heappop, heappush
-from itertools import count, pairwise
+from itertools import pairwise
 from random import Random
 from typing import Any
 
 import pytest
 
+from tests.lab.peers import Book
 from wheatring.lab.models.discovery import Answer, Call, Listed, Registry
+from wheatring.lab.net import VirtualTime
 from wheatring.lab.plan import DiscoveryPlan
 
 EPOCH = 1_733_900_000.0
 
 
-class Due:
-    """A timer."""
-
-    def __init__(self, call: Callable[..., object], args: tuple[object, ...]) -> None:
-        self.call: Callable[..., object] | None = call
-        self.args = args
-
-    def active(self) -> bool:
-        return self.call is not None
-
-    def cancel(self) -> None:
-        assert self.call is not None
-        self.call = None
-
-
-class Hands:
-    """Time by hand, and a book that only writes down what it is told and when."""
-
-    def __init__(self) -> None:
-        self.instant = 100.0
-        self.heap: list[tuple[float, int, Due]] = []
-        self.count = count()
-        self.log: list[tuple[Any, ...]] = []
-
-    def now(self) -> float:
-        return self.instant
-
-    def at(self, instant: float, call: Callable[..., object], *args: object) -> Due:
-        due = Due(call, args)
-        heappush(self.heap, (max(instant, self.instant), next(self.count), due))
-        return due
-
-    def until(self, instant: float) -> None:
-        """Play what is due till then, each thing at its own instant."""
-        while self.heap and self.heap[0][0] <= instant:
-            self.instant, _, due = heappop(self.heap)
-            call, due.call = due.call, None
-            if call is not None:
-                call(*due.args)
-        self.instant = instant
-
-    def __getattr__(self, what: str) -> Callable[..., None]:
-        if what.startswith("_"):
-            raise AttributeError(what)
-        return lambda *values: self.log.append((round(self.instant, 6), what, *values))
-
-    def entries(self, what: str) -> list[tuple[Any, ...]]:
-        return [(at, *values) for at, kind, *values in self.log if kind == what]
-
-
 class Town:
     """A registry with its nodes, and what its calls brought."""
 
     def __init__(self, nodes: int = 3, kept: int = 256, seed: int = 1, **plan: Any) -> None:
-        self.hands = Hands()
+        self.time = VirtualTime(100.0)
+        self.book = Book(self.time)
         figures = {"period": 0.5, "spread": 0.0, "lines_per_s": 1000.0, "call_lines": 10.0, **plan}
-        book: Any = self.hands
-        self.registry = Registry(DiscoveryPlan(**figures), self.hands, self.unix, Random(seed), book, kept)
+        book: Any = self.book
+        self.registry = Registry(DiscoveryPlan(**figures), self.time, self.unix, Random(seed), book, kept)
         self.names = [f"n{number}" for number in range(nodes)]
         for name in self.names:
             self.registry.add(Listed(name, f"127.0.1.1:80{name[1:]}", "room", "fast", 0, 0.0))
         self.answers: list[tuple[float, str, Answer | None]] = []
 
+    def run(self, seconds: float) -> None:
+        self.time.run(self.time.now() + seconds)
+
     def unix(self) -> float:
-        return EPOCH + self.hands.now()
+        return EPOCH + self.time.now()
 
     def call(self, sidecar: str = "s1", index: int | None = None, wait: float = 0.0) -> Call:
-        return self.registry.call(
-            sidecar,
-            index,
-            wait,
-            lambda answer: self.answers.append((round(self.hands.now(), 6), sidecar, answer)),
-        )
+        return self.registry.call(sidecar, index, wait, partial(self.answered, sidecar))
+
+    def answered(self, sidecar: str, answer: Answer | None) -> None:
+        self.answers.append((round(self.time.now(), 6), sidecar, answer))
 
     def get(self, index: int | None = None, within: float = 1.0) -> dict[str, str] | None:
         """A call's answer as states by name."""
         self.call("get", index)
-        self.hands.until(self.hands.now() + within)
-        answer = self.answers.pop()[2]
-        return None if answer is None else {line.node.name: line.state for line in answer.lines}
+        self.run(within)
+        return states(self.answers.pop()[2])
+
+
+def states(answer: Answer | None) -> dict[str, str] | None:
+    return None if answer is None else {line.node.name: line.state for line in answer.lines}
 
 
 def test_news_are_late_by_what_they_are_and_come_at_multiples_of_the_period() -> None:
     town = Town(add=0.3, notice=1.0, silent_notice=8.0, spread=0.2)
-    registry, hands = town.registry, town.hands
+    registry = town.registry
     registry.up("n0", 100.0)
     registry.draining("n1")
     registry.vanished("n2")
     watches = [town.call(f"s{number}", 1, 50.0) for number in range(5)]
-    hands.until(111.0)
-    known = {node: (at, state, started) for at, node, state, started in hands.entries("known") if at > 100}
-    for node, delay, state, started in [
-        ("n0", 0.3, "ready", 100.0),
-        ("n1", 1.0, "draining", 0.0),
-        ("n2", 8.0, "gone", 0.0),
-    ]:
-        at, *said = known[node]
-        assert said == [state, started]
-        assert 100 + delay <= at < 100 + delay + 0.5
-        assert (at - registry.knowledge.phase) / 0.5 == pytest.approx(
-            round((at - registry.knowledge.phase) / 0.5)
-        )
+    town.time.run(111.0)
+    known = {node: (at, state, started) for at, node, state, started in town.book.timed("known") if at > 100}
+    news = [("n0", 0.3, "ready", 100.0), ("n1", 1.0, "draining", 0.0), ("n2", 8.0, "gone", 0.0)]
+    for node, delay, *said in news:
+        at, *heard = known[node]
+        periods = (at - registry.knowledge.phase) / 0.5
+        assert heard == said and 100 + delay <= at < 100 + delay + 0.5
+        assert periods == pytest.approx(round(periods))
     # One change that wakes all of them reaches each at another time, and is told as it is written.
     at = known["n0"][0]
     assert len(town.answers) == 5 and all(watch.over for watch in watches)
     assert all(at < told < at + 0.2 + 5 * 0.011 for told, *_ in town.answers)
     assert len({round(told - at, 3) for told, *_ in town.answers}) > 1
-    assert [entry[:4] for entry in hands.entries("told")] == [
-        (told, sidecar, "n0", "ready") for told, sidecar, _ in town.answers
-    ]
-    line = town.answers[0][2].lines[0]  # type: ignore[union-attr]
-    assert line.started_ms == round((EPOCH + 100.0) * 1000)
+    assert [entry[:2] for entry in town.book.timed("told")] == [entry[:2] for entry in town.answers]
+    started = [line.started_ms for _, _, answer in town.answers if answer for line in answer.lines]
+    assert started == [round((EPOCH + 100.0) * 1000)] * 5
 
 
 def test_a_node_that_is_back_is_not_struck_off_by_older_news() -> None:
     town = Town(add=0.2, notice=2.0, silent_notice=8.0)
     town.registry.vanished("n0")
     town.registry.down("n1")
-    town.hands.until(100.3)
+    town.time.run(100.3)
     town.registry.up("n1", 100.3)  # before its end was noticed
-    town.hands.until(105.0)
+    town.time.run(105.0)
     town.registry.up("n0", 0.0)
-    town.hands.until(120.0)
-    known = [entry[1:] for entry in town.hands.entries("known") if entry[0] > 100]
+    town.time.run(120.0)
+    known = [entry[1:] for entry in town.book.timed("known") if entry[0] > 100]
     assert known == [("n1", "ready", 100.3)]
     assert town.get() == {"n0": "ready", "n1": "ready", "n2": "ready"}
 
@@ -149,56 +97,57 @@
 def test_changes_add_up_to_the_whole_list_of_each_version(seed: int) -> None:
     """The oracle holds what the book was told to be known; who applies answers must hold the same."""
     town = Town(nodes=6, kept=4, seed=seed, spread=0.2, notice=0.4, add=0.6, silent_notice=1.5, timeout=30.0)
-    draw, registry, hands = Random(seed), town.registry, town.hands
+    draw, registry = Random(seed), town.registry
     state = dict.fromkeys(town.names, "ready")
     versions, since = {1: dict(state)}, {1: 0.0}
     resets = deltas = 0
 
+    def here(right: dict[str, str]) -> dict[str, str]:
+        return {name: state for name, state in right.items() if state != "gone"}
+
     def look() -> None:
-        for _, name, said, _ in hands.entries("known"):
+        for _, name, said, _ in town.book.timed("known"):
             state[name] = said
-        hands.log.clear()
+        town.book.clear()
         version = registry.knowledge.listing(0).version
         if version not in versions:
-            versions[version], since[version] = dict(state), hands.now()
+            versions[version], since[version] = dict(state), town.time.now()
 
     def answered(held: int | None, answer: Answer | None) -> None:
         nonlocal resets, deltas
         assert answer is not None
-        lines = {line.node.name: line.state for line in answer.lines}
+        lines = states(answer) or {}
         look()
         right = versions[answer.generation]
-        here = {name: s for name, s in right.items() if s != "gone"}
         if answer.reset:
             resets += 1
-            assert lines == here
-            assert held is None or held < answer.generation
+            assert lines == here(right) and (held is None or held < answer.generation)
         else:
             assert held is not None and answer.generation >= held
             deltas += bool(lines)
             assert {**versions[held], **lines} == right
         # Nothing newer than what it has may have reached it long ago, and nothing comes from the future.
         newer = since.get(answer.generation + 1)
-        assert newer is None or newer > hands.now() - 0.2 - 0.1
-        assert since[answer.generation] <= hands.now()
+        assert newer is None or newer > town.time.now() - 0.2 - 0.1
+        assert since[answer.generation] <= town.time.now()
 
     for _ in range(120):
         fact = draw.choice(["up", "draining", "down", "vanished", "call", "call", "whole"])
         name = draw.choice(town.names)
         if fact == "up":
-            registry.up(name, hands.now())
+            registry.up(name, town.time.now())
         elif fact in ("draining", "down", "vanished"):
             getattr(registry, fact)(name)
         else:
             index = None if fact == "whole" else draw.choice(list(versions)[-7:])
             registry.call("s", index, draw.choice([0.0, 2.0]), partial(answered, index))
         for _ in range(draw.randrange(8)):
-            hands.until(hands.now() + 0.05)
+            town.run(0.05)
             look()
-    hands.until(hands.now() + 10)
+    town.run(10)
     look()
     assert resets > 5 and deltas > 5 and not registry.open
-    assert town.get(index=10**6) == {n: s for n, s in versions[max(versions)].items() if s != "gone"}
+    assert town.get(index=10**6) == here(versions[max(versions)])
 
 
 def test_calls_take_turns_and_fail_when_they_wait_too_long_for_theirs() -> None:
@@ -207,24 +156,21 @@
     for number in range(5):
         town.call(f"s{number}")
     given_up = town.call("gone")
-    town.hands.until(100.2)
+    town.time.run(100.2)
     given_up.cancel()
-    town.hands.until(104.0)
+    town.time.run(104.0)
     assert [(at, who, answer is not None) for at, who, answer in town.answers] == [
-        (100.5, "s0", True),
-        (101.0, "s1", True),
-        (101.2, "s3", False),
-        (101.2, "s4", False),
+        (100.5, "s0", True), (101.0, "s1", True), (101.2, "s3", False), (101.2, "s4", False),
         (101.5, "s2", True),
-    ]
-    assert not watch.over and len(town.hands.entries("unheard")) == 6
+    ]  # fmt: skip
+    assert not watch.over and len(town.book.timed("unheard")) == 6
     # Many watches are woken at once, and have to take turns as well.
     for number in range(4):
         town.call(f"w{number}", 1, 30.0)
     town.answers.clear()
     town.registry.draining("n0")
-    town.hands.until(110.0)
-    known = [at for at, *_ in town.hands.entries("known")][-1]
+    town.time.run(110.0)
+    known = [at for at, *_ in town.book.timed("known")][-1]
     assert [(round(at - known, 6), answer is not None) for at, _, answer in town.answers] == [
         (0.48, True), (0.96, True), (1.2, False), (1.2, False), (1.44, True)
     ]  # fmt: skip
@@ -234,13 +180,11 @@
     town = Town()
     town.call("short", 1, 3.0)
     town.call("long", 1, 1000.0)
-    town.hands.until(170.0)
-    assert town.answers == [
-        (103.01, "short", Answer(1, False, ())),
-        (160.01, "long", Answer(1, False, ())),
-    ]
-    assert town.hands.entries("asking") == [(100.0, "short", 3.0), (100.0, "long", 60.0)]
-    assert not any(due.active() for _, _, due in town.hands.heap)
+    town.time.run(170.0)
+    empty = Answer(1, False, ())
+    assert town.answers == [(103.01, "short", empty), (160.01, "long", empty)]
+    assert town.book.timed("asking") == [(100.0, "short", 3.0), (100.0, "long", 60.0)]
+    assert not town.time.pending()
 
 
 def test_down_ends_what_is_open_and_fails_what_comes_until_all_of_it_is_over() -> None:
@@ -258,7 +202,7 @@
     over[1]()
     assert town.get() is not None
     assert heard == [True, False]
-    assert len(town.hands.entries("asking")) == len(town.hands.entries("unheard")) == 5
+    assert len(town.book.timed("asking")) == len(town.book.timed("unheard")) == 5
 
 
 def test_silent_calls_stay_quiet_after_it_has_ended_and_new_ones_are_answered() -> None:
@@ -269,10 +213,10 @@
     over = town.registry.begin("silent")
     quiet = town.call("quiet")
     town.registry.draining("n0")
-    town.hands.until(110.0)
+    town.time.run(110.0)
     over()
     assert town.get() == {"n0": "draining", "n1": "ready", "n2": "ready"}
-    town.hands.until(200.0)
+    town.time.run(200.0)
     assert not town.answers and len(town.registry.open) == 4
     quiet.cancel()
     town.registry.begin("down")
@@ -280,11 +224,11 @@
 
 
 def test_slow_ones_multiply() -> None:
-    town = Town(call_lines=97.0, timeout=10.0)  # 0.1 s
+    town = Town(call_lines=97.0)  # 0.1 s
     ends = [town.registry.begin("slow", 3.0), town.registry.begin("slow", 2.0)]
     for _ in range(3):
         town.call()
-        town.hands.until(town.hands.now() + 2.0)
+        town.run(2.0)
         if ends:
             ends.pop(0)()
     assert [round(at % 2, 6) for at, *_ in town.answers] == [0.6, 0.2, 0.1]
@@ -295,22 +239,19 @@
     over = [town.registry.begin("stale"), town.registry.begin("stale")]
     town.registry.down("n0")
     town.call("watch", 1, 50.0)
-    town.hands.until(110.0)
+    town.time.run(110.0)
     over[0]()
     assert town.get() == {"n0": "ready", "n1": "ready", "n2": "ready"}
-    assert not town.answers and len(town.hands.entries("known")) == 3
+    assert not town.answers and len(town.book.timed("known")) == 3
     over[1]()
-    assert town.hands.entries("known")[3:] == [(111.0, "n0", "gone", 0.0)]
-    town.hands.until(112.0)
+    assert town.book.timed("known")[3:] == [(111.0, "n0", "gone", 0.0)]
+    town.time.run(112.0)
     ((at, _, answer),) = town.answers
-    assert at == 111.011 and answer is not None
-    assert [(line.node.name, line.state) for line in answer.lines] == [("n0", "gone")]
+    assert at == 111.011 and states(answer) == {"n0": "gone"}
     assert town.get() == {"n1": "ready", "n2": "ready"}
     # Who is missing from a whole list is told as gone.
-    assert town.hands.entries("told")[-3:] == [
-        (112.012, "get", name, state, 0.0)
-        for name, state in [("n0", "gone"), ("n1", "ready"), ("n2", "ready")]
-    ]
+    told = [entry[2:4] for entry in town.book.timed("told")]
+    assert told[-3:] == [("n0", "gone"), ("n1", "ready"), ("n2", "ready")]
 
 
 def test_lies_strike_off_others_by_turns_and_are_taken_back() -> None:
@@ -324,7 +265,7 @@
     assert all(len(names) == 2 for names in struck)
     assert all(not set(one) & set(next) for one, next in pairwise(struck))
     town.registry.down(struck[-1][0])  # a truth that looks like the lie
-    town.hands.until(town.hands.now() + 2)
+    town.run(2)
     over()
     assert town.get() == {name: "ready" for name in town.names if name != struck[-1][0]}
     assert town.get(index=1) == {
@@ -339,12 +280,7 @@
     town.call("s1", 1, 20.0)
     town.call("n0")
     town.registry.up("b0", 0.0)
-    town.hands.until(105.0)
+    town.time.run(105.0)
     town.call("n0")
-    town.hands.until(106.0)
-    assert [
-        (who, [line.node.name for line in answer.lines]) for _, who, answer in town.answers if answer
-    ] == [
-        ("n0", []),
-        ("n0", ["b0"]),
-    ]
+    town.time.run(106.0)
+    assert [(who, states(answer)) for _, who, answer in town.answers] == [("n0", {}), ("n0", {"b0": "ready"})]
--- a/wheatring/lab/models/machine.py
+++ b/wheatring/lab/models/machine.py
@@ -142,6 +142,11 @@
         """A connection that was accepted has ended, in whatever way."""
         self.pace.disconnect()
 
+    @property
+    def full(self) -> bool:
+        """It would not accept one more connection while it runs."""
+        return self.pace.full
+
     # Visits
 
     def visit(self, visit: Visit) -> None:
--- a/wheatring/lab/models/pace.py
+++ b/wheatring/lab/models/pace.py
@@ -64,9 +64,14 @@
         if self.choke is not None:
             self.choke.reset()
 
+    @property
+    def full(self) -> bool:
+        """The table of connections is."""
+        return self.connections >= min(self.table, self.troubles.cap)
+
     def connect(self) -> bool:
         """Whether one more connection is accepted."""
-        if self.connections >= min(self.table, self.troubles.cap):
+        if self.full:
             return False
         self.connections += 1
         if self.tax > 0.0:
--- a/wheatring/lab/net/links.py
+++ b/wheatring/lab/net/links.py
@@ -81,7 +81,7 @@
 
     __slots__ = (
         "_armed", "_credits", "_held", "_held_since", "_last", "_owed", "_owed_since", "_waiting", "back",
-        "flight", "give_up", "link", "over", "segment", "source", "target", "time", "used", "window",
+        "flight", "give_up", "link", "over", "read", "segment", "source", "target", "time", "used", "window",
     )  # fmt: skip
 
     def __init__(
@@ -95,6 +95,7 @@
         self.segment = segment
         self.give_up = give_up  # seconds that the sender goes on sending again
         self.used = 0
+        self.read = 0  # bytes that the receiver has read in all
         self.flight: deque[tuple[bytes | int, float]] = deque()
         self.over = False  # a reset is on the way: nothing more follows
         self._last = 0.0  # no arrival comes before this one
@@ -196,6 +197,7 @@
 
     def freed(self, size: int) -> None:
         """The receiver has read so many bytes."""
+        self.read += size
         now = self.time.instant
         if self.back.silent:
             if not self._owed:
--- a/wheatring/lab/net/transports.py
+++ b/wheatring/lab/net/transports.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from twisted.internet import error, tcp
@@ -68,6 +70,11 @@
         sent: float = self.socket.sent_at
         return sent
 
+    @property
+    def peer_read(self) -> Callable[[], int]:
+        """Tells how many bytes the peer's program has read by then, also once the connection has ended."""
+        return partial(getattr, self.socket.out, "read")
+
     def write(self, data: bytes) -> None:
         if data.__class__ is not bytes and not isinstance(data, bytes):
             raise TypeError("Data must be bytes")
--- a/wheatring/lab/wire/caller.py
+++ b/wheatring/lab/wire/caller.py
@@ -67,6 +67,7 @@
         self.kept = False  # it had stood idle before the request came on it
         self.got = False  # something of the answer has come
         self.over = False  # this side has ended it
+        self.began: float | None = None  # when the answer's first byte left the sidecar, where that is told
         self.written = 0  # bytes
         self.peer_read: Callable[[], int] | None = None
 
@@ -94,7 +95,9 @@
             self.pool.caller.book.note("unasked-data", sidecar=self.pool.sidecar, data=data[:64])
             self.end()
             return
-        self.got = True
+        if not self.got:
+            self.got = True
+            self.began = getattr(self.transport, "sent_at", None)
         try:
             message = self.cutter.feed(data)
             while message is not None and message.status < 200:
@@ -123,7 +126,7 @@
                     return
                 wait = float(advice)
         self.asked = asked.line = None
-        book.answered(pool.sidecar, asked.ident, kind, stamp, wait)
+        book.answered(pool.sidecar, asked.ident, kind, stamp, wait, self.began)
         if self.cutter.started:
             book.note("unasked-data", sidecar=pool.sidecar, data=b"")
             self.end()
--- a/wheatring/lab/wire/node.py
+++ b/wheatring/lab/wire/node.py
@@ -75,6 +75,7 @@
         self.keep_alive = True
         self.over = False  # this side has ended it
         self.since = 0.0  # idle from then on
+        self.sent = 0.0  # when the first byte of the request left the sidecar, as far as that can be told
         self.timer: Timer | None = None
 
     def connectionMade(self) -> None:
@@ -94,8 +95,9 @@
             self._abort()
             return
         if not cutter.started:
-            at = getattr(self.transport, "sent_at", None)
-            peer.book.sending(self.sidecar, peer.node.name, peer.timers.now() if at is None else at)
+            at: float | None = getattr(self.transport, "sent_at", None)
+            self.sent = peer.timers.now() if at is None else at
+            peer.book.sending(self.sidecar, peer.node.name, self.sent)
         try:
             message = cutter.feed(data)
         except Malformed as bad:
@@ -137,7 +139,7 @@
         node = peer.node
         now = peer.timers.now()
         visit = self.visit = Visit(ident, self.sidecar, int(left) / 1000, now, self._reply)
-        peer.book.arrived(self.sidecar, node.name, ident)
+        peer.book.arrived(self.sidecar, node.name, ident, self.sent)
         if self.delay > 0:
             peer.timers.at(now + self.delay, self._begin, visit)
             self.delay = 0.0
