--- a/wheatring/lab/models/machine.py
+++ b/wheatring/lab/models/machine.py
@@ -148,7 +148,7 @@
 
     @property
     def full(self) -> bool:
-        """Its table of connections is; it would not take one more."""
+        """It would not accept one more connection while it runs."""
         return self.pace.full
 
     # Visits
--- a/wheatring/lab/models/pace.py
+++ b/wheatring/lab/models/pace.py
@@ -66,7 +66,7 @@
 
     @property
     def full(self) -> bool:
-        """No more connections are accepted."""
+        """The table of connections is."""
         return self.connections >= min(self.table, self.troubles.cap)
 
     def connect(self) -> bool:
