Take detours out of the exchange grain: links held by lines, requests that are their own answer's place

A request passes four links, and each looked its way up by two names; its answer went through a Deferred to which the same object listened.

--- a/wheatring/lab/direct/links.py
+++ b/wheatring/lab/direct/links.py
@@ -17,32 +17,66 @@
 RESEND_MOST = 120.0  # ... up to this
 
 
+class Link(Protocol):
+    """The way from one host to another."""
+
+    def send(self, least: float, call: Callable[..., object], *args: Any) -> float:
+        """Call once what is sent now has arrived, not before the instant `least`, at which what was sent
+        earlier arrives. Gives the instant of the arrival, or `least` while that is not known."""
+
+
 class Links(Protocol):
     """Hosts are names."""
 
+    def link(self, source: str, target: str) -> Link: ...
+
     def delay(self, source: str, target: str) -> float:
         """Seconds that a message sent now takes one way."""
 
     def reachable(self, source: str, target: str) -> bool:
         """Whether a message sent now arrives without being sent again."""
 
-    def send(self, source: str, target: str, least: float, call: Callable[..., object], *args: Any) -> float:
-        """Call once what is sent now has arrived, not before the instant `least`, at which what was sent
-        earlier arrives. Gives the instant of the arrival, or `least` while that is not known."""
 
+class DirectLink:
+    """A delay is a floor and an exponential part above it. What is sent into a cut waits."""
 
-class _Way:
-    """From one host to another. A delay is a floor and an exponential part above it."""
+    __slots__ = ("cut", "draw", "floor", "held", "since", "spread", "timers")
 
-    __slots__ = ("cut", "floor", "held", "since", "spread")
-
-    def __init__(self) -> None:
+    def __init__(self, timers: Timers, draw: Callable[[], float]) -> None:
+        self.timers = timers
+        self.draw = draw
         self.floor = 0.0
         self.spread = 0.0
         self.cut = False
         self.since = 0.0  # of what has been held longest
         self.held: list[tuple[Callable[..., object], tuple[Any, ...]]] = []
 
+    def send(self, least: float, call: Callable[..., object], *args: Any) -> float:
+        timers = self.timers
+        now = timers.now()
+        if self.cut:
+            if not self.held:
+                self.since = now
+            self.held.append((call, args))
+            return least
+        arrival = now + self.floor - self.spread * log(1.0 - self.draw())
+        if arrival < least:
+            arrival = least
+        timers.at(arrival, call, *args)
+        return arrival
+
+    def resume(self) -> None:
+        """The cut is healed: what waited goes out when TCP would next try."""
+        now = self.timers.now()
+        wait = RESEND
+        again = self.since + wait
+        while again < now:
+            wait = min(2 * wait, RESEND_MOST)
+            again += wait
+        held, self.held = self.held, []
+        for call, args in held:
+            self.timers.at(again + self.floor, call, *args)
+
 
 class DirectLinks:
     """Links by the plan's delays. `zones`: of each host; one that has none is the clients'."""
@@ -52,31 +86,24 @@
         self.zones = zones
         self.timers = timers
         self.draw = random.random
-        self.ways: dict[tuple[str, str], _Way] = {}
+        self.links: dict[tuple[str, str], DirectLink] = {}
         self.vanished: list[str] = []
         self.cuts: list[tuple[tuple[str, ...], tuple[str, ...], bool]] = []
         self.slowed: dict[tuple[tuple[str, ...], tuple[str, ...]], float] = {}
 
+    def link(self, source: str, target: str) -> DirectLink:
+        link = self.links.get((source, target))
+        if link is None:
+            link = self.links[source, target] = DirectLink(self.timers, self.draw)
+            self._set(source, target, link)
+        return link
+
     def delay(self, source: str, target: str) -> float:
-        way = self.ways.get((source, target)) or self._lay(source, target)
-        return way.floor - way.spread * log(1.0 - self.draw())
+        link = self.link(source, target)
+        return link.floor - link.spread * log(1.0 - self.draw())
 
     def reachable(self, source: str, target: str) -> bool:
-        return not (self.ways.get((source, target)) or self._lay(source, target)).cut
-
-    def send(self, source: str, target: str, least: float, call: Callable[..., object], *args: Any) -> float:
-        way = self.ways.get((source, target)) or self._lay(source, target)
-        now = self.timers.now()
-        if way.cut:
-            if not way.held:
-                way.since = now
-            way.held.append((call, args))
-            return least
-        arrival = now + way.floor - way.spread * log(1.0 - self.draw())
-        if arrival < least:
-            arrival = least
-        self.timers.at(arrival, call, *args)
-        return arrival
+        return not self.link(source, target).cut
 
     # Faults. No names stand for all hosts; a host always reaches itself.
 
@@ -109,28 +136,23 @@
 
     # Its own
 
-    def _lay(self, source: str, target: str) -> _Way:
-        way = self.ways[source, target] = _Way()
-        self._set(source, target, way)
-        return way
-
     def _rewire(self) -> None:
-        for (source, target), way in self.ways.items():
-            self._set(source, target, way)
-            if way.held and not way.cut:
-                self._resume(way)
+        for (source, target), link in self.links.items():
+            self._set(source, target, link)
+            if link.held and not link.cut:
+                link.resume()
 
-    def _set(self, source: str, target: str, way: _Way) -> None:
+    def _set(self, source: str, target: str, link: DirectLink) -> None:
         here, there = self.zones.get(source), self.zones.get(target)
         mean = self.plan.client if here is None or there is None else self.plan.cross
         if here is not None and here == there:
             mean = self.plan.same
-        way.cut = False
+        link.cut = False
         if source != target:
             for (hosts, others), factor in self.slowed.items():
                 if _between(hosts, others, source, target) or _between(hosts, others, target, source):
                     mean *= factor
-            way.cut = (
+            link.cut = (
                 source in self.vanished
                 or target in self.vanished
                 or any(
@@ -139,21 +161,8 @@
                     for hosts, others, one_way in self.cuts
                 )
             )
-        way.floor = mean * (1 - self.plan.jitter)
-        way.spread = mean * self.plan.jitter
-
-    def _resume(self, way: _Way) -> None:
-        """What waited goes out when TCP would next try."""
-        now = self.timers.now()
-        wait = RESEND
-        again = way.since + wait
-        while again < now:
-            wait = min(2 * wait, RESEND_MOST)
-            again += wait
-        held, way.held = way.held, []
-        again += way.floor
-        for call, args in held:
-            self.timers.at(again, call, *args)
+        link.floor = mean * (1 - self.plan.jitter)
+        link.spread = mean * self.plan.jitter
 
 
 def _between(hosts: tuple[str, ...], others: tuple[str, ...], source: str, target: str) -> bool:
--- a/wheatring/lab/direct/machine_list.py
+++ b/wheatring/lab/direct/machine_list.py
@@ -69,10 +69,10 @@
         self.late = self.owner.clock.at(instant, self.stop, "late")
 
     def to_there(self, call: Callable[[_Out], None], out: _Out) -> None:
-        self.owner.links.send(self.owner.host, self.there, 0.0, call, out)
+        self.owner.links.link(self.owner.host, self.there).send(0.0, call, out)
 
     def to_here(self, call: Callable[..., None], *args: object) -> None:
-        self.owner.links.send(self.there, self.owner.host, 0.0, call, *args)
+        self.owner.links.link(self.there, self.owner.host).send(0.0, call, *args)
 
     # The steps of a call, at discovery and back here
 
@@ -112,7 +112,7 @@
         if out is not None and not out.over:
             out.over = True
             if out.pending is not None:
-                self.owner.links.send(self.owner.host, self.there, 0.0, out.pending.cancel)
+                self.owner.links.link(self.owner.host, self.there).send(0.0, out.pending.cancel)
 
     def end(self, answer: Any) -> None:
         if self.late is not None and self.late.active():
--- a/wheatring/lab/direct/node.py
+++ b/wheatring/lab/direct/node.py
@@ -69,18 +69,19 @@
     def accept(self, line: Line) -> None:
         machine = self.machine
         if not machine.running or machine.troubles.refusing:
-            self.links.send(self.host, line.host, 0.0, line.refused)
+            line.back.send(0.0, line.refused)
             return
         wait = machine.connect()
         if wait is None:  # its table is full: the connect gets no answer
             return
         now = self.timers.now()
-        there_and_back = self.links.delay(line.host, self.host) + self.links.delay(self.host, line.host)
+        there = line.pool.host
+        there_and_back = self.links.delay(there, self.host) + self.links.delay(self.host, there)
         line.handshake = wait + self.round_trips * there_and_back
         line.node_idle = now
         self.lines[line] = None
         self.timers.at(now + self.idle, self.look, line)
-        line.reply_arrival = self.links.send(self.host, line.host, 0.0, line.accepted)
+        line.reply_arrival = line.back.send(0.0, line.accepted)
 
     # Requests
 
@@ -123,7 +124,7 @@
     def close(self, line: Line) -> None:
         """End a connection from here."""
         self.drop(line)
-        self.links.send(self.host, line.host, line.reply_arrival, line.ended)
+        line.back.send(line.reply_arrival, line.ended)
 
     def down(self) -> None:
         """All connections are reset."""
--- a/wheatring/lab/direct/pool.py
+++ b/wheatring/lab/direct/pool.py
@@ -19,16 +19,13 @@
 from wheatring.lab.direct.node import DirectNode
 from wheatring.lab.models.visit import Verdict, Visit
 
-
-class Call:
-    """What a job of this grain carries. `left`: seconds that its caller waits."""
-
-    __slots__ = ("ident", "key", "left")
-
-    def __init__(self, ident: str, key: str, left: float) -> None:
-        self.ident = ident
-        self.key = key
-        self.left = left
+CONNECT_FAILED, RESET = Outcome.CONNECT_FAILED, Outcome.RESET  # looked up once: an enum takes its time
+OUTCOMES = (
+    (Verdict.SERVED, Outcome.SERVED),
+    (Verdict.AWAY, Outcome.REJECTED),
+    (Verdict.ERROR, Outcome.ERROR),
+)  # of answers that leave a clean connection; any other can't be read
+VERDICT_AWAY, VERDICT_RESET = Verdict.AWAY, Verdict.RESET
 
 
 class Line:
@@ -39,16 +36,16 @@
     """
 
     __slots__ = (
-        "alive", "arrival", "begun", "claim", "first", "handshake", "host", "idle_since", "late", "node",
-        "node_idle", "place", "pool", "reply_arrival", "there", "visit",
+        "alive", "arrival", "back", "begun", "claim", "first", "handshake", "idle_since", "late", "node",
+        "node_idle", "place", "pool", "reply_arrival", "visit", "way",
     )  # fmt: skip
 
     def __init__(self, pool: DirectPool, place: Place, node: DirectNode, claim: Claim) -> None:
         self.pool = pool
         self.place = place
         self.node = node
-        self.host = pool.host
-        self.there = node.host
+        self.way = pool.links.link(pool.host, node.host)
+        self.back = pool.links.link(node.host, pool.host)
         self.first: Claim | None = claim  # for which it is made
         self.late: Timer | None = None  # while it comes up
         self.claim: Claim | None = None
@@ -69,7 +66,7 @@
         claim.drop = self.keep_on
         by = min(claim.give_up, pool.clock.now() + pool.connect_time)
         self.late = pool.clock.at(by, self.not_up)
-        pool.links.send(self.host, self.there, 0.0, self.node.knock, self)
+        self.way.send(0.0, self.node.knock, self)
 
     def keep_on(self) -> None:
         """The claim is not wanted any more; the connection, once up, is kept for others."""
@@ -84,7 +81,7 @@
         claim, self.first, self.late = self.first, None, None
         self.pool.dialling -= 1
         assert claim is not None
-        self.pool.exchange.end(claim, Outcome.CONNECT_FAILED)
+        self.pool.exchange.end(claim, CONNECT_FAILED)
 
     def accepted(self) -> None:
         pool = self.pool
@@ -115,7 +112,7 @@
         left = int((claim.give_up - now) * 1000) / 1000 or 0.001  # as the wire states it
         pool.book.sending(pool.name, self.node.name, now)
         visit = Visit(claim.job.ident, pool.name, left, now, self.reply)
-        self.arrival = pool.links.send(self.host, self.there, self.arrival, self.node.request, self, visit)
+        self.arrival = self.way.send(self.arrival, self.node.request, self, visit)
 
     def reply(self, verdict: Verdict, stamp: str) -> None:
         """At the node: it answers its visit, or breaks the connection."""
@@ -124,32 +121,26 @@
         if visit is None:
             return
         self.begun = False
-        if verdict is Verdict.RESET:
+        if verdict is VERDICT_RESET:
             node.close(self)
             return
-        if verdict is Verdict.AWAY:
+        if verdict is VERDICT_AWAY:
             node.book.turned_away(node.name, visit.ident)
         self.node_idle = node.timers.now()
-        self.reply_arrival = node.links.send(
-            self.there, self.host, self.reply_arrival, self.answered, visit, verdict, stamp
-        )
+        self.reply_arrival = self.back.send(self.reply_arrival, self.answered, verdict, stamp)
 
-    def answered(self, visit: Visit, verdict: Verdict, stamp: str) -> None:
+    def answered(self, verdict: Verdict, stamp: str) -> None:
         claim = self.claim
         if claim is None or self.pool.clock.over:
             return
         self.claim = None
-        if verdict is Verdict.SPOILT:  # nothing more on the connection can be trusted
-            self.close()
-            self.pool.exchange.end(claim, Outcome.RESET)
-            return
-        self.pool.keep(self)
-        if verdict is Verdict.SERVED:
-            self.pool.exchange.end(claim, Outcome.SERVED, stamp)
-        elif verdict is Verdict.AWAY:
-            self.pool.exchange.end(claim, Outcome.REJECTED)
-        else:
-            self.pool.exchange.end(claim, Outcome.ERROR)
+        for each, outcome in OUTCOMES:
+            if verdict is each:
+                self.pool.keep(self)
+                self.pool.exchange.end(claim, outcome, stamp)
+                return
+        self.close()
+        self.pool.exchange.end(claim, RESET)
 
     # Its end
 
@@ -166,7 +157,7 @@
             self.hang_up()
 
     def hang_up(self) -> None:
-        self.pool.links.send(self.host, self.there, self.arrival, self.node.drop, self)
+        self.way.send(self.arrival, self.node.drop, self)
 
     def ended(self) -> None:
         """The node's end of it is gone, and the sidecar's machine has heard of it."""
@@ -178,7 +169,7 @@
             self.pool.gone(self)
             claim, self.claim = self.claim, None
             if claim is not None:
-                self.pool.exchange.end(claim, Outcome.RESET)
+                self.pool.exchange.end(claim, RESET)
 
 
 class DirectPool:
@@ -209,7 +200,7 @@
         self.idle = idle * 0.7  # as the HTTP client's
         self.most = most
         self.addresses: dict[str, str] = {}
-        self.idle_ones: dict[Place, deque[Line]] = {}
+        self.idle_ones: dict[tuple[str, str], deque[Line]] = {}
         self.lines: dict[Line, None] = {}  # in the order in which they came
         self.dialling = 0
         exchange.start_claim = self.start
@@ -220,18 +211,17 @@
         address = self.addresses.get(claim.node)
         if address is None:
             # The list no longer says where the node is.
-            self.clock.at(self.clock.now(), self.exchange.end, claim, Outcome.CONNECT_FAILED)
+            self.clock.at(self.clock.now(), self.exchange.end, claim, CONNECT_FAILED)
             return
-        place = Place(claim.node, address)
-        idle = self.idle_ones.get(place)
+        idle = self.idle_ones.get((claim.node, address))
         if idle:
             idle.pop().carry(claim)
             return
         if len(self.lines) + self.dialling >= self.most and not self.retire_oldest():
             log.line("too-many-connections", most=self.most)
-            self.clock.at(self.clock.now(), self.exchange.end, claim, Outcome.CONNECT_FAILED)
+            self.clock.at(self.clock.now(), self.exchange.end, claim, CONNECT_FAILED)
             return
-        line = Line(self, place, self.nodes[claim.node], claim)
+        line = Line(self, Place(claim.node, address), self.nodes[claim.node], claim)
         self.dialling += 1
         line.dial()
 
@@ -278,7 +268,7 @@
     def sweep(self) -> None:
         now = self.clock.now()
         self.clock.at(now + SWEEP, self.sweep)
-        for place, idle in list(self.idle_ones.items()):
-            gone = self.addresses.get(place.node) != place.address
+        for (node, address), idle in list(self.idle_ones.items()):
+            gone = self.addresses.get(node) != address
             while idle and (gone or now - idle[0].idle_since > self.idle):
                 idle[0].close()
--- a/wheatring/lab/direct/sidecar.py
+++ b/wheatring/lab/direct/sidecar.py
@@ -4,19 +4,19 @@
 
 from collections import deque
 from collections.abc import Callable, Mapping
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, cast
 
 from lapisway.interface import Settings
 from lapisway.policy import Balancer
 from wheatring.core.driver import Driver
-from wheatring.core.exchange import Answer, Exchange, Job
+from wheatring.core.exchange import Exchange, Job
 from wheatring.daemon import ARRIVING, CLAIMS, RESERVE
 from wheatring.lab.book import Book
 from wheatring.lab.direct.clock import DirectClock
 from wheatring.lab.direct.links import Links
 from wheatring.lab.direct.machine_list import DirectList, Registry
 from wheatring.lab.direct.node import DirectNode
-from wheatring.lab.direct.pool import Call, DirectPool
+from wheatring.lab.direct.pool import DirectPool
 from wheatring.lab.timers import Timers
 
 if TYPE_CHECKING:
@@ -94,16 +94,15 @@
             return
         cls = self.classes[asked.index]
         left = min(cls.deadline, asked.left)  # no caller waits longer than its class
-        job = Job(
-            asked.ident, cls.name, self.clock.now() + left, Call(asked.ident, asked.key, left), asked.repeat
+        job = asked.job = Job(
+            asked.ident, cls.name, self.clock.now() + left, asked, asked.repeat, cast(Any, asked)
         )
-        asked.job = job
         self.held[asked] = None
-        self.exchange.submit(job).addCallback(self.answer, asked)
+        self.exchange.submit(job)
 
-    def answer(self, answer: Answer, asked: DirectAsked) -> None:
-        self.held.pop(asked, None)
-        asked.answer(answer)
+    def done(self, asked: DirectAsked) -> None:
+        """It is answered."""
+        del self.held[asked]
         if self.door:
             self.next()
 
@@ -111,14 +110,13 @@
         """Its caller has closed its connection."""
         if self.clock.over:
             return
-        if asked.job is None:
+        if asked.job is None:  # answered, or never read
             if asked in self.door:
                 self.door.remove(asked)
             return
-        self.held.pop(asked, None)
-        self.exchange.leave(asked.job)
-        if self.door:
-            self.next()
+        job, asked.job = asked.job, None
+        self.exchange.leave(job)
+        self.done(asked)
 
     def next(self) -> None:
         """A place is free: not from within the end of the last one that had it."""
--- a/wheatring/lab/direct/way.py
+++ b/wheatring/lab/direct/way.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from math import ceil
 from typing import TYPE_CHECKING
 
@@ -15,14 +15,14 @@
 if TYPE_CHECKING:
     from wheatring.lab.direct.sidecar import DirectSidecar
 
-KINDS: dict[Final, Kind] = {Final.SERVED: "served", Final.REFUSED: "refused", Final.FAILED: "failed"}
+SERVED, REFUSED = Final.SERVED, Final.REFUSED  # looked up once: an enum takes its time
 
 
 class DirectAsked:
-    """One request that is out."""
+    """One request that is out. It is its job's content, and what the job's answer goes to."""
 
     __slots__ = (
-        "arrival", "deadline", "done", "gone", "here", "ident", "index", "job", "key", "left", "process",
+        "arrival", "back", "deadline", "done", "gone", "ident", "index", "job", "key", "left", "process",
         "repeat", "sidecar", "there", "way",
     )  # fmt: skip
 
@@ -46,7 +46,7 @@
         self.key = key
         self.repeat = repeat
         self.done = done
-        self.here, self.there = way.hosts[sidecar]
+        self.there, self.back = way.links_of[sidecar]
         self.gone = False
         self.arrival = 0.0
         self.process: DirectSidecar | None = None  # that has taken it
@@ -58,40 +58,41 @@
         way = self.way
         process = way.running.get(self.sidecar)
         if process is None or not process.open:
-            self.back(self.unreached)
+            self.back.send(0.0, self.unreached)
             return
         self.process = process
         way.book.taken(self.sidecar, self.ident, self.index, self.key, self.deadline)
         process.take(self)
 
-    def back(self, call: Callable[..., object], *args: object) -> None:
-        """What the sidecar's machine says gets to the caller."""
-        self.way.links.send(self.there, self.here, 0.0, call, *args)
-
     def unreached(self) -> None:
         if not self.gone:
             self.gone = True
             self.done("unreached", 0.0)
 
-    def answer(self, answer: Answer) -> None:
+    def callback(self, answer: Answer) -> None:
         """The sidecar has answered it."""
+        self.job = None
+        process = self.process
+        assert process is not None
+        process.done(self)
         if not self.gone:
-            self.back(self.answered, answer)
+            self.back.send(0.0, self.answered, answer)
 
     def answered(self, answer: Answer) -> None:
         if self.gone:
             return
         self.gone = True
-        kind = KINDS[answer.final]
-        stamp = str(answer.content) if kind == "served" else ""
-        advice = ceil(answer.retry_after * 1000) / 1000 if kind == "refused" else 0.0
+        final = answer.final
+        kind: Kind = "served" if final is SERVED else "refused" if final is REFUSED else "failed"
+        stamp = str(answer.content) if final is SERVED else ""
+        advice = ceil(answer.retry_after * 1000) / 1000 if answer.retry_after > 0 else 0.0
         self.way.book.answered(self.sidecar, self.ident, kind, stamp, advice)
         self.done(kind, advice)
 
     def cut_off(self) -> None:
         """The sidecar has ended without an answer to it."""
         if not self.gone:
-            self.back(self.lost)
+            self.back.send(0.0, self.lost)
 
     def lost(self) -> None:
         if not self.gone:
@@ -107,7 +108,7 @@
         if process is None:  # it has not arrived, and will not
             return
         way.book.left(self.sidecar, self.ident)
-        way.links.send(self.here, self.there, self.arrival, process.leave, self)
+        self.there.send(self.arrival, process.leave, self)
 
 
 class DirectWay:
@@ -117,14 +118,15 @@
         self, timers: Timers, links: Links, book: Book, hosts: Mapping[str, tuple[str, str]]
     ) -> None:
         self.timers = timers
-        self.links = links
         self.book = book
-        self.hosts = hosts
+        self.links_of = {
+            name: (links.link(here, there), links.link(there, here)) for name, (here, there) in hosts.items()
+        }
         self.running: dict[str, DirectSidecar] = {}
 
     def ask(
         self, sidecar: str, ident: str, index: int, left: float, key: str, repeat: bool, done: Done
     ) -> DirectAsked:
         asked = DirectAsked(self, sidecar, ident, index, left, key, repeat, done)
-        asked.arrival = self.links.send(asked.here, asked.there, 0.0, asked.arrive)
+        asked.arrival = asked.there.send(0.0, asked.arrive)
         return asked
