--- /dev/null
+++ b/tests/lab/desk.py
@@ -0,0 +1,96 @@
+"""One ledger on a clock of its own, for a day of two tiers, and short words for what it is told."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from wheatring.lab.outcome import Outcome
+from wheatring.lab.plan import (
+    ClassPlan,
+    EventPlan,
+    GoalPlan,
+    KindPlan,
+    LimitsPlan,
+    NodePlan,
+    Plan,
+    SidecarPlan,
+    TierPlan,
+    TrafficPlan,
+)
+from wheatring.lab.rules import Ledger, Trace
+
+START = 1000.0
+SAFE, KEYED, UNSAFE = range(3)
+KIND = KindPlan(name="kind", cold=24.0, cold_from=0.13)
+
+
+def a_plan(events: tuple[EventPlan, ...] = (), **limits: Any) -> Plan:
+    return Plan(
+        scenario="desk",
+        seed=7,
+        length=30.0,
+        classes=(
+            ClassPlan(name="menu", share=0.5, work=0.2, late_worth=0.5),
+            ClassPlan(name="order", share=0.3, work=0.4, worth=5.0, late_worth=0.25, effect="keyed"),
+            ClassPlan(name="pay", share=0.2, work=0.4, worth=3.0, effect="unsafe"),
+        ),
+        tiers=(
+            TierPlan(name="front", work=0.4, kinds=(KIND,)),
+            TierPlan(name="stock", work=0.6, calls=2.0, kinds=(KIND,)),
+        ),
+        nodes=tuple(
+            NodePlan(name=f"{tier}{number}", tier=index, kind=0, speed=1.0, host=f"127.0.{index}.{number}")
+            for index, tier in enumerate(("front", "stock"))
+            for number in range(3)
+        ),
+        sidecars=(SidecarPlan(name="lb", host="127.1.0.1"),),
+        traffic=TrafficPlan(rate=10.0),
+        limits=LimitsPlan(**limits),
+        goal=GoalPlan(),
+        events=events,
+    )
+
+
+class Desk:
+    def __init__(self, plan: Plan | None = None, trace: Trace | None = None, family: Any = None) -> None:
+        self.time = START
+        self.plan = plan or a_plan()
+        self.book = Ledger(self.plan, "exchange", lambda: self.time, START, trace, family)
+        for sidecar in ("lb", "front0"):
+            self.book.sidecar_up(sidecar)
+        for node in self.plan.nodes:
+            self.book.known(node.name, "ready", 0.0)
+
+    def at(self, time: float) -> Desk:
+        """Go to a time since the start."""
+        self.time = START + time
+        return self
+
+    def take(self, ident: str = "r", index: int = SAFE, deadline: float = 6.0) -> None:
+        """`deadline`: as a time since the start."""
+        self.book.taken("lb", ident, index, f"key-{ident}", START + deadline)
+
+    def answer(self, ident: str = "r", kind: Any = "failed", stamp: str = "", **more: Any) -> None:
+        self.book.answered("lb", ident, kind, stamp, 0.0, **more)
+
+    def send(self, node: str = "front0", ident: str = "r", sent: float | None = None) -> None:
+        """An attempt arrives now; `sent`: as a time since the start, else now."""
+        at = self.time if sent is None else START + sent
+        self.book.sending("lb", node, at)
+        self.book.arrived("lb", node, ident, at)
+
+    def away(self, node: str = "front0", ident: str = "r") -> None:
+        self.book.turned_away(node, ident)
+        self.book.ended(node, ident)
+
+    def serve(self, node: str = "front0", ident: str = "r") -> None:
+        stamp = self.book.made(node, ident)
+        self.book.ended(node, ident)
+        self.answer(ident, "served", stamp)
+
+    def finish(self, **left: int) -> Outcome:
+        return self.book.finish(1.0, {"lb": left})
+
+    def broken(self, **left: int) -> set[str]:
+        """The rules that were broken by the end of the day."""
+        return {breach.rule for breach in self.finish(**left).breaches}
--- /dev/null
+++ b/tests/lab/test_rules.py
@@ -0,0 +1,430 @@
+"""Each rule: the least that breaks it is found, and its nearest lawful neighbour is not."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from tests.lab.desk import KEYED, START, UNSAFE, Desk, a_plan
+from wheatring.lab.plan import EventPlan
+from wheatring.lab.rules import MisuseError
+
+Story = Callable[[bool], Desk]
+STORIES: list[tuple[str, Story]] = []
+
+
+def breaks(rule: str) -> Callable[[Story], Story]:
+    """A story that breaks this rule, and no other, if it is told so; else none."""
+
+    def keep(story: Story) -> Story:
+        STORIES.append((rule, story))
+        return story
+
+    return keep
+
+
+# Answers
+
+
+@breaks("answer")
+def late(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.take()
+    desk.at(6.051 if wrong else 6.05).answer()
+    return desk
+
+
+@breaks("answer")
+def never(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.take()
+    desk.at(6.05 if wrong else 6.04).book.left("lb", "r")
+    return desk
+
+
+@breaks("answer")
+def still_open_at_the_end(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.take()
+    return desk.at(6.06 if wrong else 6.04)
+
+
+@breaks("answer")
+def connection_ended(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.take()
+    if not wrong:
+        desk.at(1).book.sidecar_down("lb", True)
+    desk.at(1.001).book.lost("lb", "r", "reset")
+    return desk
+
+
+@breaks("answer")
+def owed_for_long_when_killed(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.take()
+    desk.at(6.1 if wrong else 6.0).book.sidecar_down("lb", True)
+    desk.book.lost("lb", "r", "reset")
+    return desk
+
+
+@breaks("answer")
+def taken_with_the_door_to_be_closed(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.book.sidecar_stopping("lb")
+    desk.at(0.71 if wrong else 0.7).take()
+    desk.at(5).book.sidecar_down("lb", True)
+    desk.book.lost("lb", "r", "reset")
+    return desk
+
+
+@breaks("answer")
+def ended_with_a_request(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.book.sidecar_stopping("lb")
+    desk.at(0.6).take()
+    desk.book.sidecar_down("lb", False)
+    if not wrong:
+        desk.book.untaken("lb", "r")
+    return desk.at(0.7)
+
+
+@breaks("answer")
+def ended_by_itself(wrong: bool) -> Desk:
+    desk = Desk()
+    if not wrong:
+        desk.book.sidecar_stopping("lb")
+    desk.at(1).book.sidecar_down("lb", False)
+    return desk
+
+
+@breaks("answer")
+def closed_on_what_it_had_read(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.take()
+    if wrong:
+        desk.send()
+    desk.book.untaken("lb", "r")
+    desk.take()  # elsewhere, with the same name
+    desk.answer()
+    return desk
+
+
+@breaks("answer")
+def cut_off(wrong: bool) -> Desk:
+    hosts = ("127.9.0.9",) if wrong else ("127.1.0.1",)
+    cut = EventPlan(at=1.0, kind="partition", length=9.0, hosts=hosts, others=("127.0.0.0",))
+    desk = Desk(a_plan(events=(cut,)))
+    desk.take()
+    desk.at(10.1).answer()
+    return desk
+
+
+# Duplicates
+
+
+@breaks("duplicate")
+def unsafe_again(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.take(index=UNSAFE)
+    desk.send("front0")
+    if not wrong:
+        desk.away("front0")
+    desk.send("front1")
+    desk.serve("front1")
+    return desk
+
+
+@breaks("duplicate")
+def unsafe_refused(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.take(index=UNSAFE)
+    desk.send()
+    if wrong:
+        desk.book.ended("front0", "r")
+    else:
+        desk.away()
+    desk.answer(kind="refused")
+    return desk
+
+
+@breaks("duplicate")
+def unsafe_refused_with_one_on_its_way(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.take(index=UNSAFE)
+    desk.at(1).answer(kind="refused" if wrong else "failed")
+    desk.at(1.1).send(sent=0.9)
+    return desk
+
+
+@breaks("duplicate")
+def keyed_past_its_window(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.take(index=KEYED, deadline=20)
+    desk.send("front0")
+    desk.book.ended("front0", "r")
+    desk.at(10.06 if wrong else 10.04).send("front1")
+    desk.serve("front1")
+    return desk
+
+
+@breaks("duplicate")
+def too_many(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.take()
+    for _ in range(6 if wrong else 5):
+        desk.send()
+        desk.away()
+    desk.answer()
+    return desk
+
+
+@breaks("duplicate")
+def two_at_once(wrong: bool) -> Desk:
+    desk = Desk(a_plan(second_copies=False))
+    desk.take()
+    desk.at(1).send("front0")
+    desk.at(2.5).send("front1", sent=2)
+    desk.at(2.1 if wrong else 2.001).book.ended("front0", "r")  # its end was on its way for 1 ms
+    desk.at(3).serve("front1")
+    return desk
+
+
+@breaks("duplicate")
+def two_at_once_that_overtake(wrong: bool) -> Desk:
+    desk = Desk(a_plan(second_copies=False))
+    desk.take()
+    desk.at(2).send("front1", sent=1.1)
+    desk.at(2.1).send("front0", sent=1.0)
+    desk.at(3 if wrong else 1.101).book.ended("front0", "r")
+    desk.at(3).serve("front1")
+    return desk
+
+
+@breaks("duplicate")
+def sent_once_answered(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.take()
+    desk.at(1).answer(written=START + 0.9993)
+    desk.at(1.2).send(sent=0.9994 if wrong else 0.9993)
+    return desk
+
+
+@breaks("duplicate")
+def sent_once_left(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.take()
+    desk.at(1).book.left("lb", "r")
+    desk.at(1.2).send(sent=1.004 if wrong else 1.0007)
+    return desk
+
+
+@breaks("duplicate")
+def sent_for_nobody(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.take("r")
+    desk.send(ident="s" if wrong else "r")
+    desk.answer()
+    return desk
+
+
+@breaks("duplicate")
+def sent_long_after(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.take()
+    desk.at(1).answer()
+    desk.at(20).take("s", deadline=26)
+    assert "r" not in desk.book.requests
+    desk.send(sent=None if wrong else 0.9)
+    return desk
+
+
+@breaks("duplicate")
+def another_sidecars_request(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.take()
+    if not wrong:
+        desk.at(1).book.sidecar_down("lb", True)
+    desk.at(1.001).book.untaken("lb", "r")
+    desk.book.taken("front0", "r", 0, "", START + 6)
+    desk.at(1.1).book.arrived("lb", "front0", "r", START + 0.9)
+    return desk
+
+
+@breaks("duplicate")
+def effect_twice(wrong: bool) -> Desk:
+    desk = Desk()
+    for ident, at in (("r", 0.0), ("s", 9.9 if wrong else 10.0)):
+        desk.at(at).take(ident, KEYED, at + 6)
+        desk.send(ident=ident)
+        desk.book.effect("front0", ident, "key")
+        desk.serve(ident=ident)
+    return desk
+
+
+# Drains
+
+
+@breaks("drain")
+def sent_to_a_draining_node(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.book.known("front0", "draining", 0.0)
+    desk.at(1).book.told("lb", "front0", "draining", 0.0)
+    desk.at(2).book.told("lb", "front0", "gone", 0.0)  # the later news gives no new grace
+    desk.at(3.6).book.sending("lb", "front0", START + (3.551 if wrong else 3.55))
+    return desk
+
+
+@breaks("drain")
+def back_again(wrong: bool) -> Desk:
+    desk = Desk()
+    for at, state, started in ((1, "gone", 0.0), (2, "ready", 1002.0)):
+        desk.at(at).book.known("front0", state, started)  # type: ignore[arg-type]
+        if state == "gone" or not wrong:
+            desk.book.told("lb", "front0", state, started)  # type: ignore[arg-type]
+    desk.book.told("lb", "front0", "ready", 0.0)  # older news, by a call that was slow
+    desk.at(8).book.sending("lb", "front0", START + 8)
+    return desk
+
+
+@breaks("drain")
+def counts_as_told_by_a_call_that_waits(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.at(1).book.asking("lb", 20.0)
+    desk.at(2).book.known("front0", "gone", 0.0)
+    desk.at(26).book.sending("lb", "front0", START + (25.56 if wrong else 25.54))  # 1 + 20 + 2 + 2.5
+    return desk
+
+
+@breaks("drain")
+def counts_as_told_by_a_call_for_all(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.book.known("front0", "gone", 0.0)
+    desk.at(2).book.asking("lb", 0.0)
+    desk.at(12).book.sending("lb", "front0", START + (10.56 if wrong else 10.54))  # 2 + 6 + 2.5
+    return desk
+
+
+@breaks("drain")
+def counts_as_told_without_asking(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.at(1).book.asking("lb", 5.0)
+    desk.at(6).book.unheard("lb")  # no news in all its wait
+    desk.at(7).book.known("front0", "gone", 0.0)
+    desk.at(20).book.sending("lb", "front0", START + (19.56 if wrong else 19.54))  # 7 + 10 + 2.5
+    return desk
+
+
+@breaks("drain")
+def counts_as_told_after_a_call_that_failed(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.at(1).book.asking("lb", 5.0)
+    desk.at(2).book.unheard("lb")
+    desk.at(3).book.known("front0", "gone", 0.0)
+    desk.at(46).book.sending("lb", "front0", START + (45.56 if wrong else 45.54))  # 3 + 40 + 2.5
+    return desk
+
+
+# Cold nodes
+
+
+def cold(told: bool, work: float) -> Desk:
+    desk = Desk()
+    desk.at(1).book.node_up("front0", lambda: 0.26)  # so that 0.65 s fit into a second
+    desk.at(2).book.known("front0", "ready", 1001.0)
+    if told:
+        desk.book.told("lb", "front0", "ready", 1001.0)
+    for at in (3.0, 3.5, 3.9):
+        desk.at(at).book.offered("front0", "lb", work / 2)
+    return desk
+
+
+@breaks("cold")
+def too_much(wrong: bool) -> Desk:
+    return cold(True, 0.66 if wrong else 0.64)
+
+
+@breaks("cold")
+def too_much_from_those_that_know(wrong: bool) -> Desk:
+    return cold(wrong, 1.0)
+
+
+# What is served, and bounds
+
+
+@breaks("served")
+def stamp_of_another(wrong: bool) -> Desk:
+    desk = Desk()
+    stamps = {}
+    for ident in "rs":
+        desk.take(ident)
+        desk.send(ident=ident)
+        stamps[ident] = desk.book.made("front0", ident)
+        desk.book.ended("front0", ident)
+    desk.answer("r", "served", stamps["r"])
+    desk.answer("s", "served", stamps["r" if wrong else "s"])
+    return desk
+
+
+@breaks("served")
+def stamp_changed(wrong: bool) -> Desk:
+    desk = Desk()
+    desk.take()
+    desk.send()
+    desk.answer("r", "served", desk.book.made("front0", "r")[: -1 if wrong else None])
+    return desk
+
+
+@breaks("bounds")
+def open_jobs(wrong: bool) -> Desk:
+    desk = Desk(a_plan(max_open=2))
+    for ident in "rst" if wrong else "rs":
+        desk.take(ident)
+    return desk
+
+
+@pytest.mark.parametrize(("rule", "story"), STORIES, ids=[story.__name__ for _, story in STORIES])
+def test_a_breach_is_found_and_its_lawful_neighbour_is_not(rule: str, story: Story) -> None:
+    assert story(False).broken() == set()
+    assert story(True).broken() == {rule}
+
+
+@pytest.mark.parametrize(
+    ("name", "count", "rules"),
+    [
+        ("most_sockets", 1024, set()),
+        ("most_sockets", 1025, {"bounds"}),
+        ("claims", 0, set()),
+        ("claims", 1, {"leftover"}),
+    ],
+)
+def test_what_the_world_counted(name: str, count: int, rules: set[str]) -> None:
+    assert Desk().broken(**{name: count}) == rules
+
+
+def test_what_can_not_be_is_refused() -> None:
+    desk = Desk()
+    desk.take()
+    with pytest.raises(MisuseError, match="taken again"):
+        desk.take()
+    with pytest.raises(MisuseError, match="without an attempt"):
+        desk.book.ended("front0", "r")
+    desk.answer()
+    for ident in ("r", "nobody"):
+        with pytest.raises(MisuseError):
+            desk.answer(ident)
+        with pytest.raises(MisuseError):
+            desk.book.left("lb", ident)
+    assert desk.broken() == set()
+
+
+def test_a_breach_by_first_byte_is_named_once_the_request_is_known() -> None:
+    desk = Desk()
+    desk.take(deadline=20)
+    desk.book.told("lb", "front0", "gone", 0.0)
+    desk.at(5).send()
+    desk.serve()
+    (breach,) = desk.finish().breaches
+    assert (breach.rule, breach.ident, breach.at, breach.node) == ("drain", "r", 5.0, "front0")
+    assert breach.what == "lb sent to front0 5.000 s after it knew that it drains or is gone."
--- /dev/null
+++ b/tests/lab/test_rules_histories.py
@@ -0,0 +1,87 @@
+"""Whatever lawful history is told, no rule is broken; spoilt in any way, that one rule is."""
+
+from __future__ import annotations
+
+from io import StringIO
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.lab.desk import START, Desk
+from tests.lab.histories import SPOILS, play
+from wheatring.lab.rules import Trace, replay_line
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.integers(0, 2**32))
+def test_lawful_histories_break_nothing(seed: int) -> None:
+    outcome = play(seed)
+    assert outcome.breaches == []
+    assert outcome.counts["attempts"] > 0 and outcome.counts["cold_over"] == 0
+
+
+@pytest.mark.parametrize("spoil", SPOILS)
+def test_each_way_to_spoil_one_is_found(spoil: str) -> None:
+    found: set[str] = set()
+    for seed in range(4):
+        found |= {breach.rule for breach in play(seed, spoil).breaches}
+    assert found == {SPOILS[spoil]}
+
+
+def test_what_is_over_is_forgotten() -> None:
+    desk = Desk()
+    most = 0
+    for number in range(3000):
+        ident = f"r{number}"
+        desk.at(number / 10).take(ident, 1, number / 10 + 6)
+        desk.send(ident=ident)
+        desk.book.effect("front0", ident, f"key-{ident}")
+        desk.serve(ident=ident)
+        most = max(most, len(desk.book.requests), len(desk.book.over))
+    assert most <= 102 and len(desk.book.duplicates.effects) <= 10 * (60 + 10 + 1)
+    assert desk.broken() == set()
+
+
+def test_a_trace_is_the_same_for_the_same_history_and_another_for_another() -> None:
+    texts = []
+    for seed in (1, 1, 2):
+        file = StringIO()
+        outcome = play(seed, trace=Trace(START, file))
+        assert outcome.trace_hash == play(seed, trace=Trace(START)).trace_hash
+        texts.append((file.getvalue(), outcome.trace_hash))
+    assert texts[0] == texts[1] != texts[2] and texts[0][1] != texts[2][1]
+
+
+def test_a_trace_of_one_request_holds_its_family_from_the_start_on() -> None:
+    file = StringIO()
+    family = {"r": 1, "call": 1, "other": 2}.get
+    desk = Desk(trace=Trace(START, file, ["call"], family), family=family)
+    desk.book.asked(1, 0)
+    desk.book.asked(2, 0)
+    for sidecar, node, ident in (
+        ("lb", "front0", "r"),
+        ("lb", "front1", "other"),
+        ("front0", "stock0", "call"),
+    ):
+        desk.at(0.25).book.taken(sidecar, ident, 0, "", START + 6)
+        desk.book.arrived(sidecar, node, ident, START + 0.125)
+    desk.book.settled(2, "left", 1)
+    desk.book.settled(1, "left", 1)
+    assert file.getvalue().splitlines() == [
+        "0.0 asked first=1 index=0",
+        "0.25 taken sidecar=lb ident=r index=0 key= deadline=6.0",
+        "0.25 arrived sidecar=lb node=front0 ident=r sent=0.125",
+        "0.25 taken sidecar=front0 ident=call index=0 key= deadline=6.0",
+        "0.25 arrived sidecar=front0 node=stock0 ident=call sent=0.125",
+        "0.25 settled first=1 end=left tries=1",
+    ]
+
+
+def test_a_breach_says_how_to_play_it_again() -> None:
+    desk = Desk()
+    desk.take()
+    desk.at(7).answer()
+    line = "wheatring lab run desk --seed 7 --grain exchange --trace desk-7.trace"
+    assert replay_line(desk.finish()) == line + " --of r"
+    assert replay_line(Desk().finish()) == line
--- a/wheatring/lab/rules/answers.py
+++ b/wheatring/lab/rules/answers.py
@@ -13,6 +13,7 @@
 from wheatring.lab.rules.requests import Attempt, Request
 
 STILL_COMES = 0.7  # seconds after SIGTERM in which requests may still come
+EXACT = 1e-9  # what sums of instants may be off by
 
 
 class Answers:
@@ -22,14 +23,15 @@
         self.breaches = breaches
 
     def late(self, request: Request, at: float) -> None:
-        """The request got an answer at an instant past its deadline and grace."""
-        if not self._excused(request):
+        """The request got an answer past its deadline, at an instant."""
+        if at > request.deadline + self.grace + EXACT and not self._excused(request):
             over = at - request.deadline
             self._breach(request, f"{request.sidecar} answered {over:.3f} s after the deadline.")
 
     def unanswered(self, request: Request, at: float) -> None:
-        """The request got no answer until an instant at which its caller gave up, or its sidecar ended."""
-        if at > request.deadline + self.grace and not request.forgiven and not self._excused(request):
+        """The request got no answer until an instant, at which its caller gave up or its sidecar ended."""
+        due = request.deadline + self.grace - EXACT
+        if at >= due and not request.forgiven and not self._excused(request):
             self._breach(request, f"{request.sidecar} had given no answer {self.grace} s after the deadline.")
 
     def lost(self, request: Request, why: str) -> None:
--- a/wheatring/lab/rules/ledger.py
+++ b/wheatring/lab/rules/ledger.py
@@ -116,7 +116,7 @@
         for request in held.values():
             self.answers.unanswered(request, at)
             # What is not forgiven is judged by what its caller is told of next: it may come as untaken.
-            if at > request.deadline + self.grace:
+            if at > request.deadline + self.plan.rules.grace:
                 request.forgiven = True  # it has been judged
             elif killed and request.taken <= last:
                 request.forgiven = True
--- a/wheatring/lab/rules/pages.py
+++ b/wheatring/lab/rules/pages.py
@@ -37,7 +37,6 @@
         self.answers = Answers(plan.rules.grace, self.links, self.breaches)
         self.duplicates = Duplicates(plan, self.links, self.breaches)
         self.figures = Figures(plan, start)
-        self.grace = plan.rules.grace
         self.max_open = plan.limits.max_open
         self.alone = not plan.limits.second_copies  # an attempt must be
         self.front = {each.name for each in plan.sidecars}
@@ -135,7 +134,7 @@
         request = self._end(sidecar, ident, kind, at)
         if written is not None:
             request.over_at = written
-        if at > request.deadline + self.grace:
+        if at > request.deadline:
             self.answers.late(request, at)
         if kind == "served":
             attempt = self.answers.served(request, stamp)
@@ -175,9 +174,8 @@
     def left(self, sidecar: str, ident: str) -> None:
         at = self.now()
         request = self._end(sidecar, ident, "left", at)
-        if at > request.deadline + self.grace:
-            self.answers.unanswered(request, at)
         if at >= request.deadline:
+            self.answers.unanswered(request, at)
             self._unsent(request)
         if self.trace is not None:
             self.trace.line(at, ident, f"left sidecar={sidecar} ident={ident}")
@@ -220,11 +218,11 @@
             self.breaches.add("duplicate", what, ident=request.ident, sidecar=sidecar, node=attempt.node)
 
     def _attempt(self, node: str, ident: str, what: str) -> Attempt:
-        """The attempt at that node; of several the last one that is still out."""
+        """The attempt at that node; of several that are out the oldest."""
         request = self.requests.get(ident)
         if request is not None:
-            for attempt in reversed(request.attempts):
-                if attempt.node == node and attempt.out:
+            for attempt in request.attempts:
+                if attempt.out and attempt.node == node:
                     return attempt
         raise MisuseError(f"{ident} at {node}: {what} without an attempt that is out")
 
@@ -268,6 +266,11 @@
     def ended(self, node: str, ident: str) -> None:
         attempt = self._attempt(node, ident, "ended")
         request = self.requests[ident]
+        if len(request.attempts) > 1:  # of several at one node the one that has its reply
+            for each in request.attempts:
+                if each.out and each.node == node and (each.away or each.stamp):
+                    attempt = each
+                    break
         at = self.now()
         attempt.out = False
         attempt.ended = at
