--- /dev/null
+++ b/tests/lab/test_study_commands.py
@@ -0,0 +1,108 @@
+"""The commands, from the command line to the store, with a run that stands in for the world's."""
+
+from __future__ import annotations
+
+import json
+import shutil
+from pathlib import Path
+
+import pytest
+
+from tests.lab.study_runner import HERE, RUN
+from wheatring import commands
+from wheatring.lab.scenario.load import ScenarioError, checked, load, overridden, tables
+from wheatring.lab.study import store
+from wheatring.lab.study.played import found, jobs
+from wheatring.lab.study.settings import Settings
+
+
+@pytest.fixture(autouse=True)
+def place(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.chdir(tmp_path)
+
+
+def lab(*words: str) -> int:
+    args = commands.parser().parse_args(["lab", *words])
+    if hasattr(args, "run"):
+        args.run, args.workers = RUN, 2
+    return commands.run(args)
+
+
+def test_a_sweep_is_kept_resumed_told_and_drawn(capsys: pytest.CaptureFixture[str]) -> None:
+    sweep = ("sweep", "calm", "--seeds", "1-3", "--set", "clients.retries=0", "--set", "clients.retries=2")
+    assert lab(*sweep, "--json") == 0
+    first, second = json.loads(capsys.readouterr().out)
+    assert (first["runs"], second["settings"]) == (3, "--set clients.retries=2")
+    with store.opened(Path("found/lab.sqlite")) as kept:
+        before = kept.rows()
+        assert [(row.seed, row.settings[-1]) for row in before] == [(n, k) for k in "02" for n in (1, 2, 3)]
+    assert lab(*sweep) == 0
+    assert "clients.retries=2" in capsys.readouterr().out
+    assert lab("report", "found/lab.sqlite", "-o", "all.html") == 0
+    assert (
+        lab("report", "found/lab.sqlite", "-o", "one.html", "--seed", "2", "--set", "clients.retries=2") == 0
+    )
+    assert "6 runs of calm" in Path("all.html").read_text()
+    assert "calm, seed 2, wire grain" in Path("one.html").read_text()
+    assert lab("report", "found/lab.sqlite", "-o", "no.html", "--seed", "9") == 2
+
+
+@pytest.mark.parametrize(
+    ("words", "why"),
+    [
+        (["--patch", "lapisway.policy:LERN=1"], "--patch lapisway.policy:LERN: lapisway.policy has no LERN"),
+        (["--set", "clients.retry=1"], "calm.toml: clients.retry: "),
+        (["--set", "clients.retries=many"], "calm.toml: clients.retries: "),
+        (["--set", "tier.nave.calls=2"], "calm.toml: --set tier.nave.calls: there is no nave"),
+        (["--set", "clients"], "--set clients: not NAME=VALUE"),
+        (["--seeds", "x"], "--seeds x: not a range"),
+        (["--workers", "0"], "--workers 0: must be"),
+    ],
+)
+def test_what_can_not_be_meant_is_one_line(
+    words: list[str], why: str, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    args = commands.parser().parse_args(["lab", "sweep", "calm", *words])
+    assert commands.run(args) == 2
+    out, err = capsys.readouterr()
+    assert out == "" and why in err and err.count("\n") == 1
+
+
+def test_two_builds_are_compared_each_with_its_own_code(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """The stand-in's g follows a constant of the policy, which the other checkout has 0.05 higher."""
+    root = Path(HERE.folder)
+    other = tmp_path / "other"
+    shutil.copytree(root / "lapisway", other / "lapisway")
+    (other / "wheatring").symlink_to(root / "wheatring")
+    policy = other / "lapisway" / "policy.py"
+    policy.write_text(policy.read_text().replace("\nLEARN = 0.2 ", "\nLEARN = 0.25 "))
+    words = ("compare", "calm", "--seeds", "1-4", "--figure", "latency.99")
+    assert lab(*words, "--build-b", str(other), "--json") == 0
+    told = json.loads(capsys.readouterr().out)
+    g = told["differences"][0]
+    assert g["figure"] == "g" and g["mean"] == pytest.approx(0.05) and g["verdict"] == "B is better"
+    assert [line["figure"] for line in told["differences"]] == ["g", "service", "latency.99"]
+    assert lab(*words, "--set-b", "clients.retries=1") == 0
+    assert "B: clients.retries=1" in capsys.readouterr().out
+    assert lab(*words) == 2
+    assert "A and B are the same" in capsys.readouterr().err
+    assert lab(*words, "--build-b", str(tmp_path)) == 2
+    assert "no checkout of the project" in capsys.readouterr().err
+
+
+def test_settings_stand_over_the_scenario_and_leave_its_hash() -> None:
+    (job,) = jobs("three-tiers", [1], ["wire"], Settings((("clients.retries", "2"),)), HERE)
+    (plain,) = jobs("three-tiers", [1], ["wire"], Settings(), HERE)
+    assert job.text_hash == plain.text_hash and found(plain).scenario == load("three-tiers").scenario
+    assert found(job).scenario.clients.retries == 2
+
+    raw, name, where = tables("three-tiers")
+    last = raw["tier"][-1]["name"]
+    changed = checked(overridden(raw, f"tier.{last}.nodes", 7), name, where).scenario
+    assert changed.tiers[-1].nodes == 7 and changed.tiers[-1].times is None
+    paced = checked(overridden(raw, "traffic.rate", 50), name, where).scenario
+    assert (paced.traffic.rate, paced.traffic.load) == (50, None)
+    with pytest.raises(ScenarioError):
+        checked(overridden(raw, "trafic.rate", 50), name, where)
--- a/wheatring/commands/lab.py
+++ b/wheatring/commands/lab.py
@@ -12,6 +12,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from wheatring.commands import lab_study
+
 if TYPE_CHECKING:
     Commands = argparse._SubParsersAction[argparse.ArgumentParser]
 
@@ -115,7 +117,7 @@
     return 0
 
 
-COMMANDS = (add_list, add_check, add_plan)
+COMMANDS = (add_list, add_check, add_plan, lab_study.add)
 
 
 def add(groups: Commands) -> None:
--- /dev/null
+++ b/wheatring/commands/lab_study.py
@@ -0,0 +1,217 @@
+"""`lab sweep`, `lab compare`, `lab report`: many runs, kept, compared and drawn.
+
+Nothing of the lab is imported before a command is called: the program starts without the lab's packages.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+from collections.abc import Callable
+from functools import wraps
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rich.console import Console
+
+    from wheatring.lab.study.jobs import Build, Job
+    from wheatring.lab.study.settings import Settings
+
+    Commands = argparse._SubParsersAction[argparse.ArgumentParser]
+
+STORE = Path("found/lab.sqlite")
+LIMIT = 600.0
+RUN = "wheatring.lab.study.played:play"
+
+Call = Callable[[argparse.Namespace], int]
+
+
+def add(groups: Commands) -> None:
+    """Add the commands. What plays a run is the namespace's `run`, as module:function."""
+    runs = argparse.ArgumentParser(add_help=False)
+    runs.add_argument("scenarios", nargs="+", metavar="SCENARIO", help="a name of the library, or a file")
+    runs.add_argument("--seeds", default="1-20", help="such as 1-100 or 1,2,9-12 (default: %(default)s)")
+    runs.add_argument(
+        "--grain", choices=("wire", "exchange"), action="append", help="may be repeated (default: wire)"
+    )
+    runs.add_argument(
+        "--set", action="append", default=[], metavar="KEY=VALUE", help="override a scenario's key"
+    )
+    runs.add_argument(
+        "--patch", action="append", default=[], metavar="MODULE:NAME=VALUE",
+        help="override a constant of the sidecar",
+    )  # fmt: skip
+    runs.add_argument(
+        "--store", type=Path, default=STORE, metavar="FILE", help="results (default: %(default)s)"
+    )
+    runs.add_argument(
+        "--workers", type=int, default=os.cpu_count() or 1, help="processes (default: %(default)s)"
+    )
+    runs.add_argument(
+        "--limit", type=float, default=LIMIT, metavar="S",
+        help="wall time of one run, past which it is given up (default: %(default)g)",
+    )  # fmt: skip
+    runs.add_argument("--json", action="store_true", help="print JSON in place of the table")
+    runs.set_defaults(run=RUN)
+
+    sweep = groups.add_parser("sweep", parents=[runs], help="play many runs and keep what they gave")
+    sweep.add_argument("--fail-fast", action="store_true", help="end at the first breach of a rule")
+    sweep.set_defaults(call=_told(_sweep))
+
+    compare = groups.add_parser("compare", parents=[runs], help="tell two sides apart, paired by seed")
+    for side in ("a", "b"):
+        compare.add_argument(f"--set-{side}", action="append", default=[], metavar="KEY=VALUE")
+        compare.add_argument(f"--patch-{side}", action="append", default=[], metavar="MODULE:NAME=VALUE")
+        compare.add_argument(
+            f"--build-{side}", type=Path, metavar="DIR", help="another checkout of the project"
+        )
+    compare.add_argument(
+        "--figure", action="append", default=[], metavar="NAME",
+        help="beside g and service, such as waste, latency.99 or counts.NAME",
+    )  # fmt: skip
+    compare.set_defaults(call=_told(_compare))
+
+    report = groups.add_parser("report", help="make a page of one run or of many")
+    report.add_argument("file", type=Path, help="a store, or the outcome of one run as JSON")
+    report.add_argument("-o", "--output", type=Path, required=True, metavar="FILE", help="the page")
+    report.add_argument("--scenario", default="", help="only this one's runs, of a store")
+    report.add_argument("--seed", type=int)
+    report.add_argument("--grain", choices=("wire", "exchange"), default="")
+    report.add_argument("--build", default="", help="as the store names it")
+    report.add_argument("--set", action="append", default=[], metavar="KEY=VALUE")
+    report.add_argument("--patch", action="append", default=[], metavar="MODULE:NAME=VALUE")
+    report.set_defaults(call=_told(_report))
+
+
+def _told(call: Call) -> Call:
+    """What can't be done is one line and status 2."""
+
+    @wraps(call)
+    def told(args: argparse.Namespace) -> int:
+        try:
+            from wheatring.lab.scenario.load import ScenarioError
+            from wheatring.lab.study import StudyError
+        except ModuleNotFoundError as bad:
+            print(f"wheatring: lab: needs what `pip install wheatring[lab]` installs: {bad}", file=sys.stderr)
+            return 2
+        try:
+            return call(args)
+        except ScenarioError as bad:
+            print(bad, file=sys.stderr)
+        except StudyError as bad:
+            print(f"wheatring: {bad}", file=sys.stderr)
+        return 2
+
+    return told
+
+
+def _jobs(args: argparse.Namespace, choices: list[Settings], build: Build) -> list[Job]:
+    """Seed by seed, so that what is there when a sweep is stopped covers all that is asked for."""
+    from wheatring.lab.study import StudyError, played
+    from wheatring.lab.study.jobs import seeds_of
+
+    if args.workers < 1:
+        raise StudyError(f"--workers {args.workers}: must be 1 or more")
+    if not args.limit > 0:
+        raise StudyError(f"--limit {args.limit:g}: must be more than 0")
+    seeds = seeds_of(args.seeds)
+    grains = [*dict.fromkeys(args.grain or ["wire"])]
+    lists = [
+        played.jobs(name, seeds, grains, settings, build)
+        for name in dict.fromkeys(args.scenarios)
+        for settings in choices
+    ]
+    return [
+        job
+        for begin in range(0, len(seeds) * len(grains), len(grains))
+        for jobs in lists
+        for job in jobs[begin : begin + len(grains)]
+    ]
+
+
+def _console() -> Console:
+    """Standard output; where it is no terminal, as wide as a table needs."""
+    from rich.console import Console
+
+    console = Console()
+    return console if console.is_terminal else Console(width=130)
+
+
+def _sweep(args: argparse.Namespace) -> int:
+    import msgspec
+
+    from wheatring.lab.study import settings, store, sweep
+    from wheatring.lab.study.jobs import build_at
+
+    jobs = _jobs(args, settings.varied(args.set, args.patch), build_at())
+    args.store.parent.mkdir(parents=True, exist_ok=True)
+    with store.opened(args.store) as kept:
+        swept = sweep.play(
+            jobs, kept, args.run, workers=args.workers, limit=args.limit, fail_fast=args.fail_fast
+        )
+    if args.json:
+        print(msgspec.json.encode(sweep.summary(swept)).decode())
+    else:
+        sweep.show(swept, _console())
+    return swept.status
+
+
+def _compare(args: argparse.Namespace) -> int:
+    import msgspec
+
+    from wheatring.lab.study import compare, settings, store, sweep
+    from wheatring.lab.study.jobs import HERE, build_at
+
+    sides, labels = [], []
+    for side in ("a", "b"):
+        own = vars(args)
+        chosen = settings.one(args.set + own[f"set_{side}"], args.patch + own[f"patch_{side}"])
+        folder = own[f"build_{side}"]
+        sides.append(_jobs(args, [chosen], build_at(folder or HERE)))
+        labels.append(chosen.label() + (f", build {folder}" if folder else ""))
+    names = list(dict.fromkeys(["g", "service", *args.figure]))
+    args.store.parent.mkdir(parents=True, exist_ok=True)
+    with store.opened(args.store) as kept:
+        both = [job for pair in zip(*sides, strict=True) for job in pair]
+        swept = sweep.play(both, kept, args.run, workers=args.workers, limit=args.limit)
+        found = compare.compared(kept, sides[0], sides[1], names, (labels[0], labels[1]))
+    if args.json:
+        print(msgspec.json.encode(found).decode())
+    else:
+        console = _console()
+        compare.show(found, console)
+        sweep.show_lost(swept, console)
+    return 130 if swept.stopped else 0
+
+
+def _report(args: argparse.Namespace) -> int:
+    import msgspec
+
+    from wheatring.lab.outcome import Outcome
+    from wheatring.lab.study import StudyError, settings, store
+    from wheatring.lab.study.report import day, several
+    from wheatring.lab.study.sweep import replay_of
+
+    with open(args.file, "rb") as file:
+        first = file.read(16)
+    if not first.startswith(b"SQLite format 3"):
+        try:
+            outcome = msgspec.json.decode(args.file.read_bytes(), type=Outcome)
+        except msgspec.DecodeError as bad:
+            raise StudyError(f"{args.file}: neither a store nor an outcome: {bad}") from bad
+        text = day.of_run(outcome, "")
+    else:
+        chosen = settings.one(args.set, args.patch).text() if args.set or args.patch else None
+        with store.opened(args.file, new=False) as kept:
+            rows = kept.rows(args.scenario, args.grain, chosen, args.build, args.seed)
+            if not rows:
+                raise StudyError(f"{args.file}: no such run is there")
+            if len(rows) == 1 and rows[0].state == "done":
+                text = day.of_run(kept.outcome(rows[0]), replay_of(rows[0]))
+            else:
+                names = dict.fromkeys(row.scenario for row in rows)
+                text = several.of_set(rows, f"{len(rows)} runs of {', '.join(names)}")
+    args.output.write_text(text, encoding="utf-8")
+    return 0
--- a/wheatring/lab/scenario/load.py
+++ b/wheatring/lab/scenario/load.py
@@ -54,27 +54,42 @@
 
 def load(where: str | Path) -> Found:
     """A scenario of the library by name, or one of a file: what has a suffix or a folder is a file."""
+    return checked(*tables(where))
+
+
+def tables(where: str | Path) -> tuple[Raw, str, str]:
+    """Its tables, those of what it extends beneath, its name, and what messages call it. Not checked yet."""
     text = str(where)
     if isinstance(where, str) and re.fullmatch(r"[A-Za-z0-9_-]+", text):
         if text not in names():
             raise ScenarioError(text, [told.Fault("", "no scenario of the library, and no file")])
-        return parse((_LIBRARY / f"{text}.toml").read_text(encoding="utf-8"), text, f"{text}.toml")
+        content = (_LIBRARY / f"{text}.toml").read_text(encoding="utf-8")
+        return _tables_of(content, text, f"{text}.toml")
     try:
         content = Path(where).read_text(encoding="utf-8")
     except OSError as bad:
         raise ScenarioError(text, [told.Fault("", f"can't be read: {bad.strerror}")]) from None
     except UnicodeDecodeError:
         raise ScenarioError(text, [told.Fault("", "not UTF-8")]) from None
-    return parse(content, Path(where).stem, text)
+    return _tables_of(content, Path(where).stem, text)
 
 
 def parse(text: str, name: str, where: str) -> Found:
     """The scenario that a text tells. `where` is what messages call it."""
+    return checked(*_tables_of(text, name, where))
+
+
+def _tables_of(text: str, name: str, where: str) -> tuple[Raw, str, str]:
     try:
-        raw = _whole(text, where, (name,))
-        found = msgspec.convert(raw, Scenario)
+        return _whole(text, where, (name,)), name, where
     except tomllib.TOMLDecodeError as bad:
         raise ScenarioError(where, [told.Fault("", f"not TOML: {bad}")]) from None
+
+
+def checked(raw: Raw, name: str, where: str) -> Found:
+    """The scenario that tables tell."""
+    try:
+        found = msgspec.convert(raw, Scenario)
     except msgspec.ValidationError as bad:
         raise ScenarioError(where, [told.fault(str(bad), raw)]) from None
     faults = sound.faults(found)
@@ -148,6 +163,28 @@
     return laid
 
 
+def overridden(raw: Raw, path: str, value: object) -> Raw:
+    """The tables with one key set, by its path as in messages; KeyError where it leads to no table."""
+    return _set(raw, path.split("."), value, "")
+
+
+def _set(raw: Raw, steps: list[str], value: object, at: str) -> Raw:
+    key, *rest = steps
+    if not rest:
+        return _laid(raw, {key: value}, at)
+    below = raw.get(key, {})
+    if _tables(below) and len(rest) > 1:
+        labels = told.labels(below)
+        if rest[0] not in labels:
+            raise KeyError(rest[0])
+        place = labels.index(rest[0])
+        entry = _set(below[place], rest[1:], value, key)
+        return {**raw, key: [*below[:place], entry, *below[place + 1 :]]}
+    if not isinstance(below, dict):
+        raise KeyError(key)
+    return {**raw, key: _set(below, rest, value, key)}
+
+
 def _tables(value: object) -> bool:
     return isinstance(value, list) and bool(value) and all(isinstance(entry, dict) for entry in value)
 
--- a/wheatring/lab/study/compare.py
+++ b/wheatring/lab/study/compare.py
@@ -89,6 +89,8 @@
 ) -> Comparison:  # fmt: skip
     """Of what the store holds: the jobs of `a` and `b` are pairs, in the same order. Raises StudyError."""
     rows = {row.key(): row for row in store.rows() if row.state == "done"}
+    if all(one.key() == other.key() for one, other in zip(a, b, strict=True)):
+        raise StudyError("nothing to compare: A and B are the same runs")
     keys = [
         (one.key(), other.key())
         for one, other in zip(a, b, strict=True)
@@ -132,19 +134,18 @@
         f"{found.pairs} pairs{unpaired}; breaches: A {found.breaches_a}, B {found.breaches_b}",
         highlight=False,
     )
-    table = Table(box=None, header_style="bold", pad_edge=False)
-    table.add_column("figure")
-    for name in ("A", "B", "B - A", f"{found.level:.0%} interval", "better", "worse", "equal"):
+    table = Table(box=None, header_style="bold", pad_edge=False, padding=(0, 1))
+    table.add_column("figure", overflow="fold", min_width=7)
+    for name in ("A", "B", "B - A", f"{found.level:.0%} interval", "better/worse", f"for {found.power:.0%}"):
         table.add_column(name, justify="right", no_wrap=True)
-    table.add_column(f"pairs for {found.power:.0%}", justify="right", no_wrap=True)
-    table.add_column("so")
+    table.add_column("so", min_width=6)
     for line in found.differences:
-        interval = "-" if line.low is None or line.high is None else f"{line.low:+.4f} to {line.high:+.4f}"
+        interval = "-" if line.low is None or line.high is None else f"{line.low:+.3g} to {line.high:+.3g}"
         unclear = "" if better(line.figure) else "*"
-        needed = "-" if line.pairs_needed is None else str(line.pairs_needed)
+        needed = "-" if line.pairs_needed is None else f"{line.pairs_needed:,}"
         table.add_row(
-            line.figure, f"{line.a:.4f}", f"{line.b:.4f}", f"{line.mean:+.4f}", interval,
-            f"{line.better}{unclear}", f"{line.worse}{unclear}", str(line.equal), needed, line.verdict,
+            line.figure, f"{line.a:.4g}", f"{line.b:.4g}", f"{line.mean:+.3g}", interval,
+            f"{line.better}/{line.worse}{unclear}", needed, line.verdict,
         )  # fmt: skip
     console.print(table)
     for note in notes(found):
@@ -153,9 +154,9 @@
 
 def notes(found: Comparison) -> list[str]:
     """What keeps a reader from believing more than the figures say."""
-    told = []
+    told = [f"for {found.power:.0%}: pairs with which a difference of that size shows with that probability"]
     if any(not better(line.figure) for line in found.differences):
-        told.append("* neither more nor less of it is better by itself: B is more, B is less")
+        told.append("* neither more nor less of it is better by itself: pairs in which B is more, and less")
     miss = 1 - found.level
     if len(found.looks) > 1:
         counts = ", ".join(map(str, found.looks))
--- a/wheatring/lab/study/sweep.py
+++ b/wheatring/lab/study/sweep.py
@@ -82,11 +82,12 @@
 
 
 def _progress(console: Console | None) -> Progress:
+    console = console or Console(stderr=True)
     return Progress(
         BarColumn(), MofNCompleteColumn(), TextColumn("{task.fields[rate]}"),
         TimeElapsedColumn(), TextColumn("left"), TimeRemainingColumn(),
         TextColumn("breaches {task.fields[breaches]}"), TextColumn("lost {task.fields[lost]}"),
-        console=console or Console(stderr=True),
+        console=console, disable=not console.is_terminal,
     )  # fmt: skip
 
 
@@ -135,31 +136,43 @@
 
 def show(swept: Swept, console: Console) -> None:
     """The table, then a line on how to play each kind of breach and each lost run again."""
-    table = Table(box=None, header_style="bold", pad_edge=False)
-    for name in ("scenario", "grain", "settings"):
-        table.add_column(name, overflow="fold")
-    for name in ("runs", "median g", "worst g", "(seed)", "service", "breaches", "lost", "wall s"):
+    lines = summary(swept)
+    for settings in dict.fromkeys(str(line["settings"]) for line in lines):
+        if len(lines) > 1 and settings:
+            console.print(f"with {settings}", soft_wrap=True, highlight=False, markup=False)
+        console.print(_table([line for line in lines if line["settings"] == settings]))
+    for rule, row in first_breaches(swept.rows).items():
+        console.print(f"[red]{rule}[/] broken first by: {replay_of(row)}", soft_wrap=True, highlight=False)
+    show_lost(swept, console)
+    here = sum(row.state == "done" for row in swept.rows)
+    if here < swept.asked:
+        why = "stopped: " if swept.stopped else ""
+        console.print(f"{why}{here} of {swept.asked} runs are there; the same command goes on with the rest")
+
+
+def _table(lines: Iterable[dict[str, object]]) -> Table:
+    table = Table(box=None, header_style="bold", pad_edge=False, padding=(0, 1))
+    table.add_column("scenario", overflow="fold", min_width=8)
+    table.add_column("grain", no_wrap=True)
+    for name in ("runs", "median g", "worst (seed)", "service", "breaches", "lost", "wall s"):
         table.add_column(name, justify="right", no_wrap=True)
-    for line in summary(swept):
+    for line in lines:
         table.add_row(
-            str(line["scenario"]), str(line["grain"]), str(line["settings"]) or "-", str(line["runs"]),
-            _figure(line["median_g"]), _figure(line["worst_g"]), str(line["worst_seed"]),
-            _figure(line["median_service"]), _alarm(line["breaches"]), _alarm(line["lost"]),
-            f"{line['wall_s']:.1f}",
+            str(line["scenario"]), str(line["grain"]), str(line["runs"]), _figure(line["median_g"]),
+            f"{_figure(line['worst_g'])} ({line['worst_seed']})", _figure(line["median_service"]),
+            _alarm(line["breaches"]), _alarm(line["lost"]), f"{line['wall_s']:.1f}",
         )  # fmt: skip
-    console.print(table)
-    for rule, row in first_breaches(swept.rows).items():
-        console.print(f"[red]{rule}[/] broken first by: {replay_of(row)}", soft_wrap=True, highlight=False)
+    return table
+
+
+def show_lost(swept: Swept, console: Console) -> None:
+    """Runs that did not come to their end."""
     lost = [row for row in swept.rows if row.state != "done"]
     for row in lost[:10]:
         console.print(f"[red]{row.state}[/] ", end="")
         console.print(f"{replay_of(row)}  ({row.why})", soft_wrap=True, highlight=False, markup=False)
     if len(lost) > 10:
         console.print(f"and {len(lost) - 10} more that did not come to their end")
-    here = len(swept.rows) - len(lost)
-    if here < swept.asked:
-        why = "stopped: " if swept.stopped else ""
-        console.print(f"{why}{here} of {swept.asked} runs are there; the same command goes on with the rest")
 
 
 def _figure(value: object) -> str:
