Add a load generator, a watch of processes, and a benchmark on loopback

The lab needs figures of real processes: what the sidecar costs beside a bare relay and a plain reverse proxy, and a load generator whose latency counts from the instant a request was meant to be sent.

The generator asks at planned instants (or closed, with N connections), on the reactor but without its transports' buffering, keeps its own lateness and calls its figures invalid where it was the limit. Every process runs on a leash (the kernel ends it with its parent). The benchmark measures relay, twisted.web and sidecar by turns on one core each and gives ratios with their spread.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN = .venv/bin
 
-.PHONY: build test lint run
+.PHONY: build test lint run bench
 
 build: .venv/built
 	$(BIN)/python -m compileall -q lapisway wheatring
@@ -17,6 +17,10 @@
 run: build
 	LB_CONFIG=example/config.json $(BIN)/python -m wheatring
 
+# The sidecar beside a relay and a reverse proxy, about two minutes; figures count on an idle machine only.
+bench: .venv/dev
+	$(BIN)/python -m wheatring lab bench
+
 .venv/built: requirements.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
 	$(BIN)/pip install -q -r requirements.txt
--- /dev/null
+++ b/tests/lab/test_live_bench.py
@@ -0,0 +1,125 @@
+"""Watching, processes that end with their parent, and the benchmark's harness: its structure, never speed."""
+
+from __future__ import annotations
+
+import os
+import select
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from wheatring.lab.live import cores
+from wheatring.lab.live.bench import run, table
+from wheatring.lab.live.process import HOME, Process, ProcessError, module
+from wheatring.lab.live.sidecar import Sidecar, configuration, settings
+from wheatring.lab.live.watch import Watch
+
+FAR = 30.0
+
+
+def test_a_watch_of_itself_sees_its_own_work_and_descriptors() -> None:
+    watch = Watch(time.monotonic())
+    watch.add("me", os.getpid(), time.monotonic())
+    watch.look(time.monotonic())
+    until = time.process_time() + 0.2
+    while time.process_time() < until:
+        pass
+    with open(os.devnull) as _:
+        watch.look(time.monotonic())
+    me = watch.watched["me"]
+    before, after = me.looks
+    assert after.descriptors == before.descriptors + 1
+    assert me.cpu_s >= 0.15 and after.cpu > 0
+    assert me.peak_mb > 5
+
+
+def test_one_that_has_ended_is_left_out_and_goes_on_in_its_row_when_started_anew() -> None:
+    watch = Watch(0.0)
+    for at in (1.0, 3.0):
+        with Process("upstream", module(f"{run.HERE}.upstream", run.HOST, "1")) as process:
+            process.line("listening ", time.monotonic() + FAR)
+            watch.add("upstream", process.pid, at - 1.0)
+            watch.look(at)
+        watch.look(at + 0.5)
+    assert [look.at for look in watch.watched["upstream"].looks] == [1.0, 3.0]
+
+
+VICTIM = """
+import os, signal, sys, time
+from pathlib import Path
+from wheatring.lab.live.bench import run
+from wheatring.lab.live.cores import idlest
+with run.started(idlest(), run.Sizes()) as bench:
+    processes = [bench.upstream, bench.generator, *bench.targets.values()]
+    print(*(process.pid for process in processes), flush=True)
+    if sys.argv[1] == "crash":
+        raise RuntimeError("in the middle")
+    time.sleep(60)
+"""
+
+
+@pytest.mark.parametrize("end", ["crash", "SIGINT", "SIGKILL"])
+def test_no_process_outlives_the_one_that_started_it(end: str, tmp_path: Path) -> None:
+    with subprocess.Popen(
+        [sys.executable, "-c", VICTIM, end],
+        env={**os.environ, "PYTHONPATH": HOME, "TMPDIR": str(tmp_path)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        text=True,
+    ) as victim:
+        assert victim.stdout is not None
+        ends = []
+        for pid in map(int, victim.stdout.readline().split()):
+            try:
+                ends.append(os.pidfd_open(pid))
+            except ProcessLookupError:  # it has ended already
+                assert end == "crash"
+        assert ends or end == "crash"
+        if end != "crash":
+            victim.send_signal(signal.Signals[end])
+        assert victim.wait(FAR) != 0
+    for descriptor in ends:
+        assert select.select([descriptor], [], [], FAR)[0]  # readable once its process has ended
+        os.close(descriptor)
+
+
+def test_a_sidecar_is_started_reloaded_and_stopped_as_a_user_does_it(tmp_path: Path) -> None:
+    told = configuration("s1", "127.0.0.1:0", "127.0.0.1:9", settings([run.CLASS]), 1)
+    with Sidecar(tmp_path, told) as sidecar:
+        assert sidecar.port() > 0
+        sidecar.write({**told, "settings": None})
+        sidecar.send(signal.SIGHUP)
+        assert "settings: missing" in sidecar.line("not-reloaded", time.monotonic() + FAR)
+        sidecar.send(signal.SIGTERM)
+        assert sidecar.wait(time.monotonic() + FAR) == 0
+        with pytest.raises(ProcessError, match="s1: ended before it said 'reloaded'"):
+            sidecar.line("reloaded", time.monotonic() + FAR)
+
+
+def test_the_benchmark_measures_all_by_turns_and_gives_ratios() -> None:
+    sizes = run.Sizes(rounds=2, many=0.06, one=0.04, open=0.06, warm=0.02, late_ms=1e6)
+    said: list[str] = []
+    report = run.run(cores.idlest(), sizes, said.append)
+    again = msgspec.json.decode(msgspec.json.encode(report), type=run.Report)
+    assert again == report and len(said) == 2
+    for turn in report.rounds:
+        assert list(turn) == list(run.TARGETS)
+        for measure in turn.values():
+            assert min(measure.per_s, measure.one_p50, measure.open_p50, measure.rss_mb) > 0
+            assert measure.one_p50 <= measure.one_p99 and measure.open_p50 <= measure.open_p99
+    assert report.direct_per_s > 0 < report.open_rate
+    for name in run.TARGETS:
+        values = [turn[name].per_s for turn in report.rounds]
+        figure = report.figures[name]["per_s"]
+        assert (figure.low, figure.high) == (min(values), max(values))
+        assert figure.median == pytest.approx(sum(values) / 2)
+        if name != run.SUBJECT:
+            ratios = [turn[run.SUBJECT].per_s / turn[name].per_s for turn in report.rounds]
+            assert report.ratios[name]["per_s"].median == pytest.approx(sum(ratios) / 2)
+    text = "\n".join(table.shown(report))
+    assert all(title in text for _, title, _ in table.ROWS)
--- /dev/null
+++ b/wheatring/commands/lab_live.py
@@ -0,0 +1,138 @@
+"""`wheatring lab bench` and `wheatring lab load`: real processes on loopback."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from wheatring import address
+
+if TYPE_CHECKING:
+    Commands = argparse._SubParsersAction[argparse.ArgumentParser]
+
+
+def add(commands: Commands) -> None:
+    """The commands, under `wheatring lab`."""
+    bench = _command(commands, "bench", _bench, "the sidecar beside a relay and a reverse proxy, as ratios")
+    bench.add_argument("--rounds", type=int, default=5, metavar="N", help="interleaved (default: 5)")
+    bench.add_argument(
+        "--scale",
+        type=float,
+        default=1.0,
+        metavar="S",
+        help="factor on the time of each stretch (default: 1)",
+    )
+    bench.add_argument(
+        "--cores", metavar="A,B,C", help="for the measured process, the load, the upstream (default: idlest)"
+    )
+    bench.add_argument("--body", type=int, default=128, metavar="BYTES", help="of an answer (default: 128)")
+    bench.add_argument("--json", type=Path, metavar="FILE", help="write the whole report there")
+
+    load = _command(commands, "load", _load, "put load on a server, and tell how it was answered")
+    load.add_argument("server", metavar="HOST:PORT")
+    load.add_argument("--rate", type=float, metavar="N", help="requests a second, whatever becomes of them")
+    load.add_argument("--even", action="store_true", help="at even distances, not as chance has it")
+    load.add_argument(
+        "--connections", type=int, default=64, metavar="N",
+        help="at most; without --rate, each asks again once it is answered (default: 64)",
+    )  # fmt: skip
+    load.add_argument("--seconds", type=float, default=5.0, metavar="S", help="that count (default: 5)")
+    load.add_argument("--warm", type=float, default=0.5, metavar="S", help="before them (default: 0.5)")
+    load.add_argument("--patience", type=float, default=6.0, metavar="S", help="of a request (default: 6)")
+    load.add_argument("--seed", type=int, default=1, metavar="N", help="of the arrivals (default: 1)")
+    load.add_argument(
+        "--ask", action="append", metavar="CLASS[=SHARE]", help="GET of that class; may come several times"
+    )
+    load.add_argument("--json", type=Path, metavar="FILE", help="write the whole result there")
+
+
+def _command(
+    commands: Commands, name: str, call: Callable[[argparse.Namespace], int], what: str
+) -> argparse.ArgumentParser:
+    parser = commands.add_parser(name, help=what, description=what)
+    parser.set_defaults(call=lambda args: _guarded(call, args))
+    return parser
+
+
+def _guarded(call: Callable[[argparse.Namespace], int], args: argparse.Namespace) -> int:
+    try:
+        from wheatring.lab.live.process import ProcessError
+    except ModuleNotFoundError as bad:
+        print(f"wheatring: lab: needs what `pip install wheatring[lab]` installs: {bad}", file=sys.stderr)
+        return 2
+    try:
+        return call(args)
+    except (ProcessError, ValueError) as bad:
+        print(f"wheatring: lab: {bad}", file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        return 130
+
+
+def _bench(args: argparse.Namespace) -> int:
+    import msgspec
+
+    from wheatring.lab.live import cores
+    from wheatring.lab.live.bench import run, table
+
+    _positive("--rounds", args.rounds)
+    _positive("--scale", args.scale)
+    plain = run.Sizes()
+    sizes = run.Sizes(
+        rounds=args.rounds,
+        many=plain.many * args.scale,
+        one=plain.one * args.scale,
+        open=plain.open * args.scale,
+        body=args.body,
+    )
+    on = cores.chosen(args.cores) if args.cores else cores.idlest()
+    report = run.run(on, sizes, lambda text: print(text, file=sys.stderr, flush=True))
+    if args.json is not None:
+        args.json.write_bytes(msgspec.json.format(msgspec.json.encode(report), indent=1) + b"\n")
+    print("\n".join(table.shown(report)))
+    return 0
+
+
+def _load(args: argparse.Namespace) -> int:
+    import msgspec
+
+    from wheatring.lab.live.load import Ask, Load, play, shown
+    from wheatring.lab.live.process import Process, module
+
+    for name in ("rate", "connections", "seconds", "patience"):
+        _positive(f"--{name}", getattr(args, name))
+    host, port = address.parse(args.server)
+    load = Load(
+        host=host,
+        port=port,
+        mode="closed" if args.rate is None else "open",
+        rate=args.rate or 0.0,
+        arrivals="constant" if args.even else "poisson",
+        connections=args.connections,
+        length=args.seconds,
+        warm=args.warm,
+        patience=args.patience,
+        seed=args.seed,
+        asks=tuple(Ask(name=name, share=share) for name, share in map(_share, args.ask or ["menu-view"])),
+    )
+    with Process("load", module("wheatring.lab.live.load")) as process:
+        result = play(process, load)
+    if args.json is not None:
+        args.json.write_bytes(msgspec.json.format(msgspec.json.encode(result), indent=1) + b"\n")
+    print("\n".join(shown(result)))
+    return 0 if result.valid else 1
+
+
+def _share(text: str) -> tuple[str, float]:
+    name, equals, share = text.partition("=")
+    value = float(share) if equals else 1.0
+    _positive(f"--ask {name}", value)
+    return name, value
+
+
+def _positive(name: str, value: float | None) -> None:
+    if value is not None and not value > 0:
+        raise ValueError(f"{name}: must be more than 0")
--- /dev/null
+++ b/wheatring/lab/live/bench/run.py
@@ -0,0 +1,247 @@
+"""Starts what is measured, measures it by turns, and puts the figures beside one another."""
+
+from __future__ import annotations
+
+import os
+import platform
+import statistics
+import time
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import msgspec
+from msgspec import Struct, field
+from twisted import __version__ as twisted_version
+
+import lapisway
+from wheatring.lab.live.bench import upstream
+from wheatring.lab.live.cores import Cores
+from wheatring.lab.live.load import Ask, Load, Result, play
+from wheatring.lab.live.process import Process, ProcessError, module
+from wheatring.lab.live.sidecar import Sidecar, configuration, settings
+
+HOST = "127.0.0.1"
+START = 20.0
+HERE = "wheatring.lab.live.bench"
+CLASS = {"name": "menu-view", "slo": 2_500_000, "deadline": 6_000_000, "effect": "pure", "late_worth": 0.25}
+ASK = Ask(name="menu-view", path="/menu-view/soups")
+SUBJECT = "sidecar"
+# In the order of their turns, and what each is beside the other two.
+TARGETS = {
+    "relay": "bare TCP relay: the floor of this runtime",
+    "web": "reverse proxy on twisted.web: kept connections, no access log",
+    "sidecar": "the sidecar",
+}
+MANY = 16
+FOREIGN = 0.05  # part of the measured core that others may take before it is told
+
+
+class Sizes(Struct, frozen=True, kw_only=True):
+    """How long each stretch is, in seconds, and how many rounds there are."""
+
+    rounds: int = 5
+    many: float = 2.0
+    one: float = 1.5
+    open: float = 2.5
+    warm: float = 0.5
+    body: int = 128  # bytes of each answer
+    late_ms: float = 0.5  # bound on the generator's own lateness, p99
+
+
+class Measure(Struct):
+    """One target in one round. Latencies in ms; `one` is one connection, `open` half the sidecar's rate."""
+
+    per_s: float  # at 16 connections
+    cpu_us: float  # of the target's, for each request there
+    one_p50: float
+    one_p99: float
+    open_p50: float
+    open_p99: float
+    open_per_s: float  # served there within the time
+    rss_mb: float
+    wrong: list[str] = field(default_factory=list)  # why figures of this round are not valid
+
+
+class Figure(Struct):
+    median: float
+    low: float
+    high: float
+
+
+class Report(Struct):
+    about: dict[str, str]
+    sizes: Sizes
+    cores: tuple[int, int, int]  # measured, load, upstream
+    open_rate: float  # requests a second
+    direct_per_s: float  # the upstream alone, at 16 connections
+    direct_cpu: float  # of its core, that the upstream needed for that
+    direct_limit: str  # what was the limit there
+    rounds: list[dict[str, Measure]]
+    figures: dict[str, dict[str, Figure]]  # by target, by field of Measure
+    ratios: dict[str, dict[str, Figure]]  # the sidecar's over another's, from both figures of a round
+    wrong: list[str]
+
+
+FIELDS = tuple(name for name in Measure.__struct_fields__ if name != "wrong")
+
+
+class Bench:
+    """All processes of the benchmark, up and ready."""
+
+    def __init__(self, stack: ExitStack, folder: Path, cores: Cores, sizes: Sizes) -> None:
+        self.cores = cores
+        self.sizes = sizes
+
+        def start(name: str, core: int, *words: str) -> Process:
+            return stack.enter_context(Process(name, module(*words), cpus=(core,)))
+
+        def port(line: str, name: str = "port") -> int:
+            return int(dict(pair.split("=") for pair in line.split()[1:])[name])
+
+        def said(process: Process) -> str:
+            return process.line("listening ", time.monotonic() + START)
+
+        self.upstream = start("upstream", cores.upstream, f"{HERE}.upstream", HOST, str(sizes.body))
+        listening = said(self.upstream)
+        self.node, discovery = port(listening, "node"), port(listening, "discovery")
+        self.targets: dict[str, Process] = {
+            name: start(name, cores.measured, f"{HERE}.{name}", HOST, HOST, str(self.node))
+            for name in TARGETS
+            if name != SUBJECT
+        }
+        entry = {"instanceId": upstream.NODE, "hostPort": f"{HOST}:{self.node}", "lifecycle": "SERVING"}
+        told = configuration(
+            SUBJECT, f"{HOST}:0", f"{HOST}:{discovery}", settings([CLASS]), 1,
+            known={"generation": 0, "instances": [{**entry, "startedAtMs": 0}]},
+        )  # fmt: skip
+        self.targets[SUBJECT] = stack.enter_context(Sidecar(folder, told, (cores.measured,)))
+        self.ports = {name: port(said(process)) for name, process in self.targets.items()}
+        self.generator = start("load", cores.load, "wheatring.lab.live.load")
+
+    def load(self, target: Process, port: int, length: float, **more: object) -> Result:
+        told = {
+            "host": HOST, "port": port, "length": length, "warm": self.sizes.warm, "asks": (ASK,),
+            "late_ms": self.sizes.late_ms, "watch": {target.name: target.pid},
+            "cores": (self.cores.measured,),
+        }  # fmt: skip
+        return play(self.generator, msgspec.convert({**told, **more}, Load))
+
+    def closed(self, name: str, connections: int, length: float) -> Result:
+        return self.load(self.targets[name], self.ports[name], length, mode="closed", connections=connections)
+
+    def direct(self) -> Result:
+        """The upstream with nothing before it."""
+        return self.load(self.upstream, self.node, self.sizes.one, mode="closed", connections=MANY)
+
+    def measure(self, name: str, rate: float) -> Measure:
+        sizes, target = self.sizes, self.targets[name]
+        many = self.closed(name, MANY, sizes.many)
+        one = self.closed(name, 1, sizes.one)
+        opened = self.load(target, self.ports[name], sizes.open, mode="open", rate=rate)
+        wrong = []
+        for what, result in (("16 connections", many), ("1 connection", one), ("open", opened)):
+            wrong += [f"{name}, {what}: {said}" for said in self.faults(result, name)]
+        (seen,) = many.watched
+        done = many.per_s * sizes.many
+        return Measure(
+            per_s=many.per_s,
+            cpu_us=seen.cpu_s / done * 1e6 if done else 0.0,
+            one_p50=one.p50_ms, one_p99=one.p99_ms,
+            open_p50=opened.p50_ms, open_p99=opened.p99_ms, open_per_s=opened.per_s,
+            rss_mb=seen.peak_mb,
+            wrong=wrong,
+        )  # fmt: skip
+
+    def faults(self, result: Result, name: str) -> Iterator[str]:
+        """What makes the figures of one stretch doubtful."""
+        if not result.valid:
+            yield result.why
+        counts = result.counts
+        if counts.served < counts.total:
+            yield (
+                f"{counts.total - counts.served} of {counts.total} not served (refused {counts.refused}, "
+                f"failed {counts.failed}, lost {counts.lost}, unreached {counts.unreached})"
+            )
+        (seen,) = result.watched
+        took = sum(result.cores_busy.values()) - seen.cpu_s
+        span = seen.looks[-1].at if seen.looks else 0.0
+        if span and took > max(FOREIGN * span, 0.05):
+            yield f"other programs took {took / span:.2f} of the measured core"
+
+
+@contextmanager
+def started(cores: Cores, sizes: Sizes) -> Iterator[Bench]:
+    """The benchmark's processes; all have ended when the block is left. ProcessError if one fails."""
+    with TemporaryDirectory() as folder, ExitStack() as stack:
+        yield Bench(stack, Path(folder), cores, sizes)
+
+
+def run(cores: Cores, sizes: Sizes, say: Callable[[str], None]) -> Report:
+    """The whole benchmark. ProcessError if a process fails."""
+    wrong = ["too few cores: the measured process shares its own"] if cores.shared else []
+    with started(cores, sizes) as bench:
+        direct = bench.direct()
+        rate = bench.closed(SUBJECT, MANY, sizes.many).per_s / 2
+        if rate <= 0:
+            raise ProcessError(f"{SUBJECT}: has served nothing")
+        rounds = []
+        for number in range(sizes.rounds):
+            rounds.append({name: bench.measure(name, rate) for name in TARGETS})
+            rates = ", ".join(f"{name} {measure.per_s:,.0f}" for name, measure in rounds[-1].items())
+            say(f"round {number + 1} of {sizes.rounds}: requests a second at {MANY} connections: {rates}")
+            wrong += [
+                f"round {number + 1}, {text}" for measure in rounds[-1].values() for text in measure.wrong
+            ]
+    upstream_cpu = direct.watched[0].cpu_s / sizes.one
+    return Report(
+        about=about(),
+        sizes=sizes,
+        cores=(cores.measured, cores.load, cores.upstream),
+        open_rate=rate,
+        direct_per_s=direct.per_s,
+        direct_cpu=upstream_cpu,
+        direct_limit="the generator" if not direct.valid else "neither" if upstream_cpu < 0.9 else "it",
+        rounds=rounds,
+        figures={
+            name: {key: _figure([getattr(r[name], key) for r in rounds]) for key in FIELDS}
+            for name in TARGETS
+        },
+        ratios={
+            name: {
+                key: _figure([_ratio(getattr(r[SUBJECT], key), getattr(r[name], key)) for r in rounds])
+                for key in FIELDS
+            }
+            for name in TARGETS
+            if name != SUBJECT
+        },
+        wrong=wrong,
+    )
+
+
+def _ratio(mine: float, other: float) -> float:
+    return mine / other if other else 0.0
+
+
+def _figure(values: list[float]) -> Figure:
+    return Figure(statistics.median(values), min(values), max(values))
+
+
+def about() -> dict[str, str]:
+    """What the figures depend on."""
+    model = ""
+    with open("/proc/cpuinfo", encoding="utf-8", errors="replace") as file:
+        for line in file:
+            if line.startswith("model name"):
+                model = line.partition(":")[2].strip()
+                break
+    return {
+        "version": lapisway.__version__,
+        "python": platform.python_version(),
+        "twisted": twisted_version,
+        "kernel": platform.release(),
+        "cpu": model,
+        "cores": str(len(os.sched_getaffinity(0))),
+        "load": f"{os.getloadavg()[0]:.2f}",
+    }
--- /dev/null
+++ b/wheatring/lab/live/bench/table.py
@@ -0,0 +1,61 @@
+"""The benchmark's report as a short text."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from wheatring.lab.live.bench.run import SUBJECT, TARGETS, Figure, Report
+
+ROWS = (
+    ("per_s", "requests a second, 16 connections", "{:,.0f}"),
+    ("cpu_us", "CPU us a request there", "{:,.0f}"),
+    ("one_p50", "one connection, p50 ms", "{:.2f}"),
+    ("one_p99", "one connection, p99 ms", "{:.2f}"),
+    ("open_p50", "open, half the sidecar's rate, p50 ms", "{:.2f}"),
+    ("open_p99", "open, half the sidecar's rate, p99 ms", "{:.2f}"),
+    ("open_per_s", "served a second there", "{:,.0f}"),
+    ("rss_mb", "memory MB", "{:.0f}"),
+)
+MOST_WRONG = 12
+
+
+def shown(report: Report) -> Iterator[str]:
+    """Lines: medians over the rounds, and the sidecar's ratios to the others with their spread."""
+    about = report.about
+    yield (
+        f"wheatring {about['version']}, Python {about['python']}, Twisted {about['twisted']}, "
+        f"{about['cpu']}; cores {', '.join(map(str, report.cores))}; load at the end {about['load']}"
+    )
+    yield (
+        f"{report.sizes.rounds} rounds; answers of {report.sizes.body} bytes; open at "
+        f"{report.open_rate:,.0f} requests a second; the upstream alone {report.direct_per_s:,.0f} a second "
+        f"with {report.direct_cpu:.2f} of its core (the limit: {report.direct_limit})"
+    )
+    yield ""
+    others = [name for name in TARGETS if name != SUBJECT]
+    heads = [*TARGETS, *(f"{SUBJECT}/{name} (spread)" for name in others)]
+    yield (
+        f"{'':38}"
+        + "".join(f"{head:>11}" for head in heads[: len(TARGETS)])
+        + "".join(f"{head:>26}" for head in heads[len(TARGETS) :])
+    )
+    for key, title, form in ROWS:
+        line = f"{title:38}"
+        for name in TARGETS:
+            line += f"{form.format(report.figures[name][key].median):>11}"
+        for name in others:
+            line += f"{_ratio(report.ratios[name][key]):>26}"
+        yield line
+    yield ""
+    for name, text in TARGETS.items():
+        yield f"{name}: {text}"
+    if report.wrong:
+        yield ""
+        yield f"{len(report.wrong)} doubtful:"
+        yield from (f"  {text}" for text in report.wrong[:MOST_WRONG])
+        if len(report.wrong) > MOST_WRONG:
+            yield f"  and {len(report.wrong) - MOST_WRONG} more"
+
+
+def _ratio(figure: Figure) -> str:
+    return f"{figure.median:.2f} ({figure.low:.2f} to {figure.high:.2f})"
--- /dev/null
+++ b/wheatring/lab/live/cores.py
@@ -0,0 +1,58 @@
+"""Which cores what is measured, its load and its upstream run on."""
+
+from __future__ import annotations
+
+import os
+import time
+from typing import NamedTuple
+
+from wheatring.lab.live import watch
+
+LOOK = 0.3  # seconds for which cores are looked at
+
+
+class Cores(NamedTuple):
+    measured: int
+    load: int
+    upstream: int
+
+    @property
+    def shared(self) -> bool:
+        """There were too few: figures from here say little."""
+        return len(set(self)) < 3
+
+
+def chosen(text: str) -> Cores:
+    """Three cores as told: measured, load, upstream. ValueError if they can't be used."""
+    try:
+        numbers = [int(part) for part in text.split(",")]
+    except ValueError:
+        numbers = []
+    mine = sorted(os.sched_getaffinity(0))
+    if len(numbers) != 3 or not set(numbers) <= set(mine):
+        raise ValueError(f"not three of the cores {','.join(map(str, mine))}: {text!r}")
+    return Cores(*numbers)
+
+
+def idlest() -> Cores:
+    """The three least busy cores that this process may use, the least busy for what is measured."""
+    mine = sorted(os.sched_getaffinity(0))
+    before = {core: watch.core_busy(core) for core in mine}
+    time.sleep(LOOK)
+    # What is measured and its load should not share a core's two halves: siblings come last.
+    seen: set[str] = set()
+    second = {}
+    for core in mine:
+        siblings = _siblings(core)
+        second[core] = siblings in seen
+        seen.add(siblings)
+    mine.sort(key=lambda core: (second[core], watch.core_busy(core) - before[core]))
+    return Cores(*(mine * 3)[:3])
+
+
+def _siblings(core: int) -> str:
+    try:
+        with open(f"/sys/devices/system/cpu/cpu{core}/topology/thread_siblings_list") as file:
+            return file.read().strip()
+    except OSError:
+        return str(core)
--- /dev/null
+++ b/wheatring/lab/live/line.py
@@ -0,0 +1,154 @@
+"""One kept connection of the load generator, on the reactor as a descriptor of its own.
+
+What is asked goes to the kernel at once: with the reactor's own transports it would wait for the next turn,
+and the generator's time would count as the server's.
+"""
+
+from __future__ import annotations
+
+import errno
+import socket
+from typing import Any, Protocol
+
+from wheatring.http1.parser import BadMessage, Reader
+
+AT_ONCE = 262_144
+MOST_HEADS = 256  # heads remembered; a server that makes each one anew is read the long way
+
+
+class Owner(Protocol):
+    def up(self, line: Line) -> None:
+        """It may be asked now."""
+
+    def answered(self, line: Line, status: bytes) -> None:
+        """The last byte of an answer has come; it may be asked again if it is still `alive`."""
+
+    def ended(self, line: Line) -> None:
+        """It has ended, not by `close`. `up_once` says whether it ever came up."""
+
+
+class Line:
+    """Carries one request at a time."""
+
+    def __init__(self, reactor: Any, owner: Owner, address: tuple[str, int], heads: dict[bytes, Any]) -> None:
+        self.reactor = reactor
+        self.owner = owner
+        self.heads = heads  # by the bytes of a head: status, and length of what follows
+        self.alive = False
+        self.up_once = False
+        self.carried = 0  # answers
+        self.shot: Any = None  # what its owner has it carry
+        self.first: Any = None  # what it was made for, where that may go on no other
+        self.unsent = b""
+        self.reader = Reader(responses=True)
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setblocking(False)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        error = self.sock.connect_ex(address)
+        if error not in (0, errno.EINPROGRESS):
+            reactor.callLater(0, self._over)
+        else:
+            reactor.addWriter(self)
+
+    def ask(self, data: bytes) -> None:
+        try:
+            sent = self.sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:  # its end is told by the reactor
+            return
+        if sent < len(data):
+            self.unsent = data[sent:]
+            self.reactor.addWriter(self)
+
+    def close(self) -> None:
+        """End it at once; nothing is told of it any more."""
+        self.alive = False
+        if self.sock.fileno() >= 0:
+            self.reactor.removeReader(self)
+            self.reactor.removeWriter(self)
+            self.sock.close()
+
+    def _over(self) -> None:
+        if self.sock.fileno() >= 0:
+            self.close()
+            self.owner.ended(self)
+
+    # What the reactor calls
+
+    def fileno(self) -> int:
+        return self.sock.fileno()
+
+    def logPrefix(self) -> str:
+        return "line"
+
+    def connectionLost(self, reason: object) -> None:
+        self._over()
+
+    def doWrite(self) -> None:
+        if not self.up_once:
+            if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                self._over()
+                return
+            self.reactor.removeWriter(self)
+            self.reactor.addReader(self)
+            self.alive = self.up_once = True
+            self.owner.up(self)
+            return
+        data, self.unsent = self.unsent, b""
+        self.reactor.removeWriter(self)
+        self.ask(data)
+
+    def doRead(self) -> None:
+        try:
+            data = self.sock.recv(AT_ONCE)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if not data:
+            message = self.reader.end()
+            if message is not None:
+                self.alive = False
+                self.owner.answered(self, message.first[0])
+            self._over()
+            return
+        if self.shot is None:  # an answer to nothing would be taken for the next request's
+            self._over()
+            return
+        if not self.reader.started:
+            end = data.find(b"\r\n\r\n") + 4
+            known = self.heads.get(data[:end])
+            if known is not None and len(data) == end + known[1]:
+                self.carried += 1
+                self.owner.answered(self, known[0])
+                return
+        self._read(data)
+
+    def _read(self, data: bytes) -> None:
+        """The long way, for heads seen for the first time and answers that come in parts."""
+        reader = self.reader
+        reader.feed(data)
+        try:
+            message = reader.next()
+            while message is not None and message.first[0][:1] == b"1":
+                message = reader.next()
+        except BadMessage:
+            self._over()
+            return
+        if message is None:
+            return
+        status = message.first[0]
+        clean = message.keep_alive and not reader.started
+        whole = data.find(b"\r\n\r\n") + 4
+        if clean and b"content-length" in message.fields and len(data) == whole + len(message.body):
+            if len(self.heads) >= MOST_HEADS:
+                self.heads.clear()
+            self.heads[data[:whole]] = (status, len(message.body))
+        self.carried += 1
+        if clean:
+            self.owner.answered(self, status)
+        else:
+            self.alive = False
+            self.owner.answered(self, status)
+            self._over()
--- /dev/null
+++ b/wheatring/lab/live/process.py
@@ -0,0 +1,138 @@
+"""Processes of the lab: started on a leash, read line by line, ended for certain."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Collection, Mapping, Sequence
+from contextlib import suppress
+from pathlib import Path
+from types import TracebackType
+from typing import Self
+
+import wheatring
+
+LEASH = str(Path(__file__).with_name("leash.py"))
+HOME = str(Path(wheatring.__file__).parents[1])  # where this wheatring lies: its processes must run the same
+LAST = 2.0  # seconds that a process has to end once killed: beyond this the kernel holds it up
+
+
+class ProcessError(RuntimeError):
+    """A process did not do what it was started for; the text is one line that names it."""
+
+
+def module(name: str, *words: str) -> list[str]:
+    """The command that runs a module with this interpreter."""
+    return [sys.executable, "-m", name, *words]
+
+
+class Process:
+    """One process. It ends, killed if need be, with `end`, with the `with` block, or with this process.
+
+    Its standard output is read by a thread of its own, so that it never waits for a reader; `on_line` is
+    called there. What it writes to standard error goes to `stderr`, this process's own by default.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        command: Sequence[str],
+        environment: Mapping[str, str] | None = None,
+        cpus: Collection[int] = (),
+        on_line: Callable[[str], None] | None = None,
+        stderr: int | None = None,
+    ) -> None:
+        self.name = name
+        self.lines: list[str] = []  # of its standard output
+        self.on_line = on_line
+        self.said = threading.Condition()
+        self.closed = False
+        path = os.pathsep.join(filter(None, (HOME, os.environ.get("PYTHONPATH", ""))))
+        self.popen = subprocess.Popen(
+            [sys.executable, "-ES", LEASH, str(os.getpid()), *command],
+            env={**os.environ, "PYTHONPATH": path, **(environment or {})},
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=stderr,
+            text=True,
+        )
+        self.pid = self.popen.pid
+        try:
+            if cpus:
+                os.sched_setaffinity(self.pid, cpus)
+        except BaseException:
+            self.end()
+            raise
+        self.reader = threading.Thread(target=self._read, daemon=True)
+        self.reader.start()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, value: BaseException | None, where: TracebackType | None
+    ) -> None:
+        self.end()
+
+    def _read(self) -> None:
+        assert self.popen.stdout is not None
+        for text in self.popen.stdout:
+            line = text.rstrip("\n")
+            with self.said:
+                self.lines.append(line)
+                self.said.notify_all()
+            if self.on_line is not None:
+                self.on_line(line)
+        with self.said:
+            self.closed = True
+            self.said.notify_all()
+
+    def tell(self, line: str) -> None:
+        """Write a line to its standard input. ProcessError if it has ended."""
+        assert self.popen.stdin is not None
+        try:
+            self.popen.stdin.write(line + "\n")
+            self.popen.stdin.flush()
+        except OSError as bad:
+            raise ProcessError(f"{self.name}: has ended with status {self.popen.poll()}") from bad
+
+    def line(self, start: str, by: float, after: int = 0) -> str:
+        """Wait for a line that starts so, `after` lines left out, until an instant of the monotonic clock.
+        ProcessError if none comes."""
+        with self.said:
+            while True:
+                for line in self.lines[after:]:
+                    if line.startswith(start):
+                        return line
+                after = max(after, len(self.lines))
+                if self.closed:
+                    raise ProcessError(f"{self.name}: ended before it said {start!r}")
+                if not self.said.wait(by - time.monotonic()):
+                    raise ProcessError(f"{self.name}: has not said {start!r} in time")
+
+    @property
+    def running(self) -> bool:
+        return self.popen.poll() is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, if it still runs."""
+        self.popen.send_signal(number)
+
+    def wait(self, by: float) -> int:
+        """Its exit status, waited for until an instant. ProcessError if it still runs then."""
+        try:
+            return self.popen.wait(max(0.0, by - time.monotonic()))
+        except subprocess.TimeoutExpired:
+            raise ProcessError(f"{self.name}: has not ended in time") from None
+
+    def end(self) -> None:
+        """Kill it if it still runs, and let go of it."""
+        self.popen.kill()
+        self.wait(time.monotonic() + LAST)
+        assert self.popen.stdin is not None
+        with suppress(OSError):  # it had left something unread
+            self.popen.stdin.close()
--- /dev/null
+++ b/wheatring/lab/live/tally.py
@@ -0,0 +1,73 @@
+"""The load generator's accounts: kept by second while it plays, summed once it is over."""
+
+from __future__ import annotations
+
+from array import array
+
+from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
+
+from wheatring.lab.live.load import Counts, Load, Result, Row
+
+LONGEST_US = 120_000_000
+
+
+class Tally:
+    """What is kept of one second, or of the warm-up."""
+
+    __slots__ = ("asked", "connections", "counts", "late", "latencies")
+
+    def __init__(self) -> None:
+        self.asked = 0
+        self.counts = Counts()
+        self.latencies = array("d")
+        self.late = array("d")
+        self.connections = 0
+
+
+def part(values: array[float], share: float) -> float:
+    """The value below which that share lies, of sorted ones, in ms."""
+    return values[min(len(values) - 1, int(len(values) * share))] * 1000 if values else 0.0
+
+
+def summed(load: Load, tallies: list[Tally], cpu: float) -> Result:
+    """The result, as far as these tallies tell it; `cpu` is what the generator needed of its core."""
+    histogram = HdrHistogram(1, LONGEST_US, 3)
+    counts = Counts()
+    late = array("d")
+    rows = []
+    for number, tally in enumerate(tallies):
+        took = array("d", sorted(tally.latencies))
+        for value in took:
+            histogram.record_value(max(1, min(LONGEST_US, int(value * 1e6))))
+        for name in Counts.__struct_fields__:
+            setattr(counts, name, getattr(counts, name) + getattr(tally.counts, name))
+        late.extend(tally.late)
+        rows.append(
+            Row(
+                number, tally.asked, tally.counts, part(took, 0.5), part(took, 0.99),
+                max(tally.late, default=0.0) * 1000, tally.connections,
+            )
+        )  # fmt: skip
+    late = array("d", sorted(late))
+
+    def ms(percent: float) -> float:
+        return float(histogram.get_value_at_percentile(percent)) / 1000 if counts.served else 0.0
+
+    wrong = []
+    if part(late, 0.99) > load.late_ms:
+        wrong.append(f"the generator itself was late: p99 {part(late, 0.99):.2f} ms")
+    if load.mode == "closed" and cpu > load.busy:
+        wrong.append(f"the generator needed {cpu:.2f} of its core")
+    return Result(
+        mode=load.mode,
+        asked=sum(row.asked for row in rows),
+        counts=counts,
+        mean_ms=float(histogram.get_mean_value()) / 1000 if counts.served else 0.0,
+        p50_ms=ms(50), p90_ms=ms(90), p99_ms=ms(99), p999_ms=ms(99.9), most_ms=ms(100),
+        late_p50_ms=part(late, 0.5), late_p99_ms=part(late, 0.99), late_most_ms=part(late, 1.0),
+        cpu=cpu,
+        valid=not wrong,
+        why="; ".join(wrong),
+        latency=histogram.encode().decode(),
+        rows=rows,
+    )  # fmt: skip
--- /dev/null
+++ b/wheatring/lab/live/watch.py
@@ -0,0 +1,89 @@
+"""Watches processes from outside: CPU, memory and descriptors, as /proc has them."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+
+from msgspec import Struct, field
+
+TICK = 1 / os.sysconf("SC_CLK_TCK")
+PAGE_MB = os.sysconf("SC_PAGE_SIZE") / 2**20
+
+
+class Look(Struct):
+    """One process in one span of time, mostly a second."""
+
+    at: float  # the span's end, in seconds from the start
+    cpu: float  # of one core, over the span
+    rss_mb: float  # at its end
+    descriptors: int  # at its end
+
+
+class Watched(Struct):
+    name: str
+    cpu_s: float = 0.0  # over all spans
+    peak_mb: float = 0.0
+    peak_descriptors: int = 0
+    looks: list[Look] = field(default_factory=list)
+
+
+def cpu_seconds(pid: int) -> float:
+    """CPU time that a process has used, its threads included; OSError if there is none of that id."""
+    with open(f"/proc/{pid}/stat", "rb") as file:
+        # Its name comes in brackets, and may hold anything.
+        fields = file.read().rpartition(b")")[2].split()
+    return (int(fields[11]) + int(fields[12])) * TICK
+
+
+def rss_mb(pid: int) -> float:
+    with open(f"/proc/{pid}/statm", "rb") as file:
+        return int(file.read().split()[1]) * PAGE_MB
+
+
+def core_busy(cpu: int) -> float:
+    """Seconds that a core has been busy with anything since the machine's start."""
+    with open("/proc/stat", "rb") as file:
+        for line in file:
+            word, *fields = line.split()
+            if word == b"cpu%d" % cpu:
+                user, nice, system, _, _, irq, softirq, steal = map(int, fields[:8])
+                return (user + nice + system + irq + softirq + steal) * TICK
+    raise ProcessLookupError(f"no core {cpu}")
+
+
+class Watch:
+    """Looks at processes whenever told to. One that has ended is left out from then on."""
+
+    def __init__(self, now: float) -> None:
+        self.began = now
+        self.watched: dict[str, Watched] = {}
+        self.out: dict[str, tuple[int, float, float]] = {}  # by name: id, last look, CPU time then
+
+    def add(self, name: str, pid: int, now: float) -> None:
+        """Watch a process from now on; a name that was watched before goes on in the same row."""
+        self.watched.setdefault(name, Watched(name))
+        try:
+            self.out[name] = (pid, now, cpu_seconds(pid))
+        except OSError:
+            self.out.pop(name, None)
+
+    def add_all(self, pids: Mapping[str, int], now: float) -> None:
+        for name, pid in pids.items():
+            self.add(name, pid, now)
+
+    def look(self, now: float) -> None:
+        for name, (pid, since, before) in list(self.out.items()):
+            try:
+                cpu, rss = cpu_seconds(pid), rss_mb(pid)
+                descriptors = len(os.listdir(f"/proc/{pid}/fd"))
+            except OSError:
+                del self.out[name]
+                continue
+            row = self.watched[name]
+            share = (cpu - before) / (now - since) if now > since else 0.0
+            row.looks.append(Look(now - self.began, share, rss, descriptors))
+            row.cpu_s += cpu - before
+            row.peak_mb = max(row.peak_mb, rss)
+            row.peak_descriptors = max(row.peak_descriptors, descriptors)
+            self.out[name] = (pid, now, cpu)
