Play a plan on loopback with real sidecars

A node has a port for each sidecar that may call it, and each sidecar has a door of its own at discovery, as loopback does not tell who calls. The plan can be scaled down; events that need the kernel's network or clock are refused by name before anything starts.

--- a/wheatring/commands/lab_live.py
+++ b/wheatring/commands/lab_live.py
@@ -1,4 +1,4 @@
-"""`wheatring lab bench` and `wheatring lab load`: real processes on loopback."""
+"""`wheatring lab live`, `lab bench` and `lab load`: real processes on loopback."""
 
 from __future__ import annotations
 
@@ -16,6 +16,16 @@
 
 def add(commands: Commands) -> None:
     """The commands, under `wheatring lab`."""
+    live = _command(commands, "live", _live, "play a day in real time, with real sidecars on loopback")
+    live.add_argument("scenario", metavar="NAME|FILE", help="of the library, or a TOML file")
+    live.add_argument("--seed", type=int, default=1, metavar="N", help="of the draw (default: 1)")
+    live.add_argument(
+        "--scale", type=float, default=1.0, metavar="S",
+        help="part of the machines, sidecars and requests that is played (default: 1)",
+    )  # fmt: skip
+    live.add_argument("--leave-out", action="store_true", help="what can't be played here, and play the rest")
+    live.add_argument("--json", type=Path, metavar="FILE", help="write the whole outcome there")
+
     bench = _command(commands, "bench", _bench, "the sidecar beside a relay and a reverse proxy, as ratios")
     bench.add_argument("--rounds", type=int, default=5, metavar="N", help="interleaved (default: 5)")
     bench.add_argument(
@@ -69,7 +79,29 @@
         print(f"wheatring: lab: {bad}", file=sys.stderr)
         return 2
     except KeyboardInterrupt:
-        return 130
+        return 130  # as a shell tells it
+
+
+def _live(args: argparse.Namespace) -> int:
+    import msgspec
+
+    from wheatring.lab.live import scale
+    from wheatring.lab.live.play import play, shown
+    from wheatring.lab.scenario.draw import draw
+    from wheatring.lab.scenario.load import load
+
+    found = load(args.scenario)
+    plan = draw(found, args.seed)
+    never = scale.never(plan)
+    if never and not args.leave_out:
+        raise ValueError(f"{found.where}: can't be played on loopback: {', '.join(never)} (--leave-out)")
+    plan = scale.scaled(scale.without(plan, never), args.scale)
+    outcome = play(plan, lambda text: print(text, file=sys.stderr, flush=True))
+    outcome.left_out = list(never)
+    if args.json is not None:
+        args.json.write_bytes(msgspec.json.format(msgspec.json.encode(outcome), indent=1) + b"\n")
+    print("\n".join(shown(outcome)))
+    return 1 if outcome.breach_count else 0
 
 
 def _bench(args: argparse.Namespace) -> int:
--- /dev/null
+++ b/wheatring/lab/live/play.py
@@ -0,0 +1,304 @@
+"""A plan played on loopback, in real time: real sidecars, and all that they serve in this process.
+
+It may be done once in a process, as it runs the reactor.
+"""
+
+from __future__ import annotations
+
+import gc
+import os
+import resource
+import time
+from array import array
+from collections.abc import Callable, Iterator, Mapping
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from msgspec import field, structs
+from twisted.internet import reactor as installed
+from twisted.logger import globalLogBeginner
+
+from wheatring.core.clock import Clock
+from wheatring.lab.live import tally
+from wheatring.lab.live.events import Events
+from wheatring.lab.live.nodes import Nodes
+from wheatring.lab.live.process import ProcessError
+from wheatring.lab.live.seats import Seat, Seats
+from wheatring.lab.live.watch import Watch, Watched
+from wheatring.lab.models.clients import Clients
+from wheatring.lab.models.discovery import Registry
+from wheatring.lab.models.front import Front
+from wheatring.lab.origins import Origins
+from wheatring.lab.outcome import Outcome
+from wheatring.lab.plan import NetPlan, Plan
+from wheatring.lab.rules import Ledger
+from wheatring.lab.wire.caller import Caller
+from wheatring.lab.wire.form import Forms
+
+CLIENTS = "127.5.0.1"
+LEAD = 1.0  # seconds from when all sidecars listen until the day begins
+SETTLE = 0.5  # seconds past the tail
+START = 20.0  # seconds in which all sidecars must listen, and for each of them so many more
+START_EACH = 0.5
+SPARE = 200  # descriptors beside doors and connections
+TICK = 0.02  # seconds between looks at how late this process is
+MOST_LATE = 20.0  # ms
+MOST_BREACHES = 10  # shown
+LAB = "lab"
+# What links are held to need at most: this process reads what has come only in its turn.
+LINKS = NetPlan(same=0.002, cross=0.002, client=0.002, jitter=1.0)
+
+
+class LiveOutcome(Outcome):
+    """An outcome as any other, and what was seen of the processes. The lab's own is `lab`: it plays nodes,
+    discovery and clients, and where it was late (`late_ms`, p99), latencies and breaches say little."""
+
+    watched: list[Watched] = field(default_factory=list)
+    late_ms: float = 0.0
+    left_out: list[str] = field(default_factory=list)  # kinds of events that were not played
+
+
+class Play:
+    """One plan, wired. `say` gets a line now and then."""
+
+    def __init__(self, plan: Plan, folder: Path, say: Callable[[str], None]) -> None:
+        reactor: Any = installed  # Twisted's own type lacks half of its methods
+        reactor.seconds = time.monotonic
+        self.reactor = reactor
+        self.plan = plan
+        self.say = say
+        self.clock = clock = Clock(reactor)
+        self.origins = Origins(self.random("ids"))
+        self.book = Ledger(
+            structs.replace(plan, net=LINKS), "live", clock.now, float("inf"), family=self.family
+        )
+        self.registry = Registry(plan.discovery, clock, time.time, self.random("discovery"), self.book)
+        self.front = Front(clock, self.random("front"), plan.front_notice)
+        self.watch = Watch(clock.now())
+        self.nodes = Nodes(
+            reactor, plan, clock, self.origins, self.book, self.registry, lambda name: self.seats.where(name)
+        )
+        self.seats = Seats(
+            reactor, plan, clock, self.book, self.registry, self.nodes.address, folder, self.watch
+        )
+        self.seats.came, self.seats.stops, self.seats.went = self.came, self.stops, self.went
+        self.seats.failed = self.failed
+        self.nodes.on_fallen = self.fallen
+        way = Caller(
+            reactor, clock, self.book, Forms(plan.classes), self.seats.where, CLIENTS,
+            plan.clients.connections,
+        )  # fmt: skip
+        self.clients = Clients(plan, clock, self.random("clients"), self.origins, self.book, self.front, way)
+        self.events = Events(clock, self.book, self.nodes, self.registry, self.seats, self)
+        self.awaited: set[str] = set()  # sidecars that must listen before the day begins
+        self.coming: set[str] = set()  # nodes that run once their sidecar listens
+        self.late = array("d")
+        self.began = 0.0
+        self.fault: BaseException | None = None
+        self.over = False
+
+    def random(self, name: str) -> Random:
+        return Random(f"{self.plan.seed}:{name}")
+
+    def family(self, ident: str) -> int | None:
+        origin = self.origins.of.get(ident)
+        return None if origin is None else origin.first
+
+    # The day
+
+    def run(self) -> LiveOutcome:
+        """Play it all. ProcessError if a sidecar does not start; KeyboardInterrupt if told to stop."""
+        room_for(self.plan)
+        observers: Any = [self.logged]
+        globalLogBeginner.beginLoggingTo(observers, redirectStandardIO=False, discardBuffer=True)
+        self.reactor.callWhenRunning(self.begin)
+        try:
+            self.reactor.run()
+        finally:
+            self.seats.end()
+        if self.fault is not None:
+            raise self.fault
+        if not self.over:
+            raise KeyboardInterrupt
+        return self.outcome()
+
+    def begin(self) -> None:
+        for node in self.plan.nodes:
+            self.nodes.add(node.name)
+        running = {node.name for node in self.plan.nodes if node.up}
+        front = {told.name: told for told in self.plan.sidecars}
+        for seat in self.seats.seats.values():
+            if seat.name in running or (seat.name in front and front[seat.name].start == 0):
+                self.awaited.add(seat.name)
+                self.seats.start(seat)
+        self.say(f"{len(running)} nodes, {len(self.awaited)} sidecars")
+        by = self.clock.now() + START + START_EACH * len(self.awaited)
+        self.starting = self.clock.at(by, self.give_up)
+        if not self.awaited:
+            self.give_up()
+
+    def give_up(self) -> None:
+        names = ", ".join(sorted(self.awaited)[:3]) or "the front"
+        self.stop(ProcessError(f"{names}: has no sidecar that listens"))
+
+    def start_day(self) -> None:
+        self.starting.cancel()
+        gc.collect()
+        gc.freeze()  # what lasts all day need not be looked through again and again
+        self.began = day = self.clock.now() + LEAD
+        self.clock.at(day, self.day)
+
+    def day(self) -> None:
+        plan, now = self.plan, self.clock.now()
+        self.began = now
+        self.book.begin(now)
+        self.watch.began = now
+        self.watch.add(LAB, os.getpid(), now)
+        self.clients.start()
+        self.events.schedule(now, plan.events)
+        for told in plan.sidecars:
+            if told.start > 0:
+                self.clock.at(now + told.start, self.seats.start, self.seats.seats[told.name])
+        self.clock.at(now + plan.length + plan.tail + SETTLE, self.stop)
+        self.second(1)
+        self.tick(now)
+        self.say(f"the day begins, and takes {plan.length + plan.tail + SETTLE:.0f} s")
+
+    def second(self, number: int) -> None:
+        self.watch.look(self.clock.now())
+        self.clock.at(self.began + number, self.second, number + 1)
+
+    def tick(self, due: float) -> None:
+        now = self.clock.now()
+        self.late.append(now - due)
+        self.clock.at(now + TICK, self.tick, now + TICK)
+
+    def stop(self, fault: BaseException | None = None) -> None:
+        """The end, of the day or because of a fault."""
+        self.fault = self.fault or fault
+        if not self.over:
+            self.over = True
+            if fault is None:
+                self.watch.look(self.clock.now())
+                self.ended = self.clock.now()
+            self.reactor.stop()
+
+    def logged(self, event: Mapping[str, Any]) -> None:
+        """Guards against a fault of the lab's own that would go unseen in the reactor's log."""
+        failure = event.get("log_failure")
+        if failure is not None:
+            self.stop(failure.value)
+
+    # Sidecars and nodes come and go
+
+    def came(self, seat: Seat) -> None:
+        if seat.name not in self.nodes.nodes:
+            self.front.up(seat.name)
+        elif seat.name in self.coming:
+            self.coming.discard(seat.name)
+            self.nodes.start(seat.name)
+        if seat.name in self.awaited:
+            self.awaited.discard(seat.name)
+            if not self.awaited:
+                self.start_day()
+
+    def stops(self, seat: Seat) -> None:
+        if seat.name not in self.nodes.nodes:
+            self.front.stopping(seat.name)
+
+    def went(self, seat: Seat) -> None:
+        if seat.name not in self.nodes.nodes:
+            self.front.down(seat.name)
+
+    def failed(self, seat: Seat) -> None:
+        if seat.name in self.awaited:
+            self.stop(ProcessError(f"{seat.name}: ended before it listened"))
+
+    def start(self, name: str) -> None:
+        """A node is to start; one with a sidecar of its own runs once that listens."""
+        seat = self.seats.seats.get(name)
+        if self.nodes.nodes[name].machine.running:
+            return
+        if seat is None:
+            self.nodes.start(name)
+        else:
+            self.coming.add(name)
+            self.seats.start(seat)
+
+    def end(self, name: str) -> None:
+        """A node's process ends, and its own sidecar with it."""
+        self.coming.discard(name)
+        if self.nodes.stop(name):
+            self.fallen(name)
+
+    def fallen(self, name: str) -> None:
+        if name in self.seats.seats:
+            self.seats.kill(self.seats.seats[name], 0.0)
+
+    # What came of it
+
+    def outcome(self) -> LiveOutcome:
+        held = {
+            name: {"most_sockets": row.peak_descriptors}
+            for name, row in self.watch.watched.items()
+            if name in self.seats.seats
+        }
+        found = self.book.finish(self.ended - self.began, held)
+        late = tally.part(array("d", sorted(self.late)), 0.99)
+        return LiveOutcome(**structs.asdict(found), watched=list(self.watch.watched.values()), late_ms=late)
+
+
+def room_for(plan: Plan) -> None:
+    """Raise this process's bound on descriptors as far as the plan needs. ProcessError if it can't be."""
+    doors = connections = 0
+    callers = [len(plan.sidecars)]
+    callers += [sum(n.tier == tier for n in plan.nodes) for tier in range(len(plan.tiers) - 1)]
+    for tier, count in enumerate(callers):
+        doors += count * sum(n.tier == tier for n in plan.nodes)
+    waiting = plan.traffic.rate * max((c.deadline for c in plan.classes), default=0.0)
+    connections = 2 * doors + round(2 * waiting)
+    need = doors + connections + SPARE
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if hard != resource.RLIM_INFINITY and need > hard:
+        raise ProcessError(
+            f"needs some {need} descriptors and may have {hard}: a smaller --scale needs fewer"
+        )
+    if soft < need:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (need, hard))
+
+
+def play(plan: Plan, say: Callable[[str], None]) -> LiveOutcome:
+    """Play a plan. ProcessError if it can't be; all its processes have ended then, however it ends."""
+    with TemporaryDirectory() as folder:
+        return Play(plan, Path(folder), say).run()
+
+
+def shown(outcome: LiveOutcome) -> Iterator[str]:
+    """An outcome in a few lines."""
+    yield (
+        f"{outcome.scenario}, seed {outcome.seed}: {outcome.requests} requests in "
+        f"{outcome.simulated_s:.0f} s, service {outcome.service:.3f}, G {outcome.g:.3f}"
+    )
+    for each in outcome.classes:
+        yield (
+            f"{each.name}: {each.asked} asked, {each.in_time} in time, {each.late} late, "
+            f"{each.refused} refused, {each.failed} failed; "
+            f"p50 {each.p50_ms:.0f} ms, p99 {each.p99_ms:.0f} ms"
+        )
+    yield f"{outcome.breach_count} breaches of the rules"
+    yield from (f"  {each.at:.2f} s, {each.rule}: {each.what}" for each in outcome.breaches[:MOST_BREACHES])
+    sidecars = [row for row in outcome.watched if row.looks and row.name != LAB]
+    if sidecars:
+        cpu = [row.cpu_s / outcome.simulated_s for row in sidecars]
+        yield (
+            f"{len(sidecars)} sidecars: CPU {max(cpu):.3f} of a core at most, {sum(cpu):.3f} together; "
+            f"{max(row.peak_mb for row in sidecars):.0f} MB and "
+            f"{max(row.peak_descriptors for row in sidecars)} descriptors at most"
+        )
+    yield f"the lab's own process was {outcome.late_ms:.1f} ms late at p99"
+    if outcome.late_ms > MOST_LATE:
+        yield f"more than {MOST_LATE:.0f} ms: it was the limit, and latencies and breaches say little"
+    if outcome.left_out:
+        yield f"left out: {', '.join(outcome.left_out)}"
--- a/wheatring/lab/live/process.py
+++ b/wheatring/lab/live/process.py
@@ -34,7 +34,8 @@
     """One process. It ends, killed if need be, with `end`, with the `with` block, or with this process.
 
     Its standard output is read by a thread of its own, so that it never waits for a reader; `on_line` is
-    called there. What it writes to standard error goes to `stderr`, this process's own by default.
+    called there, and `on_end` once it has ended. What it writes to standard error goes to `stderr`, this
+    process's own by default.
     """
 
     def __init__(
@@ -44,11 +45,13 @@
         environment: Mapping[str, str] | None = None,
         cpus: Collection[int] = (),
         on_line: Callable[[str], None] | None = None,
+        on_end: Callable[[], None] | None = None,
         stderr: int | None = None,
     ) -> None:
         self.name = name
         self.lines: list[str] = []  # of its standard output
         self.on_line = on_line
+        self.on_end = on_end
         self.said = threading.Condition()
         self.closed = False
         path = os.pathsep.join(filter(None, (HOME, os.environ.get("PYTHONPATH", ""))))
@@ -87,9 +90,12 @@
                 self.said.notify_all()
             if self.on_line is not None:
                 self.on_line(line)
+        self.popen.wait()
         with self.said:
             self.closed = True
             self.said.notify_all()
+        if self.on_end is not None:
+            self.on_end()
 
     def tell(self, line: str) -> None:
         """Write a line to its standard input. ProcessError if it has ended."""
--- /dev/null
+++ b/wheatring/lab/live/scale.py
@@ -0,0 +1,91 @@
+"""A plan made fit for loopback: smaller, and without what can't be played there."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TypeVar
+
+from msgspec import structs
+
+from wheatring.lab.plan import EventKind, EventPlan, NodePlan, Plan, SidecarPlan
+
+# These need the kernel's network or clock, which are the machine's own.
+NEVER: frozenset[EventKind] = frozenset(("partition", "vanish", "latency", "late_connects", "clock_step"))
+One = TypeVar("One", NodePlan, SidecarPlan)
+
+LIVES: frozenset[EventKind] = frozenset(("drain", "kill", "start"))
+
+
+def never(plan: Plan) -> list[EventKind]:
+    """The kinds of the plan's events that can't be played here, each once, as they come."""
+    return list(dict.fromkeys(event.kind for event in plan.events if event.kind in NEVER))
+
+
+def without(plan: Plan, kinds: Iterable[EventKind]) -> Plan:
+    left_out = set(kinds)
+    return structs.replace(plan, events=tuple(e for e in plan.events if e.kind not in left_out))
+
+
+def scaled(plan: Plan, scale: float) -> Plan:
+    """The day at `scale` (above 0, at most 1) of its machines and sidecars, at least one of each, at a rate
+    that uses its scarcest tier as the whole day would. Troubles fall on as large a part of the machines;
+    drains, kills and starts stay with the machines that are left. ValueError where there is no such scale."""
+    if not 0 < scale <= 1:
+        raise ValueError(f"scale: must be above 0 and at most 1, is {scale:g}")
+    if scale == 1:
+        return plan
+    stand_in: dict[str, str] = {}  # for every node and sidecar, one that is left
+    front = _thinned(plan.sidecars, scale, stand_in)
+    first: list[NodePlan] = []
+    for tier in range(len(plan.tiers)):
+        first += _thinned([n for n in plan.nodes if n.tier == tier and n.up], scale, stand_in)
+    left = {node.name for node in first}
+    events = []
+    newcomers = 0.0
+    for event in plan.events:
+        if event.kind == "start":
+            names = []
+            for name in event.nodes:
+                newcomers += scale
+                if newcomers >= 1:
+                    newcomers -= 1
+                    names.append(name)
+        elif event.kind in LIVES:
+            names = [name for name in event.nodes if name in left]
+        else:
+            events.append(_moved(event, scale, stand_in))
+            continue
+        if names:
+            left.update(names)
+            left.update([event.replaced_by] if event.replaced_by else [])
+            events.append(structs.replace(event, nodes=tuple(names)))
+    nodes = tuple(node for node in plan.nodes if node.name in left)
+    traffic = structs.replace(plan.traffic, rate=plan.traffic.rate * _capacity_left(plan, first))
+    return structs.replace(plan, sidecars=tuple(front), nodes=nodes, events=tuple(events), traffic=traffic)
+
+
+def _thinned(whole: Iterable[One], scale: float, stand_in: dict[str, str]) -> list[One]:
+    """Evenly spread over their order, so that all kinds and zones stay; who is left out has a stand-in."""
+    given = list(whole)
+    count = min(len(given), max(1, round(scale * len(given))))
+    left = [given[place * len(given) // count] for place in range(count)]
+    for place, one in enumerate(given):
+        stand_in[one.name] = left[place * count // len(given)].name
+    for one in left:
+        stand_in[one.name] = one.name
+    return left
+
+
+def _moved(event: EventPlan, scale: float, stand_in: dict[str, str]) -> EventPlan:
+    def fewer(names: tuple[str, ...]) -> tuple[str, ...]:
+        moved = list(dict.fromkeys(stand_in[name] for name in names if name in stand_in))
+        return tuple(moved[: max(1, round(scale * len(names)))])
+
+    return structs.replace(event, nodes=fewer(event.nodes), sidecars=fewer(event.sidecars))
+
+
+def _capacity_left(plan: Plan, left: list[NodePlan]) -> float:
+    def able(nodes: Iterable[NodePlan], tier: int) -> float:
+        return sum(n.speed * plan.tiers[tier].kinds[n.kind].cores for n in nodes if n.tier == tier and n.up)
+
+    return min(able(left, tier) / able(plan.nodes, tier) for tier in range(len(plan.tiers)))
--- /dev/null
+++ b/wheatring/lab/live/seats.py
@@ -0,0 +1,211 @@
+"""The places of sidecars: each has one name and address over all of its starts, which are processes."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from wheatring.core.clock import Clock, Timer
+from wheatring.lab.book import Book
+from wheatring.lab.live.sidecar import Sidecar, configuration, listens_at
+from wheatring.lab.live.watch import Watch
+from wheatring.lab.models.discovery import Answer, Registry
+from wheatring.lab.plan import Plan
+from wheatring.lab.settings import settings
+from wheatring.lab.wire.discovery import DiscoveryPeer, body
+
+DISCOVERY = "127.4.0.1"
+# Lines of its log that are told to the book, as notes of that name: what it could not reach, and faults.
+UNCONNECTED = ("claim-connection code=connect-failed", "claim-connection code=not-up-in-time")
+FAULTS = ("decision-broken", "action-broken", "request-broken", "claim-broken", "job-broken", "overdue",
+          "unexpected", "answer-broken", "not-carried-out")  # fmt: skip
+
+
+class Seat:
+    """One sidecar's place. `door` is discovery's, for it alone, so that it is known who asks."""
+
+    def __init__(self, name: str, host: str, tier: int, number: int, copies: int) -> None:
+        self.name = name
+        self.host = host
+        self.tier = tier
+        self.number = number
+        self.copies = copies
+        self.port = 0  # once it has listened for the first time, kept
+        self.door: DiscoveryPeer | None = None
+        self.door_port = 0
+        self.process: Sidecar | None = None
+        self.up = self.stopping = False
+        self.down = 0.0  # seconds from its end to its next start; 0: it has none
+        self.timer: Timer | None = None
+
+
+class Seats:
+    """Starts and ends sidecars, and tells the book, the watch, and whoever else wants to know: `came` once
+    one listens, `stops` when it is told to, `went` when it has ended, `failed` when it did so before it
+    listened."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        plan: Plan,
+        clock: Clock,
+        book: Book,
+        registry: Registry,
+        address: Callable[[str, Any], str],
+        folder: Path,
+        watch: Watch,
+    ) -> None:
+        self.reactor = reactor
+        self.plan = plan
+        self.clock = clock
+        self.book = book
+        self.registry = registry
+        self.address = address
+        self.folder = folder
+        self.watch = watch
+        self.came: Callable[[Seat], object]
+        self.stops: Callable[[Seat], object]
+        self.went: Callable[[Seat], object]
+        self.failed: Callable[[Seat], object]
+        self.seats: dict[str, Seat] = {}
+        self.processes: list[Sidecar] = []
+        copies = len(plan.sidecars)
+        for number, told in enumerate(plan.sidecars):
+            self._add(Seat(told.name, told.host, 0, number, copies))
+        for tier in range(len(plan.tiers) - 1):
+            callers = [node for node in plan.nodes if node.tier == tier]
+            for number, node in enumerate(callers):
+                self._add(Seat(node.name, beside(node.host), tier + 1, number, len(callers)))
+
+    def _add(self, seat: Seat) -> None:
+        self.seats[seat.name] = seat
+        self.registry.serve(seat.name, seat.tier)
+
+    def where(self, name: str) -> tuple[str, int]:
+        """A sidecar's address; one that never listened has a port where nobody does."""
+        seat = self.seats[name]
+        return seat.host, seat.port
+
+    def told(self, seat: Seat) -> dict[str, Any]:
+        """The configuration of its next start, with the list as it is then."""
+        listing = self.registry.knowledge.listing(seat.tier)
+        version = listing.view(listing.version)
+        lines = tuple(line for line in listing.whole(version) if line.state != "gone")
+        limits = self.plan.limits
+        return configuration(
+            seat.name,
+            f"{seat.host}:{seat.port}",
+            f"{DISCOVERY}:{seat.door_port}",
+            settings(self.plan, seat.tier, seat.number, seat.copies),
+            Random(f"{self.plan.seed}:sidecar:{seat.name}").getrandbits(64),
+            limits={"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets},
+            known=json.loads(body(Answer(version, True, lines), partial(self.address, seat.name))),
+        )
+
+    def start(self, seat: Seat) -> None:
+        """Start its process, where none runs; whatever else was to become of it does not."""
+        self._call_off(seat)
+        if seat.process is not None:
+            return
+        if seat.door is None:
+            seat.door = DiscoveryPeer(
+                self.registry, self.book, lambda host: seat.name, partial(self._listen, seat),
+                partial(self.address, seat.name),
+            )  # fmt: skip
+        process: Sidecar | None = None
+
+        def line(text: str) -> None:
+            if text.startswith(("listening ", *UNCONNECTED, *FAULTS)):
+                self.reactor.callFromThread(lambda: self._said(seat, process, text))
+
+        def end() -> None:
+            self.reactor.callFromThread(lambda: self._ended(seat, process))
+
+        process = Sidecar(self.folder, self.told(seat), on_line=line, on_end=end)
+        seat.process = process
+        self.processes.append(process)
+        self.watch.add(seat.name, process.pid, time.monotonic())
+
+    def _listen(self, seat: Seat, factory: Any) -> Any:
+        door = self.reactor.listenTCP(seat.door_port, factory, interface=DISCOVERY)
+        seat.door_port = door.getHost().port
+        return door
+
+    def _said(self, seat: Seat, process: Sidecar | None, text: str) -> None:
+        if seat.process is not process:
+            return
+        if text.startswith("listening "):
+            seat.port = listens_at(text)
+            seat.up = True
+            self.book.sidecar_up(seat.name)
+            self.came(seat)
+        elif text.startswith(UNCONNECTED):
+            self.book.note("unconnected", sidecar=seat.name)
+        else:
+            self.book.note("event", sidecar=seat.name, said=text)
+            self.book.note("faults", sidecar=seat.name)
+
+    def kill(self, seat: Seat, down: float) -> None:
+        """Kill it outright, and start it anew after `down` seconds, if that is not 0."""
+        seat.down = down
+        if seat.process is not None:
+            seat.process.popen.kill()
+            self._over(seat, True)
+        else:
+            self._again(seat)
+
+    def restart(self, seat: Seat, patience: float, down: float) -> None:
+        """SIGTERM, SIGKILL after `patience` seconds if it still runs, a new start `down` after its end."""
+        if not seat.up or seat.stopping or seat.process is None:
+            return
+        seat.stopping, seat.down = True, down
+        self.book.sidecar_stopping(seat.name)
+        self.stops(seat)
+        seat.timer = self.clock.at(self.clock.now() + patience, self.kill, seat, down)
+        seat.process.popen.terminate()
+
+    def _ended(self, seat: Seat, process: Sidecar | None) -> None:
+        """A process has ended by itself, unless it was killed and that is known."""
+        if seat.process is process:
+            self._over(seat, False)
+
+    def _over(self, seat: Seat, killed: bool) -> None:
+        was_up = seat.up
+        seat.process = None
+        seat.up = seat.stopping = False
+        if was_up:
+            self.book.sidecar_down(seat.name, killed)
+            self.went(seat)
+        elif not killed:
+            self.book.note("event", sidecar=seat.name, said="ended before it listened")
+            self.book.note("faults", sidecar=seat.name)
+            self.failed(seat)
+        self._again(seat)
+
+    def _again(self, seat: Seat) -> None:
+        self._call_off(seat)
+        if seat.down:
+            seat.timer = self.clock.at(self.clock.now() + seat.down, self.start, seat)
+
+    def _call_off(self, seat: Seat) -> None:
+        if seat.timer is not None and seat.timer.active():
+            seat.timer.cancel()
+        seat.timer = None
+
+    def end(self) -> None:
+        """End all processes, for good."""
+        for process in self.processes:
+            process.popen.kill()
+        for process in self.processes:
+            process.end()
+
+
+def beside(host: str) -> str:
+    """The host of a node's own sidecar: its node's, in a net above those of the nodes."""
+    first, net, rest = host.split(".", 2)
+    return f"{first}.{int(net) + 100}.{rest}"
--- a/wheatring/lab/live/sidecar.py
+++ b/wheatring/lab/live/sidecar.py
@@ -55,6 +55,7 @@
         operators: str = "",
         capture: bool = False,
         on_line: Callable[[str], None] | None = None,
+        on_end: Callable[[], None] | None = None,
     ) -> None:
         name = str(told["name"])
         self.file = folder / f"{name}.json"
@@ -64,7 +65,7 @@
         mine.write_text(operators, encoding="utf-8")
         words = ["--operators", str(mine), *["--capture"] * capture]
         super().__init__(
-            name, module("wheatring", *words), {"LB_CONFIG": str(self.file)}, cpus, on_line=on_line
+            name, module("wheatring", *words), {"LB_CONFIG": str(self.file)}, cpus, on_line, on_end
         )
 
     def write(self, told: Mapping[str, Any]) -> None:
--- a/wheatring/lab/rules/ledger.py
+++ b/wheatring/lab/rules/ledger.py
@@ -65,6 +65,15 @@
         self.notes: dict[str, float] = {}
         self.happened: list[tuple[float, str]] = []
 
+    def begin(self, at: float) -> None:
+        """The day begins only now: for a world whose start takes nobody knows how long. All told before
+        must have been told with a `start` yet to come."""
+        figures = self.figures
+        self.start = self.breaches.start = self.links.start = figures.start = at
+        figures.until = at + 1.0
+        if self.trace is not None:
+            self.trace.start = at
+
     def happens(self, what: str) -> None:
         self.happened.append((self.since(self.now()), what))
 
--- a/wheatring/lab/wire/discovery.py
+++ b/wheatring/lab/wire/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from operator import attrgetter
 from typing import Any
 
 import msgspec
@@ -11,7 +12,7 @@
 from twisted.python.failure import Failure
 
 from wheatring.lab.book import Book, NodeState
-from wheatring.lab.models.discovery import Answer, Call, Registry
+from wheatring.lab.models.discovery import Answer, Call, Listed, Registry
 from wheatring.lab.wire.http import Cutter, Malformed, Message
 
 FAILED = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
@@ -21,6 +22,9 @@
 LIFECYCLES: dict[NodeState, str] = {"ready": "SERVING", "draining": "DRAINING", "gone": "DELETED"}
 
 
+ADDRESS: Callable[[Listed], str] = attrgetter("address")
+
+
 class BadCall(ValueError):
     """A call that can't be answered; the text says why."""
 
@@ -41,15 +45,15 @@
     return values.get(b"index"), values.get(b"wait", 0) / 1000
 
 
-def as_json(answer: Answer) -> dict[str, Any]:
-    """An answer in discovery's form, as JSON values."""
+def as_json(answer: Answer, address: Callable[[Listed], str] = ADDRESS) -> dict[str, Any]:
+    """An answer in discovery's form, as JSON values. `address` says where a node is to be found."""
     return {
         "generation": answer.generation,
         "reset": answer.reset,
         "instances": [
             {
                 "instanceId": node.name,
-                "hostPort": node.address,
+                "hostPort": address(node),
                 "zone": node.zone,
                 "machineType": node.kind,
                 "cell": node.cell,
@@ -62,8 +66,8 @@
     }
 
 
-def body(answer: Answer) -> bytes:
-    return msgspec.json.encode(as_json(answer))
+def body(answer: Answer, address: Callable[[Listed], str] = ADDRESS) -> bytes:
+    return msgspec.json.encode(as_json(answer, address))
 
 
 class _Connection(protocol.Protocol):
@@ -110,7 +114,7 @@
         if answer is None:
             self._write(FAILED, self.keep_alive)
             return
-        data = body(answer)
+        data = body(answer, self.peer.address)
         head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(data)
         self._write(head + data, self.keep_alive)
 
@@ -141,7 +145,8 @@
 
 class DiscoveryPeer(ServerFactory):
     """Listens for the registry by `listen`, which opens a port for a factory. While the registry is down, the
-    port is closed. Which sidecar a connection belongs to is told by its host (`whose`)."""
+    port is closed. Which sidecar a connection belongs to is told by its host (`whose`). `address` says where
+    its sidecars find a node, where that is not the address that the registry knows."""
 
     noisy = False
 
@@ -151,11 +156,13 @@
         book: Book,
         whose: Callable[[str], str],
         listen: Callable[[ServerFactory], Any],
+        address: Callable[[Listed], str] = ADDRESS,
     ) -> None:
         self.registry = registry
         self.book = book
         self.whose = whose
         self.listen = listen
+        self.address = address
         self.connections: dict[_Connection, None] = {}
         self.port: Any = None
         registry.on_down.append(self._turned)
