--- a/tests/lab/desk.py
+++ b/tests/lab/desk.py
@@ -1,4 +1,4 @@
-"""One ledger on a clock of its own, and short words for what it is told. The last of its tiers has no nodes."""
+"""One ledger on a clock of its own, and short words for what it is told. Its last tier has no nodes."""
 
 from __future__ import annotations
 
