Let troubled nodes answer well and say too much

Need: a good answer with more behind it than belongs to it must end its connection; nothing in the lab showed that.

Change: of a node's good answers, as many as are spoilt come with a second copy behind them.

--- a/tests/lab/peers.py
+++ b/tests/lab/peers.py
@@ -73,6 +73,8 @@
         self.verdict: Verdict | None = Verdict.SERVED
         self.visits: list[Visit] = []
 
+    spoil = 0.0
+
     @property
     def full(self) -> bool:
         return self.open >= self.cap
--- a/wheatring/lab/models/machine.py
+++ b/wheatring/lab/models/machine.py
@@ -311,6 +311,11 @@
 
     # For figures, beside the length of `held`
 
+    @property
+    def spoil(self) -> float:
+        """Share of its answers that are spoilt at present."""
+        return self.troubles.spoil
+
     @property
     def waiting(self) -> int:
         """Visits that wait for a slot."""
--- a/wheatring/lab/wire/node.py
+++ b/wheatring/lab/wire/node.py
@@ -34,6 +34,10 @@
     def full(self) -> bool:
         """Its table of connections is; it would not take one more."""
 
+    @property
+    def spoil(self) -> float:
+        """Share of its answers that are spoilt at present; of the good ones as many bring too much."""
+
     def connect(self) -> float | None: ...
 
     def disconnect(self) -> None: ...
@@ -161,7 +165,11 @@
         self.begun = False
         if verdict is Verdict.SERVED:
             body = stamp.encode("latin-1")
-            self._write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+            spoil = self.peer.node.spoil
+            if spoil and self.peer.random.random() < spoil:
+                answer += answer  # good, with more behind it than belongs to it
+            self._write(answer)
         elif verdict is Verdict.ERROR:
             self._write(ERROR)
         elif verdict is Verdict.AWAY:
