--- a/tests/lab/scenarios.py
+++ b/tests/lab/scenarios.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import json
 from math import inf
+from typing import Any
 
 from wheatring.lab.plan import EventPlan, Plan
+from wheatring.lab.scenario.told import labels
 
 # Each table once, as little as it needs.
 GOOD = """
@@ -43,15 +46,6 @@
 """
 
 
-def event(**keys: object) -> str:
-    """An event's table, to be added to a text."""
-
-    def said(value: object) -> str:
-        return str(value).lower() if isinstance(value, bool) else repr(value).replace("'", '"')
-
-    return "\n[[event]]\n" + "".join(f"{key} = {said(value)}\n" for key, value in keys.items())
-
-
 def _down(plan: Plan, event: EventPlan) -> float:
     """When a node that this takes down is up again."""
     if event.kind not in ("drain", "kill", "vanish") or event.replaced_by:
@@ -115,3 +109,24 @@
     gone = {name for event in plan.events for name in event.nodes if event.kind != "start"}
     bad += [f"{name} is never started" for name in never if name not in gone]
     return bad
+
+
+def toml(value: object, top: bool = True) -> str:
+    """Plain values as TOML, on one line for each key at the top."""
+    if isinstance(value, dict):
+        pairs = [f"{key} = {toml(inner, False)}" for key, inner in value.items()]
+        return "\n".join(pairs) if top else "{" + ", ".join(pairs) + "}"
+    if isinstance(value, list | tuple):
+        return "[" + ", ".join(toml(inner, False) for inner in value) + "]"
+    return json.dumps(value).replace("NaN", "nan").replace("Infinity", "inf")
+
+
+def put(raw: Any, path: str, value: object) -> None:
+    """Set, or with ... take out, what stands at a path in which entries go by their label."""
+    *outer, key = path.split(".")
+    for step in outer:
+        raw = raw[labels(raw).index(step)] if isinstance(raw, list) else raw.setdefault(step, {})
+    if value is ...:
+        del raw[key]
+    else:
+        raw[key] = value
--- /dev/null
+++ b/tests/lab/test_scenario_draw.py
@@ -0,0 +1,254 @@
+"""Draws: within their ranges, each with random numbers of its own, the same anywhere; and sound events."""
+
+from __future__ import annotations
+
+import os
+import re
+import subprocess
+import sys
+from collections.abc import Iterator
+from itertools import pairwise
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.lab.scenarios import GOOD, toml, unsound
+from wheatring.__main__ import main
+from wheatring.lab.plan import Plan
+from wheatring.lab.scenario.capacity import summary
+from wheatring.lab.scenario.draw import draw
+from wheatring.lab.scenario.load import ScenarioError, load, names, parse
+from wheatring.lab.scenario.numbers import Draws, dealt
+from wheatring.lab.scenario.told import labels
+
+BASE = msgspec.to_builtins(load("base").scenario)
+
+
+def planned(*events: dict[str, Any], seed: int = 1, **more: object) -> Plan:
+    text = f"{toml(more)}\n{GOOD}" + "".join(f"\n[[event]]\n{toml(event)}\n" for event in events)
+    return draw(parse(text, "good", "good.toml"), seed)
+
+
+def leaves(value: object, path: str = "") -> Iterator[tuple[str, object]]:
+    """Each plain value with its path."""
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            yield from leaves(inner, f"{path}.{key}")
+    elif isinstance(value, list | tuple):
+        for place, inner in enumerate(value):
+            yield from leaves(inner, f"{path}.{place}")
+    else:
+        yield path, value
+
+
+def ranges(value: Any, path: str = "") -> Iterator[tuple[str, list[Any]]]:
+    """The keys of the base that are drawn, with what they are drawn from."""
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            yield from ranges(inner, f"{path}.{key}" if path else key)
+    elif isinstance(value, list | tuple) and value and isinstance(value[0], dict):
+        for label, inner in zip(labels(value), value, strict=True):
+            yield from ranges(inner, f"{path}.{label}")
+    elif isinstance(value, list | tuple) and len(value) > 1 and path != "sidecar_start":
+        yield path, list(value)
+
+
+DRAWN = list(ranges(BASE))
+# Where a key stands in the plan under another name than its own; all else of the plan must stay.
+ELSEWHERE = {
+    "sidecars": r"sidecars", "notice": r"front_notice|discovery\.notice", "swing": r"traffic\.shape",
+    "humps": r"traffic\.shape", "shape": r"traffic\.shape", "cell_size": r"nodes\.\d+\.cell",
+    "speed": r"nodes\.\d+\.speed", "speed_cv": r"nodes\.\d+\.speed", "nodes": r"nodes", "times": r"nodes",
+    "slots_per_core": r"tiers.*slots", "queue_per_core": r"tiers.*queue", "knee_per_core": r"tiers.*knee",
+}  # fmt: skip
+
+
+def leaves_with(path: str, value: object) -> dict[str, object]:
+    """The leaves of a day of the base with one key set, on which only a few figures hang together."""
+    raw: dict[str, Any] = {"title": "t", "what": "w", "extends": "base"}
+    raw |= {"traffic": {"rate": 100, "shape": "bursty"}, "discovery": {"lines_per_s": 300}}
+    inner = raw
+    steps = iter(path.split("."))
+    for step in steps:
+        if step in ("class", "tier", "kind"):
+            entry: dict[str, Any] = {"name": next(steps)}
+            inner[step] = [entry]
+            inner = entry
+        elif f".{path}".endswith(f".{step}"):
+            inner[step] = value
+        else:
+            inner = inner.setdefault(step, {})
+    return dict(leaves(msgspec.to_builtins(draw(parse(toml(raw), "day", "day.toml"), 3))))
+
+
+def test_to_change_a_key_moves_no_other_draw() -> None:
+    before = leaves_with("title", "t")
+    moving = 0
+    for path, choices in DRAWN:
+        if path in ("traffic.load", "traffic.shape", "discovery.capacity"):
+            continue
+        after = leaves_with(path, choices[0])
+        key = path.rpartition(".")[2]
+        own = re.compile(rf"\.({ELSEWHERE.get(key, rf'.*{key}')})\b")
+        moved = [leaf for leaf in before.keys() | after.keys() if before.get(leaf) != after.get(leaf)]
+        assert [leaf for leaf in sorted(moved) if not own.match(leaf)] == [], path
+        moving += bool(moved)
+    assert moving > 80
+
+
+def test_an_event_more_moves_no_other_event() -> None:
+    flap = {
+        "kind": "hang",
+        "tier": "far",
+        "part": 0.4,
+        "at": [2, 9],
+        "length": [1, 2],
+        "every": 5,
+        "times": 3,
+    }
+    kill = {"kind": "kill", "tier": "near", "count": 1, "at": [20, 25], "length": [1, 2]}
+    load = {"kind": "load", "at": [1, 20], "size": [1, 2]}
+    alone = planned(flap, kill)
+    both = planned(load, flap, kill)
+    assert [event for event in both.events if event.kind != "load"] == list(alone.events)
+
+
+@given(st.floats(-1e6, 1e6), st.floats(-1e6, 1e6), st.integers(), st.text(max_size=20))
+def test_a_number_lies_in_its_range(one: float, other: float, seed: int, path: str) -> None:
+    low, high = sorted((one, other))
+    assert low <= Draws(seed).number(path, (low, high)) <= high
+
+
+@given(st.integers(0, 3000), st.lists(st.floats(0.01, 10), min_size=1, max_size=6))
+def test_what_is_dealt_adds_up_and_is_near_its_share(total: int, shares: list[float]) -> None:
+    parts = dealt(total, shares)
+    assert sum(parts) == total
+    assert all(abs(part - total * s / sum(shares)) < 1 for part, s in zip(parts, shares, strict=True))
+
+
+def test_days_differ_and_keep_within_what_is_said() -> None:
+    plans = [draw(load("base"), seed) for seed in range(60)]
+    nodes = [sum(node.tier == 0 for node in plan.nodes) for plan in plans]
+    assert set(nodes) == {10, 11, 12, 13, 14}
+    assert {len(plan.sidecars) for plan in plans} == {1, 2}
+    assert {plan.clients.backoff for plan in plans} == {"none", "fixed", "exp"}
+    assert {plan.passes_deadline for plan in plans} == {True, False}
+    assert 20 <= sum(plan.tiers[0].choke is not None for plan in plans) <= 50  # six in ten
+    calls = sorted(plan.tiers[2].calls for plan in plans)
+    assert 1.5 <= calls[0] < 1.6 and 2.4 < calls[-1] <= 2.5
+    for plan in plans:
+        least = min(tier.capacity / tier.offered for tier in summary(plan).tiers)
+        assert 0.55 <= 1 / least <= 0.7001
+        fast = [node for node in plan.nodes if node.tier == 1 and node.kind == 0]
+        assert len(fast) == round(0.32 * sum(node.tier == 1 for node in plan.nodes))
+
+
+@pytest.mark.parametrize("points", [None, [[0, 3], [0.5, 0], [0.75, 1]]])
+def test_the_rate_is_the_mean_of_the_day(points: list[list[float]] | None) -> None:
+    said = f"points = {points}" if points else 'shape = "bursty"\nswing = 0.9'
+    found = parse(GOOD.replace("rate = 20", f"rate = 20\n{said}"), "good", "good.toml")
+    for seed in range(5):
+        plan = draw(found, seed)
+        shape = [*plan.traffic.shape, (plan.length, plan.traffic.shape[-1][1])]
+        area = sum((one + other) / 2 * (to - at) for (at, one), (to, other) in pairwise(shape))
+        assert area / plan.length == pytest.approx(1)
+
+
+def test_the_same_day_comes_out_anywhere_to_the_byte(tmp_path: Path) -> None:
+    assert main(["lab", "plan", "faults", "--seed", "7", "--json", str(tmp_path / "here")]) == 0
+    here = (tmp_path / "here").read_bytes()
+    assert msgspec.json.decode(here, type=Plan) == draw(load("faults"), 7)
+    for hashing in ("1", "2"):
+        there = subprocess.run(
+            [sys.executable, "-m", "wheatring", "lab", "plan", "faults", "--seed", "7", "--json", "-"],
+            env=os.environ | {"PYTHONHASHSEED": hashing}, capture_output=True, check=True,
+        )  # fmt: skip
+        assert there.stdout == here
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    seed=st.integers(0, 10**6),
+    lead=st.floats(0, 12),
+    gap=st.floats(0.01, 9),
+    step=st.floats(0.01, 9),
+    same=st.sampled_from([0, 0.5, 1]),
+    kill=st.floats(0, 40),
+    times=st.integers(1, 4),
+)
+def test_releases_and_kills_at_once_give_sound_plans(
+    seed: int, lead: float, gap: float, step: float, same: float, kill: float, times: int
+) -> None:
+    release = {"kind": "release", "tier": "far", "at": 1, "lead": lead, "gap": gap, "step": step}
+    restart = {"kind": "restart", "tier": "near", "count": 2, "at": 2, "lead": lead, "gap": gap, "step": step}
+    away = {"kind": "kill", "tier": "far", "count": 2, "at": kill, "length": 1, "replaced": True}
+    try:
+        plan = planned(
+            release | {"same_address": same}, restart,
+            away | {"every": 5, "times": times, "anew": True, "same_address": same},
+            seed=seed, length=80,
+        )  # fmt: skip
+    except ScenarioError as bad:
+        assert "nothing that it could strike runs then" in str(bad)
+        return
+    assert unsound(plan) == []
+    nodes = {node.name: node for node in plan.nodes}
+    new = [event.replaced_by for event in plan.events if event.replaced_by]
+    assert len(new) == len(set(new))
+    for event in plan.events:
+        if event.replaced_by:
+            old = nodes[event.nodes[0]]
+            alike = nodes[event.replaced_by]
+            assert (alike.kind, alike.cell, alike.zone) == (old.kind, old.cell, old.zone)
+            assert same == 0.5 or (alike.host == old.host) == bool(same)
+
+
+def test_a_release_takes_each_machine_once_and_in_turn() -> None:
+    plan = planned({"kind": "release", "tier": "far", "at": 2, "lead": 3, "gap": 0.5, "step": 4})
+    assert [(event.at, event.extra, event.length) for event in plan.events] == [
+        (2 + 4 * place, 3, 0.5) for place in range(6)
+    ]
+    assert sorted(event.nodes for event in plan.events) == [(f"far-{number}",) for number in range(1, 7)]
+    assert [event.replaced_by for event in plan.events] == [f"{e.nodes[0]}.2" for e in plan.events]
+
+
+def test_a_flap_strikes_the_same_and_anew_strikes_others() -> None:
+    flap = {"kind": "hang", "tier": "far", "count": 1, "at": 1, "length": 1, "every": 3, "times": 15}
+    assert len({event.nodes for event in planned(flap).events}) == 1
+    assert len({event.nodes for event in planned(flap | {"anew": True}).events}) > 3
+
+
+def test_who_has_ended_is_not_struck_again() -> None:
+    kill = {"kind": "kill", "nodes": ["near-1"], "at": 1}
+    with pytest.raises(ScenarioError, match=r"^good.toml: event.slow.nodes: near-1 does not run at 2 s, is "):
+        planned(kill, {"kind": "slow", "nodes": ["near-1", "near-2"], "at": 2, "size": 2})
+    part = {"kind": "slow", "tier": "near", "part": 1, "at": 2, "size": 2}
+    assert set(planned(kill, part).events[1].nodes) == {"near-2", "near-3"}
+
+
+def test_links_and_clocks_name_the_hosts_that_are_meant() -> None:
+    plan = planned(
+        {"kind": "partition", "nodes": ["far-2"], "at": 1, "callers": 2, "one_way": True},
+        {"kind": "latency", "tier": "near", "part": 1, "at": 2, "size": 3},
+        {"kind": "clock_step", "at": 3, "size": -1},
+        {"kind": "clock_step", "sidecars": ["front-1", "near-3"], "at": 4, "size": 1},
+        front={"sidecars": 2},
+    )
+    host = {node.name: node.host for node in plan.nodes} | {one.name: one.host for one in plan.sidecars}
+    near = {host[f"near-{number}"] for number in (1, 2, 3)}
+    cut, slow, all_clocks, some = plan.events
+    assert len(cut.hosts) == 2 and near > set(cut.hosts) and cut.others == (host["far-2"],) and cut.one_way
+    assert (set(slow.hosts), set(slow.others)) == ({host["front-1"], host["front-2"]}, near)
+    assert all_clocks.hosts == () and some.hosts == (host["front-1"], host["near-3"])
+
+
+@pytest.mark.parametrize("name", names())
+def test_each_scenario_of_the_library_draws_sound_plans(name: str) -> None:
+    found = load(name)
+    large = name in ("thousand", "ten-times")
+    for seed in range(2 if large else 50):
+        assert unsound(draw(found, seed)) == []
--- /dev/null
+++ b/tests/lab/test_scenario_page.py
@@ -0,0 +1,105 @@
+"""The operators' page names what the schema has, no more and no less, with the same defaults."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections.abc import Iterator
+from pathlib import Path
+
+import msgspec
+import pytest
+from msgspec import inspect, structs
+
+from wheatring.__main__ import main
+from wheatring.lab import plan
+from wheatring.lab.scenario import schema
+from wheatring.lab.scenario.forms import FORMS
+from wheatring.lab.scenario.load import names, parse
+
+PAGE = (Path(__file__).parents[2] / "docs" / "operate" / "lab.md").read_text(encoding="utf-8")
+TABLES: dict[str, type[msgspec.Struct]] = {
+    "At the top": schema.Scenario, "`[[class]]`": schema.Class, "`[[tier]]`": schema.Tier,
+    "`[[tier.kind]]`": schema.Kind, "`[tier.choke]`": schema.Choke, "`[front]`": schema.Front,
+    "`[net]`": schema.Net, "`[traffic]`": schema.Traffic, "`[clients]`": schema.Clients,
+    "`[discovery]`": schema.Discovery, "`[rules]`": schema.Rules, "`[limits]`": schema.Limits,
+    "`[goal]`": schema.Goal, "`[[event]]`": schema.Event,
+}  # fmt: skip
+
+
+def rows(heading: str, first: str = "key") -> Iterator[list[str]]:
+    """The cells of the table under a heading whose first column is called so."""
+    part = PAGE.split(f"\n### {heading}\n")[1].split("\n### ")[0]
+    table = part.split(f"\n| {first} |")[1].split("\n\n")[0]
+    for line in table.split("\n")[2:]:
+        if line:
+            yield [cell.strip() for cell in line.split("|")[1:-1]]
+
+
+def said(field: structs.FieldInfo) -> str:
+    if field.required:
+        return "needed"
+    value = field.default
+    if value is None:
+        return "none"
+    if isinstance(value, msgspec.Struct):
+        return "as below"
+    if isinstance(value, float):
+        return f"`{value:.10g}`".replace("`1000000000`", "`1e9`")
+    if isinstance(value, str):
+        return f"`{value}`"
+    return f"`{msgspec.json.encode(value).decode().replace(',', ', ')}`"
+
+
+@pytest.mark.parametrize("heading", TABLES)
+def test_each_table_names_each_key_with_its_default(heading: str) -> None:
+    told = [(cells[0].strip("`"), cells[2]) for cells in rows(heading)]
+    fields = structs.fields(TABLES[heading])
+    assert sorted(told) == sorted((field.encode_name, said(field)) for field in fields)
+
+
+def test_each_kind_of_event_names_its_keys() -> None:
+    def key_values(may: str) -> dict[str, float | bool]:
+        pairs = re.findall(r"`(\w+)` = (\S+?)(?:,|$)", may)
+        return {key: tomllib.loads(f"v = {value}")["v"] for key, value in pairs}
+
+    told = {}
+    for kind, needs, may, _ in rows("`[[event]]`", "kind"):
+        told[kind.strip("`")] = (tuple(re.findall(r"`(\w+)`", needs)), key_values(may))
+    assert told == {kind: (form.needs, dict(form.may)) for kind, form in FORMS.items()}
+
+
+def test_a_key_has_the_default_that_the_plan_has() -> None:
+    pairs: dict[type[msgspec.Struct], type[msgspec.Struct]] = {
+        schema.Class: plan.ClassPlan, schema.Kind: plan.KindPlan, schema.Choke: plan.ChokePlan,
+        schema.Tier: plan.TierPlan, schema.Net: plan.NetPlan, schema.Traffic: plan.TrafficPlan,
+        schema.Clients: plan.ClientPlan, schema.Discovery: plan.DiscoveryPlan, schema.Rules: plan.RulesPlan,
+        schema.Limits: plan.LimitsPlan, schema.Goal: plan.GoalPlan, schema.Scenario: plan.Plan,
+    }  # fmt: skip
+    for here, there in pairs.items():
+        defaults = {field.name: field.default for field in structs.fields(there) if not field.required}
+        for field in structs.fields(here):
+            if isinstance(field.default, int | float | str) and field.name in defaults and not field.required:
+                differ = (here, field.name) == (schema.Traffic, "shape")  # a word here, points there
+                assert differ or field.default == defaults[field.name], f"{here.__name__}.{field.name}"
+
+
+def test_each_kind_of_the_plan_can_be_written() -> None:
+    (kinds,) = (field.type for field in structs.fields(plan.EventPlan) if field.name == "kind")
+    planned = inspect.type_info(kinds)
+    assert isinstance(planned, inspect.LiteralType)
+    assert set(planned.values) == set(FORMS) - {"release", "restart", "rolling_sidecars", "all_sidecars"}
+
+
+def test_the_example_of_the_page_is_a_good_one() -> None:
+    (text,) = re.findall(r"```toml\n(.*?)```", PAGE, re.DOTALL)
+    assert parse(text, "example", "lab.md").scenario.tiers[2].calls == 2
+
+
+def test_the_library_is_listed_and_large_enough(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["lab", "list"]) == 0
+    out = capsys.readouterr().out
+    assert re.findall(r"^([\w-]+): ", out, re.MULTILINE) == names()
+    wanted = """calm release slow-release restart-all refused grey choke discovery-out pile-on two-troubles
+        three-tiers thousand ten-times kills flap partition clock-steps stale-list small faults"""
+    assert set(wanted.split()) < set(names())
--- a/wheatring/lab/scenario/capacity.py
+++ b/wheatring/lab/scenario/capacity.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct
 
-from wheatring.lab.plan import ClassPlan, KindPlan, NodePlan, Plan, TierPlan
+from wheatring.lab.plan import ClassPlan, NodePlan, Plan, TierPlan
 
 
 class TierSummary(Struct, frozen=True):
@@ -49,18 +49,12 @@
         return told
 
 
-def ability(node: NodePlan, kind: KindPlan) -> float:
-    """Work a second of a warm node, its pauses taken off."""
-    running = kind.pause_every / (kind.pause_every + kind.pause) if kind.pause_every else 1.0
-    return kind.cores * node.speed * running
-
-
 def capacity(nodes: Iterable[NodePlan], tiers: Sequence[TierPlan]) -> list[float]:
-    """Work a second of each tier's nodes that run at the start."""
+    """Work a second of each tier's nodes that run at the start, when warm and with no pauses."""
     total = [0.0] * len(tiers)
     for node in nodes:
         if node.up:
-            total[node.tier] += ability(node, tiers[node.tier].kinds[node.kind])
+            total[node.tier] += node.speed * tiers[node.tier].kinds[node.kind].cores
     return total
 
 
--- a/wheatring/lab/scenario/fleet.py
+++ b/wheatring/lab/scenario/fleet.py
@@ -72,14 +72,27 @@
         kind_of = [kind for kind, number in enumerate(parts) for _ in range(number)]
         # Kinds are dealt in a drawn order, so that a name tells nothing of the machine.
         dealt_to = dict(zip(draws.order(f"{path}.kinds", names), kind_of, strict=True))
+        random = draws.random(f"{path}.speeds")
         for name in names:
-            self._add(tier, name, dealt_to[name], 0.0)
+            self._add(tier, name, dealt_to[name], random.gauss(0.0, 1.0), 0.0)
 
     def _add(
-        self, tier: int, name: str, kind: int, start: float, like: NodePlan | None = None, host: str = ""
+        self,
+        tier: int,
+        name: str,
+        kind: int,
+        normal: float,
+        start: float,
+        like: NodePlan | None = None,
+        host: str = "",
     ) -> None:
-        """One machine more: it runs from the start on, or is started at an instant, where `like` stood."""
+        """One machine more: it runs from the start on, or is started at an instant, where `like` stood.
+
+        `normal` is the draw of its speed, from the standard normal distribution.
+        """
         number = len(self.tiers[tier])
+        mean, cv = self._speeds[tier][kind]
+        sigma = sqrt(log(1 + cv * cv))
         zones = self.scenario.zones
         if number >= _MACHINES:
             raise Unsound(Fault(f"tier.{self.scenario.tiers[tier].name}", "runs out of addresses"))
@@ -87,7 +100,7 @@
             name=name,
             tier=tier,
             kind=kind,
-            speed=self._speed(tier, kind, name),
+            speed=float(f"{mean * exp(sigma * normal - sigma * sigma / 2):.6g}"),
             host=host or _host(_NETS + tier, number),
             cell=like.cell if like else number // self._cells[tier],
             zone=like.zone if like else zones[number % len(zones)],
@@ -96,20 +109,16 @@
         self.tiers[tier].append(name)
         self.restarted(name, start)
 
-    def _speed(self, tier: int, kind: int, name: str) -> float:
-        mean, cv = self._speeds[tier][kind]
-        if not cv:
-            return mean
-        sigma = sqrt(log(1 + cv * cv))
-        normal = self.draws.random(f"tier.{self.scenario.tiers[tier].name}.speed:{name}").gauss(0.0, 1.0)
-        return float(f"{mean * exp(sigma * normal - sigma * sigma / 2):.6g}")
+    def _normal(self, tier: int, name: str) -> float:
+        return self.draws.random(f"tier.{self.scenario.tiers[tier].name}.speed:{name}").gauss(0.0, 1.0)
 
     def successor(self, name: str, start: float, same_address: bool) -> str:
         """A new machine in the place of one that ends, of its kind, with a name of its own."""
         like = self.nodes[name]
         place, _, generation = name.partition(".")
         new = f"{place}.{int(generation or 1) + 1}"
-        self._add(like.tier, new, like.kind, start, like, like.host if same_address else "")
+        normal = self._normal(like.tier, new)
+        self._add(like.tier, new, like.kind, normal, start, like, like.host if same_address else "")
         self.free[name] = self.sidecar_free[name] = inf
         return new
 
@@ -119,7 +128,8 @@
         name = f"{given.name}-{1 + sum('.' not in other for other in self.tiers[tier])}"
         kinds = range(len(given.kinds))
         random = self.draws.random(f"tier.{given.name}.kind:{name}")
-        self._add(tier, name, random.choices(kinds, self._shares[tier])[0], start)
+        kind = random.choices(kinds, self._shares[tier])[0]
+        self._add(tier, name, kind, self._normal(tier, name), start)
         return name
 
     def restarted(self, name: str, start: float) -> None:
--- a/wheatring/lab/scenario/numbers.py
+++ b/wheatring/lab/scenario/numbers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
+from functools import cache
+from hashlib import blake2b
 from random import Random
 from typing import Any, TypeVar
 
@@ -39,16 +41,15 @@
 
     def order(self, path: str, names: Iterable[str]) -> list[str]:
         """Names in a drawn order. Which of two comes first does not hang on what other names there are."""
-        return sorted(names, key=lambda name: (self.random(f"{path}:{name}").random(), name))
+        text = f"{self.seed}:{path}:"
+        return sorted(names, key=lambda name: blake2b((text + name).encode(), digest_size=16).digest())
 
     def plain(self, into: type[P], path: str, given: Struct, **made: object) -> P:
         """A part of a plan: what is not made already is drawn from the key of the same name."""
         values: dict[str, Any] = dict(made)
-        for field in structs.fields(into):
-            if field.name not in values:
-                values[field.name] = self._value(
-                    f"{path}.{field.name}", field.type, getattr(given, field.name)
-                )
+        for name, kind in _fields(into):
+            if name not in values:
+                values[name] = self._value(f"{path}.{name}", kind, getattr(given, name))
         return into(**values)
 
     def _value(self, path: str, kind: object, given: Any) -> object:
@@ -57,6 +58,11 @@
         return self.whole(path, given) if kind is int else self.choice(path, given)
 
 
+@cache
+def _fields(of: type[Struct]) -> tuple[tuple[str, object], ...]:
+    return tuple((field.name, field.type) for field in structs.fields(of))
+
+
 def dealt(total: int, shares: Sequence[float]) -> list[int]:
     """Whole numbers as near to the shares as can be that add up to the total."""
     exact = [total * share / sum(shares) for share in shares]
--- a/wheatring/lab/scenario/sound.py
+++ b/wheatring/lab/scenario/sound.py
@@ -62,9 +62,9 @@
 
 def _ranges(table: msgspec.Struct, path: str) -> Iterator[Fault]:
     """Each range must hold something, and each choice name a thing once."""
-    for field in structs.fields(table):
-        value = getattr(table, field.name)
-        at = f"{path}.{field.encode_name}" if path else field.encode_name
+    for name, key in zip(table.__struct_fields__, table.__struct_encode_fields__, strict=True):
+        value = getattr(table, name)
+        at = f"{path}.{key}" if path else key
         if isinstance(value, msgspec.Struct):
             yield from _ranges(value, at)
         elif isinstance(value, tuple) and value and isinstance(value[0], msgspec.Struct):
@@ -147,10 +147,9 @@
 def _event(path: str, event: Event, scenario: Scenario) -> Iterator[Fault]:
     form = FORMS[event.kind]
     keys = allowed(form)
-    for field in structs.fields(event):
-        value = getattr(event, field.name)
-        if value is not None and field.name not in keys:
-            yield Fault(f"{path}.{field.name}", f"not a key of {event.kind}", value)
+    for key in event.__struct_fields__:
+        if getattr(event, key) is not None and key not in keys:
+            yield Fault(f"{path}.{key}", f"not a key of {event.kind}", getattr(event, key))
     for key in form.needs:
         if getattr(event, key) is None:
             yield Fault(f"{path}.{key}", f"missing: {event.kind} needs it")
@@ -192,9 +191,10 @@
     elif event.tier is not None and form.whom == "hosts" and not said:
         yield Fault(f"{path}.tier", "`part` or `count` says how many of it", event.tier)
     least = {tier.name: _least(tier, scenario.tiers[0]) for tier in scenario.tiers}
-    if event.sidecars is not None:
-        least.pop(tiers[-1])
+    if event.nodes is None:
         least[FRONT] = int(low(scenario.front.sidecars))
+    if event.sidecars is not None:
+        del least[tiers[-1]]
     places = []
     for name in names or ():
         tier, _, number = name.rpartition("-")
@@ -205,6 +205,9 @@
         places.append(tier)
     if names and len(set(names)) < len(names):
         yield Fault(f"{path}.{said[0]}", "has a name twice", names)
+    there = least.get(event.tier or FRONT)
+    if event.count is not None and form.whom != "new" and there is not None and high(event.count) > there:
+        yield Fault(f"{path}.count", f"there need be no more than {there}", event.count)
     if form.whom == "link" and len(set(places)) > 1:
         yield Fault(f"{path}.nodes", "must be of one tier", names)
 
--- a/wheatring/lab/scenario/told.py
+++ b/wheatring/lab/scenario/told.py
@@ -6,6 +6,7 @@
 import re
 from collections import Counter
 from collections.abc import Sequence
+from functools import cache
 from typing import Any, NamedTuple
 
 from msgspec import inspect
@@ -64,7 +65,7 @@
     assert match is not None
     path: list[str] = []
     value: Any = raw
-    kind: inspect.Type = inspect.type_info(Scenario)
+    kind = _whole()
     for key, place in _STEP.findall(match["at"] or ""):
         if key:
             path.append(key)
@@ -85,6 +86,11 @@
     return Fault(".".join(path), f"must be {wanted(kind)}", value)
 
 
+@cache
+def _whole() -> inspect.Type:
+    return inspect.type_info(Scenario)
+
+
 def _field(kind: inspect.Type, key: str) -> inspect.Type:
     for choice in _choices(kind):
         if isinstance(choice, inspect.StructType):
