--- a/tests/lab/test_study_commands.py
+++ b/tests/lab/test_study_commands.py
@@ -12,7 +12,7 @@
 from wheatring import commands
 from wheatring.lab.scenario.load import ScenarioError, checked, load, overridden, tables
 from wheatring.lab.study import store
-from wheatring.lab.study.played import found, jobs
+from wheatring.lab.study.asked import found, jobs
 from wheatring.lab.study.settings import Settings
 
 
--- a/wheatring/commands/lab_study.py
+++ b/wheatring/commands/lab_study.py
@@ -109,7 +109,7 @@
 
 def _jobs(args: argparse.Namespace, choices: list[Settings], build: Build) -> list[Job]:
     """Seed by seed, so that what is there when a sweep is stopped covers all that is asked for."""
-    from wheatring.lab.study import StudyError, played
+    from wheatring.lab.study import StudyError, asked
     from wheatring.lab.study.jobs import seeds_of
 
     if args.workers < 1:
@@ -119,7 +119,7 @@
     seeds = seeds_of(args.seeds)
     grains = [*dict.fromkeys(args.grain or ["wire"])]
     lists = [
-        played.jobs(name, seeds, grains, settings, build)
+        asked.jobs(name, seeds, grains, settings, build)
         for name in dict.fromkeys(args.scenarios)
         for settings in choices
     ]
--- /dev/null
+++ b/wheatring/lab/study/asked.py
@@ -0,0 +1,42 @@
+"""From what is asked for (scenarios, settings) to jobs, and from a job back to its scenario."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+from wheatring.lab.scenario.draw import draw
+from wheatring.lab.scenario.load import Found, Raw, ScenarioError, checked, overridden, tables
+from wheatring.lab.scenario.told import Fault
+from wheatring.lab.study.jobs import Build, Job, hashed
+from wheatring.lab.study.settings import Settings, value_of
+
+
+def jobs(scenario: str, seeds: list[int], grains: list[str], settings: Settings, build: Build) -> list[Job]:
+    """Of one scenario, by its name or its file, seed by seed.
+
+    Raises ScenarioError where it or a setting can't be used; the first seed is drawn to tell.
+    """
+    raw, name, where = tables(scenario)
+    text_hash = hashed(_text(raw))
+    for key, value in settings.sets:
+        try:
+            raw = overridden(raw, key, value_of(value))
+        except KeyError as bad:
+            raise ScenarioError(where, [Fault(f"--set {key}", f"there is no {bad.args[0]}")]) from None
+    for seed in seeds[:1]:
+        draw(checked(raw, name, where), seed)
+    source = _text(raw)
+    return [
+        Job(scenario, text_hash, source, seed, grain, settings, build) for seed in seeds for grain in grains
+    ]
+
+
+def _text(raw: Raw) -> str:
+    return msgspec.json.encode(raw, order="sorted").decode()
+
+
+def found(job: Job) -> Found:
+    raw: Raw = msgspec.json.decode(job.source)
+    return checked(raw, Path(job.scenario).stem, job.scenario)
--- a/wheatring/lab/study/report/day.py
+++ b/wheatring/lab/study/report/day.py
@@ -34,10 +34,9 @@
         return [max(map(count, part)) for part in self.parts]
 
     def share(self, count: Count, whole: Count) -> list[float]:
-        return [
-            part / total if total else 0.0
-            for part, total in zip(self.sum(count), self.sum(whole), strict=True)
-        ]
+        """Not a number where there is no whole."""
+        pairs = zip(self.sum(count), self.sum(whole), strict=True)
+        return [part / total if total else float("nan") for part, total in pairs]
 
 
 def of_run(outcome: Outcome, replay: str) -> str:
@@ -206,10 +205,10 @@
 
 
 def _by_sort(work: dict[str, float]) -> list[tuple[str, list[tuple[str, float]]]]:
-    """Nodes whose names differ in their last number alone stand together; all, if that sorts nothing."""
+    """Nodes whose names differ in their last numbers alone stand together; all, if that sorts nothing."""
     found: dict[str, list[tuple[str, float]]] = {}
     for name, value in work.items():
-        found.setdefault(re.sub(r"[-_.]?[0-9]+$", "", name) or "nodes", []).append((name, value))
+        found.setdefault(re.sub(r"([-_.]?[0-9]+)+$", "", name) or "nodes", []).append((name, value))
     if len(found) > 4:
         return [("nodes", [*work.items()])]
     return [*found.items()]
--- a/wheatring/lab/study/report/plots.py
+++ b/wheatring/lab/study/report/plots.py
@@ -65,31 +65,30 @@
     return re.sub(r'(<svg[^>]*?) height="[^"]*"', r"\1", re.sub(r'(<svg[^>]*?) width="[^"]*"', r"\1", svg))
 
 
+FEW = 25  # marks of which each has a line; of more, only the first of those that stand together
+
+
 @dataclass(slots=True)
 class Marks:
-    """What happened when: a line for each instant, numbers as in the page's list, near ones together."""
+    """What happened when, by its number in the page's list; near ones share a label."""
 
     instants: Sequence[float] = ()
     length: float = 1.0
     groups: list[tuple[float, str]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
-        near = self.length / 45
-        first = last = 0
-        begin = 0.0
+        first, begin = 0, float("-inf")
         for number, at in enumerate(sorted(self.instants), 1):
-            if first and at - begin < near:
-                last = number
-                self.groups[-1] = (begin, f"{first}-{last}")
-                continue
-            first = last = number
-            begin = at
-            self.groups.append((at, str(number)))
-
-    def draw(self, axes: Axes, *, numbers: bool = True) -> None:
-        for at in self.instants:
+            if at - begin < self.length / 18:
+                self.groups[-1] = (begin, f"{first}-{number}")
+            else:
+                first, begin = number, at
+                self.groups.append((at, str(number)))
+
+    def draw(self, axes: Axes) -> None:
+        for at in self.instants if len(self.instants) <= FEW else [at for at, _ in self.groups]:
             axes.axvline(at, color=DARK, linewidth=0.7, alpha=0.35, linestyle=(0, (4, 3)))
-        for at, text in self.groups if numbers else ():
+        for at, text in self.groups:
             axes.annotate(
                 text, (at, 1.0), xycoords=("data", "axes fraction"), xytext=(0, 3), fontsize=8,
                 textcoords="offset points", ha="center", color="#52606d",
@@ -118,7 +117,7 @@
         edges = [number * step for number in range(count)] + [length]
         floor = [0.0] * (count + 1)
         for name, colour, shares in parts:
-            top = [low + share for low, share in zip(floor, [*shares, shares[-1]], strict=True)]
+            top = [low + max(0.0, share) for low, share in zip(floor, [*shares, shares[-1]], strict=True)]
             made.axes.fill_between(
                 edges, floor, top, step="post", color=colour, label=name, linewidth=0, alpha=0.9
             )
