Share events, calls and names with the world of virtual time

The live play had its own way of making events happen and of a node's calls. It uses the world's now, for which the events ask for no more of sidecars and faults than they need; lives of nodes and sidecars are a part of their own.

--- a/wheatring/lab/live/nodes.py
+++ b/wheatring/lab/live/nodes.py
@@ -14,68 +14,29 @@
 
 from wheatring.core.clock import Clock
 from wheatring.lab.book import Book
+from wheatring.lab.models.below import Calls
 from wheatring.lab.models.discovery import Listed, Registry
 from wheatring.lab.models.effects import Effects
 from wheatring.lab.models.machine import Machine
-from wheatring.lab.models.visit import Visit
-from wheatring.lab.models.way import Asked, ReplyKind
 from wheatring.lab.origins import Origins
-from wheatring.lab.plan import NodePlan, Plan
+from wheatring.lab.plan import EventPlan, NodePlan, Plan
 from wheatring.lab.wire.caller import Caller
 from wheatring.lab.wire.form import Forms
 from wheatring.lab.wire.node import NodePeer
+from wheatring.lab.world.ground import LINGER
 
 BACKLOG = 511
 Where = Callable[[str], tuple[str, int]]  # a sidecar's address
 
 
-class Calls:
-    """A node's calls to the next tier, through its own sidecar. Implements `models.visit.Below`."""
-
-    def __init__(self, node: str, clock: Clock, origins: Origins, caller: Caller) -> None:
-        self.node = node
-        self.clock = clock
-        self.origins = origins
-        self.caller = caller
-        self.out: dict[str, tuple[Asked, Any]] = {}  # by id: with the timer that ends it
-
-    def __call__(self, visit: Visit, left: float, done: Callable[[bool], None]) -> None:
-        origin = self.origins.of[visit.ident]
-        ident = self.origins.new(origin)
-        asked = self.caller.ask(
-            self.node, ident, origin.class_index, left, origin.key, False, partial(self.ended, ident, done)
-        )
-        self.out[ident] = asked, self.clock.at(self.clock.now() + left, self.late, ident, done)
-
-    def ended(self, ident: str, done: Callable[[bool], None], kind: ReplyKind, retry_after: float) -> None:
-        _, timer = self.out.pop(ident)
-        timer.cancel()
-        done(kind == "served")
-
-    def late(self, ident: str, done: Callable[[bool], None]) -> None:
-        asked, _ = self.out.pop(ident)
-        asked.leave()
-        done(False)
-
-    def stop(self) -> None:
-        """The node's process has ended, and so have its connections."""
-        out, self.out = self.out, {}
-        for asked, timer in out.values():
-            timer.cancel()
-            asked.leave()
-        self.caller.close()
-
-
 class Node:
     """One execute node: its machine, and its doors."""
 
-    def __init__(self, plan: NodePlan, machine: Machine, calls: Calls | None) -> None:
+    def __init__(self, plan: NodePlan, machine: Machine) -> None:
         self.plan = plan
         self.machine = machine
-        self.calls = calls
         self.peers: dict[str, NodePeer] = {}  # by the sidecar that may call it
         self.doors: list[Any] = []
-        self.refusing = 0
 
     def reset(self) -> None:
         for peer in self.peers.values():
@@ -102,28 +63,30 @@
         self.registry = registry
         self.forms = Forms(plan.classes)
         self.book = book
+        self.where = where
         self.ports: dict[tuple[str, str], int] = {}  # by host and sidecar: once the kernel has chosen, kept
         self.hosts = {node.name: node.host for node in plan.nodes}
         self.callers: list[list[tuple[str, str]]] = [[(each.name, each.zone) for each in plan.sidecars]]
         for tier in range(len(plan.tiers) - 1):
             self.callers.append([(node.name, node.zone) for node in plan.nodes if node.tier == tier])
+        self.ways: dict[str, Caller] = {}  # of nodes that run, into their own sidecars
         effects = Effects(clock, plan.classes, book)
-        self.nodes = {node.name: self._node(node, effects, where) for node in plan.nodes}
+        self.nodes = {node.name: self._node(node, effects) for node in plan.nodes}
         self.on_fallen: Callable[[str], object] = lambda name: None
 
-    def _node(self, node: NodePlan, effects: Effects, where: Where) -> Node:
+    def _node(self, node: NodePlan, effects: Effects) -> Node:
         plan, tier = self.plan, self.plan.tiers[node.tier]
         calls, mean = None, 0.0
         if node.tier + 1 < len(plan.tiers):
-            caller = Caller(self.reactor, self.clock, self.book, self.forms, where, node.host)
-            calls, mean = Calls(node.name, self.clock, self.origins, caller), plan.tiers[node.tier + 1].calls
+            calls = Calls(node.name, partial(self.ways.get, node.name), self.origins, self.clock, LINGER)
+            mean = plan.tiers[node.tier + 1].calls
         machine = Machine(
             node, tier, node.tier, plan.classes, self.clock, Random(f"{plan.seed}:node:{node.name}"),
             self.origins, self.book, calls, mean,
             effects=effects, rules=plan.rules, passes_deadline=plan.passes_deadline,
         )  # fmt: skip
         machine.on_fallen = partial(self._fell, node.name)
-        made = Node(node, machine, calls)
+        made = Node(node, machine)
         for sidecar, zone in self.callers[node.tier]:
             trip = 2 * (plan.net.same if zone == node.zone else plan.net.cross)
             made.peers[sidecar] = NodePeer(
@@ -144,8 +107,7 @@
         node = self.nodes[name].plan
         kind = self.plan.tiers[node.tier].kinds[node.kind].name
         if node.up:
-            self._open(self.nodes[name])
-            self.nodes[name].machine.start(cold=False)
+            self._run(self.nodes[name], cold=False)
         listed = Listed(name, "", node.zone, kind, node.cell, 0.0, node.tier)
         self.registry.add(listed, node.up)
 
@@ -153,10 +115,17 @@
         """Its process starts, cold, where none runs."""
         node = self.nodes[name]
         if not node.machine.running:
-            self._open(node)
-            node.machine.start(cold=True)
+            self._run(node, cold=True)
             self.registry.up(name, self.clock.now())
 
+    def _run(self, node: Node, cold: bool) -> None:
+        self._open(node)
+        node.machine.start(cold)
+        if node.plan.tier + 1 < len(self.plan.tiers):
+            self.ways[node.plan.name] = Caller(
+                self.reactor, self.clock, self.book, self.forms, self.where, node.plan.host
+            )
+
     def drain(self, name: str) -> None:
         node = self.nodes[name]
         if node.machine.running:
@@ -172,14 +141,19 @@
         self._ended(node)
         return True
 
-    def refuse(self, name: str, on: bool) -> None:
-        """Its doors are shut while its process goes on, or that is over. Several such may overlap."""
-        node = self.nodes[name]
-        node.refusing += 1 if on else -1
-        if node.refusing:
-            self._close(node)
-        elif node.machine.running:
-            self._open(node)
+    # What troubles of a node bring about on the network. Its machine has been told of them.
+
+    def begin(self, event: EventPlan) -> None:
+        for name in event.nodes:
+            node = self.nodes[name]
+            if node.machine.troubles.refusing:
+                self._close(node)
+
+    def end(self, event: EventPlan) -> None:
+        for name in event.nodes:
+            node = self.nodes[name]
+            if node.machine.running:
+                self._open(node)
 
     def _fell(self, name: str) -> None:
         self._ended(self.nodes[name])
@@ -188,12 +162,12 @@
     def _ended(self, node: Node) -> None:
         self._close(node)
         node.reset()
-        if node.calls is not None:
-            node.calls.stop()
+        # Its own sidecar goes with it: what it had asked of that ends as the connections to it do.
+        self.ways.pop(node.plan.name, None)
         self.registry.down(node.plan.name)
 
     def _open(self, node: Node) -> None:
-        if node.doors or node.refusing:
+        if node.doors or node.machine.troubles.refusing:
             return
         host = node.plan.host
         for sidecar, peer in node.peers.items():
--- a/wheatring/lab/live/play.py
+++ b/wheatring/lab/live/play.py
@@ -22,10 +22,10 @@
 
 from wheatring.core.clock import Clock
 from wheatring.lab.live import tally
-from wheatring.lab.live.events import Events
+from wheatring.lab.live.lives import Lives
 from wheatring.lab.live.nodes import Nodes
 from wheatring.lab.live.process import ProcessError
-from wheatring.lab.live.seats import Seat, Seats
+from wheatring.lab.live.seats import Seats
 from wheatring.lab.live.watch import Watch, Watched
 from wheatring.lab.models.clients import Clients
 from wheatring.lab.models.discovery import Registry
@@ -36,8 +36,9 @@
 from wheatring.lab.rules import Ledger
 from wheatring.lab.wire.caller import Caller
 from wheatring.lab.wire.form import Forms
+from wheatring.lab.world.events import Events
+from wheatring.lab.world.ground import CLIENTS
 
-CLIENTS = "127.5.0.1"
 LEAD = 1.0  # seconds from when all sidecars listen until the day begins
 SETTLE = 0.5  # seconds past the tail
 START = 20.0  # seconds in which all sidecars must listen, and for each of them so many more
@@ -72,7 +73,7 @@
         self.clock = clock = Clock(reactor)
         self.origins = Origins(self.random("ids"))
         self.book = Ledger(
-            structs.replace(plan, net=LINKS), "live", clock.now, float("inf"), family=self.family
+            structs.replace(plan, net=LINKS), "live", clock.now, float("inf"), family=self.origins.first
         )
         self.registry = Registry(plan.discovery, clock, time.time, self.random("discovery"), self.book)
         self.front = Front(clock, self.random("front"), plan.front_notice)
@@ -83,17 +84,17 @@
         self.seats = Seats(
             reactor, plan, clock, self.book, self.registry, self.nodes.address, folder, self.watch
         )
-        self.seats.came, self.seats.stops, self.seats.went = self.came, self.stops, self.went
-        self.seats.failed = self.failed
-        self.nodes.on_fallen = self.fallen
+        self.lives = Lives(self.nodes, self.seats, self.front)
+        self.lives.ready, self.lives.failed = self.start_day, self.stop
         way = Caller(
             reactor, clock, self.book, Forms(plan.classes), self.seats.where, CLIENTS,
             plan.clients.connections,
         )  # fmt: skip
         self.clients = Clients(plan, clock, self.random("clients"), self.origins, self.book, self.front, way)
-        self.events = Events(clock, self.book, self.nodes, self.registry, self.seats, self)
-        self.awaited: set[str] = set()  # sidecars that must listen before the day begins
-        self.coming: set[str] = set()  # nodes that run once their sidecar listens
+        machines = {name: node.machine for name, node in self.nodes.nodes.items()}
+        self.events = Events(
+            clock, self.nodes, machines, self.registry, self.seats, self.lives, self.book.happens
+        )
         self.late = array("d")
         self.began = 0.0
         self.fault: BaseException | None = None
@@ -102,10 +103,6 @@
     def random(self, name: str) -> Random:
         return Random(f"{self.plan.seed}:{name}")
 
-    def family(self, ident: str) -> int | None:
-        origin = self.origins.of.get(ident)
-        return None if origin is None else origin.first
-
     # The day
 
     def run(self) -> LiveOutcome:
@@ -127,21 +124,16 @@
     def begin(self) -> None:
         for node in self.plan.nodes:
             self.nodes.add(node.name)
-        running = {node.name for node in self.plan.nodes if node.up}
-        front = {told.name: told for told in self.plan.sidecars}
-        for seat in self.seats.seats.values():
-            if seat.name in running or (seat.name in front and front[seat.name].start == 0):
-                self.awaited.add(seat.name)
-                self.seats.start(seat)
-        self.say(f"{len(running)} nodes, {len(self.awaited)} sidecars")
-        by = self.clock.now() + START + START_EACH * len(self.awaited)
-        self.starting = self.clock.at(by, self.give_up)
-        if not self.awaited:
-            self.give_up()
-
-    def give_up(self) -> None:
-        names = ", ".join(sorted(self.awaited)[:3]) or "the front"
-        self.stop(ProcessError(f"{names}: has no sidecar that listens"))
+        nodes = [node.name for node in self.plan.nodes if node.up]
+        names = [told.name for told in self.plan.sidecars if told.start == 0]
+        names += [name for name in nodes if name in self.seats.seats]
+        if not names:
+            self.stop(ProcessError("there is no sidecar that runs from the start on"))
+            return
+        self.say(f"{len(nodes)} nodes, {len(names)} sidecars")
+        by = self.clock.now() + START + START_EACH * len(names)
+        self.starting = self.clock.at(by, self.lives.late)
+        self.lives.begin(names)
 
     def start_day(self) -> None:
         self.starting.cancel()
@@ -154,7 +146,7 @@
         plan, now = self.plan, self.clock.now()
         self.began = now
         self.book.begin(now)
-        self.watch.began = now
+        self.watch.begin(now)
         self.watch.add(LAB, os.getpid(), now)
         self.clients.start()
         self.events.schedule(now, plan.events)
@@ -162,7 +154,7 @@
             if told.start > 0:
                 self.clock.at(now + told.start, self.seats.start, self.seats.seats[told.name])
         self.clock.at(now + plan.length + plan.tail + SETTLE, self.stop)
-        self.second(1)
+        self.clock.at(now + 1, self.second, 2)
         self.tick(now)
         self.say(f"the day begins, and takes {plan.length + plan.tail + SETTLE:.0f} s")
 
@@ -191,52 +183,6 @@
         if failure is not None:
             self.stop(failure.value)
 
-    # Sidecars and nodes come and go
-
-    def came(self, seat: Seat) -> None:
-        if seat.name not in self.nodes.nodes:
-            self.front.up(seat.name)
-        elif seat.name in self.coming:
-            self.coming.discard(seat.name)
-            self.nodes.start(seat.name)
-        if seat.name in self.awaited:
-            self.awaited.discard(seat.name)
-            if not self.awaited:
-                self.start_day()
-
-    def stops(self, seat: Seat) -> None:
-        if seat.name not in self.nodes.nodes:
-            self.front.stopping(seat.name)
-
-    def went(self, seat: Seat) -> None:
-        if seat.name not in self.nodes.nodes:
-            self.front.down(seat.name)
-
-    def failed(self, seat: Seat) -> None:
-        if seat.name in self.awaited:
-            self.stop(ProcessError(f"{seat.name}: ended before it listened"))
-
-    def start(self, name: str) -> None:
-        """A node is to start; one with a sidecar of its own runs once that listens."""
-        seat = self.seats.seats.get(name)
-        if self.nodes.nodes[name].machine.running:
-            return
-        if seat is None:
-            self.nodes.start(name)
-        else:
-            self.coming.add(name)
-            self.seats.start(seat)
-
-    def end(self, name: str) -> None:
-        """A node's process ends, and its own sidecar with it."""
-        self.coming.discard(name)
-        if self.nodes.stop(name):
-            self.fallen(name)
-
-    def fallen(self, name: str) -> None:
-        if name in self.seats.seats:
-            self.seats.kill(self.seats.seats[name], 0.0)
-
     # What came of it
 
     def outcome(self) -> LiveOutcome:
--- a/wheatring/lab/live/seats.py
+++ b/wheatring/lab/live/seats.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import json
+import signal
 import time
 from collections.abc import Callable
 from functools import partial
@@ -11,19 +11,19 @@
 from typing import Any
 
 from wheatring.core.clock import Clock, Timer
-from wheatring.lab.book import Book
 from wheatring.lab.live.sidecar import Sidecar, configuration, listens_at
 from wheatring.lab.live.watch import Watch
 from wheatring.lab.models.discovery import Answer, Registry
 from wheatring.lab.plan import Plan
+from wheatring.lab.rules import Ledger
 from wheatring.lab.settings import settings
-from wheatring.lab.wire.discovery import DiscoveryPeer, body
+from wheatring.lab.wire.discovery import DiscoveryPeer, as_json
+from wheatring.lab.world.ground import DISCOVERY, side_hosts
+from wheatring.lab.world.world import OURS
 
-DISCOVERY = "127.4.0.1"
-# Lines of its log that are told to the book, as notes of that name: what it could not reach, and faults.
+# Lines of its log that are told to the book: what it could not reach, and faults of its own.
 UNCONNECTED = ("claim-connection code=connect-failed", "claim-connection code=not-up-in-time")
-FAULTS = ("decision-broken", "action-broken", "request-broken", "claim-broken", "job-broken", "overdue",
-          "unexpected", "answer-broken", "not-carried-out")  # fmt: skip
+FAULTS = tuple(f"{word} " for word in sorted(OURS))
 
 
 class Seat:
@@ -54,7 +54,7 @@
         reactor: Any,
         plan: Plan,
         clock: Clock,
-        book: Book,
+        book: Ledger,
         registry: Registry,
         address: Callable[[str, Any], str],
         folder: Path,
@@ -74,13 +74,14 @@
         self.failed: Callable[[Seat], object]
         self.seats: dict[str, Seat] = {}
         self.processes: list[Sidecar] = []
+        hosts = side_hosts(plan)
         copies = len(plan.sidecars)
         for number, told in enumerate(plan.sidecars):
             self._add(Seat(told.name, told.host, 0, number, copies))
         for tier in range(len(plan.tiers) - 1):
             callers = [node for node in plan.nodes if node.tier == tier]
             for number, node in enumerate(callers):
-                self._add(Seat(node.name, beside(node.host), tier + 1, number, len(callers)))
+                self._add(Seat(node.name, hosts[node.name], tier + 1, number, len(callers)))
 
     def _add(self, seat: Seat) -> None:
         self.seats[seat.name] = seat
@@ -100,11 +101,11 @@
         return configuration(
             seat.name,
             f"{seat.host}:{seat.port}",
-            f"{DISCOVERY}:{seat.door_port}",
+            f"{DISCOVERY[0]}:{seat.door_port}",
             settings(self.plan, seat.tier, seat.number, seat.copies),
             Random(f"{self.plan.seed}:sidecar:{seat.name}").getrandbits(64),
             limits={"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets},
-            known=json.loads(body(Answer(version, True, lines), partial(self.address, seat.name))),
+            known=as_json(Answer(version, True, lines), partial(self.address, seat.name)),
         )
 
     def start(self, seat: Seat) -> None:
@@ -132,7 +133,7 @@
         self.watch.add(seat.name, process.pid, time.monotonic())
 
     def _listen(self, seat: Seat, factory: Any) -> Any:
-        door = self.reactor.listenTCP(seat.door_port, factory, interface=DISCOVERY)
+        door = self.reactor.listenTCP(seat.door_port, factory, interface=DISCOVERY[0])
         seat.door_port = door.getHost().port
         return door
 
@@ -147,14 +148,13 @@
         elif text.startswith(UNCONNECTED):
             self.book.note("unconnected", sidecar=seat.name)
         else:
-            self.book.note("event", sidecar=seat.name, said=text)
-            self.book.note("faults", sidecar=seat.name)
+            self.book.fault(seat.name, text)
 
     def kill(self, seat: Seat, down: float) -> None:
         """Kill it outright, and start it anew after `down` seconds, if that is not 0."""
         seat.down = down
         if seat.process is not None:
-            seat.process.popen.kill()
+            seat.process.send(signal.SIGKILL)
             self._over(seat, True)
         else:
             self._again(seat)
@@ -167,7 +167,7 @@
         self.book.sidecar_stopping(seat.name)
         self.stops(seat)
         seat.timer = self.clock.at(self.clock.now() + patience, self.kill, seat, down)
-        seat.process.popen.terminate()
+        seat.process.send(signal.SIGTERM)
 
     def _ended(self, seat: Seat, process: Sidecar | None) -> None:
         """A process has ended by itself, unless it was killed and that is known."""
@@ -182,8 +182,7 @@
             self.book.sidecar_down(seat.name, killed)
             self.went(seat)
         elif not killed:
-            self.book.note("event", sidecar=seat.name, said="ended before it listened")
-            self.book.note("faults", sidecar=seat.name)
+            self.book.fault(seat.name, "nothing, and ended before it listened")
             self.failed(seat)
         self._again(seat)
 
@@ -200,12 +199,6 @@
     def end(self) -> None:
         """End all processes, for good."""
         for process in self.processes:
-            process.popen.kill()
+            process.send(signal.SIGKILL)
         for process in self.processes:
             process.end()
-
-
-def beside(host: str) -> str:
-    """The host of a node's own sidecar: its node's, in a net above those of the nodes."""
-    first, net, rest = host.split(".", 2)
-    return f"{first}.{int(net) + 100}.{rest}"
--- a/wheatring/lab/live/watch.py
+++ b/wheatring/lab/live/watch.py
@@ -68,6 +68,13 @@
         except OSError:
             self.out.pop(name, None)
 
+    def begin(self, now: float) -> None:
+        """Count from now on: what was seen before is left out."""
+        self.began = now
+        for name, (pid, _, _) in list(self.out.items()):
+            del self.watched[name]
+            self.add(name, pid, now)
+
     def add_all(self, pids: Mapping[str, int], now: float) -> None:
         for name, pid in pids.items():
             self.add(name, pid, now)
--- a/wheatring/lab/world/events.py
+++ b/wheatring/lab/world/events.py
@@ -5,16 +5,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import Protocol
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
 
 from wheatring.lab.models import troubles
 from wheatring.lab.models.discovery import Registry, Trouble
 from wheatring.lab.models.machine import Machine
 from wheatring.lab.plan import EventPlan
 from wheatring.lab.timers import Timers
-from wheatring.lab.world.ground import Ground
-from wheatring.lab.world.seats import Seats
 
 OF_NODES = frozenset(
     ("slow", "hang", "fast_errors", "neighbour", "conn_cap", "spoilt", "resets", "refuse", "late_connects")
@@ -43,16 +41,35 @@
     def back(self, node: str) -> None: ...
 
 
+class Faults(Protocol):
+    """What goes wrong on the network or with the clocks."""
+
+    def begin(self, event: EventPlan) -> None: ...
+
+    def end(self, event: EventPlan) -> None: ...
+
+
+class Sidecars(Protocol):
+    """The seats of sidecars, by name."""
+
+    @property
+    def seats(self) -> Mapping[str, Any]: ...
+
+    def kill(self, seat: Any, down: float) -> None: ...
+
+    def restart(self, seat: Any, patience: float, down: float) -> None: ...
+
+
 class Events:
     """`happened` is told of each beginning and end, for the figures."""
 
     def __init__(
         self,
         timers: Timers,
-        ground: Ground,
+        ground: Faults,
         machines: dict[str, Machine],
         registry: Registry,
-        seats: Seats,
+        seats: Sidecars,
         lives: Lives,
         happened: Callable[[str], None],
     ) -> None:
