--- /dev/null
+++ b/tests/lab/test_live_play.py
@@ -0,0 +1,215 @@
+"""A day on loopback with real sidecars: what it gives, what it refuses, and that nothing of it is left."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import select
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from wheatring.commands import lab_live
+from wheatring.lab.live import scale
+from wheatring.lab.live.play import LAB, LiveOutcome
+from wheatring.lab.live.process import HOME
+from wheatring.lab.outcome import Outcome
+from wheatring.lab.scenario.draw import draw
+from wheatring.lab.scenario.load import load, names
+
+FAR = 60.0
+DAY = """
+title = "A short bad day"
+what = "For tests."
+extends = "small"
+length = 2
+tail = 1
+without = ["event"]
+
+[[class]]
+name = "menu-view"
+deadline = 1
+
+[[class]]
+name = "place-order"
+deadline = 1
+
+[traffic]
+rate = 40
+
+[[event]]
+kind = "slow"
+tier = "shop"
+count = 1
+at = 0.1
+length = 0.3
+size = 4
+
+[[event]]
+kind = "refuse"
+tier = "store"
+count = 1
+at = 0.2
+length = 0.3
+
+[[event]]
+kind = "kill"
+tier = "store"
+count = 1
+at = 0.3
+length = 0.2
+
+[[event]]
+kind = "discovery_down"
+at = 0.4
+length = 0.3
+
+[[event]]
+kind = "sidecar_kill"
+tier = "shop"
+count = 1
+at = 0.6
+length = 0.1
+
+[[event]]
+kind = "drain"
+tier = "shop"
+count = 1
+at = 0.7
+extra = 0.2
+
+[[event]]
+kind = "sidecar_restart"
+count = 1
+at = 0.8
+extra = 2.7
+length = 0.1
+
+[[event]]
+kind = "start"
+tier = "shop"
+count = 1
+at = 0.9
+"""
+COMMAND = """
+import argparse, sys
+from wheatring.commands import lab_live
+top = argparse.ArgumentParser()
+lab_live.add(top.add_subparsers())
+args = top.parse_args()
+sys.exit(args.call(args))
+"""
+
+
+def begin(tmp_path: Path, *words: str) -> subprocess.Popen[str]:
+    (tmp_path / "day.toml").write_text(DAY, encoding="utf-8")
+    return subprocess.Popen(
+        [sys.executable, "-c", COMMAND, "live", str(tmp_path / "day.toml"), *words],
+        env={**os.environ, "PYTHONPATH": HOME, "TMPDIR": str(tmp_path)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+def sidecars(tmp_path: Path) -> list[int]:
+    """Processes that were started with a file in that folder, but for the play itself."""
+    found = []
+    for entry in Path("/proc").iterdir():
+        try:
+            words = (entry / "cmdline").read_bytes().split(b"\0") if entry.name.isdigit() else []
+        except OSError:  # it has ended meanwhile
+            continue
+        if b"--operators" in words and any(word.startswith(bytes(tmp_path)) for word in words):
+            found.append(int(entry.name))
+    return found
+
+
+def test_a_day_of_troubles_gives_an_outcome_as_in_virtual_time_and_leaves_nothing(tmp_path: Path) -> None:
+    with begin(tmp_path, "--json", str(tmp_path / "outcome")) as process:
+        out, err = process.communicate(timeout=FAR)
+        assert process.returncode in (0, 1), err  # on a busy machine what comes late may look like a breach
+    assert not sidecars(tmp_path)
+    told = (tmp_path / "outcome").read_bytes()
+    outcome = msgspec.json.decode(told, type=LiveOutcome)
+    assert msgspec.json.decode(told, type=Outcome).requests == outcome.requests
+    assert outcome.grain == "live" and outcome.requests > 20
+    ends = [each.in_time + each.late + each.refused + each.failed for each in outcome.classes]
+    assert sum(ends) == outcome.requests == sum(second.asked for second in outcome.seconds)
+    assert sum(each.in_time + each.late for each in outcome.classes) > 0
+    assert [breach.what for breach in outcome.breaches if breach.rule == "fault"] == []
+    happened = " ".join(what for _, what in outcome.happened)
+    for kind in ("slow", "refuse", "kill", "discovery_down", "sidecar_kill", "drain", "sidecar_restart"):
+        assert f"{kind} " in happened
+    assert "sidecar front-1 ends" in happened and "sidecar front-1 is told to stop" in happened
+    rows = {row.name: row for row in outcome.watched}
+    assert {LAB, "front-1", "shop-1", "shop-2", "shop-3"} <= set(rows)
+    assert rows[LAB].looks and rows[LAB].peak_descriptors > 10
+    assert "served" not in out and "place-order" in out
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGKILL])
+def test_no_sidecar_outlives_a_day_that_is_broken_off(number: signal.Signals, tmp_path: Path) -> None:
+    with begin(tmp_path) as process:
+        assert process.stderr is not None
+        for line in process.stderr:
+            if line.startswith("the day begins"):
+                break
+        started = [os.pidfd_open(pid) for pid in sidecars(tmp_path)]
+        assert len(started) == 4
+        process.send_signal(number)
+        process.communicate(timeout=FAR)
+        assert process.returncode == (130 if number == signal.SIGINT else -number)
+    for descriptor in started:
+        assert select.select([descriptor], [], [], FAR)[0]  # readable once its process has ended
+        os.close(descriptor)
+
+
+@pytest.mark.parametrize(
+    ("words", "said"),
+    [
+        (["small"], "small.toml: can't be played on loopback: partition, vanish, late_connects, latency"),
+        (["calm", "--scale", "0"], "scale: must be above 0"),
+    ],
+)
+def test_what_can_not_be_played_is_refused_by_name_before_anything_starts(
+    words: list[str], said: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    top = argparse.ArgumentParser()
+    lab_live.add(top.add_subparsers())
+    args = top.parse_args(["live", *words])
+    assert args.call(args) == 2
+    out, err = capsys.readouterr()
+    assert out == "" and err.count("\n") == 1 and said in err
+
+
+@pytest.mark.parametrize("part", [0.1, 0.34, 0.8])
+@pytest.mark.parametrize("name", names())
+def test_a_day_scaled_down_is_whole_and_as_loaded(name: str, part: float) -> None:
+    for seed in range(1, 6):
+        plan = draw(load(name), seed)
+        small = scale.scaled(plan, part)
+        there = {node.name: node for node in small.nodes}
+        front = {told.name for told in small.sidecars}
+        assert front and len(front) <= len(plan.sidecars)
+        able = []
+        for tier in range(len(plan.tiers)):
+            cores = [0.0, 0.0]
+            for place, whole in enumerate((plan, small)):
+                nodes = [node for node in whole.nodes if node.tier == tier and node.up]
+                assert nodes
+                cores[place] = sum(n.speed * plan.tiers[tier].kinds[n.kind].cores for n in nodes)
+            able.append(cores[1] / cores[0])
+        assert small.traffic.rate == pytest.approx(plan.traffic.rate * min(able))
+        for event in small.events:
+            assert set(event.nodes) <= set(there)
+            assert set(event.sidecars) <= front | set(there)
+            assert not event.replaced_by or event.replaced_by in there
+        for before in plan.events:
+            if before.kind in ("slow", "hang", "fast_errors") and before.nodes:
+                after = next(e for e in small.events if (e.kind, e.at) == (before.kind, before.at))
+                assert 1 <= len(after.nodes) <= max(1, round(part * len(before.nodes)))
