--- a/wheatring/lab/rules/duplicates.py
+++ b/wheatring/lab/rules/duplicates.py
@@ -69,7 +69,7 @@
             self._breach(request, attempt, "Nobody waits for a request of this name, or has for long.")
             return
         if over == "left":
-            known += self.links.most
+            known += self.links.reach(request.sidecar, known)
             if self.links.cut(request.sidecar, request.over_at, known):
                 return
         if attempt.sent > known and not request.forgiven:
