Hold a machine to its accounts under random troubles, stops and leaving callers

Change: one story with two of each of five troubles, two restarts, calls that fail and callers that leave, over four seeds.

--- a/tests/lab/test_machine.py
+++ b/tests/lab/test_machine.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from math import sqrt
+from random import Random
 from typing import Any
 
 import pytest
@@ -389,3 +390,39 @@
     end(world.machine, thief)
     end(world.machine, second)
     assert world.machine.capacity() == 1.0 and not world.time.pending()
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_whatever_happens_each_visit_ends_once_and_all_work_is_told(seed: int) -> None:
+    random = Random(seed)
+
+    def below(visit: Visit, left: float, done: Callable[[bool], None]) -> None:
+        at(world.time.now() + 0.05, done, random.random() < 0.95)
+
+    def arrives(name: str) -> None:
+        visit = world.send(name, random.expovariate(5.0))
+        if random.random() < 0.2:
+            at(world.time.now() + random.random(), machine.abandoned, visit)
+
+    world = World(
+        cores=2, slots=8, queue=4, pause_every=1.0, pause=0.05, thrash=0.2, knee=6, error_rate=0.01,
+        cold_from=0.5, cold=9.0, tier={"choke": CHOKE, "conn_tax": 0.2}, calls=1.4, below=below,
+    )  # fmt: skip
+    machine, at = world.machine, world.time.at
+    kinds: list[EventKind] = ["slow", "hang", "neighbour", "resets", "fast_errors"]
+    for kind in kinds * 2:
+        trouble, instant = event(kind, 3.0 if kind == "slow" else 0.3, 1.0), random.uniform(0.0, 90.0)
+        at(instant, begin, machine, trouble)
+        at(instant + random.uniform(0.0, 20.0), end, machine, trouble)
+    for instant in (30.0, 60.0):
+        at(instant, machine.stop)
+        at(instant + 5.0, machine.start, True)
+    for i in range(1000):
+        at(random.uniform(0.0, 100.0), arrives, str(i))
+    ended = world.run(400.0)
+    assert not machine.held and machine.in_work == machine.waiting == 0
+    assert sorted(ident for _, ident in world.noted.of("ended")) == sorted(world.names)
+    assert len({name for _, name, _ in ended}) == len(ended) > 300
+    told = world.noted.of("worked")
+    assert len({ident for _, ident, _ in told}) == len(told)
+    assert sum(work for _, _, work in told) == pytest.approx(machine.work_done)
