--- a/tests/lab/test_machine.py
+++ b/tests/lab/test_machine.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from math import sqrt
+from random import Random
 from typing import Any
 
 import pytest
@@ -14,9 +15,7 @@
 from wheatring.lab.models.visit import Verdict, Visit
 from wheatring.lab.plan import ChokePlan, ClassPlan, EventKind, EventPlan
 
-SERVED, ERROR, AWAY, RESET, SPOILT = (
-    Verdict.SERVED, Verdict.ERROR, Verdict.AWAY, Verdict.RESET, Verdict.SPOILT,
-)  # fmt: skip
+SERVED, ERROR, AWAY, RESET = Verdict.SERVED, Verdict.ERROR, Verdict.AWAY, Verdict.RESET
 
 
 class Under:
@@ -191,10 +190,10 @@
 def test_a_machine_warms_evenly_and_no_longer_falls_once_warm() -> None:
     world = World(cores=1, slots=1, queue=0, cold_from=0.2, cold=20.0, cold_start=True, start=100.0)
     capacity = world.noted.of("node_up")[0][1]
-    assert capacity() == pytest.approx(0.2)
     world.send("a", 6.0)  # 0.2 t + 0.02 t^2 = 6
-    assert world.run(110.0) == [] and capacity() == pytest.approx(0.6)
-    assert [instant for instant, _, _ in world.run(114.0)] == [pytest.approx(113.027756)]
+    world.run(110.0)
+    assert capacity() == pytest.approx(0.6)
+    assert world.run(114.0) == [(113.027756, "a", SERVED)]
     world.send("b", 99.0)
     world.run(120.0)
     for _ in range(9):
@@ -292,18 +291,28 @@
     assert machine.connect() is not None
 
 
-def test_slowness_multiplies_and_each_end_takes_its_own_back() -> None:
+def test_troubles_overlap_and_outlive_the_process() -> None:
     world = World(cores=1)
-    two, three, other = event("slow", 2.0), event("slow", 3.0), event("slow", 2.0)
-    seen = []
-    for change, trouble in [
-        (begin, two), (begin, three), (begin, other), (end, two), (end, three), (end, other),
-    ]:  # fmt: skip
-        change(world.machine, trouble)
-        seen.append(round(1.0 / world.machine.capacity(), 9))
-    assert seen == [2, 6, 12, 6, 2, 1]
+    troubles = world.machine.troubles
+    events = [
+        event("slow", 2.0), event("slow", 3.0), event("refuse"), event("vanish"),
+        event("late_connects", 0.2), event("late_connects", 0.1),
+    ]  # fmt: skip
+    seen: list[Any] = []
+
+    def look() -> None:
+        slower = round(1.0 / world.machine.capacity(), 9)
+        seen.append((slower, troubles.refusing, troubles.silent, round(troubles.connect_delay, 9)))
+
+    for change in (begin, begin, end, end):
+        for each in events:
+            change(world.machine, each)
+        look()
+        world.machine.stop()
+        world.machine.start(cold=True)
+    assert seen == [(6, True, True, 0.3), (36, True, True, 0.6), (6, True, True, 0.3), (1, False, False, 0)]
     with pytest.raises(ValueError):
-        end(world.machine, two)
+        end(world.machine, events[0])
     with pytest.raises(ValueError, match="partition"):
         begin(world.machine, event("partition"))
 
@@ -340,7 +349,7 @@
     ("kind", "verdict", "both", "one", "works"),
     [
         ("fast_errors", ERROR, 0.65 + 0.35 * 0.1, 0.3 + 0.7 * 0.1, 0.0),
-        ("spoilt", SPOILT, 0.65 * 0.9, 0.3 * 0.9, 0.1),
+        ("spoilt", Verdict.SPOILT, 0.65 * 0.9, 0.3 * 0.9, 0.1),
         ("resets", RESET, 0.65, 0.3, 0.05),
     ],
 )
@@ -380,25 +389,40 @@
     assert seen == {each: pytest.approx(0.25, abs=0.05) for each in (0.3, 0.5, 0.6, 1.0)}
     end(world.machine, thief)
     end(world.machine, second)
-    assert world.machine.capacity() == 1.0 and not any(due.live for _, _, due in world.time.heap)
-
+    assert world.machine.capacity() == 1.0 and not world.time.pending()
 
-def test_what_attachments_ask_for_overlaps_and_outlives_the_process() -> None:
-    world = World()
-    troubles = world.machine.troubles
-    events = [event("refuse"), event("vanish"), event("late_connects", 0.2), event("late_connects", 0.1)]
 
-    def flags() -> Any:
-        return troubles.refusing, troubles.silent, round(troubles.connect_delay, 9)
+@pytest.mark.parametrize("seed", range(4))
+def test_whatever_happens_each_visit_ends_once_and_all_work_is_told(seed: int) -> None:
+    random = Random(seed)
 
-    for each in events * 2:
-        begin(world.machine, each)
-    world.machine.stop()
-    world.machine.start(cold=True)
-    assert flags() == (True, True, 0.6)
-    for each in events:
-        end(world.machine, each)
-    assert flags() == (True, True, 0.3)
-    for each in events:
-        end(world.machine, each)
-    assert flags() == (False, False, 0.0)
+    def below(visit: Visit, left: float, done: Callable[[bool], None]) -> None:
+        at(world.time.now() + 0.05, done, random.random() < 0.95)
+
+    def arrives(name: str) -> None:
+        visit = world.send(name, random.expovariate(5.0))
+        if random.random() < 0.2:
+            at(world.time.now() + random.random(), machine.abandoned, visit)
+
+    world = World(
+        cores=2, slots=8, queue=4, pause_every=1.0, pause=0.05, thrash=0.2, knee=6, error_rate=0.01,
+        cold_from=0.5, cold=9.0, tier={"choke": CHOKE, "conn_tax": 0.2}, calls=1.4, below=below,
+    )  # fmt: skip
+    machine, at = world.machine, world.time.at
+    kinds: list[EventKind] = ["slow", "hang", "neighbour", "resets", "fast_errors"]
+    for kind in kinds * 2:
+        trouble, instant = event(kind, 3.0 if kind == "slow" else 0.3, 1.0), random.uniform(0.0, 90.0)
+        at(instant, begin, machine, trouble)
+        at(instant + random.uniform(0.0, 20.0), end, machine, trouble)
+    for instant in (30.0, 60.0):
+        at(instant, machine.stop)
+        at(instant + 5.0, machine.start, True)
+    for i in range(1000):
+        at(random.uniform(0.0, 100.0), arrives, str(i))
+    ended = world.run(400.0)
+    assert not machine.held and machine.in_work == machine.waiting == 0
+    assert sorted(ident for _, ident in world.noted.of("ended")) == sorted(world.names)
+    assert len({name for _, name, _ in ended}) == len(ended) > 300
+    told = world.noted.of("worked")
+    assert len({ident for _, ident, _ in told}) == len(told)
+    assert sum(work for _, _, work in told) == pytest.approx(machine.work_done)
