Look up the decisions' enum members once, and reckon the gate's sums from lists

An enum member takes 0.2 us to look up under 3.11, nine of them a request, and a generator over the ready endpoints more than a list.

--- a/lapisway/policy.py
+++ b/lapisway/policy.py
@@ -27,8 +27,12 @@
 MAX_BACKOFF = 0.2
 MAX_TOKENS = 10.0
 TOKEN_RATIO = 0.1
+# Looked up once, not for each attempt: an enum takes its time.
+SERVED, TIMED_OUT, REJECTED = Outcome.SERVED, Outcome.TIMED_OUT, Outcome.REJECTED
+UNSAFE, KEYED = Effect.UNSAFE, Effect.KEYED
 # Failed connections are resent too, but outside the token count.
-RETRYABLE = (Outcome.ERROR, Outcome.REJECTED, Outcome.TIMED_OUT, Outcome.RESET)
+RETRYABLE = (Outcome.ERROR, REJECTED, TIMED_OUT, Outcome.RESET)
+UNMOVED = (TIMED_OUT, Outcome.CONNECT_FAILED, Outcome.CANCELLED, Outcome.NOT_SENT)  # no word from it
 
 NEAR = 5  # least size of the subset that a copy draws from
 SHARERS = 3  # and least number of copies that share an endpoint
@@ -179,8 +183,8 @@
         if self.settings.tier or not norm.base or not rate:
             return True
         # What an endpoint holds that is quiet while others answer is no queue for the calls that these get.
-        quiet = max((e.progress for e in self.ready), default=0.0) - request.cls.aim
-        in_flight = sum(e.in_flight for e in self.ready if e.progress > quiet)
+        quiet = max([e.progress for e in self.ready], default=0.0) - request.cls.aim
+        in_flight = sum([e.in_flight for e in self.ready if e.progress > quiet])
         calm = now - self.refused_at > 1
         if calm:
             self.usual += LEARN / 20 * (in_flight - self.usual)
@@ -217,13 +221,13 @@
             return
         timeout = left
         norm = request.norm
-        if request.cls.effect is not Effect.UNSAFE and norm.mean:
+        if request.cls.effect is not UNSAFE and norm.mean:
             # A silent endpoint never answers: give the attempt up while there is time for another.
             patience = norm.mean + PATIENCE * norm.deviation
             if patience + norm.mean < left and len(request.attempts) + 1 < self.max_attempts():
                 timeout = patience
         seen = tuple(
-            Drawn(e.entry.endpoint, e.in_flight, e.reported if e.reported_at else None) for e in drawn
+            [Drawn(e.entry.endpoint, e.in_flight, e.reported if e.reported_at else None) for e in drawn]
         )
         request.attempts.append(endpoint)
         request.sent_at = now
@@ -312,26 +316,26 @@
         endpoint.failing *= fade
         if event.report is not None:
             self.report(now, endpoint, event.report)
-        if outcome is Outcome.SERVED or outcome is Outcome.TIMED_OUT:
+        if outcome is SERVED or outcome is TIMED_OUT:
             if request.norm.mean:
                 ratio = min(event.latency / request.norm.mean, UNFIT)
                 endpoint.slowness += LEARN / 2 * (ratio - endpoint.slowness)
             if now - self.refused_at < 1:  # the gate is at work: is it too tight, or not enough?
-                late = event.latency > request.cls.aim or outcome is Outcome.TIMED_OUT
+                late = event.latency > request.cls.aim or outcome is TIMED_OUT
                 self.room = min(1.0, max(0.1, self.room + LEARN / 10 * (LATE - late)))
             request.norm.learn(event.latency)
             self.norm.learn(event.latency)
-        if outcome is Outcome.REJECTED:
+        if outcome is REJECTED:
             self.room = max(0.1, self.room - LEARN / 10 * (1 - LATE))  # full servers: no room for queues
-        if outcome is Outcome.SERVED:
+        if outcome is SERVED:
             self.tokens = min(MAX_TOKENS, self.tokens + TOKEN_RATIO)
             self.served = self.served * exp(self.served_at - now) + request.norm.base
             self.served_at = now
         elif outcome in RETRYABLE:
             self.tokens = max(0.0, self.tokens - 1)
-        if outcome not in (Outcome.TIMED_OUT, Outcome.CONNECT_FAILED, Outcome.CANCELLED, Outcome.NOT_SENT):
+        if outcome not in UNMOVED:
             endpoint.progress = now
-        endpoint.failing += LEARN * ((outcome is not Outcome.SERVED) - endpoint.failing)
+        endpoint.failing += LEARN * ((outcome is not SERVED) - endpoint.failing)
 
     def report(self, now: float, endpoint: Endpoint, report: LoadReport) -> None:
         held = report.in_flight if report.in_flight is not None else report.queue
@@ -345,14 +349,14 @@
         """The lighter of two random ready endpoints; wider draws only while no fit one has come up. Also
         all that were drawn."""
         pools = [self.near, self.near, self.ready, self.ready, self.ready]
-        if request.may_have_run and request.cls.effect is Effect.KEYED and request.cls.group is not Group.ALL:
+        if request.may_have_run and request.cls.effect is KEYED and request.cls.group is not Group.ALL:
             first = request.may_have_run[1].entry
             pools = [self.groups.get(first.cell if request.cls.group is Group.CELL else first.zone, [])] * 3
         best, least, seen = None, 0.0, {}
         for pool in pools:
             for drawn in self.draw(pool):
                 seen[drawn.entry.endpoint] = drawn
-                if self.warmth(now, drawn) < 1 and self.turns < drawn.turn:
+                if self.turns < drawn.turn and self.warmth(now, drawn) < 1:
                     continue
                 burden = self.burden(now, drawn)
                 if self.far and drawn.entry.zone != self.settings.zone:
