--- a/wheatring/core/driver.py
+++ b/wheatring/core/driver.py
@@ -10,6 +10,8 @@
 from wheatring.core.clock import Clock
 from wheatring.core.exchange import Answer, Claim, Exchange, Final, Job
 
+NOT_SENT = i.Outcome.NOT_SENT  # looked up once, not for each claim: an enum takes its time
+
 
 class MachineList(Protocol):
     """What the driver needs of discovery's client."""
@@ -97,16 +99,20 @@
             self.forget(job)
 
     def forget(self, job: Job) -> None:
-        if job.over and all(claim.outcome is not None for claim in job.claims):
-            self.jobs.pop(job.number, None)
-            job.claims.clear()  # or job and claims would hold each other until the collector comes
+        if not job.over:
+            return
+        for claim in job.claims:
+            if claim.outcome is None:
+                return
+        self.jobs.pop(job.number, None)
+        job.claims.clear()  # or job and claims would hold each other until the collector comes
 
     def carry_out(self, action: i.Action) -> None:
         match action:
             case i.Send(request, endpoint, timeout):
                 job = self.jobs[request]
                 claim = self.exchange.claim(job, endpoint, self.clock.now() + timeout)
-                if claim.outcome is i.Outcome.NOT_SENT:
+                if claim.outcome is NOT_SENT:
                     self.claim_ended(claim)
             case i.Refuse(request, retry_after):
                 self.answer(request, Answer(Final.REFUSED, retry_after=retry_after))
--- a/wheatring/core/exchange.py
+++ b/wheatring/core/exchange.py
@@ -22,6 +22,9 @@
     FAILED = "failed"
 
 
+SERVED = Outcome.SERVED, Final.SERVED  # looked up once, not for each job: an enum takes its time
+
+
 @dataclass(slots=True)
 class Answer:
     """The one final answer of a job."""
@@ -140,8 +143,9 @@
         if claim.late is not None:
             claim.late.cancel()
             claim.late = None
-        if outcome is Outcome.SERVED:
-            self.answer(claim.job, Answer(Final.SERVED, content))
+        served, final = SERVED
+        if outcome is served:
+            self.answer(claim.job, Answer(final, content))
         self.on_claim_ended(claim)
 
     # Its own
