Let a direct connect find whoever is at the address, as a follower may be

A node that replaces another comes to its address, and while the list still names the one that is gone, the wire's claims reach the follower; the exchange grain had them refused.

--- a/tests/lab/direct_world.py
+++ b/tests/lab/direct_world.py
@@ -168,8 +168,9 @@
         net = NetPlan(same=LINK, cross=LINK, client=LINK, jitter=0.0)
         self.links = DirectLinks(net, {}, self.time, Random(1))
         self.machine = Script("n")
-        tier = TierPlan(name="t", work=1.0, handshake_rtts=handshake_rtts, conn_idle=idle)
-        self.node = DirectNode(self.machine, "m", tier, self.time, self.links, book)
+        self.tier = TierPlan(name="t", work=1.0, handshake_rtts=handshake_rtts, conn_idle=idle)
+        self.node = DirectNode(self.machine, "m", self.tier, self.time, self.links, book)
+        self.nodes = {"m:1": self.node}
         self.registry = Registry()
         self.way = DirectWay(self.time, self.links, book, {"s": ("c", "h")})
         classes = tuple(RequestClass(e.value, 1.0, 2.0, 1.0, 1.0, effect=e, window=10.0) for e in EFFECTS)
@@ -183,7 +184,7 @@
         known = {"generation": 1, "instances": [self.listed()]}
         sidecar = DirectSidecar(
             "s", "h", self.settings, 7, known, timers=self.time, unix=lambda: 0.0, links=self.links,
-            nodes={"n": self.node}, registry=self.registry, discovery=("d", 1), book=self.book, way=self.way,
+            nodes=self.nodes, registry=self.registry, discovery=("d", 1), book=self.book, way=self.way,
         )  # fmt: skip
         ended = sidecar.exchange.on_claim_ended
 
--- a/tests/lab/test_direct.py
+++ b/tests/lab/test_direct.py
@@ -7,7 +7,8 @@
 import pytest
 
 from lapisway.interface import Outcome
-from tests.lab.direct_world import LINK, Answer, Listed, World
+from tests.lab.direct_world import LINK, Answer, Listed, Script, World
+from wheatring.lab.direct.node import DirectNode
 from wheatring.lab.models.visit import Verdict
 
 
@@ -166,6 +167,17 @@
     assert world.outcomes() == [Outcome.SERVED, Outcome.RESET] and len(world.machine.visits) == 1
 
 
+def test_a_connect_finds_whoever_is_at_the_address_by_now() -> None:
+    world = World()
+    world.machine.running = False
+    follower = Script("n.2")
+    follower.at_once = Verdict.SERVED
+    world.nodes["m:1"] = DirectNode(follower, "m", world.tier, world.time, world.links, world.book)
+    world.ask()
+    world.time.run(1.0)
+    assert world.replies == [("served", 0.0)] and world.book.all("sending")[0][1] == "n.2"
+
+
 def test_what_a_cut_holds_up_arrives_some_time_after_it() -> None:
     world = World()
     world.machine.at_once = Verdict.SERVED
--- a/wheatring/lab/direct/ground.py
+++ b/wheatring/lab/direct/ground.py
@@ -15,7 +15,7 @@
 from wheatring.lab.models.machine import Machine
 from wheatring.lab.models.visit import Below
 from wheatring.lab.plan import EventPlan, NodePlan
-from wheatring.lab.world.ground import CLIENTS, DISCOVERY, LINGER, host_of_side, side_hosts, zones
+from wheatring.lab.world.ground import CLIENTS, DISCOVERY, LINGER, PORT, host_of_side, side_hosts, zones
 
 if TYPE_CHECKING:
     from wheatring.lab.world.world import World
@@ -36,6 +36,7 @@
             {name: (callers.get(name, CLIENTS), host) for name, host in self.hosts.items()},
         )
         self.nodes: dict[str, DirectNode] = {}
+        self.listening: dict[str, DirectNode] = {}  # by address: a follower may come to that of one gone
         self.sidecars: dict[str, DirectSidecar] = {}
         self.steps: dict[str, float] = {}  # of hosts' clocks; "" for all of them
         self.registry: Registry
@@ -54,6 +55,7 @@
             self.nodes[node.name] = DirectNode(
                 machine, node.host, tier, self.time, self.links, self.world.book
             )
+        self.listening[f"{node.host}:{PORT}"] = self.nodes[node.name]
 
     def node_down(self, node: str) -> None:
         self.nodes[node].down()
@@ -77,7 +79,7 @@
             timers=self.time,
             unix=lambda: self.unix(host),
             links=self.links,
-            nodes=self.nodes,
+            nodes=self.listening,
             registry=self.registry,
             discovery=DISCOVERY,
             book=self.world.book,
--- a/wheatring/lab/direct/pool.py
+++ b/wheatring/lab/direct/pool.py
@@ -40,12 +40,13 @@
         "node_idle", "place", "pool", "reply_arrival", "visit", "way",
     )  # fmt: skip
 
-    def __init__(self, pool: DirectPool, place: Place, node: DirectNode, claim: Claim) -> None:
+    def __init__(self, pool: DirectPool, place: Place, claim: Claim) -> None:
         self.pool = pool
         self.place = place
-        self.node = node
-        self.way = pool.links.link(pool.host, node.host)
-        self.back = pool.links.link(node.host, pool.host)
+        self.node: DirectNode  # who took it at that address
+        there = place.address.rpartition(":")[0]
+        self.way = pool.links.link(pool.host, there)
+        self.back = pool.links.link(there, pool.host)
         self.first: Claim | None = claim  # for which it is made
         self.late: Timer | None = None  # while it comes up
         self.claim: Claim | None = None
@@ -66,7 +67,16 @@
         claim.drop = self.keep_on
         by = min(claim.give_up, pool.clock.now() + pool.connect_time)
         self.late = pool.clock.at(by, self.not_up)
-        self.way.send(0.0, self.node.knock, self)
+        self.way.send(0.0, self.knock)
+
+    def knock(self) -> None:
+        """The connect has arrived, whoever is at that address by now."""
+        node = self.pool.nodes.get(self.place.address)
+        if node is None:
+            self.back.send(0.0, self.refused)
+        else:
+            self.node = node
+            node.knock(self)
 
     def keep_on(self) -> None:
         """The claim is not wanted any more; the connection, once up, is kept for others."""
@@ -174,7 +184,10 @@
 
 
 class DirectPool:
-    """Starts claims, and keeps clean connections for the next ones; the last one used goes out first."""
+    """Starts claims, and keeps clean connections for the next ones; the last one used goes out first.
+
+    `nodes`: who listens, or did last, at each address as the machine list gives it (host:port).
+    """
 
     def __init__(
         self,
@@ -222,9 +235,8 @@
             log.line("too-many-connections", most=self.most)
             self.clock.at(self.clock.now(), self.exchange.end, claim, CONNECT_FAILED)
             return
-        line = Line(self, Place(claim.node, address), self.nodes[claim.node], claim)
         self.dialling += 1
-        line.dial()
+        Line(self, Place(claim.node, address), claim).dial()
 
     def keep(self, line: Line) -> None:
         line.idle_since = self.clock.now()
