Hold that a build under comparison runs its own code wherever it is called from

Without -P the folder that the command is called in came before the other build, and no test saw it: the tests were called from an empty folder. The test now stands in the checkout; without -P it fails.

--- a/tests/lab/test_study_commands.py
+++ b/tests/lab/test_study_commands.py
@@ -69,7 +69,7 @@
 
 
 def test_two_builds_are_compared_each_with_its_own_code(
-    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The stand-in's g follows a constant of the policy, which the other checkout has 0.05 higher."""
     root = Path(HERE.folder)
@@ -78,7 +78,9 @@
     (other / "wheatring").symlink_to(root / "wheatring")
     policy = other / "lapisway" / "policy.py"
     policy.write_text(policy.read_text().replace("\nLEARN = 0.2 ", "\nLEARN = 0.25 "))
-    words = ("compare", "calm", "--seeds", "1-4", "--figure", "latency.99")
+    monkeypatch.chdir(root)  # this checkout must not come first in the other's processes
+    store = str(tmp_path / "runs.sqlite")
+    words = ("compare", "calm", "--seeds", "1-4", "--figure", "latency.99", "--store", store)
     assert lab(*words, "--build-b", str(other), "--json") == 0
     told = json.loads(capsys.readouterr().out)
     g = told["differences"][0]
