--- a/wheatring/commands/lab_live.py
+++ b/wheatring/commands/lab_live.py
@@ -4,9 +4,9 @@
 
 import argparse
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from wheatring import address
 
@@ -59,34 +59,51 @@
     load.add_argument("--json", type=Path, metavar="FILE", help="write the whole result there")
 
 
-def _command(
-    commands: Commands, name: str, call: Callable[[argparse.Namespace], int], what: str
-) -> argparse.ArgumentParser:
+# Checks the words, which may raise ValueError, and gives what is then to be done: that gives the status.
+Prepare = Callable[[argparse.Namespace], Callable[[], int]]
+
+
+def _command(commands: Commands, name: str, prepare: Prepare, what: str) -> argparse.ArgumentParser:
     parser = commands.add_parser(name, help=what, description=what)
-    parser.set_defaults(call=lambda args: _guarded(call, args))
+    parser.set_defaults(call=lambda args: _guarded(prepare, args))
     return parser
 
 
-def _guarded(call: Callable[[argparse.Namespace], int], args: argparse.Namespace) -> int:
+def _guarded(prepare: Prepare, args: argparse.Namespace) -> int:
     try:
         from wheatring.lab.live.process import ProcessError
+
+        job = prepare(args)
     except ModuleNotFoundError as bad:
         print(f"wheatring: lab: needs what `pip install wheatring[lab]` installs: {bad}", file=sys.stderr)
         return 2
+    except ValueError as bad:
+        print(f"wheatring: lab: {bad}", file=sys.stderr)
+        return 2
     try:
-        return call(args)
-    except (ProcessError, ValueError) as bad:
+        return job()
+    except ProcessError as bad:
         print(f"wheatring: lab: {bad}", file=sys.stderr)
         return 2
     except KeyboardInterrupt:
         return 130  # as a shell tells it
 
 
-def _live(args: argparse.Namespace) -> int:
+def _progress(text: str) -> None:
+    print(text, file=sys.stderr, flush=True)
+
+
+def _written(found: Any, lines: Iterable[str], file: Path | None) -> None:
+    """What came of it: whole to a file, where one is told, and in short."""
     import msgspec
 
+    if file is not None:
+        file.write_bytes(msgspec.json.format(msgspec.json.encode(found), indent=1) + b"\n")
+    print("\n".join(lines))
+
+
+def _live(args: argparse.Namespace) -> Callable[[], int]:
     from wheatring.lab.live import scale
-    from wheatring.lab.live.play import play, shown
     from wheatring.lab.scenario.draw import draw
     from wheatring.lab.scenario.load import load
 
@@ -96,22 +113,25 @@
     if never and not args.leave_out:
         raise ValueError(f"{found.where}: can't be played on loopback: {', '.join(never)} (--leave-out)")
     plan = scale.scaled(scale.without(plan, never), args.scale)
-    outcome = play(plan, lambda text: print(text, file=sys.stderr, flush=True))
-    outcome.left_out = list(never)
-    if args.json is not None:
-        args.json.write_bytes(msgspec.json.format(msgspec.json.encode(outcome), indent=1) + b"\n")
-    print("\n".join(shown(outcome)))
-    return 1 if outcome.breach_count else 0
 
+    def job() -> int:
+        from wheatring.lab.live.play import play, shown
 
-def _bench(args: argparse.Namespace) -> int:
-    import msgspec
+        outcome = play(plan, _progress)
+        outcome.left_out = list(never)
+        _written(outcome, shown(outcome), args.json)
+        return 1 if outcome.breach_count else 0
 
+    return job
+
+
+def _bench(args: argparse.Namespace) -> Callable[[], int]:
     from wheatring.lab.live import cores
     from wheatring.lab.live.bench import run, table
 
-    _positive("--rounds", args.rounds)
-    _positive("--scale", args.scale)
+    for name in ("rounds", "scale", "body"):
+        _positive(f"--{name}", getattr(args, name))
+    told = cores.chosen(args.cores) if args.cores else None
     plain = run.Sizes()
     sizes = run.Sizes(
         rounds=args.rounds,
@@ -120,23 +140,27 @@
         open=plain.open * args.scale,
         body=args.body,
     )
-    on = cores.chosen(args.cores) if args.cores else cores.idlest()
-    report = run.run(on, sizes, lambda text: print(text, file=sys.stderr, flush=True))
-    if args.json is not None:
-        args.json.write_bytes(msgspec.json.format(msgspec.json.encode(report), indent=1) + b"\n")
-    print("\n".join(table.shown(report)))
-    return 0
 
+    def job() -> int:
+        report = run.run(told or cores.idlest(), sizes, _progress)
+        _written(report, table.shown(report), args.json)
+        return 0
+
+    return job
 
-def _load(args: argparse.Namespace) -> int:
-    import msgspec
 
+def _load(args: argparse.Namespace) -> Callable[[], int]:
     from wheatring.lab.live.load import Ask, Load, play, shown
     from wheatring.lab.live.process import Process, module
 
     for name in ("rate", "connections", "seconds", "patience"):
         _positive(f"--{name}", getattr(args, name))
-    host, port = address.parse(args.server)
+    if args.warm < 0:
+        raise ValueError("--warm: must be 0 or more")
+    try:
+        host, port = address.parse(args.server)
+    except ValueError as bad:
+        raise ValueError(f"server: {bad}") from None
     load = Load(
         host=host,
         port=port,
@@ -150,17 +174,22 @@
         seed=args.seed,
         asks=tuple(Ask(name=name, share=share) for name, share in map(_share, args.ask or ["menu-view"])),
     )
-    with Process("load", module("wheatring.lab.live.load")) as process:
-        result = play(process, load)
-    if args.json is not None:
-        args.json.write_bytes(msgspec.json.format(msgspec.json.encode(result), indent=1) + b"\n")
-    print("\n".join(shown(result)))
-    return 0 if result.valid else 1
+
+    def job() -> int:
+        with Process("load", module("wheatring.lab.live.load")) as process:
+            result = play(process, load)
+        _written(result, shown(result), args.json)
+        return 0 if result.valid else 1
+
+    return job
 
 
 def _share(text: str) -> tuple[str, float]:
     name, equals, share = text.partition("=")
-    value = float(share) if equals else 1.0
+    try:
+        value = float(share) if equals else 1.0
+    except ValueError:
+        raise ValueError(f"--ask {name}: not a number: {share!r}") from None
     _positive(f"--ask {name}", value)
     return name, value
 
--- a/wheatring/lab/live/cores.py
+++ b/wheatring/lab/live/cores.py
@@ -30,7 +30,7 @@
         numbers = []
     mine = sorted(os.sched_getaffinity(0))
     if len(numbers) != 3 or not set(numbers) <= set(mine):
-        raise ValueError(f"not three of the cores {','.join(map(str, mine))}: {text!r}")
+        raise ValueError(f"--cores: not three of the cores {','.join(map(str, mine))}: {text!r}")
     return Cores(*numbers)
 
 
--- a/wheatring/lab/live/play.py
+++ b/wheatring/lab/live/play.py
@@ -16,6 +16,7 @@
 from tempfile import TemporaryDirectory
 from typing import Any
 
+import msgspec
 from msgspec import field, structs
 from twisted.internet import reactor as installed
 from twisted.logger import globalLogBeginner
@@ -58,6 +59,7 @@
 
     watched: list[Watched] = field(default_factory=list)
     late_ms: float = 0.0
+    late_most_ms: float = 0.0
     left_out: list[str] = field(default_factory=list)  # kinds of events that were not played
 
 
@@ -98,6 +100,7 @@
         self.late = array("d")
         self.began = 0.0
         self.fault: BaseException | None = None
+        self.outcome: LiveOutcome | None = None
         self.over = False
 
     def random(self, name: str) -> Random:
@@ -117,9 +120,9 @@
             self.seats.end()
         if self.fault is not None:
             raise self.fault
-        if not self.over:
+        if self.outcome is None:
             raise KeyboardInterrupt
-        return self.outcome()
+        return self.outcome
 
     def begin(self) -> None:
         for node in self.plan.nodes:
@@ -174,7 +177,8 @@
             self.over = True
             if fault is None:
                 self.watch.look(self.clock.now())
-                self.ended = self.clock.now()
+                # Now: as the reactor stops, it ends connections, which is nobody's breach.
+                self.outcome = self.found()
             self.reactor.stop()
 
     def logged(self, event: Mapping[str, Any]) -> None:
@@ -185,15 +189,20 @@
 
     # What came of it
 
-    def outcome(self) -> LiveOutcome:
+    def found(self) -> LiveOutcome:
         held = {
             name: {"most_sockets": row.peak_descriptors}
             for name, row in self.watch.watched.items()
             if name in self.seats.seats
         }
-        found = self.book.finish(self.ended - self.began, held)
-        late = tally.part(array("d", sorted(self.late)), 0.99)
-        return LiveOutcome(**structs.asdict(found), watched=list(self.watch.watched.values()), late_ms=late)
+        found = self.book.finish(self.clock.now() - self.began, held)
+        outcome = LiveOutcome(
+            **structs.asdict(found),
+            watched=list(self.watch.watched.values()),
+            late_ms=tally.part(array("d", sorted(self.late)), 0.99),
+            late_most_ms=max(self.late, default=0.0) * 1000,
+        )
+        return msgspec.convert(msgspec.to_builtins(outcome), LiveOutcome)  # a copy: the book still writes
 
 
 def room_for(plan: Plan) -> None:
@@ -243,7 +252,8 @@
             f"{max(row.peak_mb for row in sidecars):.0f} MB and "
             f"{max(row.peak_descriptors for row in sidecars)} descriptors at most"
         )
-    yield f"the lab's own process was {outcome.late_ms:.1f} ms late at p99"
+    lab = sum(row.cpu_s for row in outcome.watched if row.name == LAB) / outcome.simulated_s
+    yield f"the lab's own process: CPU {lab:.3f} of a core, {outcome.late_ms:.1f} ms late at p99, {outcome.late_most_ms:.0f} at most"
     if outcome.late_ms > MOST_LATE:
         yield f"more than {MOST_LATE:.0f} ms: it was the limit, and latencies and breaches say little"
     if outcome.left_out:
