--- /dev/null
+++ b/wheatring/commands/lab_run.py
@@ -0,0 +1,108 @@
+"""`lab run`, `lab faults`: one run played and told; faults of our own planted and found.
+
+Nothing of the lab is imported before a command is called: the program starts without the lab's packages.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from wheatring.commands.lab_study import told
+
+if TYPE_CHECKING:
+    from wheatring.lab.outcome import Outcome
+
+    Commands = argparse._SubParsersAction[argparse.ArgumentParser]
+
+
+def add(commands: Commands) -> None:
+    what = "play one day in virtual time, and tell what came of it"
+    run = commands.add_parser("run", help=what, description=what)
+    run.add_argument("scenario", metavar="NAME|FILE", help="of the library, or a TOML file")
+    run.add_argument("--seed", type=int, default=1, metavar="N", help="of the draw (default: 1)")
+    run.add_argument("--grain", choices=("wire", "exchange"), default="wire", help="default: %(default)s")
+    run.add_argument("--trace", type=Path, metavar="FILE", help="write each event as a line there")
+    run.add_argument(
+        "--of", action="append", default=[], metavar="IDENT",
+        help="of the trace, only what belongs to this request and those of the same first try",
+    )  # fmt: skip
+    run.add_argument("--json", type=Path, metavar="FILE", help="write the outcome there")
+    run.add_argument(
+        "--set", action="append", default=[], metavar="KEY=VALUE", help="override a scenario's key"
+    )
+    run.add_argument(
+        "--patch", action="append", default=[], metavar="MODULE:NAME=VALUE",
+        help="override a constant of the sidecar",
+    )  # fmt: skip
+    run.add_argument("--plant", default="", metavar="FAULT", help="plant a fault in the sidecar's own code")
+    run.set_defaults(call=told(_run))
+
+    what = "plant faults in the sidecar's own code, one at a time, and see that each is found"
+    faults = commands.add_parser("faults", help=what, description=what)
+    faults.add_argument("names", nargs="*", metavar="FAULT", help="default: all")
+    faults.add_argument("--seeds", default="1-12", help="tried in turn until one finds it (default: 1-12)")
+    faults.add_argument("--workers", type=int, default=os.cpu_count() or 1, help="default: %(default)s")
+    faults.set_defaults(call=told(_faults))
+
+
+def _run(args: argparse.Namespace) -> int:
+    import msgspec
+
+    from wheatring.lab.study import asked, settings
+    from wheatring.lab.study.jobs import build_at
+
+    chosen = settings.with_fault(settings.one(args.set, args.patch), args.plant)
+    (job,) = asked.jobs(args.scenario, [args.seed], [args.grain], chosen, build_at())
+    settings.apply(chosen.patches)
+    from wheatring.lab.study import played
+
+    if args.trace is None:
+        outcome = played.play(job)
+    else:
+        with args.trace.open("w", encoding="utf-8") as file:
+            outcome = played.play_traced(job, file, args.of)
+    if args.json is not None:
+        args.json.write_bytes(msgspec.json.encode(outcome))
+    _show(outcome, f"{chosen.text()} " if chosen.text() else "")
+    return 1 if outcome.breach_count else 0
+
+
+def _show(outcome: Outcome, settings: str) -> None:
+    from wheatring.lab.rules.trace import replay_line
+
+    print(f"{outcome.scenario}, seed {outcome.seed}, {outcome.grain}: {outcome.requests} first tries")
+    print(
+        f"g {outcome.g:.4f}   service {outcome.service:.4f}   worst 10 s {outcome.worst_window:.4f}"
+        f"   worst class {outcome.worst_class:.4f}   waste {outcome.waste:.3f}"
+    )
+    for each in outcome.classes:
+        print(
+            f"  {each.name}: {each.asked} asked, {each.in_time} in time, {each.late} late, "
+            f"{each.refused} refused, {each.failed} failed, p50 {each.p50_ms:.0f}, p99 {each.p99_ms:.0f} ms"
+        )
+    for at, what in outcome.happened[:40]:
+        print(f"  {at:8.3f} s  {what}")
+    if len(outcome.happened) > 40:
+        print(f"  and {len(outcome.happened) - 40} more events")
+    speed = outcome.simulated_s / outcome.wall_s if outcome.wall_s else 0.0
+    print(f"{outcome.simulated_s:.1f} s played in {outcome.wall_s:.1f} s, {speed:.1f} times real time")
+    if not outcome.breach_count:
+        print("rules kept")
+        return
+    print(f"{outcome.breach_count} breaches of the rules")
+    for breach in outcome.breaches[:10]:
+        print(f"  {breach.at:8.3f} s  {breach.rule}: {breach.what}")
+    print(f"again, with a trace: {replay_line(outcome)} {settings}".rstrip())
+
+
+def _faults(args: argparse.Namespace) -> int:
+    from wheatring.lab.hunt import hunt
+    from wheatring.lab.study import StudyError
+    from wheatring.lab.study.jobs import seeds_of
+
+    if args.workers < 1:
+        raise StudyError(f"--workers {args.workers}: must be 1 or more")
+    return hunt(args.names, seeds_of(args.seeds), args.workers, print)
--- a/wheatring/commands/lab_study.py
+++ b/wheatring/commands/lab_study.py
@@ -43,6 +43,7 @@
         "--patch", action="append", default=[], metavar="MODULE:NAME=VALUE",
         help="override a constant of the sidecar",
     )  # fmt: skip
+    runs.add_argument("--plant", default="", metavar="FAULT", help="plant a fault in the sidecar's own code")
     runs.add_argument(
         "--store", type=Path, default=STORE, metavar="FILE", help="results (default: %(default)s)"
     )
@@ -58,7 +59,7 @@
 
     sweep = groups.add_parser("sweep", parents=[runs], help="play many runs and keep what they gave")
     sweep.add_argument("--fail-fast", action="store_true", help="end at the first breach of a rule")
-    sweep.set_defaults(call=_told(_sweep))
+    sweep.set_defaults(call=told(_sweep))
 
     compare = groups.add_parser("compare", parents=[runs], help="tell two sides apart, paired by seed")
     for side in ("a", "b"):
@@ -71,7 +72,7 @@
         "--figure", action="append", default=[], metavar="NAME",
         help="beside g and service, such as waste, latency.99 or counts.NAME",
     )  # fmt: skip
-    compare.set_defaults(call=_told(_compare))
+    compare.set_defaults(call=told(_compare))
 
     report = groups.add_parser("report", help="make a page of one run or of many")
     report.add_argument("file", type=Path, help="a store, or the outcome of one run as JSON")
@@ -82,14 +83,14 @@
     report.add_argument("--build", default="", help="as the store names it")
     report.add_argument("--set", action="append", default=[], metavar="KEY=VALUE")
     report.add_argument("--patch", action="append", default=[], metavar="MODULE:NAME=VALUE")
-    report.set_defaults(call=_told(_report))
+    report.set_defaults(call=told(_report))
 
 
-def _told(call: Call) -> Call:
+def told(call: Call) -> Call:
     """What can't be done is one line and status 2."""
 
     @wraps(call)
-    def told(args: argparse.Namespace) -> int:
+    def guarded(args: argparse.Namespace) -> int:
         try:
             from wheatring.lab.scenario.load import ScenarioError
             from wheatring.lab.study import StudyError
@@ -104,7 +105,7 @@
             print(f"wheatring: {bad}", file=sys.stderr)
         return 2
 
-    return told
+    return guarded
 
 
 def _jobs(args: argparse.Namespace, choices: list[Settings], build: Build) -> list[Job]:
@@ -145,7 +146,8 @@
     from wheatring.lab.study import settings, store, sweep
     from wheatring.lab.study.jobs import build_at
 
-    jobs = _jobs(args, settings.varied(args.set, args.patch), build_at())
+    choices = [settings.with_fault(each, args.plant) for each in settings.varied(args.set, args.patch)]
+    jobs = _jobs(args, choices, build_at())
     args.store.parent.mkdir(parents=True, exist_ok=True)
     with store.opened(args.store) as kept:
         swept = sweep.play(
@@ -167,7 +169,8 @@
     sides, labels = [], []
     for side in ("a", "b"):
         own = vars(args)
-        chosen = settings.one(args.set + own[f"set_{side}"], args.patch + own[f"patch_{side}"])
+        plain = settings.one(args.set + own[f"set_{side}"], args.patch + own[f"patch_{side}"])
+        chosen = settings.with_fault(plain, args.plant)
         folder = own[f"build_{side}"]
         sides.append(_jobs(args, [chosen], build_at(folder or HERE)))
         labels.append(chosen.label() + (f", build {folder}" if folder else ""))
--- a/wheatring/lab/live/play.py
+++ b/wheatring/lab/live/play.py
@@ -253,7 +253,10 @@
             f"{max(row.peak_descriptors for row in sidecars)} descriptors at most"
         )
     lab = sum(row.cpu_s for row in outcome.watched if row.name == LAB) / outcome.simulated_s
-    yield f"the lab's own process: CPU {lab:.3f} of a core, {outcome.late_ms:.1f} ms late at p99, {outcome.late_most_ms:.0f} at most"
+    yield (
+        f"the lab's own process: CPU {lab:.3f} of a core, {outcome.late_ms:.1f} ms late at p99, "
+        f"{outcome.late_most_ms:.0f} at most"
+    )
     if outcome.late_ms > MOST_LATE:
         yield f"more than {MOST_LATE:.0f} ms: it was the limit, and latencies and breaches say little"
     if outcome.left_out:
--- a/wheatring/lab/study/settings.py
+++ b/wheatring/lab/study/settings.py
@@ -5,15 +5,21 @@
 import shlex
 import tomllib
 from collections.abc import Iterable, Sequence
+from contextlib import ExitStack
 from importlib import import_module
 from itertools import product
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
+from wheatring.lab.faults import FAULTS, planted
 from wheatring.lab.study import StudyError
 
 PACKAGES = ("wheatring", "lapisway")  # a patch reaches nothing else
 
+_planted = ExitStack()  # for the life of the process
+
+PLANT = "plant"  # stands for a module's constant where a fault is planted instead
+
 Pairs = tuple[tuple[str, str], ...]
 
 
@@ -21,14 +27,14 @@
     """Names and values as they were written, in the names' order. Equal settings are equal texts."""
 
     sets: Pairs = ()  # scenario key, value
-    patches: Pairs = ()  # module:NAME, value
+    patches: Pairs = ()  # module:NAME, value; or PLANT, a planted fault's name
 
     def words(self) -> list[str]:
         """The options that give them."""
         found: list[str] = []
         for option, pairs in (("--set", self.sets), ("--patch", self.patches)):
             for name, value in pairs:
-                found += [option, f"{name}={value}"]
+                found += [f"--{PLANT}", value] if name == PLANT else [option, f"{name}={value}"]
         return found
 
     def text(self) -> str:
@@ -86,13 +92,27 @@
         return text
 
 
+def with_fault(settings: Settings, name: str) -> Settings:
+    """The same with a fault of `lab.faults` planted, where a name is given."""
+    if not name:
+        return settings
+    if name not in [fault.name for fault in FAULTS]:
+        known = ", ".join(fault.name for fault in FAULTS)
+        raise StudyError(f"--{PLANT} {name}: no such fault; there are {known}")
+    return structs.replace(settings, patches=((PLANT, name), *settings.patches))
+
+
 def apply(patches: Pairs) -> None:
-    """Set the constants in this process, for good: to be done before anything else has read them.
+    """Set the constants in this process, for good: to be done before anything else has read them. Planted
+    faults stay as well.
 
     What a module derives from a constant as it is imported (defaults of arguments, further constants of the
     same module) keeps the old value; what other modules import by name afterwards has the new one.
     """
     for name, text in patches:
+        if name == PLANT:
+            _planted.enter_context(planted(next(fault for fault in FAULTS if fault.name == text)))
+            continue
         where, colon, constant = name.partition(":")
         if not colon or not where or not constant:
             raise StudyError(f"--patch {name}: not MODULE:NAME")
--- a/wheatring/lab/world/world.py
+++ b/wheatring/lab/world/world.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import time as process_time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from random import Random
-from typing import Any
+from typing import Any, NamedTuple, TextIO
 
 from wheatring import log
 from wheatring.lab.models.clients import Clients
@@ -34,18 +34,26 @@
 SETTLE = 2.0  # seconds after the tail in which what was answered late has gone
 
 
+class Tracing(NamedTuple):
+    """A trace that is wanted: written to a file or only hashed, cut down to some requests or whole."""
+
+    file: TextIO | None = None
+    of: Sequence[str] = ()
+
+
 class World:
     """One plan at one grain. `play` may be called once."""
 
-    def __init__(self, plan: Plan, grain: str, trace: Trace | None = None) -> None:
+    def __init__(self, plan: Plan, grain: str, tracing: Tracing | None = None) -> None:
         self.plan = plan
         self.grain = grain
         ties = self.random("ties") if plan.net.shuffle else None
         self.time = VirtualTime(START, ties)
         self.day = START + LEAD
-        self.trace = trace
         self.origins = Origins(self.random("ids"))
-        self.book = Ledger(plan, grain, self.time.now, self.day, trace, self.origins.first)
+        family = self.origins.first
+        self.trace = None if tracing is None else Trace(self.day, tracing.file, tracing.of, family)
+        self.book = Ledger(plan, grain, self.time.now, self.day, self.trace, family)
         self.registry = Registry(plan.discovery, self.time, self.unix, self.random("discovery"), self.book)
         self.front = Front(self.time, self.random("front"), plan.front_notice)
         self.ground = self.make_ground()
@@ -216,6 +224,6 @@
             )
 
 
-def play(plan: Plan, grain: str, trace: Trace | None = None) -> Outcome:
+def play(plan: Plan, grain: str, tracing: Tracing | None = None) -> Outcome:
     """Play a plan at a grain, `wire` or `exchange`. The same plan gives the same outcome but for `wall_s`."""
-    return World(plan, grain, trace).play()
+    return World(plan, grain, tracing).play()
