Hold the virtual network against real loopback, faults, and random traffic

The lab is worth what its network is true to.

Mended on the way: a reset that is lost is answered anew when bytes come, and a call moved twice within a turn stands once in the list of calls.

--- /dev/null
+++ b/tests/lab/grounds.py
@@ -0,0 +1,189 @@
+"""Two grounds for the same Twisted protocols: real loopback, and the lab's network in virtual time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Any, TypeVar
+
+from twisted.internet import interfaces, protocol
+from twisted.internet import reactor as installed
+from twisted.internet.threads import blockingCallFromThread
+from twisted.python.failure import Failure
+from zope.interface import implementer  # type: ignore[import-untyped]
+
+from wheatring.lab.net import Network, VirtualTime
+from wheatring.lab.plan import NetPlan
+
+T = TypeVar("T")
+FAR = 30.0
+
+
+class Real:
+    """Loopback, on the installed reactor, which runs in a thread of its own."""
+
+    here: Any = installed
+    there: Any = installed
+    host = "127.0.0.1"
+
+    def run(self, call: Callable[[], T]) -> T:
+        done: T = blockingCallFromThread(installed, call)
+        return done
+
+    def until(self, met: Callable[[], object]) -> None:
+        """Let things happen until so."""
+        limit = self.here.seconds() + FAR
+        while not self.run(met):
+            assert self.here.seconds() < limit, "it never came"
+
+    def settle(self, log: list[Any], passes: int = 12) -> None:
+        """Let things happen until no more does."""
+        quiet = 0
+        while quiet < passes:
+            before = len(log)
+            self.run(lambda: None)
+            quiet = quiet + 1 if len(log) == before else 0
+
+
+class Virtual:
+    def __init__(self, seed: int = 1, ties: bool = False, **plan: Any) -> None:
+        self.time = VirtualTime(ties=Random(seed) if ties else None)
+        self.net = Network(self.time, NetPlan(**plan), Random(seed))
+        self.here = self.net.process("here", "127.0.0.2")
+        self.there = self.net.process("there", "127.0.0.3")
+        self.host = "127.0.0.3"
+
+    def run(self, call: Callable[[], T]) -> T:
+        done: T = self.here.run(call)
+        return done
+
+    def until(self, met: Callable[[], object]) -> None:
+        limit = self.time.now() + FAR
+        while not met():
+            assert self.time.step(limit), "it never came"
+
+    def settle(self, log: list[Any], passes: int = 0) -> None:
+        self.time.run(self.time.now() + 1.0)
+
+
+Ground = Real | Virtual
+
+
+class End(protocol.Protocol):
+    """Notes what it is told, in a log that it shares with others: who, what and details."""
+
+    transport: Any
+
+    def __init__(self, name: str, log: list[Any]) -> None:
+        self.name = name
+        self.log = log
+        self.got = b""
+        self.over = False
+
+    def note(self, *what: object) -> None:
+        self.log.append((self.name, *what))
+
+    def connectionMade(self) -> None:
+        self.note("made")
+        self.transport.setTcpNoDelay(True)  # else real sockets hold small writes back for a while
+
+    def dataReceived(self, data: bytes) -> None:
+        self.got += data
+        self.note("data after the end" if self.over else "data", data)
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
+        self.note("lost again" if self.over else "lost", type(reason.value).__name__)
+        self.over = True
+        self.transport.write(b"too late")
+
+
+@implementer(interfaces.IHalfCloseableProtocol)
+class HalfEnd(End):
+    def readConnectionLost(self) -> None:
+        self.note("read side over")
+
+    def writeConnectionLost(self) -> None:
+        self.note("write side over")
+
+
+class Factory(protocol.ClientFactory, protocol.ServerFactory):
+    """Builds one end after another with `build`, and keeps them."""
+
+    noisy = False
+
+    def __init__(self, name: str, log: list[Any], build: Callable[..., Any] = End) -> None:
+        self.name = name
+        self.log = log
+        self.build = build
+        self.ends: list[Any] = []
+
+    def buildProtocol(self, addr: Any) -> Any:
+        end = self.build(self.name, self.log)
+        if end is not None:
+            self.ends.append(end)
+        return end
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self.log.append((self.name, "failed", type(reason.value).__name__, connector.state))
+
+    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
+        self.log.append((self.name, "connector", type(reason.value).__name__, connector.state))
+
+
+def told(log: list[Any], name: str) -> list[Any]:
+    """What one end was told, its bytes in a row as one."""
+    found: list[Any] = []
+    for who, *what in log:
+        if who == name:
+            if found and what[0] == found[-1][0] == "data":
+                found[-1] = ["data", found[-1][1] + what[1]]
+            else:
+                found.append(what)
+    return found
+
+
+class Pair:
+    """Two ends of one connection, client and server."""
+
+    def __init__(
+        self, ground: Ground, client: Callable[..., Any] = End, server: Callable[..., Any] = End
+    ) -> None:
+        self.ground = ground
+        self.log: list[Any] = []
+        self.servers = Factory("server", self.log, server)
+        self.clients = Factory("client", self.log, client)
+        self.port = ground.run(lambda: ground.there.listenTCP(0, self.servers, interface=ground.host))
+        self.address = self.port.getHost()
+        self.connector = self.connect()
+        ground.until(lambda: self.servers.ends and self.clients.ends)
+
+    def connect(self) -> Any:
+        where = (self.ground.host, self.address.port, self.clients)
+        return self.ground.run(lambda: self.ground.here.connectTCP(*where, timeout=None))
+
+    @property
+    def client(self) -> Any:
+        return self.clients.ends[0]
+
+    @property
+    def server(self) -> Any:
+        return self.servers.ends[0]
+
+    def do(self, call: Callable[[], object]) -> None:
+        """Call in the reactor, and let it have its effect."""
+        self.ground.run(call)
+        self.ground.settle(self.log)
+
+    def told(self) -> tuple[list[Any], list[Any]]:
+        """What both ends were told. They are closed now."""
+
+        def close() -> None:
+            self.port.stopListening()
+            for end in [*self.clients.ends, *self.servers.ends]:
+                if not end.over:
+                    end.transport.abortConnection()
+
+        result = told(self.log, "client"), told(self.log, "server")
+        self.ground.run(close)
+        self.ground.settle(self.log)
+        return result
--- /dev/null
+++ b/tests/lab/test_net_time.py
@@ -0,0 +1,179 @@
+"""Virtual time and the calls of processes, against simple models of both."""
+
+from __future__ import annotations
+
+from functools import partial
+from math import inf
+from random import Random
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet.error import AlreadyCalled, AlreadyCancelled
+from twisted.internet.task import Clock
+
+from tests.lab.grounds import End, Pair, Virtual
+from wheatring.lab.net import Event, VirtualTime
+from wheatring.lab.net.time import Stuck
+
+DELAYS = st.sampled_from([-1.0, 0.0, 0.0, 0.01, 0.03125, 0.03125, 0.0625, 0.5, 3.0])
+# Calls as a tree: each is made after its delay, cancels one that was asked for before, and asks for others.
+CALLS: Any = st.recursive(
+    st.builds(lambda delay, drop: (delay, drop, []), DELAYS, st.integers(0, 12)),
+    lambda below: st.tuples(DELAYS, st.integers(0, 12), st.lists(below, max_size=4)),
+    max_leaves=25,
+)
+
+
+class Tree:
+    """Plays a tree of calls, and keeps what was made when and by whom."""
+
+    def __init__(self, time: VirtualTime) -> None:
+        self.time = time
+        self.asked: list[tuple[float, int]] = []  # for when, and by which
+        self.events: list[Event] = []
+        self.made: list[int] = []
+
+    def ask(self, call: Any, parent: int) -> None:
+        delay, drop, below = call
+        number = len(self.asked)
+        instant = self.time.now() + delay
+        self.asked.append((max(instant, self.time.now()), parent))
+        self.events.append(self.time.at(instant, self.make, number, drop, below))
+
+    def make(self, number: int, drop: int, below: Any) -> None:
+        assert self.time.now() == self.asked[number][0] and not self.events[number].active()
+        self.made.append(number)
+        if drop < len(self.events) and self.events[drop].active():
+            self.events[drop].cancel()
+            self.asked[drop] = (inf, -1)
+        for call in below:
+            self.ask(call, number)
+
+
+@given(st.lists(CALLS, max_size=6), st.booleans(), st.booleans())
+def test_calls_come_at_their_instant_in_the_order_asked_for_or_drawn(
+    calls: Any, shuffled: bool, stepped: bool
+) -> None:
+    tree = Tree(VirtualTime(ties=Random(1) if shuffled else None))
+    for call in calls:
+        tree.ask(call, -1)
+    if stepped:
+        while tree.time.step():
+            pass
+    else:
+        tree.time.run(1001.0)
+        tree.time.run(2000.0)
+    order = [(instant, number) for number, (instant, _) in enumerate(tree.asked) if instant < inf]
+    if shuffled:
+        assert sorted(tree.made) == sorted(number for _, number in order)
+        assert [tree.asked[n][0] for n in tree.made] == sorted(instant for instant, _ in order)
+        place = {number: n for n, number in enumerate(tree.made)}
+        assert all(place[n] > place.get(tree.asked[n][1], -1) for n in tree.made)
+    else:
+        assert tree.made == [number for _, number in sorted(order)]
+    assert tree.time.events == len(tree.made) and not tree.time.pending()
+
+
+def test_an_order_drawn_is_drawn_from_all_and_the_same_for_a_seed() -> None:
+    def order(seed: int) -> tuple[int, ...]:
+        made: list[int] = []
+        time = VirtualTime(ties=Random(seed))
+        for number in range(4):
+            time.at(1000.5, made.append, number)
+        time.run(1001.0)
+        return tuple(made)
+
+    orders = [order(seed) for seed in range(200)]
+    assert len(set(orders)) == 24
+    assert orders == [order(seed) for seed in range(200)]
+
+
+def test_an_instant_without_end_is_named(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(VirtualTime, "MOST_AT_ONCE", 1000)
+    monkeypatch.setattr(VirtualTime, "LOOK", 100)
+    ground = Virtual()
+
+    def again() -> None:
+        ground.here.callLater(0, again)
+
+    ground.here.callLater(1.5, again)
+    with pytest.raises(Stuck, match=r"1000 events at 1001.500000 s .* Process._turn of here"):
+        ground.time.run(1002.0)
+
+
+def test_what_an_event_raises_comes_out_and_time_can_go_on() -> None:
+    made: list[int] = []
+    time = VirtualTime()
+    time.at(1001.0, int, "x")
+    time.at(1001.0, made.append, 1)
+    with pytest.raises(ValueError, match="invalid literal"):
+        time.run(1002.0)
+    time.run(1001.0)
+    assert (made, time.now()) == ([1], 1001.0)
+
+
+@given(st.lists(st.tuples(st.sampled_from(["call", "cancel", "reset", "delay", "run"]), st.integers(0, 5),
+                          st.sampled_from([0.0, 0.25, 1.0, 2.5]))))  # fmt: skip
+def test_calls_put_off_are_cancelled_and_moved_as_by_twisted(script: list[tuple[str, int, float]]) -> None:
+    ground, clock = Virtual(), Clock()
+    ours: list[Any] = []
+    theirs: list[Any] = []
+
+    def play(calls: list[Any], reactor: Any, made: list[Any], pass_time: Any) -> list[Any]:
+        told: list[Any] = []
+        for what, which, seconds in script:
+            if what == "run":
+                pass_time(seconds)
+            elif what == "call":
+                number = len(calls)
+                calls.append(reactor.callLater(seconds, lambda n=number: made.append((reactor.seconds(), n))))
+            elif which < len(calls):
+                try:
+                    getattr(calls[which], what)(*([seconds] if what != "cancel" else []))
+                except (AlreadyCalled, AlreadyCancelled) as refused:
+                    told.append(type(refused))
+        told.append([call.active() for call in calls])
+        told.append(sorted(call.getTime() for call in reactor.getDelayedCalls()))
+        return told
+
+    start = ground.time.now()
+    made_here: list[Any] = []
+    made_there: list[Any] = []
+    told = play(ours, ground.here, made_here, lambda seconds: ground.time.run(ground.time.now() + seconds))
+    clock.rightNow = start
+    assert told == play(theirs, clock, made_there, lambda s: clock.pump([0.0] + [0.25] * int(s * 4)))
+    assert sorted(made_here) == sorted(made_there)
+
+
+def test_nothing_of_a_dead_process_is_ever_run_not_even_in_the_turn_in_which_it_died() -> None:
+    ground = Virtual()
+    made: list[Any] = []
+    process = ground.here
+    for delay in (0, 0, 0.5, 1.0):
+        process.callLater(delay, lambda: made.append(ground.time.running))
+    process.callLater(0, process.kill)
+    process.callLater(0, made.append, "too late")
+    ground.there.callLater(2.0, lambda: made.append(ground.time.running))
+    ground.time.run(1005.0)
+    assert made == [process, process, ground.there]
+    assert ground.time.running is None and not process.alive
+
+
+def test_nothing_more_is_read_once_the_first_of_two_readers_has_killed_their_process() -> None:
+    class Killer(End):
+        def dataReceived(self, data: bytes) -> None:
+            super().dataReceived(data)
+            ground.there.kill()
+
+    pair = Pair(ground := Virtual(), server=Killer)
+    pair.connect()
+    ground.settle([])
+    for end in pair.servers.ends:
+        end.transport.pauseProducing()
+    for end in pair.clients.ends:
+        pair.do(partial(end.transport.write, b"x"))
+    ground.there.run(lambda: [end.transport.resumeProducing() for end in pair.servers.ends])
+    ground.settle([])
+    assert [what for who, what, *_ in pair.log if who == "server"] == ["made", "made", "data"]
--- a/wheatring/lab/net/links.py
+++ b/wheatring/lab/net/links.py
@@ -151,12 +151,13 @@
         time.post(arrival, self.arrive)
 
     def reset(self) -> None:
-        """Break it off: what is on the wire still arrives, and then the reset, if that is not lost."""
+        """Break it off: what is on the wire still arrives, and then the reset. One that is lost is not sent
+        again, but bytes from the other end bring about another."""
         if not self.over:
             self.lose()
             if not self.link.silent:
                 self.put(RST)
-            self.over = True
+                self.over = True
 
     def wait(self) -> None:
         """Wake the sender once there is room."""
--- a/wheatring/lab/net/process.py
+++ b/wheatring/lab/net/process.py
@@ -71,6 +71,8 @@
     def _move(self, instant: float) -> None:
         if self.event is not None:
             self.event.cancel()
+        elif self in self.process.soon:
+            self.process.soon.remove(self)
         self.time = instant
         self.process.put(self)
 
@@ -102,7 +104,7 @@
         self.on_stop: Callable[[], None] | None = None  # called as it stops, while all that is left is there
         self.descriptors: dict[Socket, None] = {}
         self.number = count(3).__next__
-        self._soon: list[Delayed] = []
+        self.soon: list[Delayed] = []
         self._ready: list[Any] = []
         self._turning = False
 
@@ -134,12 +136,12 @@
         else:
             delayed.state = SOON
             delayed.event = None
-            self._soon.append(delayed)
+            self.soon.append(delayed)
             self._turn_soon()
 
     def getDelayedCalls(self) -> list[Delayed]:
         """Those not yet called, in their order."""
-        soon = [d for d in self._soon if d.state == SOON]
+        soon = [d for d in self.soon if d.state == SOON]
         waiting = [event[1][0] for event in self.time.pending() if event[0] == self._due]
         return soon + waiting
 
@@ -173,8 +175,8 @@
 
     def _turn(self) -> None:
         self._turning = False
-        if self._soon:
-            soon, self._soon = self._soon, []
+        if self.soon:
+            soon, self.soon = self.soon, []
             for delayed in soon:
                 if delayed.state == SOON:
                     self._due(delayed)
@@ -300,7 +302,7 @@
         were unread; what was sent is delivered first, and what it sends later is answered with a reset."""
         if self.alive:
             self.alive = False
-            self._soon.clear()
+            self.soon.clear()
             self._ready.clear()
             for socket in list(self.descriptors):
                 socket.close()
