--- a/tests/lab/test_wire_peers.py
+++ b/tests/lab/test_wire_peers.py
@@ -30,6 +30,7 @@
 from wheatring.core.clock import Clock
 from wheatring.lab.models.discovery import Registry
 from wheatring.lab.models.visit import Verdict
+from wheatring.lab.net.transports import Transport
 from wheatring.lab.origins import Origin, Origins
 from wheatring.lab.plan import DiscoveryPlan
 from wheatring.lab.wire.caller import Caller
@@ -135,6 +136,18 @@
     assert not field.book.of("untaken")
 
 
+def test_where_no_network_tells_a_kept_connection_that_ends_without_a_byte_has_it_sent_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Transport, "peer_read", None)
+    field = Field()
+    field.serve(says(OK), says(b"", "abortConnection"))
+    field.ask(run=1.0)
+    field.lines[0].got = says(b"", "abortConnection")
+    field.ask(run=1.0)  # once on the kept one, and once more
+    assert [entry[0] for entry in field.book.log[2:]] == ["taken", "untaken", "taken", "lost"]
+
+
 def test_a_sidecar_that_reads_nothing_gets_it_twice_and_one_that_is_not_there_not_at_all() -> None:
     field = Field()
     field.ask("nobody", run=1.0)
--- a/wheatring/lab/wire/http.py
+++ b/wheatring/lab/wire/http.py
@@ -120,11 +120,7 @@
             raise Malformed("a byte that no head has")
         fields: dict[bytes, bytes] = {}
         names = _names
-        first = True
-        for line in lines:
-            if first:
-                first = False
-                continue
+        for line in lines[1:]:
             written, colon, value = line.partition(b":")
             name = names.get(written) or _name(written)
             if not colon or name in fields:
