--- a/wheatring/lab/rules/__init__.py
+++ b/wheatring/lab/rules/__init__.py
@@ -3,7 +3,7 @@
 `Ledger` is the book; `Trace` writes or hashes every event. Each rule has a module that can be read alone:
 `answers` (the first, and what is served), `duplicates` (the second), `drains` (the third), `cold` (the
 fourth), `bounds`; `links` says what the rules allow for links. May import the lab's `plan`, `book` and
-`outcome`, and nothing of models, attachments or the sidecar.
+`outcome`, of the models only the pure `cold`, and nothing of attachments or the sidecar.
 """
 
 from wheatring.lab.rules.breaches import MisuseError
--- a/wheatring/lab/rules/drains.py
+++ b/wheatring/lab/rules/drains.py
@@ -13,6 +13,7 @@
 
 from wheatring.lab.book import NodeState
 from wheatring.lab.plan import Plan
+from wheatring.lab.rules.links import Links
 
 AFTER_WAIT = 2.0
 AFTER_FAILURE = 4
@@ -48,7 +49,8 @@
 
 
 class Drains:
-    def __init__(self, plan: Plan) -> None:
+    def __init__(self, plan: Plan, links: Links) -> None:
+        self.links = links
         self.rules = plan.rules
         self.must_ask = plan.discovery.must_ask
         self.tier_of = {node.name: node.tier for node in plan.nodes}
@@ -137,7 +139,9 @@
                 ear.pending[node] = left
             else:
                 del ear.pending[node]
-        self._hear(ear, node, change, at)
+        # What was written into a cut has not come: it counts as told as if it had never been written.
+        cut = self.links.cut(sidecar, at, at)
+        self._hear(ear, node, change, self._counts_from(ear, change) if cut else at)
 
     def _hear(self, ear: Ear, node: str, change: Change, at: float) -> None:
         ear.heard[node] = change
