--- a/tests/lab/test_net_time.py
+++ b/tests/lab/test_net_time.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 from twisted.internet.error import AlreadyCalled, AlreadyCancelled
 from twisted.internet.task import Clock
@@ -53,6 +53,7 @@
 
 
 @given(st.lists(CALLS, max_size=6), st.booleans(), st.booleans())
+@example([(0.0625, 12, []), (0.03125, 12, [(0.03125, 12, [])])], False, False)
 def test_calls_come_at_their_instant_in_the_order_asked_for_or_drawn(
     calls: Any, shuffled: bool, stepped: bool
 ) -> None:
@@ -172,8 +173,8 @@
     ground.settle([])
     for end in pair.servers.ends:
         end.transport.pauseProducing()
-    for end in pair.clients.ends:
-        pair.do(partial(end.transport.write, b"x"))
+    pair.do(partial(pair.clients.ends[0].transport.write, b"x"))
+    pair.do(pair.clients.ends[1].transport.loseConnection)
     ground.there.run(lambda: [end.transport.resumeProducing() for end in pair.servers.ends])
     ground.settle([])
     assert [what for who, what, *_ in pair.log if who == "server"] == ["made", "made", "data"]
--- a/wheatring/lab/net/process.py
+++ b/wheatring/lab/net/process.py
@@ -224,7 +224,7 @@
             self._disconnectSelectable(watcher, why, in_read)  # type: ignore[no-untyped-call]
         if watcher.reading and socket.readable():
             self.queue(watcher)
-        elif watcher.writing:
+        elif watcher.writing and not watcher.queued:
             self.want(watcher)
         self.time.running = None
 
