Draw each call's work anew, and count what a node holds when it chokes

Change: a call draws its own size. A machine chokes by what it holds beyond its cores, and is well again after a while in which its cores were mostly idle.

--- a/wheatring/lab/direct/ground.py
+++ b/wheatring/lab/direct/ground.py
@@ -47,7 +47,9 @@
     # Nodes
 
     def below(self, node: NodePlan) -> Below:
-        return Calls(node.name, lambda: self.way, self.world.origins, self.time, LINGER)
+        return Calls(
+            node.name, lambda: self.way, self.world.origins, self.world.sizes(node), self.time, LINGER
+        )
 
     def node_up(self, node: NodePlan, machine: Machine) -> None:
         if node.name not in self.nodes:
--- a/wheatring/lab/live/nodes.py
+++ b/wheatring/lab/live/nodes.py
@@ -18,6 +18,7 @@
 from wheatring.lab.models.discovery import Listed, Registry
 from wheatring.lab.models.effects import Effects
 from wheatring.lab.models.machine import Machine
+from wheatring.lab.models.traffic import sizes
 from wheatring.lab.origins import Origins
 from wheatring.lab.plan import EventPlan, NodePlan, Plan
 from wheatring.lab.wire.caller import Caller
@@ -78,7 +79,10 @@
         plan, tier = self.plan, self.plan.tiers[node.tier]
         calls, mean = None, 0.0
         if node.tier + 1 < len(plan.tiers):
-            calls = Calls(node.name, partial(self.ways.get, node.name), self.origins, self.clock, LINGER)
+            drawn = Random(f"{plan.seed}:calls:{node.name}")
+            draws = [sizes(drawn, each) for each in plan.classes]
+            way = partial(self.ways.get, node.name)
+            calls = Calls(node.name, way, self.origins, draws, self.clock, LINGER)
             mean = plan.tiers[node.tier + 1].calls
         machine = Machine(
             node, tier, node.tier, plan.classes, self.clock, Random(f"{plan.seed}:node:{node.name}"),
--- a/wheatring/lab/models/pace.py
+++ b/wheatring/lab/models/pace.py
@@ -49,8 +49,8 @@
             self.pauses = Pauses(timers, kind, pauses, self._busy, self.changed)
         self.choke: Choke | None = None
         if tier.choke is not None:
-            self.choke = Choke(timers, tier.choke, kind.cores, self._turned)
-            cpu.watch = self.choke.watch
+            choke = self.choke = Choke(timers, tier.choke, kind.cores, self._turned)
+            cpu.watch = lambda wanting: choke.watch(len(held), wanting)
 
     def start(self) -> None:
         if self.pauses is not None:
--- a/wheatring/lab/origins.py
+++ b/wheatring/lab/origins.py
@@ -9,9 +9,10 @@
 
 
 class Origin:
-    """One first try of a client, shared by its retries and by all calls below it.
+    """One first try of a client, shared by its retries; or one call of a node for it, of a size of its own.
 
-    `size` is its work in seconds on a standard core, `key` its idempotency key ("" where its class is safe).
+    `size` is its work in seconds on a standard core, `key` the first try's idempotency key ("" where its
+    class is safe).
     """
 
     __slots__ = ("class_index", "first", "key", "size")
--- a/wheatring/lab/scenario/schema.py
+++ b/wheatring/lab/scenario/schema.py
@@ -107,7 +107,7 @@
     over: Span
     slower: Factor
     rest: Span
-    below: Positive
+    below: Part
     most: Span
     price: Part = 0.0
 
--- a/wheatring/lab/wire/ground.py
+++ b/wheatring/lab/wire/ground.py
@@ -82,7 +82,14 @@
     # Nodes
 
     def below(self, node: NodePlan) -> Below:
-        return Calls(node.name, lambda: self.callers.get(node.name), self.world.origins, self.time, LINGER)
+        return Calls(
+            node.name,
+            lambda: self.callers.get(node.name),
+            self.world.origins,
+            self.world.sizes(node),
+            self.time,
+            LINGER,
+        )
 
     def node_up(self, node: NodePlan, machine: Machine) -> None:
         process = self.processes[node.name] = self.net.process(f"node {node.name}", node.host)
--- a/wheatring/lab/world/world.py
+++ b/wheatring/lab/world/world.py
@@ -13,6 +13,7 @@
 from wheatring.lab.models.effects import Effects
 from wheatring.lab.models.front import Front
 from wheatring.lab.models.machine import Machine
+from wheatring.lab.models.traffic import Draw, sizes
 from wheatring.lab.net.time import VirtualTime
 from wheatring.lab.origins import Origins
 from wheatring.lab.outcome import Outcome
@@ -76,6 +77,11 @@
         """Random numbers of this world that hang on nothing but the plan's seed and a name."""
         return Random(f"{self.plan.seed}:{name}")
 
+    def sizes(self, node: NodePlan) -> list[Draw]:
+        """Draws of the work of a node's calls, by class."""
+        random = self.random(f"calls:{node.name}")
+        return [sizes(random, each) for each in self.plan.classes]
+
     def unix(self) -> float:
         return self.plan.epoch + self.time.now() - START
 
