--- a/tests/lab/test_rules.py
+++ b/tests/lab/test_rules.py
@@ -111,7 +111,7 @@
 @breaks("answer", events=(CUT,))
 def cut_off(desk: Desk, wrong: bool) -> None:
     sidecar = "front0" if wrong else "lb"
-    desk.book.taken(sidecar, "r", 0, "", START + 6)
+    desk.at(12).book.taken(sidecar, "r", 0, "", START + 18)  # what was lost has yet to be sent again
     desk.at(19.4).book.answered(sidecar, "r", "failed", "", 0.0)
 
 
@@ -321,7 +321,7 @@
 
 @breaks("cold")
 def too_much_from_those_that_know(desk: Desk, wrong: bool) -> None:
-    early = [(2.5, "knows", 0.9)]
+    early = [(2.5, "knows", 3.0)]  # out of the window
     cold(desk, *early, *[(at, "knows" if wrong else "lb", 0.4) for at in (3.6, 3.7, 3.8)])
 
 
