Play the socket stories on loopback and in virtual time alike

World takes a ground: Loopback as before, or Virtual, where peers and callers are sockets of the lab whose calls let virtual time pass until they can end. All stories of sockets, drills, tokens and captures that build a world run on both, with no change but for where the reactor's calls are read; none is left on one ground only. In virtual time what falls on one instant comes in a drawn order.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,7 +10,8 @@
 
 from lapisway import interface as i
 from lapisway.policy import Balancer
-from tests.world import NO_OPERATORS, World, reactor
+from tests.virtual import Virtual
+from tests.world import NO_OPERATORS, Loopback, World
 from wheatring import log
 from wheatring.operators import Operators
 
@@ -84,6 +85,7 @@
 
 @pytest.fixture(scope="session")
 def running() -> Iterator[None]:
+    reactor = Loopback.reactor
     thread = threading.Thread(target=reactor.run, kwargs={"installSignalHandlers": False})
     thread.start()
     yield
@@ -91,13 +93,18 @@
     thread.join()
 
 
-@pytest.fixture
-def make(running: None, monkeypatch: pytest.MonkeyPatch) -> Iterator[Callable[..., World]]:
+@pytest.fixture(params=["loopback", "virtual"])
+def make(request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch) -> Iterator[Callable[..., World]]:
+    """Builds worlds. What is told of them must be so on both grounds."""
+    ground: Callable[[], Loopback | Virtual] = Virtual
+    if request.param == "loopback":
+        request.getfixturevalue("running")
+        ground = Loopback
     monkeypatch.setattr(log, "line", log.line)  # the world sets its own; this puts the real one back
     worlds: list[World] = []
 
     def build(nodes: int = 1, operators: Operators = NO_OPERATORS, capture: bool = False) -> World:
-        worlds.append(World(nodes, operators, capture))
+        worlds.append(World(ground(), nodes, operators, capture))
         return worlds[-1]
 
     yield build
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -14,7 +14,7 @@
 import pytest
 
 from tests.test_process import begin, until
-from tests.world import FAR, Wire, World, reactor
+from tests.world import FAR, Wire, World
 from wheatring import operators
 from wheatring.__main__ import main
 from wheatring.ops import drills
@@ -90,7 +90,7 @@
     world.logged("caller-connection")
     assert world.run(lambda: world.sidecar.exchange.open) == 0
     release = world.sidecar.drills.release if world.sidecar.drills else None
-    assert release not in [call.func for call in world.run(reactor.getDelayedCalls)]
+    assert release not in [call.func for call in world.run(world.reactor.getDelayedCalls)]
     assert seen == []  # the module never heard of it
 
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -9,7 +9,7 @@
 import pytest
 
 from lapisway import interface as i
-from tests.world import World, entry, list_body, reactor
+from tests.world import World, entry, list_body
 from wheatring.core.exchange import Job
 from wheatring.http1 import client, server
 from wheatring.http1.parser import Request
@@ -386,7 +386,7 @@
     other = world.nodes[0].accept()
     other.read()  # it had its turn though nobody had left
     assert world.run(lambda: len(world.sidecar.server.connections)) <= world.sidecar.server.most
-    looks = [c for c in world.run(reactor.getDelayedCalls) if c.func == world.sidecar.server.clear]
+    looks = [c for c in world.run(world.reactor.getDelayedCalls) if c.func == world.sidecar.server.clear]
     assert len(looks) <= 1
     for wire, caller in ((node, busy), (other, late)):
         wire.answer(200, b"here")
--- /dev/null
+++ b/tests/virtual.py
@@ -0,0 +1,92 @@
+"""The stories' ground in virtual time: sockets of the lab whose calls let time pass until they can end."""
+
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Callable
+from random import Random
+from typing import Any, TypeVar
+
+from wheatring.lab.net import Network, VirtualTime
+from wheatring.lab.net.sockets import Socket
+from wheatring.lab.plan import NetPlan
+
+T = TypeVar("T")
+FAR = 30.0
+HOST = "127.0.0.1"
+
+
+class Blocking:
+    """The part of `socket.socket` that the stories use, with the same errors."""
+
+    def __init__(self, ground: Virtual, socket: Socket) -> None:
+        self.ground = ground
+        self.socket = socket
+        self.setsockopt = socket.setsockopt
+        self.getsockname = socket.getsockname
+        self.close = socket.close
+
+    def settimeout(self, seconds: float) -> None:
+        """Each call has the same far limit."""
+
+    def recv(self, size: int) -> bytes:
+        self.ground.until(self.socket.readable)
+        return self.socket.recv(size)
+
+    def sendall(self, data: bytes) -> None:
+        while data:
+            self.ground.until(self.socket.writable)
+            data = data[self.socket.send(data) :]
+
+    def accept(self) -> tuple[Blocking, Any]:
+        self.ground.until(self.socket.readable)
+        accepted, address = self.socket.accept()
+        return Blocking(self.ground, accepted), address
+
+
+class Virtual:
+    """A sidecar and its peers, two programs on one host. What falls on one instant comes in a drawn order."""
+
+    def __init__(self) -> None:
+        self.time = VirtualTime(ties=Random(1))
+        self.net = Network(self.time, NetPlan(), Random(1), epoch=time.time())
+        self.reactor = self.net.process("sidecar", HOST)
+        self.story = self.net.process("story", HOST)
+        self.unix = self.reactor.unix
+
+    def run(self, call: Callable[[], T]) -> T:
+        done: T = self.reactor.run(call)
+        return done
+
+    def until(self, met: Callable[[], object]) -> None:
+        limit = self.time.now() + FAR
+        while not met():
+            assert self.time.step(limit), "it never came"
+
+    def settle(self) -> None:
+        self.time.run(self.time.now() + 0.01)
+
+    def listen(self) -> Any:
+        socket = self._socket()
+        socket.bind((HOST, 0))
+        socket.listen(128)
+        return Blocking(self, socket)
+
+    def connect(self, port: int) -> Any:
+        socket = self._socket()
+        socket.connect_ex((HOST, port))
+        self.until(lambda: socket.broken or socket.writable())
+        if socket.error:
+            raise OSError(socket.error, os.strerror(socket.error))
+        return Blocking(self, socket)
+
+    def ready(self, listeners: list[Any]) -> int:
+        """Which of them somebody waits at, once somebody does."""
+        self.until(lambda: any(listener.socket.queue for listener in listeners))
+        return [bool(listener.socket.queue) for listener in listeners].index(True)
+
+    def _socket(self) -> Socket:
+        socket = Socket(self.story)
+        self.story.opened(socket)
+        return socket
--- a/tests/world.py
+++ b/tests/world.py
@@ -1,7 +1,8 @@
-"""The shared helper of the stories: a sidecar on loopback sockets, amid peers that follow a script.
+"""The shared helper of the stories: a sidecar amid peers that follow a script, on one of two grounds.
 
-The reactor runs in a thread of its own; peers and callers are plain sockets that the story reads and writes.
-Every wait has one far limit, which is met only if the story fails.
+On `Loopback` the reactor runs in a thread of its own, and peers and callers are plain sockets that the story
+reads and writes. On `Virtual` all of it runs in virtual time, which goes on while the story waits. Every wait
+has one far limit, which is met only if the story fails.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 import socket
 import struct
 import threading
+import time
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -18,6 +20,7 @@
 from twisted.internet.threads import blockingCallFromThread
 
 from lapisway.benchlink import settings_from
+from tests.virtual import Virtual
 from wheatring import log
 from wheatring.config import Config, pairs
 from wheatring.daemon import Sidecar
@@ -47,10 +50,46 @@
 }  # fmt: skip
 
 
+class Loopback:
+    """The installed reactor, and sockets of the system."""
+
+    reactor = reactor
+    unix = staticmethod(time.time)
+
+    def __init__(self) -> None:
+        self.said = threading.Condition()  # something may be so now that was not
+
+    def run(self, call: Callable[[], T]) -> T:
+        done: T = blockingCallFromThread(self.reactor, call)
+        return done
+
+    def until(self, met: Callable[[], object]) -> None:
+        with self.said:
+            assert self.said.wait_for(met, FAR), "it never came"
+
+    def settle(self) -> None:
+        self.run(lambda: None)
+        self.run(lambda: None)
+
+    def listen(self) -> Any:
+        return socket.create_server(("127.0.0.1", 0))
+
+    def connect(self, port: int) -> Any:
+        return socket.create_connection(("127.0.0.1", port), FAR)
+
+    def ready(self, listeners: list[Any]) -> int:
+        """Which of them somebody waits at, once somebody does."""
+        with selectors.DefaultSelector() as ready:
+            for listener in listeners:
+                ready.register(listener, selectors.EVENT_READ)
+            ((key, _), *_) = ready.select(FAR)
+        return listeners.index(key.fileobj)
+
+
 class Wire:
     """One end of a connection, in the hands of the story."""
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: Any) -> None:
         sock.settimeout(FAR)
         self.sock = sock
         self.held = b""
@@ -98,8 +137,8 @@
 class Peer:
     """A listening party: an execute node or discovery."""
 
-    def __init__(self) -> None:
-        self.listener = socket.create_server(("127.0.0.1", 0))
+    def __init__(self, ground: Loopback | Virtual | None = None) -> None:
+        self.listener = (ground or Loopback()).listen()
         self.listener.settimeout(FAR)
         self.port = self.listener.getsockname()[1]
 
@@ -118,11 +157,18 @@
 class World:
     """A sidecar with so many nodes, and a discovery that the story may answer for."""
 
-    def __init__(self, nodes: int = 1, operators: Operators = NO_OPERATORS, capture: bool = False) -> None:
+    def __init__(
+        self,
+        ground: Loopback | Virtual,
+        nodes: int = 1,
+        operators: Operators = NO_OPERATORS,
+        capture: bool = False,
+    ) -> None:
+        self.ground = ground
+        self.reactor = ground.reactor
         self.lines: list[tuple[str, dict[str, object]]] = []
-        self.said = threading.Condition()
-        self.nodes = [Peer() for _ in range(nodes)]
-        self.discovery = Peer()
+        self.nodes = [Peer(ground) for _ in range(nodes)]
+        self.discovery = Peer(ground)
         self.wires: list[Wire] = []
         self.asked = 0
         known = {"generation": 7, "instances": [entry(f"n{n}", p) for n, p in enumerate(self.nodes)]}
@@ -132,35 +178,34 @@
         )  # fmt: skip
 
         def start() -> tuple[Sidecar, int]:
-            sidecar = Sidecar(reactor, self.config, operators, capture)
+            sidecar = Sidecar(self.reactor, self.config, operators, capture, ground.unix)
             return sidecar, sidecar.start()
 
         log.line = self._line
         self.sidecar, self.port = self.run(start)
 
     def _line(self, event: str, /, **values: object) -> None:
-        with self.said:
+        if isinstance(self.ground, Virtual):
             self.lines.append((event, values))
-            self.said.notify_all()
+        else:
+            with self.ground.said:
+                self.lines.append((event, values))
+                self.ground.said.notify_all()
 
     def run(self, call: Callable[[], T]) -> T:
-        """Call something in the reactor's thread and wait for what it returns."""
-        done: T = blockingCallFromThread(reactor, call)
-        return done
+        """Call something in the reactor and wait for what it returns."""
+        return self.ground.run(call)
 
     def codes(self, event: str) -> list[object]:
-        with self.said:
-            return [values.get("code") for name, values in self.lines if name == event]
+        return [values.get("code") for name, values in list(self.lines) if name == event]
 
     def logged(self, event: str, count: int = 1) -> list[object]:
         """Wait until the log has so many lines of an event; their codes."""
-        with self.said:
-            met = self.said.wait_for(lambda: sum(e == event for e, _ in self.lines) >= count, FAR)
-        assert met, self.lines
+        self.ground.until(lambda: sum(e == event for e, _ in self.lines) >= count)
         return self.codes(event)
 
     def caller(self) -> Wire:
-        wire = Wire(socket.create_connection(("127.0.0.1", self.port), FAR))
+        wire = Wire(self.ground.connect(self.port))
         self.wires.append(wire)
         return wire
 
@@ -176,17 +221,11 @@
 
     def settle(self) -> None:
         """Let the reactor take what the sockets hold by now: that comes between any two calls into it."""
-        self.run(lambda: None)
-        self.run(lambda: None)
+        self.ground.settle()
 
     def first(self) -> Wire:
         """The next connection to whichever node is tried."""
-        with selectors.DefaultSelector() as ready:
-            for peer in self.nodes:
-                ready.register(peer.listener, selectors.EVENT_READ, peer)
-            ((key, _), *_) = ready.select(FAR)
-        wire: Wire = key.data.accept()
-        return wire
+        return self.nodes[self.ground.ready([peer.listener for peer in self.nodes])].accept()
 
     def end(self) -> None:
         def stop() -> None:
