Take the next instant within the loop of virtual time

Most of what the loop does besides the events themselves is to go to the next instant; the call for that is spared.

--- a/wheatring/lab/net/time.py
+++ b/wheatring/lab/net/time.py
@@ -95,6 +95,7 @@
 
     def run(self, until: float) -> None:
         """Play all that comes up to an instant and at it; then it is that instant."""
+        heap = self._heap
         while True:
             for event in self._next:
                 if event.__class__ is Event:
@@ -110,7 +111,11 @@
                 if self.events >= self._look_at:
                     self._look(call)
                 call(*args)
-            if not self._advance(until):
+            if heap and heap[0] <= until:  # as `_advance` does, which is most of what is done here
+                self.instant = instant = heappop(heap)
+                self._playing = playing = self._buckets.pop(instant)
+                self._next = iter(playing)
+            elif not self._advance(until):
                 self.instant = max(self.instant, until)
                 return
 
