Keep to the clients' connections, and reset what a silent host comes back without

The direct way knew no limit on the connections of the clients, which the wire's callers keep to; and of a machine that came back from a silence only the node's connections were reset, not those of its own sidecar.

--- a/wheatring/lab/direct/ground.py
+++ b/wheatring/lab/direct/ground.py
@@ -28,12 +28,14 @@
         self.time = world.time
         self.links = DirectLinks(plan.net, zones(plan), world.time, world.random("net"))
         self.hosts = side_hosts(plan)
+        most = plan.clients.connections
         callers = {node.name: node.host for node in plan.nodes}
         self.way = DirectWay(
             world.time,
             self.links,
             world.book,
             {name: (callers.get(name, CLIENTS), host) for name, host in self.hosts.items()},
+            dict.fromkeys((each.name for each in plan.sidecars), most) if most else None,
         )
         self.nodes: dict[str, DirectNode] = {}
         self.listening: dict[str, DirectNode] = {}  # by address: a follower may come to that of one gone
@@ -124,6 +126,8 @@
         for host in self.machine_of(node):
             self.links.back(host)
         self.nodes[node.name].down()
+        if node.name in self.sidecars:
+            self.sidecars[node.name].reset()
 
     def machine_of(self, node: NodePlan) -> list[str]:
         return [node.host, host_of_side(node)] if node.name in self.hosts else [node.host]
--- a/wheatring/lab/direct/sidecar.py
+++ b/wheatring/lab/direct/sidecar.py
@@ -126,6 +126,13 @@
         while self.door and len(self.held) < self.most:
             self.take(self.door.popleft())
 
+    def reset(self) -> None:
+        """Its host is back after a silence: nobody knows any more of the connections that it had."""
+        for asked in [*self.held, *self.door]:
+            asked.cut_off()
+            self.leave(asked)
+        self.pool.reset()
+
     # Its end
 
     def terminate(self) -> None:
