--- a/tests/lab/direct_world.py
+++ b/tests/lab/direct_world.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Callable
-from itertools import count
 from math import inf
 from random import Random
-from typing import Any, NamedTuple
+from typing import Any
 
 from lapisway.interface import Effect, Limits, Outcome, RequestClass, Settings
 from wheatring.core.exchange import Claim
@@ -15,56 +13,27 @@
 from wheatring.lab.direct.node import DirectNode
 from wheatring.lab.direct.sidecar import DirectSidecar
 from wheatring.lab.direct.way import DirectAsked, DirectWay
+from wheatring.lab.models.discovery import Answer
 from wheatring.lab.models.visit import Verdict, Visit
+from wheatring.lab.net.time import VirtualTime
 from wheatring.lab.plan import NetPlan, TierPlan
 
 LINK = 0.001  # seconds from any host to any other, drawn without jitter
 EFFECTS = (Effect.SAFE, Effect.KEYED, Effect.UNSAFE)
 
 
-class Due:
-    def __init__(self, call: Callable[..., object], args: tuple[object, ...]) -> None:
-        self.call: Callable[..., object] | None = call
-        self.args = args
+class Time(VirtualTime):
+    """Virtual time, played in spans of it."""
 
-    def cancel(self) -> None:
-        assert self.call is not None, "not to be called once it has come due"
-        self.call = None
-
-    def active(self) -> bool:
-        return self.call is not None
-
-
-class Time:
-    """Virtual time, as small as it can be."""
-
-    def __init__(self) -> None:
-        self.instant = 1000.0
-        self.heap: list[tuple[float, int, Due]] = []
-        self.number = count().__next__
-
-    def now(self) -> float:
-        return self.instant
+    __slots__ = ()
 
-    def at(self, instant: float, call: Callable[..., object], *args: object) -> Due:
-        due = Due(call, args)
-        heapq.heappush(self.heap, (max(instant, self.instant), self.number(), due))
-        return due
-
-    def run(self, seconds: float = inf) -> None:
+    def play(self, seconds: float = inf) -> None:
         """Play so much time, or all that is to come."""
-        until = self.instant + seconds
-        while self.heap and self.heap[0][0] <= until:
-            self.step()
-        if until < inf:
-            self.instant = until
-
-    def step(self) -> None:
-        """Play the next event."""
-        self.instant, _, due = heapq.heappop(self.heap)
-        call, due.call = due.call, None
-        if call is not None:
-            call(*due.args)
+        if seconds < inf:
+            self.run(self.instant + seconds)
+        else:
+            while self.step():
+                pass
 
 
 class Told:
@@ -120,20 +89,6 @@
         self.gone.append(visit)
 
 
-class Listed(NamedTuple):
-    name: str
-    address: str
-    zone: str = ""
-    kind: str = ""
-    cell: int = 0
-
-
-class Answer(NamedTuple):
-    generation: int
-    reset: bool
-    lines: tuple[tuple[Listed, str, float, int], ...]
-
-
 class Call:
     def __init__(self, index: int | None, wait: float, done: Callable[[Answer | None], None]) -> None:
         self.index = index
--- a/tests/lab/test_clients.py
+++ b/tests/lab/test_clients.py
@@ -84,7 +84,7 @@
     plan = ClientPlan(retries=1, marks_retry=True)
     made, book, way, time = clients(plan, (kind, 0.0, 0.5), ("served", 0.0, 0.1))
     made.arrive(Origin(7, index, 0.1, "k"))
-    time.run()
+    time.play()
     again = REPEATED[kind][index]
     assert [(at, repeat) for at, _, _, _, repeat in way.asks] == [(0.0, False), (0.5, True)][: 1 + again]
     assert len({ident for _, _, ident, _, _ in way.asks}) == len(way.asks)
@@ -95,7 +95,7 @@
 def test_a_try_has_its_part_of_the_time_left_and_the_last_one_all_of_it() -> None:
     made, book, way, time = clients(ClientPlan(retries=2, try_share=0.5))
     made.arrive(Origin(1, 0, 0.1, ""))
-    time.run()
+    time.play()
     assert [(at, left) for at, _, _, left, _ in way.asks] == [(0.0, 3.0), (3.0, 1.5), (4.5, 1.5)]
     assert not any(repeat for *_, repeat in way.asks), "these clients mark nothing"
     assert book.all("settled") == [(1, "timeout", 3)]
@@ -106,7 +106,7 @@
 def test_out_of_time_is_repeated_only_where_that_is_safe_or_in_its_window(index: int, tries: int) -> None:
     made, book, _, time = clients(ClientPlan(retries=2, try_share=0.5))
     made.arrive(Origin(1, index, 0.1, "k"))  # the try lasts 3 s, the window 1 s
-    time.run()
+    time.play()
     assert book.all("settled") == [(1, "timeout", tries)]
 
 
@@ -118,7 +118,7 @@
     ]
     made, book, _, time = clients(ClientPlan(retries=2), *script)
     made.arrive(Origin(1, 1, 0.1, "k"))
-    time.run()
+    time.play()
     assert book.all("settled") == [(1, "served", 3)]
 
 
@@ -135,7 +135,7 @@
 def test_waits_between_tries(plan: ClientPlan, advice: float, least: float, most: float) -> None:
     made, _, way, time = clients(plan, ("refused", advice, 0.5))
     made.arrive(Origin(1, 0, 0.1, ""))
-    time.run()
+    time.play()
     assert least - 1e-9 <= way.asks[1][0] - 0.5 <= most + 1e-9
 
 
@@ -144,7 +144,7 @@
     script: list[Step] = [("refused", 0.0, 0.0)] * 10
     made, book, way, time = clients(plan, *script)
     made.arrive(Origin(1, 0, 0.1, ""))
-    time.run()
+    time.play()
     gaps = [b[0] - a[0] for a, b in zip(way.asks, way.asks[1:], strict=False)]
     assert all(0.5 <= gap / (0.5 * 2**n) <= 1.5 for n, gap in enumerate(gaps))
     assert book.all("settled") == [(1, "refused", len(way.asks))] and len(way.asks) < 6
@@ -153,7 +153,7 @@
 def test_the_impatient_leave_early_for_good_and_only_they() -> None:
     made, book, way, time = clients(ClientPlan(retries=1, impatient=0.3), traffic=TrafficPlan(rate=50.0))
     made.start()
-    time.run()
+    time.play()
     ends = [end for _, end, _ in book.all("settled")]
     assert len(ends) == len(book.all("asked")) and set(ends) == {"left", "timeout"}
     assert 0.2 < ends.count("left") / len(ends) < 0.4 and way.left == len(ends)
@@ -183,7 +183,7 @@
 ) -> None:
     made, book, way, time = clients(plan, *script, up=up)
     made.arrive(Origin(1, index, 0.1, "k"))
-    time.run(6.0)
+    time.play(6.0)
     ((_, _, tries),) = book.all("settled")
     assert tries <= plan.retries + 1 and made.open == 0
     if up:
@@ -207,7 +207,7 @@
 
         made.traffic.arrive = note
         made.start()
-        time.run()
+        time.play()
         assert len(book.all("settled")) == len(seen) and 800 < len(seen) < 1200
         days.append(seen)
     assert days[0] == days[1] == days[2]
@@ -218,7 +218,7 @@
     events = tuple(EventPlan(at=at, kind="load", length=1.0, size=4.0) for at in (2.0, 7.0))
     made, _, way, time = clients(ClientPlan(), up=True, traffic=traffic, events=events)
     made.start()
-    time.run()
+    time.play()
     counts = [0] * 10
     for at, *_ in way.asks:
         counts[int(at)] += 1
@@ -254,18 +254,18 @@
     picks = [front.pick() for _ in range(1000)]
     assert 400 < picks.count("a") < 600
     front.down("a")
-    time.run(1.9)
+    time.play(1.9)
     assert "a" in {front.pick() for _ in range(50)}
-    time.run(0.2)
+    time.play(0.2)
     assert {front.pick() for _ in range(50)} == {"b"}
     front.up("a")
     front.down("b")
-    time.run(1.0)
+    time.play(1.0)
     front.up("b")  # before its end was noticed
-    time.run(5.0)
+    time.play(5.0)
     assert {front.pick() for _ in range(50)} == {"a", "b"}
     front.stopping("a")
-    time.run(0.1)
+    time.play(0.1)
     assert "a" in {front.pick() for _ in range(50)}
-    time.run(0.4)
+    time.play(0.4)
     assert {front.pick() for _ in range(50)} == {"b"}
--- a/tests/lab/test_direct.py
+++ b/tests/lab/test_direct.py
@@ -7,9 +7,10 @@
 import pytest
 
 from lapisway.interface import Outcome, View, ViewKind
-from tests.lab.direct_world import LINK, Answer, Listed, Script, World
+from tests.lab.direct_world import LINK, Script, World
 from wheatring.lab.direct.node import DirectNode
 from wheatring.lab.direct.way import DirectWay
+from wheatring.lab.models.discovery import Answer, Line, Listed
 from wheatring.lab.models.visit import Verdict
 
 
@@ -72,7 +73,7 @@
     world = World()
     set_up(world)
     world.ask()
-    world.time.run(LINK)  # until the sidecar has it
+    world.time.play(LINK)  # until the sidecar has it
     began = world.time.now()
     while not world.claims:
         world.time.step()
@@ -83,7 +84,7 @@
     if set_up is unheard:  # the node has accepted a connection that its sidecar has given up
         assert world.machine.connections == 1
         world.links.heal(["m"], ["h"], one_way=True)
-    world.time.run(1.0)
+    world.time.play(1.0)
     kept = outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.REJECTED)
     assert world.machine.connections == len(world.node.lines) == len(world.sidecar.pool.lines) == kept
 
@@ -92,13 +93,13 @@
     world = World()
     world.ask("a")
     world.ask("b")
-    world.time.run(4 * LINK)
+    world.time.play(4 * LINK)
     world.ask("c")
-    world.time.run(1.5 * LINK)
+    world.time.play(1.5 * LINK)
     assert len(world.machine.visits) == 2 and len(world.sidecar.pool.lines) == 2
     world.machine.running = False
     world.node.down()
-    world.time.run(2 * LINK)
+    world.time.play(2 * LINK)
     assert sorted(world.outcomes(), key=str) == [Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.RESET]
     assert world.machine.connections == 0 and not world.sidecar.pool.lines
 
@@ -106,16 +107,16 @@
 def test_a_claim_that_is_given_up_closes_its_connection_and_leaves_the_node() -> None:
     world = World()
     world.ask()
-    world.time.run(4 * LINK)
+    world.time.play(4 * LINK)
     (visit,) = world.machine.visits
     (job,) = world.sidecar.driver.jobs.values()
     world.sidecar.exchange.abandon(job.claims[0])
     assert world.outcomes() == [Outcome.CANCELLED] and not world.sidecar.pool.lines
     assert not world.machine.gone
-    world.time.run(LINK)
+    world.time.play(LINK)
     assert world.machine.gone == [visit] and world.machine.connections == 0
     visit.reply(Verdict.SERVED, "too late")
-    world.time.run(1.0)
+    world.time.play(1.0)
     assert world.outcomes() == [Outcome.CANCELLED]
     ((kind, advice),) = world.replies
     assert kind == "refused" and 0.1 < advice <= 0.2 and round(advice, 3) == advice
@@ -125,28 +126,28 @@
     world = World()
     world.machine.at_once = Verdict.SERVED
     world.ask("a")
-    world.time.run(0.1)
+    world.time.play(0.1)
     world.machine.at_once = None
     world.links.slow(["h"], ["m"], 100.0)
     asked = world.ask("b")
-    world.time.run(2 * LINK)
+    world.time.play(2 * LINK)
     world.links.slow(["h"], ["m"], 1.0)
     world.sidecar.exchange.abandon(asked.job.claims[0] if asked.job else world.claims[0])
-    world.time.run(0.5)
+    world.time.play(0.5)
     assert len(world.machine.visits) == 2 and world.machine.gone == world.machine.visits[1:]
 
 
 def test_a_claim_whose_caller_left_in_its_connect_is_never_written_and_the_connection_is_kept() -> None:
     world = World()
     asked = world.ask()
-    world.time.run(LINK)
+    world.time.play(LINK)
     asked.leave()
-    world.time.run(1.0)
+    world.time.play(1.0)
     assert world.outcomes() == [Outcome.NOT_SENT] and not world.machine.visits
     assert world.book.all("left") == [("s", "a")] and not world.replies
     world.machine.at_once = Verdict.SERVED
     world.ask("b")
-    world.time.run(4 * LINK)
+    world.time.play(4 * LINK)
     assert world.replies == [("served", 0.0)] and world.machine.connections == 1
 
 
@@ -155,9 +156,9 @@
     world.machine.at_once = Verdict.SERVED
     for ident, time in (("a", 10 * LINK), ("b", 4 * LINK)):
         world.ask(ident)
-        world.time.run(time - LINK / 2)
+        world.time.play(time - LINK / 2)
         assert not world.replies
-        world.time.run(LINK)
+        world.time.play(LINK)
         assert world.replies.pop() == ("served", 0.0)
     assert world.machine.connections == 1
 
@@ -167,9 +168,9 @@
         world = World(idle=idle)
         world.machine.at_once = Verdict.SERVED
         world.ask()
-        world.time.run(after - 0.5)
+        world.time.play(after - 0.5)
         assert world.machine.connections == len(world.sidecar.pool.lines) == 1
-        world.time.run(2.0)
+        world.time.play(2.0)
         assert world.machine.connections == len(world.sidecar.pool.lines) == 0
 
 
@@ -177,11 +178,11 @@
     world = World()
     world.machine.at_once = Verdict.SERVED
     world.ask("a")
-    world.time.run(1.0)
+    world.time.play(1.0)
     world.ask("b")
-    world.time.run(LINK / 2)
+    world.time.play(LINK / 2)
     world.node.down()
-    world.time.run(4 * LINK)
+    world.time.play(4 * LINK)
     assert world.outcomes() == [Outcome.SERVED, Outcome.RESET] and len(world.machine.visits) == 1
 
 
@@ -192,7 +193,7 @@
     follower.at_once = Verdict.SERVED
     world.nodes["m:1"] = DirectNode(follower, "m", world.tier, world.time, world.links, world.book)
     world.ask()
-    world.time.run(1.0)
+    world.time.play(1.0)
     assert world.replies == [("served", 0.0)] and world.book.all("sending")[0][1] == "n.2"
 
 
@@ -200,13 +201,13 @@
     world = World()
     world.machine.at_once = Verdict.SERVED
     world.ask("a")
-    world.time.run(0.1)
+    world.time.play(0.1)
     world.links.cut(["h"], ["m"])
     world.ask("b")
-    world.time.run(0.3)
+    world.time.play(0.3)
     assert len(world.machine.visits) == 1
     world.links.heal(["h"], ["m"])
-    world.time.run(0.5)
+    world.time.play(0.5)
     assert world.replies == [("served", 0.0), ("served", 0.0)]
 
 
@@ -214,13 +215,13 @@
     world = World()
     world.machine.at_once = Verdict.SERVED
     world.ask("a")
-    world.time.run(5.5 * LINK)
+    world.time.play(5.5 * LINK)
     assert not world.replies
-    world.time.run(LINK)
+    world.time.play(LINK)
     world.machine.at_once = Verdict.ERROR
     world.ask("b", index=2)
     world.machine.running = False
-    world.time.run(1.0)
+    world.time.play(1.0)
     assert world.replies == [("served", 0.0), ("failed", 0.0)]
     assert world.book.all("taken") == [("s", "a", 0, "", 1002.0), ("s", "b", 2, "", 1002.0 + 6.5 * LINK)]
     kinds = [line[:5] for line in world.book.all("answered")]
@@ -230,39 +231,39 @@
 def test_a_sidecar_told_to_stop_takes_what_still_arrives_and_ends_when_nothing_is_open() -> None:
     world = World()
     world.ask("a")
-    world.time.run(0.1)
+    world.time.play(0.1)
     world.sidecar.terminate()
-    world.time.run(0.5)
+    world.time.play(0.5)
     world.ask("b")
-    world.time.run(0.2)
+    world.time.play(0.2)
     assert len(world.machine.visits) == 2
     world.ask("c")
-    world.time.run(0.1)
+    world.time.play(0.1)
     assert world.replies == [("unreached", 0.0)] and not world.book.all("sidecar_down")
     for visit in world.machine.visits:
         visit.reply(Verdict.SERVED, "x")
-    world.time.run(0.1)
+    world.time.play(0.1)
     assert world.replies[1:] == [("served", 0.0)] * 2
     assert world.book.all("sidecar_down") == [("s", False)] and world.machine.connections == 0
-    world.time.run(100.0)
-    assert not world.time.heap, "a process that has ended leaves no timers"
+    world.time.play(100.0)
+    assert not world.time.pending(), "a process that has ended leaves no timers"
 
 
 def test_a_sidecar_that_is_killed_loses_what_it_had_and_nothing_of_it_acts_any_more() -> None:
     world = World()
     world.ask("a")
     world.ask("b")
-    world.time.run(0.1)
+    world.time.play(0.1)
     world.sidecar.kill()
     world.ask("c")
-    world.time.run(0.1)
+    world.time.play(0.1)
     assert world.replies == [("lost", 0.0), ("lost", 0.0), ("unreached", 0.0)]
     assert world.machine.gone == world.machine.visits and world.machine.connections == 0
     assert not world.claims and world.book.all("sidecar_down") == [("s", True)]
     world.start()
     world.machine.at_once = Verdict.SERVED
     world.ask("d")
-    world.time.run(0.1)
+    world.time.play(0.1)
     assert world.replies[3:] == [("served", 0.0)]
 
 
@@ -272,10 +273,10 @@
     first = world.ask("a")
     for ident in "bcd":
         world.ask(ident)
-    world.time.run(0.1)
+    world.time.play(0.1)
     assert len(world.machine.visits) == 1
     world.machine.visits[0].reply(Verdict.SERVED, "x")
-    world.time.run(0.1)
+    world.time.play(0.1)
     assert [visit.ident for visit in world.machine.visits] == ["a", "b"]
     first.leave()
     assert len(world.book.all("taken")) == 4
@@ -288,14 +289,14 @@
     way.running = world.way.running
     way.ask("none", "x", 0, 2.0, "", False, lambda *end: world.replies.append(end))
     asks = [way.ask("s", ident, 0, 2.0, "", False, lambda *end: None) for ident in "abcde"]
-    world.time.run(0.1)
+    world.time.play(0.1)
     assert [visit.ident for visit in world.machine.visits] == ["a", "b"]
     assert world.replies == [("unreached", 0.0)]
     asks[2].leave()
     world.machine.visits[0].reply(Verdict.SERVED, "x")
-    world.time.run(0.1)
+    world.time.play(0.1)
     asks[1].leave()
-    world.time.run(0.1)
+    world.time.play(0.1)
     assert [visit.ident for visit in world.machine.visits] == ["a", "b", "d", "e"]
     assert [line[4] for line in world.book.all("taken")] == pytest.approx([1002.0] * 4, abs=0.001)
 
@@ -303,12 +304,12 @@
 def test_a_host_that_is_back_knows_nothing_of_its_connections() -> None:
     world = World()
     world.ask("a")
-    world.time.run(0.1)
+    world.time.play(0.1)
     world.links.vanish("h")
-    world.time.run(0.2)
+    world.time.play(0.2)
     world.links.back("h")
     world.sidecar.reset()
-    world.time.run(0.5)
+    world.time.play(0.5)
     assert world.outcomes() == [Outcome.RESET] and world.replies == [("lost", 0.0)]
     assert world.machine.connections == 0 and not world.sidecar.held and not world.sidecar.exchange.open
 
@@ -316,24 +317,24 @@
 def test_the_machine_list_watches_moves_on_and_begins_again_after_a_failure() -> None:
     world = World()
     calls = world.registry.calls
-    world.time.run(10.0)
+    world.time.play(10.0)
     assert [(c.index, c.wait) for c in calls] == [(1, 50.0)]
     other = Listed("n2", "m:2")
-    calls[0].done(Answer(2, False, ((other, "ready", 0.0, 0),)))
-    world.time.run(0.1)
+    calls[0].done(Answer(2, False, (Line(other, "ready", 0.0, 0),)))
+    world.time.play(0.1)
     assert world.sidecar.pool.addresses == {"n": "m:1", "n2": "m:2"} and calls[1].index == 2
-    calls[1].done(Answer(3, False, ((other, "gone", 0.0, 0),)))
-    world.time.run(0.1)
+    calls[1].done(Answer(3, False, (Line(other, "gone", 0.0, 0),)))
+    world.time.play(0.1)
     assert "n2" not in world.sidecar.pool.addresses
     calls[2].done(None)
-    world.time.run(5.0)
+    world.time.play(5.0)
     assert [c.index for c in calls[3:]] == [3]
-    world.time.run(60.0)  # nobody answers: the sidecar gives the call up and asks anew
+    world.time.play(60.0)  # nobody answers: the sidecar gives the call up and asks anew
     assert calls[3].cancelled and [c.index for c in calls[4:]] == [3]
     world.sidecar.kill()
-    world.time.run(1.0)
+    world.time.play(1.0)
     assert calls[4].cancelled
-    world.time.run(100.0)
+    world.time.play(100.0)
     assert len(calls) == 5
 
 
@@ -342,5 +343,5 @@
     views: list[View] = []
     world.sidecar.machine_list.on_view = views.append
     world.links.vanish("d")
-    world.time.run(5.0)
+    world.time.play(5.0)
     assert not world.registry.calls and [view.kind for view in views] == [ViewKind.FAILED]
