Give the deciders of routes and of a sidecar's life their floors

Need: two directions begin with deciders in packages of their own.

Result: lint, types and the house pass.

--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -19,6 +19,8 @@
     ("wheatring.http1", 4),
     ("wheatring.core", 3),
     ("wheatring.ops", 3),
+    ("wheatring.routes", 2),
+    ("wheatring.lifecycle", 2),
     ("wheatring.config", 1),
     ("wheatring.operators", 1),
     ("wheatring.log", 1),
