Tell the book which calls to discovery failed, refused connects among them

A sidecar that was killed and came back while discovery refused asked every 0.1 to 2.5 s, but a refused connect never reached discovery's model, so the ledger held it for one that had not asked since its start: changes counted as told 10 s after they were known, though its last call had failed (40 s from that one on).

Change: the book's word for a call's end says whether discovery ended it without an answer, instead of the ledger guessing so. A refused connect at discovery's port is such a call: the network tells the port's keeper at wire, the sidecar's own log line in a live run. A call that the sidecar gave up itself is none.

--- a/tests/lab/test_rules.py
+++ b/tests/lab/test_rules.py
@@ -282,7 +282,9 @@
 counts_as_told("by_a_call_for_all", 2 + 6 + END, (1, "known", 0.0), (2, "asking", 0.0))
 heard = (1, "asking", 5.0), (6, "unheard", None)  # no news in all its wait
 counts_as_told("without_asking", 7 + 10 + END, *heard, (7, "known", 0.0))
-failed = (1, "asking", 5.0), (2, "unheard", None)
+failed = (1, "asking", 5.0), (2, "unheard", True)
+given_up = (1, "asking", 5.0), (2, "unheard", None)
+counts_as_told("after_a_call_that_it_gave_up", 3 + 10 + END, *given_up, (3, "known", 0.0))
 counts_as_told("after_a_call_that_failed", 3 + 40 + END, *failed, (3, "known", 0.0))
 
 
--- a/wheatring/lab/live/seats.py
+++ b/wheatring/lab/live/seats.py
@@ -23,6 +23,7 @@
 
 # Lines of its log that are told to the book: what it could not reach, and faults of its own.
 UNCONNECTED = ("claim-connection code=connect-failed", "claim-connection code=not-up-in-time")
+UNASKED = "discovery-connection code=connect-failed"
 FAULTS = tuple(f"{word} " for word in sorted(OURS))
 
 
@@ -121,7 +122,7 @@
         process: Sidecar | None = None
 
         def line(text: str) -> None:
-            if text.startswith(("listening ", *UNCONNECTED, *FAULTS)):
+            if text.startswith(("listening ", UNASKED, *UNCONNECTED, *FAULTS)):
                 self.reactor.callFromThread(lambda: self._said(seat, process, text))
 
         def end() -> None:
@@ -145,6 +146,8 @@
             seat.up = True
             self.book.sidecar_up(seat.name)
             self.came(seat)
+        elif text.startswith(UNASKED):
+            self.registry.refused(seat.name)
         elif text.startswith(UNCONNECTED):
             self.book.note("unconnected", sidecar=seat.name)
         else:
--- a/wheatring/lab/models/discovery.py
+++ b/wheatring/lab/models/discovery.py
@@ -151,14 +151,19 @@
             self._look(call)
         return call
 
-    def close(self, call: Call) -> None:
-        """End a call without an answer."""
+    def refused(self, sidecar: str) -> None:
+        """A connect of the sidecar was refused, or ended at once: a call that has failed."""
+        self.book.asking(sidecar, 0.0)
+        self.book.unheard(sidecar, True)
+
+    def close(self, call: Call, failed: bool = False) -> None:
+        """End a call, for the book; who waits for its answer is told elsewhere."""
         call.over = True
         call.set(None)
         del self.open[call]
         if call.stage == "queued":
             self.line.remove(call)
-        self.book.unheard(call.sidecar)
+        self.book.unheard(call.sidecar, failed)
 
     def _changed(self, listing: Listing) -> None:
         for call in list(self.open):
@@ -227,7 +232,7 @@
 
     def _end(self, call: Call, answer: Answer | None) -> None:
         if not call.over:
-            self.close(call)
+            self.close(call, answer is None)
             call.done(answer)
 
     # Troubles
--- a/wheatring/lab/net/connects.py
+++ b/wheatring/lab/net/connects.py
@@ -51,6 +51,8 @@
     elif back.silent:
         _unheard(client, since, count)
     elif listener is None or port in host.refusing:
+        if port in host.on_refused:
+            host.on_refused[port](client.process.host.name)
         time.at(time.instant + back.delay(), client.refused)
     elif port in host.full or len(listener.queue) + listener.half_open > listener.backlog:
         _unheard(client, since, count)
--- a/wheatring/lab/net/network.py
+++ b/wheatring/lab/net/network.py
@@ -34,6 +34,7 @@
         self.refusing: set[int] = set()  # ports; these are looked up, never gone through
         self.full: set[int] = set()
         self.late: dict[int, float] = {}  # seconds by port
+        self.on_refused: dict[int, Callable[[str], None]] = {}  # by port: told whose connect it was
         self.links: dict[str, Link] = {}
         self._port = FIRST_PORT - 1
 
--- a/wheatring/lab/rules/drains.py
+++ b/wheatring/lab/rules/drains.py
@@ -35,13 +35,12 @@
 class Ear:
     """What one sidecar has been told since its start."""
 
-    __slots__ = ("calls", "counted", "failed", "heard", "news", "off", "pending", "quiet")
+    __slots__ = ("calls", "counted", "failed", "heard", "off", "pending", "quiet")
 
     def __init__(self, at: float) -> None:
         self.calls: list[tuple[float, float]] = []  # out: since when, and how long each may wait
         self.quiet = at  # without a call since then
-        self.failed = False  # so it seems of the last call
-        self.news = at - 1.0  # when it was last told anything
+        self.failed = False  # the last call
         self.pending: dict[str, list[Change]] = {}  # by node
         self.heard: dict[str, Change] = {}  # the newest, by node
         self.counted: dict[str, Change] = {}  # the newest that counted as told before it was, by node
@@ -79,17 +78,15 @@
         self._settle(ear, at)
         ear.calls.append((at, wait))
 
-    def unheard(self, sidecar: str, at: float) -> None:
+    def unheard(self, sidecar: str, failed: bool, at: float) -> None:
         ear = self.ears.get(sidecar)
         if ear is None or not ear.calls:
             return  # the call of a process that has ended
         self._settle(ear, at)
         # Which one it is nobody says. The one that waits less is over sooner.
-        since, wait = call = min(ear.calls, key=lambda each: each[0] + each[1])
-        ear.calls.remove(call)
+        ear.calls.remove(min(ear.calls, key=lambda each: each[0] + each[1]))
         ear.quiet = at
-        # An answer without news ends a wait, so a call that brought nothing and did not wait has failed.
-        ear.failed = ear.news < since and at < since + max(wait, 1e-9)
+        ear.failed = failed
 
     def ear(self, sidecar: str, at: float) -> Ear:
         ear = self.ears.get(sidecar)
@@ -117,7 +114,6 @@
 
     def told(self, sidecar: str, node: str, state: NodeState, started: float, at: float) -> None:
         ear = self.ear(sidecar, at)
-        ear.news = at
         self._settle_node(ear, node, at)
         change = None
         for each in reversed(self.changes.get(node, ())):
--- a/wheatring/lab/rules/ledger.py
+++ b/wheatring/lab/rules/ledger.py
@@ -205,11 +205,11 @@
         if self.trace is not None:
             self.trace.line(at, "", f"asking sidecar={sidecar} wait={wait!r}")
 
-    def unheard(self, sidecar: str) -> None:
+    def unheard(self, sidecar: str, failed: bool = False) -> None:
         at = self.now()
-        self.drains.unheard(sidecar, at)
+        self.drains.unheard(sidecar, failed, at)
         if self.trace is not None:
-            self.trace.line(at, "", f"unheard sidecar={sidecar}")
+            self.trace.line(at, "", f"unheard sidecar={sidecar} failed={failed}")
 
     # All
 
--- a/wheatring/lab/wire/ground.py
+++ b/wheatring/lab/wire/ground.py
@@ -72,6 +72,7 @@
     def open_discovery(self, registry: Registry) -> None:
         host, port = DISCOVERY
         process = self.net.process("discovery", host)
+        self.net.host(host).on_refused[port] = lambda caller: registry.refused(self.sidecar_of(caller))
         DiscoveryPeer(
             registry,
             self.book,
