Cut and slow the links of machines' own sidecars, and excuse only what a cut lay between

Need: a partition or a latency below the first tier did nothing. Scenarios named the machines' hosts, but a machine's sidecar stands on a host of its own, so that no call to the next tier crossed the named link. Steps of machines' clocks missed their sidecars, the only ones that read them. And a cut between a sidecar and some nodes excused all of the sidecar's late and lost answers to its callers for twice its length, though nothing lay between these two.

Change: scenarios name both hosts of a machine that has a sidecar; the side host is a word of the plan.

--- a/tests/lab/scenarios.py
+++ b/tests/lab/scenarios.py
@@ -61,6 +61,7 @@
     fronts = {one.name: one for one in plan.sidecars}
     own = {node.name for node in plan.nodes if node.tier < len(plan.tiers) - 1}
     hosts = {node.host for node in plan.nodes} | {one.host for one in plan.sidecars}
+    hosts |= {node.side_host for node in plan.nodes if node.tier < len(plan.tiers) - 1}
     if len(nodes) < len(plan.nodes) or len(fronts) < len(plan.sidecars) or nodes.keys() & fronts.keys():
         bad.append("a name twice")
     if len({node.host for node in plan.nodes if node.up}) < sum(node.up for node in plan.nodes):
--- a/tests/lab/test_rules.py
+++ b/tests/lab/test_rules.py
@@ -105,12 +105,16 @@
     desk.answer()
 
 
-CUT = EventPlan(at=1.0, kind="partition", length=9.0, hosts=("127.1.0.1",), others=("127.0.0.1",))
+# Between the front's sidecar and a node, and between another node's sidecar and what is named nowhere.
+CUTS = tuple(
+    EventPlan(at=1.0, kind="partition", length=9.0, hosts=(host,), others=others)
+    for host, others in (("127.1.0.1", ("127.0.0.0",)), ("127.100.0.1", ()))
+)
 
 
-@breaks("answer", events=(CUT,))
-def cut_off(desk: Desk, wrong: bool) -> None:
-    sidecar = "front0" if wrong else "lb"
+@breaks("answer", events=CUTS)
+def cut_off_from_its_callers(desk: Desk, wrong: bool) -> None:
+    sidecar = "lb" if wrong else "front1"
     desk.at(12).book.taken(sidecar, "r", 0, "", START + 18)  # what was lost has yet to be sent again
     desk.at(19.4).book.answered(sidecar, "r", "failed", "", 0.0)
 
--- a/tests/lab/test_scenario_draw.py
+++ b/tests/lab/test_scenario_draw.py
@@ -249,12 +249,15 @@
         {"kind": "clock_step", "sidecars": ["front-1", "near-3"], "at": 4, "size": 1},
         front={"sidecars": 2},
     )
-    host = {node.name: node.host for node in plan.nodes} | {one.name: one.host for one in plan.sidecars}
-    near = {host[f"near-{number}"] for number in (1, 2, 3)}
+    near = {node.name: (node.host, node.side_host) for node in plan.nodes if node.tier == 0}
+    (far,) = [node.host for node in plan.nodes if node.name == "far-2"]  # the last tier has no sidecars
+    front = {one.name: one.host for one in plan.sidecars}
     cut, slow, all_clocks, some = plan.events
-    assert len(cut.hosts) == 2 and near > set(cut.hosts) and cut.others == (host["far-2"],) and cut.one_way
-    assert (set(slow.hosts), set(slow.others)) == ({host["front-1"], host["front-2"]}, near)
-    assert all_clocks.hosts == () and some.hosts == (host["front-1"], host["near-3"])
+    assert cut.one_way and cut.others == (far,)
+    assert {cut.hosts[:2], cut.hosts[2:]} < set(near.values())
+    assert set(slow.hosts) == set(front.values())
+    assert set(slow.others) == {host for each in near.values() for host in each}
+    assert all_clocks.hosts == () and some.hosts == (front["front-1"], *near["near-3"])
 
 
 @pytest.mark.parametrize("name", names())
--- a/tests/lab/test_world_told.py
+++ b/tests/lab/test_world_told.py
@@ -1,4 +1,4 @@
-"""Worlds held to what sidecars count as told: by discovery's calls, those that it refuses among them."""
+"""What befalls links and discovery, by what comes of it: a fault that strikes nobody would go unseen."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 from wheatring.lab.plan import EventPlan, Plan
 from wheatring.lab.scenario.draw import draw
-from wheatring.lab.scenario.load import load
+from wheatring.lab.scenario.load import load, parse
 from wheatring.lab.world.world import play
 
 
@@ -27,3 +27,30 @@
     outcome = play(day, grain)
     assert outcome.counts["drains_checked"] > 20
     assert outcome.breaches == []
+
+
+@pytest.mark.parametrize("grain", ["wire", "exchange"])
+def test_a_cut_below_the_first_tier_strikes_the_machines_own_sidecars(grain: str) -> None:
+    text = """
+        title = "Cut"
+        what = "No machine of the first tier reaches one of the second."
+        extends = "small"
+        length = 3
+        without = ["event"]
+
+        [[event]]
+        kind = "%s"
+        tier = "store"
+        part = 1
+        callers = 3
+        at = 0
+        length = 6
+        %s
+    """
+    served = []
+    for event in (("latency", "size = 1"), ("latency", "size = 500"), ("partition", "")):
+        outcome = play(draw(parse(text % event, "cut", "cut.toml"), 2), grain)
+        assert outcome.breaches == []
+        served.append(outcome.service)
+    near, far, cut = served
+    assert near > 0.9 > 0.8 > far > cut == 0.0
--- a/wheatring/lab/direct/ground.py
+++ b/wheatring/lab/direct/ground.py
@@ -15,7 +15,7 @@
 from wheatring.lab.models.machine import Machine
 from wheatring.lab.models.visit import Below
 from wheatring.lab.plan import EventPlan, NodePlan
-from wheatring.lab.world.ground import CLIENTS, DISCOVERY, LINGER, PORT, host_of_side, side_hosts, zones
+from wheatring.lab.world.ground import CLIENTS, DISCOVERY, LINGER, PORT, side_hosts, zones
 
 if TYPE_CHECKING:
     from wheatring.lab.world.world import World
@@ -132,7 +132,7 @@
             self.sidecars[node.name].reset()
 
     def machine_of(self, node: NodePlan) -> list[str]:
-        return [node.host, host_of_side(node)] if node.name in self.hosts else [node.host]
+        return [node.host, node.side_host] if node.name in self.hosts else [node.host]
 
     # What is seen of the sidecars
 
--- a/wheatring/lab/plan.py
+++ b/wheatring/lab/plan.py
@@ -88,6 +88,12 @@
     zone: str = "room"
     up: bool = True  # it runs and is listed from the start; else an event starts it
 
+    @property
+    def side_host(self) -> str:
+        """The host of its own sidecar: its own, in another net."""
+        first, second, rest = self.host.split(".", 2)
+        return f"{first}.{int(second) + 100}.{rest}"
+
 
 class SidecarPlan(Plain, frozen=True, kw_only=True):
     """One sidecar of the front, between the clients and the first tier."""
--- a/wheatring/lab/rules/answers.py
+++ b/wheatring/lab/rules/answers.py
@@ -35,7 +35,7 @@
             self._breach(request, f"{request.sidecar} had given no answer {self.grace} s after the deadline.")
 
     def lost(self, request: Request, why: str) -> None:
-        if request.forgiven or self.links.cut(request.sidecar, request.taken, self.breaches.now()):
+        if request.forgiven or self._cut(request.sidecar, request.taken, self.breaches.now()):
             return
         self._breach(request, f"{request.sidecar} lost a request that it had taken: {why}.")
 
@@ -59,7 +59,10 @@
         return None
 
     def _excused(self, request: Request) -> bool:
-        return self.links.cut(request.sidecar, request.taken, request.deadline + self.grace)
+        return self._cut(request.sidecar, request.taken, request.deadline + self.grace)
+
+    def _cut(self, sidecar: str, since: float, until: float) -> bool:
+        return self.links.cut(sidecar, self.links.caller(sidecar), since, until)
 
     def _breach(self, request: Request, what: str) -> None:
         self.breaches.add("answer", what, ident=request.ident, sidecar=request.sidecar)
--- a/wheatring/lab/rules/drains.py
+++ b/wheatring/lab/rules/drains.py
@@ -13,7 +13,7 @@
 
 from wheatring.lab.book import NodeState
 from wheatring.lab.plan import Plan
-from wheatring.lab.rules.links import Links
+from wheatring.lab.rules.links import ELSEWHERE, Links
 
 AFTER_WAIT = 2.0
 AFTER_FAILURE = 4
@@ -136,7 +136,7 @@
             else:
                 del ear.pending[node]
         # What was written into a cut has not come: it counts as told as if it had never been written.
-        cut = self.links.cut(sidecar, at, at)
+        cut = self.links.cut(sidecar, ELSEWHERE, at, at)
         self._hear(ear, node, change, self._counts_from(ear, change) if cut else at)
 
     def _hear(self, ear: Ear, node: str, change: Change, at: float) -> None:
--- a/wheatring/lab/rules/duplicates.py
+++ b/wheatring/lab/rules/duplicates.py
@@ -69,8 +69,9 @@
             self._breach(request, attempt, "Nobody waits for a request of this name, or has for long.")
             return
         if over == "left":
-            known += self.links.reach(request.sidecar, known)
-            if self.links.cut(request.sidecar, request.over_at, known):
+            caller = self.links.caller(request.sidecar)
+            known += self.links.reach(caller, request.sidecar, known)
+            if self.links.cut(caller, request.sidecar, request.over_at, known):
                 return
         if attempt.sent > known and not request.forgiven:
             what = f"It was sent {attempt.sent - request.over_at:.6f} s after it was over ({over})."
@@ -89,14 +90,11 @@
         if earlier.sent > later.sent:
             return
         until = earlier.ended
-        if until > later.sent + self.links.most and not self._cut(
+        if until > later.sent + self.links.most and not self.links.cut(
             request.sidecar, earlier.node, later.sent, until
         ):
             self._breach(request, later, f"It was sent while its attempt at {earlier.node} was out.")
 
-    def _cut(self, sidecar: str, node: str, since: float, until: float) -> bool:
-        return self.links.cut(sidecar, since, until) or self.links.cut(node, since, until)
-
     def refused(self, request: Request) -> None:
         """The request was refused, after attempts that were not turned away."""
         if self.classes[request.index].effect == "unsafe":
--- a/wheatring/lab/rules/links.py
+++ b/wheatring/lab/rules/links.py
@@ -5,12 +5,14 @@
 from wheatring.lab.plan import EventPlan, Plan
 
 READ = 0.001  # between the arrival of bytes and their reading, at most
+ELSEWHERE = ""  # where clients and discovery are: no event names their hosts
 RESEND = 0.5  # what is sent again has arrived so long after the double length of a cut, at most
 
 
 class Links:
     """Reckoned from the plan: the mean delay of the slowest link with 25 times its spread, lengthened by
-    whatever latency is planned. What was sent while a cut was on may arrive long after it has healed (TCP
+    whatever latency is planned. Ends are names: nodes, each with its own sidecar, the front's sidecars, and
+    ELSEWHERE. What was sent while a cut was on may arrive long after it has healed (TCP
     waits up to as long again before it tries anew), or never: nobody is held to have read it."""
 
     def __init__(self, plan: Plan, start: float) -> None:
@@ -19,26 +21,32 @@
         self.usual = max(net.same, net.cross, net.client) * (1 + 25 * net.jitter) + READ
         self.most = (self.usual - READ) * longer + READ
         self.start = start
-        self.hosts = {each.name: each.host for each in plan.nodes}
-        self.hosts.update({each.name: each.host for each in plan.sidecars})
+        self.hosts: dict[str, tuple[str, ...]] = {each.name: (each.host,) for each in plan.sidecars}
+        self.front = frozenset(self.hosts)
+        self.hosts.update({each.name: (each.host, each.side_host) for each in plan.nodes})
         self.cuts = [event for event in plan.events if event.kind in ("partition", "vanish")]
         self.slow = [event for event in plan.events if event.kind == "latency"]
-        self.of: dict[str, list[tuple[float, float]]] = {}  # by name
+        self.of: dict[tuple[str, str], list[tuple[float, float]]] = {}  # by both ends
 
-    def cut(self, name: str, since: float, until: float) -> bool:
-        """Whether a sidecar or node may have been cut off at any time between two instants."""
+    def caller(self, sidecar: str) -> str:
+        """The end at which the callers of a sidecar are: clients, or the node that it belongs to."""
+        return ELSEWHERE if sidecar in self.front else sidecar
+
+    def cut(self, end: str, other: str, since: float, until: float) -> bool:
+        """Whether two ends may have been cut off from each other at any time between two instants."""
         if not self.cuts:
             return False
-        spans = self.of.get(name)
+        spans = self.of.get((end, other))
         if spans is None:
-            spans = self.of[name] = [self._span(cut) for cut in self.cuts if self._concerns(cut, name)]
+            spans = [self._span(cut) for cut in self.cuts if self._concerns(cut, end, other)]
+            self.of[end, other] = spans
         return any(begun <= until and since <= ended for begun, ended in spans)
 
-    def reach(self, name: str, at: float) -> float:
-        """Seconds in which what left at an instant for a sidecar or node has been read there."""
+    def reach(self, end: str, other: str, at: float) -> float:
+        """Seconds in which what left one end for the other at an instant has been read there."""
         for event in self.slow:
             begun, ended = self._span(event)
-            if begun <= at <= ended and self._concerns(event, name):
+            if begun <= at <= ended and self._concerns(event, end, other):
                 return self.most
         return self.usual
 
@@ -46,8 +54,15 @@
         begun = self.start + cut.at
         return begun - self.most, begun + 2 * cut.length + RESEND if cut.length > 0 else float("inf")
 
-    def _concerns(self, cut: EventPlan, name: str) -> bool:
-        if cut.kind != "vanish" and not (cut.hosts and cut.others):
-            return True  # one side is everybody else
-        named = (*cut.nodes, *cut.sidecars, *cut.hosts, *cut.others)
-        return name in named or self.hosts.get(name, "") in named
+    def _concerns(self, cut: EventPlan, end: str, other: str) -> bool:
+        if cut.kind == "vanish":
+            return end in cut.nodes or other in cut.nodes
+        here, there = self.hosts.get(end, ()), self.hosts.get(other, ())
+        return (_among(here, cut.hosts) and _among(there, cut.others)) or (
+            _among(here, cut.others) and _among(there, cut.hosts)
+        )
+
+
+def _among(hosts: tuple[str, ...], named: tuple[str, ...]) -> bool:
+    """Whether any of the hosts is named; no names stand for all."""
+    return not named or any(host in named for host in hosts)
--- a/wheatring/lab/scenario/events.py
+++ b/wheatring/lab/scenario/events.py
@@ -181,7 +181,8 @@
             )  # fmt: skip
 
     def _hosts(self, names: Sequence[str]) -> tuple[str, ...]:
-        return tuple(dict.fromkeys(self.day.fleet.host(name) for name in names))
+        """A machine and its own sidecar have a host each; what befalls one befalls both."""
+        return tuple(dict.fromkeys(host for name in names for host in self.day.fleet.hosts(name)))
 
     def _start(self, at: float) -> None:
         tier = self._tier()
--- a/wheatring/lab/scenario/fleet.py
+++ b/wheatring/lab/scenario/fleet.py
@@ -148,5 +148,9 @@
         names = [one.name for one in self.sidecars] if tier is None else self.running(tier, at)
         return [name for name in names if self.sidecar_free[name] <= at]
 
-    def host(self, name: str) -> str:
-        return self.nodes[name].host if name in self.nodes else self._front_hosts[name]
+    def hosts(self, name: str) -> tuple[str, ...]:
+        """Of a machine, with that of its own sidecar where it has one; of a sidecar of the front."""
+        node = self.nodes.get(name)
+        if node is None:
+            return (self._front_hosts[name],)
+        return (node.host, node.side_host) if node.tier + 1 < len(self.tiers) else (node.host,)
--- a/wheatring/lab/wire/ground.py
+++ b/wheatring/lab/wire/ground.py
@@ -25,7 +25,6 @@
     DISCOVERY,
     LINGER,
     PORT,
-    host_of_side,
     side_hosts,
     zones,
 )
@@ -187,7 +186,7 @@
             self.net.back(host)
 
     def machine_of(self, node: NodePlan) -> list[str]:
-        return [node.host, host_of_side(node)] if node.name in self.hosts else [node.host]
+        return [node.host, node.side_host] if node.name in self.hosts else [node.host]
 
     # What is seen of the sidecars
 
--- a/wheatring/lab/world/ground.py
+++ b/wheatring/lab/world/ground.py
@@ -18,24 +18,18 @@
 LINGER = 0.1  # seconds past their time in which callers still look for an answer: the rules' grace and some
 
 
-def host_of_side(node: NodePlan) -> str:
-    """The host of a node's own sidecar: its node's, in another net."""
-    first, second, rest = node.host.split(".", 2)
-    return f"{first}.{int(second) + 100}.{rest}"
-
-
 def side_hosts(plan: Plan) -> dict[str, str]:
     """The host of every sidecar, by name."""
     last = len(plan.tiers) - 1
     hosts = {each.name: each.host for each in plan.sidecars}
-    return hosts | {node.name: host_of_side(node) for node in plan.nodes if node.tier < last}
+    return hosts | {node.name: node.side_host for node in plan.nodes if node.tier < last}
 
 
 def zones(plan: Plan) -> dict[str, str]:
     """The zone of every host but the clients'."""
     found = {each.host: each.zone for each in plan.sidecars}
     for node in plan.nodes:
-        found[node.host] = found[host_of_side(node)] = node.zone
+        found[node.host] = found[node.side_host] = node.zone
     some = next(iter(found.values()), "")
     return {**found, DISCOVERY[0]: some}
 
--- a/wheatring/lab/world/world.py
+++ b/wheatring/lab/world/world.py
@@ -22,7 +22,7 @@
 from wheatring.lab.rules.trace import Trace
 from wheatring.lab.wire.discovery import as_json
 from wheatring.lab.world.events import Events
-from wheatring.lab.world.ground import PORT, Ground, host_of_side
+from wheatring.lab.world.ground import PORT, Ground
 from wheatring.lab.world.seats import Seat, Seats
 
 START = 1000.0  # the clock at which the world begins
@@ -123,7 +123,7 @@
         for tier in range(len(plan.tiers) - 1):
             callers = [node for node in plan.nodes if node.tier == tier]
             for number, node in enumerate(callers):
-                self.add_seat(node.name, host_of_side(node), tier + 1, number, len(callers))
+                self.add_seat(node.name, node.side_host, tier + 1, number, len(callers))
 
     def add_seat(self, name: str, host: str, tier: int, number: int, copies: int) -> None:
         self.seats.seats[name] = Seat(self.plan, name, host, tier, number, copies, self.known)
