Let discovery's clock jump when all machines' clocks do

Change: the world's Unix time, by which starts are stamped, takes part in such a jump.

Result: a new story at both grains compares the stamp of a start after the jump.

--- a/tests/lab/test_world_told.py
+++ b/tests/lab/test_world_told.py
@@ -8,7 +8,7 @@
 from wheatring.lab.plan import EventPlan, Plan
 from wheatring.lab.scenario.draw import draw
 from wheatring.lab.scenario.load import load, parse
-from wheatring.lab.world.world import play
+from wheatring.lab.world.world import START, World, play
 
 
 def a_day(*events: EventPlan, seed: int = 1) -> Plan:
@@ -54,3 +54,15 @@
         served.append(outcome.service)
     near, far, cut = served
     assert near > 0.9 > 0.8 > far > cut == 0.0
+
+
+@pytest.mark.parametrize("grain", ["wire", "exchange"])
+def test_a_start_is_told_by_the_clock_that_all_read(grain: str) -> None:
+    step, kill = (
+        EventPlan(at=0.5, kind="clock_step", size=100.0),
+        EventPlan(at=1.0, kind="kill", length=0.1, nodes=("shop-1",)),
+    )
+    world = World(a_day(step, kill), grain)
+    world.play()
+    instant, stamp = world.registry.knowledge.started["shop-1"]
+    assert stamp == round((world.plan.epoch + instant - START + step.size) * 1000)
--- a/wheatring/lab/direct/ground.py
+++ b/wheatring/lab/direct/ground.py
@@ -100,7 +100,7 @@
         self.sidecars[name].kill()
 
     def unix(self, host: str) -> float:
-        return self.world.unix() + self.steps.get("", 0.0) + self.steps.get(host, 0.0)
+        return self.world.unix() + self.steps.get(host, 0.0)
 
     # Faults
 
@@ -134,6 +134,9 @@
     def machine_of(self, node: NodePlan) -> list[str]:
         return [node.host, node.side_host] if node.name in self.hosts else [node.host]
 
+    def stepped(self) -> float:
+        return self.steps.get("", 0.0)
+
     # What is seen of the sidecars
 
     def whose_turn(self) -> str:
--- a/wheatring/lab/wire/ground.py
+++ b/wheatring/lab/wire/ground.py
@@ -188,6 +188,9 @@
     def machine_of(self, node: NodePlan) -> list[str]:
         return [node.host, node.side_host] if node.name in self.hosts else [node.host]
 
+    def stepped(self) -> float:
+        return self.net.clock_offset
+
     # What is seen of the sidecars
 
     def whose_turn(self) -> str:
--- a/wheatring/lab/world/ground.py
+++ b/wheatring/lab/world/ground.py
@@ -72,6 +72,9 @@
     def back(self, node: NodePlan) -> None:
         """It answers again, and its connections are reset."""
 
+    def stepped(self) -> float:
+        """Seconds by which the clocks of all machines together have jumped."""
+
     def whose_turn(self) -> str:
         """The sidecar whose code runs now; "" where that is not known."""
 
--- a/wheatring/lab/world/world.py
+++ b/wheatring/lab/world/world.py
@@ -83,7 +83,8 @@
         return [sizes(random, each) for each in self.plan.classes]
 
     def unix(self) -> float:
-        return self.plan.epoch + self.time.now() - START
+        """Unix time as discovery and the machines read it, by which they tell of starts."""
+        return self.plan.epoch + self.time.now() - START + self.ground.stepped()
 
     def make_ground(self) -> Ground:
         if self.grain == "wire":
