--- a/tests/lab/test_rules.py
+++ b/tests/lab/test_rules.py
@@ -105,12 +105,16 @@
     desk.answer()
 
 
-CUT = EventPlan(at=1.0, kind="partition", length=9.0, hosts=("127.1.0.1",), others=("127.0.0.1",))
+# Between the front's sidecar and a node, and between another node's sidecar and what is named nowhere.
+CUTS = tuple(
+    EventPlan(at=1.0, kind="partition", length=9.0, hosts=(host,), others=others)
+    for host, others in (("127.1.0.1", ("127.0.0.0",)), ("127.100.0.1", ()))
+)
 
 
-@breaks("answer", events=(CUT,))
-def cut_off(desk: Desk, wrong: bool) -> None:
-    sidecar = "front0" if wrong else "lb"
+@breaks("answer", events=CUTS)
+def cut_off_from_its_callers(desk: Desk, wrong: bool) -> None:
+    sidecar = "lb" if wrong else "front1"
     desk.at(12).book.taken(sidecar, "r", 0, "", START + 18)  # what was lost has yet to be sent again
     desk.at(19.4).book.answered(sidecar, "r", "failed", "", 0.0)
 
@@ -282,7 +286,9 @@
 counts_as_told("by_a_call_for_all", 2 + 6 + END, (1, "known", 0.0), (2, "asking", 0.0))
 heard = (1, "asking", 5.0), (6, "unheard", None)  # no news in all its wait
 counts_as_told("without_asking", 7 + 10 + END, *heard, (7, "known", 0.0))
-failed = (1, "asking", 5.0), (2, "unheard", None)
+failed = (1, "asking", 5.0), (2, "unheard", True)
+given_up = (1, "asking", 5.0), (2, "unheard", None)
+counts_as_told("after_a_call_that_it_gave_up", 3 + 10 + END, *given_up, (3, "known", 0.0))
 counts_as_told("after_a_call_that_failed", 3 + 40 + END, *failed, (3, "known", 0.0))
 
 
--- /dev/null
+++ b/tests/lab/test_world_told.py
@@ -0,0 +1,68 @@
+"""What befalls links and discovery, by what comes of it: a fault that strikes nobody would go unseen."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from wheatring.lab.plan import EventPlan, Plan
+from wheatring.lab.scenario.draw import draw
+from wheatring.lab.scenario.load import load, parse
+from wheatring.lab.world.world import START, World, play
+
+
+def a_day(*events: EventPlan, seed: int = 1) -> Plan:
+    return msgspec.structs.replace(draw(load("small"), seed), events=events, length=7.0)
+
+
+@pytest.mark.parametrize("grain", ["wire", "exchange"])
+def test_what_a_sidecar_asks_for_in_vain_does_not_count_as_told(grain: str) -> None:
+    """Discovery refuses while a node drains. A sidecar that goes on asking may go on sending to it."""
+    node = "shop-1"
+    day = a_day(
+        EventPlan(at=0.2, kind="discovery_down", length=6.8),
+        EventPlan(at=0.4, kind="sidecar_kill", length=0.2, sidecars=("front-1",)),
+        EventPlan(at=1.0, kind="drain", extra=7.0, nodes=(node,)),
+    )
+    outcome = play(day, grain)
+    assert outcome.counts["drains_checked"] > 20
+    assert outcome.breaches == []
+
+
+@pytest.mark.parametrize("grain", ["wire", "exchange"])
+def test_a_cut_below_the_first_tier_strikes_the_machines_own_sidecars(grain: str) -> None:
+    text = """
+        title = "Cut"
+        what = "No machine of the first tier reaches one of the second."
+        extends = "small"
+        length = 3
+        without = ["event"]
+
+        [[event]]
+        kind = "%s"
+        tier = "store"
+        part = 1
+        callers = 3
+        at = 0
+        length = 6
+        %s
+    """
+    served = []
+    for event in (("latency", "size = 1"), ("latency", "size = 500"), ("partition", "")):
+        outcome = play(draw(parse(text % event, "cut", "cut.toml"), 2), grain)
+        assert outcome.breaches == []
+        served.append(outcome.service)
+    near, far, cut = served
+    assert near > 0.9 > 0.8 > far > cut == 0.0
+
+
+@pytest.mark.parametrize("grain", ["wire", "exchange"])
+def test_a_start_is_told_by_the_clock_that_all_read(grain: str) -> None:
+    step, kill = (
+        EventPlan(at=0.5, kind="clock_step", size=100.0),
+        EventPlan(at=1.0, kind="kill", length=0.1, nodes=("shop-1",)),
+    )
+    world = World(a_day(step, kill), grain)
+    world.play()
+    instant, stamp = world.registry.knowledge.started["shop-1"]
+    assert stamp == round((world.plan.epoch + instant - START + step.size) * 1000)
--- a/wheatring/lab/wire/ground.py
+++ b/wheatring/lab/wire/ground.py
@@ -25,7 +25,6 @@
     DISCOVERY,
     LINGER,
     PORT,
-    host_of_side,
     side_hosts,
     zones,
 )
@@ -72,6 +71,7 @@
     def open_discovery(self, registry: Registry) -> None:
         host, port = DISCOVERY
         process = self.net.process("discovery", host)
+        self.net.host(host).on_refused[port] = lambda caller: registry.refused(self.sidecar_of(caller))
         DiscoveryPeer(
             registry,
             self.book,
@@ -186,7 +186,10 @@
             self.net.back(host)
 
     def machine_of(self, node: NodePlan) -> list[str]:
-        return [node.host, host_of_side(node)] if node.name in self.hosts else [node.host]
+        return [node.host, node.side_host] if node.name in self.hosts else [node.host]
+
+    def stepped(self) -> float:
+        return self.net.clock_offset
 
     # What is seen of the sidecars
 
