--- a/wheatring/lab/world/world.py
+++ b/wheatring/lab/world/world.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import gc
 import time as process_time
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
+from contextlib import contextmanager
 from random import Random
 from typing import Any, NamedTuple, TextIO
 
@@ -32,6 +34,7 @@
     ("overdue", "unexpected", "job-broken", "claim-broken", "request-broken", "answer-broken",
      "decision-broken", "action-broken", "not-carried-out")
 )  # fmt: skip
+NEW = 50_000  # objects made and not freed again after which the collector looks at them
 SETTLE = 2.0  # seconds after the tail in which what was answered late has gone
 
 
@@ -42,6 +45,23 @@
     of: Sequence[str] = ()
 
 
+@contextmanager
+def collected_seldom() -> Iterator[None]:
+    """While a day is played little is left in cycles, and what stands before it stands until its end:
+    the collector would look through all of it again and again, and find nothing. So it looks at what is new
+    only, and seldom."""
+    before, idle = gc.get_threshold(), gc.get_freeze_count() == 0
+    if idle:
+        gc.freeze()
+    gc.set_threshold(NEW, *before[1:])
+    try:
+        yield
+    finally:
+        gc.set_threshold(*before)
+        if idle:
+            gc.unfreeze()
+
+
 class World:
     """One plan at one grain. `play` may be called once."""
 
@@ -212,7 +232,7 @@
                 self.time.at(START, self.seats.up, seat)
         self.events.schedule(self.day, plan.events)
         self.time.at(self.day, self.clients.start)
-        with log.diverted(self.logged):
+        with log.diverted(self.logged), collected_seldom():
             self.time.run(self.day + plan.length + plan.tail + SETTLE)
         wall = process_time.perf_counter() - began
         outcome = self.book.finish(wall, self.ground.left_over())
