Read virtual time's instant where it stands in the direct grain, and post what is not cancelled

Need: each message between hosts made an Event that nobody cancels, and each look at the clock a call. Change: links post a partial, and the direct parts read instant; a verdict's outcome is looked up, not searched for. Trace hashes are the same.

--- a/wheatring/lab/direct/clock.py
+++ b/wheatring/lab/direct/clock.py
@@ -5,21 +5,21 @@
 from collections.abc import Callable
 
 from wheatring.core.clock import Clock
-from wheatring.lab.timers import Timer, Timers
+from wheatring.lab.timers import PlayedTime, Timer
 
 
 class DirectClock(Clock):
     """The core's clock on the world's timers. Once its process has ended, nothing of it is called."""
 
-    def __init__(self, timers: Timers, unix: Callable[[], float]) -> None:
-        self.timers = timers
-        self.now = timers.now
+    def __init__(self, time: PlayedTime, unix: Callable[[], float]) -> None:
+        self.time = time
+        self.now = time.now
         self.unix = unix
         self.unix_offset = unix() - self.now()
         self.over = False
 
     def at(self, instant: float, call: Callable[..., object], *args: object) -> Timer:
-        return self.timers.at(instant, self.run, call, args)
+        return self.time.at(instant, self.run, call, args)
 
     def run(self, call: Callable[..., object], args: tuple[object, ...]) -> None:
         if not self.over:
--- a/wheatring/lab/direct/ground.py
+++ b/wheatring/lab/direct/ground.py
@@ -80,7 +80,7 @@
             told.settings,
             told.seed,
             told.known,
-            timers=self.time,
+            time=self.time,
             unix=lambda: self.unix(host),
             links=self.links,
             nodes=self.listening,
--- a/wheatring/lab/direct/links.py
+++ b/wheatring/lab/direct/links.py
@@ -6,12 +6,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
+from functools import partial
 from math import log
 from random import Random
 from typing import Any, Protocol
 
 from wheatring.lab.plan import NetPlan
-from wheatring.lab.timers import Timers
+from wheatring.lab.timers import PlayedTime
 
 RESEND = 0.2  # seconds until what got lost is sent again, doubled each time ...
 RESEND_MOST = 120.0  # ... up to this
@@ -40,10 +41,10 @@
 class DirectLink:
     """A delay is a floor and an exponential part above it. What is sent into a cut waits."""
 
-    __slots__ = ("cut", "draw", "floor", "held", "since", "spread", "timers")
+    __slots__ = ("cut", "draw", "floor", "held", "since", "spread", "time")
 
-    def __init__(self, timers: Timers, draw: Callable[[], float]) -> None:
-        self.timers = timers
+    def __init__(self, time: PlayedTime, draw: Callable[[], float]) -> None:
+        self.time = time
         self.draw = draw
         self.floor = 0.0
         self.spread = 0.0
@@ -52,22 +53,21 @@
         self.held: list[tuple[Callable[..., object], tuple[Any, ...]]] = []
 
     def send(self, least: float, call: Callable[..., object], *args: Any) -> float:
-        timers = self.timers
-        now = timers.now()
         if self.cut:
             if not self.held:
-                self.since = now
+                self.since = self.time.instant
             self.held.append((call, args))
             return least
-        arrival = now + self.floor - self.spread * log(1.0 - self.draw())
+        time = self.time
+        arrival = time.instant + self.floor - self.spread * log(1.0 - self.draw())
         if arrival < least:
             arrival = least
-        timers.at(arrival, call, *args)
+        time.post(arrival, partial(call, *args) if args else call)
         return arrival
 
     def resume(self) -> None:
         """The cut is healed: what waited goes out when TCP would next try."""
-        now = self.timers.now()
+        now = self.time.instant
         wait = RESEND
         again = self.since + wait
         while again < now:
@@ -75,16 +75,16 @@
             again += wait
         held, self.held = self.held, []
         for call, args in held:
-            self.timers.at(again + self.floor, call, *args)
+            self.time.at(again + self.floor, call, *args)
 
 
 class DirectLinks:
     """Links by the plan's delays. `zones`: of each host; one that has none is the clients'."""
 
-    def __init__(self, plan: NetPlan, zones: Mapping[str, str], timers: Timers, random: Random) -> None:
+    def __init__(self, plan: NetPlan, zones: Mapping[str, str], time: PlayedTime, random: Random) -> None:
         self.plan = plan
         self.zones = zones
-        self.timers = timers
+        self.time = time
         self.draw = random.random
         self.links: dict[tuple[str, str], DirectLink] = {}
         self.vanished: list[str] = []
@@ -94,7 +94,7 @@
     def link(self, source: str, target: str) -> DirectLink:
         link = self.links.get((source, target))
         if link is None:
-            link = self.links[source, target] = DirectLink(self.timers, self.draw)
+            link = self.links[source, target] = DirectLink(self.time, self.draw)
             self._set(source, target, link)
         return link
 
--- a/wheatring/lab/direct/node.py
+++ b/wheatring/lab/direct/node.py
@@ -8,7 +8,7 @@
 from wheatring.lab.direct.links import Links
 from wheatring.lab.models.visit import Visit
 from wheatring.lab.plan import TierPlan
-from wheatring.lab.timers import Timers
+from wheatring.lab.timers import PlayedTime
 
 if TYPE_CHECKING:
     from wheatring.lab.direct.pool import Line
@@ -44,12 +44,12 @@
     """Attaches one machine. `down` is to be called once its process has ended, and when its host is back."""
 
     def __init__(
-        self, machine: Machine, host: str, tier: TierPlan, timers: Timers, links: Links, book: Book
+        self, machine: Machine, host: str, tier: TierPlan, time: PlayedTime, links: Links, book: Book
     ) -> None:
         self.machine = machine
         self.name = machine.name
         self.host = host
-        self.timers = timers
+        self.time = time
         self.links = links
         self.book = book
         self.round_trips = tier.handshake_rtts
@@ -62,7 +62,7 @@
         """A connect has arrived."""
         late = self.machine.troubles.connect_delay
         if late > 0 and self.machine.running:
-            self.timers.at(self.timers.now() + late, self.accept, line)
+            self.time.at(self.time.instant + late, self.accept, line)
         else:
             self.accept(line)
 
@@ -74,13 +74,13 @@
         wait = machine.connect()
         if wait is None:  # its table is full: the connect gets no answer
             return
-        now = self.timers.now()
+        now = self.time.instant
         there = line.pool.host
         there_and_back = self.links.delay(there, self.host) + self.links.delay(self.host, there)
         line.handshake = wait + self.round_trips * there_and_back
         line.node_idle = now
         self.lines[line] = None
-        self.timers.at(now + self.idle, self.look, line)
+        self.time.at(now + self.idle, self.look, line)
         line.reply_arrival = line.back.send(0.0, line.accepted)
 
     # Requests
@@ -90,10 +90,10 @@
         if line not in self.lines:
             return
         line.visit = visit
-        sent, visit.since = visit.since, self.timers.now()
+        sent, visit.since = visit.since, self.time.instant
         self.book.arrived(visit.sidecar, self.name, visit.ident, sent)
         if line.handshake > 0:
-            self.timers.at(visit.since + line.handshake, self.begin, line, visit)
+            self.time.at(visit.since + line.handshake, self.begin, line, visit)
             line.handshake = 0.0
         else:
             line.begun = True
@@ -135,9 +135,9 @@
         """Close a connection that has stood idle for too long."""
         if line not in self.lines:
             return
-        now = self.timers.now()
+        now = self.time.instant
         due = now + self.idle if line.visit is not None else line.node_idle + self.idle
         if due <= now:
             self.close(line)
         else:
-            self.timers.at(due, self.look, line)
+            self.time.at(due, self.look, line)
--- a/wheatring/lab/direct/pool.py
+++ b/wheatring/lab/direct/pool.py
@@ -19,13 +19,11 @@
 from wheatring.lab.direct.node import DirectNode
 from wheatring.lab.models.visit import Verdict, Visit
 
-CONNECT_FAILED, RESET = Outcome.CONNECT_FAILED, Outcome.RESET  # looked up once: an enum takes its time
-OUTCOMES = (
-    (Verdict.SERVED, Outcome.SERVED),
-    (Verdict.AWAY, Outcome.REJECTED),
-    (Verdict.ERROR, Outcome.ERROR),
-)  # of answers that leave a clean connection; any other can't be read
-VERDICT_AWAY, VERDICT_RESET = Verdict.AWAY, Verdict.RESET
+# Looked up once: an enum takes its time.
+SERVED, CONNECT_FAILED, RESET = Outcome.SERVED, Outcome.CONNECT_FAILED, Outcome.RESET
+VERDICT_SERVED, VERDICT_AWAY, VERDICT_RESET = Verdict.SERVED, Verdict.AWAY, Verdict.RESET
+# Of answers that leave a clean connection; any other can't be read.
+OUTCOMES = {Verdict.SERVED: SERVED, Verdict.AWAY: Outcome.REJECTED, Verdict.ERROR: Outcome.ERROR}
 
 
 class Line:
@@ -119,7 +117,7 @@
         self.claim = claim
         claim.drop = self.drop
         claim.written = True
-        now = pool.clock.now()
+        now = pool.time.instant
         left = int((claim.give_up - now) * 1000) / 1000 or 0.001  # as the wire states it
         pool.book.sending(pool.name, self.node.name, now)
         visit = Visit(claim.job.ident, pool.name, left, now, self.reply)
@@ -137,7 +135,7 @@
             return
         if verdict is VERDICT_AWAY:
             node.book.turned_away(node.name, visit.ident)
-        self.node_idle = node.timers.now()
+        self.node_idle = node.time.instant
         self.reply_arrival = self.back.send(self.reply_arrival, self.answered, verdict, stamp)
 
     def answered(self, verdict: Verdict, stamp: str) -> None:
@@ -145,11 +143,14 @@
         if claim is None or self.pool.clock.over:
             return
         self.claim = None
-        for each, outcome in OUTCOMES:
-            if verdict is each:
-                self.pool.keep(self)
-                self.pool.exchange.end(claim, outcome, stamp)
-                return
+        if verdict is VERDICT_SERVED:
+            outcome: Outcome | None = SERVED
+        else:
+            outcome = OUTCOMES.get(verdict)
+        if outcome is not None:
+            self.pool.keep(self)
+            self.pool.exchange.end(claim, outcome, stamp)
+            return
         self.close()
         self.pool.exchange.end(claim, RESET)
 
@@ -206,7 +207,7 @@
         self.host = host
         self.nodes = nodes
         self.clock = clock
-        self.timers = clock.timers
+        self.time = clock.time
         self.exchange = exchange
         self.links = links
         self.book = book
@@ -239,7 +240,7 @@
         Line(self, Place(claim.node, address), claim).dial()
 
     def keep(self, line: Line) -> None:
-        line.idle_since = self.clock.now()
+        line.idle_since = self.time.instant
         idle = self.idle_ones.get(line.place)
         if idle is None:
             idle = self.idle_ones[line.place] = deque()
--- a/wheatring/lab/direct/sidecar.py
+++ b/wheatring/lab/direct/sidecar.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable, Mapping
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, Any
 
 from lapisway.interface import Settings
 from lapisway.policy import Balancer
@@ -17,7 +17,7 @@
 from wheatring.lab.direct.machine_list import DirectList, Registry
 from wheatring.lab.direct.node import DirectNode
 from wheatring.lab.direct.pool import DirectPool
-from wheatring.lab.timers import Timers
+from wheatring.lab.timers import PlayedTime
 
 if TYPE_CHECKING:
     from wheatring.lab.direct.way import DirectAsked, DirectWay
@@ -40,7 +40,7 @@
         seed: int,
         known: object,
         *,
-        timers: Timers,
+        time: PlayedTime,
         unix: Callable[[], float],
         links: Links,
         nodes: Mapping[str, DirectNode],
@@ -57,7 +57,7 @@
         self.book = book
         self.way = way
         self.on_end = on_end
-        self.clock = DirectClock(timers, unix)
+        self.clock = DirectClock(time, unix)
         self.exchange = Exchange(self.clock, settings.contract.answer_slack)
         self.driver = Driver(Balancer(settings, seed), self.exchange, self.clock)
         places = sockets - RESERVE
@@ -93,9 +93,12 @@
             self.door.append(asked)
             return
         cls = self.classes[asked.index]
-        left = min(cls.deadline, asked.left)  # no caller waits longer than its class
+        left = asked.left
+        if cls.deadline < left:
+            left = cls.deadline  # no caller waits longer than its class
+        answered: Any = asked
         job = asked.job = Job(
-            asked.ident, cls.name, self.clock.now() + left, asked, asked.repeat, cast(Any, asked)
+            asked.ident, cls.name, self.clock.time.instant + left, asked, asked.repeat, answered
         )
         self.held[asked] = None
         self.exchange.submit(job)
--- a/wheatring/lab/direct/way.py
+++ b/wheatring/lab/direct/way.py
@@ -11,7 +11,7 @@
 from wheatring.lab.book import Book, Kind
 from wheatring.lab.direct.links import Links
 from wheatring.lab.models.way import Done
-from wheatring.lab.timers import Timers
+from wheatring.lab.timers import PlayedTime
 
 if TYPE_CHECKING:
     from wheatring.lab.direct.sidecar import DirectSidecar
@@ -46,7 +46,7 @@
 
     def go(self) -> None:
         """It is written."""
-        now = self.way.timers.now()
+        now = self.way.time.instant
         self.left = max(1, int((self.until - now) * 1000)) / 1000  # as the wire states it
         self.deadline = now + self.left
         self.arrival = self.there.send(0.0, self.arrive)
@@ -80,7 +80,7 @@
         assert process is not None
         process.done(self)
         if not self.gone:
-            self.back.send(0.0, self.answered, answer, self.way.timers.now())
+            self.back.send(0.0, self.answered, answer, self.way.time.instant)
 
     def answered(self, answer: Answer, written: float) -> None:
         if self.gone:
@@ -121,13 +121,13 @@
 
     def __init__(
         self,
-        timers: Timers,
+        time: PlayedTime,
         links: Links,
         book: Book,
         hosts: Mapping[str, tuple[str, str]],
         most: Mapping[str, int] | None = None,
     ) -> None:
-        self.timers = timers
+        self.time = time
         self.book = book
         self.links = {
             name: (links.link(here, there), links.link(there, here)) for name, (here, there) in hosts.items()
@@ -140,7 +140,7 @@
     def ask(
         self, sidecar: str, ident: str, index: int, left: float, key: str, repeat: bool, done: Done
     ) -> DirectAsked:
-        asked = DirectAsked(self, sidecar, ident, index, self.timers.now() + left, key, repeat, done)
+        asked = DirectAsked(self, sidecar, ident, index, self.time.instant + left, key, repeat, done)
         if self.most and sidecar in self.most:
             self.waiting[sidecar].append(asked)
             self.fill(sidecar)
--- a/wheatring/lab/timers.py
+++ b/wheatring/lab/timers.py
@@ -20,3 +20,13 @@
 
     def at(self, instant: float, call: Callable[..., object], *args: object) -> Timer:
         """Call at an instant, at once where that has passed, but never from within this call."""
+
+
+class PlayedTime(Timers, Protocol):
+    """Virtual time: the present instant stands there to be read."""
+
+    @property
+    def instant(self) -> float: ...
+
+    def post(self, instant: float, call: Callable[[], object]) -> None:
+        """As `at`, for what has no arguments and is never cancelled."""
