Reckon no rate of service where no gate stands, and draw in one call

Need: below the front a copy reckoned the rate of its answers and threw it away, and each draw and each record of it made calls that lead to nothing. Change: the gate's tier is asked first, a draw reads its pool's length once, and a record is made without the named tuple's own call. Decisions and draws are the same, in the same order. Trace hashes are the same at both grains.

--- a/lapisway/policy.py
+++ b/lapisway/policy.py
@@ -30,6 +30,7 @@
 # Looked up once, not for each attempt: an enum takes its time.
 SERVED, TIMED_OUT, REJECTED = Outcome.SERVED, Outcome.TIMED_OUT, Outcome.REJECTED
 UNSAFE, KEYED = Effect.UNSAFE, Effect.KEYED
+new = tuple.__new__  # a named tuple's own would be a call more
 # Failed connections are resent too, but outside the token count.
 RETRYABLE = (Outcome.ERROR, REJECTED, TIMED_OUT, Outcome.RESET)
 UNMOVED = (TIMED_OUT, Outcome.CONNECT_FAILED, Outcome.CANCELLED, Outcome.NOT_SENT)  # no word from it
@@ -179,8 +180,10 @@
     def admits(self, now: float, request: Request) -> bool:
         """When every server slows, first sends would pass unchecked and all end late. So the front refuses
         what would end late at the present congestion; low worth is left less room than high."""
-        norm, rate = request.norm, self.served_rate(now)
-        if self.settings.tier or not norm.base or not rate:
+        if self.settings.tier or not request.norm.base:
+            return True
+        rate = self.served_rate(now)
+        if not rate:
             return True
         # What an endpoint holds that is quiet while others answer is no queue for the calls that these get.
         quiet = max([e.progress for e in self.ready], default=0.0) - request.cls.aim
@@ -227,8 +230,9 @@
             if patience + norm.mean < left and len(request.attempts) + 1 < self.max_attempts():
                 timeout = patience
         seen = tuple(
-            [Drawn(e.entry.endpoint, e.in_flight, e.reported if e.reported_at else None) for e in drawn]
-        )
+            [new(Drawn, (e.entry.endpoint, e.in_flight, e.reported if e.reported_at else None))
+             for e in drawn]
+        )  # fmt: skip
         request.attempts.append(endpoint)
         request.sent_at = now
         request.outstanding += 1
@@ -371,8 +375,11 @@
         return best, list(seen.values())
 
     def draw(self, pool: list[Endpoint]) -> list[Endpoint]:
-        pools = [pool, pool, self.far] if pool is self.near else [pool, pool]
-        return [p[int(self.random.random() * len(p))] for p in pools if p]
+        size, random = len(pool), self.random.random
+        drawn = [pool[int(random() * size)], pool[int(random() * size)]] if size else []
+        if self.far and pool is self.near:
+            drawn.append(self.far[int(random() * len(self.far))])
+        return drawn
 
     def burden(self, now: float, endpoint: Endpoint) -> float:
         """What an endpoint's calls in flight are scaled by: it is slow, fails, or has gone silent."""
