Hand a lone event to the decisions without the queue, and end a claim with fewer look-ups

Need: each event went through a queue that is empty but for events that come up while actions are carried out. Change: it is handled at once and the queue emptied after it; a claim's instant and its outcome are looked up once. Order and outcomes are as before.

--- a/wheatring/core/driver.py
+++ b/wheatring/core/driver.py
@@ -46,11 +46,13 @@
     # What comes from the exchange
 
     def job_came(self, job: Job) -> None:
-        self.last += 1
-        job.number = self.last
-        self.jobs[job.number] = job
-        left = job.deadline - self.clock.now()
-        self.feed(i.NewRequest(job.number, job.class_name, left, client_retry=job.repeat))
+        number = self.last = self.last + 1
+        job.number = number
+        self.jobs[number] = job
+        event = i.NewRequest(number, job.class_name, job.deadline - self.clock.now())
+        if job.repeat:
+            event.client_retry = True
+        self.feed(event)
 
     def job_left(self, job: Job) -> None:
         if job.number:  # the module knows of it
@@ -70,13 +72,15 @@
 
     def feed(self, event: i.Event) -> None:
         """Hand an event over; one that comes up while actions are carried out waits for its turn."""
-        self.waiting.append(event)
+        waiting = self.waiting
         if self.busy:
+            waiting.append(event)
             return
         self.busy = True
         try:
-            while self.waiting:
-                self.handle(self.waiting.popleft())
+            self.handle(event)
+            while waiting:
+                self.handle(waiting.popleft())
         finally:
             self.busy = False
 
@@ -101,11 +105,12 @@
     def forget(self, job: Job) -> None:
         if not job.over:
             return
-        for claim in job.claims:
+        claims = job.claims
+        for claim in claims:
             if claim.outcome is None:
                 return
         self.jobs.pop(job.number, None)
-        job.claims.clear()  # or job and claims would hold each other until the collector comes
+        claims.clear()  # or job and claims would hold each other until the collector comes
 
     def carry_out(self, action: i.Action) -> None:
         match action:
--- a/wheatring/core/exchange.py
+++ b/wheatring/core/exchange.py
@@ -22,7 +22,8 @@
     FAILED = "failed"
 
 
-SERVED = Outcome.SERVED, Final.SERVED  # looked up once, not for each job: an enum takes its time
+# Looked up once, not for each job: an enum takes its time.
+SERVED, FINAL_SERVED = Outcome.SERVED, Final.SERVED
 
 
 @dataclass(slots=True)
@@ -109,12 +110,15 @@
     # The driver
 
     def claim(self, job: Job, node: str, give_up: float) -> Claim:
-        claim = Claim(job, len(job.claims), node, self.clock.now(), min(give_up, job.deadline))
-        job.claims.append(claim)
-        if job.over or claim.give_up <= claim.begun:
+        claims, now = job.claims, self.clock.now()
+        if job.deadline < give_up:
+            give_up = job.deadline
+        claim = Claim(job, len(claims), node, now, give_up)
+        claims.append(claim)
+        if job.over or give_up <= now:
             claim.outcome = Outcome.NOT_SENT
             return claim
-        claim.late = self.clock.at(claim.give_up, self._late, claim)
+        claim.late = self.clock.at(give_up, self._late, claim)
         try:
             self.start_claim(claim)
         except Exception as bug:  # a claim that could not be started must not strand its job
@@ -140,12 +144,12 @@
             return
         claim.outcome = outcome
         claim.drop = None
-        if claim.late is not None:
-            claim.late.cancel()
+        late = claim.late
+        if late is not None:
+            late.cancel()
             claim.late = None
-        served, final = SERVED
-        if outcome is served:
-            self.answer(claim.job, Answer(final, content))
+        if outcome is SERVED:
+            self.answer(claim.job, Answer(FINAL_SERVED, content))
         self.on_claim_ended(claim)
 
     # Its own
