--- a/wheatring/lab/models/cpu.py
+++ b/wheatring/lab/models/cpu.py
@@ -27,11 +27,12 @@
 
     __slots__ = (
         "_due", "_firing", "_heap", "_last", "_rate", "_seq", "_timer", "_v", "_worked", "cores", "done",
-        "factor", "speed", "timers", "warming", "watch",
+        "factor", "now", "speed", "timers", "warming", "watch",
     )  # fmt: skip
 
     def __init__(self, timers: Timers, cores: int, speed: float, done: Callable[[T], object]) -> None:
         self.timers = timers
+        self.now = timers.now
         self.cores = cores
         self.speed = speed
         self.done = done
@@ -56,15 +57,18 @@
         """Takes a request on; gives the mark by which `left` knows it."""
         self._advance()
         end = self._v + work
-        self._seq += 1
-        heappush(self._heap, (end, self._seq, item))
+        heap, seq = self._heap, self._seq + 1
+        self._seq = seq
+        heappush(heap, (end, seq, item))
         if not self._firing:
-            self._changed()
+            if self.watch is not None:
+                self.watch(len(heap))
+            self._rerate()
         return end
 
     def left(self, mark: float) -> float:
         """Work that is still to be done for a request that is not done yet."""
-        return max(0.0, mark - self._v - self._gain(self.timers.now()))
+        return max(0.0, mark - self._v - self._gain(self.now()))
 
     def tune(self, factor: float) -> None:
         """From now on there is this part of the capacity; 0: it stands still."""
@@ -83,12 +87,12 @@
 
     def rated(self) -> float:
         """What all cores can do at present, in work a second, if nothing but the cold hinders them."""
-        share = 1.0 if self.warming is None else self.warming.share(self.timers.now())
+        share = 1.0 if self.warming is None else self.warming.share(self.now())
         return self.cores * self.speed * share
 
     def worked(self) -> float:
         """Work done since it was made."""
-        return self._worked + self._gain(self.timers.now()) * len(self._heap)
+        return self._worked + self._gain(self.now()) * len(self._heap)
 
     def _gain(self, now: float) -> float:
         """How far the virtual clock has gone on since it was last set."""
@@ -99,16 +103,17 @@
         return self.warming.between(self._last, now) * self._rate
 
     def _advance(self) -> None:
-        now = self.timers.now()
-        if now > self._last:
-            if self._heap:
-                gain = self._gain(now)
+        now, last = self.now(), self._last
+        if now > last:
+            heap, warming = self._heap, self.warming
+            if heap:
+                gain = ((now - last) if warming is None else warming.between(last, now)) * self._rate
                 self._v += gain
-                self._worked += gain * len(self._heap)
+                self._worked += gain * len(heap)
             else:
                 self._v = 0.0  # small figures are exact figures
             self._last = now
-            if self.warming is not None and now >= self.warming.end:
+            if warming is not None and now >= warming.end:
                 self.warming = None
 
     def _changed(self) -> None:
@@ -117,14 +122,15 @@
         self._rerate()
 
     def _rerate(self) -> None:
-        wanting = len(self._heap)
+        heap = self._heap
+        wanting = len(heap)
         rate = self.speed * self.factor
         if wanting > self.cores:
             rate = rate * self.cores / wanting
         self._rate = rate
         if not wanting or rate <= 0.0:
             return
-        due = self._when(self._heap[0][0])
+        due = self._when(heap[0][0])
         timer = self._timer
         if timer is not None:
             # A timer that comes early sets the next one: that is cheaper than to move it with each arrival.
@@ -152,8 +158,12 @@
             item = heappop(heap)[2]
             if item is not None:
                 over.append(item)
-        self._firing = True
-        for item in over:
-            self.done(item)
-        self._firing = False
-        self._changed()
+        if over:
+            done = self.done
+            self._firing = True
+            for item in over:
+                done(item)
+            self._firing = False
+        if self.watch is not None:
+            self.watch(len(heap))
+        self._rerate()
--- a/wheatring/lab/models/life.py
+++ b/wheatring/lab/models/life.py
@@ -40,9 +40,11 @@
 
     def watch(self, held: int, wanting: int) -> None:
         """So many requests are held, and want a core, from now on."""
-        self._count()
+        now = self.timers.now()
+        self._worked += self._busy * (now - self._since)
+        self._since = now
         self._held = held
-        self._busy = min(1.0, wanting / self.cores)
+        self._busy = wanting / self.cores if wanting < self.cores else 1.0
         if self.slow:
             return
         if held < self.crowd:
@@ -50,7 +52,7 @@
                 self._step.cancel()
                 self._step = None
         elif self._step is None:
-            self._step = self.timers.at(self.timers.now() + self.plan.over, self._turn)
+            self._step = self.timers.at(now + self.plan.over, self._turn)
 
     def reset(self) -> None:
         """A new process is well."""
--- a/wheatring/lab/models/machine.py
+++ b/wheatring/lab/models/machine.py
@@ -19,6 +19,7 @@
 from wheatring.lab.plan import ClassPlan, NodePlan, RulesPlan, TierPlan
 from wheatring.lab.timers import Timers
 
+SERVED = Verdict.SERVED  # looked up once: an enum takes its time
 SOON = 0.001  # seconds: with less than that left, a visit makes no more calls and fails
 
 
@@ -72,6 +73,7 @@
         self._waiting: deque[Stay] = deque()
         self._stalled: deque[Callable[[], None]] = deque()  # what it finds once it no longer stands still
         self._pressure: Pressure | None = None  # while cold
+        self._share = tier.work
         self._sigma = [sqrt(log(1.0 + each.attempt_noise**2)) for each in classes]
         self.cpu: Cpu[Stay] = Cpu(timers, kind.cores, node.speed, self._worked)
         self.pace = Pace(timers, kind, tier, random, self.cpu, self.held, self._choked, self._found)
@@ -162,7 +164,7 @@
         if origin is None:
             self._away(visit)
             return
-        work = origin.size * self.tier.work
+        work = origin.size * self._share
         sigma = self._sigma[origin.class_index]
         if sigma > 0.0:
             work *= exp(sigma * (self.random.gauss(0.0, 1.0) - 0.5 * sigma))
@@ -191,18 +193,18 @@
         return self._pressure.offer(now, work, self.cpu.rated())
 
     def _take(self, stay: Stay) -> None:
-        visit, fail = stay.visit, self.troubles.fail
-        full = self.in_work >= self.kind.slots and len(self._waiting) >= self.kind.queue
-        if full or self.draining:
-            self.held.pop(visit, None)
+        visit, fail, kind, held = stay.visit, self.troubles.fail, self.kind, self.held
+        free = self.in_work < kind.slots
+        if self.draining or not (free or len(self._waiting) < kind.queue):
+            held.pop(visit, None)
             self._away(visit)
             return
-        self.held[visit] = stay
-        if self.kind.knee <= len(self.held):
+        held[visit] = stay
+        if kind.knee <= len(held):
             self.pace.tune()
         if fail > 0.0 and self.random.random() < fail:
             self._leave(stay, Verdict.ERROR)
-        elif self.in_work < self.kind.slots:
+        elif free:
             self._begin(stay)
         else:
             self._waiting.append(stay)
@@ -222,7 +224,10 @@
         stay.calls = self.whole_calls
         if self.part_calls > 0.0 and self.random.random() < self.part_calls:
             stay.calls += 1
-        self._work(stay, 0.5 * stay.rest if stay.calls or stay.breaks else stay.rest)
+        part = 0.5 * stay.rest if stay.calls or stay.breaks else stay.rest
+        stay.part = part
+        stay.rest -= part
+        stay.mark = self.cpu.add(part, stay)
 
     def _work(self, stay: Stay, part: float) -> None:
         stay.part = part
@@ -250,7 +255,7 @@
             return Verdict.ERROR
         if spoil > 0.0 and self.random.random() < spoil:
             return Verdict.SPOILT
-        return Verdict.SERVED
+        return SERVED
 
     def _call(self, stay: Stay) -> None:
         visit = stay.visit
@@ -282,16 +287,17 @@
         self._leave(stay, verdict)
 
     def _leave(self, stay: Stay, verdict: Verdict) -> None:
-        visit, book = stay.visit, self.book
+        visit, book, name, held = stay.visit, self.book, self.name, self.held
+        ident = visit.ident
         stay.over = True
-        del self.held[visit]
-        if self.kind.knee <= len(self.held) + 1:
+        del held[visit]
+        if self.kind.knee <= len(held) + 1:
             self.pace.tune()
-        book.worked(self.name, visit.ident, stay.done)
+        book.worked(name, ident, stay.done)
         if not visit.gone:
-            stamp = book.made(self.name, visit.ident) if verdict is Verdict.SERVED else ""
+            stamp = book.made(name, ident) if verdict is SERVED else ""
             # Told first: a reply may bring the next attempt of this request from within this call.
-            book.ended(self.name, visit.ident)
+            book.ended(name, ident)
             visit.reply(verdict, stamp)
 
     # What hinders it
--- a/wheatring/lab/rules/figures.py
+++ b/wheatring/lab/rules/figures.py
@@ -45,7 +45,7 @@
         self.open: dict[int, tuple[int, float, int]] = {}  # first tries: class, instant, second
         self.times: dict[int, list[float]] = {}  # ms, by second
         self.horizon = int(max([each.deadline for each in plan.classes], default=0.0)) + 2
-        self.histograms = [histogram() for _ in plan.classes]
+        self.counts: list[dict[int, int]] = [{} for _ in plan.classes]  # whole ms, by class
 
     # While the day is played
 
@@ -89,7 +89,9 @@
             if times is None:
                 times = self.times[number] = []
             times.append(took * 1000)
-            self.histograms[index].record_value(min(LONGEST_MS, max(1, round(took * 1000))))
+            whole = round(took * 1000)
+            counts = self.counts[index]
+            counts[whole] = counts.get(whole, 0) + 1
             return
         if end == "refused":
             second.refused += 1
@@ -147,7 +149,9 @@
         whole = sum([second.earned for second in self.seconds]) / worth if worth > 0 else 1.0
         worst_class, every = 1.0, histogram()
         for index, figures in enumerate(self.classes):
-            times = self.histograms[index]
+            times = histogram()
+            for ms, count in self.counts[index].items():
+                times.record_value(min(LONGEST_MS, max(1, ms)), count)
             every.add(times)
             figures.p50_ms = float(times.get_value_at_percentile(50))
             figures.p99_ms = float(times.get_value_at_percentile(99))
--- a/wheatring/lab/rules/pages.py
+++ b/wheatring/lab/rules/pages.py
@@ -205,8 +205,9 @@
         figures = self.figures
         (figures.present if at < figures.until else figures.second(at)).attempts += 1
         self.by_tier[self.tier_of[node]] += 1
-        if node in self.work.visits:
-            self.work.begins(ident, attempt)
+        work = self.work
+        if node in work.visits:
+            work.begins(ident, attempt)
         if self.trace is not None:
             line = f"arrived sidecar={sidecar} node={node} ident={ident}"
             self.trace.line(at, ident, f"{line} sent={self.since(attempt.sent)!r}")
@@ -244,7 +245,11 @@
     def made(self, node: str, ident: str) -> str:
         self.made_so_far += 1
         stamp = f"{self.made_so_far:x}-{ident}"
-        self._attempt(node, ident, "made").stamp = stamp
+        request = self.requests.get(ident)
+        attempt = request.attempts[0] if request is not None and request.attempts else None
+        if attempt is None or not attempt.out or attempt.node != node:
+            attempt = self._attempt(node, ident, "made")
+        attempt.stamp = stamp
         if self.trace is not None:
             self.trace.line(self.now(), ident, f"made node={node} ident={ident} stamp={stamp}")
         return stamp
@@ -265,8 +270,11 @@
             self.trace.line(self.now(), ident, f"worked node={node} ident={ident} work={work!r}")
 
     def ended(self, node: str, ident: str) -> None:
-        attempt = self._attempt(node, ident, "ended")
-        request = self.requests[ident]
+        request = self.requests.get(ident)
+        attempt = request.attempts[0] if request is not None and request.attempts else None
+        if request is None or attempt is None or not attempt.out or attempt.node != node:
+            attempt = self._attempt(node, ident, "ended")
+            request = self.requests[ident]
         if len(request.attempts) > 1:  # of several at one node the one that has its reply
             for each in request.attempts:
                 if each.out and each.node == node and (each.away or each.stamp):
--- a/wheatring/lab/rules/work.py
+++ b/wheatring/lab/rules/work.py
@@ -60,7 +60,10 @@
             for attempt in request.attempts:
                 if attempt.node == node and not attempt.done and not attempt.away:
                     attempt.done = True
-                    self.credit(attempt, work)
+                    if attempt.into is None:  # as is most often so: nothing to go up to yet
+                        attempt.work += work
+                    else:
+                        self.credit(attempt, work)
                     return
 
     def node_down(self, node: str) -> None:
