Tell in the log what a transport's callback raises

Twisted logs what a timer raises by its new logger (log_failure), but what a protocol's callback raises (connectionMade, dataReceived, connectionLost; its posixbase calls log.err) by the old one, whose events hold it as failure. The observer on our log looked for the first only: such a fault ended a connection as peer-reset, with no line 'unexpected'. Seen on the installed reactor with a protocol that raises: one line for the timer's, none for three callbacks'.

Change: the observer looks for both.

Result: the new story fails on both grounds without the change for a transport's callback, passes with it.

--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -7,9 +7,11 @@
 from typing import Any
 
 import pytest
+from twisted.logger import globalLogPublisher
 
 from lapisway import interface as i
 from tests.world import World, entry, list_body
+from wheatring import log
 from wheatring.core.exchange import Job
 from wheatring.http1 import client, server
 from wheatring.http1.parser import Request
@@ -485,3 +487,31 @@
     assert caller.read()[0] == "HTTP/1.1 502 Bad Gateway"
     world.run(lambda: driver.carry_out(i.Subscribe(False)))
     assert watch.at_end()
+
+
+@pytest.mark.parametrize("late", [False, True], ids=["by a transport", "by a timer"])
+def test_what_a_callback_raises_is_told_in_the_log(
+    make: Make, monkeypatch: pytest.MonkeyPatch, late: bool
+) -> None:
+    """Twisted logs the two in different forms."""
+
+    def trip(*_: object) -> None:
+        raise ZeroDivisionError
+
+    def trips(connection: server.CallerConnection, data: bytes) -> None:
+        if late:
+            connection.server.reactor.callLater(0, trip)
+        else:
+            trip()
+
+    world = make()
+    monkeypatch.setattr(server.CallerConnection, "dataReceived", trips)
+    observer: Any = log.twisted_failures
+    globalLogPublisher.addObserver(observer)
+    try:
+        world.ask()
+        world.logged("unexpected")
+    finally:
+        globalLogPublisher.removeObserver(observer)
+    (told,) = [values for event, values in world.lines if event == "unexpected"]
+    assert told["why"] == "ZeroDivisionError()"
--- a/wheatring/log.py
+++ b/wheatring/log.py
@@ -59,6 +59,6 @@
 
 def twisted_failures(event: Mapping[str, Any]) -> None:
     """An observer for Twisted's own log: it catches what our callbacks raise, which must not go unseen."""
-    failure = event.get("log_failure")
+    failure = event.get("log_failure") or event.get("failure")  # the latter of a transport's callback
     if failure is not None:
         line("unexpected", why=repr(failure.value), where=failure.getTraceback()[-LONGEST:])
