--- a/tests/lab/test_world_told.py
+++ b/tests/lab/test_world_told.py
@@ -66,3 +66,20 @@
     world.play()
     instant, stamp = world.registry.knowledge.started["shop-1"]
     assert stamp == round((world.plan.epoch + instant - START + step.size) * 1000)
+
+
+def test_what_callbacks_raise_is_seen_whoever_raised_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A sidecar's is a breach, a model's ends the day."""
+
+    def trip(*args: object) -> None:
+        raise ZeroDivisionError("tripped")
+
+    with monkeypatch.context() as patched:
+        patched.setattr("wheatring.http1.client.Pool.dialled", trip)
+        outcome = play(a_day(), "wire")
+    assert {breach.rule for breach in outcome.breaches} == {"fault"}
+    assert "tripped" in outcome.breaches[0].what and outcome.breaches[0].sidecar
+    with monkeypatch.context() as patched:
+        patched.setattr("wheatring.lab.wire.node.NodePeer.buildProtocol", trip)
+        with pytest.raises(ZeroDivisionError, match="tripped"):
+            play(a_day(), "wire")
--- a/wheatring/lab/world/world.py
+++ b/wheatring/lab/world/world.py
@@ -7,6 +7,8 @@
 from random import Random
 from typing import Any, NamedTuple, TextIO
 
+from twisted.logger import globalLogPublisher
+
 from wheatring import log
 from wheatring.lab.models.clients import Clients
 from wheatring.lab.models.discovery import Answer, Listed, Registry
@@ -212,13 +214,32 @@
                 self.time.at(START, self.seats.up, seat)
         self.events.schedule(self.day, plan.events)
         self.time.at(self.day, self.clients.start)
-        with log.diverted(self.logged):
-            self.time.run(self.day + plan.length + plan.tail + SETTLE)
+        observer: Any = self.raised
+        globalLogPublisher.addObserver(observer)
+        try:
+            with log.diverted(self.logged):
+                self.time.run(self.day + plan.length + plan.tail + SETTLE)
+        finally:
+            globalLogPublisher.removeObserver(observer)
         wall = process_time.perf_counter() - began
         outcome = self.book.finish(wall, self.ground.left_over())
         outcome.simulated_s = self.time.now() - START
         return outcome
 
+    def raised(self, event: Mapping[str, Any]) -> None:
+        """What callbacks of programs raise ends in Twisted's log. A sidecar's is a breach. Ours ends the day,
+        or what the models no longer do would be taken for what the sidecars did."""
+        failure = event.get("log_failure") or event.get("failure")
+        if failure is None:
+            return
+        if self.ground.whose_turn() in self.seats.seats:
+            log.twisted_failures(event)
+        else:
+            self.time.at(self.time.now(), self.break_off, failure.value)
+
+    def break_off(self, why: BaseException) -> None:
+        raise why
+
     def logged(self, event: str, values: Mapping[str, object]) -> None:
         """What the sidecars log, with the name of the one whose turn it is."""
         if event in OURS:
