--- a/tests/lab/test_world.py
+++ b/tests/lab/test_world.py
@@ -113,8 +113,11 @@
     assert play(small(1, length=1.0), "exchange", Tracing()).trace_hash == before
 
 
-def test_a_planted_fault_is_found() -> None:
-    fault = next(fault for fault in FAULTS if fault.name == "kept-unclean")
+@pytest.mark.parametrize(
+    ("name", "grain", "rule"), [("kept-unclean", "wire", "served"), ("caller-kept", "exchange", "duplicate")]
+)
+def test_a_planted_fault_is_found(name: str, grain: str, rule: str) -> None:
+    fault = next(fault for fault in FAULTS if fault.name == name)
     with planted(fault):
-        outcome = play(draw(load(fault.scenario), 1), "wire")
-    assert {breach.rule for breach in outcome.breaches} >= {"served"}
+        outcome = play(draw(load(fault.scenario), 1), grain)
+    assert rule in {breach.rule for breach in outcome.breaches}
--- a/wheatring/commands/lab_run.py
+++ b/wheatring/commands/lab_run.py
@@ -50,6 +50,7 @@
     what = "plant faults in the sidecar's own code, one at a time, and see that each is found"
     faults = commands.add_parser("faults", help=what, description=what)
     faults.add_argument("names", nargs="*", metavar="FAULT", help="default: all")
+    faults.add_argument("--grain", choices=("wire", "exchange"), default="wire", help="default: %(default)s")
     faults.add_argument("--seeds", default="1-12", help="tried in turn until one finds it (default: 1-12)")
     faults.add_argument("--workers", type=int, default=os.cpu_count() or 1, help="default: %(default)s")
     faults.set_defaults(call=told(_faults))
@@ -136,4 +137,4 @@
 
     if args.workers < 1:
         raise StudyError(f"--workers {args.workers}: must be 1 or more")
-    return hunt(args.names, seeds_of(args.seeds), args.workers, print)
+    return hunt(args.names, seeds_of(args.seeds), args.grain, args.workers, print)
--- a/wheatring/lab/direct/way.py
+++ b/wheatring/lab/direct/way.py
@@ -75,6 +75,8 @@
 
     def callback(self, answer: Answer) -> None:
         """The sidecar has answered it."""
+        if self.job is None:  # to a caller that has left: the server finds no connection then
+            return
         self.job = None
         process = self.process
         assert process is not None
--- a/wheatring/lab/faults.py
+++ b/wheatring/lab/faults.py
@@ -16,7 +16,7 @@
 
 
 class Fault(NamedTuple):
-    """`where` is MODULE:CLASS.FUNCTION, or MODULE:FUNCTION; `scenario` one that can show it."""
+    """`where` is MODULE:CLASS.FUNCTION, or MODULE:FUNCTION; `scenario` one that can show it, at `grains`."""
 
     name: str
     what: str
@@ -24,8 +24,11 @@
     old: str
     new: str
     scenario: str
+    grains: tuple[str, ...] = ("wire", "exchange")
 
 
+ON_SOCKETS = ("wire",)  # of code that the other grain does without
+
 FAULTS = (
     Fault(
         "written-when-over",
@@ -34,6 +37,7 @@
         "if self.first.wanted:",
         "if True:",
         "faults",
+        ON_SOCKETS,
     ),
     Fault(
         "kept-unclean",
@@ -42,6 +46,7 @@
         "if not self.flushed or self.reader.started:",
         "if False:",
         "faults",
+        ON_SOCKETS,
     ),
     Fault(
         "drain-ignored",
@@ -82,6 +87,7 @@
         "Outcome.RESET if self.flushed else Outcome.CONNECT_FAILED",
         "Outcome.CONNECT_FAILED",
         "faults",
+        ON_SOCKETS,
     ),
     Fault(
         "cold-as-warm",
@@ -106,6 +112,7 @@
         "if self.state is _State.UNTIL_CLOSE else None",
         "if self.message is not None else None",
         "faults",
+        ON_SOCKETS,
     ),
     Fault(
         "watch-not-renewed",
@@ -122,6 +129,7 @@
         "if connection.job is None and not connection.reader.started:",
         "if True:",
         "faults",
+        ON_SOCKETS,
     ),
 )
 
--- a/wheatring/lab/hunt.py
+++ b/wheatring/lab/hunt.py
@@ -24,8 +24,8 @@
     what: str
 
 
-def look(fault: Fault | None, scenario: str, seed: int) -> Look:
-    """Play one day at `wire`. A world that breaks off has found the fault as well."""
+def look(fault: Fault | None, scenario: str, seed: int, grain: str) -> Look:
+    """Play one day. A world that breaks off has found the fault as well."""
     from wheatring.lab.scenario.draw import draw
     from wheatring.lab.scenario.load import load
     from wheatring.lab.world.world import play
@@ -33,7 +33,7 @@
     name = CLEAN if fault is None else fault.name
     with nullcontext() if fault is None else planted(fault):
         try:
-            outcome = play(draw(load(scenario), seed), "wire")
+            outcome = play(draw(load(scenario), seed), grain)
         except Exception as broken:
             if fault is None:
                 raise
@@ -42,20 +42,22 @@
     return Look(name, seed, first.rule, first.what) if first is not None else Look(name, seed, "", "")
 
 
-def hunt(names: Sequence[str], seeds: Sequence[int], workers: int, say: Callable[[str], object]) -> int:
+def hunt(
+    names: Sequence[str], seeds: Sequence[int], grain: str, workers: int, say: Callable[[str], object]
+) -> int:
     """Say of each fault whether and how it is found. The exit status: 0 if at most one in ten is missed and
     the code without a fault shows no breach on the seeds that were needed."""
-    known = {fault.name: fault for fault in FAULTS}
+    known = {fault.name: fault for fault in FAULTS if grain in fault.grains}
     for name in names:
         if name not in known:
-            raise StudyError(f"{name}: no such fault; there are {', '.join(known)}")
-    wanted = [known[name] for name in dict.fromkeys(names)] or list(FAULTS)
+            raise StudyError(f"{name}: no such fault at {grain}; there are {', '.join(known)}")
+    wanted = [known[name] for name in dict.fromkeys(names)] or list(known.values())
     began = time.perf_counter()
     found: dict[str, Look] = {}
     with ProcessPoolExecutor(workers, mp_context=multiprocessing.get_context("spawn")) as pool:
         out: dict[Future[Look], int] = {}
         for fault in wanted:
-            out[pool.submit(look, fault, fault.scenario, seeds[0])] = 0
+            out[pool.submit(look, fault, fault.scenario, seeds[0], grain)] = 0
         while out:
             done, _ = wait(out, return_when=FIRST_COMPLETED)
             for future in done:
@@ -65,10 +67,11 @@
                     say(f"{seen.name}: found by seed {seen.seed}, {seen.rule}: {seen.what}")
                 elif tried < len(seeds):
                     fault = known[seen.name]
-                    out[pool.submit(look, fault, fault.scenario, seeds[tried])] = tried
+                    out[pool.submit(look, fault, fault.scenario, seeds[tried], grain)] = tried
         # A breach that is there without the fault as well has found nothing.
         needed = sorted({(known[name].scenario, seen.seed) for name, seen in found.items()})
-        clean = list(pool.map(look, [None] * len(needed), *zip(*needed, strict=True))) if needed else []
+        days = zip(*needed, strict=True) if needed else ((), ())
+        clean = list(pool.map(look, [None] * len(needed), *days, [grain] * len(needed)))
     return _verdict(wanted, found, clean, time.perf_counter() - began, say)
 
 
