--- a/tests/lab/test_world_told.py
+++ b/tests/lab/test_world_told.py
@@ -66,3 +66,38 @@
     world.play()
     instant, stamp = world.registry.knowledge.started["shop-1"]
     assert stamp == round((world.plan.epoch + instant - START + step.size) * 1000)
+
+
+def test_what_callbacks_raise_is_seen_whoever_raised_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A sidecar's is a breach, a model's ends the day."""
+
+    def trip(*args: object) -> None:
+        raise ZeroDivisionError("tripped")
+
+    with monkeypatch.context() as patched:
+        patched.setattr("wheatring.http1.client.Pool.dialled", trip)
+        outcome = play(a_day(), "wire")
+    assert {breach.rule for breach in outcome.breaches} == {"fault"}
+    assert "tripped" in outcome.breaches[0].what and outcome.breaches[0].sidecar
+    with monkeypatch.context() as patched:
+        patched.setattr("wheatring.lab.wire.node.NodePeer.buildProtocol", trip)
+        with pytest.raises(ZeroDivisionError, match="tripped"):
+            play(a_day(), "wire")
+
+
+@pytest.mark.parametrize("grain", ["wire", "exchange"])
+def test_nothing_that_happened_is_told_twice(grain: str) -> None:
+    """At one instant one line names whom it befell, whoever else has a word on it."""
+    for seed in (1, 2, 3):
+        outcome = play(draw(load("small"), seed), grain)
+        lives = ("node ", "sidecar ")
+        seen = [(at, what.split()[1]) for at, what in outcome.happened if what.startswith(lives)]
+        events = [
+            (at, name.strip(","))
+            for at, what in outcome.happened
+            if " at " in what
+            for name in what.partition(" at ")[2].split()
+        ]
+        assert len(seen) > 10 and len(set(seen)) == len(seen)
+        own = {at for at, what in outcome.happened if what.startswith("sidecar_kill")}
+        assert not {entry for entry in events if entry[0] not in own} & set(seen)
