--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN = .venv/bin
 
-.PHONY: build test lint run bench
+.PHONY: build test lint run lab bench
 
 build: .venv/built
 	$(BIN)/python -m compileall -q lapisway wheatring
@@ -17,6 +17,10 @@
 run: build
 	LB_CONFIG=example/config.json $(BIN)/python -m wheatring
 
+# A day in virtual time with everything in it, and what came of it.
+lab: .venv/lab
+	$(BIN)/python -m wheatring lab run small --grain wire --seed 1
+
 # The sidecar beside a relay and a reverse proxy, about two minutes; figures count on an idle machine only.
 bench: .venv/dev
 	$(BIN)/python -m wheatring lab bench
@@ -27,6 +31,10 @@
 	$(BIN)/python -m compileall -q .venv/lib
 	touch $@
 
+.venv/lab: .venv/built pyproject.toml
+	$(BIN)/pip install -q -r requirements.txt -e '.[lab]'
+	touch $@
+
 .venv/dev: .venv/built pyproject.toml
 	$(BIN)/pip install -q -r requirements.txt -e '.[dev]'
 	touch $@
--- a/wheatring/commands/lab.py
+++ b/wheatring/commands/lab.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from wheatring.commands import lab_live, lab_run, lab_study
+from wheatring.commands import lab_live, lab_pace, lab_run, lab_study
 
 if TYPE_CHECKING:
     Commands = argparse._SubParsersAction[argparse.ArgumentParser]
@@ -117,7 +117,7 @@
     return 0
 
 
-COMMANDS = (add_list, add_check, add_plan, lab_run.add, lab_study.add, lab_live.add)
+COMMANDS = (add_list, add_check, add_plan, lab_run.add, lab_pace.add, lab_study.add, lab_live.add)
 
 
 def add(groups: Commands) -> None:
