Answer a caller without a Deferred, and read heads with fewer looks at enums

Need: each job made a Deferred with two callbacks for its one answer, and each message of a connection looked up a dozen members of an enum, which Python does not do fast. Change: the connection awaits its job's answer itself (a fault in answering still ends the connection and is logged as before), states are looked up once, what is left out of a head is reckoned once for each caller, and no empty body is cut.

--- a/wheatring/http1/client.py
+++ b/wheatring/http1/client.py
@@ -17,6 +17,7 @@
 from wheatring.http1.connection import Connection
 from wheatring.http1.parser import BadMessage, Message, Request
 
+SERVED = Outcome.SERVED  # looked up once: an enum takes its time
 SWEEP = 1.0  # seconds between looks for connections that have stood idle for too long
 STALL = 0.6  # seconds without another byte after which an answer that has begun counts as spoilt
 
@@ -122,7 +123,7 @@
         if claim is not None:
             status = message.first[0]
             if status == b"200":
-                self.pool.exchange.end(claim, Outcome.SERVED, message)
+                self.pool.exchange.end(claim, SERVED, message)
             elif status in (b"503", b"504") and message.fields.get(b"x-unprocessed") == b"1":
                 self.pool.exchange.end(claim, Outcome.REJECTED)
             else:
--- a/wheatring/http1/parser.py
+++ b/wheatring/http1/parser.py
@@ -23,6 +23,10 @@
 )  # fmt: skip
 
 
+_drops: dict[tuple[bytes, ...], frozenset[bytes]] = {}  # with what callers of `end_to_end` leave out
+_NONE: frozenset[bytes] = frozenset()
+
+
 class BadMessage(Exception):
     """What came cannot be read; `status` is what a server answers to it."""
 
@@ -43,10 +47,13 @@
     def end_to_end(self, *without: bytes) -> bytes:
         """The field lines that travel on unchanged: all but those of the connection, and `without`."""
         named = self.fields.get(b"connection")
-        drop = _HOP.union(without)
+        drop = _drops.get(without)
+        if drop is None:
+            drop = _drops[without] = _HOP.union(without)
         if named:
             drop = drop.union(part.strip().lower() for part in named.split(b","))
-        return b"".join([line + b"\r\n" for name, line in self.lines if name not in drop])
+        kept = [line for name, line in self.lines if name not in drop]
+        return b"\r\n".join(kept) + b"\r\n" if kept else b""
 
 
 @dataclass(slots=True)
@@ -66,6 +73,11 @@
     UNTIL_CLOSE = 5
 
 
+# Looked up once, not for each message: an enum takes its time.
+_HEAD, _LENGTH, _UNTIL_CLOSE = _State.HEAD, _State.LENGTH, _State.UNTIL_CLOSE
+_CHUNK_SIZE, _CHUNK_DATA, _TRAILER = _State.CHUNK_SIZE, _State.CHUNK_DATA, _State.TRAILER
+
+
 class Reader:
     """The messages of one connection, cut from its one buffer. The buffer grows as needed, and what has
     been read is cut from its front in place."""
@@ -74,7 +86,7 @@
         self.buffer = bytearray()
         self.responses = responses
         self.max_body = max_body
-        self.state = _State.HEAD
+        self.state = _HEAD
         self.searched = 0  # the head's end does not start before here
         self.need = 0  # bytes that the body or the chunk still lacks
         self.trailer = 0
@@ -87,15 +99,15 @@
     @property
     def started(self) -> bool:
         """A message has begun and is not whole."""
-        return self.state is not _State.HEAD or bool(self.buffer)
+        return bool(self.buffer) or self.state is not _HEAD
 
     def next(self) -> Message | None:
         """The next whole message, or None while it lacks bytes."""
-        if self.state is _State.HEAD and not self._head():
+        if self.state is _HEAD and not self._head():
             return None
-        if self.state is _State.LENGTH:
+        if self.state is _LENGTH:
             return self._length()
-        if self.state is _State.UNTIL_CLOSE:
+        if self.state is _UNTIL_CLOSE:
             if len(self.buffer) > self.max_body:
                 raise BadMessage(413, "body too large")
             return None
@@ -106,6 +118,8 @@
         return self._done(self._take(len(self.buffer))) if self.state is _State.UNTIL_CLOSE else None
 
     def _take(self, size: int) -> bytes:
+        if not size:
+            return b""
         taken = bytes(self.buffer[:size])
         del self.buffer[:size]
         return taken
@@ -114,7 +128,7 @@
         message, self.message = self.message, None
         assert message is not None
         message.body = body
-        self.state = _State.HEAD
+        self.state = _HEAD
         return message
 
     def _head(self) -> bool:
@@ -132,20 +146,24 @@
         if end > MAX_HEAD:
             raise BadMessage(431, "head too large")
         self.searched = 0
-        lines = self._take(end + 4)[:-4].split(b"\r\n")
+        lines = bytes(buffer[:end]).split(b"\r\n")
+        del buffer[: end + 4]
         pattern = _STATUS if self.responses else _REQUEST
         start = pattern.fullmatch(lines[0])
         if start is None:
             raise BadMessage(400, "malformed first line")
         if self.responses:
-            minor, *first = start.groups()
+            minor, status = start.groups()
+            first: tuple[bytes, ...] = (status,)
         else:
-            *first, minor = start.groups()
+            method, target, minor = start.groups()
+            first = (method, target)
         fields: dict[bytes, bytes] = {}
         kept = []
         repeated = set()
+        matched = _FIELD.fullmatch
         for line in lines[1:]:
-            field = _FIELD.fullmatch(line)
+            field = matched(line)
             if field is None:
                 raise BadMessage(400, "malformed field")
             name, value = field.groups()
@@ -158,20 +176,21 @@
         keep_alive = minor == b"1"
         if b"connection" in fields:
             keep_alive &= b"close" not in map(bytes.strip, fields[b"connection"].lower().split(b","))
-        self.message = Message(tuple(first), fields, kept, frozenset(repeated), keep_alive)
-        self._framing(self.message, minor == b"0")
+        message = Message(first, fields, kept, frozenset(repeated) if repeated else _NONE, keep_alive)
+        self.message = message
+        self._framing(message, minor == b"0")
         return True
 
     def _framing(self, message: Message, old: bool) -> None:
         length, coding = message.fields.get(b"content-length"), message.fields.get(b"transfer-encoding")
         status = message.first[0] if self.responses else b""
         self.need = 0
-        self.state = _State.LENGTH
+        self.state = _LENGTH
         if coding is not None:
             # Two lengths, or one that can't be told, would let a body pass for a second request.
             if length is not None or old or coding.lower() != b"chunked":
                 raise BadMessage(400, "unclear length")
-            self.state = _State.CHUNK_SIZE
+            self.state = _CHUNK_SIZE
             self.got = self.trailer = 0
         elif length is not None:
             if b"content-length" in message.repeated:
@@ -183,10 +202,10 @@
             if self.need > self.max_body:
                 raise BadMessage(413, "body too large")
         elif self.responses and status[:1] != b"1":
-            self.state = _State.UNTIL_CLOSE
+            self.state = _UNTIL_CLOSE
             message.keep_alive = False
         if status[:1] == b"1" or status in (b"204", b"304"):
-            self.need, self.state = 0, _State.LENGTH
+            self.need, self.state = 0, _LENGTH
 
     def _length(self) -> Message | None:
         return self._done(self._take(self.need)) if len(self.buffer) >= self.need else None
@@ -206,7 +225,7 @@
     def _chunked(self) -> Message | None:
         """The body gathers at the front of the buffer, as the framing between its chunks is cut out."""
         while True:
-            if self.state is _State.CHUNK_SIZE:
+            if self.state is _CHUNK_SIZE:
                 line = self._line(256)
                 if line is None:
                     return None
@@ -216,8 +235,8 @@
                 self.need = int(size.group(1), 16)
                 if self.got + self.need > self.max_body:
                     raise BadMessage(413, "body too large")
-                self.state = _State.CHUNK_DATA if self.need else _State.TRAILER
-            elif self.state is _State.CHUNK_DATA:
+                self.state = _CHUNK_DATA if self.need else _TRAILER
+            elif self.state is _CHUNK_DATA:
                 end = self.got + self.need
                 if len(self.buffer) < end + 2:
                     return None
@@ -225,7 +244,7 @@
                     raise BadMessage(400, "malformed chunk")
                 del self.buffer[end : end + 2]
                 self.got = end
-                self.state = _State.CHUNK_SIZE
+                self.state = _CHUNK_SIZE
             else:
                 line = self._line(MAX_HEAD)
                 if line is None:
--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -22,6 +22,8 @@
 _DIGITS = re.compile(rb"[0-9]{1,12}")
 _ONCE = frozenset((b"x-correlation-id", b"x-service-class", b"x-time-left-ms", b"idempotency-key"))
 
+SAFE, SERVED, REFUSED = Effect.SAFE, Final.SERVED, Final.REFUSED  # looked up once: an enum takes its time
+
 REASONS = {
     400: b"Bad Request", 401: b"Unauthorized", 403: b"Forbidden", 404: b"Not Found",
     405: b"Method Not Allowed", 408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large",
@@ -127,18 +129,28 @@
             self.reject(500, "internal error")
             return
         self.job = job
-        self.server.exchange.submit(job).addCallback(self.answer, job).addErrback(self.broken)
+        job.answered = self
+        self.server.exchange.submit(job)
+
+    def callback(self, answer: Answer) -> None:
+        """The job is answered."""
+        job, self.job = self.job, None
+        assert job is not None
+        try:
+            self.answer(answer, job)
+        except Exception as bug:  # guards against a caller left without an answer by a fault of ours
+            log.line("answer-broken", why=repr(bug))
+            self.abort("internal-error")
 
     def answer(self, answer: Answer, job: Job) -> None:
-        self.job = None
         close = not self.keep_alive or self.server.stopping
         self.keep_alive = not close
         mark = b"X-Drill: 1\r\n" if job.drill else b""
-        if answer.final is Final.SERVED:
+        if answer.final is SERVED:
             message = answer.content
             assert isinstance(message, Message)
             self.say(response(200, message.body, mark + message.end_to_end(), close=close))
-        elif answer.final is Final.REFUSED:
+        elif answer.final is REFUSED:
             wait = answer.retry_after
             more = b"Retry-After: %s\r\n" % (b"%.3f" % (ceil(wait * 1000) / 1000)) if wait > 0 else b""
             self.say(response(503, more=mark + more, close=close))
@@ -150,11 +162,6 @@
         if self.reader.started:  # the next request is here already: not from within this one's answer
             self.server.reactor.callLater(0, self.advance)
 
-    def broken(self, failure: Any) -> None:
-        """Guards against a caller left without an answer by a fault of ours."""
-        log.line("answer-broken", why=repr(failure.value))
-        self.abort("internal-error")
-
     def say(self, data: bytes) -> None:
         if not self.alive:
             return
@@ -312,7 +319,7 @@
             raise Refused(404, "class")
         if rights is not None and known.name not in rights:
             raise Refused(403, "rights", body=b"class not in rights")
-        allowed = b"GET" if known.effect is Effect.SAFE else b"POST"
+        allowed = b"GET" if known.effect is SAFE else b"POST"
         if method != allowed:
             raise Refused(405, "method", b"Allow: %s\r\n" % allowed)
         ident = fields.get(b"x-correlation-id", b"")
