Keep the Deferred of a job's answer, and stories from hanging on a peer's speed

Need: the house style asks for Deferreds; a cost of a few microseconds is no ground to leave it, and a cache in a module is state that two copies in one process would share. A story over loopback failed on a busy machine: after one quick answer the decisions give the next attempt up within milliseconds, and the scripted peer was slower.

Change: Exchange.submit gives the Deferred back, as before; the cache is gone. The stories on sockets play with patience without end; patience has tests of its own.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,7 @@
 import pytest
 
 from lapisway import interface as i
+from lapisway import policy
 from lapisway.policy import Balancer
 from tests.virtual import Virtual
 from tests.world import NO_OPERATORS, Loopback, World
@@ -100,6 +101,8 @@
     if request.param == "loopback":
         request.getfixturevalue("running")
         ground = Loopback
+    # A busy machine must not have a scripted peer given up for slow: after one quick answer that is soon done.
+    monkeypatch.setattr(policy, "PATIENCE", 1e9)
     monkeypatch.setattr(log, "line", log.line)  # the world sets its own; this puts the real one back
     worlds: list[World] = []
 
--- a/wheatring/core/exchange.py
+++ b/wheatring/core/exchange.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Protocol
+
+from twisted.internet.defer import Deferred
 
 from lapisway.interface import Outcome
 from wheatring import log
@@ -34,11 +35,6 @@
     retry_after: float = 0.0  # of a refused job: advice to stay away for so long
 
 
-class Awaiting(Protocol):
-    def callback(self, answer: Answer) -> None:
-        """Called once, maybe before the job is submitted whole, unless the job is left. It raises nothing."""
-
-
 @dataclass(slots=True, eq=False)
 class Job:
     """One request of a caller."""
@@ -48,7 +44,7 @@
     deadline: float  # an instant, as all deadlines: it travels with the job
     content: object  # what to send on, in the protocol's own form
     repeat: bool = False  # marked by the caller as a repeat
-    answered: Awaiting | None = None  # who wants its one final answer
+    answered: Deferred[Answer] = field(default_factory=Deferred)
     claims: list[Claim] = field(default_factory=list)
     number: int = 0  # the decision module's id of the job
     over: bool = False
@@ -91,14 +87,15 @@
 
     # The server side
 
-    def submit(self, job: Job) -> None:
-        """Take a job over: who awaits it gets its one final answer, unless its caller leaves."""
+    def submit(self, job: Job) -> Deferred[Answer]:
+        """Take a job over; the Deferred fires with its one final answer, unless its caller leaves."""
         self.idents.add(job.ident)
         job.overdue = self.clock.at(job.deadline + self.grace, self._overdue, job)
         try:
             self.on_job(job)
         except Exception as bug:
             self._broken(job, bug)
+        return job.answered
 
     @property
     def open(self) -> int:
@@ -133,8 +130,7 @@
         """Give the final answer. Only the first counts: a second one would be a second answer on the wire."""
         if not job.over:
             self._close(job)
-            if job.answered is not None:
-                job.answered.callback(answer)
+            job.answered.callback(answer)
 
     def abandon(self, claim: Claim) -> None:
         if claim.outcome is None:
--- a/wheatring/http1/parser.py
+++ b/wheatring/http1/parser.py
@@ -23,7 +23,6 @@
 )  # fmt: skip
 
 
-_drops: dict[tuple[bytes, ...], frozenset[bytes]] = {}  # with what callers of `end_to_end` leave out
 _NONE: frozenset[bytes] = frozenset()
 
 
@@ -47,9 +46,7 @@
     def end_to_end(self, *without: bytes) -> bytes:
         """The field lines that travel on unchanged: all but those of the connection, and `without`."""
         named = self.fields.get(b"connection")
-        drop = _drops.get(without)
-        if drop is None:
-            drop = _drops[without] = _HOP.union(without)
+        drop = _HOP.union(without) if without else _HOP
         if named:
             drop = drop.union(part.strip().lower() for part in named.split(b","))
         kept = [line for name, line in self.lines if name not in drop]
