--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -101,7 +101,7 @@
     if request.param == "loopback":
         request.getfixturevalue("running")
         ground = Loopback
-    # A busy machine must not have a scripted peer given up for slow: after one quick answer that is soon done.
+    # A scripted peer on a busy machine must not be given up: after one quick answer that is soon done.
     monkeypatch.setattr(policy, "PATIENCE", 1e9)
     monkeypatch.setattr(log, "line", log.line)  # the world sets its own; this puts the real one back
     worlds: list[World] = []
