Decide before a job exists whether it is taken, and to which tier it goes

Need: one sidecar in front of many services must hold each caller, route and pool to its bounds, and a standby must take over for a primary, without I/O, clocks or chance in the decision.

Change: wheatring/routes gets values (what a user sets), rate (GCRA in whole numbers), callers (a bounded table and max-min fair shares), adaptive (a limit that learns the latency without a queue by probing downwards), gates and limits (take, or 429/503 with a Retry-After that spreads), tiers (overflow by the ready share with hysteresis, split by Tijdeman's rule).

--- /dev/null
+++ b/tests/limits_world.py
@@ -0,0 +1,92 @@
+"""Limits before a pool in virtual time: open arrivals, one machine whose cores all jobs share evenly."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from math import exp, log, sqrt
+from random import Random
+
+from wheatring.lab.models.cpu import Cpu
+from wheatring.lab.net.time import VirtualTime
+from wheatring.routes.gates import Pool, Route
+from wheatring.routes.limits import End, Refusal, Taken, take
+from wheatring.routes.values import PoolLimits
+
+CORES = 8
+MEAN = 0.02  # seconds of work of a job
+PEAK = CORES / MEAN  # jobs a second
+
+
+class PoolWorld:
+    """`arrivals` are (jobs a second, caller, class); `slower` is a factor on the time that a job takes beside
+    its work, which no queue explains. Jobs not answered within `patience` are left, their work goes on."""
+
+    def __init__(self, limits: PoolLimits, *, seed: int = 1, cv: float = 1.0, patience: float = 0.5) -> None:
+        self.time = VirtualTime()
+        self.random = Random(f"{seed}:work")
+        self.pool = Pool(limits, self.time.now(), Random(f"{seed}:advice"))
+        self.route: Route | None = None
+        self.cpu: Cpu[Job] = Cpu(self.time, CORES, 1.0, self.worked)
+        self.sigma = sqrt(log(1 + cv * cv))
+        self.patience = patience
+        self.extra = 0.0  # seconds that each job takes beside its work
+        self.served: Counter[tuple[str, str]] = Counter()  # in time, by caller and class
+        self.asked: Counter[tuple[str, str]] = Counter()
+        self.away: Counter[tuple[str, str, int]] = Counter()
+        self.why: Counter[str] = Counter()
+        self.each: Callable[[], object] = lambda: None
+
+    def arrive(self, rate: float, caller: str, kind: str, seed: str, until: float) -> None:
+        """Poisson arrivals from now on."""
+        random = Random(f"{seed}:{caller}:{kind}")
+
+        def come() -> None:
+            self.ask(caller, kind)
+            plan()
+
+        def plan() -> None:
+            at = self.time.now() + random.expovariate(rate)
+            if at < until:
+                self.time.at(at, come)
+
+        plan()
+
+    def ask(self, caller: str, kind: str) -> None:
+        now = self.time.now()
+        key = caller, kind
+        self.asked[key] += 1
+        said = take(now, self.route, self.pool, caller, kind)
+        if isinstance(said, Refusal):
+            self.away[caller, kind, said.status] += 1
+            self.why[said.why] += 1
+            return
+        size = exp(self.sigma * (self.random.gauss(0.0, 1.0) - 0.5 * self.sigma)) * MEAN
+        job = Job(self, said, key, now)
+        self.cpu.add(size, job)
+        self.time.at(now + self.patience, job.end, End.LATE)
+
+    def worked(self, job: Job) -> None:
+        self.time.at(self.time.now() + self.extra, job.end, End.SERVED)
+
+    def run(self, until: float) -> None:
+        self.time.run(until)
+
+    def count(self, of: Counter[tuple[str, str]], *, caller: str = "", kind: str = "") -> int:
+        return sum(n for (c, k), n in of.items() if caller in ("", c) and kind in ("", k))
+
+
+class Job:
+    def __init__(self, world: PoolWorld, taken: Taken, key: tuple[str, str], begun: float) -> None:
+        self.world = world
+        self.taken = taken
+        self.key = key
+        self.over = False
+
+    def end(self, how: End) -> None:
+        if not self.over:
+            self.over = True
+            if how is End.SERVED:
+                self.world.served[self.key] += 1
+            self.taken.done(self.world.time.now(), how)
+            self.world.each()
