--- a/wheatring/routes/adaptive.py
+++ b/wheatring/routes/adaptive.py
@@ -14,11 +14,12 @@
 from wheatring.routes.values import Adaptive
 
 NEAR = 1.2  # a latency within this factor of the base is the base
+QUICK = 3.0  # steps upwards while a latency is that near
 UNSEEN = 4.0  # times the base: a queue that has grown below the limit, which is far too high
 QUICKER = 0.8  # a queue was there if half the limit brings the latency below this part
 LEAST_FACTOR = 0.5  # no window takes more off the limit
 FELL = 0.5  # a limit that windows brought below this part of what it was is probed at once
-SHARE = 0.05  # of the time at most goes to probes, were a window to last that long
+SHARE = 0.05  # of the time at most goes to probes that find nothing new
 SOON = 0.1  # of `probe_every`: time between probes at least
 SHORT = 1e-6  # seconds: no latency counts as less
 
@@ -30,8 +31,8 @@
     """
 
     __slots__ = (
-        "_before", "_begun", "_count", "_due", "_kept", "_lost", "_peak", "_pressed", "_settled", "_skip",
-        "_sum", "_sure", "base", "law", "limit", "probing", "size",
+        "_before", "_begun", "_count", "_due", "_kept", "_lost", "_peak", "_pressed", "_settled", "_since",
+        "_skip", "_sum", "_sure", "base", "law", "limit", "probing", "size",
     )  # fmt: skip
 
     def __init__(self, law: Adaptive, now: float) -> None:
@@ -47,6 +48,7 @@
         self._begun = now  # when it began, ...
         self._before = inf  # the latency at twice the limit, ...
         self._skip = -1  # and the answers to pass over, which may have waited in the queue; -1: not known yet
+        self._since = now  # of this window
         self._sum = 0.0
         self._count = 0
         self._lost = 0  # of these, those without an answer
@@ -93,17 +95,20 @@
         self._lost += lost
         if self._count >= self.law.samples:
             usual = exp(self._sum / self._count)
+            if now < self._since + usual:
+                return  # what the last window changed does not show yet
             if 2 * self._lost > self._count:
                 self._lost_most(now, usual)
             elif self.probing:
                 self._probed(now, usual)
             else:
                 self._moved(now, usual)
-            self._begin(out)
+            self._begin(now, out)
 
     # Windows
 
-    def _begin(self, out: int) -> None:
+    def _begin(self, now: float, out: int) -> None:
+        self._since = now
         self._sum = 0.0
         self._count = 0
         self._lost = 0
@@ -123,7 +128,8 @@
         factor = law.tolerance * self.base / usual
         if factor < 1.0:
             size *= max(factor, LEAST_FACTOR)
-        self._set(size + max(1.0, law.step * size))
+        steps = QUICK if usual <= NEAR * self.base else 1.0
+        self._set(size + max(1.0, steps * law.step * size))
         self._settled = max(self._settled, self.size)
         fell = self.size < FELL * self._settled
         if now >= self._due or (fell and now >= self._begun + SOON * law.probe_every):
@@ -176,6 +182,7 @@
         if known:
             self.base = (self.base * usual) ** 0.5
             self._end(now, self._kept)
+            self._due = max(self._due, now + (now - self._begun) / SHARE)
         else:
             # Higher than it was: what windows took off the limit since the last probe, they took in error.
             rose = self._sure and usual > self.base
@@ -187,10 +194,10 @@
         self.probing = False
         self._set(size)
         self._settled = self.size
-        self._due = now + max(self.law.probe_every, (now - self._begun) / SHARE)
+        self._due = now + self.law.probe_every
 
     def _bound(self, now: float) -> None:
         """Guards against a probe without end beside a pool that does not answer."""
         if now > self._begun + self.law.probe_every:
             self._end(now, self._kept)
-            self._begin(0)
+            self._begin(now, 0)
--- a/wheatring/routes/values.py
+++ b/wheatring/routes/values.py
@@ -122,7 +122,7 @@
     ceiling: int = 1000
     start: int = 20
     step: float = 0.1  # of the limit, one job at least, for each window
-    tolerance: float = 1.5
+    tolerance: float = 2.0
     samples: int = 50  # answers that make a window; nothing is decided by fewer
     probe_every: float = 10.0  # under pressure, the time without a queue is learnt anew this often
 
@@ -132,7 +132,7 @@
         whole("adaptive.start", self.start, "jobs", self.floor, self.ceiling)
         number("adaptive.step", self.step, "of the limit", 0, 0.5, above=True)
         number("adaptive.tolerance", self.tolerance, "times", 1.1, 10)
-        whole("adaptive.samples", self.samples, "answers", 10, 10_000)
+        whole("adaptive.samples", self.samples, "answers", 20, 10_000)
         number("adaptive.probe_every", self.probe_every, "seconds", 0.5, LONG)
 
 
