Play a sidecar's whole life and look at what it leaves as its process ends

Change: the ground of wire counts jobs, claims, connections with a request, timers that are not periodic, and descriptors as a sidecar's process ends by itself. It is no rule: a connect under way may lawfully be cut short then.

--- /dev/null
+++ b/tests/lab/test_world_lives.py
@@ -0,0 +1,52 @@
+"""A sidecar's life on the lab's network, from its start to its end on SIGTERM: nothing of it is left."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from wheatring.lab.net.sockets import Socket
+from wheatring.lab.plan import EventPlan, Plan
+from wheatring.lab.scenario.draw import draw
+from wheatring.lab.scenario.load import load
+from wheatring.lab.wire.ground import WireGround
+from wheatring.lab.world.world import World
+
+
+def a_life(seed: int, stop: float, load_until: float, *events: EventPlan) -> Plan:
+    """SIGTERM to the only sidecar of the front at `stop`; first tries come until `load_until`."""
+    end = EventPlan(at=stop, kind="sidecar_restart", extra=2.9, length=20.0, sidecars=("front-1",))
+    return msgspec.structs.replace(
+        draw(load("small"), seed), length=load_until, tail=4.0, events=(*events, end)
+    )
+
+
+HANG = EventPlan(at=1.5, kind="hang", length=3.0, nodes=("shop-1",))
+RESETS = EventPlan(at=0.5, kind="resets", size=0.3, nodes=("shop-2",))
+
+
+@pytest.mark.parametrize(("stop", "until"), [(2.0, 4.0), (4.6, 2.0)], ids=["under load", "idle"])
+@pytest.mark.parametrize("events", [(), (HANG, RESETS)], ids=["", "with troubles"])
+def test_a_sidecar_that_ends_leaves_nothing(stop: float, until: float, events: tuple[EventPlan, ...]) -> None:
+    for seed in range(1, 6):
+        world = World(a_life(seed, stop, until, *events), "wire")
+        ground = world.ground
+        assert isinstance(ground, WireGround)
+        outcome = world.play()
+        assert outcome.breaches == []
+        assert [what for _, what in outcome.happened if "front-1" in what] == [
+            "sidecar front-1 is told to stop", "sidecar front-1 ends"
+        ]  # fmt: skip
+        assert ground.most["front-1"] > 5
+        counts = ground.ended["front-1"]
+        assert set(counts) == {"jobs", "claims", "connections", "timers", "descriptors"}
+        assert not any(counts.values()), counts
+        assert not ground.net.host(ground.hosts["front-1"]).processes
+        assert not ground.net.host(ground.hosts["front-1"]).listeners
+        # And its peers know of its end: no node holds a connection of it.
+        assert not [s for s in sockets(ground) if s.remote and s.remote[0] == ground.hosts["front-1"]]
+
+
+def sockets(ground: WireGround) -> list[Socket]:
+    """All that programs hold."""
+    return [s for host in ground.net.hosts.values() for p in host.processes for s in p.descriptors]
--- a/wheatring/lab/wire/ground.py
+++ b/wheatring/lab/wire/ground.py
@@ -58,6 +58,7 @@
         self.callers: dict[str, Caller] = {}  # of nodes
         self.sidecars: dict[str, tuple[Process, Sidecar]] = {}
         self.most: dict[str, int] = {}  # sockets that a sidecar's processes held at most
+        self.ended: dict[str, Counter[str]] = {}  # by sidecar: what was there as its process ended by itself
 
     def caller(self, process: Process, host: str, most: int = 0) -> Caller:
         return Caller(process, self.time, self.book, self.forms, self.where, host, most)
@@ -128,6 +129,9 @@
         self.whose[self.hosts[name]] = name
 
         def stopped() -> None:
+            counts = self.ended.setdefault(name, Counter())
+            counts.update(left_by(process, sidecar))
+            counts["descriptors"] += len(process.descriptors)
             self.gone(name)
             self.book.sidecar_down(name, False)
             ended()
@@ -198,14 +202,19 @@
         return running.name if isinstance(running, Process) else ""
 
     def left_over(self) -> dict[str, dict[str, int]]:
-        found = {name: {"most_sockets": most} for name, most in self.most.items()}
+        found = {name: Counter(most_sockets=most) for name, most in self.most.items()}
         for name, (process, sidecar) in self.sidecars.items():
-            counts = Counter(most_sockets=max(process.most, self.most.get(name, 0)))
-            counts["jobs"] = max(sidecar.exchange.open, len(sidecar.driver.jobs))
-            counts["claims"] = sum(each.claim is not None for each in sidecar.pool.connections)
-            counts["connections"] = sum(each.job is not None for each in sidecar.server.connections)
-            for call in process.left().timers:
-                known = call.func.__qualname__ in PERIODIC or call.args == (TimerDue(0),)
-                counts["timers"] += not known
-            found[name] = dict(counts)
-        return found
+            counts = found.setdefault(name, Counter())
+            counts["most_sockets"] = max(counts["most_sockets"], process.most)
+            counts.update(left_by(process, sidecar))
+        return {name: dict(counts) for name, counts in found.items()}
+
+
+def left_by(process: Process, sidecar: Sidecar) -> Counter[str]:
+    """What a sidecar that has nothing to do should not have."""
+    counts = Counter(jobs=max(sidecar.exchange.open, len(sidecar.driver.jobs)))
+    counts["claims"] = sum(each.claim is not None for each in sidecar.pool.connections)
+    counts["connections"] = sum(each.job is not None for each in sidecar.server.connections)
+    for call in process.left().timers:
+        counts["timers"] += not (call.func.__qualname__ in PERIODIC or call.args == (TimerDue(0),))
+    return counts
