--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -22,6 +22,8 @@
 _DIGITS = re.compile(rb"[0-9]{1,12}")
 _ONCE = frozenset((b"x-correlation-id", b"x-service-class", b"x-time-left-ms", b"idempotency-key"))
 
+SAFE, SERVED, REFUSED = Effect.SAFE, Final.SERVED, Final.REFUSED  # looked up once: an enum takes its time
+
 REASONS = {
     400: b"Bad Request", 401: b"Unauthorized", 403: b"Forbidden", 404: b"Not Found",
     405: b"Method Not Allowed", 408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large",
@@ -134,11 +136,11 @@
         close = not self.keep_alive or self.server.stopping
         self.keep_alive = not close
         mark = b"X-Drill: 1\r\n" if job.drill else b""
-        if answer.final is Final.SERVED:
+        if answer.final is SERVED:
             message = answer.content
             assert isinstance(message, Message)
             self.say(response(200, message.body, mark + message.end_to_end(), close=close))
-        elif answer.final is Final.REFUSED:
+        elif answer.final is REFUSED:
             wait = answer.retry_after
             more = b"Retry-After: %s\r\n" % (b"%.3f" % (ceil(wait * 1000) / 1000)) if wait > 0 else b""
             self.say(response(503, more=mark + more, close=close))
@@ -312,7 +314,7 @@
             raise Refused(404, "class")
         if rights is not None and known.name not in rights:
             raise Refused(403, "rights", body=b"class not in rights")
-        allowed = b"GET" if known.effect is Effect.SAFE else b"POST"
+        allowed = b"GET" if known.effect is SAFE else b"POST"
         if method != allowed:
             raise Refused(405, "method", b"Allow: %s\r\n" % allowed)
         ident = fields.get(b"x-correlation-id", b"")
--- a/wheatring/lab/wire/ground.py
+++ b/wheatring/lab/wire/ground.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
 
 from lapisway.interface import TimerDue
@@ -14,7 +14,7 @@
 from wheatring.lab.models.machine import Machine
 from wheatring.lab.models.visit import Below
 from wheatring.lab.net.network import Network
-from wheatring.lab.net.process import Process
+from wheatring.lab.net.process import Delayed, Process, waiting
 from wheatring.lab.plan import EventPlan, NodePlan
 from wheatring.lab.wire.caller import Caller
 from wheatring.lab.wire.discovery import DiscoveryPeer
@@ -130,7 +130,7 @@
 
         def stopped() -> None:
             counts = self.ended.setdefault(name, Counter())
-            counts.update(left_by(process, sidecar))
+            counts.update(left_by(sidecar, process.left().timers))
             counts["descriptors"] += len(process.descriptors)
             self.gone(name)
             self.book.sidecar_down(name, False)
@@ -203,18 +203,19 @@
 
     def left_over(self) -> dict[str, dict[str, int]]:
         found = {name: Counter(most_sockets=most) for name, most in self.most.items()}
+        later = waiting(self.time)
         for name, (process, sidecar) in self.sidecars.items():
             counts = found.setdefault(name, Counter())
             counts["most_sockets"] = max(counts["most_sockets"], process.most)
-            counts.update(left_by(process, sidecar))
+            counts.update(left_by(sidecar, [*process.due_soon(), *later.get(process, ())]))
         return {name: dict(counts) for name, counts in found.items()}
 
 
-def left_by(process: Process, sidecar: Sidecar) -> Counter[str]:
-    """What a sidecar that has nothing to do should not have."""
+def left_by(sidecar: Sidecar, timers: Sequence[Delayed]) -> Counter[str]:
+    """What a sidecar that has nothing to do should not have. `timers`: all that it waits for."""
     counts = Counter(jobs=max(sidecar.exchange.open, len(sidecar.driver.jobs)))
     counts["claims"] = sum(each.claim is not None for each in sidecar.pool.connections)
     counts["connections"] = sum(each.job is not None for each in sidecar.server.connections)
-    for call in process.left().timers:
+    for call in timers:
         counts["timers"] += not (call.func.__qualname__ in PERIODIC or call.args == (TimerDue(0),))
     return counts
