--- a/wheatring/lab/wire/ground.py
+++ b/wheatring/lab/wire/ground.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
 
 from lapisway.interface import TimerDue
@@ -14,7 +14,7 @@
 from wheatring.lab.models.machine import Machine
 from wheatring.lab.models.visit import Below
 from wheatring.lab.net.network import Network
-from wheatring.lab.net.process import Process, waiting
+from wheatring.lab.net.process import Delayed, Process, waiting
 from wheatring.lab.plan import EventPlan, NodePlan
 from wheatring.lab.wire.caller import Caller
 from wheatring.lab.wire.discovery import DiscoveryPeer
@@ -58,6 +58,7 @@
         self.callers: dict[str, Caller] = {}  # of nodes
         self.sidecars: dict[str, tuple[Process, Sidecar]] = {}
         self.most: dict[str, int] = {}  # sockets that a sidecar's processes held at most
+        self.ended: dict[str, Counter[str]] = {}  # by sidecar: what was there as its process ended by itself
 
     def caller(self, process: Process, host: str, most: int = 0) -> Caller:
         return Caller(process, self.time, self.book, self.forms, self.where, host, most)
@@ -128,6 +129,9 @@
         self.whose[self.hosts[name]] = name
 
         def stopped() -> None:
+            counts = self.ended.setdefault(name, Counter())
+            counts.update(left_by(sidecar, process.left().timers))
+            counts["descriptors"] += len(process.descriptors)
             self.gone(name)
             self.book.sidecar_down(name, False)
             ended()
@@ -198,15 +202,20 @@
         return running.name if isinstance(running, Process) else ""
 
     def left_over(self) -> dict[str, dict[str, int]]:
-        found = {name: {"most_sockets": most} for name, most in self.most.items()}
+        found = {name: Counter(most_sockets=most) for name, most in self.most.items()}
         later = waiting(self.time)
         for name, (process, sidecar) in self.sidecars.items():
-            counts = Counter(most_sockets=max(process.most, self.most.get(name, 0)))
-            counts["jobs"] = max(sidecar.exchange.open, len(sidecar.driver.jobs))
-            counts["claims"] = sum(each.claim is not None for each in sidecar.pool.connections)
-            counts["connections"] = sum(each.job is not None for each in sidecar.server.connections)
-            for call in [*process.due_soon(), *later.get(process, ())]:
-                known = call.func.__qualname__ in PERIODIC or call.args == (TimerDue(0),)
-                counts["timers"] += not known
-            found[name] = dict(counts)
-        return found
+            counts = found.setdefault(name, Counter())
+            counts["most_sockets"] = max(counts["most_sockets"], process.most)
+            counts.update(left_by(sidecar, [*process.due_soon(), *later.get(process, ())]))
+        return {name: dict(counts) for name, counts in found.items()}
+
+
+def left_by(sidecar: Sidecar, timers: Sequence[Delayed]) -> Counter[str]:
+    """What a sidecar that has nothing to do should not have. `timers`: all that it waits for."""
+    counts = Counter(jobs=max(sidecar.exchange.open, len(sidecar.driver.jobs)))
+    counts["claims"] = sum(each.claim is not None for each in sidecar.pool.connections)
+    counts["connections"] = sum(each.job is not None for each in sidecar.server.connections)
+    for call in timers:
+        counts["timers"] += not (call.func.__qualname__ in PERIODIC or call.args == (TimerDue(0),))
+    return counts
