--- a/wheatring/lab/rules/ledger.py
+++ b/wheatring/lab/rules/ledger.py
@@ -18,6 +18,7 @@
 | `cold_starts`, `cold_over` | starts that were watched, and how many of these were pushed over, by whomever |
 | `worth_asked`, `worth_in_time`, `worth_late` | sums of worth: asked for, earned in time, earned late |
 | `work_asked`, `work_done`, `work_useful` | seconds on a standard core: by the classes' means, done, of use |
+| `front_gap` | seconds in which each sidecar of the front was down, or told to stop 0.4 s ago or earlier |
 | any other | notes of that name; those named `unconnected` are failed connects of sidecars |
 """
 
@@ -30,6 +31,7 @@
 from wheatring.lab.plan import Plan
 from wheatring.lab.rules import bounds
 from wheatring.lab.rules.answers import STILL_COMES
+from wheatring.lab.rules.away import Away
 from wheatring.lab.rules.cold import ColdStarts
 from wheatring.lab.rules.drains import Drains
 from wheatring.lab.rules.duplicates import ON_SOCKETS
@@ -66,12 +68,13 @@
         self.notes: dict[str, float] = {}
         self.happened: list[tuple[float, str]] = []
         self.fell = ""  # the node that has just been pushed over
+        self.away_from = Away(self.front, start)
 
     def begin(self, at: float) -> None:
         """The day begins only now: for a world whose start takes nobody knows how long. All told before
         must have been told with a `start` yet to come."""
         figures = self.figures
-        self.start = self.breaches.start = self.links.start = figures.start = at
+        self.start = self.breaches.start = self.links.start = figures.start = self.away_from.start = at
         figures.until = at + 1.0
         if self.trace is not None:
             self.trace.start = at
@@ -98,6 +101,8 @@
     def sidecar_up(self, sidecar: str) -> None:
         at = self.now()
         self.down.discard(sidecar)
+        if sidecar in self.front:
+            self.away_from.up(sidecar, at)
         self.stopping.pop(sidecar, None)
         self.drains.up(sidecar, at)
         if at > self.start and sidecar in self.front:
@@ -108,6 +113,8 @@
     def sidecar_stopping(self, sidecar: str) -> None:
         at = self.now()
         self.stopping[sidecar] = at
+        if sidecar in self.front:
+            self.away_from.stopping(sidecar, at)
         self.happens(f"sidecar {sidecar} is told to stop")
         if self.trace is not None:
             self.trace.line(at, "", f"sidecar_stopping sidecar={sidecar}")
@@ -135,6 +142,8 @@
         held.clear()
         self.down.add(sidecar)
         self.down_at[sidecar] = at
+        if sidecar in self.front:
+            self.away_from.down(sidecar, at)
         self.drains.down(sidecar)
 
     # Attempts
@@ -297,6 +306,7 @@
             "sends": self.sends,
             "drains_checked": self.checked,
             "effects": self.effects,
+            "front_gap": round(self.away_from.gap, 6),
             "told_late": self.drains.late,
             "cold_starts": self.cold.count,
             "cold_over": self.cold.over,
