Leave as soon as what is open is worth less than being back

Cause: finish() in daemon.py went on as long as any job or connection was open. A job that hangs, or a caller that never ends its request, held the place for all that would come.

Change: lifecycle/leaving.py plans the departure. The door is shut once no connection has come for 0.05 s, 0.42 to 0.65 s after SIGTERM (0.6 before). Connections between requests are closed from SIGTERM on, a few at a time. With the door shut, jobs go on as long as what they are likely to bring within some time ahead (the latest latencies of their class say it) is worth more than being back by that time. Then all are answered at once: refused where nothing may have run or the class is safe to repeat, else failed. A caller in the middle of a request has 0.3 s, one that does not read its answer 0.5 s. The direct grain follows the same planner.

--- a/wheatring/core/exchange.py
+++ b/wheatring/core/exchange.py
@@ -14,6 +14,7 @@
 from lapisway.interface import Outcome
 from wheatring import log
 from wheatring.core.clock import Clock, Timer
+from wheatring.lifecycle.leaving import Leaving, Open, Usual
 
 
 class Final(Enum):
@@ -46,6 +47,7 @@
     repeat: bool = False  # marked by the caller as a repeat
     answered: Deferred[Answer] = field(default_factory=Deferred)
     claims: list[Claim] = field(default_factory=list)
+    taken: float = 0.0  # an instant
     number: int = 0  # the decision module's id of the job
     over: bool = False
     overdue: Timer | None = None
@@ -67,6 +69,10 @@
     drop: Callable[[], None] | None = None  # the client side's way to stop working on it
     late: Timer | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        return self.written and (self.outcome is None or not self.outcome.never_ran)
+
     @property
     def wanted(self) -> bool:
         """It may still be written: once a job is over, none of its claims may be."""
@@ -77,7 +83,8 @@
     def __init__(self, clock: Clock, grace: float) -> None:
         self.clock = clock
         self.grace = grace
-        self.idents: set[str] = set()  # of the jobs that are not over
+        self.idents: dict[str, Job] = {}  # the jobs that are not over, in the order in which they came
+        self.usual = Usual()
         # Set by those who meet here.
         self.on_job: Callable[[Job], None]
         self.on_left: Callable[[Job], None]
@@ -89,7 +96,8 @@
 
     def submit(self, job: Job) -> Deferred[Answer]:
         """Take a job over; the Deferred fires with its one final answer, unless its caller leaves."""
-        self.idents.add(job.ident)
+        self.idents[job.ident] = job
+        job.taken = self.clock.now()
         job.overdue = self.clock.at(job.deadline + self.grace, self._overdue, job)
         try:
             self.on_job(job)
@@ -132,6 +140,18 @@
             self._close(job)
             job.answered.callback(answer)
 
+    def left(self, now: float) -> list[Open]:
+        """The open jobs, in the order in which they came."""
+        return [Open(job.class_name, now - job.taken, job.deadline - now) for job in self.idents.values()]
+
+    def give_up(self, leaving: Leaving) -> None:
+        """Answer all jobs, though the decisions would have gone on with them."""
+        for job in list(self.idents.values()):
+            ran = any(claim.may_have_run for claim in job.claims)
+            final = Final.REFUSED if leaving.may_refuse(job.class_name, ran) else Final.FAILED
+            self.answer(job, Answer(final, retry_after=leaving.away if final is Final.REFUSED else 0.0))
+            self.on_left(job)
+
     def abandon(self, claim: Claim) -> None:
         if claim.outcome is None:
             self._stop(claim, Outcome.CANCELLED)
@@ -149,7 +169,11 @@
             late.cancel()
             claim.late = None
         if outcome is SERVED:
-            self.answer(claim.job, Answer(FINAL_SERVED, content))
+            job = claim.job
+            if not job.over:
+                now = self.clock.now()
+                self.usual.served(job.class_name, now, now - job.taken)
+                self.answer(job, Answer(FINAL_SERVED, content))
         self.on_claim_ended(claim)
 
     # Its own
@@ -178,7 +202,7 @@
 
     def _close(self, job: Job) -> None:
         job.over = True
-        self.idents.discard(job.ident)
+        self.idents.pop(job.ident, None)
         if job.overdue is not None:
             job.overdue.cancel()
             job.overdue = None
--- a/wheatring/daemon.py
+++ b/wheatring/daemon.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from wheatring import config, log, operators
+from wheatring.lifecycle.leaving import Leaving
 
 if TYPE_CHECKING:  # what belongs to a feature is imported once that is turned on
     from lapisway.policy import Balancer
@@ -19,7 +20,7 @@
 
 RESERVE = 24  # descriptors kept for the log, the reactor, the door, the configuration and calls to discovery
 CLAIMS = 0.4  # part of the rest that is for claims: callers' requests may hold a third, and others are idle
-ARRIVING = 0.6  # seconds after SIGTERM in which new connections may still arrive, with some to spare
+LOOK = 0.02  # seconds between looks at what is still to be done before it ends
 
 
 class Sidecar:
@@ -141,31 +142,48 @@
             self.machine_list.move(told.discovery)
 
     def stop(self) -> None:
-        """Answer what has come and what still arrives, then exit."""
+        """Answer what has come and what still arrives, as far as that is worth its time, then exit."""
         if not self.server.stopping:
             log.line("stopping", open=self.exchange.open)
             self.record("stop", "platform")
             self.server.stop_keeping()
-            self.clock.at(self.clock.now() + ARRIVING, self.close)
-
-    def close(self) -> None:
-        self.server.close_between()
-        self.finish()
+            settings = self.told.settings
+            self.leaving = Leaving(
+                self.clock.now(),
+                settings.classes,
+                settings.copies,
+                self.exchange.usual,
+                len(self.server.standing()),
+            )
+            self.leave()
+
+    def leave(self) -> None:
+        """Do what is to be done by now, and look again."""
+        now, leaving, server = self.clock.now(), self.leaving, self.server
+        if server.port is None:
+            server.close_between()
+            if not leaving.goes_on(now, self.exchange.left(now)):
+                self.exchange.give_up(leaving)
+                if not server.connections:
+                    self.finish()
+                    return
+        elif leaving.shut(now, server.came_at, server.full):
+            self.reactor.callLater(0, server.shut)  # who waits at the door comes in first
+        else:
+            server.shed(leaving.keep(now))
+        self.clock.at(now + LOOK, self.leave)
 
     def finish(self) -> None:
-        if self.exchange.open or self.server.connections:
-            self.clock.at(self.clock.now() + 0.02, self.finish)
-        else:
-            self.machine_list.unsubscribe()
-            self.pool.close()
-            if self.drills is not None:
-                self.drills.stop()
-            if self.audit is not None:
-                self.audit.close()
-            if self.ring is not None:
-                self.ring.close()
-            log.line("stopped")
-            self.clock.at(self.clock.now(), self.reactor.stop)  # once these connections have had their lines
+        self.machine_list.unsubscribe()
+        self.pool.close()
+        if self.drills is not None:
+            self.drills.stop()
+        if self.audit is not None:
+            self.audit.close()
+        if self.ring is not None:
+            self.ring.close()
+        log.line("stopped")
+        self.clock.at(self.clock.now(), self.reactor.stop)  # once these connections have had their lines
 
 
 def serve(file: str | None, capture: bool) -> int:
--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -4,7 +4,7 @@
 
 import re
 from collections.abc import Callable, Container, Mapping
-from math import ceil
+from math import ceil, inf
 from typing import Any
 
 from twisted.internet.protocol import ServerFactory
@@ -43,6 +43,11 @@
 # that has just connected to write its request, and a crowd that says nothing can't shut the others out.
 STAND = 0.3
 BACKLOG = 511  # callers that may wait at the door
+# When it leaves: seconds in which a caller that has connected begins its request, in which a request that has
+# begun is whole, and in which an answer is read.
+FRESH = 0.1
+HALF = 0.3
+FLUSH = 0.5
 
 
 def response(status: int, body: bytes = b"", more: bytes = b"", *, close: bool = False) -> bytes:
@@ -242,6 +247,7 @@
         # In the order in which they came: in an order of memory's, two runs of one day would differ.
         self.connections: dict[CallerConnection, None] = {}
         self.stopping = False
+        self.came_at = -inf  # the last new connection
         self.guard: Callable[[Mapping[bytes, bytes]], Container[str]] | None = None
         self.port: Any = None
         self.full = False
@@ -263,6 +269,7 @@
 
     def came(self, connection: CallerConnection) -> None:
         self.connections[connection] = None
+        self.came_at = connection.since
         if len(self.connections) >= self.most and not self.full and self.port is not None:
             # Beyond this the process would run out of descriptors; callers wait in the backlog.
             self.full = True
@@ -346,11 +353,43 @@
         """From now on each answer is the last one on its connection."""
         self.stopping = True
 
-    def close_between(self) -> None:
-        """Stop listening, and close the connections that have no request under way."""
+    def standing(self) -> list[CallerConnection]:
+        """The connections between requests, that which has stood longest first."""
+        found = [c for c in self.connections if c.job is None and not c.waiting and not c.code]
+        found.sort(key=lambda c: c.since)
+        return found
+
+    def shed(self, keep: int) -> None:
+        """Close connections between requests until no more than `keep` are left of those that stand now."""
+        standing = self.standing()
+        for connection in standing[: max(0, len(standing) - keep)]:
+            self.part(connection)
+
+    def part(self, connection: CallerConnection) -> None:
+        """Close a connection between requests, unless one has come on it by now: that is read first."""
+        self.reactor.callLater(0, self.parted, connection, connection.since)
+
+    def parted(self, connection: CallerConnection, since: float) -> None:
+        if connection.job is None and not connection.reader.started and connection.since == since:
+            connection.close("stopping")
+
+    def shut(self) -> None:
+        """Stop listening."""
         if self.port is not None:
             self.port.stopListening()
             self.port = None
+
+    def close_between(self) -> None:
+        """Nobody else comes: close the connections that have no request under way, and those of callers that
+        take too long to send one or to read its answer."""
+        now = self.clock.now()
         for connection in list(self.connections):
-            if connection.job is None and not connection.reader.started:
-                connection.close("stopping")
+            if connection.code:
+                if now > connection.since + FLUSH:
+                    connection.abort(connection.code)
+            elif connection.job is not None:
+                continue
+            elif not connection.waiting:
+                self.part(connection)
+            elif now > connection.since + (HALF if connection.reader.started else FRESH):
+                connection.give_up("stopping")
--- a/wheatring/lab/direct/sidecar.py
+++ b/wheatring/lab/direct/sidecar.py
@@ -4,13 +4,14 @@
 
 from collections import deque
 from collections.abc import Callable, Mapping
+from math import inf
 from typing import TYPE_CHECKING, Any
 
 from lapisway.interface import Settings
 from lapisway.policy import Balancer
 from wheatring.core.driver import Driver
 from wheatring.core.exchange import Exchange, Job
-from wheatring.daemon import ARRIVING, CLAIMS, RESERVE
+from wheatring.daemon import CLAIMS, LOOK, RESERVE
 from wheatring.lab.book import Book
 from wheatring.lab.direct.clock import DirectClock
 from wheatring.lab.direct.links import Links
@@ -18,12 +19,11 @@
 from wheatring.lab.direct.node import DirectNode
 from wheatring.lab.direct.pool import DirectPool
 from wheatring.lab.timers import PlayedTime
+from wheatring.lifecycle.leaving import Leaving
 
 if TYPE_CHECKING:
     from wheatring.lab.direct.way import DirectAsked, DirectWay
 
-LOOK = 0.02  # seconds between looks whether a stopping sidecar is done, as the daemon's
-
 
 class DirectSidecar:
     """One process of a sidecar, from its start to its end; a restart is another one.
@@ -72,6 +72,8 @@
         )
         self.driver.machine_list = self.machine_list
         self.classes = settings.classes
+        self.copies = settings.copies
+        self.came_at = -inf  # the last request
         self.most = places - claims  # callers at once; more wait at the door
         self.held: dict[DirectAsked, None] = {}  # taken and not answered, in the order in which they came
         self.door: deque[DirectAsked] = deque()
@@ -89,6 +91,7 @@
 
     def take(self, asked: DirectAsked) -> None:
         """A request has arrived."""
+        self.came_at = self.clock.now()
         if len(self.held) >= self.most:
             self.door.append(asked)
             return
@@ -139,22 +142,26 @@
     # Its end
 
     def terminate(self) -> None:
-        """SIGTERM: answer what has come and what still arrives, then end."""
+        """SIGTERM: answer what has come and what still arrives, as the daemon does, then end."""
         if not self.stopping and not self.clock.over:
             self.stopping = True
             self.book.sidecar_stopping(self.name)
-            self.clock.at(self.clock.now() + ARRIVING, self.close)
-
-    def close(self) -> None:
-        self.open = False
-        self.finish()
-
-    def finish(self) -> None:
-        if self.exchange.open or self.door:
-            self.clock.at(self.clock.now() + LOOK, self.finish)
-        else:
-            self.machine_list.unsubscribe()
-            self.end(killed=False)
+            now = self.clock.now()
+            self.leaving = Leaving(now, self.classes, self.copies, self.exchange.usual)
+            self.look()
+
+    def look(self) -> None:
+        now, leaving = self.clock.now(), self.leaving
+        if not self.open:
+            if not leaving.goes_on(now, self.exchange.left(now)):
+                self.exchange.give_up(leaving)
+                if not self.door:
+                    self.machine_list.unsubscribe()
+                    self.end(killed=False)
+                    return
+        elif leaving.shut(now, self.came_at, bool(self.door)):
+            self.open = False
+        self.clock.at(now + LOOK, self.look)
 
     def kill(self) -> None:
         """Its process ends at once."""
--- /dev/null
+++ b/wheatring/lifecycle/leaving.py
@@ -0,0 +1,134 @@
+"""Leaving: from SIGTERM on, what is still taken, until when open jobs may run, and when to end.
+
+The follower starts once this process has ended, so that each moment here is a moment later there. The law:
+
+- The door stays open until no connection has come for `QUIET`, not less than `ARRIVING` and no longer than
+  `DOOR`. Until then all is taken.
+- Connections between requests are closed one after another until `SHED` is over, that which has stood longest
+  first: their callers go elsewhere a few at a time. Each answer is the last on its connection.
+- With the door shut, all jobs go on for as long as what they are likely to bring within some time ahead is
+  worth more than being back sooner by that time. What a second here costs is the worth that this copy has
+  lately served in one, times the chance that nobody else serves it. Then all that is left is given up at
+  once: one job alone would hold up the end as much as ten.
+- Nothing runs longer than `LAST` before SIGKILL may come, or past its deadline.
+
+What a job is likely to bring is read off the latest latencies of its class: of those that took longer than it
+has run by now, the part that was answered within that time. One that is older than all of them is answered
+within as long again with a chance of a half.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections import deque
+from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+from lapisway.interface import Effect, RequestClass
+
+ARRIVING = 0.42  # seconds after SIGTERM in which new connections may come; the platform says 0.4
+QUIET = 0.05  # and since the last that came
+DOOR = 0.65  # the door is shut by then: what is taken later than 0.7 s may not be left to SIGKILL
+SHED = 0.2
+FRESH = 0.1  # seconds in which a caller that has connected writes its request
+KILL = 0.7  # SIGKILL follows the longest deadline after this ...
+LONGEST = 3.0  # ... which is taken as this where it is longer
+LAST = 0.2  # seconds before SIGKILL
+KEPT = 64  # latencies of each class that say what is usual
+AHEAD = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6)  # times ahead for which it is reckoned
+UNSERVED = 0.5  # chance that what comes while this copy is away is served by nobody, times the copies
+
+
+class Open(NamedTuple):
+    """An open job, as far as the plan hangs on it."""
+
+    class_name: str
+    age: float  # seconds since it was taken
+    left: float  # seconds to its deadline
+
+
+class Usual:
+    """The latest served jobs of each class: when, and how long they took. Instants never go back."""
+
+    __slots__ = ("recent",)
+
+    def __init__(self) -> None:
+        self.recent: dict[str, deque[tuple[float, float]]] = {}
+
+    def served(self, class_name: str, now: float, latency: float) -> None:
+        recent = self.recent.get(class_name)
+        if recent is None:
+            recent = self.recent[class_name] = deque(maxlen=KEPT)
+        recent.append((now, latency))
+
+    def latencies(self, class_name: str) -> list[float]:
+        """In their order of length."""
+        return sorted([latency for _, latency in self.recent.get(class_name, ())])
+
+    def rate(self, class_name: str, now: float) -> float:
+        """Jobs served a second; 0 while too few have been to tell."""
+        recent = self.recent.get(class_name)
+        if recent is None or len(recent) < 2 or now <= recent[0][0]:
+            return 0.0
+        return (len(recent) - 1) / (now - recent[0][0])
+
+
+def chance(latencies: Sequence[float], age: float, ahead: float) -> float:
+    """That a job of this age is answered within the time ahead. `latencies` are sorted."""
+    if ahead <= 0:
+        return 0.0
+    before = bisect_right(latencies, age)
+    within = bisect_right(latencies, age + ahead) - before
+    return (within + ahead / (age + ahead)) / (len(latencies) - before + 1)
+
+
+class Leaving:
+    """One departure. `told` is the instant of SIGTERM; `usual` is not asked again later, or what is given up
+    to be back sooner would hang on what the last moments brought."""
+
+    def __init__(
+        self, told: float, classes: Iterable[RequestClass], copies: int, usual: Usual, idle: int = 0
+    ) -> None:
+        self.told = told
+        self.classes: Mapping[str, RequestClass] = {each.name: each for each in classes}
+        self.idle = idle
+        self.away = 0.0
+        longest = max([each.deadline for each in self.classes.values()], default=0.0)
+        self.last = told + min(longest, LONGEST) + KILL - LAST
+        self.latencies = {name: usual.latencies(name) for name in self.classes}
+        served = sum([each.worth * usual.rate(name, told) for name, each in self.classes.items()])
+        self.cost = served * min(1.0, UNSERVED / copies)  # of a second away, in worth
+
+    def shut(self, now: float, came: float, full: bool) -> bool:
+        """Whether the door is to be shut; `came` is the instant of the last new connection, `full` that more
+        callers may wait at the door, who are not turned away."""
+        since = now - self.told
+        if full:
+            return now >= self.last
+        return since >= DOOR or (since >= ARRIVING and now - came >= QUIET)
+
+    def keep(self, now: float) -> int:
+        """How many connections may still stand between requests."""
+        return int(self.idle * max(0.0, 1 - (now - self.told) / SHED))
+
+    def goes_on(self, now: float, jobs: Sequence[Open]) -> bool:
+        """The door is shut: whether open jobs may run on."""
+        if not jobs or now >= self.last:
+            return False
+        return any(self.worth(jobs, ahead) > self.cost * ahead for ahead in AHEAD)
+
+    def worth(self, jobs: Iterable[Open], ahead: float) -> float:
+        """What these jobs are likely to bring within the time ahead."""
+        total = 0.0
+        for name, age, left in jobs:
+            each = self.classes[name]
+            latencies = self.latencies[name]
+            reach = min(ahead, left)
+            whole = chance(latencies, age, min(reach, each.aim - age))
+            late = chance(latencies, age, reach) - whole
+            total += each.worth * (whole + each.late_worth * late)
+        return total
+
+    def may_refuse(self, class_name: str, may_have_run: bool) -> bool:
+        """Whether what is given up may be called refused, which says that trying again is harmless."""
+        return not may_have_run or self.classes[class_name].effect is Effect.SAFE
