Start with what serving needs, and be gone at once when done

Cause (python -X importtime): argparse and the commands with the lab's were imported to read two words; Twisted's compat imports http.cookiejar only to pass its name on, and with it HTTP clients and the mail package; dataclasses without a docstring have one made of their inspected signature. After its last line the interpreter took its modules apart.

Change: the plain words of service are read without the parser. http.cookiejar is put off until somebody uses it. Dataclasses have docstrings.

--- a/lapisway/interface.py
+++ b/lapisway/interface.py
@@ -94,6 +94,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
+    """One tenant, and what is its own."""
+
     name: str
     quota_per_s: float = inf  # requests per second within its share, over all copies together
     share: float = 1.0
@@ -227,6 +229,8 @@
 
 @dataclass(slots=True)
 class NewRequest:
+    """A request has come."""
+
     request: int
     class_name: str
     time_left: float  # until the client gives this try up
@@ -239,6 +243,8 @@
 
 @dataclass(slots=True)
 class StreamStarted:
+    """The answer of a request has begun, as a stream."""
+
     request: int
     attempt: int
     endpoint: str
@@ -247,6 +253,8 @@
 
 @dataclass(slots=True)
 class AttemptEnded:
+    """An attempt has ended."""
+
     request: int
     attempt: int  # from 0, in the order of their sends
     outcome: Outcome
@@ -258,16 +266,22 @@
 
 @dataclass(slots=True)
 class ClientGone:
+    """A client waits no longer."""
+
     request: int
 
 
 @dataclass(slots=True)
 class TimerDue:
+    """A timer that was set has come due."""
+
     token: int
 
 
 @dataclass(slots=True)
 class ProbeEnded:
+    """What came of a probe."""
+
     endpoint: str
     outcome: Outcome
     latency: float
@@ -276,6 +290,8 @@
 
 @dataclass(slots=True)
 class PeerMessage:
+    """Another copy has sent this one a message."""
+
     sender: int
     data: bytes
 
@@ -329,6 +345,8 @@
 
 @dataclass(slots=True)
 class SetTimer:
+    """Ask for a TimerDue."""
+
     token: int
     delay: float
 
@@ -347,6 +365,8 @@
 
 @dataclass(slots=True)
 class Probe:
+    """Look how an endpoint does."""
+
     endpoint: str
 
 
@@ -359,12 +379,16 @@
 
 @dataclass(slots=True)
 class TellPeer:
+    """Send a message to one copy or all."""
+
     peer: int | None  # None: every peer
     data: bytes
 
 
 @dataclass(slots=True)
 class Log:
+    """Leave a line in the log."""
+
     text: str
 
 
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -23,6 +23,7 @@
     ("wheatring.lifecycle", 2),
     ("wheatring.config", 1),
     ("wheatring.operators", 1),
+    ("wheatring.late", 1),
     ("wheatring.log", 1),
     ("wheatring.address", 1),
     ("wheatring", 0),
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -10,14 +10,15 @@
 import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
+from itertools import product
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from tests.world import FAR, SETTINGS, Peer, Wire, entry, list_body
-from wheatring import config
-from wheatring.__main__ import main
+from wheatring import commands, config, late
+from wheatring.__main__ import main, plain
 
 
 def told(**changes: Any) -> dict[str, Any]:
@@ -95,6 +96,36 @@
     discovery.close()
 
 
+def test_its_start_waits_for_nothing_that_only_commands_need(tmp_path: Path) -> None:
+    with begin(tmp_path, "", subprocess.PIPE, "-X", "importtime", capture=True) as process:
+        until(process, "listening")
+        process.send_signal(signal.SIGTERM)
+        _, told = process.communicate(timeout=FAR)
+        assert process.returncode == 0
+    names = {line.rpartition("|")[2].strip() for line in told.splitlines()}
+    assert "wheatring.daemon" in names
+    assert names.isdisjoint({"argparse", "http.client", "wheatring.commands", "wheatring.lab"})
+
+
+def test_plain_words_mean_what_the_parser_makes_of_them() -> None:
+    for words in product(("--capture", "--operators", "x", "--help", "lab", "--operators=x"), repeat=3):
+        for length in range(4):
+            told = plain(words[:length])
+            if told is not None:
+                args = commands.parser().parse_args(words[:length])
+                assert told == (getattr(args, "operators", None), args.capture) and args.call is None
+    assert plain(("--operators", "x", "--capture")) == ("x", True)
+
+
+def test_a_module_that_is_put_off_loads_at_its_first_use() -> None:
+    late.put_off(("wsgiref.util",))
+    import wsgiref.util
+
+    assert "guess_scheme" not in vars(wsgiref.util)
+    assert wsgiref.util.guess_scheme({"HTTPS": "on"}) == "https"
+    assert type(wsgiref.util) is type(socket)
+
+
 def test_told_to_reload_it_moves_to_the_new_discovery_and_outlives_a_broken_file(tmp_path: Path) -> None:
     old, new, file = Peer(), Peer(), tmp_path / "c.json"
     file.write_text(json.dumps(told(discovery="127.0.0.1:9")), encoding="utf-8")
--- a/wheatring/config.py
+++ b/wheatring/config.py
@@ -33,6 +33,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Config:
+    """All that one sidecar is told at its start."""
+
     name: str
     listen: tuple[str, int]
     discovery: tuple[str, int]
--- a/wheatring/daemon.py
+++ b/wheatring/daemon.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Any
 
-from wheatring import config, log, operators
+from wheatring import config, late, log, operators
 from wheatring.lifecycle.leaving import Leaving
 
 if TYPE_CHECKING:  # what belongs to a feature is imported once that is turned on
@@ -196,6 +196,7 @@
         print(f"wheatring: {bad}", file=sys.stderr)
         return 2
     log.not_blocking()
+    late.put_off()
     from twisted.internet import error
     from twisted.internet import reactor as installed
 
@@ -224,4 +225,7 @@
         print(f"wheatring: listen: {bad}", file=sys.stderr)
         return 2
     reactor.run(installSignalHandlers=False)
-    return 0
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # The follower starts once this process is gone, and all that the interpreter would take apart is too.
+    os._exit(0)
--- a/wheatring/http1/parser.py
+++ b/wheatring/http1/parser.py
@@ -36,6 +36,8 @@
 
 @dataclass(slots=True)
 class Message:
+    """One whole message."""
+
     first: tuple[bytes, ...]  # (method, target) of a request, (status,) of a response
     fields: dict[bytes, bytes]  # by name in lower case; repeated ones joined by commas
     lines: list[tuple[bytes, bytes]]  # name in lower case, and the line as it came
--- a/wheatring/operators.py
+++ b/wheatring/operators.py
@@ -30,6 +30,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Drill:
+    """Drills: the plan, its key, and what it does."""
+
     key: bytes | None = field(default=None, repr=False)
     plan: str = ""
     share: int = 10 * PERCENT  # of the class's requests
@@ -39,12 +41,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Audit:
+    """The audit, and where its copy goes."""
+
     on: bool = False
     file: str = ""  # a lasting copy
 
 
 @dataclass(frozen=True, slots=True)
 class Tokens:
+    """The keys of tokens."""
+
     keys: Mapping[str, bytes] = field(default_factory=dict, repr=False)  # by kid; none: no checking
     issue: str = ""  # the kid to issue with
     skew: int = 30  # seconds that a token still counts past its end
@@ -52,6 +58,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Capture:
+    """Where captures go, and how much of them."""
+
     files: int = 4
     size: int = 192 * 1024  # bytes of each
     folder: str = ""  # a lasting one; else the temporary one
