Hold the plan of leaving to a slow statement of its promises

Need: the planner decides which jobs are given up. Change: properties over drawn services, jobs and arrivals: jobs go on just while some time ahead brings more than it costs, nothing runs into SIGKILL, the door shuts once nobody comes and turns nobody away who waits, connections go a few at a time.

--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,133 @@
+"""Leaving: what the planner promises, against a slow and obvious statement of it."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+from math import inf
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lapisway.interface import Effect, RequestClass
+from wheatring.lifecycle.leaving import (
+    AHEAD,
+    ARRIVING,
+    DOOR,
+    KEPT,
+    KILL,
+    LONGEST,
+    UNSERVED,
+    Leaving,
+    Open,
+    Usual,
+    chance,
+)  # fmt: skip
+
+CLASSES = (
+    RequestClass("menu", 2.0, 6.0, worth=1.0, late_worth=0.25, effect=Effect.SAFE),
+    RequestClass("order", 1.0, 2.0, worth=5.0, effect=Effect.KEYED),
+)
+TIMES = st.floats(0.0, 8.0)
+HISTORY = st.lists(st.tuples(st.sampled_from(("menu", "order")), st.floats(0.0, 0.5), st.floats(0.001, 3.0)))
+JOBS = st.lists(st.builds(Open, st.sampled_from(("menu", "order")), TIMES, st.floats(0.0, 6.0)), max_size=6)
+
+
+def planned(history: list[tuple[str, float, float]], copies: int = 1, idle: int = 0) -> tuple[Leaving, float]:
+    """A departure after these services: class, time since the one before, latency. And its SIGTERM."""
+    usual, now = Usual(), 100.0
+    for name, later, latency in history:
+        now += later
+        usual.served(name, now, latency)
+    return Leaving(now, CLASSES, copies, usual, idle), now
+
+
+def likely(history: list[tuple[str, float, float]], job: Open, until: float) -> float:
+    """Chance that a job is answered within `until` seconds, by counting."""
+    latest = [latency for name, _, latency in history if name == job.class_name][-KEPT:]
+    longer = [latency for latency in latest if latency > job.age]
+    if until <= 0:
+        return 0.0
+    return (sum(latency <= job.age + until for latency in longer) + until / (job.age + until)) / (
+        len(longer) + 1
+    )
+
+
+@given(HISTORY, JOBS, st.integers(1, 5), st.floats(0.0, 5.0))
+def test_jobs_go_on_just_while_some_time_ahead_brings_more_than_it_costs(
+    history: list[tuple[str, float, float]], jobs: list[Open], copies: int, since: float
+) -> None:
+    leaving, told = planned(history, copies)
+    cost = 0.0
+    for each in CLASSES:
+        at, stamps = 100.0, []
+        for name, later, _ in history:
+            at += later
+            if name == each.name:
+                stamps.append(at)
+        stamps = stamps[-KEPT:]
+        if len(stamps) > 1 and told > stamps[0]:
+            cost += each.worth * (len(stamps) - 1) / (told - stamps[0]) * min(1.0, UNSERVED / copies)
+    worth = dict.fromkeys(AHEAD, 0.0)
+    for job in jobs:
+        each = next(c for c in CLASSES if c.name == job.class_name)
+        for ahead in AHEAD:
+            in_time = likely(history, job, min(ahead, job.left, each.aim - job.age))
+            at_all = likely(history, job, min(ahead, job.left))
+            worth[ahead] += each.worth * (in_time + each.late_worth * (at_all - in_time))
+    margins = [worth[ahead] - cost * ahead for ahead in AHEAD]
+    if any(abs(margin) < 1e-6 * (1 + cost) for margin in margins):
+        return  # either is right
+    due = told + since >= told + min(6.0, LONGEST) + KILL - 0.2
+    assert leaving.goes_on(told + since, jobs) == (not due and any(margin > 0 for margin in margins))
+
+
+@given(HISTORY, JOBS, st.floats(0.0, 10.0))
+def test_it_never_runs_into_sigkill_and_never_holds_out_for_nothing(
+    history: list[tuple[str, float, float]], jobs: list[Open], since: float
+) -> None:
+    leaving, told = planned(history)
+    killed = told + min(max(each.deadline for each in CLASSES), LONGEST) + KILL
+    assert leaving.last < killed
+    if told + since >= killed or not jobs or all(job.left <= 0 for job in jobs):
+        assert not leaving.goes_on(told + since, jobs)
+
+
+@given(st.lists(st.floats(0.0, 1.5), max_size=8), st.lists(st.floats(0.0, 3.0), max_size=3))
+def test_the_door_shuts_once_nobody_comes_and_turns_nobody_away_who_waits(
+    comes: list[float], full: list[float]
+) -> None:
+    """Callers that come at these instants, and instants until which the place is crowded."""
+    leaving, told = planned([])
+    crowded = max(full, default=0.0)
+    now = 0.0
+    while not leaving.shut(
+        told + now, told + max([c for c in comes if c <= now], default=-inf), now < crowded
+    ):
+        now += 0.02
+    assert now >= min(crowded, leaving.last - told - 0.02) - 1e-6
+    assert ARRIVING <= now <= max(DOOR, crowded) + 0.021
+    last = max([c for c in comes if c <= now], default=-inf)
+    assert now >= DOOR - 1e-6 or now - last >= 0.05 - 1e-6
+
+
+@given(st.integers(0, 900))
+def test_idle_connections_go_a_few_at_a_time_and_all_of_them_before_the_door_shuts(idle: int) -> None:
+    leaving, told = planned([], idle=idle)
+    kept = [leaving.keep(told + n * 0.02) for n in range(25)]
+    assert kept[0] == idle and kept[int(ARRIVING / 0.02)] == 0
+    assert all(0 <= before - after <= idle / 9 + 1 for before, after in pairwise(kept))
+
+
+def test_what_may_have_run_is_refused_only_where_a_repeat_does_no_harm() -> None:
+    leaving, _ = planned([])
+    assert leaving.may_refuse("menu", True) and leaving.may_refuse("order", False)
+    assert not leaving.may_refuse("order", True)
+
+
+@given(st.lists(st.floats(0.001, 5.0), max_size=70), TIMES, TIMES, TIMES)
+def test_chances_are_chances_and_grow_with_the_time_ahead(
+    latencies: list[float], age: float, ahead: float, more: float
+) -> None:
+    latencies.sort()
+    less, greater = chance(latencies, age, ahead), chance(latencies, age, ahead + more)
+    assert 0 <= less <= greater + 1e-12 and greater <= 1 + 1e-12
