--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from itertools import pairwise
-from math import inf
+from math import inf, isclose
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -67,6 +67,7 @@
         stamps = stamps[-KEPT:]
         if len(stamps) > 1 and told > stamps[0]:
             cost += each.worth * (len(stamps) - 1) / (told - stamps[0]) * min(1.0, UNSERVED / copies)
+    assert isclose(leaving.cost, cost)
     worth = dict.fromkeys(AHEAD, 0.0)
     for job in jobs:
         each = next(c for c in CLASSES if c.name == job.class_name)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -96,6 +96,31 @@
     discovery.close()
 
 
+def test_told_to_stop_it_gives_up_what_hangs_and_is_gone(tmp_path: Path) -> None:
+    node, discovery = Peer(), Peer()
+    known = {"generation": 3, "instances": [entry("n0", node)]}
+    with begin(tmp_path, "", known=known, discovery=f"127.0.0.1:{discovery.port}") as process:
+        port = int(until(process, "listening").rpartition("=")[2])
+        wires = [Wire(socket.create_connection(("127.0.0.1", port), FAR)) for _ in range(5)]
+        called: list[Wire] = []
+        for n, wire in enumerate(wires):
+            wire.send(f"GET /menu HTTP/1.1\r\nX-Correlation-Id: c{n}\r\n\r\n".encode())
+            called = called or [node.accept()]
+            called[0].read()
+            if wire is not wires[-1]:  # that one hangs
+                called[0].answer(200, b"quick")
+                wire.read()
+        process.send_signal(signal.SIGTERM)
+        _, left, after = until(process, "cut-short").split()
+        assert left == "open=1" and float(after.partition("=")[2]) < 3.0  # 3.5 s is the last moment
+        first, fields, _ = wires[-1].read()
+        assert (first.split()[1], fields["connection"]) == ("503", "close") and wires[-1].at_end()
+        assert all(wire.at_end() for wire in wires)
+        assert process.wait(FAR) == 0
+    node.close()
+    discovery.close()
+
+
 def test_its_start_waits_for_nothing_that_only_commands_need(tmp_path: Path) -> None:
     with begin(tmp_path, "", subprocess.PIPE, "-X", "importtime", capture=True) as process:
         until(process, "listening")
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -10,7 +10,7 @@
 from twisted.logger import globalLogPublisher
 
 from lapisway import interface as i
-from tests.world import World, entry, list_body
+from tests.world import Loopback, World, entry, list_body
 from wheatring import log
 from wheatring.core.exchange import Job
 from wheatring.http1 import client, server
@@ -472,6 +472,23 @@
     assert world.run(lambda: world.sidecar.exchange.open) == 0
 
 
+def test_who_has_just_come_in_may_still_ask_when_the_door_is_shut(make: Make) -> None:
+    world = make()
+    if isinstance(world.ground, Loopback):
+        pytest.skip("these instants can't be met for certain")
+    leave(world)
+    world.ground.until(lambda: world.sidecar.clock.now() - world.sidecar.leaving.told > 0.41)
+    late, silent = world.caller(), world.caller()
+    world.ground.until(lambda: world.sidecar.server.port is None)
+    shut = world.sidecar.clock.now()
+    world.ground.until(lambda: world.sidecar.clock.now() > shut + 0.022)  # it has looked again
+    world.ask(wire=late)
+    world.first().read()
+    assert silent.at_end()
+    assert late.read()[1]["connection"] == "close" and late.at_end()
+    world.logged("ended")
+
+
 def test_what_is_not_worth_its_wait_is_given_up_at_once_when_it_leaves(make: Make) -> None:
     """A copy that has answered in a moment until now does not stay for what hangs."""
     world = make()
--- a/wheatring/core/exchange.py
+++ b/wheatring/core/exchange.py
@@ -149,7 +149,7 @@
         for job in list(self.idents.values()):
             ran = any(claim.may_have_run for claim in job.claims)
             final = Final.REFUSED if leaving.may_refuse(job.class_name, ran) else Final.FAILED
-            self.answer(job, Answer(final, retry_after=leaving.away if final is Final.REFUSED else 0.0))
+            self.answer(job, Answer(final))  # no advice to stay away: another copy may be there
             self.on_left(job)
 
     def abandon(self, claim: Claim) -> None:
--- a/wheatring/daemon.py
+++ b/wheatring/daemon.py
@@ -163,7 +163,9 @@
         if server.port is None:
             server.close_between()
             if not leaving.goes_on(now, self.exchange.left(now)):
-                self.exchange.give_up(leaving)
+                if self.exchange.open:
+                    log.line("cut-short", open=self.exchange.open, after=now - leaving.told)
+                    self.exchange.give_up(leaving)
                 if not server.connections:
                     self.finish()
                     return
--- a/wheatring/lifecycle/leaving.py
+++ b/wheatring/lifecycle/leaving.py
@@ -92,7 +92,6 @@
         self.told = told
         self.classes: Mapping[str, RequestClass] = {each.name: each for each in classes}
         self.idle = idle
-        self.away = 0.0
         longest = max([each.deadline for each in self.classes.values()], default=0.0)
         self.last = told + min(longest, LONGEST) + KILL - LAST
         self.latencies = {name: usual.latencies(name) for name in self.classes}
