Reckon the gate's crowd from busy endpoints only, not by two walks over all

Change: the copy keeps who has calls in flight, and the last progress of any ready one, and reckons both anew from the whole list whenever the list changes.

--- a/lapisway/policy.py
+++ b/lapisway/policy.py
@@ -112,6 +112,8 @@
         self.near: list[Endpoint] = []
         self.far: list[Endpoint] = []
         self.ready: list[Endpoint] = []
+        self.busy: dict[str, Endpoint] = {}  # the ready ones with calls in flight
+        self.progress = 0.0  # the last of any ready one
         self.groups: dict[str | int, list[Endpoint]] = {}
         self.requests: dict[int, Request] = {}
         self.timers: dict[int, int] = {}
@@ -186,8 +188,8 @@
         if not rate:
             return True
         # What an endpoint holds that is quiet while others answer is no queue for the calls that these get.
-        quiet = max([e.progress for e in self.ready], default=0.0) - request.cls.aim
-        in_flight = sum([e.in_flight for e in self.ready if e.progress > quiet])
+        quiet = self.progress - request.cls.aim
+        in_flight = sum([e.in_flight for e in self.busy.values() if e.progress > quiet])
         calm = now - self.refused_at > 1
         if calm:
             self.usual += LEARN / 20 * (in_flight - self.usual)
@@ -237,7 +239,8 @@
         request.sent_at = now
         request.outstanding += 1
         if not endpoint.in_flight:
-            endpoint.progress = now
+            endpoint.progress = self.progress = now
+            self.busy[endpoint.entry.endpoint] = endpoint
         endpoint.in_flight += 1
         self.in_flight += 1
         endpoint.turn = self.turns + 1 / self.warmth(now, endpoint)
@@ -254,6 +257,8 @@
         request.outstanding -= 1
         endpoint.in_flight -= 1
         self.in_flight -= 1
+        if not endpoint.in_flight and self.busy.get(endpoint.entry.endpoint) is endpoint:
+            del self.busy[endpoint.entry.endpoint]
         self.observe(now, request, endpoint, event)
         if event.closed or request.over:
             self.close(request)
@@ -339,6 +344,8 @@
             self.tokens = max(0.0, self.tokens - 1)
         if outcome not in UNMOVED:
             endpoint.progress = now
+            if self.endpoints.get(endpoint.entry.endpoint) is endpoint:
+                self.progress = now
         endpoint.failing += LEARN * ((outcome is not SERVED) - endpoint.failing)
 
     def report(self, now: float, endpoint: Endpoint, report: LoadReport) -> None:
@@ -446,6 +453,8 @@
         """Few endpoints with room for few connections can't take one from every copy: each draws from a
         stable arc of the sorted ids, placed by its own number so that all are covered evenly."""
         self.ready = [self.endpoints[k] for k in sorted(self.endpoints)]
+        self.busy = {e.entry.endpoint: e for e in self.ready if e.in_flight}
+        self.progress = max([e.progress for e in self.ready], default=0.0)
         zone = self.settings.zone
         local = [e for e in self.ready if e.entry.zone == zone]
         split = 2 * len(local) * max(1, len(self.settings.zones)) >= len(self.ready) > len(local)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -72,6 +72,7 @@
     silent = copy.balancer.endpoints["a"]
     silent.in_flight += 100
     copy.balancer.in_flight += 100
+    copy.balancer.busy["a"] = silent
     silent.progress -= 10.0
     assert admitted(copy, "cheap", 24) == 24
 
