--- a/tests/lab/test_study_commands.py
+++ b/tests/lab/test_study_commands.py
@@ -108,3 +108,11 @@
     assert (paced.traffic.rate, paced.traffic.load) == (50, None)
     with pytest.raises(ScenarioError):
         checked(overridden(raw, "trafic.rate", 50), name, where)
+
+
+def test_what_a_day_costs_is_told(capsys: pytest.CaptureFixture[str]) -> None:
+    assert lab("pace", "small", "--grain", "exchange", "--seconds", "0.5") == 0
+    first, *_, last = capsys.readouterr().out.splitlines()
+    assert first.startswith("small, seed 1, exchange: ") and " us of CPU a call, " in last
+    assert lab("pace", "small", "--seconds", "0") == 2
+    assert capsys.readouterr().err == "wheatring: --seconds 0: must be above 0\n"
