Take what the nodes show as evidence that the machine list is old

Need: the watch on discovery is one call that may wait 50 s. Where discovery forgets it, the sidecar notices after 51.5 s, while the machines on its list are replaced and refuse. Cause: nothing but the end of that wait ever questioned the list. Change: lifecycle/freshness.py, a pure decider, adds up node-seconds of doubt: listed nodes that refuse, break or turn away all, until they answer or the list has news of them. At six node-seconds, with an empty list, or when a watch has been silent for 25 s, the watch is laid anew on a second connection with a long wait, and replaces the old one once it is up. Asks are spread over the copies by their numbers and bounded.

--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -19,6 +19,7 @@
     ("wheatring.http1", 4),
     ("wheatring.core", 3),
     ("wheatring.ops", 3),
+    ("wheatring.lifecycle", 2),
     ("wheatring.config", 1),
     ("wheatring.operators", 1),
     ("wheatring.log", 1),
--- a/wheatring/core/driver.py
+++ b/wheatring/core/driver.py
@@ -22,6 +22,9 @@
 
     def fetch(self) -> None: ...
 
+    def seen(self, now: float, node: str, outcome: i.Outcome) -> None:
+        """A claim has ended: what that says of the list."""
+
 
 class Decisions(Protocol):
     """The decision module, or what stands in for it."""
@@ -59,7 +62,9 @@
     def claim_ended(self, claim: Claim) -> None:
         job = claim.job
         assert claim.outcome is not None
-        latency = self.clock.now() - claim.begun
+        now = self.clock.now()
+        self.machine_list.seen(now, claim.node, claim.outcome)
+        latency = now - claim.begun
         self.feed(i.AttemptEnded(job.number, claim.number, claim.outcome, claim.node, latency, job.over))
 
     def ident(self, number: int) -> str:
--- a/wheatring/daemon.py
+++ b/wheatring/daemon.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from collections.abc import Callable, Mapping
+from random import Random
 from typing import TYPE_CHECKING, Any
 
 from wheatring import config, log, operators
@@ -41,6 +42,7 @@
         from wheatring.http1.client import Pool
         from wheatring.http1.machine_list import MachineList
         from wheatring.http1.server import Server
+        from wheatring.lifecycle.freshness import Freshness
 
         settings = told.settings
         limits = settings.limits
@@ -57,8 +59,9 @@
         self.pool = Pool(
             reactor, self.clock, self.exchange, limits.connect_timeout, limits.idle_timeout, claims
         )
+        freshness = Freshness(settings.copies, settings.number, Random(told.seed), self.clock.now())
         self.machine_list = MachineList(
-            reactor, self.clock, told.discovery, self.pool.addresses, self.driver.feed
+            reactor, self.clock, told.discovery, self.pool.addresses, self.driver.feed, freshness
         )
         self.driver.machine_list = self.machine_list
         self.server = Server(reactor, self.clock, self.exchange, settings.classes, places - claims)
--- a/wheatring/http1/machine_list.py
+++ b/wheatring/http1/machine_list.py
@@ -4,17 +4,18 @@
 
 import json
 from collections.abc import Callable, Mapping
-from math import isfinite
+from math import inf, isfinite
 from typing import Any, Protocol
 
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
-from lapisway.interface import EndpointEntry, EndpointState, View, ViewKind
+from lapisway.interface import EndpointEntry, EndpointState, Outcome, View, ViewKind
 from wheatring import address, log
 from wheatring.core.clock import Clock, Timer
 from wheatring.http1.connection import Connection
 from wheatring.http1.parser import BadMessage, Message
+from wheatring.lifecycle.freshness import Freshness
 
 MAX_LIST = 4 * 1024 * 1024
 # Discovery takes few calls a second from all sidecars together: a watch waits long for its answer.
@@ -29,6 +30,7 @@
     "DRAINING": EndpointState.DRAINING,
     "DELETED": EndpointState.GONE,
 }
+READY = EndpointState.READY  # looked up once: an enum takes its time
 
 
 class ListError(ValueError):
@@ -105,6 +107,7 @@
     """Makes one call to discovery after another; each ends in one answer or, as None, in a failure."""
 
     done: Done | None  # of the call that is out
+    on_up: Callable[[], None] | None  # told each time it has a connection
 
     def call(self, index: int | None, deadline: float, done: Done) -> None:
         """Ask for what is newer than a version, to wait for it until WAIT is over, or for the whole list."""
@@ -129,6 +132,7 @@
         self.connector: Any = None
         self.index: int | None = None
         self.done: Done | None = None
+        self.on_up: Callable[[], None] | None = None
         self.deadline = 0.0  # of the present call
         self.late: Timer | None = None
 
@@ -160,10 +164,12 @@
 
     def up(self, connection: _Call) -> None:
         self.connection = connection
-        if self.done is not None:
-            self.write()
-        else:
+        if self.done is None:
             connection.abort("given-up")
+            return
+        self.write()
+        if self.on_up is not None:
+            self.on_up()
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
         log.line("discovery-connection", code="connect-failed", why=str(reason.value))
@@ -214,8 +220,10 @@
         address: tuple[str, int],
         addresses: dict[str, str],
         on_view: Callable[[View], None],
+        freshness: Freshness,
     ) -> None:
         self.clock = clock
+        self.freshness = freshness
         self.addresses = addresses
         self.on_view = on_view
         self.version: int | None = None
@@ -224,6 +232,9 @@
         self.watcher = self.caller()
         self.watching = False
         self.called = 0.0
+        self.second: Caller | None = None  # asks on a connection of its own, until that is up
+        self.looking: Timer | None = None
+        self.look_at = 0.0
 
     def caller(self) -> Caller:
         return _Caller(self.reactor, self.clock, self.address)
@@ -243,20 +254,26 @@
 
     def unsubscribe(self) -> None:
         if self.watching:
-            self.watching = False
-            self.watcher.done = None
-            self.watcher.stop("unsubscribed")
+            self.call_off("unsubscribed")
+
+    def call_off(self, code: str) -> None:
+        self.watching = False
+        self.watcher.done = None
+        self.watcher.stop(code)
+        self.drop_second(code)
+        self.freshness.unwatched()
+        if self.looking is not None and self.looking.active():
+            self.looking.cancel()
+        self.looking = None
 
     def move(self, address: tuple[str, int]) -> None:
         """Discovery is elsewhere now. Its versions may be others there, so the whole list comes first; until
         it has come, what is held stands."""
         if address == self.address:
             return
-        self.watching = False
-        self.watcher.done = None
-        self.watcher.stop("moved")
+        self.call_off("moved")
         self.address = address
-        self.watcher = _Caller(self.reactor, self.clock, address)
+        self.watcher = self.caller()
         self.version = None
         self.subscribe()
 
@@ -275,13 +292,77 @@
         self.called = now = self.clock.now()
         wait = WHOLE if self.version is None else WAIT + SLACK
         self.watcher.call(self.version, now + wait, self.watched)
+        self.freshness.watching(now)
+        self.plan()
 
     def watched(self, answer: Any) -> None:
         if self.read(answer):
+            self.drop_second("given-up")
             self.clock.at(self.called + SPACING, self.watch, self.watcher)
         else:
-            self.watching = False
-            self.watcher.stop("watch-failed")
+            self.call_off("watch-failed")
+
+    # A list that may have grown old
+
+    def seen(self, now: float, node: str, outcome: Outcome) -> None:
+        """A claim has ended: what that says of the list."""
+        if self.freshness.ended(now, node, outcome):
+            self.plan()
+
+    def plan(self) -> None:
+        """See to it that somebody looks when an ask is due."""
+        due = self.freshness.due(self.clock.now())
+        if self.looking is not None and self.looking.active():
+            if self.look_at <= due:
+                return
+            self.looking.cancel()
+        self.look_at = due
+        self.looking = self.clock.at(due, self.look) if due < inf else None
+
+    def look(self) -> None:
+        self.looking = None
+        now = self.clock.now()
+        if self.watching and self.freshness.due(now) <= now:
+            self.ask(now)
+        self.plan()
+
+    def ask(self, now: float) -> None:
+        """Lay the watch anew on a connection of its own. Its first answer holds all that the old one has kept
+        back; while there is nothing, it waits as long as that, so that it costs discovery no turn."""
+        nodes, empty = self.freshness.struck, not self.freshness.serving
+        if self.freshness.suspect is not None:
+            log.line("list-suspect", nodes=nodes, empty=int(empty))
+        self.freshness.ask(now)
+        self.drop_second("given-up")
+        second = self.second = self.caller()
+        second.on_up = self.renewed
+        version = None if empty else self.version
+        wait = WHOLE if version is None else WAIT + SLACK
+        second.call(version, now + wait, self.answered)
+
+    def renewed(self) -> None:
+        """The second has its connection: it is the watch from now on, and the old one, which may be one to
+        nobody, is over."""
+        assert self.second is not None
+        old, self.watcher, self.second = self.watcher, self.second, None
+        self.watcher.on_up = None
+        old.done = None
+        old.stop("renewed")
+        self.called = self.clock.now()
+        self.freshness.watching(self.called)
+
+    def answered(self, answer: Any) -> None:
+        """The end of a call that began as a second one."""
+        if self.second is None:
+            self.watched(answer)
+        else:
+            self.second = None  # it never came up; the old watch stands
+
+    def drop_second(self, code: str) -> None:
+        second, self.second = self.second, None
+        if second is not None:
+            second.done = None
+            second.stop(code)
 
     def read(self, answer: Any) -> bool:
         """Pass on what a call brought; a call that failed or can't be read is one FAILED view."""
@@ -312,7 +393,8 @@
                 continue
             entries.append(entry)
             found[entry.endpoint] = address
-        if kind is not ViewKind.DELTA:
+        whole = kind is not ViewKind.DELTA
+        if whole:
             self.addresses.clear()
         for name, where in found.items():
             if where:
@@ -320,4 +402,5 @@
             else:
                 self.addresses.pop(name, None)
         self.version = version
+        self.freshness.listed(self.clock.now(), {e.endpoint: e.state is READY for e in entries}, whole)
         self.on_view(View(kind, tuple(entries), version))
--- a/wheatring/lab/direct/sidecar.py
+++ b/wheatring/lab/direct/sidecar.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable, Mapping
+from random import Random
 from typing import TYPE_CHECKING, Any, cast
 
 from lapisway.interface import Settings
@@ -18,6 +19,7 @@
 from wheatring.lab.direct.node import DirectNode
 from wheatring.lab.direct.pool import DirectPool
 from wheatring.lab.timers import Timers
+from wheatring.lifecycle.freshness import Freshness
 
 if TYPE_CHECKING:
     from wheatring.lab.direct.way import DirectAsked, DirectWay
@@ -67,9 +69,11 @@
             name, host, nodes, self.clock, self.exchange, links, book, limits.connect_timeout,
             limits.idle_timeout, claims,
         )  # fmt: skip
+        freshness = Freshness(settings.copies, settings.number, Random(seed), self.clock.now())
         self.machine_list = DirectList(
-            self.clock, name, host, discovery, registry, links, self.pool.addresses, self.driver.feed
-        )
+            self.clock, name, host, discovery, registry, links, self.pool.addresses, self.driver.feed,
+            freshness,
+        )  # fmt: skip
         self.driver.machine_list = self.machine_list
         self.classes = settings.classes
         self.most = places - claims  # callers at once; more wait at the door
--- a/wheatring/lab/models/discovery.py
+++ b/wheatring/lab/models/discovery.py
@@ -203,6 +203,7 @@
             call.stage = "served"
             call.set(None)
             answer, told = self._answer(call)
+            self.book.note("list_turn", sidecar=call.sidecar, lines=len(answer.lines))
             cost = (self.plan.call_lines + len(answer.lines)) / self.plan.lines_per_s * prod(self.factors)
             self.turn = self.timers.at(self.timers.now() + cost, self._written, call, answer, told)
 
--- a/wheatring/lab/wire/ground.py
+++ b/wheatring/lab/wire/ground.py
@@ -37,7 +37,11 @@
 NO_OPERATORS = Operators()
 BACKLOG = 511
 # What a sidecar that has nothing to do still waits for.
-PERIODIC = frozenset(("Server.sweep", "Server.clear", "Pool.sweep", "_Caller.stop", "MachineList.watch"))
+PERIODIC = frozenset(
+    (
+        "Server.sweep", "Server.clear", "Pool.sweep", "_Caller.stop", "MachineList.watch", "MachineList.look"
+    )
+)  # fmt: skip
 
 
 class WireGround:
--- /dev/null
+++ b/wheatring/lifecycle/freshness.py
@@ -0,0 +1,156 @@
+"""When the machine list may have grown old, and when to ask for it anew.
+
+Discovery's watch says nothing while nothing changes, and nothing when nobody is there any more. What the
+nodes show tells the two apart: a listed node that refuses connects, breaks connections or turns all away
+is *struck* until it answers, or until the list has news of it. Each struck node adds one node-second of
+doubt a second, counted from its strike or from the last news, whichever is later. The list is suspect
+
+- once all doubt together has come to NEED: one node for so many seconds, several for fewer; or
+- once it has named no node that serves for EMPTY.
+
+A suspect list is asked for anew. Asks are spread over the copies by their numbers, are never nearer than
+FLOOR to each other, and each that brings no news doubles the gap, up to CEILING. All copies of a tier
+together ask no more than RATE times a second, however many they are: for that, gap and spread grow with
+them. Without doubt too, a watch that has been silent for QUIET is laid anew.
+
+Pure: instants in seconds are handed in; nothing here knows of sockets.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from math import inf
+from random import Random
+
+from lapisway.interface import Outcome
+
+NEED = 6.0  # node-seconds of doubt
+EMPTY = 1.0
+FLOOR = 4.0
+CEILING = 32.0
+RATE = 25.0  # asks a second by all copies of the tier
+SPREAD = 1.0  # least time over which the copies' first asks are spread
+QUIET = 25.0
+FRUIT = 2.0  # news that come within so long of an ask are its own
+MEMORY = 60.0  # a node that has not been struck for so long counts no more
+
+SERVED, ERROR = Outcome.SERVED, Outcome.ERROR  # looked up once: an enum takes its time
+# What one outcome adds; at 1 the node is struck. A connection may break and a queue be full by chance.
+STRIKES = {Outcome.CONNECT_FAILED: 1.0, Outcome.RESET: 0.5, Outcome.REJECTED: 0.25}
+
+
+class _Doubt:
+    __slots__ = ("last", "since", "weight")
+
+    def __init__(self) -> None:
+        self.weight = 0.0
+        self.since = inf  # struck since then
+        self.last = 0.0
+
+
+class Freshness:
+    """Judges one sidecar's list. `copies` send into the tier, and this one is `number` of them, from 0."""
+
+    def __init__(self, copies: int, number: int, random: Random, now: float) -> None:
+        self.random = random
+        self.crowd = copies / RATE  # seconds that one ask of each copy takes them together
+        self.place = (number % copies + random.random()) / copies  # among the copies, from 0 to 1
+        self.doubts: dict[str, _Doubt] = {}
+        self.serving: set[str] = set()  # the nodes that the list names so
+        self.news = now  # the last that there were
+        self.laid = inf  # the watch that is out; inf: none
+        self.suspect: float | None = None  # since when the list has been
+        self.asked = -inf
+        self.fruitless = 0  # asks in a row that brought no news
+        self.next = -inf  # not to be asked before
+
+    # Evidence
+
+    def ended(self, now: float, node: str, outcome: Outcome) -> bool:
+        """A claim at a node has ended so. Whether that says anything new of the list."""
+        if outcome is SERVED or outcome is ERROR:
+            if self.doubts and self.doubts.pop(node, None) is not None:
+                self.weigh(now)
+            return False
+        weight = STRIKES.get(outcome)
+        # A slow node or an end of our own making say nothing, nor does one of which the list tells the same.
+        if weight is None or node not in self.serving:
+            return False
+        doubt = self.doubts.get(node)
+        if doubt is None:
+            doubt = self.doubts[node] = _Doubt()
+        doubt.last = now
+        doubt.weight += weight
+        if doubt.weight >= 1 and doubt.since == inf:
+            doubt.since = now
+        self.weigh(now)
+        return True
+
+    def listed(self, now: float, lines: Mapping[str, bool], whole: bool) -> None:
+        """The list has come, or changes of it: the names on it, and whether each serves."""
+        if whole:
+            self.serving.clear()
+            self.doubts = {name: doubt for name, doubt in self.doubts.items() if lines.get(name)}
+        for name, serves in lines.items():
+            if serves:
+                self.serving.add(name)
+            else:
+                self.serving.discard(name)
+            if not whole:
+                self.doubts.pop(name, None)
+        if lines:
+            self.news = now
+            if now <= self.asked + FRUIT:
+                self.fruitless = 0
+        self.weigh(now)
+
+    def watching(self, now: float) -> None:
+        """A watch begins."""
+        self.laid = now
+
+    def unwatched(self) -> None:
+        """There is no watch."""
+        self.laid = inf
+
+    # Judgement
+
+    @property
+    def struck(self) -> int:
+        return sum([doubt.since < inf for doubt in self.doubts.values()])
+
+    def crossing(self) -> float:
+        """When the list is, or was, suspect, should nothing more come; inf: never."""
+        begun = [max(doubt.since, self.news) for doubt in self.doubts.values() if doubt.since < inf]
+        at = (NEED + sum(begun)) / len(begun) if begun else inf
+        return at if self.serving else min(at, self.news + EMPTY)
+
+    def weigh(self, now: float) -> None:
+        old = [name for name, doubt in self.doubts.items() if now - doubt.last > MEMORY]
+        for name in old:
+            del self.doubts[name]
+        if self.crossing() > now:
+            self.suspect = None
+        elif self.suspect is None:
+            self.suspect = now
+
+    def due(self, now: float) -> float:
+        """The instant at which to ask, should nothing more come; inf without a watch that could be wrong."""
+        if self.laid == inf:
+            return inf
+        self.weigh(now)
+        since = self.crossing() if self.suspect is None else self.suspect
+        doubted = since + self.place * max(SPREAD, self.crowd)
+        quiet = self.laid + max(QUIET, self.crowd) * (1 + self.place / 4)
+        # Whoever laid the watch has asked by that, and would have had an answer.
+        return max(min(doubted, quiet), self.next, self.laid + FLOOR)
+
+    def ask(self, now: float) -> None:
+        """It is asked for now."""
+        if now > self.asked + 2 * CEILING:
+            self.fruitless = 0
+        gap = FLOOR
+        if self.suspect is not None:
+            gap = min(FLOOR * 2**self.fruitless, CEILING)
+            self.fruitless += 1
+        self.asked = now
+        self.next = now + max(gap, self.crowd) * (1 + self.random.random() / 4)
