Test the judgement of the list, and tell its watches apart

Need: the answer of a watch that had been laid anew was thrown away when a further ask was on its way. Cause: who answered was told by whether an ask was open, not by who it was. Change: the caller's identity decides. A node whose strikes are older than the memory begins anew. The decider is tested against a slow statement of its law, its bounds for 1, 17 and 1,000 copies, and on both grounds by stories: all refuse, discovery refuses the ask, an ask amid an answer, a list that names nobody.

--- /dev/null
+++ b/tests/test_freshness.py
@@ -0,0 +1,150 @@
+"""When the machine list counts as old, against a slow statement of it, and how often it may be asked for."""
+
+from __future__ import annotations
+
+from collections import deque
+from itertools import pairwise
+from math import inf
+from random import Random
+
+import pytest
+
+from lapisway.interface import Outcome
+from wheatring.lifecycle import freshness
+from wheatring.lifecycle.freshness import CEILING, EMPTY, FLOOR, MEMORY, NEED, QUIET, RATE, Freshness
+
+BAD = (Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.REJECTED)
+SAYS_NOTHING = (Outcome.TIMED_OUT, Outcome.CANCELLED, Outcome.NOT_SENT)
+
+
+class Slow:
+    """All that has happened, gone through anew for each question."""
+
+    def __init__(self) -> None:
+        self.past: list[tuple[float, str, str, float]] = []  # instant, what, node, weight
+
+    def doubt(self, now: float) -> float:
+        news = max(at for at, what, _, _ in self.past if what == "news")
+        total = 0.0
+        for node in {node for _, _, node, _ in self.past if node}:
+            weight, since, last = 0.0, inf, -inf
+            for at, what, name, more in self.past:
+                if name != node:
+                    continue
+                if what == "clear" or at - last > MEMORY:
+                    weight, since = 0.0, inf
+                if what == "strike":
+                    weight, last = weight + more, at
+                    if weight >= 1 and since == inf:
+                        since = at
+            if since < inf and now - last <= MEMORY:
+                total += now - max(since, news)
+        return total
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_it_is_suspect_just_when_its_struck_nodes_have_made_so_many_node_seconds(seed: int) -> None:
+    random = Random(seed)
+    names = [f"n{n}" for n in range(5)]
+    now = 100.0
+    fresh, slow = Freshness(1, 0, Random(seed), now), Slow()
+    fresh.listed(now, dict.fromkeys(names, True), True)
+    fresh.watching(now)
+    slow.past.append((now, "news", "", 0.0))
+    found = 0
+    for _ in range(400):
+        now += random.choice((0.0, 0.1, 0.6, 2.0, 2.0 if seed % 2 else 25.0)) * random.random()
+        node = random.choice(names)
+        what = random.random()
+        if what < 0.6:
+            outcome = random.choice(BAD)
+            fresh.ended(now, node, outcome)
+            slow.past.append((now, "strike", node, freshness.STRIKES[outcome]))
+        elif what < 0.75:
+            fresh.ended(now, node, random.choice((Outcome.SERVED, Outcome.ERROR)))
+            slow.past.append((now, "clear", node, 0.0))
+        elif what < 0.8:
+            fresh.listed(now, {node: True}, False)
+            slow.past += [(now, "clear", node, 0.0), (now, "news", "", 0.0)]
+        elif what < 0.85:
+            assert not fresh.ended(now, node, random.choice(SAYS_NOTHING))
+            assert not fresh.ended(now, "unlisted", Outcome.CONNECT_FAILED)
+        due, doubt = fresh.due(now), slow.doubt(now)
+        assert (fresh.suspect is not None) == (doubt >= NEED - 1e-9) or abs(doubt - NEED) < 1e-6
+        if doubt >= NEED + 1e-6 and now > 200.0:
+            found += 1
+            assert due <= now + freshness.SPREAD
+        fresh.watching(min(now, 150.0))  # laid long ago
+    assert found > 5
+
+
+def struck(copies: int, number: int, nodes: int = 12) -> Freshness:
+    fresh = Freshness(copies, number, Random(f"{copies}:{number}"), 0.0)
+    fresh.listed(0.0, {f"n{n}": True for n in range(nodes)}, True)
+    fresh.watching(0.0)
+    return fresh
+
+
+def asks(fresh: Freshness, until: float, news: float = inf) -> list[float]:
+    """When it asks, all of its nodes refusing from 10 s on and news coming so long after each ask."""
+    made = []
+    now, told = 10.0, inf
+    while now < until:
+        for node in list(fresh.serving):
+            fresh.ended(now, node, Outcome.CONNECT_FAILED)
+        if now >= told:
+            fresh.listed(now, {"n0": True}, False)
+            told = inf
+        if fresh.due(now) <= now:
+            made.append(now)
+            fresh.ask(now)
+            fresh.watching(now)
+            told = now + news
+        now += 0.05
+    return made
+
+
+def test_asks_are_never_nearer_than_the_floor_and_grow_rarer_while_they_bring_nothing() -> None:
+    fruitless, fruitful = asks(struck(1, 0), 300.0), asks(struck(1, 0), 300.0, 0.5)
+    assert fruitless[0] < 10.0 + NEED / 12 + freshness.SPREAD + 0.1
+    for made in (fruitless, fruitful):
+        assert all(b - a >= FLOOR for a, b in pairwise(made))
+    gaps = [b - a for a, b in pairwise(fruitless)]
+    assert max(gaps[:2]) < 2.6 * FLOOR and min(gaps[4:]) >= min(QUIET, CEILING)
+    assert len(fruitless) <= 5 + 300 / QUIET and len(fruitful) > 40
+
+
+@pytest.mark.parametrize("copies", [1, 17, 1000])
+def test_all_copies_of_a_tier_together_ask_no_more_than_so_often(copies: int) -> None:
+    """All nodes refuse everywhere at one instant, as when the network goes, and stay so."""
+    each = 1 if copies < 1000 else 10  # of so many copies one is played
+    made = sorted(at for n in range(0, copies, each) for at in asks(struck(copies, n, 2), 130.0))
+    window: deque[float] = deque()
+    for at in made:
+        window.append(at)
+        while window[0] <= at - 4.0:
+            window.popleft()
+        assert len(window) * each <= max(copies, 4.0 * RATE * 1.2)
+    assert len(made) * each <= copies * (1 + 120.0 / FLOOR) and len(made) * each <= 130.0 * RATE
+
+
+def test_one_node_that_flaps_or_few_among_many_are_no_reason_to_ask_often() -> None:
+    fresh = struck(1, 0)
+    made, now = [], 10.0
+    while now < 60.0:
+        fresh.ended(now, "n0", Outcome.CONNECT_FAILED if now % 6 < 3 else Outcome.SERVED)
+        if fresh.due(now) <= now:
+            made.append(now)
+            fresh.ask(now)
+            fresh.watching(now)
+        now += 0.1
+    assert len(made) <= 2  # for its silence alone
+
+
+def test_an_empty_list_is_suspect_by_itself_and_without_a_watch_nothing_is_due() -> None:
+    fresh = struck(1, 0, 1)
+    fresh.watching(20.0)
+    fresh.listed(20.0, {"n0": False}, False)
+    assert 20.0 + EMPTY <= fresh.due(20.0) <= 20.0 + FLOOR
+    fresh.unwatched()
+    assert fresh.due(21.0) == inf
--- /dev/null
+++ b/tests/test_old_list.py
@@ -0,0 +1,106 @@
+"""Stories of a machine list that has grown old: what the nodes show, and what the sidecar then asks."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+import pytest
+
+from tests.world import Peer, World, entry, list_body
+from wheatring.lifecycle import freshness
+
+Make = Callable[..., World]
+HELD = "GET /v1/servers?index=7&wait=50000"
+
+
+@pytest.fixture(autouse=True)
+def soon() -> Iterator[None]:
+    """The law of the module in hundredths of its times."""
+    with pytest.MonkeyPatch.context() as patch:
+        for name in ("NEED", "EMPTY", "FLOOR", "CEILING", "SPREAD"):
+            patch.setattr(freshness, name, getattr(freshness, name) / 100)
+        yield
+
+
+def test_nodes_that_refuse_make_it_lay_the_watch_anew_and_serve_by_what_that_brings(make: Make) -> None:
+    world = make(3)
+    old = world.discovery.accept()
+    assert old.read()[0].startswith(HELD)
+    for peer in world.nodes:
+        peer.close()
+    assert world.ask().read()[0].split()[1] == "503"
+    new = world.discovery.accept()
+    assert new.read()[0].startswith(HELD)  # from the version held, and waiting as long
+    assert old.at_end()
+    node = Peer(world.ground)
+    gone = [{"instanceId": f"n{n}", "lifecycle": "DELETED"} for n in range(3)]
+    new.answer(200, list_body(8, *gone, entry("x", node)))
+    assert new.read()[0].startswith("GET /v1/servers?index=8&wait=50000")
+    caller = world.ask()
+    wire = node.accept()
+    wire.read()
+    wire.answer(200, b"new")
+    assert caller.read()[2] == b"new"
+    assert "list-suspect" in [event for event, _ in world.lines]
+    assert "list-failed" not in [event for event, _ in world.lines]
+    node.close()
+
+
+def test_an_ask_that_finds_nobody_leaves_the_old_watch_standing(make: Make) -> None:
+    world = make(2)
+    watch = world.discovery.accept()
+    watch.read()
+    world.discovery.close()
+    for peer in world.nodes:
+        peer.close()
+    world.ask().read()
+    world.logged("discovery-connection", 2)
+    assert set(world.codes("discovery-connection")) == {"connect-failed"}
+    node = Peer(world.ground)
+    watch.answer(200, list_body(8, entry("x", node), reset=True))
+    assert watch.read()[0].startswith("GET /v1/servers?index=8&")
+    caller = world.ask()
+    wire = node.accept()
+    wire.read()
+    wire.answer(200, b"ok")
+    assert caller.read()[2] == b"ok"
+    assert "list-failed" not in [event for event, _ in world.lines]
+    node.close()
+
+
+def test_what_the_watch_says_counts_while_a_further_ask_is_on_its_way(make: Make) -> None:
+    """The watch that was laid anew answers when the next ask has begun and is not up yet."""
+    world = make(2)
+    world.discovery.accept().read()
+    for peer in world.nodes:
+        peer.close()
+    world.ask().read()
+    watch = world.discovery.accept()
+    watch.read()
+    lists = world.sidecar.machine_list
+    world.ground.until(lambda: lists.second is None)
+
+    def answered_amid() -> None:
+        lists.ask(world.sidecar.clock.now())
+        lists.watcher.end(list_body(8, entry("x", world.nodes[0])))  # type: ignore[attr-defined]
+
+    world.run(answered_amid)
+    assert lists.version == 8 and lists.second is None
+
+
+def test_a_list_that_names_nobody_is_asked_for_whole(make: Make) -> None:
+    world = make(1)
+    old = world.discovery.accept()
+    old.read()
+    old.answer(200, list_body(8, {"instanceId": "n0", "lifecycle": "DELETED"}))
+    assert old.read()[0].startswith("GET /v1/servers?index=8&")
+    whole = world.discovery.accept()
+    assert whole.read()[0] == "GET /v1/servers HTTP/1.1"
+    assert old.at_end()
+    whole.answer(200, list_body(8, entry("n0", world.nodes[0]), reset=True))
+    assert whole.read()[0].startswith("GET /v1/servers?index=8&")
+    caller = world.ask()
+    node = world.nodes[0].accept()
+    node.read()
+    node.answer(200, b"there")
+    assert caller.read()[2] == b"there"
--- a/wheatring/http1/machine_list.py
+++ b/wheatring/http1/machine_list.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Callable, Mapping
+from functools import partial
 from math import inf, isfinite
 from typing import Any, Protocol
 
@@ -338,7 +339,7 @@
         second.on_up = self.renewed
         version = None if empty else self.version
         wait = WHOLE if version is None else WAIT + SLACK
-        second.call(version, now + wait, self.answered)
+        second.call(version, now + wait, partial(self.answered, second))
 
     def renewed(self) -> None:
         """The second has its connection: it is the watch from now on, and the old one, which may be one to
@@ -351,9 +352,9 @@
         self.called = self.clock.now()
         self.freshness.watching(self.called)
 
-    def answered(self, answer: Any) -> None:
+    def answered(self, caller: Caller, answer: Any) -> None:
         """The end of a call that began as a second one."""
-        if self.second is None:
+        if caller is self.watcher:
             self.watched(answer)
         else:
             self.second = None  # it never came up; the old watch stands
--- a/wheatring/lifecycle/freshness.py
+++ b/wheatring/lifecycle/freshness.py
@@ -77,7 +77,7 @@
         if weight is None or node not in self.serving:
             return False
         doubt = self.doubts.get(node)
-        if doubt is None:
+        if doubt is None or now - doubt.last > MEMORY:
             doubt = self.doubts[node] = _Doubt()
         doubt.last = now
         doubt.weight += weight
