Ask at the turn that was drawn, and weigh only what adds doubt

Need: a copy waited its turn among the copies twice. Cause: the list counted as suspect from when that was noticed, which is when the turn had come already. Change: it counts from when the doubt had come together. Strikes of nodes that are struck already, or not yet, are no longer weighed: turned-away storms cost nothing. The list's random numbers have a seed of their own. Result: a property holds what is due at an instant to be due then; it fails with the old line.

--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -128,6 +128,15 @@
     assert len(made) * each <= copies * (1 + 120.0 / FLOOR) and len(made) * each <= 130.0 * RATE
 
 
+def test_what_is_due_at_an_instant_is_due_then_however_late_its_turn_among_the_copies() -> None:
+    fresh = struck(100, 90)
+    for n in range(12):
+        fresh.ended(10.0, f"n{n}", Outcome.CONNECT_FAILED)
+    at = fresh.due(10.0)
+    assert 10.0 + NEED / 12 + 3.5 < at < 10.0 + NEED / 12 + 100 / RATE
+    assert fresh.due(at) <= at
+
+
 def test_one_node_that_flaps_or_few_among_many_are_no_reason_to_ask_often() -> None:
     fresh = struck(1, 0)
     made, now = [], 10.0
--- a/wheatring/daemon.py
+++ b/wheatring/daemon.py
@@ -59,7 +59,7 @@
         self.pool = Pool(
             reactor, self.clock, self.exchange, limits.connect_timeout, limits.idle_timeout, claims
         )
-        freshness = Freshness(settings.copies, settings.number, Random(told.seed), self.clock.now())
+        freshness = Freshness(settings.copies, settings.number, Random(f"{told.seed}:list"), self.clock.now())
         self.machine_list = MachineList(
             reactor, self.clock, told.discovery, self.pool.addresses, self.driver.feed, freshness
         )
--- a/wheatring/lab/direct/sidecar.py
+++ b/wheatring/lab/direct/sidecar.py
@@ -69,7 +69,7 @@
             name, host, nodes, self.clock, self.exchange, links, book, limits.connect_timeout,
             limits.idle_timeout, claims,
         )  # fmt: skip
-        freshness = Freshness(settings.copies, settings.number, Random(seed), self.clock.now())
+        freshness = Freshness(settings.copies, settings.number, Random(f"{seed}:list"), self.clock.now())
         self.machine_list = DirectList(
             self.clock, name, host, discovery, registry, links, self.pool.addresses, self.driver.feed,
             freshness,
--- a/wheatring/lifecycle/freshness.py
+++ b/wheatring/lifecycle/freshness.py
@@ -67,7 +67,7 @@
     # Evidence
 
     def ended(self, now: float, node: str, outcome: Outcome) -> bool:
-        """A claim at a node has ended so. Whether that says anything new of the list."""
+        """A claim at a node has ended so. Whether the list is in more doubt than before."""
         if outcome is SERVED or outcome is ERROR:
             if self.doubts and self.doubts.pop(node, None) is not None:
                 self.weigh(now)
@@ -81,8 +81,9 @@
             doubt = self.doubts[node] = _Doubt()
         doubt.last = now
         doubt.weight += weight
-        if doubt.weight >= 1 and doubt.since == inf:
-            doubt.since = now
+        if doubt.weight < 1 or doubt.since < inf:
+            return False
+        doubt.since = now
         self.weigh(now)
         return True
 
@@ -128,10 +129,11 @@
         old = [name for name, doubt in self.doubts.items() if now - doubt.last > MEMORY]
         for name in old:
             del self.doubts[name]
-        if self.crossing() > now:
+        at = self.crossing()
+        if at > now:
             self.suspect = None
         elif self.suspect is None:
-            self.suspect = now
+            self.suspect = at
 
     def due(self, now: float) -> float:
         """The instant at which to ask, should nothing more come; inf without a watch that could be wrong."""
