--- a/wheatring/lab/direct/machine_list.py
+++ b/wheatring/lab/direct/machine_list.py
@@ -8,7 +8,8 @@
 
 from lapisway.interface import View
 from wheatring.core.clock import Timer
-from wheatring.http1.machine_list import DIAL, WAIT, Caller, Done, MachineList
+from wheatring.http1.list_calls import DIAL, WAIT, Caller, Done
+from wheatring.http1.machine_list import MachineList
 from wheatring.lab.book import NodeState
 from wheatring.lab.direct.clock import DirectClock
 from wheatring.lab.direct.links import Links
