--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -92,6 +92,7 @@
             ["claim-connection", "code=stopping"],
             ["discovery-connection", "code=unsubscribed"],
         ]
+        watch.close()
     node.close()
     discovery.close()
 
--- a/wheatring/lifecycle/__init__.py
+++ b/wheatring/lifecycle/__init__.py
@@ -1,3 +1,6 @@
-"""How a sidecar comes, stays up to date and leaves: deciders, free of I/O, clocks and randomness but what is
-handed in. May import the decision module's words and what stands on the floor below.
+"""How a sidecar comes, goes and knows what is true: pure deciders, handed the time, the evidence and the
+random numbers.
+
+Nothing here reads a clock, a socket or a file. It may import the decision module's words and what stands
+below; the core, the protocols and the daemon ask it.
 """
