Leave nodes alone that refuse or fail, and let them back by a trickle

Need: a node that refuses connects keeps its share of the sends, and one that fails at once keeps half of it. Cause: load is burden x (calls in flight + 1), and a refused connect leaves nothing in flight; the weight of failures ends at 5 whatever the failure. A higher weight for all failures was ruled out before: it herds.

Change: what has failed since a node last served is evidence, a whole one for a refused connect, a third for a reset, a fifth for a call turned away, an error or silence. With a whole one the node is left alone for 2, 4, 8, 16 turns (a turn is an even share of the sends), 5 s at most, then tried with one call, then with one more for each answer until it has given 8. Where more than half of the list is ill and some serve, it is one turn at most, and the count of calls binds nobody: the copy's own link is bad.

One test of the cap on attempts needs more nodes now: three that have just refused are not tried again at once.

--- a/lapisway/policy.py
+++ b/lapisway/policy.py
@@ -39,6 +39,13 @@
 MEMORY = 5.0  # seconds in which what is held against an endpoint fades to a third
 LEARN = 0.2  # weight of a new observation
 FAIL_WEIGHT = 4.0  # how much heavier an endpoint counts that fails all the time
+# Parts of the evidence that has an endpoint left alone, if nothing is served in between. A refused connect
+# leaves nothing in flight, and proves by itself that sending there is vain; the others also come from load.
+EVIDENCE = {Outcome.CONNECT_FAILED: 1.0, Outcome.RESET: 1 / 3}
+EVIDENCE |= {REJECTED: 1 / 5, Outcome.ERROR: 1 / 5, TIMED_OUT: 1 / 5}
+LONGEST = 4  # doublings of the turns for which it is left alone
+ALONE = 5.0  # seconds after which a copy with few calls tries it again before its turn
+WELL = 8  # answers after which it counts as well again
 UNFIT = 4.0  # an endpoint this many times heavier than its calls in flight makes the draw go wider
 FAR = 2.0  # how much heavier an endpoint of another zone counts
 LATE = 0.1  # share of late answers at which the gate is as tight as it should be
@@ -58,6 +65,10 @@
     in_flight: int = 0
     slowness: float = 1.0  # latency against the norm of its class
     failing: float = 0.0  # share of failures among recent attempts
+    evidence: float = 0.0  # of failures since it last served: 1 has it left alone
+    ill: int = 0  # how often it was since it was well
+    window: int = 1  # calls that it may hold while it is ill: a trickle, then one more with each answer
+    left: tuple[float, float, float] = (-inf, -inf, -inf)  # alone: from which turn to which, and till when
     seen: float = 0.0  # when these two were last updated
     progress: float = 0.0  # when it last answered or, if idle then, got work
     reported: float = 0.0  # requests it said it held
@@ -108,6 +119,7 @@
         self.norms = {c.name: Norm() for c in settings.classes}
         self.norm = Norm()
         self.endpoints: dict[str, Endpoint] = {}  # ready ones only
+        self.ill = 0  # ready endpoints that are
         self.near: list[Endpoint] = []
         self.far: list[Endpoint] = []
         self.ready: list[Endpoint] = []
@@ -336,6 +348,44 @@
         if outcome not in UNMOVED:
             endpoint.progress = now
         endpoint.failing += LEARN * ((outcome is not SERVED) - endpoint.failing)
+        self.judge(now, endpoint, outcome)
+
+    def judge(self, now: float, endpoint: Endpoint, outcome: Outcome) -> None:
+        """Whether an endpoint is to be left alone, and its way back: one call, then as many as it answers."""
+        if outcome is SERVED:
+            endpoint.evidence = 0.0
+            if endpoint.ill:
+                endpoint.window += 1
+                if endpoint.window > WELL:
+                    endpoint.ill = 0
+                    self.count_ill()
+            return
+        weight = EVIDENCE.get(outcome, 0.0)
+        if not weight or self.alone(now, endpoint):
+            return  # what was sent before it was left alone says nothing new
+        endpoint.evidence += weight
+        if endpoint.ill:
+            endpoint.window //= 2
+        if endpoint.evidence >= 1 or (endpoint.ill and not endpoint.window):
+            endpoint.ill = min(endpoint.ill + 1, LONGEST)
+            endpoint.window, endpoint.evidence = 1, 0.0
+            endpoint.left = (self.turns, self.turns + 2.0**endpoint.ill, now + ALONE)
+            self.count_ill()
+        endpoint.window = max(endpoint.window, 1)
+
+    def count_ill(self) -> None:
+        self.ill = sum(1 for e in self.ready if e.ill)
+
+    def alone(self, now: float, endpoint: Endpoint) -> bool:
+        """Whether an ill endpoint is left alone. Where more than half are and some do serve, it is for one
+        turn at most: rather than the fleet, it is this copy's own way that is bad."""
+        since, until, till = endpoint.left
+        if self.most_ill() and now - self.served_at < 1:
+            until = min(until, since + 1)
+        return self.turns < until and now < till
+
+    def most_ill(self) -> bool:
+        return 2 * self.ill > len(self.ready)
 
     def report(self, now: float, endpoint: Endpoint, report: LoadReport) -> None:
         held = report.in_flight if report.in_flight is not None else report.queue
@@ -358,6 +408,10 @@
                 seen[drawn.entry.endpoint] = drawn
                 if self.turns < drawn.turn and self.warmth(now, drawn) < 1:
                     continue
+                if drawn.ill:
+                    full = drawn.in_flight >= drawn.window and not self.most_ill()
+                    if full or self.alone(now, drawn):
+                        continue
                 burden = self.burden(now, drawn)
                 if self.far and drawn.entry.zone != self.settings.zone:
                     burden *= FAR
@@ -439,6 +493,7 @@
         """Few endpoints with room for few connections can't take one from every copy: each draws from a
         stable arc of the sorted ids, placed by its own number so that all are covered evenly."""
         self.ready = [self.endpoints[k] for k in sorted(self.endpoints)]
+        self.count_ill()
         zone = self.settings.zone
         local = [e for e in self.ready if e.entry.zone == zone]
         split = 2 * len(local) * max(1, len(self.settings.zones)) >= len(self.ready) > len(local)
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -48,7 +48,7 @@
 def test_attempts_are_capped_by_the_limit_and_by_a6() -> None:
     for limit, expected in ((2, 2), (3, 3), (9, policy.MAX_ATTEMPTS)):
         copy = Copy(limits=i.Limits(max_attempts=limit))
-        copy.view(*entries("a", "b", "c"))
+        copy.view(*entries(*"abcdefghij"))
         action: i.Send | i.Action = copy.send()
         sends = 0
         while isinstance(action, i.Send):
