Shut the gate by what endpoints are known to bear, and open it by the same

Need: the gate refuses 25 to 48 % for long stretches after a release or a burst, though the capacity is there.

Change: congestion is Little's law over one window: calls in flight and calls served both over the last second. Below 1.5 the gate is open. The unloaded latency is learned from a mean with less noise in the first aim, and then follows down fast, up in minutes. A copy's age counts from its first request. An endpoint that is silent while all others are idle shuts nobody out any more: that ended in refusing all for good.

--- a/lapisway/policy.py
+++ b/lapisway/policy.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from math import ceil, exp, inf, sqrt
+from math import ceil, exp, inf
 from random import Random
 
 # fmt: off
@@ -48,10 +48,15 @@
 WELL = 8  # answers after which it counts as well again
 UNFIT = 4.0  # an endpoint this many times heavier than its calls in flight makes the draw go wider
 FAR = 2.0  # how much heavier an endpoint of another zone counts
-LATE = 0.1  # share of late answers at which the gate is as tight as it should be
 SILENT = 4.0  # answers that should have come meanwhile from an endpoint that counts as silent
 STAY_AWAY = 0.15  # least advice to a refused client, as a part of the aim; it is drawn up to twice that
-KNOWN = 10  # answers from which on latencies say what is usual: the first to come are the fastest
+SETTLE = 1.0  # aims from its start on in which a copy learns what is usual: the first answers are the fastest
+CALM = 1.5  # times the unloaded latency, below which the gate is open whatever is in flight
+JAM = 1.8  # times the unloaded latency, above which more in flight gets no more served
+GROWTH = 1.5  # calls in flight for each unloaded latency served a second, at the best rate of late
+SLACK = 3.0  # and beyond that, in calls of all copies at an endpoint
+LEAST = 0.6  # part of that which may be in flight even in a jam
+FORGET = 30.0  # seconds in which the best rate fades to a third
 FEW = 20  # calls in flight from which the time they take can be told: one long one among few says nothing
 PATIENCE = 20.0  # deviations above the mean at which an attempt is given up
 
@@ -81,17 +86,19 @@
 
     mean: float = 0.0
     deviation: float = 0.0
-    base: float = 0.0  # mean when unloaded: follows the mean down faster than up, once that is known
+    slow: float = 0.0  # mean over more answers, with less noise
+    base: float = 0.0  # that when unloaded: follows it down, and up only in minutes, once it is known
     count: int = 0
 
-    def learn(self, latency: float) -> None:
+    def learn(self, latency: float, known: bool) -> None:
         self.count += 1
         if not self.mean:
-            self.mean, self.deviation, self.base = latency, latency / 2, latency
+            self.mean, self.deviation = latency, latency / 2
         self.deviation += LEARN / 2 * (abs(latency - self.mean) - self.deviation)
         self.mean += LEARN / 2 * (latency - self.mean)
-        gap = self.mean - self.base
-        self.base += (1.0 if self.count <= KNOWN else LEARN / 10 if gap < 0 else LEARN / 200) * gap
+        self.slow += max(1 / self.count, LEARN / 10) * (latency - self.slow)
+        gap = self.slow - self.base
+        self.base += (1.0 if not known else LEARN / 10 if gap < 0 else LEARN / 2000) * gap
 
 
 @dataclass(slots=True)
@@ -132,17 +139,15 @@
         self.capacity = 1.0  # of the near endpoints, in warm ones
         self.in_flight = 0
         self.served = self.served_at = 0.0
-        self.room = 0.4  # part of the time between unloaded latency and aim that queues may take
-        self.refused_at = -inf
-        self.usual = 0.0  # calls in flight while the gate is open
-        self.started: float | None = None
+        self.held = 0.0  # calls in flight, over about the last second as the served are
+        self.gauged = 0.0  # when that was last updated
+        self.best = 0.0  # unloaded latencies served a second by an endpoint, at the best of late
+        self.started: float | None = None  # when the first request came
         self.asking = False
         self.ask_failures = 0
         self.mean_report = 0.0
 
     def handle(self, now: float, event: Event) -> list[Action]:
-        if self.started is None:
-            self.started = now
         out: list[Action] = []
         match event:
             case AttemptEnded():
@@ -169,6 +174,8 @@
     # Requests
 
     def new_request(self, now: float, event: NewRequest, out: list[Action]) -> None:
+        if self.started is None:
+            self.started = now
         name = event.class_name
         cls = self.classes.get(name)
         if cls is None:  # unknown classes are unsafe ones
@@ -189,40 +196,34 @@
             self.answer(request, out)
 
     def admits(self, now: float, request: Request) -> bool:
-        """When every server slows, first sends would pass unchecked and all end late. So the front refuses
-        what would end late at the present congestion; low worth is left less room than high."""
-        norm, rate = request.norm, self.served_rate(now)
-        if self.settings.tier or not norm.base or not rate:
+        """When every server slows, first sends would pass unchecked and all end late; and what crowds servers
+        for long slows them further. So the front refuses what goes beyond what they are known to bear, once
+        that slows them; low worth is left less room than high."""
+        count = len(self.ready)
+        if self.settings.tier or not count:
             return True
-        # What an endpoint holds that is quiet while others answer is no queue for the calls that these get.
-        quiet = max([e.progress for e in self.ready], default=0.0) - request.cls.aim
+        # What an endpoint holds that is quiet while others answer or idle is no queue for what these get.
+        quiet = max([e.progress if e.in_flight else now for e in self.ready]) - request.cls.aim
         in_flight = sum([e.in_flight for e in self.ready if e.progress > quiet])
-        calm = now - self.refused_at > 1
-        if calm:
-            self.usual += LEARN / 20 * (in_flight - self.usual)
-        # Nor is it shut below the usual: fewer calls would make servers that have turned slow no faster.
-        if in_flight < FEW or (not calm and in_flight <= self.usual):
+        passed, self.gauged = min(now - self.gauged, 1.0), now
+        self.held = self.held * exp(-passed) + in_flight * passed
+        rate = self.served * exp(self.served_at - now)
+        self.best = max(self.best * exp(-passed / FORGET), rate / count)
+        congestion = self.held / rate if rate else 0.0  # how many times the unloaded latency is taken
+        if in_flight < FEW or congestion < CALM or now - (self.started or 0.0) < request.cls.aim:
             return True
-        congestion = in_flight / rate  # by Little's law, how many times the unloaded latency is taken
-        density = self.density(request.cls) / max(map(self.density, self.settings.classes))
-        # The room is that of all classes together: a dear one whose own is small would be refused first.
-        known = [c for c in self.settings.classes if self.norms[c.name].base]
-        room = sum(c.aim for c in known) / sum(self.norms[c.name].base for c in known) - 1 if known else 0.0
-        noise = 4 * self.norm.deviation / self.norm.mean / sqrt(in_flight)  # few, uneven calls
-        if congestion < 1 + max(room, 0.0) * self.room * (0.4 + 0.6 * density) + noise:
-            return True
-        self.refused_at = now
-        return False
+        part = 0.4 + 0.6 * self.density(request.cls) / max(map(self.density, self.settings.classes))
+        most = count * (GROWTH * self.best + SLACK / self.settings.copies * part)
+        return in_flight <= most * max(LEAST, min(1.0, JAM / congestion))
+
+    def known(self, now: float, cls: RequestClass) -> bool:
+        """Whether this copy is old enough to know what is usual."""
+        return now - (self.started or 0.0) > SETTLE * cls.aim
 
     def density(self, cls: RequestClass) -> float:
         """Worth for each unit of work; typical latency stands for the work."""
         return cls.worth if self.settings.worth_by_work else cls.worth / (self.norms[cls.name].base or 1.0)
 
-    def served_rate(self, now: float) -> float:
-        """Unloaded latencies answered a second, over about the last second; 0: not known yet."""
-        age = now - (self.started or 0.0) - self.norm.mean
-        return self.served * exp(self.served_at - now) / (1 - exp(-age)) if age > 0 else 0.0
-
     def send(self, now: float, request: Request, out: list[Action]) -> None:
         self.turns += 1 / self.capacity
         endpoint, drawn = self.pick(now, request)
@@ -332,13 +333,9 @@
             if request.norm.mean:
                 ratio = min(event.latency / request.norm.mean, UNFIT)
                 endpoint.slowness += LEARN / 2 * (ratio - endpoint.slowness)
-            if now - self.refused_at < 1:  # the gate is at work: is it too tight, or not enough?
-                late = event.latency > request.cls.aim or outcome is TIMED_OUT
-                self.room = min(1.0, max(0.1, self.room + LEARN / 10 * (LATE - late)))
-            request.norm.learn(event.latency)
-            self.norm.learn(event.latency)
-        if outcome is REJECTED:
-            self.room = max(0.1, self.room - LEARN / 10 * (1 - LATE))  # full servers: no room for queues
+            known = self.known(now, request.cls)
+            request.norm.learn(event.latency, known)
+            self.norm.learn(event.latency, known)
         if outcome is SERVED:
             self.tokens = min(MAX_TOKENS, self.tokens + TOKEN_RATIO)
             self.served = self.served * exp(self.served_at - now) + request.norm.base
