--- a/wheatring/lab/direct/machine_list.py
+++ b/wheatring/lab/direct/machine_list.py
@@ -10,13 +10,11 @@
 from wheatring.core.clock import Timer
 from wheatring.http1.list_calls import DIAL, WAIT, Caller, Done
 from wheatring.http1.machine_list import MachineList
-from wheatring.lab.book import NodeState
 from wheatring.lab.direct.clock import DirectClock
 from wheatring.lab.direct.links import Links
+from wheatring.lab.models.form import as_json
 from wheatring.lifecycle.freshness import Freshness
 
-LIFECYCLES: dict[NodeState, str] = {"ready": "SERVING", "draining": "DRAINING", "gone": "DELETED"}
-
 
 class Pending(Protocol):
     def cancel(self) -> None:
@@ -158,22 +156,7 @@
 
     def plain(self, answer: Any) -> object:
         """As the answer's JSON is read."""
-        return {
-            "generation": answer.generation,
-            "reset": answer.reset,
-            "instances": [
-                {
-                    "instanceId": node.name,
-                    "hostPort": node.address,
-                    "zone": node.zone,
-                    "machineType": node.kind,
-                    "cell": node.cell,
-                    "lifecycle": LIFECYCLES[state],
-                    "startedAtMs": started_ms,
-                }
-                for node, state, _, started_ms in answer.lines
-            ],
-        }
+        return as_json(answer)
 
     def die(self) -> None:
         """Its process has ended: what is out is closed, and nobody hears of it."""
--- a/wheatring/lab/live/seats.py
+++ b/wheatring/lab/live/seats.py
@@ -14,10 +14,11 @@
 from wheatring.lab.live.sidecar import Sidecar, configuration, listens_at
 from wheatring.lab.live.watch import Watch
 from wheatring.lab.models.discovery import Answer, Registry
+from wheatring.lab.models.form import as_json
 from wheatring.lab.plan import Plan
 from wheatring.lab.rules import Ledger
 from wheatring.lab.settings import settings
-from wheatring.lab.wire.discovery import DiscoveryPeer, as_json
+from wheatring.lab.wire.discovery import DiscoveryPeer
 from wheatring.lab.world.ground import DISCOVERY, side_hosts
 from wheatring.lab.world.world import OURS
 
--- a/wheatring/lab/wire/discovery.py
+++ b/wheatring/lab/wire/discovery.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from operator import attrgetter
 from typing import Any
 
 import msgspec
@@ -11,19 +10,15 @@
 from twisted.internet.protocol import ServerFactory
 from twisted.python.failure import Failure
 
-from wheatring.lab.book import Book, NodeState
+from wheatring.lab.book import Book
 from wheatring.lab.models.discovery import Answer, Call, Listed, Registry
+from wheatring.lab.models.form import ADDRESS, as_json
 from wheatring.lab.wire.http import Cutter, Malformed, Message
 
 FAILED = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 BAD = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 UNKNOWN = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
 
-LIFECYCLES: dict[NodeState, str] = {"ready": "SERVING", "draining": "DRAINING", "gone": "DELETED"}
-
-
-ADDRESS: Callable[[Listed], str] = attrgetter("address")
-
 
 class BadCall(ValueError):
     """A call that can't be answered; the text says why."""
@@ -45,27 +40,6 @@
     return values.get(b"index"), values.get(b"wait", 0) / 1000
 
 
-def as_json(answer: Answer, address: Callable[[Listed], str] = ADDRESS) -> dict[str, Any]:
-    """An answer in discovery's form, as JSON values. `address` says where a node is to be found."""
-    return {
-        "generation": answer.generation,
-        "reset": answer.reset,
-        "instances": [
-            {
-                "instanceId": node.name,
-                "hostPort": address(node),
-                "zone": node.zone,
-                "machineType": node.kind,
-                "cell": node.cell,
-                "lifecycle": LIFECYCLES[state],
-                "weight": 1.0,
-                "startedAtMs": started_ms,
-            }
-            for node, state, _, started_ms in answer.lines
-        ],
-    }
-
-
 def body(answer: Answer, address: Callable[[Listed], str] = ADDRESS) -> bytes:
     return msgspec.json.encode(as_json(answer, address))
 
--- a/wheatring/lab/world/world.py
+++ b/wheatring/lab/world/world.py
@@ -15,6 +15,7 @@
 from wheatring.lab.models.clients import Clients
 from wheatring.lab.models.discovery import Answer, Listed, Registry
 from wheatring.lab.models.effects import Effects
+from wheatring.lab.models.form import as_json
 from wheatring.lab.models.front import Front
 from wheatring.lab.models.machine import Machine
 from wheatring.lab.models.traffic import Draw, sizes
@@ -24,7 +25,6 @@
 from wheatring.lab.plan import NodePlan, Plan
 from wheatring.lab.rules.ledger import Ledger
 from wheatring.lab.rules.trace import Trace
-from wheatring.lab.wire.discovery import as_json
 from wheatring.lab.world.events import Events
 from wheatring.lab.world.ground import PORT, Ground
 from wheatring.lab.world.seats import Seat, Seats
