--- a/tests/lab/test_world.py
+++ b/tests/lab/test_world.py
@@ -123,3 +123,14 @@
     with planted(fault):
         outcome = play(draw(load(fault.scenario), 1), grain)
     assert rule in {breach.rule for breach in outcome.breaches}
+
+
+@pytest.mark.parametrize("grain", GRAINS)
+def test_a_sidecar_that_is_started_late_finds_its_callers_waiting(grain: str) -> None:
+    plan = small(1, events=(), length=4.0)
+    (front,) = plan.sidecars
+    outcome = play(
+        msgspec.structs.replace(plan, sidecars=(msgspec.structs.replace(front, start=2.0),)), grain
+    )
+    served = [second.in_time + second.late for second in outcome.seconds]
+    assert served[0] == 0 and served[3] > 0 and outcome.breaches == []
--- a/wheatring/lab/direct/ground.py
+++ b/wheatring/lab/direct/ground.py
@@ -15,7 +15,7 @@
 from wheatring.lab.models.machine import Machine
 from wheatring.lab.models.visit import Below
 from wheatring.lab.plan import EventPlan, NodePlan
-from wheatring.lab.world.ground import CLIENTS, DISCOVERY, LINGER, PORT, side_hosts, zones
+from wheatring.lab.world.ground import CLIENTS, DISCOVERY, PORT, side_hosts, zones
 
 if TYPE_CHECKING:
     from wheatring.lab.world.world import World
@@ -49,9 +49,7 @@
     # Nodes
 
     def below(self, node: NodePlan) -> Below:
-        return Calls(
-            node.name, lambda: self.way, self.world.origins, self.world.sizes(node), self.time, LINGER
-        )
+        return Calls(node.name, lambda: self.way, self.world.origins, self.world.sizes(node), self.time)
 
     def node_up(self, node: NodePlan, machine: Machine) -> None:
         if node.name not in self.nodes:
--- a/wheatring/lab/drawn.py
+++ b/wheatring/lab/drawn.py
@@ -128,7 +128,8 @@
 
 
 def plan_of(day: dict[str, Any], seed: int) -> Plan:
-    """The plan of a drawn day. Left out: zones' skew, tenants, keys, load reports, probes, hints of work."""
+    """The plan of a drawn day. Left out: fronts that come late, zones' skew, tenants, keys, load reports,
+    probes, hints of work."""
     names = [f"{server['tier']}-{number}" for number, server in enumerate(day["servers"])]
     nodes = tuple(
         NodePlan(
@@ -149,7 +150,6 @@
             name=f"front-{number}",
             host=f"127.2.0.{number + 1}",
             zone=day["zones"][front["zone"]],
-            start=front["start"] * US,
         )
         for number, front in enumerate(fronts)
     )
--- a/wheatring/lab/live/nodes.py
+++ b/wheatring/lab/live/nodes.py
@@ -24,7 +24,6 @@
 from wheatring.lab.wire.caller import Caller
 from wheatring.lab.wire.form import Forms
 from wheatring.lab.wire.node import NodePeer
-from wheatring.lab.world.ground import LINGER
 
 BACKLOG = 511
 Where = Callable[[str], tuple[str, int]]  # a sidecar's address
@@ -82,7 +81,7 @@
             drawn = Random(f"{plan.seed}:calls:{node.name}")
             draws = [sizes(drawn, each) for each in plan.classes]
             way = partial(self.ways.get, node.name)
-            calls = Calls(node.name, way, self.origins, draws, self.clock, LINGER)
+            calls = Calls(node.name, way, self.origins, draws, self.clock)
             mean = plan.tiers[node.tier + 1].calls
         machine = Machine(
             node, tier, node.tier, plan.classes, self.clock, Random(f"{plan.seed}:node:{node.name}"),
--- a/wheatring/lab/models/below.py
+++ b/wheatring/lab/models/below.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 
 from wheatring.lab.models.visit import Visit
-from wheatring.lab.models.way import Asked, ReplyKind, Way
+from wheatring.lab.models.way import LINGER, Asked, ReplyKind, Way
 from wheatring.lab.origins import Origin, Origins
 from wheatring.lab.timers import Timer, Timers
 
@@ -15,7 +15,7 @@
     the key of its visit, and a size of work that is drawn anew, by `sizes` for each class. `way` gives the
     way into the sidecar of the node's present process, None while it has none.
 
-    What is out of time has failed for the node, which stays on the line for `linger` seconds more: what is
+    What is out of time has failed for the node, which stays on the line for LINGER more: what is
     answered then is too late for it, but the rules want to see it.
     """
 
@@ -26,14 +26,12 @@
         origins: Origins,
         sizes: Sequence[Callable[[], float]],
         timers: Timers,
-        linger: float,
     ) -> None:
         self.name = name
         self.way = way
         self.origins = origins
         self.sizes = sizes
         self.timers = timers
-        self.linger = linger
 
     def __call__(self, visit: Visit, left: float, done: Callable[[bool], None]) -> None:
         way, timers = self.way(), self.timers
@@ -70,7 +68,7 @@
     def out_of_time(self) -> None:
         timers = self.calls.timers
         assert self.asked is not None
-        self.late = timers.at(timers.now() + self.calls.linger, self.asked.leave)
+        self.late = timers.at(timers.now() + LINGER, self.asked.leave)
         done, self.done = self.done, None
         if done is not None:
             done(False)
--- a/wheatring/lab/models/clients.py
+++ b/wheatring/lab/models/clients.py
@@ -8,14 +8,11 @@
 from wheatring.lab.book import Book, End
 from wheatring.lab.models.front import Front
 from wheatring.lab.models.traffic import Traffic
-from wheatring.lab.models.way import Asked, ReplyKind, Way
+from wheatring.lab.models.way import LINGER, Asked, ReplyKind, Way
 from wheatring.lab.origins import Origin, Origins
 from wheatring.lab.plan import Plan
 from wheatring.lab.timers import Timer, Timers
 
-# Seconds past a try's time in which its client still looks for the answer: too late for it, but the rules
-# grant so much, and whoever has closed its connection sees nothing.
-LINGER = 0.1
 LEAST = 0.001  # seconds left below which no further try is made: none could be stated on the wire
 
 # How a first try ends whose last try ended so.
--- a/wheatring/lab/models/way.py
+++ b/wheatring/lab/models/way.py
@@ -5,6 +5,10 @@
 from collections.abc import Callable
 from typing import Literal, Protocol
 
+# Seconds past a request's time in which its caller still looks for the answer: too late for it, but the rules
+# grant so much, and whoever has closed its connection sees nothing.
+LINGER = 0.1
+
 # unreached: no connection to the sidecar came up, or it ended before the request was taken; nothing is owed.
 # lost: taken, and no whole answer came.
 ReplyKind = Literal["served", "refused", "failed", "unreached", "lost"]
--- a/wheatring/lab/plan.py
+++ b/wheatring/lab/plan.py
@@ -101,7 +101,7 @@
     name: str
     host: str
     zone: str = "room"
-    start: float = 0.0  # when it is started
+    start: float = 0.0  # when it is started, in the day; 0: it runs before that begins
 
 
 class NetPlan(Plain, frozen=True, kw_only=True):
--- a/wheatring/lab/wire/ground.py
+++ b/wheatring/lab/wire/ground.py
@@ -23,7 +23,6 @@
 from wheatring.lab.world.ground import (
     CLIENTS,
     DISCOVERY,
-    LINGER,
     PORT,
     side_hosts,
     zones,
@@ -94,7 +93,6 @@
             self.world.origins,
             self.world.sizes(node),
             self.time,
-            LINGER,
         )
 
     def node_up(self, node: NodePlan, machine: Machine) -> None:
--- a/wheatring/lab/world/ground.py
+++ b/wheatring/lab/world/ground.py
@@ -15,7 +15,6 @@
 PORT = 9000  # of every sidecar and node: each has a host of its own
 DISCOVERY = ("127.4.0.1", 8500)
 CLIENTS = "127.5.0.1"
-LINGER = 0.1  # seconds past their time in which callers still look for an answer: the rules' grace and some
 
 
 def side_hosts(plan: Plan) -> dict[str, str]:
--- a/wheatring/lab/world/world.py
+++ b/wheatring/lab/world/world.py
@@ -229,8 +229,11 @@
             self.registry.add(listed, node.up)
             if node.up:
                 self.start(node.name, cold=False)
+        late = {told.name: told.start for told in plan.sidecars if told.start > 0}
         for seat in self.seats.seats.values():
-            if seat.name not in self.nodes or self.nodes[seat.name].up:
+            if seat.name in late:
+                self.time.at(self.day + late[seat.name], self.seats.start, seat, 0.0)
+            elif seat.name not in self.nodes or self.nodes[seat.name].up:
                 self.time.at(START, self.seats.up, seat)
         self.events.schedule(self.day, plan.events)
         self.time.at(self.day, self.clients.start)
