Let crowded nodes rest, and open the gate by what the nodes in use bear

At fault, in lapisway/policy.py: - `observe`: a fixed weight of 0.1 an answer against a memory of 5 s. One front sees an answer of a node every second or two, so the verdict stands still at 1.6 however slow the node is. An outcome now weighs as one of those remembered, and one little heard of counts as is usual. - nothing let a crowded node rest: it stays slow until nearly idle. Now it is left alone, and comes back by the trickle that ill ones have. - `admits`: counted a cold node, and one left alone, as a whole one; FEW calls were free to each of all copies, 140 in a tier of ten nodes; and as nodes leave, what the larger number served in the last second counted as the smaller number's best for half a minute. - `pick`: of two draws one or both were nodes that wait for their turn, so the crowded one was taken unseen.

New tests: tests/test_thin_traffic.py; those of the record of a node follow its form.

--- a/lapisway/policy.py
+++ b/lapisway/policy.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from math import ceil, exp, inf
+from math import ceil, exp, inf, sqrt
 from random import Random
 
 # fmt: off
@@ -39,15 +39,17 @@
 SHARERS = 3  # and least number of copies that share an endpoint
 MEMORY = 5.0  # seconds in which what is held against an endpoint fades to a third
 LEARN = 0.2  # weight of a new observation
+DOUBT = 1.0  # outcomes that an endpoint has to show before what it shows counts for half
+MOST_HEARD = 9.0  # and those remembered at most: under dense traffic the last ones tell enough
 FAIL_WEIGHT = 4.0  # how much heavier an endpoint counts that fails all the time
 # Parts of the evidence that has an endpoint left alone, if nothing is served in between. A refused connect
 # leaves nothing in flight, and proves by itself that sending there is vain; the others also come from load.
-EVIDENCE = {Outcome.CONNECT_FAILED: 1.0, Outcome.RESET: 1 / 3}
-EVIDENCE |= {REJECTED: 1 / 5, Outcome.ERROR: 1 / 5, TIMED_OUT: 1 / 5}
+EVIDENCE = dict.fromkeys(RETRYABLE, 1 / 5) | {Outcome.CONNECT_FAILED: 1.0, Outcome.RESET: 1 / 3}
 LONGEST = 4  # doublings of the turns for which it is left alone
 ALONE = 5.0  # seconds after which a copy with few calls tries it again before its turn
 WELL = 8  # answers after which it counts as well again
 UNFIT = 4.0  # an endpoint this many times heavier than its calls in flight makes the draw go wider
+CROWDED = 2.6  # times the unloaded latency, from which an endpoint has to be let rest to be fast again
 FAR = 2.0  # how much heavier an endpoint of another zone counts
 SILENT = 4.0  # answers that should have come meanwhile from an endpoint that counts as silent
 STAY_AWAY = 0.15  # least advice to a refused client, as a part of the aim; it is drawn up to twice that
@@ -57,8 +59,9 @@
 GROWTH = 1.5  # calls in flight for each unloaded latency served a second, at the best rate of late
 SLACK = 3.0  # and beyond that, in calls of all copies at an endpoint
 LEAST = 0.9  # part of that which may be in flight even in a jam
+CHANCE = 2.0  # deviations by which one copy of many may hold more than its share: all together don't
 FORGET = 30.0  # seconds in which the best rate fades to a third
-FEW = 20  # calls in flight from which the time they take can be told: one long one among few says nothing
+FEW = 20  # calls of all copies in flight from which the time they take can be told
 PATIENCE = 20.0  # deviations above the mean at which an attempt is given up
 
 
@@ -69,13 +72,14 @@
     entry: EndpointEntry
     turn: float  # cold: not to be sent to before this turn
     in_flight: int = 0
-    slowness: float = 1.0  # latency against the norm of its class
-    failing: float = 0.0  # share of failures among recent attempts
+    heard: float = 0.0  # outcomes remembered, each less the older it is; of these:
+    slow: float = 0.0  # the sum of latencies against the norm of their class, less 1
+    failed: float = 0.0  # failures
     evidence: float = 0.0  # of failures since it last served: 1 has it left alone
     ill: int = 0  # how often it was since it was well
     window: int = 1  # calls that it may hold while it is ill: a trickle, then one more with each answer
     left: tuple[float, float, float] = (-inf, -inf, -inf)  # alone: from which turn to which, and till when
-    seen: float = 0.0  # when these two were last updated
+    seen: float = 0.0  # when these three were last updated
     progress: float = 0.0  # when it last answered or, if idle then, got work
     reported: float = 0.0  # requests it said it held
     reported_at: float = 0.0
@@ -128,11 +132,9 @@
         self.norms = {c.name: Norm() for c in settings.classes}
         self.norm = Norm()
         self.endpoints: dict[str, Endpoint] = {}  # ready ones only
-        self.ill = 0  # ready endpoints that are
         self.near: list[Endpoint] = []
         self.far: list[Endpoint] = []
         self.ready: list[Endpoint] = []
-        self.busy: dict[str, Endpoint] = {}  # the ready ones with calls in flight
         self.progress = 0.0  # the last of any ready one
         self.groups: dict[str | int, list[Endpoint]] = {}
         self.requests: dict[int, Request] = {}
@@ -144,7 +146,9 @@
         self.in_flight = 0
         self.served = self.served_at = 0.0
         self.held = 0.0  # calls in flight, over about the last second as the served are
-        self.gauged = 0.0  # when that was last updated
+        self.usual = 1.0  # latency against the unloaded one
+        self.bore = 0.0  # warm endpoints, likewise
+        self.gauged = 0.0  # when these were last updated
         self.best = 0.0  # unloaded latencies served a second by an endpoint, at the best of late
         self.started: float | None = None  # when the first request came
         self.asking = False
@@ -186,7 +190,6 @@
             span = max(event.time_left, 1e-3)
             cls = self.classes[name] = RequestClass(name, span, span)
             self.norms[name] = Norm()
-        # The first send is at once, so the one deadline runs from it, whichever deadline a call carries.
         left = event.time_left
         if not self.settings.tier and not cls.late_worth and not cls.aim_stretch:
             # An answer past its aim is worth nothing but holds slots all down the chain, so the aim is the
@@ -203,21 +206,26 @@
         """When every server slows, first sends would pass unchecked and all end late; and what crowds servers
         for long slows them further. So the front refuses what goes beyond what they are known to bear, once
         that slows them; low worth is left less room than high."""
-        count = len(self.ready)
-        if self.settings.tier or not count:
+        if self.settings.tier or not self.ready:
             return True
+        most_ill = self.most_ill()  # then it is the load
+        open_ones = [e for e in self.ready if most_ill or not e.ill or not self.alone(now, e)]
+        count = sum([self.warmth(now, e) for e in open_ones]) or 1.0  # in warm ones
         # What an endpoint holds that is quiet while others answer or idle is no queue for what these get.
-        quiet = (now if len(self.busy) < count else self.progress) - request.cls.aim
-        in_flight = sum([e.in_flight for e in self.busy.values() if e.progress > quiet])
+        quiet = (self.progress if all(e.in_flight for e in self.ready) else now) - request.cls.aim
+        in_flight: float = sum([e.in_flight for e in open_ones if e.progress > quiet])
         passed, self.gauged = min(now - self.gauged, 1.0), now
         self.held = self.held * exp(-passed) + in_flight * passed
         rate = self.served * exp(self.served_at - now)
-        self.best = max(self.best * exp(-passed / FORGET), rate / count)
+        self.bore = max(count, self.bore * exp(-passed) + count * passed)  # those that served at that rate
+        self.best = max(self.best * exp(-passed / FORGET), rate / self.bore)
         congestion = self.held / rate if rate else 0.0  # how many times the unloaded latency is taken
-        if in_flight < FEW or congestion < CALM or now - (self.started or 0.0) < request.cls.aim:
+        copies = self.settings.copies
+        in_flight = min(in_flight, max(self.held, in_flight - CHANCE * sqrt(in_flight) * (1 - 1 / copies)))
+        if in_flight * copies < FEW or congestion < CALM or not self.known(now, request.cls):
             return True
         part = 0.4 + 0.6 * self.density(request.cls) / max(map(self.density, self.settings.classes))
-        most = count * (GROWTH * self.best + SLACK / self.settings.copies * part)
+        most = count * (GROWTH * self.best + SLACK / copies * part)
         return in_flight <= most * max(LEAST, min(1.0, JAM / congestion))
 
     def known(self, now: float, cls: RequestClass) -> bool:
@@ -237,22 +245,18 @@
             self.answer(request, out)
             return
         timeout = left
-        norm = request.norm
-        if request.cls.effect is not UNSAFE and norm.mean:
+        if request.cls.effect is not UNSAFE and (mean := request.norm.mean):
             # A silent endpoint never answers: give the attempt up while there is time for another.
-            patience = norm.mean + PATIENCE * norm.deviation
-            if patience + norm.mean < left and len(request.attempts) + 1 < self.max_attempts():
+            patience = mean + PATIENCE * request.norm.deviation
+            if patience + mean < left and len(request.attempts) + 1 < self.max_attempts():
                 timeout = patience
-        seen = tuple(
-            [new(Drawn, (e.entry.endpoint, e.in_flight, e.reported if e.reported_at else None))
-             for e in drawn]
-        )  # fmt: skip
+        seen = tuple([new(Drawn, (e.entry.endpoint, e.in_flight, e.reported if e.reported_at else None))
+                      for e in drawn])  # fmt: skip
         request.attempts.append(endpoint)
         request.sent_at = now
         request.outstanding += 1
         if not endpoint.in_flight:
             endpoint.progress = self.progress = now
-            self.busy[endpoint.entry.endpoint] = endpoint
         endpoint.in_flight += 1
         self.in_flight += 1
         endpoint.turn = self.turns + 1 / self.warmth(now, endpoint)
@@ -269,8 +273,6 @@
         request.outstanding -= 1
         endpoint.in_flight -= 1
         self.in_flight -= 1
-        if not endpoint.in_flight and self.busy.get(endpoint.entry.endpoint) is endpoint:
-            del self.busy[endpoint.entry.endpoint]
         self.observe(now, request, endpoint, event)
         if event.closed or request.over:
             self.close(request)
@@ -302,9 +304,7 @@
     def may_retry(self, now: float, request: Request, outcome: Outcome) -> bool:
         if len(request.attempts) >= self.max_attempts():
             return False
-        if outcome is not Outcome.CONNECT_FAILED and outcome not in RETRYABLE:
-            return False
-        return self.repeatable(now, request)
+        return outcome in EVIDENCE and self.repeatable(now, request)
 
     def repeatable(self, now: float, request: Request) -> bool:
         """No effect twice: what may have run goes out again only as its class allows."""
@@ -336,14 +336,18 @@
         outcome = event.outcome
         fade = self.fade(now, endpoint)
         endpoint.seen = now
-        endpoint.slowness = 1 + (endpoint.slowness - 1) * fade
-        endpoint.failing *= fade
+        # An outcome weighs as one of those remembered: by a fixed weight, thin traffic would never tell.
+        fade *= min(1.0, MOST_HEARD / (endpoint.heard * fade + 1))
+        endpoint.heard = endpoint.heard * fade + 1
+        endpoint.failed = endpoint.failed * fade + (outcome is not SERVED)
+        endpoint.slow *= fade
         if event.report is not None:
             self.report(now, endpoint, event.report)
         if outcome is SERVED or outcome is TIMED_OUT:
             if request.norm.mean:
-                ratio = min(event.latency / request.norm.mean, UNFIT)
-                endpoint.slowness += LEARN / 2 * (ratio - endpoint.slowness)
+                longer = min(event.latency / request.norm.base, UNFIT) - 1
+                endpoint.slow += longer
+                self.usual += LEARN / 4 * (1 + longer - self.usual)
             known = self.known(now, request.cls)
             request.norm.learn(event.latency, known)
             self.norm.learn(event.latency, known)
@@ -357,35 +361,30 @@
             endpoint.progress = now
             if self.endpoints.get(endpoint.entry.endpoint) is endpoint:
                 self.progress = now
-        endpoint.failing += LEARN * ((outcome is not SERVED) - endpoint.failing)
         self.judge(now, endpoint, outcome)
 
     def judge(self, now: float, endpoint: Endpoint, outcome: Outcome) -> None:
         """Whether an endpoint is to be left alone, and its way back: one call, then as many as it answers."""
-        if outcome is SERVED:
+        crowded = endpoint.slow >= (CROWDED - 1) * (endpoint.heard + DOUBT)
+        if outcome is SERVED and not crowded:
             endpoint.evidence = 0.0
             if endpoint.ill:
                 endpoint.window += 1
                 if endpoint.window > WELL:
                     endpoint.ill = 0
-                    self.count_ill()
             return
-        weight = EVIDENCE.get(outcome, 0.0)
+        weight = 1.0 if crowded else EVIDENCE.get(outcome, 0.0)
         if not weight or self.alone(now, endpoint):
             return  # what was sent before it was left alone says nothing new
         endpoint.evidence += weight
-        if endpoint.ill:
-            endpoint.window //= 2
+        endpoint.window //= 2
         if endpoint.evidence >= 1 or (endpoint.ill and not endpoint.window):
             endpoint.ill = min(endpoint.ill + 1, LONGEST)
             endpoint.window, endpoint.evidence = 1, 0.0
-            endpoint.left = (self.turns, self.turns + 2.0**endpoint.ill, now + ALONE)
-            self.count_ill()
+            endpoint.left = (self.turns, inf if crowded else self.turns + 2.0**endpoint.ill, now + ALONE)
+            endpoint.heard = endpoint.slow = endpoint.failed = 0.0  # it comes back without a name
         endpoint.window = max(endpoint.window, 1)
 
-    def count_ill(self) -> None:
-        self.ill = sum(1 for e in self.ready if e.ill)
-
     def alone(self, now: float, endpoint: Endpoint) -> bool:
         """Whether an ill endpoint is left alone. Where more than half are and some do serve, it is for one
         turn at most: rather than the fleet, it is this copy's own way that is bad."""
@@ -395,7 +394,7 @@
         return self.turns < until and now < till
 
     def most_ill(self) -> bool:
-        return 2 * self.ill > len(self.ready)
+        return 2 * sum([e.ill > 0 for e in self.ready]) > len(self.ready)
 
     def report(self, now: float, endpoint: Endpoint, report: LoadReport) -> None:
         held = report.in_flight if report.in_flight is not None else report.queue
@@ -412,9 +411,10 @@
         if request.may_have_run and request.cls.effect is KEYED and request.cls.group is not Group.ALL:
             first = request.may_have_run[1].entry
             pools = [self.groups.get(first.cell if request.cls.group is Group.CELL else first.zone, [])] * 3
-        best, least, seen = None, 0.0, {}
-        for pool in pools:
-            for drawn in self.draw(pool):
+        best, least, fit, usable, seen = None, 0.0, False, 0, {}
+        for n, pool in enumerate(pools, 1):
+            whole = n == len(pools) and not self.most_ill()  # draws would miss the few not barred
+            for drawn in self.random.sample(pool, len(pool)) if whole else self.draw(pool):
                 seen[drawn.entry.endpoint] = drawn
                 if self.turns < drawn.turn and self.warmth(now, drawn) < 1:
                     continue
@@ -428,9 +428,11 @@
                 if drawn in request.attempts:
                     burden *= UNFIT
                 load = burden * (drawn.in_flight + 1)
+                usable += 1
+                fit |= burden < UNFIT
                 if best is None or load < least:
-                    best, least, fit = drawn, load, burden < UNFIT
-            if best is not None and fit:
+                    best, least = drawn, load
+            if usable > 1 and fit:  # of one alone, however crowded, nothing would be chosen
                 break
         return best, list(seen.values())
 
@@ -444,9 +446,11 @@
     def burden(self, now: float, endpoint: Endpoint) -> float:
         """What an endpoint's calls in flight are scaled by: it is slow, fails, or has gone silent."""
         fade = self.fade(now, endpoint)
-        slowness = max(1 + (endpoint.slowness - 1) * fade, self.silence(now, endpoint) / SILENT)
-        crowd = (1 + self.others(now, endpoint)) / (1 + self.mean_report)
-        return slowness * crowd * (1 + FAIL_WEIGHT * endpoint.failing * fade) / (endpoint.entry.rating or 1.0)
+        known = endpoint.heard * fade + DOUBT  # of one little heard of, what is usual is expected
+        slow = 1 + (endpoint.slow * fade + DOUBT * (self.usual - 1)) / known
+        slowness = max(slow / self.usual, self.silence(now, endpoint) / SILENT)
+        crowd = (1 + self.others(now, endpoint)) / (1 + self.mean_report) / (endpoint.entry.rating or 1.0)
+        return slowness * crowd * (1 + FAIL_WEIGHT * endpoint.failed * fade / known)
 
     def silence(self, now: float, endpoint: Endpoint) -> float:
         """Answers that should have come from an endpoint since its last one."""
@@ -506,9 +510,7 @@
         """Few endpoints with room for few connections can't take one from every copy: each draws from a
         stable arc of the sorted ids, placed by its own number so that all are covered evenly."""
         self.ready = [self.endpoints[k] for k in sorted(self.endpoints)]
-        self.busy = {e.entry.endpoint: e for e in self.ready if e.in_flight}
         self.progress = max([e.progress for e in self.ready], default=0.0)
-        self.count_ill()
         zone = self.settings.zone
         local = [e for e in self.ready if e.entry.zone == zone]
         split = 2 * len(local) * max(1, len(self.settings.zones)) >= len(self.ready) > len(local)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -121,7 +121,6 @@
     silent = copy.balancer.endpoints[NODES[0]]
     silent.in_flight += 200
     copy.balancer.in_flight += 200
-    copy.balancer.busy[NODES[0]] = silent
     keep(copy, 48, 0.1, 3.0, silent=NODES[0])
     assert silent.in_flight >= 200 and keep(copy, 48, 0.1, 2.0, silent=NODES[0]) == 0
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -108,13 +108,13 @@
         copy.end(send, O.CONNECT_FAILED if send.endpoint == "a" else O.SERVED, after=0.0, closed=True)
     assert copy.balancer.endpoints["a"].ill
     copy.view(i.EndpointEntry("a", started_at=copy.now - 0.5), kind=i.ViewKind.DELTA)
-    assert not copy.balancer.endpoints["a"].ill and not copy.balancer.ill
+    assert not copy.balancer.endpoints["a"].ill and not copy.balancer.most_ill()
 
 
 def test_the_way_back_is_one_call_then_one_more_with_each_answer_until_it_is_well(copy: Copy) -> None:
     for endpoint in copy.balancer.ready:
         if endpoint.entry.endpoint != "a":
-            endpoint.slowness, endpoint.seen = 1e9, copy.now  # so that it is always preferred
+            endpoint.slow, endpoint.seen = 1e9, copy.now  # so that it is always preferred
     copy.end(copy.send(), O.CONNECT_FAILED)
     record = copy.balancer.endpoints["a"]
     assert record.ill
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -63,7 +63,7 @@
 def test_what_is_held_against_an_endpoint_fades() -> None:
     copy = Copy()
     copy.view(*entries("a", "b"))
-    while copy.balancer.endpoints["a"].failing < 0.5:
+    while not copy.balancer.endpoints["a"].failed:
         send = copy.send()
         copy.end(send, O.ERROR if send.endpoint == "a" else O.SERVED, closed=True)
     bad = copy.balancer.burden(copy.now, copy.balancer.endpoints["a"])
@@ -74,10 +74,13 @@
 def test_load_reports_scale_and_grow_old() -> None:
     copy = Copy()
     copy.view(*entries("a", "b"))
-    for _ in range(60):
-        send = copy.send()
-        report = i.LoadReport(in_flight=20.0 if send.endpoint == "a" else 2.0)
-        copy.end(send, O.SERVED, closed=True, report=report)
+    for _ in range(30):
+        sends = [copy.send()]
+        while len({send.endpoint for send in sends}) < 2:
+            sends.append(copy.send())
+        for send in sends:
+            report = i.LoadReport(in_flight=20.0 if send.endpoint == "a" else 2.0)
+            copy.end(send, O.SERVED, after=0.05, closed=True, report=report)
     a, b = (copy.balancer.endpoints[name] for name in "ab")
     fresh = copy.balancer.burden(copy.now, a) / copy.balancer.burden(copy.now, b)
     copy.now += 30
@@ -112,7 +115,7 @@
     copy = Copy(copies=40)
     copy.view(*entries(*(f"e{n:03}" for n in range(60))))
     for endpoint in copy.balancer.near:
-        endpoint.failing, endpoint.seen = 1.0, copy.now
+        endpoint.failed, endpoint.heard, endpoint.seen = 9.0, 9.0, copy.now
     near = {e.entry.endpoint for e in copy.balancer.near}
     sent = [copy.send().endpoint for _ in range(20)]
     assert sum(name in near for name in sent) <= 4
@@ -225,11 +228,11 @@
     copy = Copy()
     copy.view(*entries("a", "b"))
     record = copy.balancer.endpoints["a"]
-    record.failing = 1.0
+    record.failed = 1.0
     copy.now += 5
     copy.view(i.EndpointEntry("a", started_at=copy.now - 0.5), kind=i.ViewKind.DELTA)
     fresh = copy.balancer.endpoints["a"]
-    assert fresh.failing == 0 and fresh.in_flight == 0
+    assert fresh.failed == 0 and fresh.in_flight == 0
     assert copy.balancer.warmth(copy.now, fresh) < 0.25
 
 
--- /dev/null
+++ b/tests/test_thin_traffic.py
@@ -0,0 +1,113 @@
+"""Many copies before one fleet: each sees little of any node, and what each does, all do."""
+
+from __future__ import annotations
+
+from collections import Counter
+from unittest.mock import patch
+
+from lapisway import interface as i
+from lapisway import policy
+from tests.conftest import Copy, entries
+from tests.draws import NODES
+from tests.test_gate import CHEAP, DEAR, admitted, keep
+
+O = i.Outcome
+GET = i.RequestClass("get", aim=2.0, deadline=6.0, effect=i.Effect.SAFE)
+
+
+FIVE = NODES[:5]
+
+
+def settled() -> Copy:
+    """A copy of ten that knows what is usual: a tenth of a second."""
+    copy = Copy(classes=(GET,), copies=10)
+    copy.view(*entries(*FIVE))
+    copy.serve(60, "get")
+    return copy
+
+
+def visit(copy: Copy, node: str, latency: float) -> None:
+    """Have one call at that node answered after so long."""
+    record = copy.balancer.endpoints[node]
+    with patch.object(copy.balancer, "pick", return_value=(record, [record])):
+        send = copy.send("get")
+    copy.end(send, O.SERVED, after=latency, closed=True)
+
+
+def test_a_few_slow_answers_seconds_apart_tell() -> None:
+    copy = settled()
+    slow, other = (copy.balancer.endpoints[name] for name in NODES[:2])
+    for _ in range(3):
+        copy.now += 2.0
+        visit(copy, slow.entry.endpoint, 0.23)
+    assert copy.balancer.burden(copy.now, slow) > 1.5 * copy.balancer.burden(copy.now, other)
+
+
+def test_a_crowded_node_is_let_rest_and_comes_back_by_a_trickle() -> None:
+    copy = settled()
+    crowded = copy.balancer.endpoints[NODES[0]]
+    copy.now += 20.0
+    visit(copy, NODES[0], 1.0)
+    assert not crowded.ill  # one answer may be long by chance
+    visit(copy, NODES[0], 1.0)
+    assert crowded.ill
+    until = copy.now + policy.ALONE
+    seen: Counter[str] = Counter()
+    while copy.now + 0.1 < until:
+        send = copy.send("get")
+        seen[send.endpoint] += 1
+        copy.end(send, O.SERVED, after=0.02, closed=True)
+    assert not seen[NODES[0]], seen
+    assert min(seen[name] for name in FIVE[1:]) > 5
+    copy.now = until
+    visit(copy, NODES[0], 0.1)
+    assert crowded.ill and crowded.window == 2
+    while crowded.ill:
+        visit(copy, NODES[0], 0.1)
+
+
+def test_where_all_are_crowded_it_is_the_load_and_all_go_on() -> None:
+    copy = settled()
+    for name in FIVE:
+        for _ in range(2):
+            if not copy.balancer.most_ill():
+                visit(copy, name, 1.0)
+    sent = Counter(copy.send("get").endpoint for _ in range(60))
+    assert len(sent) == len(FIVE)
+
+
+def test_of_two_that_may_be_sent_to_the_lighter_one_is_even_where_most_wait_for_their_turn() -> None:
+    copy = Copy(classes=(GET,), copies=10)
+    cold = [i.EndpointEntry(f"cold-{n}", started_at=copy.now) for n in range(8)]
+    copy.view(*entries("jammed", "free"), *cold)
+    jammed = copy.balancer.endpoints["jammed"]
+    jammed.in_flight = 30
+    got: Counter[str] = Counter()
+    for _ in range(100):
+        send = copy.send("get")
+        got[send.endpoint] += 1
+        copy.end(send, O.SERVED, after=0.01, closed=True)
+    assert got["free"] > 10 * got["jammed"]
+
+
+def test_a_node_that_is_cold_opens_the_gate_by_what_it_bears() -> None:
+    def most(cold: int) -> int:
+        copy = Copy(classes=(CHEAP, DEAR))
+        copy.view(*entries(*NODES))
+        keep(copy, 48, 0.1, 4.0)
+        new = [i.EndpointEntry(f"new-{n}", started_at=copy.now) for n in range(cold)]
+        copy.view(*entries(*NODES[cold:]), *new)
+        admitted(copy, "dear")
+        return sum(e.in_flight for e in copy.balancer.ready)
+
+    assert 0.45 < most(7) / most(0) < 0.7  # 5 of 12 are warm, and 7 bear 0.2 of what these do
+
+
+def test_calls_too_few_to_tell_anything_are_counted_over_all_copies() -> None:
+    def most(copies: int) -> int:
+        copy = Copy(classes=(CHEAP, DEAR), copies=copies)
+        copy.view(*entries("a", "b"))
+        keep(copy, 1, 0.01, 3.0)
+        return admitted(copy, "cheap")
+
+    assert 10 * most(10) < 4 * most(1)
