Draw two nodes that may be sent to, and rest a crowded one until it has stood idle

At fault, in lapisway/policy.py: ALONE, which is meant for a node that fails, was the crowded one's rest, too (REST, 8 s, now); MOST_HEARD, nine outcomes, of which a front sees one a second there (six now); `pick` counted a node drawn twice as two, so a crowded one came up against itself once in 25 draws from five nodes, which is 5 calls a second from seven fronts.

--- a/lapisway/policy.py
+++ b/lapisway/policy.py
@@ -40,13 +40,14 @@
 MEMORY = 5.0  # seconds in which what is held against an endpoint fades to a third
 LEARN = 0.2  # weight of a new observation
 DOUBT = 1.0  # outcomes that an endpoint has to show before what it shows counts for half
-MOST_HEARD = 9.0  # and those remembered at most: under dense traffic the last ones tell enough
+MOST_HEARD = 6.0  # and those remembered at most: under dense traffic the last ones tell enough
 FAIL_WEIGHT = 4.0  # how much heavier an endpoint counts that fails all the time
 # Parts of the evidence that has an endpoint left alone, if nothing is served in between. A refused connect
 # leaves nothing in flight, and proves by itself that sending there is vain; the others also come from load.
 EVIDENCE = dict.fromkeys(RETRYABLE, 1 / 5) | {Outcome.CONNECT_FAILED: 1.0, Outcome.RESET: 1 / 3}
 LONGEST = 4  # doublings of the turns for which it is left alone
 ALONE = 5.0  # seconds after which a copy with few calls tries it again before its turn
+REST = 8.0  # seconds in which a crowded one is through with what it holds and has stood idle for a while
 WELL = 8  # answers after which it counts as well again
 UNFIT = 4.0  # an endpoint this many times heavier than its calls in flight makes the draw go wider
 CROWDED = 2.6  # times the unloaded latency, from which an endpoint has to be let rest to be fast again
@@ -140,6 +141,7 @@
         self.requests: dict[int, Request] = {}
         self.timers: dict[int, int] = {}
         self.next_timer = 1
+        self.most_attempts = min(MAX_ATTEMPTS, settings.limits.max_attempts)
         self.tokens = MAX_TOKENS
         self.turns = 0.0
         self.capacity = 1.0  # of the near endpoints, in warm ones
@@ -240,15 +242,15 @@
         self.turns += 1 / self.capacity
         endpoint, drawn = self.pick(now, request)
         left = request.deadline - now
-        hopeless = left < request.norm.base / 2  # work for it would be wasted here and below
-        if endpoint is None or left <= 0 or hopeless or not self.repeatable(now, request):
+        hopeless = left <= request.norm.base / 2  # work for it would be wasted here and below
+        if endpoint is None or hopeless or not self.repeatable(now, request):
             self.answer(request, out)
             return
         timeout = left
         if request.cls.effect is not UNSAFE and (mean := request.norm.mean):
             # A silent endpoint never answers: give the attempt up while there is time for another.
             patience = mean + PATIENCE * request.norm.deviation
-            if patience + mean < left and len(request.attempts) + 1 < self.max_attempts():
+            if patience + mean < left and len(request.attempts) + 1 < self.most_attempts:
                 timeout = patience
         seen = tuple([new(Drawn, (e.entry.endpoint, e.in_flight, e.reported if e.reported_at else None))
                       for e in drawn])  # fmt: skip
@@ -262,9 +264,6 @@
         endpoint.turn = self.turns + 1 / self.warmth(now, endpoint)
         out.append(Send(request.ident, endpoint.entry.endpoint, timeout, seen))
 
-    def max_attempts(self) -> int:
-        return min(MAX_ATTEMPTS, self.settings.limits.max_attempts)
-
     def attempt_ended(self, now: float, event: AttemptEnded, out: list[Action]) -> None:
         request = self.requests.get(event.request)
         if request is None or not 0 <= event.attempt < len(request.attempts) or not request.outstanding:
@@ -302,9 +301,8 @@
             self.answer(request, out)
 
     def may_retry(self, now: float, request: Request, outcome: Outcome) -> bool:
-        if len(request.attempts) >= self.max_attempts():
-            return False
-        return outcome in EVIDENCE and self.repeatable(now, request)
+        more = len(request.attempts) < self.most_attempts and outcome in EVIDENCE
+        return more and self.repeatable(now, request)
 
     def repeatable(self, now: float, request: Request) -> bool:
         """No effect twice: what may have run goes out again only as its class allows."""
@@ -368,10 +366,9 @@
         crowded = endpoint.slow >= (CROWDED - 1) * (endpoint.heard + DOUBT)
         if outcome is SERVED and not crowded:
             endpoint.evidence = 0.0
-            if endpoint.ill:
-                endpoint.window += 1
-                if endpoint.window > WELL:
-                    endpoint.ill = 0
+            endpoint.window += endpoint.ill > 0
+            if endpoint.window > WELL:
+                endpoint.ill = 0
             return
         weight = 1.0 if crowded else EVIDENCE.get(outcome, 0.0)
         if not weight or self.alone(now, endpoint):
@@ -379,10 +376,10 @@
         endpoint.evidence += weight
         endpoint.window //= 2
         if endpoint.evidence >= 1 or (endpoint.ill and not endpoint.window):
-            endpoint.ill = min(endpoint.ill + 1, LONGEST)
-            endpoint.window, endpoint.evidence = 1, 0.0
-            endpoint.left = (self.turns, inf if crowded else self.turns + 2.0**endpoint.ill, now + ALONE)
-            endpoint.heard = endpoint.slow = endpoint.failed = 0.0  # it comes back without a name
+            endpoint.ill, endpoint.window = min(endpoint.ill + 1, LONGEST), 1
+            turns, rest = (inf, REST) if crowded else (2.0**endpoint.ill, ALONE)
+            endpoint.left = (self.turns, self.turns + turns, now + rest)
+            endpoint.heard = endpoint.slow = endpoint.failed = endpoint.evidence = 0.0  # it comes back new
         endpoint.window = max(endpoint.window, 1)
 
     def alone(self, now: float, endpoint: Endpoint) -> bool:
@@ -415,6 +412,8 @@
         for n, pool in enumerate(pools, 1):
             whole = n == len(pools) and not self.most_ill()  # draws would miss the few not barred
             for drawn in self.random.sample(pool, len(pool)) if whole else self.draw(pool):
+                if drawn.entry.endpoint in seen:
+                    continue
                 seen[drawn.entry.endpoint] = drawn
                 if self.turns < drawn.turn and self.warmth(now, drawn) < 1:
                     continue
