--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -203,6 +203,8 @@
         ("peers_total", {"settings": {**SETTINGS, "peers_total": 0}}),
         ("limits.keepalive", {"settings": {**SETTINGS, "limits": {"keepalive": -1}}}),
         ("contract.cold", {"settings": {**SETTINGS, "contract": {**SETTINGS["contract"], "cold": {}}}}),
+        ("peers_total", {"settings": {key: SETTINGS[key] for key in SETTINGS if key != "peers_total"}}),
+        ("peers_total", {"settings": {**SETTINGS, "peers_total": "many"}}),
     ],
 )
 def test_a_wrong_configuration_ends_it_with_one_line_that_names_the_key(
