--- a/lapisway/benchlink.py
+++ b/lapisway/benchlink.py
@@ -243,8 +243,8 @@
 
 
 def streaming(part: Sequence[str]) -> i.Event:
-    _, request, latency, endpoint, attempt = part
-    return i.StreamStarted(int(request), int(attempt), endpoint, int(latency) / US)
+    _, request, _, _, _ = part
+    return i.Committed(int(request))
 
 
 def probed(part: Sequence[str]) -> i.Event:
--- a/lapisway/interface.py
+++ b/lapisway/interface.py
@@ -201,6 +201,7 @@
     cell: int = 0  # endpoints of one cell share what they know of keys
     rating: float = 1.0  # relative size, where the deployment rates its endpoints
     started_at: float = 0.0  # when it last started; 0 or less: long ago
+    owed: bool = False  # its operators have put it back, and look for calls to it
 
 
 @dataclass(slots=True)
@@ -242,13 +243,11 @@
 
 
 @dataclass(slots=True)
-class StreamStarted:
-    """The answer of a request has begun, as a stream."""
+class Committed:
+    """A request can't be sent again, for one of A6's two reasons: its answer has begun to pass on, or a part
+    of its body is held no more."""
 
     request: int
-    attempt: int
-    endpoint: str
-    latency: float
 
 
 @dataclass(slots=True)
@@ -296,7 +295,7 @@
     data: bytes
 
 
-Event = View | NewRequest | StreamStarted | AttemptEnded | ClientGone | TimerDue | ProbeEnded | PeerMessage
+Event = View | NewRequest | Committed | AttemptEnded | ClientGone | TimerDue | ProbeEnded | PeerMessage
 
 
 # Actions
--- a/lapisway/policy.py
+++ b/lapisway/policy.py
@@ -14,8 +14,8 @@
 
 # fmt: off
 from lapisway.interface import (
-    Action, AttemptEnded, ClientGone, Drawn, Effect, EndpointEntry, EndpointState, Event, Fail, Group,
-    LoadReport, NewRequest, Outcome, Refuse, RequestClass, Send, SetTimer, Settings, StreamStarted, Subscribe,
+    Action, AttemptEnded, ClientGone, Committed, Drawn, Effect, EndpointEntry, EndpointState, Event, Fail,
+    Group, LoadReport, NewRequest, Outcome, Refuse, RequestClass, Send, SetTimer, Settings, Subscribe,
     TimerDue, View, ViewKind,
 )
 # fmt: on
@@ -49,12 +49,12 @@
 ALONE = 5.0  # seconds after which a copy with few calls tries it again before its turn
 REST = 6.5  # seconds in which a crowded one is through with what it holds and has stood idle for a while
 WELL = 8  # answers after which it counts as well again
+OWED = 3.0  # seconds over which all copies' first calls to one put back by the operators are spread
 UNFIT = 4.0  # an endpoint this many times heavier than its calls in flight makes the draw go wider
 CROWDED = 2.8  # times the unloaded latency, from which an endpoint has to be let rest to be fast again
 FAR = 2.0  # how much heavier an endpoint of another zone counts
 SILENT = 4.0  # answers that should have come meanwhile from an endpoint that counts as silent
 STAY_AWAY = 0.15  # least advice to a refused client, as a part of the aim; it is drawn up to twice that
-SETTLE = 1.0  # aims from its start on in which a copy learns what is usual: the first answers are the fastest
 CALM = 1.5  # times the unloaded latency, below which the gate is open whatever is in flight
 JAM = 1.8  # times the unloaded latency, above which more in flight gets no more served
 GROWTH = 1.5  # calls in flight for each unloaded latency served a second, at the best rate of late
@@ -120,7 +120,7 @@
     retries: int = 0
     over: bool = False
     unseen: bool = False  # an attempt was turned away unseen
-    committed: bool = False  # its answer has begun: A6 retries it no more
+    committed: bool = False  # its answer has begun, or its body is held no more: A6 retries it no more
 
 
 class Balancer:
@@ -137,7 +137,7 @@
         self.far: list[Endpoint] = []
         self.ready: list[Endpoint] = []
         self.progress = 0.0  # the last of any ready one
-        self.groups: dict[str | int, list[Endpoint]] = {}
+        self.owed: list[tuple[float, Endpoint]] = []  # put back by the operators, called from then on
         self.requests: dict[int, Request] = {}
         self.timers: dict[int, int] = {}
         self.next_timer = 1
@@ -173,12 +173,10 @@
                     self.send(now, request, out)
             case View():
                 self.view(now, event, out)
-            case ClientGone(ident):
-                if ident in self.requests:
-                    self.close(self.requests[ident])
-            case StreamStarted(ident):
-                if ident in self.requests:
-                    self.requests[ident].committed = True
+            case ClientGone(ident) if ident in self.requests:
+                self.close(self.requests[ident])
+            case Committed(ident) if ident in self.requests:
+                self.requests[ident].committed = True
         return out
 
     # Requests
@@ -231,8 +229,8 @@
         return in_flight <= most * max(LEAST, min(1.0, JAM / congestion))
 
     def known(self, now: float, cls: RequestClass) -> bool:
-        """Whether this copy is old enough to know what is usual."""
-        return now - (self.started or 0.0) > SETTLE * cls.aim
+        """Whether this copy is old enough to know what is usual: the first answers are the fastest."""
+        return now - (self.started or 0.0) > cls.aim
 
     def density(self, cls: RequestClass) -> float:
         """Worth for each unit of work; typical latency stands for the work."""
@@ -402,12 +400,15 @@
     # Placement
 
     def pick(self, now: float, request: Request) -> tuple[Endpoint | None, list[Endpoint]]:
-        """The lighter of two random ready endpoints; wider draws only while no fit one has come up. Also
-        all that were drawn."""
+        """The lighter of two random ready endpoints, drawn wider while no fit one came up; and all drawn."""
+        while self.owed and not request.attempts and now >= self.owed[-1][0]:
+            _, owed = self.owed.pop()
+            if self.endpoints.get(owed.entry.endpoint) is owed:
+                return owed, [owed]
         pools = [self.near, self.near, self.ready, self.ready, self.ready]
         if request.may_have_run and request.cls.effect is KEYED and request.cls.group is not Group.ALL:
-            first = request.may_have_run[1].entry
-            pools = [self.groups.get(first.cell if request.cls.group is Group.CELL else first.zone, [])] * 3
+            first, group = request.may_have_run[1].entry, request.cls.group.value
+            pools = [[e for e in self.ready if getattr(e.entry, group) == getattr(first, group)]] * 3
         best, least, fit, usable, seen = None, 0.0, False, 0, {}
         for n, pool in enumerate(pools, 1):
             whole = n == len(pools) and not self.most_ill()  # draws would miss the few not barred
@@ -504,6 +505,8 @@
         fresh = Endpoint(entry, self.turns)
         fresh.turn += self.random.random() / self.warmth(now, fresh)
         self.endpoints[entry.endpoint] = fresh
+        if entry.owed:
+            self.owed.append((now + OWED * self.settings.number / self.settings.copies, fresh))
 
     def draw_subset(self, now: float) -> None:
         """Few endpoints with room for few connections can't take one from every copy: each draws from a
@@ -518,10 +521,6 @@
         # A turn of a cold endpoint comes with what each warm one is sent; where most are cold, with no more
         # than 1.5 times the even share, so that a fleet that restarts as one is not pushed over.
         self.capacity = max(sum(self.warmth(now, e) for e in self.near), len(self.near) / 1.5, 1.0)
-        self.groups = {}
-        for endpoint in self.ready:
-            self.groups.setdefault(endpoint.entry.cell, []).append(endpoint)
-            self.groups.setdefault(endpoint.entry.zone, []).append(endpoint)
 
     def arc(self, pool: list[Endpoint]) -> list[Endpoint]:
         size, copies = len(pool), self.settings.copies
--- /dev/null
+++ b/tests/control/test_calls.py
@@ -0,0 +1,181 @@
+"""The operators' calls over loopback sockets, and what each puts in force."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable, Iterator
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from lapisway import interface as i
+from lapisway import policy
+from tests.conftest import Copy, entries
+from tests.world import FAR, Loopback, Wire, World, entry, list_body
+from wheatring import log
+from wheatring.control import door as doors
+
+Make = Callable[..., World]
+
+
+@pytest.fixture
+def make(running: None, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Iterator[Make]:
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    monkeypatch.setattr(policy, "PATIENCE", 1e9)
+    monkeypatch.setattr(log, "line", log.line)
+    worlds: list[World] = []
+
+    def build(nodes: int = 1) -> World:
+        worlds.append(World(Loopback(), nodes, control=("127.0.0.1", 0)))
+        return worlds[-1]
+
+    yield build
+    for world in worlds:
+        world.end()
+
+
+def dial(world: World) -> Wire:
+    assert world.sidecar.door is not None and world.sidecar.door.port is not None
+    port = world.sidecar.door.port.getHost().port
+    return Wire(socket.create_connection(("127.0.0.1", port), FAR))
+
+
+def call(world: World, path: str, method: str = "POST") -> int:
+    wire = dial(world)
+    wire.send(f"{method} /control/{path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+    first, _, _ = wire.read()
+    assert wire.at_end()  # one call to a connection
+    wire.close()
+    return int(first.split()[1])
+
+
+def health(world: World) -> int:
+    wire = world.caller()
+    wire.send(b"GET /healthz HTTP/1.1\r\n\r\n")
+    return int(wire.read()[0].split()[1])
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("GET", "ready", 200),
+        ("POST", "ready", 405),
+        ("GET", "endpoints/n0/offline", 405),
+        ("POST", "endpoints/n0/offline", 200),
+        ("POST", "endpoints/n%30/online", 200),
+        ("POST", "endpoints/n9/offline", 404),
+        ("POST", "endpoints/n9/online", 404),
+        ("POST", "endpoints/n0/sideways", 404),
+        ("POST", "nothing", 404),
+        ("G T", "ready", 400),
+    ],
+)
+def test_each_call_has_its_answer(make: Make, method: str, path: str, status: int) -> None:
+    assert call(make(), path, method) == status
+
+
+def test_half_calls_in_a_crowd_keep_nobody_out(make: Make) -> None:
+    world = make()
+    crowd = [dial(world) for _ in range(200)]
+    for wire in crowd[::2]:
+        with suppress(OSError):  # some have had to make room by now
+            wire.send(b"POST /control/in-ser")
+    assert call(world, "ready", "GET") == 200
+    assert world.run(lambda: len(world.sidecar.door.calls if world.sidecar.door else ())) <= doors.MOST
+    for wire in crowd:
+        wire.close()
+
+
+def test_one_that_is_out_gets_nothing_whatever_the_list_says_and_one_call_brings_it_back(make: Make) -> None:
+    world = make(2)
+    watch = world.discovery.accept()
+    watch.read()
+    assert call(world, "endpoints/n0/offline") == call(world, "endpoints/n0/offline") == 200
+    watch.answer(200, list_body(8, *(entry(f"n{n}", p) for n, p in enumerate(world.nodes)), reset=True))
+    watch.read()
+    for _ in range(6):
+        caller = world.ask()
+        wire = world.nodes[1].accept()
+        wire.read()
+        wire.answer(200, b"one", "Connection: close\r\n")
+        assert caller.read()[2] == b"one"
+    assert call(world, "endpoints/n1/offline") == 200
+    assert world.ask().read()[0].split()[1] == "503"  # at once: there is nobody
+    assert call(world, "endpoints/n0/online") == 200
+    caller = world.ask()
+    wire = world.nodes[0].accept()
+    wire.read()
+    wire.answer(200, b"back")
+    assert caller.read()[2] == b"back"
+
+
+def test_connections_from_before_a_ban_are_gone_with_it(make: Make) -> None:
+    world = make(1)
+    caller = world.ask()
+    wire = world.nodes[0].accept()
+    wire.read()
+    wire.answer(200, b"kept")
+    caller.read()
+    assert call(world, "endpoints/n0/offline") == 200
+    assert wire.at_end()
+
+
+def test_a_connect_under_way_comes_to_no_send_once_its_node_is_out(make: Make) -> None:
+    world = make(1)
+
+    def ban() -> int:
+        # The connect has been asked for and can't have come up within this turn of the reactor.
+        sidecar = world.sidecar
+        sidecar.exchange.claim(job, "n0", world.reactor.seconds() + 9)
+        under_way = len(sidecar.pool.dials)
+        assert sidecar.desk is not None and sidecar.desk.offline("n0")
+        return under_way
+
+    caller = world.ask()
+    wire = world.nodes[0].accept()
+    wire.read()
+    (job,) = world.run(lambda: list(world.sidecar.exchange.idents.values()))
+    assert world.run(ban) == 1
+    assert world.run(lambda: len(world.sidecar.pool.dials)) == 0
+    wire.answer(200, b"yes")
+    assert caller.read()[2] == b"yes"
+
+
+def test_out_of_service_sends_clients_away_and_in_service_takes_them_again(make: Make) -> None:
+    world = make(1)
+    idle, busy = world.caller(), world.ask()
+    idle.send(b"GET /healthz HTTP/1.1\r\n\r\n")
+    idle.read()
+    wire = world.nodes[0].accept()
+    wire.read()
+    assert call(world, "out-of-service") == call(world, "out-of-service") == 200
+    assert health(world) == 503
+    wire.answer(200, b"kept")
+    _, fields, body = busy.read()
+    assert (fields["connection"], body) == ("close", b"kept") and busy.at_end()
+    assert idle.at_end()  # in time, by itself
+    assert call(world, "in-service") == 200
+    assert health(world) == 200
+
+
+def test_orders_stand_over_a_new_process(make: Make) -> None:
+    world = make(1)
+    assert call(world, "endpoints/n0/offline") == call(world, "out-of-service") == 200
+    assert world.sidecar.desk is not None
+    world.run(world.sidecar.desk.stop)
+    later = make(1)
+    assert health(later) == 503
+    assert later.ask().read()[0].split()[1] == "503"
+
+
+def test_the_next_call_goes_to_one_put_back_and_other_copies_wait_their_turn() -> None:
+    back = entries("d", started_at=1000.0, owed=True)
+    for number, first in ((0, True), (50, False)):
+        copy = Copy(copies=100, number=number, contract=i.Contract(cold_from=0.01, cold=1e6))
+        copy.view(*entries("a", "b", "c"))
+        copy.view(*back, kind=i.ViewKind.DELTA)
+        assert (copy.send().endpoint == "d") is first
+        copy.now += policy.OWED / 2
+        assert (copy.send().endpoint == "d") is not first
+        assert copy.send().endpoint != "d"  # it is cold, and owed no more
--- /dev/null
+++ b/tests/control/test_upgrade.py
@@ -0,0 +1,189 @@
+"""A new version under load: two real processes at one address, and what is lost at the door."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from pathlib import Path
+from typing import Any
+
+from tests.test_process import told
+from tests.world import FAR, Peer, Wire, entry
+
+
+def begin(tmp_path: Path, name: str, **changes: Any) -> subprocess.Popen[str]:
+    """One more process of the sidecar, its control at a port of its own."""
+    file = tmp_path / f"{name}.json"
+    file.write_text(json.dumps(told(control="127.0.0.1:0", **changes)), encoding="utf-8")
+    return subprocess.Popen(
+        [sys.executable, "-m", "wheatring", "--capture"],
+        env={**os.environ, "LB_CONFIG": str(file), "TMPDIR": str(tmp_path / "tmp")},
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+
+
+def wait(process: subprocess.Popen[str], event: str) -> dict[str, str]:
+    assert process.stdout is not None
+    line = next(line for line in process.stdout if line.startswith(event + " "))
+    return dict(pair.split("=") for pair in line.split()[1:] if "=" in pair)
+
+
+def call(port: int, path: str, method: str = "POST") -> str:
+    wire = Wire(socket.create_connection(("127.0.0.1", port), FAR))
+    wire.send(f"{method} /control/{path} HTTP/1.1\r\n\r\n".encode())
+    status = wire.read()[0].split()[1]
+    wire.close()
+    return status
+
+
+def serve(peer: Peer, name: str) -> None:
+    """Answer all that comes to a node with its name."""
+
+    def one(wire: Wire) -> None:
+        try:
+            while True:
+                wire.read()
+                wire.answer(200, name.encode())
+        except (OSError, EOFError):
+            wire.close()
+
+    def all_of_them() -> None:
+        try:
+            while True:
+                threading.Thread(target=one, args=(peer.accept(),), daemon=True).start()
+        except OSError:
+            pass  # closed
+
+    threading.Thread(target=all_of_them, daemon=True).start()
+
+
+class Load:
+    """Callers that ask one after the other, on a connection as long as that is kept."""
+
+    def __init__(self, port: int, callers: int) -> None:
+        self.port = port
+        self.lost = 0
+        self.served: list[bytes] = []
+        self.over = threading.Event()
+        self.threads = [threading.Thread(target=self.run, args=(n,)) for n in range(callers)]
+        for thread in self.threads:
+            thread.start()
+
+    def run(self, caller: int) -> None:
+        wire, count = None, 0
+        while not self.over.is_set():
+            count += 1
+            try:
+                if wire is None:
+                    wire = Wire(socket.create_connection(("127.0.0.1", self.port), FAR))
+                ident = f"{self.port}-{caller}-{count}"
+                wire.send(f"GET /menu HTTP/1.1\r\nX-Correlation-Id: {ident}\r\n\r\n".encode())
+                first, fields, body = wire.read()
+            except (OSError, EOFError):
+                self.lost += 1
+                wire = None
+                continue
+            if first.split()[1] == "200":
+                self.served.append(body)
+            if fields.get("connection") == "close":
+                wire.close()
+                wire = None
+        if wire is not None:
+            wire.close()
+
+    def more(self, count: int) -> list[bytes]:
+        """So many answers from now on."""
+        begun = len(self.served)
+        waited = threading.Event()
+        while len(self.served) < begun + count:
+            waited.wait(0.01)
+        return self.served[begun:]
+
+    def end(self) -> None:
+        self.over.set()
+        for thread in self.threads:
+            thread.join()
+
+
+def test_two_upgrades_in_a_row_lose_nobody_and_keep_what_was_ordered(tmp_path: Path) -> None:
+    (tmp_path / "tmp").mkdir()
+    with socket.socket() as taken:  # an address that both can be told of
+        taken.bind(("127.0.0.1", 0))
+        port = taken.getsockname()[1]
+    nodes, discovery = [Peer(), Peer()], Peer()
+    for n, peer in enumerate(nodes):
+        serve(peer, f"n{n}")
+    known = {"generation": 3, "instances": [entry(f"n{n}", peer) for n, peer in enumerate(nodes)]}
+    same = {
+        "listen": f"127.0.0.1:{port}", "known": known, "discovery": f"127.0.0.1:{discovery.port}"
+    }  # fmt: skip
+    old = begin(tmp_path, "v1", **same)
+    processes = [old]
+    load = None
+    try:
+        control = int(wait(old, "control-listening")["port"])
+        wait(old, "listening")
+        load = Load(port, 8)
+        assert set(load.more(100)) == {b"n0", b"n1"}
+        assert call(control, "endpoints/n0/offline") == "200"
+        load.more(8)  # what was under way
+        for version in ("v2", "v3"):
+            new = begin(tmp_path, version, **same)
+            processes.append(new)
+            control = int(wait(new, "control-listening")["port"])
+            told_of = wait(new, "upgrade")
+            assert (told_of["part"], told_of["others"]) == ("newer", "1")
+            assert call(control, "ready", "GET") == "200"
+            old.send_signal(signal.SIGTERM)
+            assert set(load.more(100)) == {b"n1"}
+            assert old.wait(FAR) == 0
+            old = new
+        assert call(control, "endpoints/n0/online") == "200"
+        while b"n0" not in load.more(20):
+            pass
+        load.end()
+        assert load.lost == 0
+        assert old.poll() is None
+        old.send_signal(signal.SIGTERM)
+        assert old.wait(FAR) == 0
+        assert not list((tmp_path / "tmp").glob("*.live"))
+    finally:
+        if load is not None:
+            load.end()
+        for process in processes:
+            process.kill()
+            process.communicate()
+        for peer in [*nodes, discovery]:
+            peer.close()
+
+
+def test_a_newcomer_killed_at_its_start_leaves_the_old_one_serving(tmp_path: Path) -> None:
+    (tmp_path / "tmp").mkdir()
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        port = taken.getsockname()[1]
+    same = {"listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:9"}
+    old = begin(tmp_path, "v1", **same)
+    new = None
+    try:
+        wait(old, "listening")
+        new = begin(tmp_path, "v2", **same)
+        assert wait(new, "upgrade")["drawn"] == "1"  # all connections go to it by now
+        new.kill()
+        new.wait(FAR)
+        for _ in range(20):
+            wire = Wire(socket.create_connection(("127.0.0.1", port), FAR))
+            wire.send(b"GET /healthz HTTP/1.1\r\n\r\n")
+            assert wire.read()[0].split()[1] == "200"
+            wire.close()
+    finally:
+        for process in (old, new):
+            if process is not None:
+                process.kill()
+                process.communicate()
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -98,7 +98,7 @@
     world = make(1, settings("drill.share = 100\ndrill.delay.ms = 200"))
     caller = world.ask()
     world.logged("drill")
-    world.run(world.sidecar.server.stop_keeping)
+    world.sidecar.server.stopping = True
     world.run(world.sidecar.server.close_between)
     assert served(world.nodes[0].accept(), caller)["x-drill"] == "1"
     assert caller.at_end()
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -16,6 +16,7 @@
     ("wheatring.lab", 6),
     ("wheatring.daemon", 5),
     ("wheatring.plugin", 5),
+    ("wheatring.control", 4),
     ("wheatring.http1", 4),
     ("wheatring.core", 3),
     ("wheatring.ops", 3),
@@ -33,6 +34,7 @@
 STATED = {
     ("wheatring.ops", "wheatring.core"),  # the features are hooks on the core
     ("wheatring.config", "wheatring.address"),
+    ("wheatring.control", "wheatring.http1.parser"),  # the operators' calls are HTTP too
     ("wheatring.config", "lapisway"),
     ("wheatring.operators", "wheatring.config"),
 }
@@ -70,7 +72,7 @@
     name, height = floor(module)
     for imported in imports(path):
         other, below = floor(imported)
-        if other == name or (name, other) in STATED or HOOKS.get(name) == other:
+        if other == name or {(name, other), (name, imported)} & STATED or HOOKS.get(name) == other:
             continue
         assert below < height, f"{module} (floor {height}) imports {imported} (floor {below})"
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -217,7 +217,7 @@
 
 def test_an_answer_that_began_is_never_retried(copy: Copy) -> None:
     send = copy.send()
-    copy.do(i.StreamStarted(send.request, 0, send.endpoint, 0.1))
+    copy.do(i.Committed(send.request))
     assert isinstance(copy.end(send, O.RESET)[0], i.Refuse)
 
 
@@ -244,7 +244,7 @@
     assert copy.end(copy.send(), O.ERROR, attempt=7) == []
     assert copy.do(i.TimerDue(12345)) == []
     assert copy.do(i.ClientGone(999)) == []
-    assert copy.do(i.StreamStarted(999, 0, "a", 0.1)) == []
+    assert copy.do(i.Committed(999)) == []
     assert copy.do(i.ProbeEnded("nobody", O.SERVED, 0.1)) == []
     assert copy.do(i.PeerMessage(3, b"x")) == []
     assert copy.balancer.in_flight == before[0] + 1
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -13,7 +13,7 @@
 from tests.world import Loopback, World, entry, list_body
 from wheatring import log
 from wheatring.core.exchange import Job
-from wheatring.http1 import client, server
+from wheatring.http1 import caller, client
 from wheatring.http1.parser import Request
 
 Make = Callable[..., World]
@@ -351,28 +351,28 @@
 def test_of_a_body_that_is_too_large_no_more_than_a_part_is_read(
     make: Make, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(server, "DRAIN", 0)
+    monkeypatch.setattr(caller, "DRAIN", 0)
     world = make(0)
-    caller = world.caller()
-    caller.send(f"POST /order HTTP/1.1\r\n{GOOD}Content-Length: 60000000\r\n\r\n".encode())
-    assert caller.read()[0] == "HTTP/1.1 413 Content Too Large"
-    caller.send(b"x")
+    wire = world.caller()
+    wire.send(f"POST /order HTTP/1.1\r\n{GOOD}Content-Length: 60000000\r\n\r\n".encode())
+    assert wire.read()[0] == "HTTP/1.1 413 Content Too Large"
+    wire.send(b"x")
     world.settle()
     (connection,) = world.sidecar.server.connections
     assert connection.paused and not connection.reader.buffer
 
 
 def test_a_request_that_never_becomes_whole_is_given_up(make: Make, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(server, "PATIENCE", 0.0)
+    monkeypatch.setattr(caller, "PATIENCE", 0.0)
     world = make(0)
-    caller = world.caller()
-    caller.send(b"GET /menu HTTP/1.1\r\nX-Corr")
-    assert caller.read()[0] == "HTTP/1.1 408 Request Timeout"
-    assert caller.at_end()
+    wire = world.caller()
+    wire.send(b"GET /menu HTTP/1.1\r\nX-Corr")
+    assert wire.read()[0] == "HTTP/1.1 408 Request Timeout"
+    assert wire.at_end()
 
 
 def test_a_caller_that_says_nothing_is_let_go(make: Make, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(server, "PATIENCE", 0.0)
+    monkeypatch.setattr(caller, "PATIENCE", 0.0)
     world = make(0)
     assert world.caller().at_end()
     assert world.logged("caller-connection") == ["silent"]
@@ -391,9 +391,9 @@
     assert world.run(lambda: len(world.sidecar.server.connections)) <= world.sidecar.server.most
     looks = [c for c in world.run(world.reactor.getDelayedCalls) if c.func == world.sidecar.server.clear]
     assert len(looks) <= 1
-    for wire, caller in ((node, busy), (other, late)):
+    for wire, asker in ((node, busy), (other, late)):
         wire.answer(200, b"here")
-        assert caller.read()[2] == b"here"
+        assert asker.read()[2] == b"here"
 
 
 def test_few_descriptors_leave_callers_and_claims_enough(make: Make) -> None:
@@ -551,14 +551,14 @@
     def trip(*_: object) -> None:
         raise ZeroDivisionError
 
-    def trips(connection: server.CallerConnection, data: bytes) -> None:
+    def trips(connection: caller.CallerConnection, data: bytes) -> None:
         if late:
             connection.server.reactor.callLater(0, trip)
         else:
             trip()
 
     world = make()
-    monkeypatch.setattr(server.CallerConnection, "dataReceived", trips)
+    monkeypatch.setattr(caller.CallerConnection, "dataReceived", trips)
     observer: Any = log.twisted_failures
     globalLogPublisher.addObserver(observer)
     try:
--- a/tests/world.py
+++ b/tests/world.py
@@ -163,6 +163,7 @@
         nodes: int = 1,
         operators: Operators = NO_OPERATORS,
         capture: bool = False,
+        control: tuple[str, int] | None = None,
     ) -> None:
         self.ground = ground
         self.reactor = ground.reactor
@@ -175,11 +176,13 @@
         self.config = Config(
             name="test", listen=("127.0.0.1", 0), discovery=("127.0.0.1", self.discovery.port), seed=1,
             sockets=256, known=known, settings=settings_from(pairs(SETTINGS)), given=SETTINGS,
+            control=control,
         )  # fmt: skip
 
         def start() -> tuple[Sidecar, int]:
             sidecar = Sidecar(self.reactor, self.config, operators, capture, ground.unix)
-            return sidecar, sidecar.start()
+            sidecar.start()
+            return sidecar, sidecar.server.port.getHost().port
 
         log.line = self._line
         self.sidecar, self.port = self.run(start)
@@ -232,6 +235,9 @@
             self.sidecar.driver.feed = lambda event: None  # type: ignore[method-assign]
             if self.sidecar.server.port is not None:
                 self.sidecar.server.port.stopListening()
+            if self.sidecar.desk is not None and self.sidecar.door is not None:
+                self.sidecar.door.close()
+                self.sidecar.desk.stop()
             self.sidecar.machine_list.on_view = lambda view: None
             self.sidecar.machine_list.subscribe = lambda: None  # type: ignore[method-assign]
             self.sidecar.machine_list.unsubscribe()
--- a/wheatring/config.py
+++ b/wheatring/config.py
@@ -1,6 +1,6 @@
 """The one place where the configuration is read, checked and given its defaults.
 
-LB_CONFIG names a JSON file; LB_NAME, LB_LISTEN and LB_DISCOVERY, where set, stand over what it says. Its
+LB_CONFIG names a JSON file; LB_NAME, LB_LISTEN, LB_DISCOVERY and LB_CONTROL, where set, stand over it. Its
 `settings` are the simulator's, nested; the adapter's own reading of them is used. When the file is read
 again, what it says of discovery stands over LB_DISCOVERY, which is as old as the process.
 """
@@ -18,6 +18,7 @@
 from wheatring import address
 
 SOCKETS = 1024
+MEMORY_MB = 192
 
 # The settings' own names for what the module's vocabulary calls otherwise, so that errors name the key.
 WIRE_NAMES = {
@@ -43,6 +44,8 @@
     known: object
     settings: Settings
     given: Mapping[str, object]  # the settings as they came
+    memory_mb: int = MEMORY_MB
+    control: tuple[str, int] | None = None  # where operators call; None: nowhere
 
 
 def _address(key: str, text: object) -> tuple[str, int]:
@@ -107,6 +110,10 @@
     sockets = limits.get("sockets", SOCKETS)
     if type(sockets) is not int or sockets < 64:
         raise ConfigError(f"limits.sockets: not a whole number of 64 or more: {sockets!r}")
+    memory = limits.get("memory_mb", MEMORY_MB)
+    if isinstance(memory, bool) or not isinstance(memory, int | float) or memory < 1:
+        raise ConfigError(f"limits.memory_mb: not a number of 1 or more: {memory!r}")
+    control = told("control")
     known = data.get("known", {"generation": 0, "instances": []})
     if not isinstance(known, dict) or not isinstance(known.get("instances"), list):
         raise ConfigError("known: not a list of instances")
@@ -134,6 +141,8 @@
         discovery=_address("discovery", discovery),
         seed=number,
         sockets=sockets,
+        memory_mb=int(memory),
+        control=None if control is None else _address("control", control),
         known=known,
         settings=read_settings,
         given=settings,
--- /dev/null
+++ b/wheatring/control/calls.py
@@ -0,0 +1,66 @@
+"""The table of the operators' calls: method and path in, status and one line out. It knows no sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+from urllib.parse import unquote
+
+ROOT = "control"
+
+
+class Desk(Protocol):
+    """Carries out what is called. True: it is in force."""
+
+    def ready(self) -> bool: ...
+
+    def offline(self, node: str) -> bool:
+        """False: nobody has that id."""
+
+    def online(self, node: str) -> bool:
+        """False: nobody has that id."""
+
+    def out_of_service(self) -> bool: ...
+
+    def in_service(self) -> bool: ...
+
+
+class Said(NamedTuple):
+    """What a call is answered."""
+
+    status: int
+    line: str
+    allow: str = ""  # of a 405: the method that there is
+
+
+def answer(desk: Desk, method: bytes, target: bytes) -> Said:
+    """Carry a call out. An unreadable path is one that there is not."""
+    words = target.partition(b"?")[0].decode("latin-1").split("/")
+    match words:
+        case ["", root, "endpoints", node, "offline"] if root == ROOT:
+            return _endpoint(method, desk.offline, node, "offline")
+        case ["", root, "endpoints", node, "online"] if root == ROOT:
+            return _endpoint(method, desk.online, node, "online")
+        case ["", root, word] if root == ROOT:
+            return _whole(desk, method, word)
+    return Said(404, "no such call")
+
+
+def _whole(desk: Desk, method: bytes, word: str) -> Said:
+    calls: dict[str, tuple[bytes, Callable[[], bool]]] = {
+        "ready": (b"GET", desk.ready),
+        "out-of-service": (b"POST", desk.out_of_service),
+        "in-service": (b"POST", desk.in_service),
+    }
+    if word not in calls:
+        return Said(404, "no such call")
+    wanted, call = calls[word]
+    if method != wanted:
+        return Said(405, f"{word} takes {wanted.decode()}", wanted.decode())
+    return Said(200, word) if call() else Said(503, f"not {word} yet")
+
+
+def _endpoint(method: bytes, call: Callable[[str], bool], quoted: str, word: str) -> Said:
+    if method != b"POST":
+        return Said(405, f"{word} takes POST", "POST")
+    return Said(200, word) if call(unquote(quoted)) else Said(404, "no endpoint has this id")
--- a/wheatring/daemon.py
+++ b/wheatring/daemon.py
@@ -14,12 +14,16 @@
 from wheatring.lifecycle.leaving import Leaving
 
 if TYPE_CHECKING:  # what belongs to a feature is imported once that is turned on
+    from lapisway.interface import View
     from lapisway.policy import Balancer
+    from wheatring.control.desk import Desk
+    from wheatring.control.door import Door
     from wheatring.ops.audit import Audit
     from wheatring.ops.capture.ring import Ring
     from wheatring.ops.drills import Drills
 
 RESERVE = 24  # descriptors kept for the log, the reactor, the door, the configuration and calls to discovery
+CALLS = 32  # and, where operators call, for their door and its calls, and the files that two processes share
 CLAIMS = 0.4  # part of the rest that is for claims: callers' requests may hold a third, and others are idle
 LOOK = 0.02  # seconds between looks at what is still to be done before it ends
 
@@ -55,17 +59,22 @@
         self.exchange = Exchange(self.clock, settings.contract.answer_slack)
         balancer = Balancer(settings, told.seed)
         self.driver = Driver(balancer, self.exchange, self.clock)
-        places = told.sockets - RESERVE
-        claims = int(places * CLAIMS)
+        self.places = told.sockets - RESERVE - (CALLS if told.control else 0)
+        claims = int(self.places * CLAIMS)
         self.pool = Pool(
             reactor, self.clock, self.exchange, limits.connect_timeout, limits.idle_timeout, claims
         )
         freshness = Freshness(settings.copies, settings.number, Random(f"{told.seed}:list"), self.clock.now())
+        self.server = Server(reactor, self.clock, self.exchange, settings.classes, self.places - claims)
+        on_view: Callable[[View], None] = self.driver.feed
+        self.desk: Desk | None = None
+        self.door: Door | None = None
+        if told.control is not None:
+            on_view = self.open_desk()
         self.machine_list = MachineList(
-            reactor, self.clock, told.discovery, self.pool.addresses, self.driver.feed, freshness
+            reactor, self.clock, told.discovery, self.pool.addresses, on_view, freshness
         )
         self.driver.machine_list = self.machine_list
-        self.server = Server(reactor, self.clock, self.exchange, settings.classes, places - claims)
         self.ring: Ring | None = None
         if capture:
             self.capture(balancer)
@@ -76,28 +85,62 @@
 
             self.audit = Audit(told.name, self.clock, asked.audit.file)
 
+    def open_desk(self) -> Callable[[View], None]:
+        """What operators call goes to the desk, and what discovery says through what they have ordered."""
+        from wheatring.control.desk import Desk
+        from wheatring.control.door import Door
+        from wheatring.lifecycle.byhand import ByHand
+        from wheatring.lifecycle.handover import Folder
+
+        by_hand = ByHand(self.driver.feed)
+        folder = Folder(temporary(), self.told.name, round(self.clock.now() * 1e9))
+        self.desk = Desk(
+            self.clock, folder, by_hand, self.server, self.pool, self.places, self.held, self.resize,
+            self.listen,
+        )  # fmt: skip
+        self.door = Door(self.reactor, self.clock, self.desk)
+        return by_hand.view
+
+    def held(self) -> int:
+        """Places taken now, by callers and claims."""
+        return len(self.server.connections) + len(self.pool.connections) + len(self.pool.dials)
+
+    def resize(self, places: int) -> None:
+        self.pool.most = int(places * CLAIMS)
+        self.server.resize(places - self.pool.most)
+
     def capture(self, balancer: Balancer) -> None:
         from wheatring.ops.capture import record
         from wheatring.ops.capture.ring import Ring
 
         asked, told, clock = self.first_asked.capture, self.told, self.clock
-        folder = asked.folder or os.environ.get("TMPDIR") or "/tmp"
-        self.ring = Ring(folder, told.name, asked.files, asked.size, clock)
+        folder = asked.folder or temporary()
+        self.ring = Ring(folder, told.name, asked.files, asked.size, clock, shared=told.control is not None)
         for line in record.header(told.name, told.seed, clock.unix_offset, told.given):
             self.ring.write(line)
         self.driver.balancer = record.Recorder(
             balancer, clock.unix_offset, self.ring.write, self.driver.ident, self.pool.idle_at
         )
 
-    def start(self) -> int:
+    def start(self) -> None:
+        if self.desk is not None and self.door is not None and self.told.control is not None:
+            self.desk.start()
+            port = self.door.listen(*self.told.control)
+            log.line("control-listening", host=self.told.control[0], port=port)
         self.machine_list.known(self.told.known)
-        port = self.server.listen(*self.told.listen)
-        log.line("listening", name=self.told.name, host=self.told.listen[0], port=port)
+        if self.desk is not None:
+            self.desk.serve()
+        else:
+            self.listen()
         self.record("start", "platform")
         self.record("config", "platform")
         self.record("config", "operators")
         self.switch(self.first_asked)
-        return port
+
+    def listen(self) -> None:
+        """Let callers in."""
+        port = self.server.listen(*self.told.listen, shared=self.desk is not None)
+        log.line("listening", name=self.told.name, host=self.told.listen[0], port=port)
 
     def record(self, event: str, actor: str) -> None:
         if self.audit is not None:
@@ -149,7 +192,7 @@
         if not self.server.stopping:
             log.line("stopping", open=self.exchange.open)
             self.record("stop", "platform")
-            self.server.stop_keeping()
+            self.server.stopping = True
             settings = self.told.settings
             self.leaving = Leaving(
                 self.clock.now(),
@@ -157,6 +200,7 @@
                 settings.copies,
                 self.exchange.usual,
                 len(self.server.standing()),
+                followed=self.desk is not None and self.desk.followed,
             )
             self.leave()
 
@@ -164,7 +208,10 @@
         """Do what is to be done by now, and look again."""
         now, leaving, server = self.clock.now(), self.leaving, self.server
         if server.port is None:
-            server.close_between()
+            if keep := leaving.keep(now):
+                server.shed(keep, leaving.rested)
+            else:
+                server.close_between()
             if not leaving.goes_on(now, self.exchange.left(now)):
                 if self.exchange.open:
                     log.line("cut-short", open=self.exchange.open, after=now - leaving.told)
@@ -175,12 +222,15 @@
         elif leaving.shut(now, server.came_at, server.full):
             self.reactor.callLater(0, server.shut)  # who waits at the door comes in first
         else:
-            server.shed(leaving.keep(now))
+            server.shed(leaving.keep(now), leaving.rested)
         self.clock.at(now + LOOK, self.leave)
 
     def finish(self) -> None:
         self.machine_list.unsubscribe()
         self.pool.close()
+        if self.desk is not None and self.door is not None:
+            self.door.close()
+            self.desk.stop()
         if self.drills is not None:
             self.drills.stop()
         if self.audit is not None:
@@ -191,6 +241,11 @@
         self.clock.at(self.clock.now(), self.reactor.stop)  # once these connections have had their lines
 
 
+def temporary() -> str:
+    """The folder that the platform gives, the same for two processes of one sidecar."""
+    return os.environ.get("TMPDIR") or "/tmp"
+
+
 def serve(file: str | None, capture: bool) -> int:
     """Serve until told to stop; `file` is the operators'. The exit status: 2 where it could not start."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload, it must not end us
--- a/wheatring/http1/client.py
+++ b/wheatring/http1/client.py
@@ -156,17 +156,17 @@
         self.late = pool.clock.at(by, self.connector.stopConnecting)
 
     def buildProtocol(self, addr: object) -> ClaimConnection:
-        self.stop_clock()
+        self.over()
         return _Fresh(self.pool, self.place, self.claim)
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
-        self.stop_clock()
-        self.pool.dialled()
+        self.over()
         code = "not-up-in-time" if isinstance(reason.value, UserError) else "connect-failed"
         log.line("claim-connection", code=code, peer=self.place.address)
         self.pool.exchange.end(self.claim, Outcome.CONNECT_FAILED)
 
-    def stop_clock(self) -> None:
+    def over(self) -> None:
+        del self.pool.dials[self]
         if self.late is not None and self.late.active():
             self.late.cancel()
 
@@ -183,7 +183,6 @@
 
     def connectionMade(self) -> None:
         super().connectionMade()
-        self.pool.dialled()
         self.pool.up(self)
         if self.first.wanted:
             self.carry(self.first)
@@ -207,7 +206,7 @@
         self.addresses: dict[str, str] = {}
         self.idle_ones: dict[Place, deque[ClaimConnection]] = {}
         self.connections: dict[ClaimConnection, None] = {}  # in the order in which they came
-        self.dialling = 0
+        self.dials: dict[_Dial, None] = {}  # under way, in the order in which they began
         exchange.start_claim = self.start
         exchange.close_idle = self.close_idle
         self.sweep()
@@ -225,15 +224,17 @@
             if connection.alive and not connection.code:
                 connection.carry(claim)
                 return
-        if len(self.connections) + self.dialling >= self.most and not self.retire_oldest():
+        if len(self.connections) + len(self.dials) >= self.most and not self.retire_oldest():
             log.line("too-many-connections", most=self.most)
             self.reactor.callLater(0, partial(self.exchange.end, claim, Outcome.CONNECT_FAILED))
             return
-        _Dial(self, claim, place)
-        self.dialling += 1  # its end is never reported before this turn of the reactor is over
+        self.dials[_Dial(self, claim, place)] = None  # its end is never reported in this turn of the reactor
 
-    def dialled(self) -> None:
-        self.dialling -= 1
+    def bar(self, node: str) -> None:
+        """Nothing new goes there: no connect still under way comes to a send, and no connection is kept."""
+        for dial in [dial for dial in self.dials if dial.place.node == node]:
+            dial.connector.stopConnecting()
+        self.close_idle(node)
 
     def up(self, connection: ClaimConnection) -> None:
         self.connections[connection] = None
--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -4,41 +4,28 @@
 
 import re
 from collections.abc import Callable, Container, Mapping
-from math import ceil, inf
+from math import inf
 from typing import Any
 
 from twisted.internet.protocol import ServerFactory
-from twisted.internet.tcp import Port
 
 from lapisway.interface import Effect, RequestClass
-from wheatring import log
 from wheatring.core.clock import Clock, Timer
-from wheatring.core.exchange import Answer, Exchange, Final, Job
+from wheatring.core.exchange import Exchange, Job
 from wheatring.core.refused import Refused
-from wheatring.http1.connection import Connection
-from wheatring.http1.parser import MAX_BODY, MAX_HEAD, BadMessage, Message, Request
+from wheatring.http1.caller import CallerConnection
+from wheatring.http1.door import open_door, open_shared_door
+from wheatring.http1.parser import Message, Request
 
 _IDENT = re.compile(rb"[!-~]{1,200}")
 _DIGITS = re.compile(rb"[0-9]{1,12}")
 _ONCE = frozenset((b"x-correlation-id", b"x-service-class", b"x-time-left-ms", b"idempotency-key"))
 
-SAFE, SERVED, REFUSED = Effect.SAFE, Final.SERVED, Final.REFUSED  # looked up once: an enum takes its time
-
-REASONS = {
-    400: b"Bad Request", 401: b"Unauthorized", 403: b"Forbidden", 404: b"Not Found",
-    405: b"Method Not Allowed", 408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large",
-    431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
-    503: b"Service Unavailable",
-}  # fmt: skip
+SAFE = Effect.SAFE  # looked up once: an enum takes its time
 
 SWEEP = 0.25  # seconds between looks for callers that keep a connection for nothing
-# Seconds in which a request must be whole, from its first byte or, for the first one, from the connect.
-# A caller that sends none is owed a word within 3 s.
-PATIENCE = 2.0
 IDLE = 20.0  # seconds after which a connection between requests is closed
 IDLE_CROWDED = 2.0  # the same once half of the places are taken: a caller may rely on no more
-LINGER = 2.0  # seconds in which a caller may read the answer to what could not be read
-DRAIN = 1024 * 1024  # bytes of the rest of its request that are read meanwhile; more would only cost time
 # Seconds that a connection keeps its place without a job when all places are taken: enough for a caller
 # that has just connected to write its request, and a crowd that says nothing can't shut the others out.
 STAND = 0.3
@@ -50,187 +37,6 @@
 FLUSH = 0.5
 
 
-def response(status: int, body: bytes = b"", more: bytes = b"", *, close: bool = False) -> bytes:
-    return b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n%s\r\n%s" % (
-        status, REASONS.get(status, b"OK"), more, len(body), b"Connection: close\r\n" if close else b"", body
-    )  # fmt: skip
-
-
-class CallerConnection(Connection):
-    """One caller. It is answered one request at a time, in the order in which they came."""
-
-    kind = "caller-connection"
-
-    def __init__(self, server: Server) -> None:
-        super().__init__(responses=False)
-        self.server = server
-        self.job: Job | None = None
-        self.keep_alive = True
-        self.lingering = False
-        self.paused = False
-        self.drained = 0  # bytes thrown away after the last answer
-        self.since = server.clock.now()  # of the present state: between requests, or in the middle of one
-        self.waiting = True  # a request is awaited and not whole; the first one from the connect on
-
-    def connectionMade(self) -> None:
-        super().connectionMade()
-        self.server.came(self)
-
-    def dataReceived(self, data: bytes) -> None:
-        if self.lingering or self.code:
-            self.drained += len(data)
-            if self.drained > DRAIN and not self.paused:
-                self.paused = True
-                self.transport.pauseProducing()
-            return
-        self.reader.feed(data)
-        if self.job is None:
-            self.advance()
-        elif len(self.reader.buffer) > MAX_HEAD + MAX_BODY and not self.paused:
-            # A caller that sends ahead without end must not fill the memory.
-            self.paused = True
-            self.transport.pauseProducing()
-
-    def advance(self) -> None:
-        """Read on, until a job is under way or bytes are missing."""
-        try:
-            # A caller that has left must not start the next request that it had sent ahead.
-            while self.alive and self.job is None and not self.code and not self.lingering:
-                message = self.reader.next()
-                if message is None:
-                    break
-                self.waiting = False
-                self.keep_alive = message.keep_alive and not self.server.stopping
-                self.handle(message)
-        except BadMessage as bad:
-            self.reject(bad.status, str(bad))
-            return
-        if self.job is None and self.reader.started and not self.waiting:
-            self.waiting = True
-            self.since = self.server.clock.now()
-        if self.waiting and self.reader.message is not None:
-            self.expect(self.reader.message)
-
-    def expect(self, message: Message) -> None:
-        if message.fields.pop(b"expect", b"").lower() == b"100-continue":
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def handle(self, message: Message) -> None:
-        try:
-            if message.first[1].partition(b"?")[0] == b"/healthz":
-                if message.first[0] != b"GET":
-                    raise Refused(405, "method", b"Allow: GET\r\n")
-                self.say(response(200, b"ok\n", close=not self.keep_alive))
-                return
-            job = self.server.job_from(message)
-        except Refused as refused:
-            if refused.status == 400:
-                self.reject(400, str(refused))
-            else:
-                self.say(response(refused.status, refused.body, refused.more, close=not self.keep_alive))
-            return
-        except Exception as bug:  # a request that trips us up is answered all the same
-            log.line("request-broken", why=repr(bug))
-            self.reject(500, "internal error")
-            return
-        self.job = job
-        self.server.exchange.submit(job).addCallback(self.answer, job).addErrback(self.broken)
-
-    def answer(self, answer: Answer, job: Job) -> None:
-        self.job = None
-        close = not self.keep_alive or self.server.stopping
-        self.keep_alive = not close
-        mark = b"X-Drill: 1\r\n" if job.drill else b""
-        if answer.final is SERVED:
-            message = answer.content
-            assert isinstance(message, Message)
-            self.say(response(200, message.body, mark + message.end_to_end(), close=close))
-        elif answer.final is REFUSED:
-            wait = answer.retry_after
-            more = b"Retry-After: %s\r\n" % (b"%.3f" % (ceil(wait * 1000) / 1000)) if wait > 0 else b""
-            self.say(response(503, more=mark + more, close=close))
-        else:
-            self.say(response(502, more=mark, close=close))
-        if self.paused:
-            self.paused = False
-            self.transport.resumeProducing()
-        if self.reader.started:  # the next request is here already: not from within this one's answer
-            self.server.reactor.callLater(0, self.advance)
-
-    def broken(self, failure: Any) -> None:
-        """Guards against a caller left without an answer by a fault of ours."""
-        log.line("answer-broken", why=repr(failure.value))
-        self.abort("internal-error")
-
-    def say(self, data: bytes) -> None:
-        if not self.alive:
-            return
-        self.since = self.server.clock.now()
-        self.transport.write(data)
-        if not self.keep_alive:
-            self.close("stopping" if self.server.stopping else "caller-asked")
-
-    def reject(self, status: int, why: str) -> None:
-        """Answer what can't be read and end the connection. Closing at once would reset it under the
-        caller's unread bytes, and the answer would be lost with them."""
-        self.why = why
-        self.lingering = True
-        self.since = self.server.clock.now()
-        self.reader.buffer.clear()
-        self.transport.write(response(status, close=True))
-        self.transport.loseWriteConnection()
-        self.code = f"bad-request-{status}"
-
-    def look(self, now: float, idle: float) -> None:
-        """Close what is kept for nothing."""
-        if self.code:
-            # A caller that reads nothing must not keep its connection for ever.
-            if now > self.since + LINGER:
-                self.abort(self.code)
-        elif self.job is None and self.waiting:
-            if now > self.since + PATIENCE:
-                self.give_up("silent")
-        elif self.job is None and now > self.since + idle:
-            self.close("idle")
-
-    def make_room(self) -> None:
-        """Give the place up to a caller that waits for one."""
-        if self.code:
-            self.abort(self.code)
-        else:
-            self.give_up("full")
-
-    def give_up(self, code: str) -> None:
-        """Wait no longer. A caller that is in the middle of a request gets an answer."""
-        if self.reader.started:
-            self.reject(408, "request not whole in time")
-        else:
-            self.close(code)
-
-    def ended(self, orderly: bool) -> None:
-        self.server.went(self)
-        if self.job is not None:
-            job, self.job = self.job, None
-            self.server.exchange.leave(job)
-
-
-class Door(Port):
-    """The listening socket. It takes no more callers in one go than there are places for."""
-
-    def doRead(self) -> None:
-        server = self.factory
-        assert isinstance(server, Server)
-        self.numberAccepts = max(1, min(self.numberAccepts, server.room))
-        super().doRead()  # type: ignore[no-untyped-call]
-
-
-def open_door(port: int, server: Server, backlog: int, host: str, reactor: Any) -> Door:
-    factory: Any = server  # Twisted's interfaces are not known to the type checker
-    door = Door(port, factory, backlog, host, reactor)
-    door.startListening()
-    return door
-
-
 class Server(ServerFactory):
     noisy = False
 
@@ -247,6 +53,7 @@
         # In the order in which they came: in an order of memory's, two runs of one day would differ.
         self.connections: dict[CallerConnection, None] = {}
         self.stopping = False
+        self.away = False  # out of service: callers are sent away
         self.came_at = -inf  # the last new connection
         self.guard: Callable[[Mapping[bytes, bytes]], Container[str]] | None = None
         self.port: Any = None
@@ -257,11 +64,23 @@
     def buildProtocol(self, addr: object) -> CallerConnection:
         return CallerConnection(self)
 
-    def listen(self, host: str, port: int) -> int:
-        self.port = self.open_door(port, self, BACKLOG, host, self.reactor)
+    def listen(self, host: str, port: int, shared: bool = False) -> int:
+        """`shared` with another process at the same address."""
+        opening = open_shared_door if shared else self.open_door
+        self.port = opening(port, self, BACKLOG, host, self.reactor)
         bound: int = self.port.getHost().port
         return bound
 
+    @property
+    def parting(self) -> bool:
+        """Each answer is the last one on its connection."""
+        return self.stopping or self.away
+
+    def resize(self, most: int) -> None:
+        """So many callers may be here from now on."""
+        self.most = most
+        self._reopen()
+
     @property
     def room(self) -> int:
         """Places for callers that are free."""
@@ -279,6 +98,9 @@
 
     def went(self, connection: CallerConnection) -> None:
         self.connections.pop(connection, None)
+        self._reopen()
+
+    def _reopen(self) -> None:
         if self.full and len(self.connections) < self.most:
             self.full = False
             if self.port is not None:
@@ -347,11 +169,7 @@
             repeat=fields.get(b"x-repeat") == b"1",
         )
 
-    # Shutdown
-
-    def stop_keeping(self) -> None:
-        """From now on each answer is the last one on its connection."""
-        self.stopping = True
+    # Shutdown, and out of service
 
     def standing(self) -> list[CallerConnection]:
         """The connections between requests, that which has stood longest first."""
@@ -359,11 +177,14 @@
         found.sort(key=lambda c: c.since)
         return found
 
-    def shed(self, keep: int) -> None:
-        """Close connections between requests until no more than `keep` are left of those that stand now."""
+    def shed(self, keep: int, rested: float = 0.0) -> None:
+        """Close connections between requests until no more than `keep` are left of those that stand now; none
+        that has not stood for `rested` seconds, as its caller may ask again at any moment."""
         standing = self.standing()
+        before = self.clock.now() - rested
         for connection in standing[: max(0, len(standing) - keep)]:
-            self.part(connection)
+            if connection.since <= before:
+                self.part(connection)
 
     def part(self, connection: CallerConnection) -> None:
         """Close a connection between requests, unless one has come on it by now: that is read first."""
--- /dev/null
+++ b/wheatring/lifecycle/handover.py
@@ -0,0 +1,170 @@
+"""Two processes of one sidecar, a newer and an older one: their files, and all that touches them.
+
+    service-NAME.orders     what the operators have ordered, replaced whole
+    service-NAME.lock       held for the moment in which orders or ceilings are changed
+    service-NAME-N.live     one a process, N its start in nanoseconds: its ceiling of descriptors
+
+That a process lives is told by the lock that it holds on its file, which the system lets go with it: a file
+that a killed one has left says nothing, and is removed. What can't be read or written costs one log line, and
+the sidecar goes on alone.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import json
+import os
+import re
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from pathlib import Path
+from typing import NamedTuple
+from urllib.parse import quote
+
+from wheatring import log
+from wheatring.lifecycle.orders import Orders, OrdersError, read
+
+
+class Other(NamedTuple):
+    """Another process of this sidecar that lives."""
+
+    since: int  # nanoseconds of the machine's clock, which is its name too
+    ceiling: int
+
+
+class Folder:
+    """What the processes of the sidecar `name` share in `folder`. This one lives `since`: process ids say
+    nothing, each may have a name space of its own."""
+
+    def __init__(self, folder: str, name: str, since: int) -> None:
+        self.folder = Path(folder)
+        self.name = name
+        self.since = since
+        quoted = quote(name, safe="")
+        self.orders_file = self.folder / f"service-{quoted}.orders"
+        self.lock_file = self.folder / f"service-{quoted}.lock"
+        self.own_file = self.folder / f"service-{quoted}-{since}.live"
+        self._live = re.compile(re.escape(f"service-{quoted}-") + r"([0-9]+)\.live")
+        self._own = -1
+        self._seen: tuple[int, int] | None = None  # which file of orders was read last
+        self._failed = False
+
+    # Orders
+
+    def news(self) -> Orders | None:
+        """The orders, where they were replaced since they were last read or written here."""
+        try:
+            found = self.orders_file.stat()
+            mark = (found.st_ino, found.st_mtime_ns)
+            if mark == self._seen:
+                return None
+            self._seen = mark
+            return read(self.orders_file.read_text(encoding="utf-8"), self.name)
+        except FileNotFoundError:
+            return None
+        except (OSError, ValueError) as bad:
+            log.line("orders-unread", why=str(bad), file=self.orders_file)
+            return None
+
+    def change(self, edit: Callable[[Orders], Orders], held: Orders) -> Orders:
+        """Change what is in force, from the file's orders or, where there are none, those held here."""
+        try:
+            with self._locked():
+                orders = edit(self._read() or held)
+                self._replace(self.orders_file, orders.text(self.name))
+                found = self.orders_file.stat()
+                self._seen = (found.st_ino, found.st_mtime_ns)
+                return orders
+        except OSError as bad:
+            self._warn(bad)
+            return edit(held)
+
+    def _read(self) -> Orders | None:
+        with suppress(OSError, OrdersError, UnicodeDecodeError):
+            return read(self.orders_file.read_text(encoding="utf-8"), self.name)
+        return None
+
+    # Who lives
+
+    def settle(self, ceiling: Callable[[bool, list[int]], int]) -> tuple[int, list[Other]]:
+        """State this process's ceiling, which `ceiling` finds from whether it is the newest and from those of
+        the others; all of it in one go. Also the others."""
+        try:
+            with self._locked():
+                others = self._others()
+                newest = all(other.since < self.since for other in others)
+                stated = ceiling(newest, [other.ceiling for other in others])
+                self._state(stated)
+                return stated, others
+        except OSError as bad:
+            self._warn(bad)
+            return ceiling(True, []), []
+
+    def alone(self) -> bool:
+        """Nobody else seems to be here: there is nothing to settle."""
+        try:
+            return not any(path != self.own_file for path in self._files())
+        except OSError:
+            return True
+
+    def leave(self) -> None:
+        """This process ends."""
+        with suppress(OSError):
+            self.own_file.unlink()
+        if self._own >= 0:
+            os.close(self._own)
+            self._own = -1
+
+    def _files(self) -> list[Path]:
+        return sorted(p for p in self.folder.iterdir() if self._live.fullmatch(p.name))
+
+    def _others(self) -> list[Other]:
+        found = []
+        for path in self._files():
+            if path == self.own_file:
+                continue
+            file = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
+            try:
+                with suppress(BlockingIOError):
+                    fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                    path.unlink()  # nobody holds it: it was left over
+                    continue
+                told = json.loads(os.read(file, 4096))
+                match = self._live.fullmatch(path.name)
+                assert match is not None
+                found.append(Other(int(match[1]), int(told["ceiling"])))
+            except (ValueError, TypeError, KeyError) as bad:
+                log.line("other-unread", why=str(bad), file=path)
+            finally:
+                os.close(file)
+        return found
+
+    def _state(self, ceiling: int) -> None:
+        if self._own < 0:
+            flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
+            self._own = os.open(self.own_file, flags, 0o600)
+            fcntl.flock(self._own, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        text = json.dumps({"ceiling": ceiling}).encode()
+        # One write of one length: whoever reads meanwhile, under the lock or not, sees all of it.
+        os.pwrite(self._own, text.ljust(64), 0)
+
+    # Files
+
+    @contextmanager
+    def _locked(self) -> Iterator[None]:
+        file = os.open(self.lock_file, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            fcntl.flock(file, fcntl.LOCK_EX)
+            yield
+        finally:
+            os.close(file)
+
+    def _replace(self, path: Path, text: str) -> None:
+        whole = path.with_name(f"{path.name}.{self.since}")
+        whole.write_text(text, encoding="utf-8")
+        whole.replace(path)
+
+    def _warn(self, bad: OSError) -> None:
+        if not self._failed:
+            self._failed = True
+            log.line("handover-off", warning=bad.strerror, folder=self.folder)
--- a/wheatring/lifecycle/leaving.py
+++ b/wheatring/lifecycle/leaving.py
@@ -12,6 +12,9 @@
   once: one job alone would hold up the end as much as ten.
 - Nothing runs longer than `LAST` before SIGKILL may come, or past its deadline.
 
+Where the follower serves already, nobody waits for this end: all jobs run on as long as they may, and
+connections between requests are closed over `SHED_FOLLOWED`, for each that is closed may cross a request.
+
 What a job is likely to bring is read off the latest latencies of its class: of those that took longer than it
 has run by now, the part that was answered within that time. One that is older than all of them is answered
 within as long again with a chance of a half.
@@ -30,6 +33,8 @@
 QUIET = 0.05  # and since the last that came
 DOOR = 0.65  # the door is shut by then: what is taken later than 0.7 s may not be left to SIGKILL
 SHED = 0.2
+SHED_FOLLOWED = 2.0
+RESTED = 0.3  # then none is closed that has not stood for so long: its caller is about to ask again
 FRESH = 0.1  # seconds in which a caller that has connected writes its request
 KILL = 0.7  # SIGKILL follows the longest deadline after this ...
 LONGEST = 3.0  # ... which is taken as this where it is longer
@@ -87,9 +92,17 @@
     to be back sooner would hang on what the last moments brought."""
 
     def __init__(
-        self, told: float, classes: Iterable[RequestClass], copies: int, usual: Usual, idle: int = 0
+        self,
+        told: float,
+        classes: Iterable[RequestClass],
+        copies: int,
+        usual: Usual,
+        idle: int = 0,
+        followed: bool = False,
     ) -> None:
         self.told = told
+        self.followed = followed
+        self.rested = RESTED if followed else 0.0
         self.classes: Mapping[str, RequestClass] = {each.name: each for each in classes}
         self.idle = idle
         longest = max([each.deadline for each in self.classes.values()], default=0.0)
@@ -108,12 +121,15 @@
 
     def keep(self, now: float) -> int:
         """How many connections may still stand between requests."""
-        return int(self.idle * max(0.0, 1 - (now - self.told) / SHED))
+        over = SHED_FOLLOWED if self.followed else SHED
+        return int(self.idle * max(0.0, 1 - (now - self.told) / over))
 
     def goes_on(self, now: float, jobs: Sequence[Open]) -> bool:
         """The door is shut: whether open jobs may run on."""
         if not jobs or now >= self.last:
             return False
+        if self.followed:
+            return True
         return any(self.worth(jobs, ahead) > self.cost * ahead for ahead in AHEAD)
 
     def worth(self, jobs: Iterable[Open], ahead: float) -> float:
--- a/wheatring/ops/capture/ring.py
+++ b/wheatring/ops/capture/ring.py
@@ -30,7 +30,12 @@
 
 
 class Ring:
-    def __init__(self, folder: str, name: str, files: int, size: int, clock: Clock) -> None:
+    """`shared`: another process of this sidecar may be writing. Then this one begins a file of its own; the
+    older one ends its record when it would begin the next."""
+
+    def __init__(
+        self, folder: str, name: str, files: int, size: int, clock: Clock, shared: bool = False
+    ) -> None:
         self.folder = Path(folder)
         self.name = name
         self.files = files
@@ -45,7 +50,7 @@
         self.file = -1
         self.used = 0  # bytes of it
         try:
-            self._go_on()
+            self._go_on(shared)
         except OSError as bad:
             self._failed(bad)
 
@@ -93,12 +98,12 @@
             while done < len(data):
                 done += os.write(self.file, rest[done:])
 
-    def _go_on(self) -> None:
+    def _go_on(self, shared: bool) -> None:
         """Go on after what an earlier start has left."""
         for number, path in files_in(self.folder).get(self.name, []):
             self.number = number
             self.held.append((path, path.stat().st_size))
-        if not self.held or self.held[-1][1] + len(CUT) >= self.size:
+        if shared or not self.held or self.held[-1][1] + len(CUT) >= self.size:
             self._turn()
             return
         newest, self.used = self.held.pop()
