--- /dev/null
+++ b/tests/test_bodies.py
@@ -0,0 +1,375 @@
+"""Large and slow bodies, both ways: in bounded memory, and never taken for whole when they are not."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import threading
+from collections.abc import Callable
+from itertools import pairwise
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.test_process import told, until
+from tests.world import FAR, Peer, Wire, World, entry
+from wheatring.core.body import WINDOWS, Body, Room
+from wheatring.http1.parser import HOLD, Reader
+
+Make = Callable[..., World]
+LARGE = bytes(range(256)) * 800  # 200 kB
+FIELDS = "X-Correlation-Id: b1\r\nX-Service-Class: order\r\n"
+
+
+def post(world: World, length: int | None = None) -> Wire:
+    """A caller that has sent the head of a large request."""
+    framing = "Transfer-Encoding: chunked" if length is None else f"Content-Length: {length}"
+    caller = world.caller()
+    caller.send(f"POST /order HTTP/1.1\r\n{FIELDS}{framing}\r\n\r\n".encode())
+    return caller
+
+
+def head(wire: Wire) -> str:
+    """The head of the next message, without its body."""
+    while b"\r\n\r\n" not in wire.held:
+        wire._more()
+    text, _, wire.held = wire.held.partition(b"\r\n\r\n")
+    return text.decode().lower()
+
+
+def body(wire: Wire, size: int) -> bytes:
+    while len(wire.held) < size:
+        wire._more()
+    data, wire.held = wire.held[:size], wire.held[size:]
+    return data
+
+
+def chunks(wire: Wire) -> bytes:
+    """A chunked body up to its end."""
+    whole = b""
+    while True:
+        while b"\r\n" not in wire.held:
+            wire._more()
+        size, _, wire.held = wire.held.partition(b"\r\n")
+        piece = body(wire, int(size, 16) + 2)[:-2]
+        if not piece:
+            return whole
+        whole += piece
+
+
+def no_room(world: World) -> None:
+    world.sidecar.server.room_for_bodies.size = 0
+
+
+def test_a_large_answer_is_passed_on_while_it_comes(make: Make) -> None:
+    world = make()
+    caller = world.ask()
+    node = world.nodes[0].accept()
+    node.read()
+    node.send(b"HTTP/1.1 200 OK\r\nX-Kept: 1\r\nContent-Length: %d\r\n\r\n" % len(LARGE) + LARGE[:100000])
+    told = head(caller)
+    assert "x-kept: 1" in told and f"content-length: {len(LARGE)}" in told
+    assert body(caller, 100000) == LARGE[:100000]  # the rest has not been made yet
+    node.send(LARGE[100000:])
+    assert body(caller, 100000 + 4800) == LARGE[100000:]
+    again = world.ask(wire=caller)  # both connections are clean
+    node.read()
+    node.answer(200, b"next")
+    assert again.read()[2] == b"next"
+
+
+@pytest.mark.parametrize("length", [True, False], ids=["length", "chunks"])
+def test_one_that_breaks_off_does_not_pass_for_whole(make: Make, length: bool) -> None:
+    world = make(2)
+    caller = world.ask()
+    node = world.first()
+    node.read()
+    framing = f"Content-Length: {len(LARGE)}" if length else "Transfer-Encoding: chunked"
+    node.send(f"HTTP/1.1 200 OK\r\n{framing}\r\n\r\n".encode())
+    node.send(LARGE[:100000] if length else b"%x\r\n%s\r\n" % (100000, LARGE[:100000]))
+    head(caller)
+    node.reset()
+    with pytest.raises((EOFError, OSError)):
+        body(caller, len(LARGE)) if length else chunks(caller)
+    assert "answer-cut" in world.logged("caller-connection")
+
+
+def test_a_spoilt_one_that_has_not_been_passed_on_is_had_elsewhere(make: Make) -> None:
+    world = make(2)
+    caller = world.ask()
+    node = world.first()
+    node.read()
+    node.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LARGE) + LARGE[:1000])
+    node.reset()
+    other = world.first()
+    other.read()
+    other.answer(200, LARGE)
+    assert caller.read()[2] == LARGE
+
+
+@pytest.mark.parametrize("framing", ["Transfer-Encoding: chunked", "Connection: close"])
+@pytest.mark.parametrize("old", [False, True], ids=["1.1", "1.0"])
+def test_one_of_unknown_length_comes_in_chunks_or_until_the_close(
+    make: Make, framing: str, old: bool
+) -> None:
+    world = make()
+    caller = world.caller()
+    version = "1.0" if old else "1.1"
+    caller.send(f"GET /menu HTTP/{version}\r\nX-Correlation-Id: b1\r\n\r\n".encode())
+    node = world.nodes[0].accept()
+    node.read()
+    node.send(f"HTTP/1.1 200 OK\r\n{framing}\r\n\r\n".encode())
+    if framing == "Connection: close":
+        node.send(LARGE)
+        node.close()
+    else:
+        for begin in range(0, len(LARGE), 1000):
+            node.send(b"%x;a=b\r\n%s\r\n" % (len(LARGE[begin : begin + 1000]), LARGE[begin : begin + 1000]))
+        node.send(b"0\r\nX-Trailer: 1\r\n\r\n")
+    told = head(caller)
+    assert ("transfer-encoding: chunked" in told) is not old
+    assert (body(caller, len(LARGE)) if old else chunks(caller)) == LARGE
+    if old:
+        assert caller.at_end()
+
+
+def test_a_large_request_is_sent_once_it_is_whole_and_can_be_sent_again(make: Make) -> None:
+    world = make(2)
+    caller = post(world, len(LARGE))
+    caller.send(LARGE[:150000])
+    world.settle()
+    assert world.run(lambda: world.sidecar.exchange.open) == 0  # no node is kept busy by a slow caller
+    caller.send(LARGE[150000:])
+    node = world.first()
+    assert node.read()[2] == LARGE
+    node.reset()
+    other = world.first()
+    _, fields, again = other.read()
+    assert (again, fields["content-length"]) == (LARGE, str(len(LARGE)))
+    other.answer(200, b"yes")
+    assert caller.read()[2] == b"yes"
+    world.settle()
+    assert world.run(lambda: world.sidecar.server.room_for_bodies.taken) == 0
+
+
+@pytest.mark.parametrize("length", [len(LARGE), None], ids=["length", "chunks"])
+def test_without_room_it_is_sent_while_it_comes_and_its_time_runs_from_the_end(
+    make: Make, length: int | None
+) -> None:
+    world = make()
+    no_room(world)
+    caller = post(world, length)
+    first, rest = LARGE[:150000], LARGE[150000:]
+    caller.send(first if length else b"%x\r\n%s\r\n" % (len(first), first))
+    node = world.nodes[0].accept()
+    told = head(node)
+    assert ("transfer-encoding: chunked" in told) is (length is None)
+    (job,) = world.run(lambda: list(world.sidecar.exchange.idents.values()))
+    assert job.deadline == float("inf") and job.overdue is None
+    caller.send(rest if length else b"%x\r\n%s\r\n0\r\n\r\n" % (len(rest), rest))
+    assert (body(node, len(LARGE)) if length else chunks(node)) == LARGE
+    world.settle()
+    assert job.deadline < float("inf") and job.overdue is not None
+    node.answer(200, b"yes")
+    assert caller.read()[2] == b"yes"
+
+
+def test_what_has_been_let_go_is_not_sent_twice_and_its_caller_is_told_at_once(make: Make) -> None:
+    world = make(2)
+    no_room(world)
+    caller = post(world, len(LARGE))
+    caller.send(LARGE[:150000])
+    node = world.first()
+    head(node)
+    body(node, 100000)
+    node.reset()
+    first, fields, _ = caller.read()
+    # It was never whole at the node, so trying again is harmless, though the class is not safe.
+    assert first.split()[1] == "503" and fields["connection"] == "close"
+    caller.send(LARGE[150000:])
+    assert caller.at_end()
+    assert world.codes("claim-connection") == ["peer-reset"]
+
+
+def test_a_caller_that_leaves_in_the_middle_leaves_no_request_behind(make: Make) -> None:
+    world = make()
+    no_room(world)
+    caller = post(world, len(LARGE))
+    caller.send(LARGE[:150000])
+    node = world.nodes[0].accept()
+    head(node)
+    caller.close()
+    with pytest.raises((EOFError, OSError)):
+        body(node, len(LARGE))
+    world.settle()
+    assert world.run(lambda: world.sidecar.server.room_for_bodies.taken) == 0
+    assert world.run(lambda: world.sidecar.exchange.open) == 0
+
+
+def test_a_caller_that_leaves_its_answer_costs_no_memory(make: Make) -> None:
+    world = make()
+    caller = world.ask()
+    node = world.nodes[0].accept()
+    node.read()
+    node.send(b"HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n" + LARGE)
+    head(caller)
+    caller.reset()
+    assert world.logged("claim-connection") == ["caller-gone"]
+    assert world.run(lambda: world.sidecar.server.room_for_bodies.taken) == 0
+
+
+def test_a_malformed_rest_is_answered_and_never_sent(make: Make) -> None:
+    world = make()
+    no_room(world)
+    caller = post(world)
+    caller.send(b"%x\r\n%s\r\n" % (150000, LARGE[:150000]))
+    node = world.nodes[0].accept()
+    head(node)
+    caller.send(b"no size\r\n")
+    assert caller.read()[0].split()[1] == "400"
+    with pytest.raises((EOFError, OSError)):
+        chunks(node)
+
+
+def test_one_refused_for_its_head_is_answered_before_its_body_is_there(make: Make) -> None:
+    world = make()
+    caller = world.caller()
+    caller.send(f"POST /nothing HTTP/1.1\r\n{FIELDS}Content-Length: 200000\r\n\r\n".encode() + LARGE[:100000])
+    assert caller.read()[0].split()[1] == "404"
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(
+    st.booleans(),
+    st.lists(st.integers(1, 40000), min_size=1, max_size=9),
+    st.lists(st.integers(0, 300000), max_size=9),
+)
+def test_a_body_is_read_the_same_open_or_whole_however_it_is_cut(
+    chunked: bool, sizes: list[int], cuts: list[int]
+) -> None:
+    content = (LARGE * 2)[: sum(sizes)]
+    if chunked:
+        edges = [0, *(sum(sizes[: n + 1]) for n in range(len(sizes)))]
+        wire = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        wire += b"".join(b"%x\r\n%s\r\n" % (b - a, content[a:b]) for a, b in pairwise(edges)) + b"0\r\n\r\n"
+    else:
+        wire = b"POST /a HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s" % (len(content), content)
+    wire += b"GET /b HTTP/1.1\r\n\r\n"
+    reader = Reader(responses=False, max_body=1000000, hold=HOLD)
+    read, upload, follows = b"", False, []
+    for begin, end in pairwise([0, *sorted(min(cut, len(wire)) for cut in cuts), len(wire)]):
+        reader.feed(wire[begin:end])
+        while True:
+            if upload:
+                data, whole = reader.more()
+                read += data
+                upload = not whole
+                if upload:
+                    break
+            elif (message := reader.next()) is None:
+                break
+            elif message.first[1] == b"/a":
+                read, upload = message.body, message.open
+            else:
+                follows.append(message.first[1])
+        assert len(reader.buffer) <= HOLD + (end - begin) + 300 or upload
+    assert (read, follows, reader.started) == (content, [b"/b"], False)
+
+
+@given(
+    st.booleans(), st.integers(0, 300000), st.lists(st.one_of(st.integers(1, 60000), st.none()), max_size=30)
+)
+def test_bodies_keep_their_order_and_their_room(kept: bool, size: int, steps: list[int | None]) -> None:
+    """A number puts so many bytes, None takes a piece. Two of them share the room."""
+    room = Room(size)
+    gone: list[int] = []
+    bodies = [Body(room, kept=kept), Body(room)]
+    put, taken = [b"", b""], [b"", b""]
+    bodies[0].on_gone = lambda: gone.append(1)
+    for n, step in enumerate(steps):
+        which = n % 2
+        if step is None:
+            taken[which] += bodies[which].take()
+        elif not bodies[which].full:
+            data = bytes([n % 256]) * step
+            put[which] += data
+            bodies[which].put(data)
+        held = sum(sum(map(len, b.pieces)) for b in bodies)
+        assert room.taken == held <= max(size, 0) + 2 * (WINDOWS[1] + 60000)
+        assert all(p.startswith(t) for p, t in zip(put, taken, strict=True))
+    assert len(gone) == (bodies[0].start > 0 and kept)
+    if not bodies[0].start:
+        bodies[0].again()
+        again = b""
+        while piece := bodies[0].take():
+            again += piece
+        assert again == put[0]
+    else:
+        with pytest.raises(ValueError, match="gone"):
+            bodies[0].again()
+    for each in bodies:
+        each.cancel()
+    assert room.taken == 0
+
+
+def test_fifty_slow_readers_of_32_mb_fit_in_the_memory(tmp_path: Path) -> None:
+    """The sidecar is a process of its own; its peak is read off the system."""
+    size, readers, over = 32 * 1024 * 1024, 50, threading.Event()
+    node, discovery = Peer(), Peer()
+
+    def one(wire: Wire) -> None:
+        try:
+            wire.read()
+            wire.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+            for _ in range(size // 65536):
+                wire.send(b"x" * 65536)
+                if over.is_set():
+                    break
+        except (OSError, EOFError):
+            pass
+        wire.close()
+
+    def serve() -> None:
+        try:
+            while True:
+                threading.Thread(target=one, args=(node.accept(),), daemon=True).start()
+        except OSError:
+            pass  # closed
+
+    threading.Thread(target=serve, daemon=True).start()
+    known = {"generation": 3, "instances": [entry("n0", node)]}
+    limits = {"cores": 1.0, "memory_mb": 64, "sockets": 512}
+    file = tmp_path / "c.json"
+    data = told(known=known, discovery=f"127.0.0.1:{discovery.port}", limits=limits)
+    file.write_text(json.dumps(data), encoding="utf-8")
+    with subprocess.Popen(
+        [sys.executable, "-m", "wheatring"],
+        env={**os.environ, "LB_CONFIG": str(file)},
+        stdout=subprocess.PIPE,
+        text=True,
+    ) as process:
+        try:
+            port = int(until(process, "listening").rpartition("=")[2])
+            callers = []
+            for n in range(readers):
+                caller = Wire(socket.create_connection(("127.0.0.1", port), FAR))
+                caller.send(f"GET /menu HTTP/1.1\r\nX-Correlation-Id: c{n}\r\n\r\n".encode())
+                callers.append(caller)
+            for caller in callers:
+                assert "200" in head(caller)
+                body(caller, 2 * 1024 * 1024)
+            status = Path(f"/proc/{process.pid}/status").read_text(encoding="ascii")
+            peak = next(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmHWM:"))
+            assert peak < 56 * 1024
+        finally:
+            over.set()
+            process.kill()
+            for caller in callers:
+                caller.close()
+            node.close()
+            discovery.close()
--- a/wheatring/core/driver.py
+++ b/wheatring/core/driver.py
@@ -45,6 +45,7 @@
         exchange.on_job = self.job_came
         exchange.on_left = self.job_left
         exchange.on_claim_ended = self.claim_ended
+        exchange.on_committed = self.job_committed
 
     # What comes from the exchange
 
@@ -52,7 +53,8 @@
         number = self.last = self.last + 1
         job.number = number
         self.jobs[number] = job
-        event = i.NewRequest(number, job.class_name, job.deadline - self.clock.now())
+        left = min(job.deadline - self.clock.now(), job.allowed)
+        event = i.NewRequest(number, job.class_name, left)
         if job.repeat:
             event.client_retry = True
         self.feed(event)
@@ -61,6 +63,9 @@
         if job.number:  # the module knows of it
             self.feed(i.ClientGone(job.number))
 
+    def job_committed(self, job: Job) -> None:
+        self.feed(i.Committed(job.number))
+
     def claim_ended(self, claim: Claim) -> None:
         job = claim.job
         assert claim.outcome is not None
--- a/wheatring/core/exchange.py
+++ b/wheatring/core/exchange.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from math import inf
 
 from twisted.internet.defer import Deferred
 
@@ -53,6 +54,7 @@
     overdue: Timer | None = None
     drill: bool = False  # taken for a drill, which its answer says
     held: Timer | None = None  # by that drill, until then
+    allowed: float = inf  # seconds from its last byte to its deadline, which stands only once that has come
 
 
 @dataclass(slots=True, eq=False)
@@ -68,6 +70,7 @@
     outcome: Outcome | None = None
     drop: Callable[[], None] | None = None  # the client side's way to stop working on it
     late: Timer | None = None
+    patience: float = 0.0  # seconds from the job's last byte, where that has not come, to `give_up`
 
     @property
     def may_have_run(self) -> bool:
@@ -89,6 +92,7 @@
         self.on_job: Callable[[Job], None]
         self.on_left: Callable[[Job], None]
         self.on_claim_ended: Callable[[Claim], None]
+        self.on_committed: Callable[[Job], None]
         self.start_claim: Callable[[Claim], None]
         self.close_idle: Callable[[str], None]
 
@@ -98,13 +102,33 @@
         """Take a job over; the Deferred fires with its one final answer, unless its caller leaves."""
         self.idents[job.ident] = job
         job.taken = self.clock.now()
-        job.overdue = self.clock.at(job.deadline + self.grace, self._overdue, job)
+        if job.deadline < inf:
+            job.overdue = self.clock.at(job.deadline + self.grace, self._overdue, job)
         try:
             self.on_job(job)
         except Exception as bug:
             self._broken(job, bug)
         return job.answered
 
+    def whole(self, job: Job) -> None:
+        """The last byte of a job has come that was submitted before it: its time runs from now."""
+        if job.over:
+            return
+        now = self.clock.now()
+        job.taken = now
+        job.deadline = now + job.allowed
+        job.overdue = self.clock.at(job.deadline + self.grace, self._overdue, job)
+        for claim in job.claims:
+            if claim.outcome is None:
+                claim.begun = now
+                claim.give_up = min(now + claim.patience, job.deadline)
+                claim.late = self.clock.at(claim.give_up, self._late, claim)
+
+    def committed(self, job: Job) -> None:
+        """A part of what the job would send is held no more: it can't be sent again."""
+        if not job.over:
+            self.on_committed(job)
+
     @property
     def open(self) -> int:
         return len(self.idents)
@@ -126,7 +150,10 @@
         if job.over or give_up <= now:
             claim.outcome = Outcome.NOT_SENT
             return claim
-        claim.late = self.clock.at(give_up, self._late, claim)
+        if job.deadline < inf:
+            claim.late = self.clock.at(give_up, self._late, claim)
+        else:
+            claim.patience = give_up - now
         try:
             self.start_claim(claim)
         except Exception as bug:  # a claim that could not be started must not strand its job
--- a/wheatring/daemon.py
+++ b/wheatring/daemon.py
@@ -41,6 +41,7 @@
         unix: Callable[[], float] = time.time,
     ) -> None:
         from lapisway.policy import Balancer
+        from wheatring.core.body import room_in
         from wheatring.core.clock import Clock
         from wheatring.core.driver import Driver
         from wheatring.core.exchange import Exchange
@@ -59,13 +60,14 @@
         self.exchange = Exchange(self.clock, settings.contract.answer_slack)
         balancer = Balancer(settings, told.seed)
         self.driver = Driver(balancer, self.exchange, self.clock)
+        room = room_in(told.memory_mb, 2 if told.control else 1)
         self.places = told.sockets - RESERVE - (CALLS if told.control else 0)
         claims = int(self.places * CLAIMS)
         self.pool = Pool(
-            reactor, self.clock, self.exchange, limits.connect_timeout, limits.idle_timeout, claims
+            reactor, self.clock, self.exchange, limits.connect_timeout, limits.idle_timeout, claims, room
         )
         freshness = Freshness(settings.copies, settings.number, Random(f"{told.seed}:list"), self.clock.now())
-        self.server = Server(reactor, self.clock, self.exchange, settings.classes, self.places - claims)
+        self.server = Server(reactor, self.clock, self.exchange, settings.classes, self.places - claims, room)
         on_view: Callable[[View], None] = self.driver.feed
         self.desk: Desk | None = None
         self.door: Door | None = None
@@ -211,7 +213,7 @@
             if keep := leaving.keep(now):
                 server.shed(keep, leaving.rested)
             else:
-                server.close_between()
+                server.close_between(patient=leaving.followed and now < leaving.last)
             if not leaving.goes_on(now, self.exchange.left(now)):
                 if self.exchange.open:
                     log.line("cut-short", open=self.exchange.open, after=now - leaving.told)
--- a/wheatring/http1/caller.py
+++ b/wheatring/http1/caller.py
@@ -1,15 +1,23 @@
-"""One caller's connection: its requests in, its answers out, one after the other."""
+"""One caller's connection: its requests in, its answers out, one after the other.
+
+A request larger than what is held of one comes in as a body (`upload`), and is submitted once that is whole
+or there is no room for it. A large answer goes out as a body (`sender`). A connection with either has its
+`job` until the last byte, as with any other.
+"""
 
 from __future__ import annotations
 
+from functools import partial
 from math import ceil
 from typing import TYPE_CHECKING, Any
 
 from wheatring import log
+from wheatring.core.body import Body, nothing
 from wheatring.core.exchange import Answer, Final, Job
 from wheatring.core.refused import Refused
 from wheatring.http1.connection import Connection
-from wheatring.http1.parser import MAX_BODY, MAX_HEAD, BadMessage, Message
+from wheatring.http1.parser import HOLD, MAX_BODY, MAX_HEAD, BadMessage, Message, Request
+from wheatring.http1.sending import Sender
 
 if TYPE_CHECKING:
     from wheatring.http1.server import Server
@@ -23,9 +31,15 @@
     503: b"Service Unavailable",
 }  # fmt: skip
 
-# Seconds in which a request must be whole, from its first byte or, for the first one, from the connect.
-# A caller that sends none is owed a word within 3 s.
-PATIENCE = 2.0
+# Seconds in which a head must be whole, from its first byte or, for the first one, from the connect. Callers
+# may take 2 for it; one that sends none is owed a word within 3.
+PATIENCE = 2.6
+# A body is to bring another byte in so many seconds, and so many bytes a second from then on: half of what
+# the slowest callers send.
+SILENT = 2.0
+SLOWEST = 32 * 1024
+UNREAD = 180.0  # seconds in which a caller is to read a buffer of a large answer: 1 kB/s is fast enough
+STUCK = 10.0  # and a node one of a large request
 LINGER = 2.0  # seconds in which a caller may read the answer to what could not be read
 DRAIN = 1024 * 1024  # bytes of the rest of its request that are read meanwhile; more would only cost time
 
@@ -42,13 +56,19 @@
     kind = "caller-connection"
 
     def __init__(self, server: Server) -> None:
-        super().__init__(responses=False)
+        super().__init__(responses=False, max_body=MAX_BODY, hold=HOLD)
         self.server = server
         self.job: Job | None = None
         self.keep_alive = True
         self.lingering = False
         self.paused = False
         self.drained = 0  # bytes thrown away after the last answer
+        self.most_drained = DRAIN
+        self.upload: Body | None = None  # of the present request, while it comes
+        self.sender: Sender | None = None  # of the present answer, while it goes
+        self.old = False  # the present request is HTTP/1.0
+        self.sent = 0  # bytes of it by the last look
+        self.heard = 0.0  # the last byte from the caller, or the last look at which it had taken some
         self.since = server.clock.now()  # of the present state: between requests, or in the middle of one
         self.waiting = True  # a request is awaited and not whole; the first one from the connect on
 
@@ -59,18 +79,31 @@
     def dataReceived(self, data: bytes) -> None:
         if self.lingering or self.code:
             self.drained += len(data)
-            if self.drained > DRAIN and not self.paused:
-                self.paused = True
-                self.transport.pauseProducing()
+            if self.drained > self.most_drained:
+                self.pause()
             return
+        self.heard = self.server.clock.now()
         self.reader.feed(data)
-        if self.job is None:
+        if self.upload is not None and self.job is not None:
+            self.receive(self.upload, self.job)
+        elif self.job is None:
             self.advance()
-        elif len(self.reader.buffer) > MAX_HEAD + MAX_BODY and not self.paused:
-            # A caller that sends ahead without end must not fill the memory.
+        elif len(self.reader.buffer) > MAX_HEAD + HOLD:
+            self.pause()  # a caller that sends ahead without end must not fill the memory
+
+    def pause(self) -> None:
+        if not self.paused:
             self.paused = True
             self.transport.pauseProducing()
 
+    def resume(self) -> None:
+        if self.paused:
+            self.paused = False
+            now = self.server.clock.now()
+            self.since += now - self.heard  # for so long it was not let on
+            self.heard = now
+            self.transport.resumeProducing()
+
     def advance(self) -> None:
         """Read on, until a job is under way or bytes are missing."""
         try:
@@ -81,6 +114,7 @@
                     break
                 self.waiting = False
                 self.keep_alive = message.keep_alive and not self.server.parting
+                self.old = message.old
                 self.handle(message)
         except BadMessage as bad:
             self.reject(bad.status, str(bad))
@@ -97,7 +131,7 @@
 
     def handle(self, message: Message) -> None:
         try:
-            if message.first[1].partition(b"?")[0] == b"/healthz":
+            if message.first[1].partition(b"?")[0] == b"/healthz" and not message.open:
                 if message.first[0] != b"GET":
                     raise Refused(405, "method", b"Allow: GET\r\n")
                 status, word = (503, b"away\n") if self.server.away else (200, b"ok\n")
@@ -105,8 +139,8 @@
                 return
             job = self.server.job_from(message)
         except Refused as refused:
-            if refused.status == 400:
-                self.reject(400, str(refused))
+            if refused.status == 400 or message.open:
+                self.reject(refused.status, str(refused), refused.more, refused.body)
             else:
                 self.say(response(refused.status, refused.body, refused.more, close=not self.keep_alive))
             return
@@ -115,15 +149,64 @@
             self.reject(500, "internal error")
             return
         self.job = job
+        if message.open:
+            self.receive_first(message, job)
+        else:
+            self.submit(job)
+
+    def submit(self, job: Job) -> None:
         self.server.exchange.submit(job).addCallback(self.answer, job).addErrback(self.broken)
 
+    # Large requests
+
+    def receive_first(self, message: Message, job: Job) -> None:
+        request = job.content
+        assert isinstance(request, Request) and request.rest is not None
+        upload = self.upload = request.rest
+        self.waiting = True
+        self.since = self.server.clock.now()
+        self.expect(message)
+        upload.on_room = self.resume
+        upload.on_gone = partial(self.server.exchange.committed, job)
+        upload.put(message.body)
+        self.receive(upload, job)
+
+    def receive(self, upload: Body, job: Job) -> None:
+        """More of the request has come."""
+        try:
+            data, whole = self.reader.more()
+        except BadMessage as bad:
+            if self.sender is not None:
+                self.abort("bad-request")  # its answer is under way
+            else:
+                self.reject(bad.status, str(bad))
+            return
+        if whole:
+            self.upload, self.waiting = None, False
+            upload.on_room = nothing
+            job.deadline = self.server.clock.now() + job.allowed
+        upload.put(data, whole)
+        if not job.taken and (whole or upload.crowded):
+            self.submit(job)
+        elif whole:
+            self.server.exchange.whole(job)
+        if not whole and not self.code and upload.full:
+            self.pause()
+
     def answer(self, answer: Answer, job: Job) -> None:
-        self.job = None
+        self.forget_request(job)
+        if self.upload is not None:
+            self.keep_alive = False  # what is still to come of the request would be taken for the next one
+            self.resume()
         close = not self.keep_alive or self.server.parting
         self.keep_alive = not close
+        message = answer.content
+        if answer.final is SERVED and isinstance(message, Message) and message.flow is not None:
+            self.stream(message, message.flow, b"X-Drill: 1\r\n" if job.drill else b"")
+            return
+        self.job = None
         mark = b"X-Drill: 1\r\n" if job.drill else b""
         if answer.final is SERVED:
-            message = answer.content
             assert isinstance(message, Message)
             self.say(response(200, message.body, mark + message.end_to_end(), close=close))
         elif answer.final is REFUSED:
@@ -132,12 +215,52 @@
             self.say(response(503, more=mark + more, close=close))
         else:
             self.say(response(502, more=mark, close=close))
-        if self.paused:
-            self.paused = False
-            self.transport.resumeProducing()
-        if self.reader.started:  # the next request is here already: not from within this one's answer
+        self.go_on()
+
+    def go_on(self) -> None:
+        """The answer is out: on to the next request."""
+        self.resume()
+        if self.reader.started:  # it is here already: not from within this one's answer
             self.server.reactor.callLater(0, self.advance)
 
+    def forget_request(self, job: Job) -> None:
+        """It is never sent again."""
+        if isinstance(job.content, Request) and job.content.rest is not None:
+            job.content.rest.cancel()
+
+    # Large answers
+
+    def stream(self, message: Message, flow: Body, mark: bytes) -> None:
+        """Pass an open answer on. Where nobody knows its length it goes in chunks or, to a caller that can't
+        read these, until the close; an end before its end is a reset, so the caller can tell."""
+        if not self.alive:
+            flow.cancel()
+            return
+        chunked = flow.length is None and not self.old
+        if flow.length is not None:
+            framing = b"Content-Length: %d\r\n" % flow.length
+        elif chunked:
+            framing = b"Transfer-Encoding: chunked\r\n"
+        else:
+            framing, self.keep_alive = b"", False
+        close = b"" if self.keep_alive else b"Connection: close\r\n"
+        self.transport.write(
+            b"HTTP/1.1 200 OK\r\n%s%s%s%s\r\n" % (mark, message.end_to_end(), framing, close)
+        )
+        self.heard = self.server.clock.now()
+        self.sent = 0
+        self.sender = Sender(self.transport, flow, chunked, self.streamed, self.cut)
+
+    def streamed(self) -> None:
+        self.sender = self.job = None
+        self.say(b"")
+        self.go_on()
+
+    def cut(self) -> None:
+        """The rest of the answer will never come."""
+        self.why = "answer not whole"
+        self.abort("answer-cut")
+
     def broken(self, failure: Any) -> None:
         """Guards against a caller left without an answer by a fault of ours."""
         log.line("answer-broken", why=repr(failure.value))
@@ -148,19 +271,38 @@
             return
         self.since = self.server.clock.now()
         self.transport.write(data)
-        if not self.keep_alive:
+        if self.upload is not None:
+            self.linger("answered-early")
+        elif not self.keep_alive:
             self.close("stopping" if self.server.parting else "caller-asked")
 
-    def reject(self, status: int, why: str) -> None:
+    def reject(self, status: int, why: str, more: bytes = b"", body: bytes = b"") -> None:
         """Answer what can't be read and end the connection. Closing at once would reset it under the
         caller's unread bytes, and the answer would be lost with them."""
         self.why = why
+        self.give_up_job()
+        self.transport.write(response(status, body, more, close=True))
+        self.linger(f"bad-request-{status}")
+
+    def linger(self, code: str) -> None:
+        """All is said: hear the rest out for a while, so that what was said can be read."""
+        if self.upload is not None:
+            self.most_drained = MAX_BODY
+            self.upload = None
         self.lingering = True
         self.since = self.server.clock.now()
         self.reader.buffer.clear()
-        self.transport.write(response(status, close=True))
         self.transport.loseWriteConnection()
-        self.code = f"bad-request-{status}"
+        self.code = code
+        self.resume()
+
+    def give_up_job(self) -> None:
+        """The present request will not become whole, or its caller has gone."""
+        if self.job is not None:
+            job, self.job = self.job, None
+            self.forget_request(job)
+            if job.taken:
+                self.server.exchange.leave(job)
 
     def look(self, now: float, idle: float) -> None:
         """Close what is kept for nothing."""
@@ -168,12 +310,27 @@
             # A caller that reads nothing must not keep its connection for ever.
             if now > self.since + LINGER:
                 self.abort(self.code)
-        elif self.job is None and self.waiting:
-            if now > self.since + PATIENCE:
+        elif self.sender is not None:
+            if (sent := self.sender.body.read) > self.sent:
+                self.sent, self.heard = sent, now
+            elif now > self.heard + UNREAD:
+                self.abort("unread")
+        elif self.upload is not None and self.paused:
+            if now > self.heard + STUCK:
+                self.reject(503, "no node takes it")
+        elif self.waiting and not self.paused:
+            if self.too_slow(now):
                 self.give_up("silent")
         elif self.job is None and now > self.since + idle:
             self.close("idle")
 
+    def too_slow(self, now: float) -> bool:
+        """Whether what is awaited of a request takes too long."""
+        if self.reader.message is None:
+            return now > self.since + PATIENCE
+        spent = now - self.since - PATIENCE
+        return now > self.heard + SILENT or spent > self.reader.came / SLOWEST
+
     def make_room(self) -> None:
         """Give the place up to a caller that waits for one."""
         if self.code:
@@ -190,6 +347,7 @@
 
     def ended(self, orderly: bool) -> None:
         self.server.went(self)
-        if self.job is not None:
-            job, self.job = self.job, None
-            self.server.exchange.leave(job)
+        if self.sender is not None:
+            self.sender.body.cancel()
+            self.sender = None
+        self.give_up_job()
--- /dev/null
+++ b/wheatring/http1/claim.py
@@ -0,0 +1,260 @@
+"""One connection to an execute node: carries one claim at a time over HTTP/1.1."""
+
+from __future__ import annotations
+
+from math import inf
+from typing import TYPE_CHECKING, NamedTuple
+
+from lapisway.interface import Outcome
+from wheatring.core.body import Body, nothing
+from wheatring.core.clock import Timer
+from wheatring.core.exchange import Claim
+from wheatring.http1.connection import Connection
+from wheatring.http1.parser import HOLD, MAX_BODY, BadMessage, Message, Request
+from wheatring.http1.sending import Sender
+
+if TYPE_CHECKING:
+    from wheatring.http1.client import Pool
+
+SERVED = Outcome.SERVED  # looked up once: an enum takes its time
+STALL = 0.6  # seconds without another byte after which an answer that has begun counts as spoilt
+# The same once it is passed on. It can't be had elsewhere any more, and what is still to come is owed.
+STALL_OPEN = 10.0
+# Seconds after which an answer is passed on though less has come than is held of one: it is large, or its
+# length is told nowhere. Its first bytes are what its caller waits for.
+EARLY = 0.3
+EARLY_UNTOLD = 0.5
+
+
+class Place(NamedTuple):
+    """A node and where it is. Another node may come to the same address, and must not get its connections."""
+
+    node: str
+    address: str
+
+
+class ClaimConnection(Connection):
+    """It is kept for the next claim only while clean. An answer larger than what is held of one is passed on
+    as it comes, as a body that somebody takes: `flow`, until its end."""
+
+    kind = "claim-connection"
+
+    def __init__(self, pool: Pool, place: Place) -> None:
+        super().__init__(responses=True, max_body=MAX_BODY, hold=HOLD)
+        self.pool = pool
+        self.place = place
+        self.stalled: Timer | None = None
+        self.claim: Claim | None = None
+        self.flow: Body | None = None
+        self.sender: Sender | None = None  # of a large request
+        self.keep_alive = False  # after `flow`
+        self.head_at = 0.0  # when the head of the present answer was read
+        self.idle_since = 0.0
+        self.to_write = b""
+        self.flushed = False
+
+    def carry(self, claim: Claim) -> None:
+        """Write a claim's request. As a pull producer, this is told when its last byte has left."""
+        self.claim = claim
+        claim.drop = self.drop
+        request = claim.job.content
+        assert isinstance(request, Request)
+        left = max(1, int((claim.give_up - self.pool.clock.now()) * 1000))
+        head = b"%sX-Time-Left-Ms: %d\r\n\r\n" % (request.head, left)
+        self.flushed = False
+        if request.rest is None:
+            self.to_write = head + request.body
+            self.transport.registerProducer(self, False)
+            return
+        self.transport.write(head)
+        self.sender = Sender(
+            self.transport, request.rest, request.chunked, self.flush, self.unsendable, self.writing_last
+        )
+
+    def resumeProducing(self) -> None:
+        if self.to_write:
+            data, self.to_write = self.to_write, b""
+            self.writing_last()
+            self.transport.write(data)
+        else:
+            self.transport.unregisterProducer()
+            self.flush()
+
+    def writing_last(self) -> None:
+        # Twisted writes behind our back from here on, so the claim counts as one that may have run unless the
+        # connection is seen to end with bytes unsent.
+        if self.claim is not None:
+            self.claim.written = True
+
+    def flush(self) -> None:
+        self.flushed = True
+        self.sender = None
+
+    def unsendable(self) -> None:
+        """The rest of the request will never come, so its job is over and nobody waits for this claim."""
+        self.abort("request-not-whole")
+
+    def stopProducing(self) -> None:
+        """The connection has ended first; `ended` sees to the claim."""
+
+    def stop_sending(self) -> None:
+        if self.sender is not None:
+            self.sender.stopProducing()
+            self.sender = None
+
+    def drop(self) -> None:
+        """Stop working on the claim: to an execute node, abandoning is closing."""
+        self.claim = None
+        self.stop_sending()
+        self.abort("claim-abandoned")
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.claim is None and self.flow is None:
+            # An answer to nothing would be taken for the next claim's.
+            self.abort("unasked-data")
+            return
+        self.reader.feed(data)
+        self.stop_waiting()
+        try:
+            if self.flow is not None:
+                self.pass_on(self.flow)
+                return
+            message = self.reader.next()
+            while message is not None and message.first[0][:1] == b"1":
+                message = self.reader.next()
+            if message is None and self.reader.message is not None:
+                message = self.early(self.reader.message)
+        except BadMessage as bad:
+            self.spoilt(str(bad))
+            return
+        if message is None:
+            # Its length may be wrong: the rest that is missing then would be waited for until the deadline.
+            if self.reader.started:
+                self.wait(STALL)
+        elif message.open:
+            self.begin(message)
+        else:
+            self.answered(message)
+
+    def early(self, message: Message) -> Message | None:
+        """The answer that has begun, if it is to be passed on already."""
+        now = self.pool.clock.now()
+        if not self.head_at:
+            self.head_at = now
+        if message.length is None:
+            due = self.head_at + EARLY_UNTOLD
+        else:
+            due = self.head_at + EARLY if message.length > HOLD else inf
+        return self.reader.begin() if now >= due else None
+
+    def wait(self, seconds: float) -> None:
+        self.stalled = self.pool.clock.at(self.pool.clock.now() + seconds, self.spoilt, "answer not whole")
+
+    def stop_waiting(self) -> None:
+        if self.stalled is not None and self.stalled.active():
+            self.stalled.cancel()
+
+    def spoilt(self, why: str) -> None:
+        """What came is no answer: the claim has failed, and nothing more on the connection can be trusted."""
+        self.why = why
+        self.abort("bad-answer")
+        self.fail()
+
+    def fail(self) -> None:
+        """Before its last byte left, the claim can't have run."""
+        self.stop_sending()
+        claim, self.claim = self.claim, None
+        if (flow := self.end_flow()) is not None:
+            flow.break_off()
+        if claim is not None:
+            self.pool.exchange.end(claim, Outcome.RESET if self.flushed else Outcome.CONNECT_FAILED)
+
+    # Large answers
+
+    def begin(self, message: Message) -> None:
+        """Pass the answer on from here: for its job this is the end, whatever becomes of the rest."""
+        claim, self.claim, self.head_at = self.claim, None, 0.0
+        assert claim is not None
+        if message.first[0] != b"200":
+            self.abort("large-error")
+            self.pool.exchange.end(claim, Outcome.ERROR)
+            return
+        self.keep_alive = message.keep_alive
+        flow = self.flow = message.flow = Body(self.pool.room, message.length)
+        flow.on_room = self.go_on
+        flow.on_cancel = self.nobody_takes
+        flow.put(message.body)
+        self.wait(STALL_OPEN)
+        self.pool.exchange.end(claim, SERVED, message)
+        if flow.on_more == nothing:
+            flow.cancel()  # its caller has gone
+        else:
+            self.hold_back(flow)
+
+    def pass_on(self, flow: Body) -> None:
+        data, whole = self.reader.more()
+        if whole:
+            self.end_flow()
+            self.keep_or_close(self.keep_alive)
+        else:
+            self.wait(STALL_OPEN)
+        flow.put(data, whole)
+        self.hold_back(flow)
+
+    def end_flow(self) -> Body | None:
+        """This side has no more to do with it."""
+        flow, self.flow = self.flow, None
+        if flow is not None:
+            flow.on_room = flow.on_cancel = nothing
+        return flow
+
+    def hold_back(self, flow: Body) -> None:
+        """Its caller is slower than the node: what waits here is not the node's silence."""
+        if self.flow is flow and flow.full:
+            self.stop_waiting()
+            self.transport.pauseProducing()
+
+    def go_on(self) -> None:
+        if self.alive and not self.code:
+            self.wait(STALL_OPEN)
+            self.transport.resumeProducing()
+
+    def nobody_takes(self) -> None:
+        self.end_flow()
+        self.stop_waiting()
+        self.abort("caller-gone")
+
+    # Ends
+
+    def answered(self, message: Message) -> None:
+        claim, self.claim, self.head_at = self.claim, None, 0.0
+        self.keep_or_close(message.keep_alive)
+        if claim is not None:
+            status = message.first[0]
+            if status == b"200":
+                self.pool.exchange.end(claim, SERVED, message)
+            elif status in (b"503", b"504") and message.fields.get(b"x-unprocessed") == b"1":
+                self.pool.exchange.end(claim, Outcome.REJECTED)
+            else:
+                self.pool.exchange.end(claim, Outcome.ERROR)
+
+    def keep_or_close(self, keep_alive: bool) -> None:
+        if not self.flushed or self.reader.started:
+            # Half a request or a part of some answer is left on it: the next claim would get the wrong one.
+            self.stop_sending()
+            self.abort("not-clean")
+        elif not keep_alive:
+            self.close("node-asked")
+        else:
+            self.pool.keep(self)
+
+    def ended(self, orderly: bool) -> None:
+        self.pool.gone(self)
+        self.stop_waiting()
+        message = self.reader.end() if orderly and not self.code else None
+        if message is None:
+            self.fail()
+        elif (flow := self.end_flow()) is not None:
+            flow.put(b"", True)
+        else:
+            self.answered(message)
--- a/wheatring/http1/client.py
+++ b/wheatring/http1/client.py
@@ -1,10 +1,10 @@
-"""The client side: carries claims to execute nodes over HTTP/1.1, on a pool of kept connections."""
+"""The client side: a pool of kept connections to execute nodes, and the connects for new ones."""
 
 from __future__ import annotations
 
 from collections import deque
 from functools import partial
-from typing import Any, NamedTuple
+from typing import Any
 
 from twisted.internet.error import UserError
 from twisted.internet.protocol import ClientFactory
@@ -12,131 +12,13 @@
 
 from lapisway.interface import Outcome
 from wheatring import log
+from wheatring.core.body import Room
 from wheatring.core.clock import Clock, Timer
 from wheatring.core.exchange import Claim, Exchange
-from wheatring.http1.connection import Connection
-from wheatring.http1.parser import BadMessage, Message, Request
+from wheatring.http1.claim import ClaimConnection, Place
+from wheatring.http1.parser import Request
 
-SERVED = Outcome.SERVED  # looked up once: an enum takes its time
 SWEEP = 1.0  # seconds between looks for connections that have stood idle for too long
-STALL = 0.6  # seconds without another byte after which an answer that has begun counts as spoilt
-
-
-class Place(NamedTuple):
-    """A node and where it is. Another node may come to the same address, and must not get its connections."""
-
-    node: str
-    address: str
-
-
-class ClaimConnection(Connection):
-    """One connection to an execute node. It carries one claim at a time, and is kept only while clean."""
-
-    kind = "claim-connection"
-
-    def __init__(self, pool: Pool, place: Place) -> None:
-        super().__init__(responses=True)
-        self.pool = pool
-        self.place = place
-        self.stalled: Timer | None = None
-        self.claim: Claim | None = None
-        self.idle_since = 0.0
-        self.to_write = b""
-        self.flushed = False
-
-    def carry(self, claim: Claim) -> None:
-        """Write a claim's request. As a pull producer, this is told when its last byte has left."""
-        self.claim = claim
-        claim.drop = self.drop
-        request = claim.job.content
-        assert isinstance(request, Request)
-        left = max(1, int((claim.give_up - self.pool.clock.now()) * 1000))
-        self.to_write = b"%sX-Time-Left-Ms: %d\r\n\r\n%s" % (request.head, left, request.body)
-        self.flushed = False
-        self.transport.registerProducer(self, False)
-
-    def resumeProducing(self) -> None:
-        if self.to_write:
-            data, self.to_write = self.to_write, b""
-            if self.claim is not None:
-                # Twisted writes behind our back from here on, so the claim counts as one that may have run
-                # unless the connection is seen to end with bytes unsent.
-                self.claim.written = True
-            self.transport.write(data)
-        else:
-            self.flushed = True
-            self.transport.unregisterProducer()
-
-    def stopProducing(self) -> None:
-        """The connection has ended first; `ended` sees to the claim."""
-
-    def drop(self) -> None:
-        """Stop working on the claim: to an execute node, abandoning is closing."""
-        self.claim = None
-        self.abort("claim-abandoned")
-
-    def dataReceived(self, data: bytes) -> None:
-        if self.claim is None:
-            # An answer to nothing would be taken for the next claim's.
-            self.abort("unasked-data")
-            return
-        self.reader.feed(data)
-        try:
-            message = self.reader.next()
-            while message is not None and message.first[0][:1] == b"1":
-                message = self.reader.next()
-        except BadMessage as bad:
-            self.spoilt(str(bad))
-            return
-        self.stop_waiting()
-        if message is not None:
-            self.answered(message)
-        elif self.reader.started:
-            # Its length may be wrong: the rest that is missing then would be waited for until the deadline.
-            self.stalled = self.pool.clock.at(self.pool.clock.now() + STALL, self.spoilt, "answer not whole")
-
-    def stop_waiting(self) -> None:
-        if self.stalled is not None and self.stalled.active():
-            self.stalled.cancel()
-
-    def spoilt(self, why: str) -> None:
-        """What came is no answer: the claim has failed, and nothing more on the connection can be trusted."""
-        self.why = why
-        self.abort("bad-answer")
-        self.fail()
-
-    def fail(self) -> None:
-        """Before its last byte left, the claim can't have run."""
-        claim, self.claim = self.claim, None
-        if claim is not None:
-            self.pool.exchange.end(claim, Outcome.RESET if self.flushed else Outcome.CONNECT_FAILED)
-
-    def answered(self, message: Message) -> None:
-        claim, self.claim = self.claim, None
-        if not self.flushed or self.reader.started:
-            # Half a request or a part of some answer is left on it: the next claim would get the wrong one.
-            self.abort("not-clean")
-        elif not message.keep_alive:
-            self.close("node-asked")
-        else:
-            self.pool.keep(self)
-        if claim is not None:
-            status = message.first[0]
-            if status == b"200":
-                self.pool.exchange.end(claim, SERVED, message)
-            elif status in (b"503", b"504") and message.fields.get(b"x-unprocessed") == b"1":
-                self.pool.exchange.end(claim, Outcome.REJECTED)
-            else:
-                self.pool.exchange.end(claim, Outcome.ERROR)
-
-    def ended(self, orderly: bool) -> None:
-        self.pool.gone(self)
-        self.stop_waiting()
-        message = self.reader.end() if orderly and not self.code else None
-        if message is not None:
-            self.answered(message)
-        else:
-            self.fail()
 
 
 class _Dial(ClientFactory):
@@ -194,7 +76,14 @@
     """Starts claims, and keeps clean connections for the next ones; the last one used goes out first."""
 
     def __init__(
-        self, reactor: Any, clock: Clock, exchange: Exchange, connect_time: float, idle: float, most: int
+        self,
+        reactor: Any,
+        clock: Clock,
+        exchange: Exchange,
+        connect_time: float,
+        idle: float,
+        most: int,
+        room: Room,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
@@ -203,6 +92,7 @@
         # The node's machine closes a connection at `idle`, and a claim written then would end in a reset.
         self.idle = idle * 0.7
         self.most = most
+        self.room = room
         self.addresses: dict[str, str] = {}
         self.idle_ones: dict[Place, deque[ClaimConnection]] = {}
         self.connections: dict[ClaimConnection, None] = {}  # in the order in which they came
@@ -218,6 +108,9 @@
             self.reactor.callLater(0, partial(self.exchange.end, claim, Outcome.CONNECT_FAILED))
             return
         place = Place(claim.node, address)
+        request = claim.job.content
+        if isinstance(request, Request) and request.rest is not None:
+            request.rest.again()
         idle = self.idle_ones.get(place)
         while idle:
             connection = idle.pop()
--- a/wheatring/http1/connection.py
+++ b/wheatring/http1/connection.py
@@ -9,7 +9,7 @@
 from twisted.python.failure import Failure
 
 from wheatring import log
-from wheatring.http1.parser import MAX_BODY, Reader
+from wheatring.http1.parser import Reader
 
 
 class Transport(Protocol):
@@ -42,8 +42,8 @@
     transport: Transport  # type: ignore[assignment]  # Twisted's own type says nothing of TCP
     kind = "connection"
 
-    def __init__(self, *, responses: bool, max_body: int = MAX_BODY) -> None:
-        self.reader = Reader(responses=responses, max_body=max_body)
+    def __init__(self, *, responses: bool, max_body: int, hold: int | None = None) -> None:
+        self.reader = Reader(responses=responses, max_body=max_body, hold=hold)
         self.code = ""  # why this side ended it; none while it has not
         self.why = ""  # what was wrong with what the peer sent
         self.alive = False
--- a/wheatring/http1/parser.py
+++ b/wheatring/http1/parser.py
@@ -1,4 +1,8 @@
-"""An incremental parser for HTTP/1.1 messages, requests and responses alike. It knows no sockets."""
+"""An incremental parser for HTTP/1.1 messages, requests and responses alike. It knows no sockets.
+
+A message comes whole from `next`. One whose body is larger than what is held of one comes *open*, with the
+first of its body; `more` gives the rest as it comes, until it says that that was the end.
+"""
 
 from __future__ import annotations
 
@@ -6,8 +10,11 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from wheatring.core.body import Body
+
 MAX_HEAD = 16 * 1024
-MAX_BODY = 64 * 1024
+HOLD = 64 * 1024  # of a body, before its message is given open
+MAX_BODY = 32 * 1024 * 1024
 
 _REQUEST = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+) ([!-~]+) HTTP/1\.([01])")
 _START = b"HTTP/1."
@@ -36,7 +43,7 @@
 
 @dataclass(slots=True)
 class Message:
-    """One whole message."""
+    """One message: whole, or open with the first of its body."""
 
     first: tuple[bytes, ...]  # (method, target) of a request, (status,) of a response
     fields: dict[bytes, bytes]  # by name in lower case; repeated ones joined by commas
@@ -44,6 +51,10 @@
     repeated: frozenset[bytes]  # names that came more than once
     keep_alive: bool
     body: bytes = b""
+    old: bool = False  # its sender speaks HTTP/1.0, and reads no chunks
+    length: int | None = None  # of the body, where the head tells it
+    open: bool = False
+    flow: Body | None = None  # of one that is open, once it is passed on: its body from the first byte on
 
     def end_to_end(self, *without: bytes) -> bytes:
         """The field lines that travel on unchanged: all but those of the connection, and `without`."""
@@ -57,10 +68,13 @@
 
 @dataclass(slots=True)
 class Request:
-    """What of a job travels on to an execute node: the head up to the time left, and the body."""
+    """What of a job travels on to an execute node: the head up to the time left, and the body. That of a
+    large one is in `rest`."""
 
     head: bytes
     body: bytes
+    rest: Body | None = None
+    chunked: bool = False  # `rest` goes in chunks, as nobody told its length
 
 
 class _State(Enum):
@@ -68,28 +82,34 @@
     LENGTH = 1
     CHUNK_SIZE = 2
     CHUNK_DATA = 3
-    TRAILER = 4
-    UNTIL_CLOSE = 5
+    CHUNK_END = 4
+    TRAILER = 5
+    UNTIL_CLOSE = 6
 
 
 # Looked up once, not for each message: an enum takes its time.
 _HEAD, _LENGTH, _UNTIL_CLOSE = _State.HEAD, _State.LENGTH, _State.UNTIL_CLOSE
-_CHUNK_SIZE, _CHUNK_DATA, _TRAILER = _State.CHUNK_SIZE, _State.CHUNK_DATA, _State.TRAILER
+_CHUNK_SIZE, _CHUNK_DATA = _State.CHUNK_SIZE, _State.CHUNK_DATA
+_CHUNK_END, _TRAILER = _State.CHUNK_END, _State.TRAILER
+_LINES = {_CHUNK_SIZE: 256, _CHUNK_END: 0, _TRAILER: MAX_HEAD}  # the longest line that each may bring
 
 
 class Reader:
     """The messages of one connection, cut from its one buffer. The buffer grows as needed, and what has
     been read is cut from its front in place."""
 
-    def __init__(self, *, responses: bool, max_body: int = MAX_BODY) -> None:
+    def __init__(self, *, responses: bool, max_body: int = HOLD, hold: int | None = None) -> None:
+        """Without `hold`, all messages come whole."""
         self.buffer = bytearray()
         self.responses = responses
         self.max_body = max_body
+        self.hold = max_body if hold is None else hold
         self.state = _HEAD
         self.searched = 0  # the head's end does not start before here
         self.need = 0  # bytes that the body or the chunk still lacks
         self.trailer = 0
-        self.got = 0  # bytes of a chunked body that stand at the front of the buffer
+        self.got = 0  # bytes of the body that stand at the front of the buffer
+        self.passed = 0  # and those that have been given before
         self.message: Message | None = None
 
     def feed(self, data: bytes) -> None:
@@ -100,33 +120,56 @@
         """A message has begun and is not whole."""
         return bool(self.buffer) or self.state is not _HEAD
 
+    @property
+    def came(self) -> int:
+        """Bytes of the present body, about."""
+        return self.passed + len(self.buffer)
+
     def next(self) -> Message | None:
-        """The next whole message, or None while it lacks bytes."""
+        """The next message, whole or open; None while it lacks bytes."""
         if self.state is _HEAD and not self._head():
             return None
-        if self.state is _LENGTH:
-            return self._length()
-        if self.state is _UNTIL_CLOSE:
-            if len(self.buffer) > self.max_body:
-                raise BadMessage(413, "body too large")
-            return None
-        return self._chunked()
+        if self._body():
+            return self._done()
+        return self.begin() if self.got > self.hold else None
+
+    def begin(self) -> Message:
+        """The message that has begun, open from now on."""
+        message = self.message
+        assert message is not None
+        message.open = True
+        message.body = self._give()
+        return message
+
+    def more(self) -> tuple[bytes, bool]:
+        """What else has come of the open message's body, and whether that is the end."""
+        whole = self._body()
+        data = self._give()
+        if whole:
+            self._done()
+        return data, whole
 
     def end(self) -> Message | None:
         """The peer closed in good order: a response that lasts until then is whole now."""
-        return self._done(self._take(len(self.buffer))) if self.state is _State.UNTIL_CLOSE else None
+        if self.state is not _UNTIL_CLOSE:
+            return None
+        self.got = len(self.buffer)
+        return self._done()
 
-    def _take(self, size: int) -> bytes:
+    def _give(self) -> bytes:
+        size, self.got = self.got, 0
+        self.passed += size
         if not size:
             return b""
         taken = bytes(self.buffer[:size])
         del self.buffer[:size]
         return taken
 
-    def _done(self, body: bytes) -> Message:
+    def _done(self) -> Message:
         message, self.message = self.message, None
         assert message is not None
-        message.body = body
+        if not message.open:
+            message.body = self._give()
         self.state = _HEAD
         return message
 
@@ -175,29 +218,29 @@
         keep_alive = minor == b"1"
         if b"connection" in fields:
             keep_alive &= b"close" not in map(bytes.strip, fields[b"connection"].lower().split(b","))
-        message = Message(first, fields, kept, frozenset(repeated) if repeated else _NONE, keep_alive)
-        self.message = message
-        self._framing(message, minor == b"0")
+        once = frozenset(repeated) if repeated else _NONE
+        message = self.message = Message(first, fields, kept, once, keep_alive, old=minor == b"0")
+        self._framing(message)
         return True
 
-    def _framing(self, message: Message, old: bool) -> None:
+    def _framing(self, message: Message) -> None:
         length, coding = message.fields.get(b"content-length"), message.fields.get(b"transfer-encoding")
         status = message.first[0] if self.responses else b""
-        self.need = 0
+        self.need = self.got = self.passed = 0
         self.state = _LENGTH
         if coding is not None:
             # Two lengths, or one that can't be told, would let a body pass for a second request.
-            if length is not None or old or coding.lower() != b"chunked":
+            if length is not None or message.old or coding.lower() != b"chunked":
                 raise BadMessage(400, "unclear length")
             self.state = _CHUNK_SIZE
-            self.got = self.trailer = 0
+            self.trailer = 0
         elif length is not None:
             if b"content-length" in message.repeated:
                 same = {part.strip() for part in length.split(b",")}
                 length = same.pop() if len(same) == 1 else b"-"
             if not _DIGITS.fullmatch(length):
                 raise BadMessage(400, "unclear length")
-            self.need = int(length)
+            self.need = message.length = int(length)
             if self.need > self.max_body:
                 raise BadMessage(413, "body too large")
         elif self.responses and status[:1] != b"1":
@@ -206,50 +249,62 @@
         if status[:1] == b"1" or status in (b"204", b"304"):
             self.need, self.state = 0, _LENGTH
 
-    def _length(self) -> Message | None:
-        return self._done(self._take(self.need)) if len(self.buffer) >= self.need else None
+    def _body(self) -> bool:
+        """Read on in the body. Whether it is whole, and all that came of it stands at the front."""
+        if self.state is _LENGTH:
+            size = min(self.need, len(self.buffer) - self.got)
+            self.got += size
+            self.need -= size
+            return not self.need
+        if self.state is _UNTIL_CLOSE:
+            self.got = len(self.buffer)
+            if self.passed + self.got > self.max_body:
+                raise BadMessage(413, "body too large")
+            return False
+        return self._chunks()
 
-    def _line(self, most: int) -> bytes | None:
-        """Cut the line that stands behind the part of the body read so far."""
-        buffer, start = self.buffer, self.got
-        end = buffer.find(b"\r\n", start)
-        if end - start > most or (end < 0 and len(buffer) - start > most + 1):
+    def _line(self, at: int, most: int) -> bytes | None:
+        """The line that begins there, without its end."""
+        end = self.buffer.find(b"\r\n", at)
+        if end - at > most or (end < 0 and len(self.buffer) - at > most + 1):
             raise BadMessage(400, "line too long in a chunked body")
-        if end < 0:
-            return None
-        line = bytes(buffer[start:end])
-        del buffer[start : end + 2]
-        return line
-
-    def _chunked(self) -> Message | None:
-        """The body gathers at the front of the buffer, as the framing between its chunks is cut out."""
-        while True:
-            if self.state is _CHUNK_SIZE:
-                line = self._line(256)
-                if line is None:
-                    return None
-                size = _CHUNK.fullmatch(line)
-                if size is None:
-                    raise BadMessage(400, "malformed chunk")
-                self.need = int(size.group(1), 16)
-                if self.got + self.need > self.max_body:
-                    raise BadMessage(413, "body too large")
-                self.state = _CHUNK_DATA if self.need else _TRAILER
-            elif self.state is _CHUNK_DATA:
-                end = self.got + self.need
-                if len(self.buffer) < end + 2:
-                    return None
-                if self.buffer[end : end + 2] != b"\r\n":
-                    raise BadMessage(400, "malformed chunk")
-                del self.buffer[end : end + 2]
-                self.got = end
-                self.state = _CHUNK_SIZE
-            else:
-                line = self._line(MAX_HEAD)
+        return None if end < 0 else bytes(self.buffer[at:end])
+
+    def _chunks(self) -> bool:
+        """The body gathers at the front of the buffer: each chunk moves down to the end of the last, and what
+        was read of the framing is cut out behind them in one go."""
+        buffer, at = self.buffer, self.got
+        try:
+            while True:
+                if self.state is _CHUNK_DATA:
+                    size = min(self.need, len(buffer) - at)
+                    if at > self.got:
+                        buffer[self.got : self.got + size] = buffer[at : at + size]
+                    self.got += size
+                    at += size
+                    self.need -= size
+                    if self.need:
+                        return False
+                    self.state = _CHUNK_END
+                line = self._line(at, _LINES[self.state])
                 if line is None:
-                    return None
-                self.trailer += len(line)
-                if self.trailer > MAX_HEAD:
-                    raise BadMessage(431, "trailer too large")
-                if not line:
-                    return self._done(self._take(self.got))
+                    return False
+                at += len(line) + 2
+                if self.state is _CHUNK_END:
+                    self.state = _CHUNK_SIZE
+                elif self.state is _CHUNK_SIZE:
+                    found = _CHUNK.fullmatch(line)
+                    if found is None:
+                        raise BadMessage(400, "malformed chunk")
+                    self.need = int(found.group(1), 16)
+                    if self.passed + self.got + self.need > self.max_body:
+                        raise BadMessage(413, "body too large")
+                    self.state = _CHUNK_DATA if self.need else _TRAILER
+                else:
+                    self.trailer += len(line)
+                    if self.trailer > MAX_HEAD:
+                        raise BadMessage(431, "trailer too large")
+                    if not line:
+                        return True
+        finally:
+            del buffer[self.got : at]
--- /dev/null
+++ b/wheatring/http1/sending.py
@@ -0,0 +1,70 @@
+"""Writes a body that is on its way, in the framing that its head has told."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from wheatring.core.body import Body, nothing
+from wheatring.http1.connection import Transport
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+class Sender:
+    """A pull producer: its transport asks for the next piece once it is through with the last one."""
+
+    def __init__(
+        self,
+        transport: Transport,
+        body: Body,
+        chunked: bool,
+        on_done: Callable[[], None],
+        on_broken: Callable[[], None],
+        on_last: Callable[[], None] = nothing,
+    ) -> None:
+        """`on_last` is told just before the last byte is handed over, `on_done` once it has left."""
+        self.transport = transport
+        self.body = body
+        self.chunked = chunked
+        self.on_done = on_done
+        self.on_broken = on_broken
+        self.on_last = on_last
+        self.starved = False
+        self.ended = False  # the last byte has been handed over
+        body.on_more = self.more
+        transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:
+        body = self.body
+        if self.ended:
+            self.transport.unregisterProducer()
+            self.on_done()
+        elif piece := body.take():
+            if self.chunked:
+                piece = b"%x\r\n%s\r\n" % (len(piece), piece)
+            elif body.all_taken:
+                self.ended = True
+                self.on_last()
+            self.transport.write(piece)
+        elif body.whole:
+            self.ended = True
+            self.on_last()
+            if self.chunked:
+                self.transport.write(LAST_CHUNK)
+            else:
+                self.resumeProducing()
+        elif body.broken:
+            self.on_broken()
+        else:
+            self.starved = True
+
+    def more(self) -> None:
+        if self.starved:
+            self.starved = False
+            self.resumeProducing()
+
+    def stopProducing(self) -> None:
+        """The connection has ended, or is given up: the body is another's to take."""
+        self.starved = False
+        if self.body.on_more == self.more:
+            self.body.on_more = nothing
--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -10,6 +10,7 @@
 from twisted.internet.protocol import ServerFactory
 
 from lapisway.interface import Effect, RequestClass
+from wheatring.core.body import Body, Room
 from wheatring.core.clock import Clock, Timer
 from wheatring.core.exchange import Exchange, Job
 from wheatring.core.refused import Refused
@@ -41,7 +42,13 @@
     noisy = False
 
     def __init__(
-        self, reactor: Any, clock: Clock, exchange: Exchange, classes: tuple[RequestClass, ...], most: int
+        self,
+        reactor: Any,
+        clock: Clock,
+        exchange: Exchange,
+        classes: tuple[RequestClass, ...],
+        most: int,
+        room: Room,
     ) -> None:
         # A reactor without sockets brings doors of its own; they keep to `room` as well.
         self.open_door: Callable[..., Any] = getattr(reactor, "open_door", open_door)
@@ -50,6 +57,7 @@
         self.exchange = exchange
         self.classes = {c.name: c for c in classes}
         self.most = most
+        self.room_for_bodies = room
         # In the order in which they came: in an order of memory's, two runs of one day would differ.
         self.connections: dict[CallerConnection, None] = {}
         self.stopping = False
@@ -157,18 +165,28 @@
             if not _DIGITS.fullmatch(left):
                 raise Refused(400, "bad time")
             seconds = min(seconds, int(left) / 1000)  # no caller waits longer than its class
-        body = message.body
         head = b"%s %s HTTP/1.1\r\n%s" % (method, target, message.end_to_end(b"x-time-left-ms"))
-        if body or method != b"GET":
-            head += b"Content-Length: %d\r\n" % len(body)
         return Job(
             ident=ident.decode("latin-1"),
             class_name=name.decode("latin-1"),
-            deadline=self.clock.now() + seconds,
-            content=Request(head, body),
+            deadline=inf if message.open else self.clock.now() + seconds,
+            content=self.content(message, head),
             repeat=fields.get(b"x-repeat") == b"1",
+            allowed=seconds,
         )
 
+    def content(self, message: Message, head: bytes) -> Request:
+        """What is sent on."""
+        body = message.body
+        if message.open:
+            rest = Body(self.room_for_bodies, message.length, kept=True)
+            if message.length is None:
+                return Request(head + b"Transfer-Encoding: chunked\r\n", b"", rest, chunked=True)
+            return Request(b"%sContent-Length: %d\r\n" % (head, message.length), b"", rest)
+        if body or message.first[0] != b"GET":
+            head += b"Content-Length: %d\r\n" % len(body)
+        return Request(head, body)
+
     # Shutdown, and out of service
 
     def standing(self) -> list[CallerConnection]:
@@ -200,15 +218,15 @@
             self.port.stopListening()
             self.port = None
 
-    def close_between(self) -> None:
+    def close_between(self, patient: bool = False) -> None:
         """Nobody else comes: close the connections that have no request under way, and those of callers that
-        take too long to send one or to read its answer."""
+        take too long to send one, unless `patient` with them, or to read its answer."""
         now = self.clock.now()
         for connection in list(self.connections):
             if connection.code:
                 if now > connection.since + FLUSH:
                     connection.abort(connection.code)
-            elif connection.job is not None:
+            elif connection.job is not None and (patient or connection.upload is None):
                 continue
             elif not connection.waiting:
                 self.part(connection)
--- a/wheatring/lab/direct/pool.py
+++ b/wheatring/lab/direct/pool.py
@@ -12,7 +12,8 @@
 from wheatring import log
 from wheatring.core.clock import Timer
 from wheatring.core.exchange import Claim, Exchange
-from wheatring.http1.client import SWEEP, Place
+from wheatring.http1.claim import Place
+from wheatring.http1.client import SWEEP
 from wheatring.lab.book import Book
 from wheatring.lab.direct.clock import DirectClock
 from wheatring.lab.direct.links import Links
--- a/wheatring/ops/capture/record.py
+++ b/wheatring/ops/capture/record.py
@@ -6,6 +6,7 @@
     r MS NOW NUMBER ID CLASS LEFT REPEAT                 a request, its number as the module knows it
     o MS NOW NUMBER ATTEMPT OUTCOME NODE LATENCY CLOSED REPORT    an attempt has ended
     g MS NOW NUMBER                                      a caller has gone
+    m MS NOW NUMBER                                      a request can't be sent again
     t MS NOW TOKEN                                       a timer is due
     d MS ID CLASS LEFT-MS CANDIDATE... CHOSEN ACTION     a decision on a request
     a ACTION                                             any other action
@@ -39,7 +40,8 @@
 
 def _entry(entry: i.EndpointEntry) -> str:
     words = (word(entry.endpoint), entry.state.value, word(entry.zone), word(entry.kind))
-    return ",".join((*words, f"{entry.cell}", _number(entry.rating), _number(entry.started_at)))
+    owed = ("owed",) if entry.owed else ()
+    return ",".join((*words, f"{entry.cell}", _number(entry.rating), _number(entry.started_at), *owed))
 
 
 def _report(report: i.LoadReport | None) -> str:
@@ -115,11 +117,13 @@
                 return f"o {when} {about} {_report(report)}"
             case i.ClientGone(number):
                 return f"g {when} {number}"
+            case i.Committed(number):
+                return f"m {when} {number}"
             case i.TimerDue(token):
                 return f"t {when} {token}"
             case i.View(kind, entries, version):
                 return " ".join((f"v {when} {kind.value} {version}", *map(_entry, entries)))
-        return "x 0"  # streams, probes and peers, which the sidecar has none of
+        return "x 0"  # probes and peers, which the sidecar has none of
 
     def action(self, action: i.Action) -> str:
         match action:
--- a/wheatring/ops/capture/replay.py
+++ b/wheatring/ops/capture/replay.py
@@ -29,10 +29,10 @@
 
 
 def _entry(text: str) -> i.EndpointEntry:
-    name, state, zone, kind, cell, rating, started = text.split(",")
+    name, state, zone, kind, cell, rating, started, *owed = text.split(",")
     return i.EndpointEntry(
         _word(name), i.EndpointState(state), _word(zone), _word(kind), int(cell), float(rating),
-        float(started),
+        float(started), owed == ["owed"],
     )  # fmt: skip
 
 
@@ -51,6 +51,8 @@
             )  # fmt: skip
         case "g", [number]:
             return i.ClientGone(int(number))
+        case "m", [number]:
+            return i.Committed(int(number))
         case "t", [token]:
             return i.TimerDue(int(token))
         case "v", [view, version, *entries]:
