--- a/wheatring/lab/faults.py
+++ b/wheatring/lab/faults.py
@@ -42,7 +42,7 @@
     Fault(
         "kept-unclean",
         "a connection with bytes left on it is kept for the next claim",
-        "wheatring.http1.client:ClaimConnection.answered",
+        "wheatring.http1.claim:ClaimConnection.keep_or_close",
         "if not self.flushed or self.reader.started:",
         "if False:",
         "faults",
@@ -83,7 +83,7 @@
     Fault(
         "reset-never-ran",
         "a connection that breaks after the request's last byte counts as proof that nothing ran",
-        "wheatring.http1.client:ClaimConnection.fail",
+        "wheatring.http1.claim:ClaimConnection.fail",
         "Outcome.RESET if self.flushed else Outcome.CONNECT_FAILED",
         "Outcome.CONNECT_FAILED",
         "faults",
@@ -109,8 +109,8 @@
         "half-answer-served",
         "an answer that ends before its length is passed on as whole",
         "wheatring.http1.parser:Reader.end",
-        "if self.state is _State.UNTIL_CLOSE else None",
-        "if self.message is not None else None",
+        "if self.state is not _UNTIL_CLOSE:",
+        "if self.message is None:",
         "faults",
         ON_SOCKETS,
     ),
