Tests that fail without what they guard, and an end for a newcomer that can't listen

28 mutations of the new code were planted; ten survived: a dial or a kept connection to a banned node, connections in drain, the capture's own file, the module not told of a committed request, slow bodies, an early answer, the followed leaving (twice), and an upload's abandoned sender. Each has a test or a sharper assertion now. One of them hung: a newcomer that may not listen stayed, deaf; it ends with status 2 and one line.

--- a/tests/control/test_calls.py
+++ b/tests/control/test_calls.py
@@ -119,6 +119,7 @@
     caller.read()
     assert call(world, "endpoints/n0/offline") == 200
     assert wire.at_end()
+    assert world.logged("claim-connection") == ["close-idle"]
 
 
 def test_a_connect_under_way_comes_to_no_send_once_its_node_is_out(make: Make) -> None:
@@ -137,7 +138,7 @@
     wire.read()
     (job,) = world.run(lambda: list(world.sidecar.exchange.idents.values()))
     assert world.run(ban) == 1
-    assert world.run(lambda: len(world.sidecar.pool.dials)) == 0
+    assert world.logged("claim-connection") == ["not-up-in-time"]
     wire.answer(200, b"yes")
     assert caller.read()[2] == b"yes"
 
@@ -154,7 +155,8 @@
     wire.answer(200, b"kept")
     _, fields, body = busy.read()
     assert (fields["connection"], body) == ("close", b"kept") and busy.at_end()
-    assert idle.at_end()  # in time, by itself
+    assert idle.at_end()
+    assert "idle" not in world.codes("caller-connection")  # in time, not as any other
     assert call(world, "in-service") == 200
     assert health(world) == 200
 
--- a/tests/control/test_upgrade.py
+++ b/tests/control/test_upgrade.py
@@ -14,6 +14,7 @@
 
 from tests.test_process import told
 from tests.world import FAR, Peer, Wire, entry
+from wheatring.ops.capture.replay import replay
 
 
 def begin(tmp_path: Path, name: str, **changes: Any) -> subprocess.Popen[str]:
@@ -153,6 +154,8 @@
         old.send_signal(signal.SIGTERM)
         assert old.wait(FAR) == 0
         assert not list((tmp_path / "tmp").glob("*.live"))
+        told_of_captures: list[str] = []
+        assert replay(tmp_path / "tmp", told_of_captures.append), told_of_captures
     finally:
         if load is not None:
             load.end()
@@ -163,6 +166,25 @@
             peer.close()
 
 
+def test_a_newcomer_that_may_not_listen_ends_with_status_2_and_one_line(tmp_path: Path) -> None:
+    (tmp_path / "tmp").mkdir()
+    with socket.socket() as taken:  # somebody else's, who does not share
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        where = f"127.0.0.1:{taken.getsockname()[1]}"
+        alone = begin(tmp_path, "v1", listen=where)
+        other = begin(tmp_path, "v2")
+        wait(other, "listening")
+        beside = begin(tmp_path, "v3", listen=where)  # it waits for its places first
+        try:
+            assert alone.wait(FAR) == beside.wait(FAR) == 2
+            assert other.poll() is None
+        finally:
+            for process in (alone, other, beside):
+                process.kill()
+                process.communicate()
+
+
 def test_a_newcomer_killed_at_its_start_leaves_the_old_one_serving(tmp_path: Path) -> None:
     (tmp_path / "tmp").mkdir()
     with socket.socket() as taken:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from itertools import pairwise
 from pathlib import Path
+from typing import Any
 
 import pytest
 from hypothesis import given, settings
@@ -19,7 +20,10 @@
 from tests.test_process import told, until
 from tests.world import FAR, Peer, Wire, World, entry
 from wheatring.core.body import WINDOWS, Body, Room
+from wheatring.http1 import caller as callers
+from wheatring.http1 import claim
 from wheatring.http1.parser import HOLD, Reader
+from wheatring.http1.sending import Sender
 
 Make = Callable[..., World]
 LARGE = bytes(range(256)) * 800  # 200 kB
@@ -138,6 +142,17 @@
         assert caller.at_end()
 
 
+def test_one_that_is_said_to_be_large_is_begun_early(make: Make, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(claim, "EARLY", 0.0)
+    world = make()
+    caller = world.ask()
+    node = world.nodes[0].accept()
+    node.read()
+    node.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LARGE) + LARGE[:10])
+    assert "200" in head(caller)
+    assert body(caller, 10) == LARGE[:10]
+
+
 def test_a_large_request_is_sent_once_it_is_whole_and_can_be_sent_again(make: Make) -> None:
     world = make(2)
     caller = post(world, len(LARGE))
@@ -194,6 +209,7 @@
     caller.send(LARGE[150000:])
     assert caller.at_end()
     assert world.codes("claim-connection") == ["peer-reset"]
+    assert "claim-broken" not in [event for event, _ in world.lines]  # the module never asked for it
 
 
 def test_a_caller_that_leaves_in_the_middle_leaves_no_request_behind(make: Make) -> None:
@@ -236,6 +252,46 @@
         chunks(node)
 
 
+def test_a_body_that_comes_too_slowly_is_given_up(make: Make, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(callers, "PATIENCE", 0.0)
+    monkeypatch.setattr(callers, "SLOWEST", 1e12)
+    caller = post(make(), len(LARGE))
+    caller.send(LARGE[:100000])
+    assert caller.read()[0].split()[1] == "408"
+
+
+def test_a_sender_that_is_stopped_takes_nothing_from_the_one_after_it() -> None:
+    class Held:
+        """A transport that asks for more when it is told to."""
+
+        def __init__(self) -> None:
+            self.got = b""
+
+        def write(self, data: bytes) -> None:
+            self.got += data
+
+        def registerProducer(self, producer: Sender, streaming: bool) -> None:
+            producer.resumeProducing()
+
+    transports: list[Any] = [Held(), Held()]
+    large = Body(Room(1000000), kept=True)
+    large.put(b"a" * 20000)
+    ends: list[str] = []
+    first = Sender(transports[0], large, False, lambda: ends.append("done"), lambda: ends.append("cut"))
+    first.resumeProducing()  # all that there is has gone: it waits
+    first.stopProducing()
+    large.again()
+    large.put(b"b" * 20000)  # nobody takes it meanwhile
+    second = Sender(transports[1], large, False, lambda: ends.append("done"), lambda: ends.append("cut"))
+    first.stopProducing()  # once more, as its connection ends
+    second.resumeProducing()
+    second.resumeProducing()
+    large.put(b"c", True)
+    assert transports[0].got == b"a" * 20000
+    assert transports[1].got == b"a" * 20000 + b"b" * 20000 + b"c"
+    assert ends == []
+
+
 def test_one_refused_for_its_head_is_answered_before_its_body_is_there(make: Make) -> None:
     world = make()
     caller = world.caller()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -16,6 +16,8 @@
     KEPT,
     KILL,
     LONGEST,
+    SHED,
+    SHED_FOLLOWED,
     UNSERVED,
     Leaving,
     Open,
@@ -132,3 +134,15 @@
     latencies.sort()
     less, greater = chance(latencies, age, ahead), chance(latencies, age, ahead + more)
     assert 0 <= less <= greater + 1e-12 and greater <= 1 + 1e-12
+
+
+@given(HISTORY, JOBS.filter(bool), st.floats(0.0, 5.0))
+def test_nobody_waits_for_the_end_of_one_whose_follower_serves(
+    history: list[tuple[str, float, float]], jobs: list[Open], since: float
+) -> None:
+    _, told = planned(history)
+    usual = Usual()
+    leaving = Leaving(told, CLASSES, 1, usual, 20, followed=True)
+    assert leaving.goes_on(told + since, jobs) == (told + since < leaving.last)
+    assert leaving.keep(told + SHED) > 10  # where nobody follows it is none by then
+    assert leaving.keep(told + SHED_FOLLOWED) == 0
--- a/wheatring/control/desk.py
+++ b/wheatring/control/desk.py
@@ -162,7 +162,7 @@
             if self.ceiling >= ENOUGH * self.places or waited:
                 self.opened = True
                 self.open_door()
-                if self.others:
+                if self.others and self.server.port is not None:
                     drawn = self.server.port.draw()
                     log.line("upgrade", part="newer", drawn=int(drawn), others=len(self.others))
 
--- a/wheatring/daemon.py
+++ b/wheatring/daemon.py
@@ -69,6 +69,7 @@
         freshness = Freshness(settings.copies, settings.number, Random(f"{told.seed}:list"), self.clock.now())
         self.server = Server(reactor, self.clock, self.exchange, settings.classes, self.places - claims, room)
         on_view: Callable[[View], None] = self.driver.feed
+        self.status = 0  # with which the process ends
         self.desk: Desk | None = None
         self.door: Door | None = None
         if told.control is not None:
@@ -141,7 +142,18 @@
 
     def listen(self) -> None:
         """Let callers in."""
-        port = self.server.listen(*self.told.listen, shared=self.desk is not None)
+        from twisted.internet.error import CannotListenError
+
+        try:
+            port = self.server.listen(*self.told.listen, shared=self.desk is not None)
+        except CannotListenError as bad:
+            if not self.reactor.running:
+                raise
+            # A newcomer waits for its places first. It must not stay, deaf, beside one that serves.
+            print(f"wheatring: listen: {bad}", file=sys.stderr)
+            self.status = 2
+            self.reactor.stop()
+            return
         log.line("listening", name=self.told.name, host=self.told.listen[0], port=port)
 
     def record(self, event: str, actor: str) -> None:
@@ -290,4 +302,4 @@
     sys.stdout.flush()
     sys.stderr.flush()
     # The follower starts once this process is gone, and all that the interpreter would take apart is too.
-    os._exit(0)
+    os._exit(sidecar.status)
