--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -255,6 +255,7 @@
 def test_a_body_that_comes_too_slowly_is_given_up(make: Make, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(callers, "PATIENCE", 0.0)
     monkeypatch.setattr(callers, "SLOWEST", 1e12)
+    monkeypatch.setattr(callers, "SILENT", 1e9)
     caller = post(make(), len(LARGE))
     caller.send(LARGE[:100000])
     assert caller.read()[0].split()[1] == "408"
--- a/tests/test_old_list.py
+++ b/tests/test_old_list.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.world import Peer, World, entry, list_body
+from wheatring.http1 import list_calls
 from wheatring.lifecycle import freshness
 
 Make = Callable[..., World]
@@ -104,3 +105,26 @@
     node.read()
     node.answer(200, b"there")
     assert caller.read()[2] == b"there"
+
+
+@pytest.mark.parametrize("ending", ["stalls", "breaks off"])
+def test_half_a_list_is_none_and_is_asked_for_again(
+    make: Make, monkeypatch: pytest.MonkeyPatch, ending: str
+) -> None:
+    if ending == "stalls":
+        monkeypatch.setattr(list_calls, "STALL", 0.0)
+        monkeypatch.setattr(freshness, "QUIET", 1e9)  # which would come to the same, much later
+    world = make(2)
+    watch = world.discovery.accept()
+    watch.read()
+    gone = list_body(8, {"instanceId": "n0", "lifecycle": "DELETED"})
+    whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(gone) + gone
+    watch.send(whole[:-2])
+    if ending == "breaks off":
+        watch.reset()
+    again = world.discovery.accept()
+    assert again.read()[0].startswith(HELD)  # from the version that it holds: nothing of the half one counts
+    assert sorted(world.run(lambda: list(world.sidecar.pool.addresses))) == ["n0", "n1"]
+    again.send(whole)
+    assert again.read()[0].startswith("GET /v1/servers?index=8&wait=50000")
+    assert world.run(lambda: list(world.sidecar.pool.addresses)) == ["n1"]
--- /dev/null
+++ b/wheatring/http1/answers.py
@@ -0,0 +1,16 @@
+"""What a caller is answered, as bytes."""
+
+from __future__ import annotations
+
+REASONS = {
+    400: b"Bad Request", 401: b"Unauthorized", 403: b"Forbidden", 404: b"Not Found",
+    405: b"Method Not Allowed", 408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large",
+    431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
+    503: b"Service Unavailable",
+}  # fmt: skip
+
+
+def response(status: int, body: bytes = b"", more: bytes = b"", *, close: bool = False) -> bytes:
+    return b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n%s\r\n%s" % (
+        status, REASONS.get(status, b"OK"), more, len(body), b"Connection: close\r\n" if close else b"", body
+    )  # fmt: skip
--- a/wheatring/http1/caller.py
+++ b/wheatring/http1/caller.py
@@ -15,6 +15,7 @@
 from wheatring.core.body import Body, nothing
 from wheatring.core.exchange import Answer, Final, Job
 from wheatring.core.refused import Refused
+from wheatring.http1.answers import response
 from wheatring.http1.connection import Connection
 from wheatring.http1.parser import HOLD, MAX_BODY, MAX_HEAD, BadMessage, Message, Request
 from wheatring.http1.sending import Sender
@@ -24,13 +25,6 @@
 
 SERVED, REFUSED = Final.SERVED, Final.REFUSED  # looked up once: an enum takes its time
 
-REASONS = {
-    400: b"Bad Request", 401: b"Unauthorized", 403: b"Forbidden", 404: b"Not Found",
-    405: b"Method Not Allowed", 408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large",
-    431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
-    503: b"Service Unavailable",
-}  # fmt: skip
-
 # Seconds in which a head must be whole, from its first byte or, for the first one, from the connect. Callers
 # may take 2 for it; one that sends none is owed a word within 3.
 PATIENCE = 2.6
@@ -44,12 +38,6 @@
 DRAIN = 1024 * 1024  # bytes of the rest of its request that are read meanwhile; more would only cost time
 
 
-def response(status: int, body: bytes = b"", more: bytes = b"", *, close: bool = False) -> bytes:
-    return b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n%s\r\n%s" % (
-        status, REASONS.get(status, b"OK"), more, len(body), b"Connection: close\r\n" if close else b"", body
-    )  # fmt: skip
-
-
 class CallerConnection(Connection):
     """One caller. It is answered one request at a time, in the order in which they came."""
 
--- a/wheatring/http1/list_calls.py
+++ b/wheatring/http1/list_calls.py
@@ -17,6 +17,10 @@
 # Discovery takes few calls a second from all sidecars together: a watch waits long for its answer.
 WAIT = 50.0
 DIAL = 2.0  # seconds in which discovery must have taken a connection
+# Seconds without another byte, and in all, after which an answer that has begun has failed: what it would
+# tell counts as told, and one that stalls in the middle would else be waited for as long as a quiet watch.
+STALL = 1.0
+WHOLE = 5.0
 
 
 class _Call(Connection):
@@ -42,6 +46,8 @@
             return
         if message is not None:
             self.factory.answered(self, message)
+        elif self.reader.started:
+            self.factory.begun()
 
     def ended(self, orderly: bool) -> None:
         message = self.reader.end() if orderly else None
@@ -84,16 +90,25 @@
         self.done: Done | None = None
         self.on_up: Callable[[], None] | None = None
         self.deadline = 0.0  # of the present call
+        self.part = False  # of its answer has come
         self.late: Timer | None = None
 
     def call(self, index: int | None, deadline: float, done: Done) -> None:
-        self.index, self.done, self.deadline = index, done, deadline
+        self.index, self.done, self.deadline, self.part = index, done, deadline, False
         if self.connection is not None:
             self.write()
         else:
             self.set_deadline(min(deadline, self.clock.now() + DIAL))
             self.connector = self.reactor.connectTCP(*self.address, self, timeout=None)
 
+    def begun(self) -> None:
+        """A part of the answer has come."""
+        now = self.clock.now()
+        if not self.part:
+            self.part = True
+            self.deadline = min(self.deadline, now + WHOLE)
+        self.set_deadline(min(self.deadline, now + STALL))
+
     def set_deadline(self, instant: float) -> None:
         if self.late is not None and self.late.active():
             self.late.cancel()
--- a/wheatring/http1/machine_list.py
+++ b/wheatring/http1/machine_list.py
@@ -11,11 +11,10 @@
 from lapisway.interface import EndpointEntry, EndpointState, Outcome, View, ViewKind
 from wheatring import address, log
 from wheatring.core.clock import Clock, Timer
-from wheatring.http1.list_calls import WAIT, Caller, HttpCaller
+from wheatring.http1.list_calls import WAIT, WHOLE, Caller, HttpCaller
 from wheatring.lifecycle.freshness import Freshness
 
 SLACK = 1.5  # seconds past a wait (or from the call, for the whole list: WHOLE) until the call has failed
-WHOLE = 5.0
 SPACING = 0.05  # seconds between calls of a watch at least, should discovery answer at once with no news
 
 STATES = {
