--- /dev/null
+++ b/tests/fleet/test_asking.py
@@ -0,0 +1,132 @@
+"""The timetable by which sidecars ask for the list, before a service that answers one call at a time."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.lab.direct_world import Time, Told
+from wheatring.lab.models.discovery import Answer, Call, Listed, Registry
+from wheatring.lab.plan import DiscoveryPlan
+from wheatring.lifecycle import asking
+from wheatring.lifecycle.asking import Asking
+
+LINES = 10
+
+
+class Fleet:
+    """So many sidecars, started at once with no list, before a service of `rate` calls a second, in virtual
+    time. It opens at `opens`."""
+
+    def __init__(self, copies: int, rate: float, seed: int, opens: float = 0.0) -> None:
+        self.time = Time(0.0)
+        plan = DiscoveryPlan(lines_per_s=rate * LINES, call_lines=LINES - 1, spread=0.0)
+        self.registry = Registry(plan, self.time, lambda: 0.0, Random(seed), Told())
+        self.registry.add(Listed("n", "127.0.0.1:1"))
+        if opens:
+            self.time.at(opens, self.registry.begin("down"))
+        self.fleet = [Asking(copies, n, 10.0, Random(f"{seed}:{n}"), 0.0) for n in range(copies)]
+        self.calls: list[float] = []
+        self.failed = 0
+        self.answered: dict[int, float] = {}
+        for n in range(copies):
+            self.wait(n)
+
+    def wait(self, n: int) -> None:
+        self.time.at(self.fleet[n].due(self.time.now()), self.call, n)
+
+    def call(self, n: int) -> None:
+        now = self.time.now()
+        self.calls.append(now)
+
+        def ended(answer: Answer | None) -> None:
+            if answer is not None:
+                self.answered[n] = self.time.now()
+            else:
+                self.failed += 1
+                self.again(n)
+
+        call = self.registry.call(str(n), None, 0.0, ended)
+        self.time.at(now + self.fleet[n].patience(), self.leave, n, call)
+
+    def leave(self, n: int, call: Call) -> None:
+        if not call.over:
+            call.cancel()
+            self.again(n)
+
+    def again(self, n: int) -> None:
+        self.fleet[n].failed(self.time.now())
+        self.wait(n)
+
+    def most(self, since: float, span: float = 1.0) -> int:
+        """Calls in the busiest span from then on."""
+        after = [at for at in self.calls if at >= since]
+        return max([sum(at <= other < at + span for other in after) for at in after], default=0)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_two_hundred_without_a_list_come_down_on_five_calls_a_second(seed: int) -> None:
+    fleet = Fleet(200, 5.0, seed)
+    fleet.time.run(400.0)
+    ends = sorted(fleet.answered.values())
+    assert len(ends) == 200
+    assert ends[189] < 1.3 * 40  # of all but a few; 40 s is the least there is
+    assert fleet.failed < 0.2 * 200
+    assert fleet.most(since=3.0) <= 3 * 5 + 5  # three times what it takes, and what chance adds
+
+
+@pytest.mark.parametrize("rate", [2.0, 5.0, 20.0, 100.0])
+@pytest.mark.parametrize("copies", [1, 20, 200])
+def test_all_get_their_list_whatever_the_service_can_take(copies: int, rate: float) -> None:
+    fleet = Fleet(copies, rate, 7)
+    fleet.time.run(1000.0)
+    assert len(fleet.answered) == copies
+    assert max(fleet.answered.values()) < 10 + 4 * copies / rate + copies / 4
+
+
+def test_the_service_back_after_a_minute_sees_no_storm() -> None:
+    fleet = Fleet(200, 2.5, 5, opens=60.0)
+    fleet.time.run(600.0)
+    assert len(fleet.answered) == 200
+    assert fleet.most(since=70.0, span=10.0) <= 2 * 25
+    assert sum(at >= 60.0 for at in fleet.calls) < 3 * 200
+
+
+@given(st.integers(1, 1000), st.integers(0, 999), st.booleans(), st.data())
+def test_the_rule_on_asking_is_kept_by_who_holds_a_list(
+    copies: int, number: int, answered: bool, data: st.DataObject
+) -> None:
+    """Within ten seconds from the start, and within forty of a failure, whatever came before."""
+    one = Asking(copies, number, 10.0, Random(number), 100.0)
+    one.begin(100.0, holds=True)
+    now = one.due(100.0)
+    assert 100.0 <= now < 110.0
+    if answered:
+        one.answered()
+    for _ in range(8):
+        now += data.draw(st.floats(0.0, 60.0))  # until it fails
+        one.failed(now)
+        assert now < one.due(now) < now + 40.0
+        now = one.due(now)
+
+
+@given(st.integers(2, 500))
+def test_those_with_nothing_to_go_by_ask_first(copies: int) -> None:
+    with_none = [Asking(copies, n, 10.0, Random(n), 0.0) for n in range(copies)]
+    holders = [Asking(copies, n, 10.0, Random(n), 0.0) for n in range(copies)]
+    for one in holders:
+        one.begin(0.0, holds=True)
+    assert max(one.due(0.0) for one in with_none) <= min(one.due(0.0) for one in holders) + 1e-9
+
+
+def test_what_a_single_sidecar_waits_is_no_longer_than_before() -> None:
+    one = Asking(1, 0, 10.0, Random(1), 0.0)
+    assert one.due(0.0) < 0.1 and one.patience() == asking.PATIENT
+    now = 0.0
+    for _ in range(12):
+        now = one.due(now) + asking.PATIENT
+        one.failed(now)
+        assert one.due(now) - now <= 2 * asking.LEAST_UP_TO
--- a/tests/lab/test_live_play.py
+++ b/tests/lab/test_live_play.py
@@ -216,7 +216,7 @@
 @pytest.mark.parametrize(
     ("words", "said"),
     [
-        (["small"], "small.toml: can't be played on loopback: partition, vanish, late_connects, latency"),
+        (["clock-steps"], "clock-steps.toml: can't be played on loopback: clock_step"),
         (["calm", "--scale", "0"], "scale: must be above 0"),
     ],
 )
--- a/tests/lab/test_scenario_page.py
+++ b/tests/lab/test_scenario_page.py
@@ -23,7 +23,7 @@
     "`[[tier.kind]]`": schema.Kind, "`[tier.choke]`": schema.Choke, "`[front]`": schema.Front,
     "`[net]`": schema.Net, "`[traffic]`": schema.Traffic, "`[clients]`": schema.Clients,
     "`[discovery]`": schema.Discovery, "`[rules]`": schema.Rules, "`[limits]`": schema.Limits,
-    "`[goal]`": schema.Goal, "`[[event]]`": schema.Event,
+    "`[goal]`": schema.Goal, "`[check]`": schema.Check, "`[[event]]`": schema.Event,
 }  # fmt: skip
 
 
@@ -88,7 +88,7 @@
     (kinds,) = (field.type for field in structs.fields(plan.EventPlan) if field.name == "kind")
     planned = inspect.type_info(kinds)
     assert isinstance(planned, inspect.LiteralType)
-    assert set(planned.values) == set(FORMS) - {"release", "restart", "rolling_sidecars", "all_sidecars"}
+    assert set(planned.values) == set(FORMS) - {"discovery_cut", "release", "restart", "rolling_sidecars", "all_sidecars"}
 
 
 def test_the_example_of_the_page_is_a_good_one() -> None:
--- a/wheatring/commands/lab_live.py
+++ b/wheatring/commands/lab_live.py
@@ -11,6 +11,8 @@
 from wheatring import address
 
 if TYPE_CHECKING:
+    from wheatring.lab.outcome import Outcome
+
     Commands = argparse._SubParsersAction[argparse.ArgumentParser]
 
 
@@ -26,6 +28,18 @@
     live.add_argument("--leave-out", action="store_true", help="what can't be played here, and play the rest")
     live.add_argument("--json", type=Path, metavar="FILE", help="write the whole outcome there")
 
+    fleet = _command(
+        commands, "fleet", _fleet, "play a day of hundreds of sidecars, and hold it to its checks"
+    )
+    fleet.add_argument("scenario", metavar="NAME|FILE", help="of the library, or a TOML file")
+    fleet.add_argument("--sidecars", type=int, metavar="N", help="of the front (default: the scenario's)")
+    fleet.add_argument("--seed", type=int, default=1, metavar="N", help="of the draw (default: 1)")
+    fleet.add_argument("--virtual", action="store_true", help="in virtual time, with no processes")
+    fleet.add_argument(
+        "--set", action="append", default=[], metavar="KEY=VALUE", help="override a scenario's key"
+    )
+    fleet.add_argument("--json", type=Path, metavar="FILE", help="write the whole outcome there")
+
     bench = _command(commands, "bench", _bench, "the sidecar beside a relay and a reverse proxy, as ratios")
     bench.add_argument("--rounds", type=int, default=5, metavar="N", help="interleaved (default: 5)")
     bench.add_argument(
@@ -125,6 +139,38 @@
     return job
 
 
+def _fleet(args: argparse.Namespace) -> Callable[[], int]:
+    from wheatring.lab.live import fleet, scale
+    from wheatring.lab.scenario.draw import draw
+    from wheatring.lab.study import asked, settings
+
+    sets = [*args.set, *([f"front.sidecars={args.sidecars}"] if args.sidecars is not None else [])]
+    plan = draw(asked.told(args.scenario, settings.one(sets, [])), args.seed)
+    never = scale.never(plan)
+    if never:
+        raise ValueError(f"{args.scenario}: can't be played on loopback: {', '.join(never)}")
+
+    def job() -> int:
+        if args.virtual:
+            from wheatring.lab.world.world import play as play_virtual
+
+            outcome: Outcome = play_virtual(plan, "exchange")
+            lines = [f"{outcome.scenario}, seed {outcome.seed}, in virtual time"]
+        else:
+            from wheatring.lab.live.play import play, shown, wires_for
+
+            needed = fleet.need(plan, wires_for(plan))
+            _progress(needed.shown())
+            fleet.room_for(needed)
+            live = play(plan, _progress, wired=True)
+            outcome, lines = live, list(shown(live))
+        _written(outcome, [*lines, *fleet.shown(plan, outcome)], args.json)
+        kept = all(kept for kept, _ in fleet.judged(plan, outcome))
+        return 0 if kept and not outcome.breach_count else 1
+
+    return job
+
+
 def _bench(args: argparse.Namespace) -> Callable[[], int]:
     from wheatring.lab.live import cores
     from wheatring.lab.live.bench import run, table
--- a/wheatring/daemon.py
+++ b/wheatring/daemon.py
@@ -48,6 +48,7 @@
         from wheatring.http1.client import Pool
         from wheatring.http1.machine_list import MachineList
         from wheatring.http1.server import Server
+        from wheatring.lifecycle.asking import Asking
         from wheatring.lifecycle.freshness import Freshness
 
         settings = told.settings
@@ -66,7 +67,9 @@
         self.pool = Pool(
             reactor, self.clock, self.exchange, limits.connect_timeout, limits.idle_timeout, claims, room
         )
-        freshness = Freshness(settings.copies, settings.number, Random(f"{told.seed}:list"), self.clock.now())
+        copies, number, now = settings.copies, settings.number, self.clock.now()
+        freshness = Freshness(copies, number, Random(f"{told.seed}:list"), now)
+        asking = Asking(copies, number, settings.contract.ask_within, Random(f"{told.seed}:asking"), now)
         self.server = Server(reactor, self.clock, self.exchange, settings.classes, self.places - claims, room)
         on_view: Callable[[View], None] = self.driver.feed
         self.status = 0  # with which the process ends
@@ -75,7 +78,7 @@
         if told.control is not None:
             on_view = self.open_desk()
         self.machine_list = MachineList(
-            reactor, self.clock, told.discovery, self.pool.addresses, on_view, freshness
+            reactor, self.clock, told.discovery, self.pool.addresses, on_view, freshness, asking
         )
         self.driver.machine_list = self.machine_list
         self.ring: Ring | None = None
--- a/wheatring/http1/list_calls.py
+++ b/wheatring/http1/list_calls.py
@@ -90,11 +90,13 @@
         self.done: Done | None = None
         self.on_up: Callable[[], None] | None = None
         self.deadline = 0.0  # of the present call
+        self.latest = 0.0  # and of its answer, once that has begun
         self.part = False  # of its answer has come
         self.late: Timer | None = None
 
     def call(self, index: int | None, deadline: float, done: Done) -> None:
         self.index, self.done, self.deadline, self.part = index, done, deadline, False
+        self.latest = max(deadline, self.clock.now() + WHOLE)
         if self.connection is not None:
             self.write()
         else:
@@ -106,7 +108,7 @@
         now = self.clock.now()
         if not self.part:
             self.part = True
-            self.deadline = min(self.deadline, now + WHOLE)
+            self.deadline = min(self.latest, now + WHOLE)
         self.set_deadline(min(self.deadline, now + STALL))
 
     def set_deadline(self, instant: float) -> None:
--- a/wheatring/http1/machine_list.py
+++ b/wheatring/http1/machine_list.py
@@ -12,6 +12,7 @@
 from wheatring import address, log
 from wheatring.core.clock import Clock, Timer
 from wheatring.http1.list_calls import WAIT, WHOLE, Caller, HttpCaller
+from wheatring.lifecycle.asking import Asking
 from wheatring.lifecycle.freshness import Freshness
 
 SLACK = 1.5  # seconds past a wait (or from the call, for the whole list: WHOLE) until the call has failed
@@ -72,9 +73,11 @@
         addresses: dict[str, str],
         on_view: Callable[[View], None],
         freshness: Freshness,
+        asking: Asking,
     ) -> None:
         self.clock = clock
         self.freshness = freshness
+        self.asking = asking
         self.addresses = addresses
         self.on_view = on_view
         self.version: int | None = None
@@ -82,6 +85,7 @@
         self.address = address
         self.watcher = self.caller()
         self.watching = False
+        self.turn: Timer | None = None  # when the first call of a watch is this sidecar's to make
         self.called = 0.0
         self.second: Caller | None = None  # asks on a connection of its own, until that is up
         self.looking: Timer | None = None
@@ -97,11 +101,20 @@
     def known(self, held: object) -> None:
         """The list as last held, from the configuration."""
         self.take(held, ViewKind.CACHED)
+        holds = bool(self.freshness.serving)
+        if not holds:
+            self.version = None  # there is nothing that changes could be told of
+        self.asking.begin(self.clock.now(), holds)
 
     def subscribe(self) -> None:
         if not self.watching:
             self.watching = True
-            self.watch(self.watcher)
+            now = self.clock.now()
+            due = self.asking.due(now)
+            if due > now:
+                self.turn = self.clock.at(due, self.watch, self.watcher)
+            else:
+                self.watch(self.watcher)
 
     def unsubscribe(self) -> None:
         if self.watching:
@@ -109,6 +122,9 @@
 
     def call_off(self, code: str) -> None:
         self.watching = False
+        if self.turn is not None and self.turn.active():
+            self.turn.cancel()
+        self.turn = None
         self.watcher.done = None
         self.watcher.stop(code)
         self.drop_second(code)
@@ -126,6 +142,7 @@
         self.address = address
         self.watcher = self.caller()
         self.version = None
+        self.asking.begin(self.clock.now(), bool(self.freshness.serving))
         self.subscribe()
 
     def fetch(self) -> None:
@@ -141,16 +158,20 @@
         if not self.watching or watcher is not self.watcher or watcher.done is not None:
             return  # it was called off, or begun anew, since this call was put off
         self.called = now = self.clock.now()
-        wait = WHOLE if self.version is None else WAIT + SLACK
-        self.watcher.call(self.version, now + wait, self.watched)
+        if self.version is None:  # a call that ends soon, and when to make the next one is told elsewhere
+            self.watcher.call(None, now + self.asking.patience(), self.watched)
+            return
+        self.watcher.call(self.version, now + WAIT + SLACK, self.watched)
         self.freshness.watching(now)
         self.plan()
 
     def watched(self, answer: Any) -> None:
         if self.read(answer):
+            self.asking.answered()
             self.drop_second("given-up")
             self.clock.at(self.called + SPACING, self.watch, self.watcher)
         else:
+            self.asking.failed(self.clock.now())
             self.call_off("watch-failed")
 
     # A list that may have grown old
--- a/wheatring/lab/book.py
+++ b/wheatring/lab/book.py
@@ -103,6 +103,9 @@
     def asking(self, sidecar: str, wait: float) -> None:
         """A call of the sidecar that may wait so long has reached discovery."""
 
+    def brought(self, sidecar: str) -> None:
+        """Discovery writes a whole answer to a call of the sidecar."""
+
     def unheard(self, sidecar: str, failed: bool = False) -> None:
         """A call of the sidecar to discovery has ended: answered, given up, or `failed`, ended by discovery
         without an answer."""
--- a/wheatring/lab/direct/machine_list.py
+++ b/wheatring/lab/direct/machine_list.py
@@ -13,6 +13,7 @@
 from wheatring.lab.direct.clock import DirectClock
 from wheatring.lab.direct.links import Links
 from wheatring.lab.models.form import as_json
+from wheatring.lifecycle.asking import Asking
 from wheatring.lifecycle.freshness import Freshness
 
 
@@ -143,13 +144,14 @@
         addresses: dict[str, str],
         on_view: Callable[[View], None],
         freshness: Freshness,
+        asking: Asking,
     ) -> None:
         self.clock: DirectClock
         self.name = name
         self.host = host
         self.registry = registry
         self.links = links
-        super().__init__(None, clock, discovery, addresses, on_view, freshness)
+        super().__init__(None, clock, discovery, addresses, on_view, freshness, asking)
 
     def caller(self) -> Caller:
         return DirectCaller(self)
--- a/wheatring/lab/direct/sidecar.py
+++ b/wheatring/lab/direct/sidecar.py
@@ -20,6 +20,7 @@
 from wheatring.lab.direct.node import DirectNode
 from wheatring.lab.direct.pool import DirectPool
 from wheatring.lab.timers import PlayedTime
+from wheatring.lifecycle.asking import Asking
 from wheatring.lifecycle.freshness import Freshness
 from wheatring.lifecycle.leaving import Leaving
 
@@ -69,10 +70,12 @@
             name, host, nodes, self.clock, self.exchange, links, book, limits.connect_timeout,
             limits.idle_timeout, claims,
         )  # fmt: skip
-        freshness = Freshness(settings.copies, settings.number, Random(f"{seed}:list"), self.clock.now())
+        copies, number, now = settings.copies, settings.number, self.clock.now()
+        freshness = Freshness(copies, number, Random(f"{seed}:list"), now)
+        asking = Asking(copies, number, settings.contract.ask_within, Random(f"{seed}:asking"), now)
         self.machine_list = DirectList(
             self.clock, name, host, discovery, registry, links, self.pool.addresses, self.driver.feed,
-            freshness,
+            freshness, asking,
         )  # fmt: skip
         self.driver.machine_list = self.machine_list
         self.classes = settings.classes
--- /dev/null
+++ b/wheatring/lab/live/fleet.py
@@ -0,0 +1,127 @@
+"""A fleet's day: what it needs of the machine, and what has to come of it.
+
+The figures are reckoned from an outcome, so that a day in virtual time is judged as one with real processes.
+"""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Iterator
+from math import ceil, inf
+from pathlib import Path
+from typing import NamedTuple
+
+from wheatring.lab.live.process import ProcessError
+from wheatring.lab.outcome import Outcome
+from wheatring.lab.plan import Plan
+
+SIDECAR_MB = 21.0  # memory that a sidecar's process takes, and what the run keeps for it
+RELAY_MB = 60.0
+LAB_MB = 250.0
+THREADS = 3  # of the run for each process, and the process itself
+
+
+class Need(NamedTuple):
+    processes: int
+    memory_mb: float
+
+    def shown(self) -> str:
+        return f"needs {self.processes} processes and {self.memory_mb:.0f} MB of memory"
+
+
+def need(plan: Plan, relays: int) -> Need:
+    """What the day takes, at most."""
+    sidecars = len(plan.sidecars) + sum(n.tier + 1 < len(plan.tiers) for n in plan.nodes)
+    return Need(sidecars + relays, sidecars * SIDECAR_MB + relays * RELAY_MB + LAB_MB)
+
+
+def room_for(needed: Need) -> None:
+    """ProcessError, one line, where this machine can't bear it."""
+    free = _available_mb()
+    if needed.memory_mb > free:
+        raise ProcessError(f"{needed.shown()}, and {free:.0f} MB are free: fewer --sidecars need less")
+    most = int(Path("/proc/sys/kernel/pid_max").read_text()) - len(os.listdir("/proc"))
+    if needed.processes * THREADS > most:
+        raise ProcessError(f"{needed.shown()}, and there is room for {most // THREADS}")
+
+
+def _available_mb() -> float:
+    for line in Path("/proc/meminfo").read_text().splitlines():
+        name, _, value = line.partition(":")
+        if name == "MemAvailable":
+            return int(value.split()[0]) / 1024
+    raise ProcessError("/proc/meminfo tells no free memory")
+
+
+class Asked(NamedTuple):
+    """How the asking went. Times are seconds of the day; inf where so many never had a list."""
+
+    sidecars: int
+    least: float  # the least time in which discovery can write all of them a list
+    half: float
+    most: float  # 95 of 100
+    all: float
+    failed_each: float
+    per_s: float  # calls that discovery can answer a second
+    asked_most: int  # in the busiest second that is judged
+
+
+def asked(plan: Plan, outcome: Outcome) -> Asked:
+    lists = outcome.lists
+    sidecars = len(plan.sidecars)
+    lines = sum(node.tier == 0 and node.up for node in plan.nodes)
+    per_s = plan.discovery.lines_per_s / (plan.discovery.call_lines + lines)
+    front = {told.name for told in plan.sidecars}
+    first = sorted(at for name, at in lists.first.items() if name in front)
+
+    def held(part: float) -> float:
+        place = ceil(part * sidecars) - 1
+        return first[place] if place < len(first) else inf
+
+    start = max(4, ceil(plan.check.after))
+    return Asked(
+        sidecars, sidecars / per_s, held(0.5), held(0.95), held(1.0),
+        lists.failed / max(1, lists.brought), per_s, max(lists.asked[start:], default=0),
+    )  # fmt: skip
+
+
+def judged(plan: Plan, outcome: Outcome) -> Iterator[tuple[bool, str]]:
+    """Each thing that the day has to show: whether it did, and in words."""
+    check, found = plan.check, asked(plan, outcome)
+    for name, at in (("half", found.half), ("most", found.most), ("all", found.all)):
+        wanted = getattr(check, f"held_{name}")
+        if wanted is not None:
+            times = at / found.least
+            yield times <= wanted, f"held_{name}: {at:.1f} s, {times:.2f} times the least ({wanted:g})"
+    if check.failed_each is not None:
+        yield (
+            found.failed_each <= check.failed_each,
+            (f"failed_each: {found.failed_each:.3f} for each list brought ({check.failed_each:g})"),
+        )
+    if check.asked_most is not None:
+        times = found.asked_most / found.per_s
+        yield (
+            times <= check.asked_most,
+            (
+                f"asked_most: {found.asked_most} in a second, {times:.1f} times what can be answered "
+                f"({check.asked_most:g})"
+            ),
+        )
+    if check.service is not None:
+        yield outcome.service >= check.service, f"service: {outcome.service:.3f} ({check.service:g})"
+
+
+def shown(plan: Plan, outcome: Outcome) -> Iterator[str]:
+    """The asking in a few lines."""
+    found, lists = asked(plan, outcome), outcome.lists
+    yield (
+        f"{found.sidecars} sidecars, {found.per_s:g} calls a second: hold a list after {found.half:.1f} s "
+        f"(half), {found.most:.1f} (95 of 100), {found.all:.1f} (all); the least is {found.least:.1f}"
+    )
+    yield (
+        f"{lists.calls} calls, {lists.asks} of them asks; {lists.brought} answered, {lists.failed} failed, "
+        f"{lists.given_up} given up; {max(lists.asked, default=0)} asks in a second at most, "
+        f"{found.asked_most} of those judged"
+    )
+    for kept, what in judged(plan, outcome):
+        yield f"{'kept' if kept else 'NOT KEPT'}  {what}"
--- /dev/null
+++ b/wheatring/lab/live/links/faults.py
@@ -0,0 +1,36 @@
+"""What befalls nodes and links: the run's ground for events."""
+
+from __future__ import annotations
+
+from msgspec import structs
+
+from wheatring.lab.live.links.wires import Wires
+from wheatring.lab.live.nodes import Nodes
+from wheatring.lab.plan import EventPlan, Plan
+
+LATE = ("late_connects",)  # of nodes, but done by links
+
+
+class Faults:
+    """Passes events on to the nodes, and to the links where there are any."""
+
+    def __init__(self, plan: Plan, nodes: Nodes, wires: Wires | None) -> None:
+        self.nodes = nodes
+        self.wires = wires
+        self.hosts = {node.name: node.host for node in plan.nodes}
+
+    def begin(self, event: EventPlan) -> None:
+        self.nodes.begin(event)
+        if self.wires is not None:
+            self.wires.begin(self.linked(event))
+
+    def end(self, event: EventPlan) -> None:
+        self.nodes.end(event)
+        if self.wires is not None:
+            self.wires.over(self.linked(event))
+
+    def linked(self, event: EventPlan) -> EventPlan:
+        """Links know hosts only."""
+        if event.kind not in LATE:
+            return event
+        return structs.replace(event, hosts=tuple(self.hosts[name] for name in event.nodes))
--- /dev/null
+++ b/wheatring/lab/live/links/relay.py
@@ -0,0 +1,126 @@
+"""A relay's process: carries links, and does with them what it is told.
+
+    python -m wheatring.lab.live.links.relay SEED
+
+reads one `Order` a line (JSON) on standard input. To `reserve` and `stats` it answers with one line of JSON.
+"""
+
+from __future__ import annotations
+
+import resource
+import sys
+import time
+from random import Random
+from typing import Any, Literal
+
+import msgspec
+from msgspec import Struct, field
+
+from wheatring.lab.live.links.datagrams import DatagramDoor
+from wheatring.lab.live.links.pipe import Door
+from wheatring.lab.live.links.state import State
+
+
+class Order(Struct, forbid_unknown_fields=True):
+    """reserve, datagrams: `doors` are links and the hosts of their doors; answered with the port of each.
+    open: `targets` are links and where they lead. close: refuse connects. set: what they do from now on.
+    reset: what is open."""
+
+    do: Literal["reserve", "datagrams", "open", "close", "set", "reset", "stats"]
+    doors: dict[str, str] = field(default_factory=dict)
+    targets: dict[str, tuple[str, int]] = field(default_factory=dict)
+    links: list[str] = field(default_factory=list)
+    state: State = State()
+
+
+class Stats(Struct):
+    cpu_s: float
+    open: int  # pipes
+    taken: int  # connections and datagrams so far
+
+
+class Relay:
+    def __init__(self, reactor: Any, seed: str) -> None:
+        self.reactor = reactor
+        self.seed = seed
+        self.doors: dict[str, Door] = {}
+        self.datagrams: dict[str, DatagramDoor] = {}
+
+    def obey(self, order: Order) -> bytes | None:
+        """Carry out one order; the answer, where it has one."""
+        match order.do:
+            case "reserve":
+                return self.reserve(order.doors)
+            case "datagrams":
+                return self.open_datagrams(order.doors)
+            case "open":
+                for link, target in order.targets.items():
+                    if link in self.datagrams:
+                        self.datagrams[link].target = target
+                    else:
+                        self.doors[link].target = target
+                        self.doors[link].open()
+            case "close":
+                for link in order.links:
+                    self.doors[link].close()
+            case "set":
+                for link in order.links:
+                    (self.datagrams.get(link) or self.doors[link]).set(order.state)
+            case "reset":
+                for link in order.links:
+                    self.doors[link].reset()
+            case "stats":
+                open_ones = sum(len(door.pipes) for door in self.doors.values())
+                taken = sum(door.taken for door in self.doors.values())
+                taken += sum(door.taken for door in self.datagrams.values())
+                return msgspec.json.encode(Stats(time.process_time(), open_ones, taken))
+        return None
+
+    def reserve(self, doors: dict[str, str]) -> bytes:
+        for link, host in doors.items():
+            door = self.doors[link] = Door(self.reactor, host, Random(f"{self.seed}:{link}"))
+            door.open()  # for its port; it opens for good once it is told where it leads
+            door.close()
+        return msgspec.json.encode({link: self.doors[link].port for link in doors})
+
+    def open_datagrams(self, doors: dict[str, str]) -> bytes:
+        for link, host in doors.items():
+            made = self.datagrams[link] = DatagramDoor(self.reactor, host, Random(f"{self.seed}:{link}"))
+            one, _, other = link.partition(">")
+            partner = self.datagrams.get(f"{other}>{one}")
+            if partner is not None:
+                made.partner, partner.partner = partner, made
+        return msgspec.json.encode({link: self.datagrams[link].port for link in doors})
+
+
+def main() -> int:
+    from twisted.internet import reactor as installed
+    from twisted.internet import stdio
+    from twisted.protocols.basic import LineReceiver
+
+    reactor: Any = installed
+    reactor.seconds = time.monotonic
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    relay = Relay(reactor, sys.argv[1])
+
+    class Orders(LineReceiver):
+        delimiter = b"\n"
+        MAX_LENGTH = 1 << 24
+
+        def lineReceived(self, line: bytes) -> None:
+            answer = relay.obey(msgspec.json.decode(line, type=Order))
+            if answer is not None:
+                self.sendLine(answer)  # type: ignore[no-untyped-call]
+
+        def connectionLost(self, reason: object = None) -> None:
+            if reactor.running:
+                reactor.stop()
+
+    stdio.StandardIO(Orders())  # type: ignore[no-untyped-call]
+    reactor.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/wheatring/lab/live/links/wires.py
@@ -0,0 +1,150 @@
+"""The run's side of the links: which there are, what befalls them, and the relays that carry them."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterable, Mapping
+from functools import partial
+from typing import TypeVar
+
+import msgspec
+from msgspec import structs
+
+from wheatring.lab.live.links.relay import Order, Stats
+from wheatring.lab.live.links.state import PLAIN, State
+from wheatring.lab.live.process import Process, module
+from wheatring.lab.plan import EventPlan, NetPlan
+
+ANSWER = 30.0  # seconds in which a relay answers, on a machine that is busy
+Answer = TypeVar("Answer")
+AT_ONCE = 500  # links reserved by one order
+
+
+class Wires:
+    """Links by name, `FROM>TO`. `hosts` gives the address of each party: who connects has its doors there,
+    and events name them by it. Which relay carries a link goes by who connects."""
+
+    def __init__(self, seed: int, hosts: Mapping[str, str], net: NetPlan, relays: int) -> None:
+        self.hosts = hosts
+        self.net = net
+        self.relays: list[Process] = []
+        self.of: dict[str, int] = {}  # the relay of each link
+        self.ports: dict[str, int] = {}
+        self.on: list[EventPlan] = []
+        self.states: dict[str, State] = {}  # where not plain
+        try:
+            for number in range(relays):
+                words = module("wheatring.lab.live.links.relay", str(seed))
+                self.relays.append(Process(f"relay-{number + 1}", words))
+        except BaseException:
+            self.end()
+            raise
+
+    # Links
+
+    def reserve(self, links: Iterable[str]) -> None:
+        """Make doors, which refuse connects until they lead somewhere. Waits for the relays; ProcessError
+        where one does not answer."""
+        relay_of: dict[str, int] = {}
+        shares: list[list[str]] = [[] for _ in self.relays]
+        for link in links:
+            who = link.partition(">")[0]
+            number = self.of[link] = relay_of.setdefault(who, len(relay_of) % len(self.relays))
+            shares[number].append(link)
+        for relay, share in zip(self.relays, shares, strict=True):
+            for start in range(0, len(share), AT_ONCE):
+                part = share[start : start + AT_ONCE]
+                doors = {link: self.hosts[link.partition(">")[0]] for link in part}
+                self.ports.update(self._ask(relay, Order("reserve", doors=doors), dict[str, int]))
+
+    def address(self, link: str) -> tuple[str, int]:
+        """Where who connects finds the other end."""
+        return self.hosts[link.partition(">")[0]], self.ports[link]
+
+    def lead(self, targets: Mapping[str, tuple[str, int]]) -> None:
+        """From now on these links lead there, and take connects."""
+        for relay, part in self._parts(targets):
+            self._tell(relay, Order("open", targets={link: targets[link] for link in part}))
+
+    def close(self, links: Iterable[str]) -> None:
+        """They refuse connects; what is open goes on."""
+        for relay, part in self._parts(links):
+            self._tell(relay, Order("close", links=part))
+
+    def stats(self) -> list[Stats]:
+        return [self._ask(relay, Order("stats"), Stats) for relay in self.relays]
+
+    def end(self) -> None:
+        for relay in self.relays:
+            relay.end()
+
+    # Faults
+
+    def begin(self, event: EventPlan) -> None:
+        self.on.append(event)
+        self._apply(event)
+
+    def over(self, event: EventPlan, reset: bool = False) -> None:
+        """It ends; `reset`: what was open is reset, as by a machine that knows of it no more."""
+        self.on.remove(event)
+        touched = self._apply(event)
+        if reset:
+            for relay, part in self._parts(touched):
+                self._tell(relay, Order("reset", links=part))
+
+    def _apply(self, event: EventPlan) -> list[str]:
+        """Tell the relays of the links that it touches, whose names are given back."""
+        touched = []
+        changed: dict[State, list[str]] = {}
+        for link in self.of:
+            if self._struck(event, link, PLAIN) == PLAIN:
+                continue
+            touched.append(link)
+            state = PLAIN
+            for one in self.on:
+                state = self._struck(one, link, state)
+            if state != self.states.get(link, PLAIN):
+                self.states[link] = state
+                changed.setdefault(state, []).append(link)
+        for state, links in changed.items():
+            for relay, part in self._parts(links):
+                self._tell(relay, Order("set", links=part, state=state))
+        return touched
+
+    def _struck(self, event: EventPlan, link: str, state: State) -> State:
+        """What an event makes of a link that is in some state."""
+        one, other = (self.hosts[name] for name in link.split(">"))
+        cut = partial(structs.replace, state, connects=False)
+        match event.kind:
+            case "vanish":
+                return cut(there=False, back=False) if {one, other} & set(event.hosts) else state
+            case "late_connects":
+                return cut() if other in event.hosts else state
+            case "partition":
+                if one in event.hosts and other in event.others:
+                    return cut(there=False, back=state.back and event.one_way)
+                if other in event.hosts and one in event.others:
+                    return cut(back=False, there=state.there and event.one_way)
+            case "latency":
+                for hosts, others in ((event.hosts, event.others), (event.others, event.hosts)):
+                    if one in hosts and other in others:
+                        mean = self.net.cross * (event.size - 1)
+                        jitter = self.net.jitter * mean
+                        return structs.replace(state, delay=state.delay + mean, jitter=state.jitter + jitter)
+        return state
+
+    # Relays
+
+    def _parts(self, links: Iterable[str]) -> Iterable[tuple[Process, list[str]]]:
+        parts: dict[int, list[str]] = {}
+        for link in links:
+            parts.setdefault(self.of[link], []).append(link)
+        return [(self.relays[number], part) for number, part in parts.items()]
+
+    def _tell(self, relay: Process, order: Order) -> None:
+        relay.tell(msgspec.json.encode(order).decode())
+
+    def _ask(self, relay: Process, order: Order, kind: type[Answer]) -> Answer:
+        after = len(relay.lines)
+        self._tell(relay, order)
+        return msgspec.json.decode(relay.line("{", time.monotonic() + ANSWER, after), type=kind)
--- a/wheatring/lab/live/lives.py
+++ b/wheatring/lab/live/lives.py
@@ -4,16 +4,19 @@
 
 from collections.abc import Callable, Collection
 
+from wheatring.lab.live.links.wires import Wires
 from wheatring.lab.live.nodes import Nodes
 from wheatring.lab.live.process import ProcessError
 from wheatring.lab.live.seats import Seat, Seats
 from wheatring.lab.models.front import Front
+from wheatring.lab.plan import EventPlan
 
 
 class Lives:
     """`ready` is called once all sidecars of the first hour listen, `failed` if one of them can't."""
 
-    def __init__(self, nodes: Nodes, seats: Seats, front: Front) -> None:
+    def __init__(self, nodes: Nodes, seats: Seats, front: Front, wires: Wires | None = None) -> None:
+        self.wires = wires
         self.nodes = nodes
         self.seats = seats
         self.front = front
@@ -86,6 +89,19 @@
             self.seats.kill(self.seats.seats[node], 0.0)
 
     def vanish(self, node: str) -> None:
-        raise ValueError(f"{node}: no machine can vanish from loopback")
-
-    back = vanish
+        """Its machine, with its own sidecar, falls silent."""
+        assert self.wires is not None
+        self.wires.begin(self._silence(node))
+        self.nodes.registry.vanished(node)
+
+    def back(self, node: str) -> None:
+        """It answers again, and its connections are reset."""
+        assert self.wires is not None
+        self.wires.over(self._silence(node), reset=True)
+        machine = self.nodes.nodes[node].machine
+        if machine.running:
+            self.nodes.registry.up(node, machine.started_at)
+
+    def _silence(self, node: str) -> EventPlan:
+        plan = self.nodes.nodes[node].plan
+        return EventPlan(at=0.0, kind="vanish", hosts=(plan.host, plan.side_host))
--- a/wheatring/lab/live/nodes.py
+++ b/wheatring/lab/live/nodes.py
@@ -14,6 +14,7 @@
 
 from wheatring.core.clock import Clock
 from wheatring.lab.book import Book
+from wheatring.lab.live.links.wires import Wires
 from wheatring.lab.models.below import Calls
 from wheatring.lab.models.discovery import Listed, Registry
 from wheatring.lab.models.effects import Effects
@@ -55,7 +56,9 @@
         book: Book,
         registry: Registry,
         where: Where,
+        wires: Wires | None = None,
     ) -> None:
+        self.wires = wires
         self.reactor = reactor
         self.plan = plan
         self.clock = clock
@@ -101,6 +104,9 @@
     def address(self, sidecar: str, node: Listed) -> str:
         """Where that sidecar finds a node that has been up."""
         host = self.hosts[node.name]
+        if self.wires is not None:
+            host, port = self.wires.address(f"{sidecar}>{host}")
+            return f"{host}:{port}"
         return f"{host}:{self.ports[host, sidecar]}"
 
     # Lives
@@ -178,9 +184,13 @@
             door = self.reactor.listenTCP(port, peer, backlog=BACKLOG, interface=host)
             self.ports[host, sidecar] = door.getHost().port
             node.doors.append(door)
+        if self.wires is not None:
+            self.wires.lead({f"{one}>{host}": (host, self.ports[host, one]) for one in node.peers})
 
     def _close(self, node: Node) -> None:
         doors, node.doors = node.doors, []
+        if self.wires is not None and doors:
+            self.wires.close([f"{one}>{node.plan.host}" for one in node.peers])
         for door in doors:
             door.stopListening()
 
--- a/wheatring/lab/live/play.py
+++ b/wheatring/lab/live/play.py
@@ -23,10 +23,13 @@
 
 from wheatring.core.clock import Clock
 from wheatring.lab.live import tally
+from wheatring.lab.live.links.faults import Faults
+from wheatring.lab.live.links.wires import Wires
 from wheatring.lab.live.lives import Lives
 from wheatring.lab.live.nodes import Nodes
 from wheatring.lab.live.process import ProcessError
-from wheatring.lab.live.seats import Seats
+from wheatring.lab.live.scale import OF_LINKS
+from wheatring.lab.live.seats import LISTS, Seats
 from wheatring.lab.live.watch import Watch, Watched
 from wheatring.lab.models.clients import Clients
 from wheatring.lab.models.discovery import Registry
@@ -38,7 +41,7 @@
 from wheatring.lab.wire.caller import Caller
 from wheatring.lab.wire.form import Forms
 from wheatring.lab.world.events import Events
-from wheatring.lab.world.ground import CLIENTS
+from wheatring.lab.world.ground import CLIENTS, DISCOVERY, side_hosts
 
 LEAD = 0.5  # seconds from when all sidecars listen until the day begins
 SETTLE = 0.5  # seconds past the tail
@@ -51,6 +54,8 @@
 LAB = "lab"
 # What links are held to need at most: this process reads what has come only in its turn.
 LINKS = NetPlan(same=0.002, cross=0.002, client=0.002, jitter=1.0)
+EACH_RELAY = 50  # sidecars whose links one relay carries, while there are fewer than
+MOST_RELAYS = 6
 
 
 class LiveOutcome(Outcome):
@@ -66,7 +71,7 @@
 class Play:
     """One plan, wired. `say` gets a line now and then."""
 
-    def __init__(self, plan: Plan, folder: Path, say: Callable[[str], None]) -> None:
+    def __init__(self, plan: Plan, folder: Path, say: Callable[[str], None], wired: bool = False) -> None:
         reactor: Any = installed  # Twisted's own type lacks half of its methods
         reactor.seconds = time.monotonic
         self.reactor = reactor
@@ -80,13 +85,15 @@
         self.registry = Registry(plan.discovery, clock, time.time, self.random("discovery"), self.book)
         self.front = Front(clock, self.random("front"), plan.front_notice)
         self.watch = Watch(clock.now())
+        self.wires = wires_of(plan) if wired or any(e.kind in OF_LINKS for e in plan.events) else None
         self.nodes = Nodes(
-            reactor, plan, clock, self.origins, self.book, self.registry, lambda name: self.seats.where(name)
-        )
+            reactor, plan, clock, self.origins, self.book, self.registry,
+            lambda name: self.seats.where(name), self.wires,
+        )  # fmt: skip
         self.seats = Seats(
-            reactor, plan, clock, self.book, self.registry, self.nodes.address, folder, self.watch
+            reactor, plan, clock, self.book, self.registry, self.nodes.address, folder, self.watch, self.wires
         )
-        self.lives = Lives(self.nodes, self.seats, self.front)
+        self.lives = Lives(self.nodes, self.seats, self.front, self.wires)
         self.lives.ready, self.lives.failed = self.start_day, self.stop
         way = Caller(
             reactor, clock, self.book, Forms(plan.classes), self.seats.where, CLIENTS,
@@ -95,7 +102,13 @@
         self.clients = Clients(plan, clock, self.random("clients"), self.origins, self.book, self.front, way)
         machines = {name: node.machine for name, node in self.nodes.nodes.items()}
         self.events = Events(
-            clock, self.nodes, machines, self.registry, self.seats, self.lives, self.book.happens
+            clock,
+            Faults(plan, self.nodes, self.wires),
+            machines,
+            self.registry,
+            self.seats,
+            self.lives,
+            self.book.happens,
         )
         self.late = array("d")
         self.began = 0.0
@@ -110,14 +123,18 @@
 
     def run(self) -> LiveOutcome:
         """Play it all. ProcessError if a sidecar does not start; KeyboardInterrupt if told to stop."""
-        room_for(self.plan)
         observers: Any = [self.logged]
         globalLogBeginner.beginLoggingTo(observers, redirectStandardIO=False, discardBuffer=True)
         self.reactor.callWhenRunning(self.begin)
         try:
+            room_for(self.plan)
+            if self.wires is not None:
+                self.wires.reserve(links_of(self.plan))
             self.reactor.run()
         finally:
             self.seats.end()
+            if self.wires is not None:
+                self.wires.end()
         if self.fault is not None:
             raise self.fault
         if self.outcome is None:
@@ -130,16 +147,17 @@
         nodes = [node.name for node in self.plan.nodes if node.up]
         names = [told.name for told in self.plan.sidecars if told.start == 0]
         names += [name for name in nodes if name in self.seats.seats]
+        self.say(f"{len(nodes)} nodes, {len(names)} sidecars from the start on")
         if not names:
-            self.stop(ProcessError("there is no sidecar that runs from the start on"))
+            self.starting = self.clock.at(self.clock.now(), self.start_day)
             return
-        self.say(f"{len(nodes)} nodes, {len(names)} sidecars")
         by = self.clock.now() + START + START_EACH * len(names)
         self.starting = self.clock.at(by, self.lives.late)
         self.lives.begin(names)
 
     def start_day(self) -> None:
-        self.starting.cancel()
+        if self.starting.active():
+            self.starting.cancel()
         gc.collect()
         gc.freeze()  # what lasts all day need not be looked through again and again
         self.began = day = self.clock.now() + LEAD
@@ -205,6 +223,32 @@
         return msgspec.convert(msgspec.to_builtins(outcome), LiveOutcome)  # a copy: the book still writes
 
 
+def wires_for(plan: Plan) -> int:
+    """How many relays carry a plan's links."""
+    return min(MOST_RELAYS, -(-len(side_hosts(plan)) // EACH_RELAY))
+
+
+def wires_of(plan: Plan) -> Wires:
+    """The links of a plan's parties, to be reserved yet."""
+    hosts = side_hosts(plan)
+    hosts |= {node.host: node.host for node in plan.nodes}
+    hosts |= {CLIENTS: CLIENTS, **dict.fromkeys(LISTS, DISCOVERY[0])}
+    return Wires(plan.seed, hosts, plan.net, wires_for(plan))
+
+
+def links_of(plan: Plan) -> Iterator[str]:
+    """The names of all links that the day may need."""
+    lists = LISTS if any(event.kind == "discovery_move" for event in plan.events) else LISTS[:1]
+    callers = [[told.name for told in plan.sidecars]]
+    callers += [[n.name for n in plan.nodes if n.tier == tier] for tier in range(len(plan.tiers) - 1)]
+    for tier, names in enumerate(callers):
+        hosts = dict.fromkeys(node.host for node in plan.nodes if node.tier == tier)
+        for name in names:
+            yield from (f"{name}>{there}" for there in (*lists, *hosts))
+            if tier == 0:
+                yield f"{CLIENTS}>{name}"
+
+
 def room_for(plan: Plan) -> None:
     """Raise this process's bound on descriptors as far as the plan needs. ProcessError if it can't be."""
     doors = connections = 0
@@ -224,10 +268,11 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (need, hard))
 
 
-def play(plan: Plan, say: Callable[[str], None]) -> LiveOutcome:
-    """Play a plan. ProcessError if it can't be; all its processes have ended then, however it ends."""
+def play(plan: Plan, say: Callable[[str], None], wired: bool = False) -> LiveOutcome:
+    """Play a plan, with links between its processes if it needs them, or if told to. ProcessError if it
+    can't be; all its processes have ended then, however it ends."""
     with TemporaryDirectory() as folder:
-        return Play(plan, Path(folder), say).run()
+        return Play(plan, Path(folder), say, wired).run()
 
 
 def shown(outcome: LiveOutcome) -> Iterator[str]:
--- a/wheatring/lab/live/scale.py
+++ b/wheatring/lab/live/scale.py
@@ -9,8 +9,11 @@
 
 from wheatring.lab.plan import EventKind, EventPlan, NodePlan, Plan, SidecarPlan
 
-# These need the kernel's network or clock, which are the machine's own.
-NEVER: frozenset[EventKind] = frozenset(("partition", "vanish", "latency", "late_connects", "clock_step"))
+NEVER: frozenset[EventKind] = frozenset(("clock_step",))  # the machine's own
+# These are played by links that lie between the processes.
+OF_LINKS: frozenset[EventKind] = frozenset(
+    ("partition", "vanish", "latency", "late_connects", "discovery_move")
+)
 One = TypeVar("One", NodePlan, SidecarPlan)
 
 LIVES: frozenset[EventKind] = frozenset(("drain", "kill", "start"))
--- a/wheatring/lab/live/seats.py
+++ b/wheatring/lab/live/seats.py
@@ -11,17 +11,19 @@
 from typing import Any
 
 from wheatring.core.clock import Clock, Timer
+from wheatring.lab.live.links.wires import Wires
 from wheatring.lab.live.sidecar import Sidecar, configuration, listens_at
 from wheatring.lab.live.watch import Watch
-from wheatring.lab.models.discovery import Answer, Registry
+from wheatring.lab.models.discovery import Registry
 from wheatring.lab.models.form import as_json
 from wheatring.lab.plan import Plan
 from wheatring.lab.rules import Ledger
 from wheatring.lab.settings import settings
 from wheatring.lab.wire.discovery import DiscoveryPeer
-from wheatring.lab.world.ground import DISCOVERY, side_hosts
+from wheatring.lab.world.ground import CLIENTS, DISCOVERY, side_hosts
 from wheatring.lab.world.world import OURS
 
+LISTS = ("list", "list-moved")  # discovery, as links name it, before and after it has moved
 # Lines of its log that are told to the book: what it could not reach, and faults of its own.
 UNCONNECTED = ("claim-connection code=connect-failed", "claim-connection code=not-up-in-time")
 UNASKED = "discovery-connection code=connect-failed"
@@ -40,12 +42,30 @@
         self.port = 0  # once it has listened for the first time, kept
         self.door: DiscoveryPeer | None = None
         self.door_port = 0
+        self.moves = 0  # of discovery, so far
         self.process: Sidecar | None = None
         self.up = self.stopping = False
         self.down = 0.0  # seconds from its end to its next start; 0: it has none
         self.timer: Timer | None = None
 
 
+class _Led:
+    """A door of ours that a link leads to."""
+
+    def __init__(self, door: Any, close: Callable[[], None]) -> None:
+        self.door = door
+        self.close = close
+
+    def stopListening(self) -> None:
+        self.close()
+        self.door.stopListening()
+
+
+def _asks(name: str, moves: int) -> str:
+    """The link by which a sidecar asks for the list: another one after each move of discovery."""
+    return f"{name}>{LISTS[min(moves, len(LISTS) - 1)]}"
+
+
 class Seats:
     """Starts and ends sidecars, and tells the book, the watch, and whoever else wants to know: `came` once
     one listens, `stops` when it is told to, `went` when it has ended, `failed` when it did so before it
@@ -61,7 +81,9 @@
         address: Callable[[str, Any], str],
         folder: Path,
         watch: Watch,
+        wires: Wires | None = None,
     ) -> None:
+        self.wires = wires
         self.reactor = reactor
         self.plan = plan
         self.clock = clock
@@ -90,36 +112,39 @@
         self.registry.serve(seat.name, seat.tier)
 
     def where(self, name: str) -> tuple[str, int]:
-        """A sidecar's address; one that never listened has a port where nobody does."""
+        """Where its callers find a sidecar; one that never listened has a port where nobody does."""
         seat = self.seats[name]
+        if self.wires is not None and seat.tier == 0:
+            return self.wires.address(f"{CLIENTS}>{name}")
         return seat.host, seat.port
 
     def told(self, seat: Seat) -> dict[str, Any]:
-        """The configuration of its next start, with the list as it is then."""
-        listing = self.registry.knowledge.listing(seat.tier)
-        version = listing.view(listing.version)
-        lines = tuple(line for line in listing.whole(version) if line.state != "gone")
+        """The configuration of its next start, and the list that it holds then."""
         limits = self.plan.limits
         return configuration(
             seat.name,
             f"{seat.host}:{seat.port}",
-            f"{DISCOVERY[0]}:{seat.door_port}",
+            self.discovery(seat),
             settings(self.plan, seat.tier, seat.number, seat.copies),
             Random(f"{self.plan.seed}:sidecar:{seat.name}").getrandbits(64),
             limits={"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets},
-            known=as_json(Answer(version, True, lines), partial(self.address, seat.name)),
+            known=as_json(self.registry.held(seat.tier, self.plan.held), partial(self.address, seat.name)),
         )
 
+    def discovery(self, seat: Seat) -> str:
+        """Where that sidecar finds discovery."""
+        host, port = DISCOVERY[0], seat.door_port
+        if self.wires is not None:
+            host, port = self.wires.address(_asks(seat.name, seat.moves))
+        return f"{host}:{port}"
+
     def start(self, seat: Seat) -> None:
         """Start its process, where none runs; whatever else was to become of it does not."""
         self._call_off(seat)
         if seat.process is not None:
             return
         if seat.door is None:
-            seat.door = DiscoveryPeer(
-                self.registry, self.book, lambda host: seat.name, partial(self._listen, seat),
-                partial(self.address, seat.name),
-            )  # fmt: skip
+            self._open_door(seat)
         process: Sidecar | None = None
 
         def line(text: str) -> None:
@@ -134,10 +159,38 @@
         self.processes.append(process)
         self.watch.add(seat.name, process.pid, time.monotonic())
 
+    def _open_door(self, seat: Seat) -> None:
+        seat.door_port = 0
+        seat.door = DiscoveryPeer(
+            self.registry, self.book, lambda host: seat.name, partial(self._listen, seat),
+            partial(self.address, seat.name),
+        )  # fmt: skip
+
     def _listen(self, seat: Seat, factory: Any) -> Any:
         door = self.reactor.listenTCP(seat.door_port, factory, interface=DISCOVERY[0])
         seat.door_port = door.getHost().port
-        return door
+        if self.wires is None:
+            return door
+        link = _asks(seat.name, seat.moves)
+        self.wires.lead({link: (DISCOVERY[0], seat.door_port)})
+        return _Led(door, partial(self.wires.close, [link]))
+
+    def move(self) -> None:
+        """Discovery is at another address, and all that run are told. What was open at the old one ends."""
+        for seat in self.seats.values():
+            if seat.door is None:
+                continue
+            seat.door.shut()
+            seat.moves += 1
+            self._open_door(seat)
+            if seat.process is not None:
+                seat.process.write(self.told(seat))
+                seat.process.send(signal.SIGHUP)
+
+    def stall(self, seat: Seat, on: bool) -> None:
+        """Stop its process where it is, or have it go on."""
+        if seat.process is not None:
+            seat.process.send(signal.SIGSTOP if on else signal.SIGCONT)
 
     def _said(self, seat: Seat, process: Sidecar | None, text: str) -> None:
         if seat.process is not process:
@@ -145,6 +198,8 @@
         if text.startswith("listening "):
             seat.port = listens_at(text)
             seat.up = True
+            if self.wires is not None and seat.tier == 0:
+                self.wires.lead({f"{CLIENTS}>{seat.name}": (seat.host, seat.port)})
             self.book.sidecar_up(seat.name)
             self.came(seat)
         elif text.startswith(UNASKED):
@@ -180,6 +235,8 @@
 
     def _over(self, seat: Seat, killed: bool) -> None:
         was_up = seat.up
+        if self.wires is not None and seat.tier == 0:
+            self.wires.close([f"{CLIENTS}>{seat.name}"])
         seat.process = None
         seat.up = seat.stopping = False
         if was_up:
--- a/wheatring/lab/models/discovery.py
+++ b/wheatring/lab/models/discovery.py
@@ -11,14 +11,14 @@
 from wheatring.lab.book import Book
 from wheatring.lab.models.knowledge import Knowledge, Lie
 from wheatring.lab.models.listing import KEPT, Line, Listed, Listing
-from wheatring.lab.plan import DiscoveryPlan
+from wheatring.lab.plan import DiscoveryPlan, Held
 from wheatring.lab.timers import Timer, Timers
 
 __all__ = ["MOST_WAIT", "Answer", "Call", "Done", "Line", "Listed", "Registry", "Trouble"]
 
 MOST_WAIT = 60.0  # seconds for which a call may ask to wait at most
 
-Trouble = Literal["down", "silent", "slow", "stale", "lies"]
+Trouble = Literal["down", "silent", "slow", "stale", "lies", "breaks"]
 
 
 class Answer(NamedTuple):
@@ -36,7 +36,8 @@
     """A sidecar's call to discovery. It ends once: by its `done`, or by being cancelled."""
 
     __slots__ = (
-        "done", "index", "lag", "listing", "over", "reach", "registry", "sidecar", "stage", "timer", "until"
+        "broken", "done", "index", "lag", "listing", "over", "reach", "registry", "sidecar", "stage", "timer",
+        "until",
     )  # fmt: skip
 
     def __init__(
@@ -53,6 +54,7 @@
         self.stage: Literal["waits", "queued", "served", "quiet"] = "waits"
         self.timer: Timer | None = None
         self.over = False
+        self.broken = False  # its answer has begun, and ends in a reset
 
     def cancel(self) -> None:
         """The sidecar waits no longer: the connection has ended. A turn, once begun, is not given back."""
@@ -95,6 +97,7 @@
         self.downs = 0
         self.silents = 0
         self.factors: list[float] = []
+        self.broken: list[float] = []  # shares of answers
 
     # Facts
 
@@ -122,6 +125,14 @@
         """Its machine has fallen silent."""
         self.knowledge.vanished(name)
 
+    def held(self, tier: int, how: Held) -> Answer:
+        """The list with which a sidecar of that tier starts: as it is now, as it was at first, or none."""
+        if how == "none":
+            return Answer(0, True, ())
+        listing = self.knowledge.listing(tier)
+        version = listing.view(1 if how == "old" else listing.version)
+        return Answer(version, True, tuple([line for line in listing.whole(version) if line.state != "gone"]))
+
     # Calls
 
     @property
@@ -225,7 +236,10 @@
 
     def _written(self, call: Call, answer: Answer, told: list[Line]) -> None:
         self.turn = None
-        if not call.over:
+        if not call.over and any(self.random.random() < share for share in self.broken):
+            call.broken = True
+            self._end(call, None)
+        elif not call.over:
             for line in told:
                 self.book.told(call.sidecar, line.node.name, line.state, line.started)
             self._end(call, answer)
@@ -233,6 +247,8 @@
 
     def _end(self, call: Call, answer: Answer | None) -> None:
         if not call.over:
+            if answer is not None:
+                self.book.brought(call.sidecar)
             self.close(call, answer is None)
             call.done(answer)
 
@@ -243,7 +259,8 @@
 
         down: calls fail, connects are refused. silent: calls that are open, or come while it is on, are never
         answered. slow: each call takes `size` times as long. stale: tells what it knew now. lies: names the
-        share `size` of the running nodes as gone, others by turns.
+        share `size` of the running nodes as gone, others by turns. breaks: the share `size` of the answers
+        ends in a reset after its head.
         """
         if trouble == "down":
             return self._begin_down()
@@ -255,6 +272,9 @@
         if trouble == "stale":
             self.knowledge.hold()
             return self._end_stale
+        if trouble == "breaks":
+            self.broken.append(size)
+            return lambda: self.broken.remove(size)
         return Lie(self.knowledge, size).end
 
     def _hush(self) -> list[Call]:
--- a/wheatring/lab/outcome.py
+++ b/wheatring/lab/outcome.py
@@ -46,6 +46,19 @@
     p99_ms: float = 0.0
 
 
+class Lists(Struct):
+    """Calls to discovery. Seconds are those of the day; what came before it counts in the first."""
+
+    calls: int = 0
+    asks: int = 0  # of these, by sidecars that had no answer since their start or since a call failed
+    brought: int = 0  # answers, whether or not they held anything new
+    failed: int = 0  # ended by discovery without an answer, or not taken
+    given_up: int = 0  # asks that the sidecar did not wait for any longer
+    asked: list[int] = field(default_factory=list)  # asks by second
+    failed_by_second: list[int] = field(default_factory=list)
+    first: dict[str, float] = field(default_factory=dict)  # by sidecar: when it got its first answer
+
+
 class Outcome(Struct):
     scenario: str
     seed: int
@@ -69,4 +82,5 @@
     latency: str = ""  # of the first tries that were served, in ms: an encoded HdrHistogram
     happened: list[tuple[float, str]] = field(default_factory=list)  # seconds from the start, and what
     counts: dict[str, float] = field(default_factory=dict)  # further counts by name
+    lists: Lists = field(default_factory=Lists)
     trace_hash: str = ""  # of the whole trace, where one was kept
--- a/wheatring/lab/plan.py
+++ b/wheatring/lab/plan.py
@@ -10,6 +10,8 @@
 from msgspec import Struct, field
 
 Effect = Literal["safe", "keyed", "unsafe"]
+DISCOVERY = "127.4.0.1"  # its host
+Held = Literal["now", "old", "none"]
 
 
 class Plain(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -175,6 +177,18 @@
     memory_mb: int = 192
 
 
+class CheckPlan(Plain, frozen=True, kw_only=True):
+    """What a fleet's day has to show beside the rules; None: nothing is asked. `lab fleet` judges it."""
+
+    held_half: float | None = None  # half of the sidecars hold a list within so many times the least possible
+    held_most: float | None = None  # 95 of 100
+    held_all: float | None = None  # all of them
+    failed_each: float | None = None  # calls that failed for each list that was brought, at most
+    asked_most: float | None = None  # asks in any second after the third, in times what discovery can take
+    after: float = 0.0  # seconds of the day from which on the last is judged
+    service: float | None = None  # least part of the worth
+
+
 class GoalPlan(Plain, frozen=True, kw_only=True):
     """How service is made one figure: parts for the whole day, its worst 10 s and its worst class."""
 
@@ -204,11 +218,14 @@
     # sidecars: `sidecars` says whom (a node's own is the node's name)
     "sidecar_kill",  # killed outright and started anew after `length`
     "sidecar_restart",  # SIGTERM, SIGKILL `extra` s later, started anew `length` after its end
+    "stall",  # stopped (SIGSTOP) for `length` and continued at once; real processes only
     # discovery
     "discovery_down",  # refuses, and ends what is open
     "discovery_silent",  # takes calls and says nothing
     "discovery_slow",  # takes `size` times as long for each call
     "discovery_stale",  # tells what it knew when this began
+    "discovery_breaks",  # resets the share `size` of its answers after the head
+    "discovery_move",  # is at another address, and all sidecars are told by SIGHUP; real processes only
     "discovery_lies",  # names the share `size` of the nodes that run as gone, others by turns
     # the network
     "partition",  # what goes from `hosts` to `others` is lost, and the other way unless `one_way`
@@ -220,6 +237,10 @@
 ]  # fmt: skip
 
 
+# What can't be played in virtual time: there the lab's own code takes no time, and reads no files.
+LIVE_ONLY: frozenset[EventKind] = frozenset(("stall", "discovery_move"))
+
+
 class EventPlan(Plain, frozen=True, kw_only=True):
     """Something happens at an instant, and ends `length` later; 0: it does not end."""
 
@@ -255,5 +276,7 @@
     rules: RulesPlan = field(default_factory=RulesPlan)
     limits: LimitsPlan = field(default_factory=LimitsPlan)
     goal: GoalPlan = field(default_factory=GoalPlan)
+    check: CheckPlan = field(default_factory=CheckPlan)
     events: tuple[EventPlan, ...] = ()
+    held: Held = "now"  # the list with which sidecars start: as it is then, as it was at first, or none
     sidecar_start: tuple[float, float] = (0.35, 0.6)  # from exec to listening, drawn for each start
--- a/wheatring/lab/rules/ledger.py
+++ b/wheatring/lab/rules/ledger.py
@@ -37,6 +37,7 @@
 from wheatring.lab.rules.cold import ColdStarts
 from wheatring.lab.rules.drains import Drains
 from wheatring.lab.rules.duplicates import ON_SOCKETS
+from wheatring.lab.rules.lists import ListCalls
 from wheatring.lab.rules.pages import Pages
 from wheatring.lab.rules.trace import Family, Trace, text
 
@@ -71,6 +72,7 @@
         self.happened: list[tuple[float, str]] = []
         self.fell = ""  # the node that has just been pushed over
         self.away_from = Away(self.front, start)
+        self.lists = ListCalls(self.since)
 
     def begin(self, at: float) -> None:
         """The day begins only now: for a world whose start takes nobody knows how long. All told before
@@ -103,6 +105,7 @@
     def sidecar_up(self, sidecar: str) -> None:
         at = self.now()
         self.down.discard(sidecar)
+        self.lists.up(sidecar)
         if sidecar in self.front:
             self.away_from.up(sidecar, at)
         self.stopping.pop(sidecar, None)
@@ -217,12 +220,17 @@
     def asking(self, sidecar: str, wait: float) -> None:
         at = self.now()
         self.list_calls += 1
+        self.lists.asking(sidecar, at)
         self.drains.asking(sidecar, wait, at)
         if self.trace is not None:
             self.trace.line(at, "", f"asking sidecar={sidecar} wait={wait!r}")
 
+    def brought(self, sidecar: str) -> None:
+        self.lists.brought(sidecar, self.now())
+
     def unheard(self, sidecar: str, failed: bool = False) -> None:
         at = self.now()
+        self.lists.ended(sidecar, failed, at)
         self.drains.unheard(sidecar, failed, at)
         if self.trace is not None:
             self.trace.line(at, "", f"unheard sidecar={sidecar} failed={failed}")
@@ -275,6 +283,7 @@
         outcome.attempts_each = self.by_tier[0] / self.tries if self.by_tier and self.tries else 0.0
         outcome.node_work = self.work.by_node
         outcome.happened = self.happened
+        outcome.lists = self.lists.found
         outcome.counts = self._counts(asked_work)
         outcome.trace_hash = self.trace.hash if self.trace is not None else ""
         return outcome
--- /dev/null
+++ b/wheatring/lab/rules/lists.py
@@ -0,0 +1,50 @@
+"""What the sidecars' asking costs discovery, and when each has its list."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from wheatring.lab.outcome import Lists
+
+
+class ListCalls:
+    """Keeps calls by second. `since` gives the seconds from the day's begin to an instant."""
+
+    def __init__(self, since: Callable[[float], float]) -> None:
+        self.since = since
+        self.found = Lists()
+        self.out: dict[str, int] = {}  # calls by sidecar that are open
+        self.held: set[str] = set()  # sidecars whose last call that ended by itself was answered
+
+    def asking(self, sidecar: str, at: float) -> None:
+        self.found.calls += 1
+        self.out[sidecar] = self.out.get(sidecar, 0) + 1
+        if sidecar not in self.held:
+            self.found.asks += 1
+            self._count(self.found.asked, at)
+
+    def brought(self, sidecar: str, at: float) -> None:
+        """Discovery has written an answer to it."""
+        self.found.brought += 1
+        self.found.first.setdefault(sidecar, round(self.since(at), 3))
+        self.out[sidecar] = 0
+        self.held.add(sidecar)
+
+    def up(self, sidecar: str) -> None:
+        """It starts, from nothing."""
+        self.out.pop(sidecar, None)
+        self.held.discard(sidecar)
+
+    def ended(self, sidecar: str, failed: bool, at: float) -> None:
+        if failed:
+            self.found.failed += 1
+            self.held.discard(sidecar)
+            self._count(self.found.failed_by_second, at)
+        elif self.out.get(sidecar) and sidecar not in self.held:
+            self.found.given_up += 1
+        self.out[sidecar] = 0
+
+    def _count(self, rows: list[int], at: float) -> None:
+        second = max(0, int(self.since(at)))
+        rows.extend([0] * (second + 1 - len(rows)))
+        rows[second] += 1
--- a/wheatring/lab/scenario/draw.py
+++ b/wheatring/lab/scenario/draw.py
@@ -4,7 +4,10 @@
 
 from itertools import pairwise
 
+from msgspec import structs
+
 from wheatring.lab.plan import (
+    CheckPlan,
     ChokePlan,
     ClassPlan,
     ClientPlan,
@@ -62,6 +65,7 @@
             tail=tail,
             epoch=given.epoch,
             front_notice=draws.number("front.notice", given.front.notice),
+            held=draws.choice("front.held", given.front.held),
             passes_deadline=draws.choice("passes_deadline", given.passes_deadline),
             classes=classes,
             tiers=tiers,
@@ -74,6 +78,7 @@
             rules=draws.plain(RulesPlan, "rules", given.rules),
             limits=draws.plain(LimitsPlan, "limits", given.limits),
             goal=draws.plain(GoalPlan, "goal", given.goal),
+            check=CheckPlan(**structs.asdict(given.check)),
             events=tuple(events),
             sidecar_start=(start[0], start[1]) if isinstance(start, tuple) else (start, start),
         )
--- a/wheatring/lab/scenario/events.py
+++ b/wheatring/lab/scenario/events.py
@@ -12,7 +12,7 @@
 from math import inf
 from typing import Any
 
-from wheatring.lab.plan import EventKind, EventPlan
+from wheatring.lab.plan import DISCOVERY, EventKind, EventPlan
 from wheatring.lab.scenario.fleet import Fleet
 from wheatring.lab.scenario.forms import FORMS
 from wheatring.lab.scenario.numbers import Draws
@@ -230,6 +230,18 @@
 
     def _end_sidecars(self, time: int, at: float) -> None:
         names = self._sidecars(time, at)
+        if self.event.kind == "stall":
+            if names:
+                self.day.emit(at, "stall", sidecars=tuple(names), length=self.number("length"))
+            return
+        if self.event.kind == "discovery_cut":
+            hosts = tuple(self.day.fleet.side_host(name) for name in names)
+            if hosts:
+                self.day.emit(
+                    at, "partition", hosts=hosts, others=(DISCOVERY,), length=self.number("length"),
+                    one_way=self.switch("one_way"),
+                )  # fmt: skip
+            return
         if self.event.kind in ("sidecar_kill", "sidecar_restart"):
             self._end_them(names, self.event.kind, self.number("extra"), self.number("length"), at)
             return
--- a/wheatring/lab/scenario/fleet.py
+++ b/wheatring/lab/scenario/fleet.py
@@ -148,6 +148,11 @@
         names = [one.name for one in self.sidecars] if tier is None else self.running(tier, at)
         return [name for name in names if self.sidecar_free[name] <= at]
 
+    def side_host(self, name: str) -> str:
+        """Of a sidecar, by its name: of the front, or a machine's own."""
+        node = self.nodes.get(name)
+        return self._front_hosts[name] if node is None else node.side_host
+
     def hosts(self, name: str) -> tuple[str, ...]:
         """Of a machine, with that of its own sidecar where it has one; of a sidecar of the front."""
         node = self.nodes.get(name)
--- a/wheatring/lab/scenario/load.py
+++ b/wheatring/lab/scenario/load.py
@@ -11,6 +11,7 @@
 import tomllib
 from collections.abc import Iterable, Iterator, Mapping
 from importlib import resources
+from importlib.resources.abc import Traversable
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -49,7 +50,24 @@
 
 def names() -> list[str]:
     """The scenarios of the library."""
-    return sorted(entry.name[:-5] for entry in _LIBRARY.iterdir() if entry.name.endswith(".toml"))
+    return _named(_LIBRARY)
+
+
+def fleet_names() -> list[str]:
+    """Those of hundreds of processes, for `lab fleet`."""
+    return _named(_LIBRARY / "fleet")
+
+
+def _named(folder: Traversable) -> list[str]:
+    return sorted(entry.name[:-5] for entry in folder.iterdir() if entry.name.endswith(".toml"))
+
+
+def _content(name: str) -> str | None:
+    """The text of a scenario of the library; None: there is none of that name."""
+    for folder, there in ((_LIBRARY, names()), (_LIBRARY / "fleet", fleet_names())):
+        if name in there:
+            return (folder / f"{name}.toml").read_text(encoding="utf-8")
+    return None
 
 
 def load(where: str | Path) -> Found:
@@ -61,9 +79,9 @@
     """Its tables, those of what it extends beneath, its name, and what messages call it. Not checked yet."""
     text = str(where)
     if isinstance(where, str) and re.fullmatch(r"[A-Za-z0-9_-]+", text):
-        if text not in names():
+        content = _content(text)
+        if content is None:
             raise ScenarioError(text, [told.Fault("", "no scenario of the library, and no file")])
-        content = (_LIBRARY / f"{text}.toml").read_text(encoding="utf-8")
         return _tables_of(content, text, f"{text}.toml")
     try:
         content = Path(where).read_text(encoding="utf-8")
@@ -109,9 +127,10 @@
         if raw.get("without"):
             raise ScenarioError(where, [told.Fault("without", "there is no `extends`", raw["without"])])
         return raw
-    if base not in names():
+    content = _content(base)
+    if content is None:
         raise ScenarioError(where, [told.Fault("extends", "no scenario of the library", base)])
-    under = _whole((_LIBRARY / f"{base}.toml").read_text(encoding="utf-8"), f"{base}.toml")
+    under = _whole(content, f"{base}.toml")
     under.pop("without", None)
     left_out = raw.get("without", [])
     for path in left_out if isinstance(left_out, list) else []:
--- a/wheatring/lab/scenario/schema.py
+++ b/wheatring/lab/scenario/schema.py
@@ -48,16 +48,19 @@
 _Dist = Literal["lognormal", "pareto", "fixed"]
 _Effect = Literal["safe", "keyed", "unsafe"]
 _Backoff = Literal["none", "fixed", "exp"]
+_Held = Literal["now", "old", "none"]
 _Shape = Literal["steady", "bursty", "ramp"]
 Dist = _Dist | Annotated[tuple[_Dist, ...], Meta(min_length=1)]
 Effect = _Effect | Annotated[tuple[_Effect, ...], Meta(min_length=1)]
 Backoff = _Backoff | Annotated[tuple[_Backoff, ...], Meta(min_length=1)]
+Held = _Held | Annotated[tuple[_Held, ...], Meta(min_length=1)]
 Shape = _Shape | Annotated[tuple[_Shape, ...], Meta(min_length=1)]
 
 EventKind = Literal[
     "slow", "hang", "fast_errors", "neighbour", "refuse", "conn_cap", "late_connects", "spoilt", "resets",
     "vanish", "drain", "kill", "start", "sidecar_kill", "sidecar_restart", "discovery_down",
-    "discovery_silent", "discovery_slow", "discovery_stale", "discovery_lies", "partition", "latency",
+    "discovery_silent", "discovery_slow", "discovery_stale", "discovery_lies", "discovery_breaks",
+    "discovery_move", "discovery_cut", "stall", "partition", "latency",
     "clock_step", "load",
     # of several steps each
     "release", "restart", "rolling_sidecars", "all_sidecars",
@@ -133,6 +136,7 @@
     sidecars: Several = 1
     starts: Instant = 0.0
     notice: Instant = 2.0
+    held: Held = "now"
 
 
 class Net(Table, frozen=True, kw_only=True):
@@ -211,6 +215,16 @@
     late_fail: Part = 0.031
 
 
+class Check(Table, frozen=True, kw_only=True):
+    held_half: _Factor | None = None
+    held_most: _Factor | None = None
+    held_all: _Factor | None = None
+    failed_each: _Amount | None = None
+    asked_most: _Positive | None = None
+    after: _Instant = 0.0
+    service: _Part | None = None
+
+
 class Event(Table, frozen=True, kw_only=True):
     """What is None was not said; `events.py` tells which keys go with which kind."""
 
@@ -259,4 +273,5 @@
     rules: Rules = Rules()
     limits: Limits = Limits()
     goal: Goal = Goal()
+    check: Check = Check()
     events: tuple[Event, ...] = field(name="event", default=())
--- a/wheatring/lab/study/asked.py
+++ b/wheatring/lab/study/asked.py
@@ -20,11 +20,7 @@
     """
     raw, name, where = tables(scenario)
     text_hash = hashed(_text(raw))
-    for key, value in settings.sets:
-        try:
-            raw = overridden(raw, key, value_of(value))
-        except KeyError as bad:
-            raise ScenarioError(where, [Fault(f"--set {key}", f"there is no {bad.args[0]}")]) from None
+    raw = _laid(raw, where, settings)
     for seed in seeds[:1]:
         draw(checked(raw, name, where), seed)
     source = _text(raw)
@@ -33,6 +29,21 @@
     ]
 
 
+def told(scenario: str, settings: Settings) -> Found:
+    """A scenario by its name or its file, with settings laid over it. ScenarioError if it can't be used."""
+    raw, name, where = tables(scenario)
+    return checked(_laid(raw, where, settings), name, where)
+
+
+def _laid(raw: Raw, where: str, settings: Settings) -> Raw:
+    for key, value in settings.sets:
+        try:
+            raw = overridden(raw, key, value_of(value))
+        except KeyError as bad:
+            raise ScenarioError(where, [Fault(f"--set {key}", f"there is no {bad.args[0]}")]) from None
+    return raw
+
+
 def _text(raw: Raw) -> str:
     return msgspec.json.encode(raw, order="sorted").decode()
 
--- a/wheatring/lab/wire/discovery.py
+++ b/wheatring/lab/wire/discovery.py
@@ -16,6 +16,8 @@
 from wheatring.lab.wire.http import Cutter, Malformed, Message
 
 FAILED = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+BREAK = 0.01  # seconds from the head of an answer that breaks off to its reset
 BAD = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 UNKNOWN = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
 
@@ -84,13 +86,18 @@
         self.call = self.peer.registry.call(self.sidecar, index, wait, self._answered)
 
     def _answered(self, answer: Answer | None) -> None:
-        self.call = None
-        if answer is None:
+        call, self.call = self.call, None
+        if answer is not None:
+            data = body(answer, self.peer.address)
+            self._write(HEAD % len(data) + data, self.keep_alive)
+        elif call is not None and call.broken and not self.over:
+            self.over = True
+            self.transport.write(HEAD % 1000)
+            # A reset at once would take the head along, unsent.
+            timers = self.peer.registry.timers
+            timers.at(timers.now() + BREAK, self.transport.abortConnection)
+        else:
             self._write(FAILED, self.keep_alive)
-            return
-        data = body(answer, self.peer.address)
-        head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(data)
-        self._write(head + data, self.keep_alive)
 
     def _write(self, data: bytes, keep_alive: bool) -> None:
         if self.over:
@@ -145,6 +152,11 @@
     def buildProtocol(self, addr: Any) -> _Connection:
         return _Connection(self, self.whose(addr.host))
 
+    def shut(self) -> None:
+        """It is here no more."""
+        self.registry.on_down.remove(self._turned)
+        self._turned(True)
+
     def _turned(self, down: bool) -> None:
         if not down:
             self.port = self.listen(self)
--- a/wheatring/lab/world/events.py
+++ b/wheatring/lab/world/events.py
@@ -23,6 +23,7 @@
     "discovery_slow": "slow",
     "discovery_stale": "stale",
     "discovery_lies": "lies",
+    "discovery_breaks": "breaks",
 }
 OF_LIVES = frozenset(("kill", "start", "sidecar_kill", "sidecar_restart"))  # of these the book tells
 OF_NET = frozenset(("partition", "latency", "clock_step"))
@@ -60,6 +61,12 @@
 
     def restart(self, seat: Any, patience: float, down: float) -> None: ...
 
+    def stall(self, seat: Any, on: bool) -> None:
+        """Stop its process where it is, or have it go on. In real time only."""
+
+    def move(self) -> None:
+        """Discovery is at another address, and all are told. In real time only."""
+
 
 class Events:
     """`happened` is told of each beginning and end, for the figures."""
@@ -118,6 +125,11 @@
         elif event.kind == "vanish":
             for node in event.nodes:
                 (self.lives.vanish if on else self.lives.back)(node)
+        elif event.kind == "stall":
+            for name in event.sidecars:
+                self.seats.stall(self.seats.seats[name], on)
+        elif event.kind == "discovery_move":
+            self.seats.move()
         elif event.kind in OF_DISCOVERY:
             if on:
                 self.ends[event] = self.registry.begin(OF_DISCOVERY[event.kind], event.size or 1.0)
--- a/wheatring/lab/world/ground.py
+++ b/wheatring/lab/world/ground.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from wheatring.config import Config
+from wheatring.lab import plan
 from wheatring.lab.models.discovery import Registry
 from wheatring.lab.models.machine import Machine
 from wheatring.lab.models.visit import Below
@@ -13,7 +14,7 @@
 from wheatring.lab.plan import EventPlan, NodePlan, Plan
 
 PORT = 9000  # of every sidecar and node: each has a host of its own
-DISCOVERY = ("127.4.0.1", 8500)
+DISCOVERY = (plan.DISCOVERY, 8500)
 CLIENTS = "127.5.0.1"
 
 
--- a/wheatring/lab/world/seats.py
+++ b/wheatring/lab/world/seats.py
@@ -111,6 +111,12 @@
         seat.timer = self.timers.at(self.timers.now() + patience, self.kill, seat, down)
         self.ground.sidecar_stop(seat.name)
 
+    def stall(self, seat: Seat, on: bool) -> None:
+        raise ValueError(f"{seat.name}: no process that could be stopped")
+
+    def move(self) -> None:
+        raise ValueError("no process that could be told of a move")
+
     def ended(self, seat: Seat) -> None:
         self.call_off(seat)
         seat.running = seat.stopping = False
--- a/wheatring/lab/world/world.py
+++ b/wheatring/lab/world/world.py
@@ -13,7 +13,7 @@
 
 from wheatring import log
 from wheatring.lab.models.clients import Clients
-from wheatring.lab.models.discovery import Answer, Listed, Registry
+from wheatring.lab.models.discovery import Listed, Registry
 from wheatring.lab.models.effects import Effects
 from wheatring.lab.models.form import as_json
 from wheatring.lab.models.front import Front
@@ -22,7 +22,7 @@
 from wheatring.lab.net.time import VirtualTime
 from wheatring.lab.origins import Origins
 from wheatring.lab.outcome import Outcome
-from wheatring.lab.plan import NodePlan, Plan
+from wheatring.lab.plan import LIVE_ONLY, NodePlan, Plan
 from wheatring.lab.rules.ledger import Ledger
 from wheatring.lab.rules.trace import Trace
 from wheatring.lab.world.events import Events
@@ -68,6 +68,9 @@
     """One plan at one grain. `play` may be called once."""
 
     def __init__(self, plan: Plan, grain: str, tracing: Tracing | None = None) -> None:
+        never = sorted({event.kind for event in plan.events if event.kind in LIVE_ONLY})
+        if never:
+            raise ValueError(f"{plan.scenario}: can't be played in virtual time: {', '.join(never)}")
         self.plan = plan
         self.grain = grain
         ties = self.random("ties") if plan.net.shuffle else None
@@ -153,11 +156,8 @@
         self.registry.serve(name, tier)
 
     def known(self, tier: int) -> dict[str, Any]:
-        """The machine list of a tier as it is known at present, in discovery's form."""
-        listing = self.registry.knowledge.listing(tier)
-        version = listing.view(listing.version)
-        lines = tuple(line for line in listing.whole(version) if line.state != "gone")
-        return as_json(Answer(version, True, lines))
+        """The machine list of a tier with which a sidecar starts, in discovery's form."""
+        return as_json(self.registry.held(tier, self.plan.held))
 
     # Sidecars come and go
 
--- /dev/null
+++ b/wheatring/lifecycle/asking.py
@@ -0,0 +1,113 @@
+"""When a sidecar asks for the machine list, so that a fleet that starts as one spares who answers.
+
+Discovery answers one call after another, for all sidecars, and a call that waits too long for its turn fails.
+How many calls a second it takes is told to nobody, nor who else is asking: a sidecar knows its number, how
+many there are, and how its own calls ended. So all act by one timetable, in *rounds*. A round gives each
+sidecar one place. Whoever was answered is out; whoever was not takes its place in the next round:
+
+- the first round is short, for a sidecar that starts alone should not wait for a fleet that is not there;
+- the second is so long that HASTE calls a second are made if all have to ask again, and each further one
+  twice as long. So the fleet comes down on whatever discovery can answer.
+
+A call for the whole list is waited for only so long as its share: of the calls of a round, as many are meant
+to stay as discovery is likely to answer by its end, and the others leave their turns to these. How long each
+stays is drawn from a Pareto distribution, of which any wait, however long the line, leaves a part over. Were
+all equally patient, all would leave just before their turn, or in it (reneging; Palm 1937).
+
+Who holds a list that names somebody to send to comes after those that hold none, and keeps the platform's
+rule for those that send: to have asked within `within` seconds, and within four times that after a failure.
+
+Rounds are counted from the start, from a move of discovery, or from the first failure after an answer, which
+the whole fleet sees at about the same time. Places in a round are by number, turned on from round to round by
+the golden section, so that neighbours in one are far apart in the next (additive recurrence; Kuipers and
+Niederreiter 1974).
+
+Pure: instants in seconds are handed in; nothing here knows of sockets.
+"""
+
+from __future__ import annotations
+
+from math import inf
+from random import Random
+
+FIRST = 60.0  # calls a second by all sidecars in the first round
+LONGEST = 3.0  # seconds which that round takes at most
+HASTE = 13.0  # calls a second in the round after it, if all have to ask again
+HOLDERS = 25.0  # calls a second by those that hold a list: most wait for news, which costs no turn
+LEAST = 0.25  # seconds, doubled from round to round, that a further round takes at least; up to
+LEAST_UP_TO = 2.5
+SLOWEST = 1.0  # calls a second by all in the longest round
+SAFE = 0.8  # part of the time that the platform's rule gives which is used
+GOLDEN = 0.6180339887498949
+LIKELY = 4.0  # calls a second that discovery is held to answer, while nothing else is known
+QUEUE = 2.0  # seconds in which one that waits in line there is likely to have had its turn, or to have failed
+PATIENT = 5.0  # seconds after which a call for the whole list is given up in any case
+
+
+class Asking:
+    """One sidecar's timetable. `copies` ask, and this one is `number` of them, from 0; `within` is the
+    platform's time (seconds) in which one that sends must have asked."""
+
+    def __init__(self, copies: int, number: int, within: float, random: Random, now: float) -> None:
+        self.copies = copies
+        self.within = within
+        self.random = random
+        self.place = (number % copies + random.random()) / copies  # from 0 to 1
+        self.begin(now, holds=False)
+
+    def begin(self, now: float, holds: bool) -> None:
+        """The first round begins. `holds`: there is a list that names somebody to send to."""
+        self.holds = holds
+        self.round = 0
+        self.began = self.origin = now  # the first round, and the present one
+        self.settled = False  # the last call was answered
+        self.after = now  # not to be made before
+        self.latest = inf  # nor after, as the rule says
+
+    def length(self, number: int) -> float:
+        """Seconds which a round takes, by its number from 0."""
+        if number == 0:
+            return min(LONGEST, self.copies / FIRST)
+        most = max(self.copies / SLOWEST, LEAST_UP_TO)
+        return min(max(self.copies / HASTE * 2.0 ** (number - 1), _least(number)), most)
+
+    def due(self, now: float) -> float:
+        """The instant of the next call, not before `now`."""
+        length = self.length(self.round)
+        if self.round == 0 and self.holds:
+            # After those that have nothing to go by, and in time for the rule.
+            at = length + self.place * min(self.copies / HOLDERS, max(0.0, SAFE * self.within - length))
+        else:
+            at = (self.place + self.round * GOLDEN) % 1.0 * length
+        return max(now, min(self.origin + at, self.latest), self.after)
+
+    def patience(self) -> float:
+        """Seconds for which the next call for the whole list is waited for; drawn anew for each."""
+        ends = self.origin + self.length(self.round) + QUEUE
+        share = LIKELY * (ends - self.began) / self.copies  # of all, who can have had their turn by then
+        if share >= 1:
+            return PATIENT
+        return min(PATIENT, QUEUE * share / (1.0 - self.random.random()))
+
+    def answered(self) -> None:
+        """A call has been answered."""
+        self.settled = self.holds = True
+
+    def failed(self, now: float) -> None:
+        """A call has failed, or was given up."""
+        if self.settled:
+            # All saw it. What is held stands meanwhile, and the rule gives four times as long.
+            self.settled = False
+            self.began = self.origin = now
+            self.round = 1
+        else:
+            ended = self.origin + self.length(self.round)
+            self.round += 1
+            # One that has fallen behind the timetable (a stall, a call that took long) goes by its own.
+            self.origin = max(ended, now)
+        self.after = now + _least(self.round) / 2
+        self.latest = now + 4 * SAFE * self.within if self.holds else inf
+
+
+def _least(number: int) -> float:
+    return min(LEAST * 2.0**number, LEAST_UP_TO)
