--- a/tests/lab/test_world.py
+++ b/tests/lab/test_world.py
@@ -12,9 +12,10 @@
 
 from wheatring.lab.faults import FAULTS, planted
 from wheatring.lab.plan import Plan
+from wheatring.lab.play import play
 from wheatring.lab.scenario.draw import draw
 from wheatring.lab.scenario.load import load, names
-from wheatring.lab.world.world import Tracing, play
+from wheatring.lab.world.world import Tracing
 
 GRAINS = ("wire", "exchange")
 
@@ -25,7 +26,8 @@
 import msgspec
 from wheatring.lab.scenario.draw import draw
 from wheatring.lab.scenario.load import load
-from wheatring.lab.world.world import Tracing, play
+from wheatring.lab.play import play
+from wheatring.lab.world.world import Tracing
 
 for name in sys.argv[2:]:
     plan = draw(load(name), 3)
--- a/tests/lab/test_world_lives.py
+++ b/tests/lab/test_world_lives.py
@@ -7,10 +7,10 @@
 
 from wheatring.lab.net.sockets import Socket
 from wheatring.lab.plan import EventPlan, Plan
+from wheatring.lab.play import world
 from wheatring.lab.scenario.draw import draw
 from wheatring.lab.scenario.load import load
 from wheatring.lab.wire.ground import WireGround
-from wheatring.lab.world.world import World
 
 
 def a_life(seed: int, stop: float, load_until: float, *events: EventPlan) -> Plan:
@@ -29,10 +29,10 @@
 @pytest.mark.parametrize("events", [(), (HANG, RESETS)], ids=["", "with troubles"])
 def test_a_sidecar_that_ends_leaves_nothing(stop: float, until: float, events: tuple[EventPlan, ...]) -> None:
     for seed in range(1, 6):
-        world = World(a_life(seed, stop, until, *events), "wire")
-        ground = world.ground
+        made = world(a_life(seed, stop, until, *events), "wire")
+        ground = made.ground
         assert isinstance(ground, WireGround)
-        outcome = world.play()
+        outcome = made.play()
         assert outcome.breaches == []
         assert [what for _, what in outcome.happened if "front-1" in what] == [
             "sidecar front-1 is told to stop", "sidecar front-1 ends"
--- a/tests/lab/test_world_told.py
+++ b/tests/lab/test_world_told.py
@@ -6,9 +6,10 @@
 import pytest
 
 from wheatring.lab.plan import EventPlan, Plan
+from wheatring.lab.play import play, world
 from wheatring.lab.scenario.draw import draw
 from wheatring.lab.scenario.load import load, parse
-from wheatring.lab.world.world import START, World, play
+from wheatring.lab.world.world import START
 
 
 def a_day(*events: EventPlan, seed: int = 1) -> Plan:
@@ -62,10 +63,10 @@
         EventPlan(at=0.5, kind="clock_step", size=100.0),
         EventPlan(at=1.0, kind="kill", length=0.1, nodes=("shop-1",)),
     )
-    world = World(a_day(step, kill), grain)
-    world.play()
-    instant, stamp = world.registry.knowledge.started["shop-1"]
-    assert stamp == round((world.plan.epoch + instant - START + step.size) * 1000)
+    made = world(a_day(step, kill), grain)
+    made.play()
+    instant, stamp = made.registry.knowledge.started["shop-1"]
+    assert stamp == round((made.plan.epoch + instant - START + step.size) * 1000)
 
 
 def test_what_callbacks_raise_is_seen_whoever_raised_it(monkeypatch: pytest.MonkeyPatch) -> None:
--- /dev/null
+++ b/tests/test_config_file.py
@@ -0,0 +1,103 @@
+"""The configuration file: what it may say, how it is refused, and that unnamed it is nothing."""
+
+from __future__ import annotations
+
+import re
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+from msgspec import structs
+
+from tests.test_process import begin, until
+from wheatring.__main__ import main
+from wheatring.config import file
+
+PAGE = Path(__file__).parents[1] / "docs" / "operate" / "config-file.md"
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("[list]\n\nper_s = 0\n", ":3: list.per_s: expected `float` > 0.0, is 0"),
+        (
+            "[list]\nfirst_longest = 'long'\n",
+            ":2: list.first_longest: expected `float`, got `str`, is 'long'",
+        ),
+        ("[list]\nhaste = 1\n", ":2: list.haste: not a key"),
+        ("[lists]\n", ":1: lists: not a key"),
+        ("# no table\nlist = 3\n", ":2: list: expected `object`, got `int`, is 3"),
+        ("[list]\nfirst_per_s = 5\nper_s = 6\n", ":3: list.per_s: must not be over list.first_per_s, is 6"),
+        ("[list]\nfirst_per_s = 5\n", ":2: list.per_s: must not be over list.first_per_s, is 13"),
+        ("[list\n", ": not TOML: "),
+    ],
+)
+def test_what_can_not_be_used_is_one_line_with_file_line_and_key(
+    text: str, said: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    where = tmp_path / "w.toml"
+    where.write_text(text, encoding="utf-8")
+    assert main(["check", str(where)]) == 2
+    out, err = capsys.readouterr()
+    assert out == "" and err.count("\n") == 1 and f"{where}{said}" in err
+    assert main(["--config", str(where)]) == 2
+    assert f"{where}{said}" in capsys.readouterr().err
+
+
+def test_a_good_file_is_ok_and_an_absent_one_is_named(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    where = tmp_path / "w.toml"
+    where.write_text("[list]\nper_s = 30\n", encoding="utf-8")
+    assert main(["check", str(where)]) == 0
+    assert capsys.readouterr().out == f"{where}: ok\n"
+    assert file.read(str(where)).list.per_s == 30
+    assert main(["check", str(tmp_path / "none.toml")]) == 2
+    assert "none.toml: can't be read: No such file" in capsys.readouterr().err
+
+
+def test_the_page_lists_each_key_with_its_default() -> None:
+    part = PAGE.read_text(encoding="utf-8").split("## `[list]`")[1]
+    told = dict(re.findall(r"^\| `(\w+)` \| [^|]+ \| `([^`]+)` \|", part, re.MULTILINE))
+    assert told == {one.name: f"{one.default:g}" for one in structs.fields(file.ListAsking)}
+
+
+def test_it_is_read_again_on_sighup_and_a_bad_one_changes_nothing(tmp_path: Path) -> None:
+    where = tmp_path / "w.toml"
+    where.write_text("[list]\nper_s = 20\n", encoding="utf-8")
+    with begin(tmp_path, "", words=("--config", str(where))) as process:
+        until(process, "listening")
+        where.write_text("[list]\nper_s = -1\n", encoding="utf-8")
+        process.send_signal(signal.SIGHUP)
+        assert "list.per_s" in until(process, "config-not-reloaded")
+        where.write_text("[list]\nper_s = 21\n", encoding="utf-8")
+        process.send_signal(signal.SIGHUP)
+        until(process, "config-reloaded")
+        process.send_signal(signal.SIGTERM)
+
+
+def test_without_it_nothing_of_it_is_loaded(tmp_path: Path) -> None:
+    with begin(tmp_path, "", subprocess.PIPE, "-X", "importtime") as process:
+        until(process, "listening")
+        process.send_signal(signal.SIGTERM)
+        _, told = process.communicate()
+    names = {line.rpartition("|")[2].strip() for line in told.splitlines()}
+    assert "wheatring.config" in names
+    assert names.isdisjoint({"wheatring.config.file", "msgspec", "tomllib"})
+
+
+def test_the_pace_that_it_says_is_the_one_that_is_kept() -> None:
+    from random import Random
+
+    from wheatring.lifecycle.asking import Asking, Pace
+
+    slow = Asking(100, 50, 10.0, Random(1), 0.0, Pace(first=10.0, longest=60.0))
+    assert slow.length(0) == 10.0 and slow.length(1) == 100 / 13
+    assert msgspec.structs.asdict(file.ListAsking()) == {
+        "first_per_s": Pace().first, "first_longest": Pace().longest, "per_s": Pace().haste,
+        "likely_per_s": Pace().likely,
+    }  # fmt: skip
+    assert sys.modules["wheatring.config.file"] is file
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -48,9 +48,23 @@
     raise AssertionError(f"{module} has no floor")
 
 
-def imports(path: Path) -> set[str]:
+def for_types(tree: ast.AST) -> set[int]:
+    """Whatever stands under `if TYPE_CHECKING:`."""
+    blocks = [
+        node.body
+        for node in ast.walk(tree)
+        if isinstance(node, ast.If) and isinstance(node.test, ast.Name) and node.test.id == "TYPE_CHECKING"
+    ]
+    return {id(node) for body in blocks for one in body for node in ast.walk(one)}
+
+
+def imports(path: Path, types: bool = True) -> set[str]:
     found: set[str] = set()
-    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+    tree = ast.parse(path.read_text(encoding="utf-8"))
+    left_out = set() if types else for_types(tree)
+    for node in ast.walk(tree):
+        if id(node) in left_out:
+            continue
         if isinstance(node, ast.Import):
             found.update(alias.name for alias in node.names)
         elif isinstance(node, ast.ImportFrom) and node.module is not None:
@@ -77,6 +91,24 @@
         assert below < height, f"{module} (floor {height}) imports {imported} (floor {below})"
 
 
+def test_no_module_imports_itself_by_way_of_others() -> None:
+    """Types apart: what is imported for them alone is not there when the program runs."""
+    found = {}
+    for path in sources():
+        module = ".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__")
+        found[module] = imports(path, types=False) - {module}
+    left = dict(found)
+    while leaves := [module for module, below in left.items() if not below & left.keys()]:
+        for module in leaves:
+            del left[module]
+    assert not left, f"a circle among {sorted(left)}"
+
+
+def test_a_world_knows_no_ground_by_name() -> None:
+    for path in sorted((ROOT / "wheatring" / "lab" / "world").rglob("*.py")):
+        assert not [n for n in imports(path) if n.startswith(("wheatring.lab.wire", "wheatring.lab.direct"))]
+
+
 def test_the_models_of_the_lab_know_nothing_of_the_sidecar() -> None:
     """What a model knew of the parts it is to test, it could not test."""
     for path in sorted((ROOT / "wheatring" / "lab" / "models").rglob("*.py")):
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -32,14 +32,21 @@
 
 @contextmanager
 def begin(
-    tmp_path: Path, asked: str, stderr: int | None = None, *python: str, capture: bool = False, **changes: Any
+    tmp_path: Path,
+    asked: str,
+    stderr: int | None = None,
+    *python: str,
+    capture: bool = False,
+    words: tuple[str, ...] = (),
+    **changes: Any,
 ) -> Iterator[subprocess.Popen[str]]:
     """The program, with this in its operators' file."""
     (tmp_path / "c.json").write_text(json.dumps(told(**{"name": "n 3", **changes})), encoding="utf-8")
     (tmp_path / "o").write_text(asked, encoding="utf-8")
     with subprocess.Popen(
         [sys.executable, *python, "-m", "wheatring", "--operators", str(tmp_path / "o")]
-        + ["--capture"] * capture,
+        + ["--capture"] * capture
+        + list(words),
         env={**os.environ, "LB_CONFIG": str(tmp_path / "c.json")},
         stdout=subprocess.PIPE,
         stderr=stderr,
@@ -134,13 +141,14 @@
 
 
 def test_plain_words_mean_what_the_parser_makes_of_them() -> None:
-    for words in product(("--capture", "--operators", "x", "--help", "lab", "--operators=x"), repeat=3):
+    for words in product(("--capture", "--operators", "x", "--config", "lab", "--operators=x"), repeat=3):
         for length in range(4):
             told = plain(words[:length])
             if told is not None:
                 args = commands.parser().parse_args(words[:length])
-                assert told == (getattr(args, "operators", None), args.capture) and args.call is None
-    assert plain(("--operators", "x", "--capture")) == ("x", True)
+                assert told == (getattr(args, "operators", None), args.capture, args.config)
+                assert args.call is None
+    assert plain(("--operators", "x", "--capture", "--config", "y")) == ("x", True, "y")
 
 
 def test_a_module_that_is_put_off_loads_at_its_first_use() -> None:
--- a/wheatring/__main__.py
+++ b/wheatring/__main__.py
@@ -8,31 +8,33 @@
 from wheatring import daemon, operators
 
 
-def plain(words: Sequence[str]) -> tuple[str | None, bool] | None:
-    """The operators' file and whether to capture, where nothing else is said. None: it takes the parser, for
-    which a sidecar that starts anew should not wait."""
-    file, capture, rest = None, False, list(words)
+def plain(words: Sequence[str]) -> tuple[str | None, bool, str | None] | None:
+    """The operators' file, whether to capture, and the project's own file, where nothing else is said. None:
+    it takes the parser, for which a sidecar that starts anew should not wait."""
+    file, capture, own, rest = None, False, None, list(words)
     while rest:
         word = rest.pop(0)
         if word == "--capture":
             capture = True
         elif word == "--operators" and rest and not rest[0].startswith("-"):
             file = rest.pop(0)
+        elif word == "--config" and rest and not rest[0].startswith("-"):
+            own = rest.pop(0)
         else:
             return None
-    return file, capture
+    return file, capture, own
 
 
 def main(argv: Sequence[str] | None = None) -> int:
     words = sys.argv[1:] if argv is None else argv
     told = plain(words)
     if told is not None:
-        return daemon.serve(operators.find(told[0]), told[1])
+        return daemon.serve(operators.find(told[0]), told[1], told[2])
     from wheatring import commands
 
     args = commands.parser().parse_args(words)
     if args.call is None:
-        return daemon.serve(commands.operators_file(args), args.capture)
+        return daemon.serve(commands.operators_file(args), args.capture, args.config)
     return commands.run(args)
 
 
--- a/wheatring/commands/__init__.py
+++ b/wheatring/commands/__init__.py
@@ -23,9 +23,14 @@
         prog="wheatring", parents=[file], description="A sidecar load balancer. Without a command, it serves."
     )
     top.add_argument("--capture", action="store_true", help="record what the decisions see and choose")
+    top.add_argument("--config", metavar="FILE", help="the project's own file, TOML (default: none)")
     top.set_defaults(call=None)
     groups = top.add_subparsers(title="commands", metavar="COMMAND")
 
+    check = groups.add_parser("check", help="tell whether the project's own file can be used")
+    check.add_argument("file")
+    check.set_defaults(call=config_check)
+
     drill = groups.add_parser("drill", help="make drills").add_subparsers(required=True, metavar="COMMAND")
     sign = drill.add_parser("sign", parents=[file], help="print a drill's plan with its signature")
     sign.add_argument(
@@ -61,6 +66,18 @@
     return operators.find(getattr(args, "operators", None))
 
 
+def config_check(args: argparse.Namespace) -> int:
+    from wheatring.config import FileError, file
+
+    try:
+        file.read(args.file)
+    except FileError as bad:
+        print(f"wheatring: {bad}", file=sys.stderr)
+        return 2
+    print(f"{args.file}: ok")
+    return 0
+
+
 def drill_sign(args: argparse.Namespace) -> int:
     from wheatring.ops import drills
 
--- a/wheatring/commands/lab_live.py
+++ b/wheatring/commands/lab_live.py
@@ -156,7 +156,7 @@
 
     def job() -> int:
         if args.virtual:
-            from wheatring.lab.world.world import play as play_virtual
+            from wheatring.lab.play import play as play_virtual
 
             outcome: Outcome = play_virtual(plan, "exchange")
             lines = [f"{outcome.scenario}, seed {outcome.seed}, in virtual time"]
@@ -226,7 +226,7 @@
     )
 
     def job() -> int:
-        with Process("load", module("wheatring.lab.live.load")) as process:
+        with Process("load", module("wheatring.lab.live.loading")) as process:
             result = play(process, load)
         _written(result, shown(result), args.json)
         return 0 if result.valid else 1
--- a/wheatring/config/__init__.py
+++ b/wheatring/config/__init__.py
@@ -32,6 +32,10 @@
     """A configuration that can't be used; the text begins with the key at fault."""
 
 
+class FileError(ValueError):
+    """The project's own file can't be used; the text is one line. It is read in `file`."""
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that one sidecar is told at its start."""
--- a/wheatring/daemon.py
+++ b/wheatring/daemon.py
@@ -18,6 +18,7 @@
     from lapisway.policy import Balancer
     from wheatring.control.desk import Desk
     from wheatring.control.door import Door
+    from wheatring.lifecycle.asking import Pace
     from wheatring.ops.audit import Audit
     from wheatring.ops.capture.ring import Ring
     from wheatring.ops.drills import Drills
@@ -39,6 +40,8 @@
         asked: operators.Operators,
         capture: bool = False,
         unix: Callable[[], float] = time.time,
+        own: str | None = None,
+        pace: Pace | None = None,
     ) -> None:
         from lapisway.policy import Balancer
         from wheatring.core.body import room_in
@@ -48,13 +51,14 @@
         from wheatring.http1.client import Pool
         from wheatring.http1.machine_list import MachineList
         from wheatring.http1.server import Server
-        from wheatring.lifecycle.asking import Asking
+        from wheatring.lifecycle.asking import DEFAULT, Asking
         from wheatring.lifecycle.freshness import Freshness
 
         settings = told.settings
         limits = settings.limits
         self.reactor = reactor
         self.told = told
+        self.own = own
         self.asked = operators.Operators()  # by the operators, and in effect
         self.first_asked = asked
         self.clock = Clock(reactor, unix)
@@ -69,7 +73,9 @@
         )
         copies, number, now = settings.copies, settings.number, self.clock.now()
         freshness = Freshness(copies, number, Random(f"{told.seed}:list"), now)
-        asking = Asking(copies, number, settings.contract.ask_within, Random(f"{told.seed}:asking"), now)
+        asking = Asking(
+            copies, number, settings.contract.ask_within, Random(f"{told.seed}:asking"), now, pace or DEFAULT
+        )
         self.server = Server(reactor, self.clock, self.exchange, settings.classes, self.places - claims, room)
         on_view: Callable[[View], None] = self.driver.feed
         self.status = 0  # with which the process ends
@@ -194,6 +200,7 @@
             if asked != self.asked:
                 log.line("operators-reloaded")
                 self.switch(asked)
+        self.reload_own()
         try:
             told = config.read(environment, again=True)
         except config.ConfigError as bad:
@@ -204,6 +211,17 @@
         if not self.server.stopping:
             self.machine_list.move(told.discovery)
 
+    def reload_own(self) -> None:
+        """Read the project's own file again, where there is one."""
+        try:
+            pace = pace_of(self.own)
+        except config.FileError as bad:
+            log.line("config-not-reloaded", why=str(bad))
+            return
+        if pace is not None:
+            self.machine_list.asking.pace = pace
+            log.line("config-reloaded")
+
     def stop(self) -> None:
         """Answer what has come and what still arrives, as far as that is worth its time, then exit."""
         if not self.server.stopping:
@@ -263,13 +281,27 @@
     return os.environ.get("TMPDIR") or "/tmp"
 
 
-def serve(file: str | None, capture: bool) -> int:
-    """Serve until told to stop; `file` is the operators'. The exit status: 2 where it could not start."""
+def pace_of(own: str | None) -> Pace | None:
+    """What the project's own file says of the asking for the list; None: there is no file. FileError where
+    it can't be used."""
+    if own is None:
+        return None
+    from wheatring.config import file
+    from wheatring.lifecycle.asking import Pace
+
+    said = file.read(own).list
+    return Pace(said.first_per_s, said.first_longest, said.per_s, said.likely_per_s)
+
+
+def serve(file: str | None, capture: bool, own: str | None = None) -> int:
+    """Serve until told to stop; `file` is the operators', `own` the project's. The exit status: 2 where it
+    could not start."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload, it must not end us
     try:
+        pace = pace_of(own)
         told = config.read(os.environ)
         asked = operators.read(file)
-    except (config.ConfigError, operators.OperatorsError) as bad:
+    except (config.ConfigError, operators.OperatorsError, config.FileError) as bad:
         print(f"wheatring: {bad}", file=sys.stderr)
         return 2
     log.not_blocking()
@@ -284,7 +316,7 @@
 
     observers: Any = [log.twisted_failures]
     globalLogBeginner.beginLoggingTo(observers, redirectStandardIO=False)
-    sidecar = Sidecar(reactor, told, asked, capture)
+    sidecar = Sidecar(reactor, told, asked, capture, own=own, pace=pace)
 
     def told_to_stop(number: int, frame: object) -> None:
         reactor.callFromThread(sidecar.stop)
--- a/wheatring/lab/drawn.py
+++ b/wheatring/lab/drawn.py
@@ -39,7 +39,7 @@
 
 def play_file(grain: str, file: Path) -> Outcome:
     """Play the day in a file. Raises DrawnError, OSError."""
-    from wheatring.lab.world.world import play
+    from wheatring.lab.play import play
 
     try:
         day = msgspec.json.decode(file.read_bytes())
--- a/wheatring/lab/hunt.py
+++ b/wheatring/lab/hunt.py
@@ -26,9 +26,9 @@
 
 def look(fault: Fault | None, scenario: str, seed: int, grain: str) -> Look:
     """Play one day. A world that breaks off has found the fault as well."""
+    from wheatring.lab.play import play
     from wheatring.lab.scenario.draw import draw
     from wheatring.lab.scenario.load import load
-    from wheatring.lab.world.world import play
 
     name = CLEAN if fault is None else fault.name
     with nullcontext() if fault is None else planted(fault):
--- a/wheatring/lab/live/bench/run.py
+++ b/wheatring/lab/live/bench/run.py
@@ -118,7 +118,7 @@
         )  # fmt: skip
         self.targets[SUBJECT] = stack.enter_context(Sidecar(folder, told, (cores.measured,)))
         self.ports = {name: port(said(process)) for name, process in self.targets.items()}
-        self.generator = start("load", cores.load, "wheatring.lab.live.load")
+        self.generator = start("load", cores.load, "wheatring.lab.live.loading")
 
     def load(self, target: Process, port: int, length: float, **more: object) -> Result:
         told = {
--- a/wheatring/lab/live/load.py
+++ b/wheatring/lab/live/load.py
@@ -1,18 +1,11 @@
-"""The load generator's words: what it is to do, and what came of it. And its process.
-
-    python -m wheatring.lab.live.load
-
-reads one `Load` a line (JSON) on standard input, plays it, and writes one `Result` a line on standard output.
-"""
+"""The load generator's words: what it is to do, and what came of it. Its process is `loading`."""
 
 from __future__ import annotations
 
-import gc
-import sys
 import time
 from collections.abc import Iterator
 from random import Random
-from typing import Any, Literal
+from typing import Literal
 
 import msgspec
 from msgspec import Struct, field
@@ -144,40 +137,3 @@
     yield f"the generator: {result.late_p99_ms:.2f} ms late at p99, {result.cpu:.2f} of its core"
     if not result.valid:
         yield f"NOT VALID: {result.why}"
-
-
-def main() -> int:
-    from twisted.internet import reactor as installed
-    from twisted.internet import stdio
-    from twisted.protocols.basic import LineReceiver
-
-    from wheatring.lab.live.generator import Generator
-
-    reactor: Any = installed
-    reactor.seconds = time.monotonic
-    gc.disable()  # a collection would be a lateness of ours; what a load makes is freed by count
-
-    class Orders(LineReceiver):
-        delimiter = b"\n"
-        MAX_LENGTH = 1 << 20
-
-        def lineReceived(self, line: bytes) -> None:
-            Generator(reactor, msgspec.json.decode(line, type=Load), self.report)
-
-        def report(self, result: Result) -> None:
-            self.sendLine(  # type: ignore[no-untyped-call]
-                msgspec.json.encode(result)
-            )
-            gc.collect()
-
-        def connectionLost(self, reason: object = None) -> None:
-            if reactor.running:
-                reactor.stop()
-
-    stdio.StandardIO(Orders())  # type: ignore[no-untyped-call]
-    reactor.run()
-    return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- /dev/null
+++ b/wheatring/lab/play.py
@@ -0,0 +1,24 @@
+"""A plan played in virtual time at a grain. The grains are named here, above the world and its grounds."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from wheatring.lab.direct.ground import DirectGround
+from wheatring.lab.outcome import Outcome
+from wheatring.lab.plan import Plan
+from wheatring.lab.wire.ground import WireGround
+from wheatring.lab.world.ground import Ground
+from wheatring.lab.world.world import Tracing, World
+
+GRAINS: Mapping[str, Callable[[World], Ground]] = {"wire": WireGround, "exchange": DirectGround}
+
+
+def world(plan: Plan, grain: str, tracing: Tracing | None = None) -> World:
+    """The world of a plan, which may be played once. ValueError where the plan needs real processes."""
+    return World(plan, grain, GRAINS[grain], tracing)
+
+
+def play(plan: Plan, grain: str, tracing: Tracing | None = None) -> Outcome:
+    """Play a plan at a grain, `wire` or `exchange`. The same plan gives the same outcome but for `wall_s`."""
+    return world(plan, grain, tracing).play()
--- a/wheatring/lab/world/world.py
+++ b/wheatring/lab/world/world.py
@@ -4,7 +4,7 @@
 
 import gc
 import time as process_time
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from random import Random
 from typing import Any, NamedTuple, TextIO
@@ -65,9 +65,15 @@
 
 
 class World:
-    """One plan at one grain. `play` may be called once."""
-
-    def __init__(self, plan: Plan, grain: str, tracing: Tracing | None = None) -> None:
+    """One plan at one grain, on the ground that is made for it. `play` may be called once."""
+
+    def __init__(
+        self,
+        plan: Plan,
+        grain: str,
+        make_ground: Callable[[World], Ground],
+        tracing: Tracing | None = None,
+    ) -> None:
         never = sorted({event.kind for event in plan.events if event.kind in LIVE_ONLY})
         if never:
             raise ValueError(f"{plan.scenario}: can't be played in virtual time: {', '.join(never)}")
@@ -82,7 +88,7 @@
         self.book = Ledger(plan, grain, self.time.now, self.day, self.trace, family)
         self.registry = Registry(plan.discovery, self.time, self.unix, self.random("discovery"), self.book)
         self.front = Front(self.time, self.random("front"), plan.front_notice)
-        self.ground = self.make_ground()
+        self.ground = make_ground(self)
         self.ground.open_discovery(self.registry)
         self.seats = Seats(self.time, self.ground, self.came, self.stops, self.went)
         self.nodes = {node.name: node for node in plan.nodes}
@@ -111,15 +117,6 @@
         """Unix time as discovery and the machines read it, by which they tell of starts."""
         return self.plan.epoch + self.time.now() - START + self.ground.stepped()
 
-    def make_ground(self) -> Ground:
-        if self.grain == "wire":
-            from wheatring.lab.wire.ground import WireGround
-
-            return WireGround(self)
-        from wheatring.lab.direct.ground import DirectGround
-
-        return DirectGround(self)
-
     # Its parts
 
     def add_machine(self, node: NodePlan, effects: Effects) -> None:
@@ -273,8 +270,3 @@
             self.trace.line(
                 self.time.now(), "", f"log sidecar={self.ground.whose_turn()} {log.shown(event, values)}"
             )
-
-
-def play(plan: Plan, grain: str, tracing: Tracing | None = None) -> Outcome:
-    """Play a plan at a grain, `wire` or `exchange`. The same plan gives the same outcome but for `wall_s`."""
-    return World(plan, grain, tracing).play()
--- a/wheatring/lifecycle/asking.py
+++ b/wheatring/lifecycle/asking.py
@@ -6,7 +6,7 @@
 sidecar one place. Whoever was answered is out; whoever was not takes its place in the next round:
 
 - the first round is short, for a sidecar that starts alone should not wait for a fleet that is not there;
-- the second is so long that HASTE calls a second are made if all have to ask again, and each further one
+- the second is so long that `haste` calls a second are made if all have to ask again, and each further one
   twice as long. So the fleet comes down on whatever discovery can answer.
 
 A call for the whole list is waited for only so long as its share: of the calls of a round, as many are meant
@@ -29,26 +29,38 @@
 
 from math import inf
 from random import Random
+from typing import NamedTuple
 
-FIRST = 60.0  # calls a second by all sidecars in the first round
-LONGEST = 3.0  # seconds which that round takes at most
-HASTE = 13.0  # calls a second in the round after it, if all have to ask again
 HOLDERS = 25.0  # calls a second by those that hold a list: most wait for news, which costs no turn
 LEAST = 0.25  # seconds, doubled from round to round, that a further round takes at least; up to
 LEAST_UP_TO = 2.5
 SLOWEST = 1.0  # calls a second by all in the longest round
 SAFE = 0.8  # part of the time that the platform's rule gives which is used
 GOLDEN = 0.6180339887498949
-LIKELY = 4.0  # calls a second that discovery is held to answer, while nothing else is known
 QUEUE = 2.0  # seconds in which one that waits in line there is likely to have had its turn, or to have failed
 PATIENT = 5.0  # seconds after which a call for the whole list is given up in any case
 
 
+class Pace(NamedTuple):
+    """How fast a fleet asks. Calls a second are those of all sidecars."""
+
+    first: float = 60.0  # calls a second in the first round
+    longest: float = 3.0  # seconds which that round takes at most
+    haste: float = 13.0  # calls a second in the round after it, if all have to ask again
+    likely: float = 4.0  # calls a second that discovery is held to answer, while nothing else is known
+
+
+DEFAULT = Pace()
+
+
 class Asking:
     """One sidecar's timetable. `copies` ask, and this one is `number` of them, from 0; `within` is the
     platform's time (seconds) in which one that sends must have asked."""
 
-    def __init__(self, copies: int, number: int, within: float, random: Random, now: float) -> None:
+    def __init__(
+        self, copies: int, number: int, within: float, random: Random, now: float, pace: Pace = DEFAULT
+    ) -> None:
+        self.pace = pace  # which holds for what is reckoned from now on
         self.copies = copies
         self.within = within
         self.random = random
@@ -67,9 +79,9 @@
     def length(self, number: int) -> float:
         """Seconds which a round takes, by its number from 0."""
         if number == 0:
-            return min(LONGEST, self.copies / FIRST)
+            return min(self.pace.longest, self.copies / self.pace.first)
         most = max(self.copies / SLOWEST, LEAST_UP_TO)
-        return min(max(self.copies / HASTE * 2.0 ** (number - 1), _least(number)), most)
+        return min(max(self.copies / self.pace.haste * 2.0 ** (number - 1), _least(number)), most)
 
     def due(self, now: float) -> float:
         """The instant of the next call, not before `now`."""
@@ -84,7 +96,9 @@
     def patience(self) -> float:
         """Seconds for which the next call for the whole list is waited for; drawn anew for each."""
         ends = self.origin + self.length(self.round) + QUEUE
-        share = LIKELY * (ends - self.began) / self.copies  # of all, who can have had their turn by then
+        share = (
+            self.pace.likely * (ends - self.began) / self.copies
+        )  # of all, who can have had their turn by then
         if share >= 1:
             return PATIENT
         return min(PATIENT, QUEUE * share / (1.0 - self.random.random()))
