Put optional parts of the daemon in at one place, each with its end beside it

Need: daemon.py grew by a field, a start and an end for each optional part (desk, capture, drills, audit), and the parts between sidecars are to come. Change: a part is one method that imports it, puts it in, and leaves its end in an ExitStack; finish() ends them in the reverse of that order. The tests' world ends them by the same call. Ruled out: a protocol of parts with start, reload and stop, of which three of four would have been empty today.

--- a/tests/world.py
+++ b/tests/world.py
@@ -251,9 +251,7 @@
             self.sidecar.driver.feed = lambda event: None  # type: ignore[method-assign]
             if self.sidecar.server.port is not None:
                 self.sidecar.server.port.stopListening()
-            if self.sidecar.desk is not None and self.sidecar.door is not None:
-                self.sidecar.door.close()
-                self.sidecar.desk.stop()
+            self.sidecar.ends.close()
             self.sidecar.machine_list.on_view = lambda view: None
             self.sidecar.machine_list.subscribe = lambda: None  # type: ignore[method-assign]
             self.sidecar.machine_list.unsubscribe()
--- a/wheatring/daemon.py
+++ b/wheatring/daemon.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from collections.abc import Callable, Mapping
+from contextlib import ExitStack
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -79,25 +80,26 @@
         self.server = Server(reactor, self.clock, self.exchange, settings.classes, self.places - claims, room)
         on_view: Callable[[View], None] = self.driver.feed
         self.status = 0  # with which the process ends
+        self.ends = ExitStack()  # of optional parts, in the reverse of the order in which they were put in
         self.desk: Desk | None = None
         self.door: Door | None = None
+        self.ring: Ring | None = None
+        self.audit: Audit | None = None
+        self.drills: Drills | None = None
         if told.control is not None:
-            on_view = self.open_desk()
+            on_view = self.open_desk(told.control)
         self.machine_list = MachineList(
             reactor, self.clock, told.discovery, self.pool.addresses, on_view, freshness, asking
         )
         self.driver.machine_list = self.machine_list
-        self.ring: Ring | None = None
         if capture:
             self.capture(balancer)
-        self.drills: Drills | None = None
-        self.audit: Audit | None = None
         if asked.audit.on:
-            from wheatring.ops.audit import Audit
+            self.keep_audit()
 
-            self.audit = Audit(told.name, self.clock, asked.audit.file)
+    # Optional parts. Each is one method here: it imports the part, puts it in, and leaves its end in `ends`.
 
-    def open_desk(self) -> Callable[[View], None]:
+    def open_desk(self, control: tuple[str, int]) -> Callable[[View], None]:
         """What operators call goes to the desk, and what discovery says through what they have ordered."""
         from wheatring.control.desk import Desk
         from wheatring.control.door import Door
@@ -106,13 +108,27 @@
 
         by_hand = ByHand(self.driver.feed)
         folder = Folder(temporary(), self.told.name, round(self.clock.now() * 1e9))
-        self.desk = Desk(
+        desk = self.desk = Desk(
             self.clock, folder, by_hand, self.server, self.pool, self.places, self.held, self.resize,
             self.listen,
         )  # fmt: skip
-        self.door = Door(self.reactor, self.clock, self.desk)
+        door = self.door = Door(self.reactor, self.clock, desk)
+
+        def begin() -> None:
+            desk.start()
+            log.line("control-listening", host=control[0], port=door.listen(*control))
+
+        self.begin_desk = begin
+        self.ends.callback(desk.stop)
+        self.ends.callback(door.close)
         return by_hand.view
 
+    def keep_audit(self) -> None:
+        from wheatring.ops.audit import Audit
+
+        self.audit = Audit(self.told.name, self.clock, self.first_asked.audit.file)
+        self.ends.callback(self.audit.close)
+
     def held(self) -> int:
         """Places taken now, by callers and claims."""
         return len(self.server.connections) + len(self.pool.connections) + len(self.pool.dials)
@@ -128,6 +144,7 @@
         asked, told, clock = self.first_asked.capture, self.told, self.clock
         folder = asked.folder or temporary()
         self.ring = Ring(folder, told.name, asked.files, asked.size, clock, shared=told.control is not None)
+        self.ends.callback(self.ring.close)
         for line in record.header(told.name, told.seed, clock.unix_offset, told.given):
             self.ring.write(line)
         self.driver.balancer = record.Recorder(
@@ -135,10 +152,8 @@
         )
 
     def start(self) -> None:
-        if self.desk is not None and self.door is not None and self.told.control is not None:
-            self.desk.start()
-            port = self.door.listen(*self.told.control)
-            log.line("control-listening", host=self.told.control[0], port=port)
+        if self.desk is not None:
+            self.begin_desk()
         self.machine_list.known(self.told.known)
         if self.desk is not None:
             self.desk.serve()
@@ -178,6 +193,7 @@
 
             limits = self.told.settings.limits
             self.drills = Drills(self.exchange, self.clock, self.server.classes, limits, self.record)
+            self.ends.callback(self.drills.stop)
         if self.drills is not None:
             self.drills.switch(asked.drill)
         if asked.tokens.keys:
@@ -263,15 +279,7 @@
     def finish(self) -> None:
         self.machine_list.unsubscribe()
         self.pool.close()
-        if self.desk is not None and self.door is not None:
-            self.door.close()
-            self.desk.stop()
-        if self.drills is not None:
-            self.drills.stop()
-        if self.audit is not None:
-            self.audit.close()
-        if self.ring is not None:
-            self.ring.close()
+        self.ends.close()
         log.line("stopped")
         self.clock.at(self.clock.now(), self.reactor.stop)  # once these connections have had their lines
 
