Start a fleet's processes in threads, and judge its asking from the last start on

Change: processes are made in the reactor's threads, and what they say is kept until this side knows of them; outcome.lists.started tells each one's start, asks are judged from 3 s after the last.

--- a/wheatring/lab/live/seats.py
+++ b/wheatring/lab/live/seats.py
@@ -30,6 +30,14 @@
 FAULTS = tuple(f"{word} " for word in sorted(OURS))
 
 
+class _Making:
+    """A process that is being started, and what waits until it is."""
+
+    def __init__(self) -> None:
+        self.process: Sidecar | None = None
+        self.waiting: list[Callable[[], None]] = []
+
+
 class Seat:
     """One sidecar's place. `door` is discovery's, for it alone, so that it is known who asks."""
 
@@ -44,6 +52,7 @@
         self.door_port = 0
         self.moves = 0  # of discovery, so far
         self.process: Sidecar | None = None
+        self.making: _Making | None = None  # it is being started
         self.up = self.stopping = False
         self.down = 0.0  # seconds from its end to its next start; 0: it has none
         self.timer: Timer | None = None
@@ -141,23 +150,43 @@
     def start(self, seat: Seat) -> None:
         """Start its process, where none runs; whatever else was to become of it does not."""
         self._call_off(seat)
-        if seat.process is not None:
+        if seat.process is not None or seat.making is not None:
             return
         if seat.door is None:
             self._open_door(seat)
-        process: Sidecar | None = None
+        making = seat.making = _Making()
 
         def line(text: str) -> None:
             if text.startswith(("listening ", UNASKED, *UNCONNECTED, *FAULTS)):
-                self.reactor.callFromThread(lambda: self._said(seat, process, text))
+                self.reactor.callFromThread(self._when_made, making, lambda: self._said(seat, making, text))
 
         def end() -> None:
-            self.reactor.callFromThread(lambda: self._ended(seat, process))
+            self.reactor.callFromThread(self._when_made, making, lambda: self._ended(seat, making))
 
-        process = Sidecar(self.folder, self.told(seat), on_line=line, on_end=end)
-        seat.process = process
-        self.processes.append(process)
-        self.watch.add(seat.name, process.pid, time.monotonic())
+        def make(told: dict[str, Any]) -> None:
+            process = Sidecar(self.folder, told, on_line=line, on_end=end)
+            self.processes.append(process)
+            self.reactor.callFromThread(self._made, seat, making, process)
+
+        # In a thread: hundreds are started at once, and each takes the kernel and the new process a while.
+        self.reactor.callInThread(make, self.told(seat))
+
+    def _made(self, seat: Seat, making: _Making, process: Sidecar) -> None:
+        making.process = process
+        if seat.making is making:
+            seat.making, seat.process = None, process
+            self.watch.add(seat.name, process.pid, time.monotonic())
+        else:
+            process.send(signal.SIGKILL)  # it was called off meanwhile
+        for call in making.waiting:
+            call()
+
+    def _when_made(self, making: _Making, call: Callable[[], None]) -> None:
+        """What a process says may be heard before this side knows of it."""
+        if making.process is None:
+            making.waiting.append(call)
+        else:
+            call()
 
     def _open_door(self, seat: Seat) -> None:
         seat.door_port = 0
@@ -192,8 +221,8 @@
         if seat.process is not None:
             seat.process.send(signal.SIGSTOP if on else signal.SIGCONT)
 
-    def _said(self, seat: Seat, process: Sidecar | None, text: str) -> None:
-        if seat.process is not process:
+    def _said(self, seat: Seat, making: _Making, text: str) -> None:
+        if seat.process is not making.process:
             return
         if text.startswith("listening "):
             seat.port = listens_at(text)
@@ -212,6 +241,7 @@
     def kill(self, seat: Seat, down: float) -> None:
         """Kill it outright, and start it anew after `down` seconds, if that is not 0."""
         seat.down = down
+        seat.making = None
         if seat.process is not None:
             seat.process.send(signal.SIGKILL)
             self._over(seat, True)
@@ -228,9 +258,9 @@
         seat.timer = self.clock.at(self.clock.now() + patience, self.kill, seat, down)
         seat.process.send(signal.SIGTERM)
 
-    def _ended(self, seat: Seat, process: Sidecar | None) -> None:
+    def _ended(self, seat: Seat, making: _Making) -> None:
         """A process has ended by itself, unless it was killed and that is known."""
-        if seat.process is process:
+        if seat.process is making.process:
             self._over(seat, False)
 
     def _over(self, seat: Seat, killed: bool) -> None:
--- a/wheatring/lab/outcome.py
+++ b/wheatring/lab/outcome.py
@@ -56,6 +56,7 @@
     given_up: int = 0  # asks that the sidecar did not wait for any longer
     asked: list[int] = field(default_factory=list)  # asks by second
     failed_by_second: list[int] = field(default_factory=list)
+    started: dict[str, float] = field(default_factory=dict)  # by sidecar: its last start, 0 before the day
     first: dict[str, float] = field(default_factory=dict)  # by sidecar: s from its last start to an answer
 
 
--- a/wheatring/lab/rules/lists.py
+++ b/wheatring/lab/rules/lists.py
@@ -34,6 +34,7 @@
     def up(self, sidecar: str, at: float) -> None:
         """It starts, from nothing."""
         self.started[sidecar] = at
+        self.found.started[sidecar] = round(max(0.0, self.since(at)), 3)
         self.found.first.pop(sidecar, None)
         self.out.pop(sidecar, None)
         self.held.discard(sidecar)
