Lay silent watches anew less often in a large fleet, so that they keep no storm alive

Cause: a silent watch is laid anew after 25 to 31 s, whatever the fleet's size. Change: lifecycle/freshness.py, LIKELY watches a second by all (4), 39 s at most, so that with its spread a renewal comes before the watch's own end, whose answer would cost a second turn. Up to 100 sidecars nothing changes. The lab: discovery.watch_turns, scenario cold-turns; lab/live/links/pace.py measures what a link costs. Ruled out: no renewal at all (a watch to nobody is then noticed after 51.5 s only, and its end by itself takes a turn for an answer with no news).

--- a/tests/fleet/test_cold_start.py
+++ b/tests/fleet/test_cold_start.py
@@ -15,8 +15,10 @@
 
 from wheatring.__main__ import main
 from wheatring.lab.live.play import LiveOutcome
+from wheatring.lab.play import play
 from wheatring.lab.scenario.draw import draw
 from wheatring.lab.scenario.load import fleet_names, load
+from wheatring.lab.study import asked, settings
 
 FAR = 240.0
 SIDECARS = 8
@@ -135,3 +137,12 @@
     _, err = capsys.readouterr()
     last = err.strip().splitlines()[-1]
     assert said in last and "Traceback" not in err
+
+
+@pytest.mark.parametrize("held", ["none", "now"])
+def test_watches_that_take_turns_keep_no_storm_alive(held: str) -> None:
+    """Two hundred in virtual time: nothing fails any more once the start is over."""
+    sets = settings.one([f"front.held={held}"], [])
+    outcome = play(draw(asked.told("cold-turns", sets), 2), "exchange")
+    assert sum(outcome.lists.failed_by_second[:60]) > 0  # it was more than the service could take
+    assert sum(outcome.lists.failed_by_second[120:]) <= 5
--- /dev/null
+++ b/wheatring/lab/live/links/pace.py
@@ -0,0 +1,59 @@
+"""What a link costs: latency that it adds, and CPU for each request, up to what one relay bears.
+
+    python -m wheatring.lab.live.links.pace [RATE ...]
+
+puts each rate (requests a second, default 500 to 4,000) on a node, once straight and once by a link.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections.abc import Sequence
+from contextlib import ExitStack
+
+from wheatring.lab.live.links.wires import Wires
+from wheatring.lab.live.load import Load, Result, play
+from wheatring.lab.live.process import Process, module
+from wheatring.lab.plan import NetPlan
+
+HOSTS = {"load": "127.73.0.1", "node": "127.74.0.1"}
+RATES = (500.0, 1000.0, 2000.0, 3000.0, 4000.0)
+LENGTH = 4.0
+START = 20.0
+
+
+def measure(rates: Sequence[float]) -> None:
+    """Print a line for each rate. ProcessError if something does not start."""
+    with ExitStack() as stack:
+        words = module("wheatring.lab.live.bench.upstream", HOSTS["node"], "128")
+        node = stack.enter_context(Process("node", words))
+        said = node.line("listening ", time.monotonic() + START)
+        port = int(dict(pair.split("=") for pair in said.split()[1:])["node"])
+        generator = stack.enter_context(Process("load", module("wheatring.lab.live.loading")))
+        wires = Wires(1, HOSTS, NetPlan(), 1)
+        stack.callback(wires.end)
+        wires.reserve(["load>node"])
+        wires.lead({"load>node": (HOSTS["node"], port)})
+        wires.stats()  # answered in order: the door is open
+
+        def asked(host: str, there: int, rate: float) -> Result:
+            told = Load(host=host, port=there, rate=rate, length=LENGTH, connections=200, late_ms=5.0)
+            return play(generator, told)
+
+        for rate in rates:
+            straight = asked(HOSTS["node"], port, rate)
+            before = wires.stats()[0].cpu_s
+            linked = asked(*wires.address("load>node"), rate)
+            cpu = wires.stats()[0].cpu_s - before
+            each = cpu / max(1, linked.counts.total + linked.warmed) * 1e6
+            print(
+                f"{rate:.0f} a second: {linked.per_s:.0f} served; p50 {straight.p50_ms:.2f} ms straight, "
+                f"{linked.p50_ms:.2f} by a link, p99 {straight.p99_ms:.2f} and {linked.p99_ms:.2f}; "
+                f"relay {each:.0f} us of CPU a request, {cpu / (LENGTH + 0.5):.2f} of a core",
+                flush=True,
+            )
+
+
+if __name__ == "__main__":
+    measure([float(word) for word in sys.argv[1:]] or RATES)
--- a/wheatring/lab/models/discovery.py
+++ b/wheatring/lab/models/discovery.py
@@ -36,8 +36,8 @@
     """A sidecar's call to discovery. It ends once: by its `done`, or by being cancelled."""
 
     __slots__ = (
-        "broken", "done", "index", "lag", "listing", "over", "reach", "registry", "sidecar", "stage", "timer",
-        "until",
+        "broken", "done", "entered", "index", "lag", "listing", "over", "reach", "registry", "sidecar",
+        "stage", "timer", "until",
     )  # fmt: skip
 
     def __init__(
@@ -54,6 +54,7 @@
         self.stage: Literal["waits", "queued", "served", "quiet"] = "waits"
         self.timer: Timer | None = None
         self.over = False
+        self.entered = True  # nothing but its answer takes a turn
         self.broken = False  # its answer has begun, and ends in a reset
 
     def cancel(self) -> None:
@@ -159,7 +160,11 @@
             call.reach = listing.known_at(now - call.lag)
             for version in range(call.reach + 1, listing.version + 1):
                 self._send_to(call, version)
-            self._look(call)
+            if self.plan.watch_turns and index is not None:
+                call.entered = False
+                self._queue(call)
+            else:
+                self._look(call)
         return call
 
     def refused(self, sidecar: str) -> None:
@@ -218,11 +223,24 @@
             call = self.line.popleft()
             call.stage = "served"
             call.set(None)
+            if not call.entered:
+                cost = self.plan.call_lines / self.plan.lines_per_s * prod(self.factors)
+                self.turn = self.timers.at(self.timers.now() + cost, self._enter, call)
+                return
             answer, told = self._answer(call)
             self.book.note("list_turn", sidecar=call.sidecar, lines=len(answer.lines))
             cost = (self.plan.call_lines + len(answer.lines)) / self.plan.lines_per_s * prod(self.factors)
             self.turn = self.timers.at(self.timers.now() + cost, self._written, call, answer, told)
 
+    def _enter(self, call: Call) -> None:
+        """It has had the turn that it takes to come, and waits for news."""
+        self.turn = None
+        if not call.over:
+            call.entered = True
+            call.stage = "waits"
+            self._look(call)
+        self._next()
+
     def _answer(self, call: Call) -> tuple[Answer, list[Line]]:
         """What the call gets, and what it is told by it: of a whole list, also who is missing."""
         listing, index, view = call.listing, call.index, call.listing.view(call.reach)
--- a/wheatring/lab/plan.py
+++ b/wheatring/lab/plan.py
@@ -151,6 +151,7 @@
     lines_per_s: float = 200.0  # entries that it can write a second, one call after another
     call_lines: float = 30.0  # what a call costs beside its entries, in entries
     timeout: float = 2.0  # a call that waits longer for its turn fails
+    watch_turns: bool = False  # a call that waits for news takes a turn when it comes, and one for its answer
 
 
 class RulesPlan(Plain, frozen=True, kw_only=True):
--- a/wheatring/lab/scenario/schema.py
+++ b/wheatring/lab/scenario/schema.py
@@ -184,6 +184,7 @@
     capacity: Positive | None = None
     call_lines: Amount = 30.0
     timeout: Span = 2.0
+    watch_turns: Switch = False
 
 
 class Rules(Table, frozen=True, kw_only=True):
--- a/wheatring/lifecycle/freshness.py
+++ b/wheatring/lifecycle/freshness.py
@@ -11,7 +11,8 @@
 A suspect list is asked for anew. Asks are spread over the copies by their numbers, are never nearer than
 FLOOR to each other, and each that brings no news doubles the gap, up to CEILING. All copies of a tier
 together ask no more than RATE times a second, however many they are: for that, gap and spread grow with
-them. Without doubt too, a watch that has been silent for QUIET is laid anew.
+them. Without doubt too, a watch that has been silent for QUIET is laid anew, in a large fleet somewhat later:
+where a call that waits takes a turn too, renewals alone would keep discovery busy.
 
 Pure: instants in seconds are handed in; nothing here knows of sockets.
 """
@@ -30,7 +31,9 @@
 CEILING = 32.0
 RATE = 25.0  # asks a second by all copies of the tier
 SPREAD = 1.0  # least time over which the copies' first asks are spread
-QUIET = 25.0
+QUIET = 25.0  # or, in a large fleet, so long that LIKELY watches a second are laid by all, up to
+QUIET_UP_TO = 39.0  # with its spread less than a watch waits: one that ends by itself costs an answer too
+LIKELY = 4.0  # calls a second that discovery is held to answer
 FRUIT = 2.0  # news that come within so long of an ask are its own
 MEMORY = 60.0  # a node that has not been struck for so long counts no more
 
@@ -54,6 +57,7 @@
     def __init__(self, copies: int, number: int, random: Random, now: float) -> None:
         self.random = random
         self.crowd = copies / RATE  # seconds that one ask of each copy takes them together
+        self.quiet = min(max(QUIET, copies / LIKELY), QUIET_UP_TO)
         self.place = (number % copies + random.random()) / copies  # among the copies, from 0 to 1
         self.doubts: dict[str, _Doubt] = {}
         self.serving: set[str] = set()  # the nodes that the list names so
@@ -142,7 +146,7 @@
         self.weigh(now)
         since = self.crossing() if self.suspect is None else self.suspect
         doubted = since + self.place * max(SPREAD, self.crowd)
-        quiet = self.laid + max(QUIET, self.crowd) * (1 + self.place / 4)
+        quiet = self.laid + self.quiet * (1 + self.place / 4)
         # Whoever laid the watch has asked by that, and would have had an answer.
         return max(min(doubted, quiet), self.next, self.laid + FLOOR)
 
