Give a sidecar that stood in line a second place within a late round

Change: from the third round on a call that failed after it had waited a second or more is made again half a round later, once; those rounds have half the rate, so that all together stay under 13 a second. Played for real, a move of discovery ended processes that were only starting (SIGHUP before they heed it: 141 of 200 came up): the rig tells them once they listen. Ruled out: the same after a refused connect (59 calls in ten seconds at a service that is back at 25).

--- a/tests/fleet/test_asking.py
+++ b/tests/fleet/test_asking.py
@@ -30,6 +30,7 @@
             self.time.at(opens, self.registry.begin("down"))
         self.fleet = [Asking(copies, n, 10.0, Random(f"{seed}:{n}"), 0.0) for n in range(copies)]
         self.calls: list[float] = []
+        self.began: dict[int, float] = {}
         self.failed = 0
         self.answered: dict[int, float] = {}
         for n in range(copies):
@@ -41,13 +42,14 @@
     def call(self, n: int) -> None:
         now = self.time.now()
         self.calls.append(now)
+        self.began[n] = now
 
         def ended(answer: Answer | None) -> None:
             if answer is not None:
                 self.answered[n] = self.time.now()
             else:
                 self.failed += 1
-                self.again(n)
+                self.again(n, now)
 
         call = self.registry.call(str(n), None, 0.0, ended)
         self.time.at(now + self.fleet[n].patience(), self.leave, n, call)
@@ -55,10 +57,10 @@
     def leave(self, n: int, call: Call) -> None:
         if not call.over:
             call.cancel()
-            self.again(n)
+            self.again(n, self.began[n])
 
-    def again(self, n: int) -> None:
-        self.fleet[n].failed(self.time.now())
+    def again(self, n: int, began: float) -> None:
+        self.fleet[n].failed(self.time.now(), self.time.now() - began)
         self.wait(n)
 
     def most(self, since: float, span: float = 1.0) -> int:
@@ -107,8 +109,9 @@
     if answered:
         one.answered()
     for _ in range(8):
-        now += data.draw(st.floats(0.0, 60.0))  # until it fails
-        one.failed(now)
+        took = data.draw(st.floats(0.0, 60.0))
+        now += took
+        one.failed(now, took, data.draw(st.booleans()))
         assert now < one.due(now) < now + 40.0
         now = one.due(now)
 
--- a/wheatring/http1/machine_list.py
+++ b/wheatring/http1/machine_list.py
@@ -171,7 +171,8 @@
             self.drop_second("given-up")
             self.clock.at(self.called + SPACING, self.watch, self.watcher)
         else:
-            self.asking.failed(self.clock.now(), broke=answer is None and self.watcher.part)
+            now = self.clock.now()
+            self.asking.failed(now, now - self.called, broke=answer is None and self.watcher.part)
             self.call_off("watch-failed")
 
     # A list that may have grown old
--- a/wheatring/lab/live/seats.py
+++ b/wheatring/lab/live/seats.py
@@ -50,7 +50,7 @@
         self.port = 0  # once it has listened for the first time, kept
         self.door: DiscoveryPeer | None = None
         self.door_port = 0
-        self.moves = 0  # of discovery, so far
+        self.moves = self.told_moves = 0  # of discovery, so far; and when it was last told
         self.process: Sidecar | None = None
         self.making: _Making | None = None  # it is being started
         self.up = self.stopping = False
@@ -130,6 +130,7 @@
     def told(self, seat: Seat) -> dict[str, Any]:
         """The configuration of its next start, and the list that it holds then."""
         limits = self.plan.limits
+        seat.told_moves = seat.moves
         return configuration(
             seat.name,
             f"{seat.host}:{seat.port}",
@@ -212,9 +213,14 @@
             seat.door.shut()
             seat.moves += 1
             self._open_door(seat)
-            if seat.process is not None:
-                seat.process.write(self.told(seat))
-                seat.process.send(signal.SIGHUP)
+            self._tell(seat)
+
+    def _tell(self, seat: Seat) -> None:
+        """Have it read where discovery is, if that is not what it was told. One that does not listen yet is
+        told once it does: until it heeds SIGHUP it would end by it."""
+        if seat.up and seat.process is not None and seat.told_moves != seat.moves:
+            seat.process.write(self.told(seat))
+            seat.process.send(signal.SIGHUP)
 
     def stall(self, seat: Seat, on: bool) -> None:
         """Stop its process where it is, or have it go on."""
@@ -230,6 +236,7 @@
             if self.wires is not None and seat.tier == 0:
                 self.wires.lead({f"{CLIENTS}>{seat.name}": (seat.host, seat.port)})
             self.book.sidecar_up(seat.name)
+            self._tell(seat)
             self.came(seat)
         elif text.startswith(UNASKED):
             self.registry.refused(seat.name)
--- a/wheatring/lifecycle/asking.py
+++ b/wheatring/lifecycle/asking.py
@@ -36,6 +36,7 @@
 LEAST_UP_TO = 2.5
 SLOWEST = 1.0  # calls a second by all in the longest round
 SAFE = 0.8  # part of the time that the platform's rule gives which is used
+SPARSE = 2  # from this round on, by number from 0, there is room for a second place within it
 GOLDEN = 0.6180339887498949
 QUEUE = 2.0  # seconds in which one that waits in line there is likely to have had its turn, or to have failed
 PATIENT = 5.0  # seconds after which a call for the whole list is given up in any case
@@ -73,6 +74,7 @@
         self.round = 0
         self.began = self.origin = now  # the first round, and the present one
         self.settled = False  # the last call was answered
+        self.twice = False  # it has its second place in the present round
         self.after = now  # not to be made before
         self.latest = inf  # nor after, as the rule says
 
@@ -91,7 +93,7 @@
             at = length + self.place * min(self.copies / HOLDERS, max(0.0, SAFE * self.within - length))
         else:
             at = (self.place + self.round * GOLDEN) % 1.0 * length
-        return max(now, min(self.origin + at, self.latest), self.after)
+        return max(now, min(max(self.origin + at, self.after), self.latest))
 
     def patience(self) -> float:
         """Seconds for which the next call for the whole list is waited for; drawn anew for each."""
@@ -107,14 +109,23 @@
         """A call has been answered."""
         self.settled = self.holds = True
 
-    def failed(self, now: float, broke: bool = False) -> None:
-        """A call has failed, or was given up. `broke`: its answer had begun, so it did have its turn."""
+    def failed(self, now: float, took: float = 0.0, broke: bool = False) -> None:
+        """A call has failed, or was given up, after so many seconds. `broke`: its answer had begun, so it did
+        have its turn."""
         if self.settled:
             # All saw it. What is held stands meanwhile, and the rule gives four times as long.
-            self.settled = False
+            self.settled = self.twice = False
             self.began = self.origin = now
             self.round = 1
+        elif self.round >= SPARSE and took >= QUEUE / 2 and not self.twice and not broke:
+            # It stood in line, and few are left by now: a chance crowd is no reason to wait for a round that
+            # is longer still. One that was refused at once says nothing of a line.
+            self.twice = True
+            self.after = now + self.length(self.round) / 2
+            self.latest = now + 4 * SAFE * self.within if self.holds else inf
+            return
         else:
+            self.twice = False
             ended = self.origin + self.length(self.round)
             # One that had its turn saw that the line is not long: no slower, and rather one round back.
             self.round = min(self.round, max(1, self.round - 1)) if broke else self.round + 1
