--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -31,6 +31,7 @@
         self.listener.settimeout(FAR)
         self.wires.reserve(["a>b"])
         self.wires.lead({"a>b": self.listener.getsockname()})
+        self.settle()
 
     def dial(self, patience: float = FAR) -> socket.socket:
         return socket.create_connection(self.wires.address("a>b"), patience)
@@ -206,6 +207,7 @@
             ends[name].settimeout(FAR)
         wires.reserve_datagrams(["a>b", "b>a"])
         wires.lead({"a>b": ends["b"].getsockname(), "b>a": ends["a"].getsockname()})
+        wires.stats()  # answered in order: they lead there now
         ends["a"].sendto(b"ping", wires.address("a>b"))
         data, back = ends["b"].recvfrom(9)
         assert data == b"ping" and back == wires.address("b>a")
