Forget a filler's address once it was let go, so that a caller may have its port

Cause: connects that fill a door's queue while it hangs were remembered for ever, and a later caller on one of their ports would have been closed at once. Change: the address is forgotten when the filler is let in, and all of them when the door closes. Ruled out as the cause of the five lost requests at 400 sidecars: nothing was made to hang there.

--- a/wheatring/lab/live/links/pipe.py
+++ b/wheatring/lab/live/links/pipe.py
@@ -225,7 +225,9 @@
             except OSError:  # nobody waits any more
                 return
             with came:
-                if address not in self.own:
+                if address in self.own:
+                    self.own.discard(address)  # its port may be a caller's next time
+                else:
                     came.setblocking(False)
                     self.reactor.adoptStreamConnection(came.fileno(), socket.AF_INET, self)
 
@@ -248,6 +250,7 @@
             self.is_open = False
             self.reactor.removeReader(self)
             self._unfill()
+            self.own.clear()
             self.bound.shutdown(socket.SHUT_RDWR)  # it listens no more, and stays bound
 
     def set(self, state: State) -> None:
