Let relays and the load generator read their orders by one piece of code

Need: both processes had the same line reader, its bounds and its end written out. Ruled out: a base class that both would extend.

--- a/wheatring/lab/live/links/relay.py
+++ b/wheatring/lab/live/links/relay.py
@@ -16,6 +16,7 @@
 import msgspec
 from msgspec import Struct, field
 
+from wheatring.lab.live import orders
 from wheatring.lab.live.links.datagrams import DatagramDoor
 from wheatring.lab.live.links.pipe import Door
 from wheatring.lab.live.links.state import State
@@ -93,8 +94,6 @@
 
 def main() -> int:
     from twisted.internet import reactor as installed
-    from twisted.internet import stdio
-    from twisted.protocols.basic import LineReceiver
 
     reactor: Any = installed
     reactor.seconds = time.monotonic
@@ -102,21 +101,12 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
     relay = Relay(reactor, sys.argv[1])
 
-    class Orders(LineReceiver):
-        delimiter = b"\n"
-        MAX_LENGTH = 1 << 24
+    def obey(line: bytes, say: orders.Answer) -> None:
+        answer = relay.obey(msgspec.json.decode(line, type=Order))
+        if answer is not None:
+            say(answer)
 
-        def lineReceived(self, line: bytes) -> None:
-            answer = relay.obey(msgspec.json.decode(line, type=Order))
-            if answer is not None:
-                self.sendLine(answer)  # type: ignore[no-untyped-call]
-
-        def connectionLost(self, reason: object = None) -> None:
-            if reactor.running:
-                reactor.stop()
-
-    stdio.StandardIO(Orders())  # type: ignore[no-untyped-call]
-    reactor.run()
+    orders.serve(reactor, obey)
     return 0
 
 
