Agree on who is there: views by register, ring watch and cuts, and the words between the parts

Need: what each sidecar has is an opinion of who is there; "every proxy" and "all at once" need one numbered set. The parts of that work suit separate hands, so the words between them come first.

Fleet takes further deciders (Piece); the seal takes the words it is to know and counts one of a newer program as unknown-word. Nothing of it is wired into the daemon: off, and not imported.

--- a/wheatring/lab/leases/cluster.py
+++ b/wheatring/lab/leases/cluster.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 from wheatring.lab.live.links.state import State, datagram
-from wheatring.lease.fleet import AnyWord, Change, DutyPlan, Fleet, Instant, Out
+from wheatring.lease.bodies import Fetch
+from wheatring.lease.fleet import Change, DutyPlan, Fleet, Instant, Out, Piece
 from wheatring.lease.terms import Terms
 from wheatring.lease.voters import Voters
 from wheatring.members.members import Address
@@ -17,6 +18,7 @@
 from wheatring.members.words import Who
 
 YEAR = 1_700_000_000_000  # Unix time, ms, at which days begin
+STREAM = 2.0  # seconds after which a body that does not come is given up
 
 
 class Node:
@@ -32,13 +34,14 @@
         self.starts = 0
         self.fleet: Fleet | None = None
         self.stopped = False
-        self.waiting: list[tuple[str, AnyWord]] = []  # words that came while it was stopped
+        self.waiting: list[tuple[str, Any]] = []  # words that came while it was stopped
         self.wake = 0  # the number of the tick that is to come
         self.sent = self.sent_bytes = 0
 
 
 class Cluster:
-    """`changed` is called with each change of office, right as it happens."""
+    """`changed` is called with each change of office, right as it happens; `after` after each event of a
+    process. `pieces` makes the further deciders of a process."""
 
     def __init__(
         self,
@@ -49,7 +52,8 @@
         terms: Terms,
         pace: Pace,
         zones: int = 1,
-        size_of: Callable[[AnyWord], int] | None = None,
+        size_of: Callable[[Any], int] | None = None,
+        pieces: Callable[[Instant, Fleet], list[Piece]] | None = None,
     ) -> None:
         self.random = Random(seed)
         self.now = 0.0
@@ -59,6 +63,8 @@
         self.net = State(delay=0.0005, jitter=0.0005)
         self.links: dict[tuple[str, str], State] = {}
         self.size_of = size_of
+        self.pieces = pieces
+        self.after: Callable[[Node], None] = lambda node: None
         self.changed: Callable[[Node, Change], None] = lambda node, change: None
         self.nodes: dict[str, Node] = {}
         self.at: dict[Address, Node] = {}
@@ -95,6 +101,8 @@
         node.fleet = Fleet(
             at, who, at.wall, self.seeds, self.voters, self.plans, self.terms, self.pace, random
         )
+        if self.pieces is not None:
+            node.fleet.pieces = self.pieces(at, node.fleet)
         self.plan(node)
 
     def kill(self, node: Node) -> None:
@@ -143,9 +151,37 @@
         for change in changes:
             self.changed(node, change)
         if node.fleet is not None:
+            fetches, node.fleet.fetches = node.fleet.fetches, []
+            for fetch in fetches:
+                self.call(self.now + 4 * self.net.delay, self.carry, node, node.starts, fetch)
+            self.after(node)
             self.plan(node)
 
-    def arrive(self, node: Node, sender: str, word: AnyWord) -> None:
+    # Bodies
+
+    def carry(self, node: Node, start: int, fetch: Fetch) -> None:
+        """One asks another for a body over a connection, which a cut either way keeps from coming up."""
+        other = self.at.get(fetch.address)
+        body = None
+        if other is not None and other.fleet is not None and not other.stopped:
+            pairs = ((node.name, other.name), (other.name, node.name))
+            both = [self.links.get(pair, self.net) for pair in pairs]
+            if all(state.there for state in both):
+                body = other.fleet.bodies.get(fetch.digest)
+                late = sum(state.delay + state.jitter * self.random.random() for state in both)
+                self.call(self.now + late, self.carried, node, start, fetch, body)
+                return
+        self.call(self.now + STREAM, self.carried, node, start, fetch, None)
+
+    def carried(self, node: Node, start: int, fetch: Fetch, body: bytes | None) -> None:
+        if node.fleet is None or node.starts != start:
+            return
+        if node.stopped:
+            self.call(self.now + 0.05, self.carried, node, start, fetch, body)
+            return
+        self.say(node, node.fleet.body(self.instant(node), fetch.digest, body))
+
+    def arrive(self, node: Node, sender: str, word: Any) -> None:
         if node.fleet is None:
             return
         if node.stopped:
@@ -154,7 +190,7 @@
             return
         self.hear(node, sender, word)
 
-    def hear(self, node: Node, sender: str, word: AnyWord) -> None:
+    def hear(self, node: Node, sender: str, word: Any) -> None:
         if node.fleet is None:
             return
         where = self.nodes[sender].address
--- a/wheatring/lease/fleet.py
+++ b/wheatring/lease/fleet.py
@@ -9,11 +9,11 @@
 from collections.abc import Sequence
 from math import inf, isqrt
 from random import Random
-from typing import NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from msgspec import structs
 
-from wheatring.lease.claimant import Out as ToVoters
+from wheatring.lease.bodies import Bodies, Fetch
 from wheatring.lease.duty import Duty, leases
 from wheatring.lease.terms import Terms
 from wheatring.lease.voter import Voter
@@ -27,7 +27,7 @@
 PASS = 64  # members whom one tells what it heard, at most
 LOOK = 0.5  # seconds between looks at who is in line
 AnyWord = MemberWord | ToVoter | FromVoter | Free | Beat
-Out = tuple[Address, AnyWord]
+Out = tuple[Address, Any]  # AnyWord, or a word of a piece
 
 
 class Instant(NamedTuple):
@@ -48,6 +48,7 @@
     near: bool = False
     idle: float = inf
     asked: bool = False
+    voters: bool = False
 
 
 class Change(NamedTuple):
@@ -58,6 +59,24 @@
     why: str = ""
 
 
+class Piece(Protocol):
+    """A further decider of the same sidecar: views, plans, the fleet's time. `hears` are the types of its own
+    words. What is wanted of others' bodies goes to `Fleet.fetches`."""
+
+    hears: tuple[type, ...]
+
+    @property
+    def due(self) -> float:
+        """When `tick` has something to do, on the monotonic clock."""
+
+    def tick(self, at: Instant) -> list[Out]: ...
+
+    def hear(self, at: Instant, sender: str, address: Address, word: Any) -> list[Out]: ...
+
+    def body(self, at: Instant, digest: bytes, body: bytes | None) -> list[Out]:
+        """A body that was fetched, by whichever piece; None: it could not be had there."""
+
+
 class Fleet:
     """`start` tells this process from earlier ones of its name. `changes` is for whoever acts on duties, and
     is emptied there."""
@@ -92,15 +111,18 @@
         self.beats: list[Beat] = []  # of holders, for whoever follows them, and emptied there
         self.next_look = at.now
         self.leaving = False
+        self.pieces: list[Piece] = []
+        self.bodies = Bodies()
+        self.fetches: list[Fetch] = []  # bodies that are wanted, for whoever carries them, and emptied there
 
     @property
     def voters(self) -> Voters:
         return self.voter.voters
 
     def votes(self) -> bool:
-        return not self.leaving and bool({*self.voters.all} & {*self._names(self.me)})
+        return not self.leaving and bool({*self.voters.all} & {*self.names(self.me)})
 
-    def _names(self, who: Who) -> tuple[str, str]:
+    def names(self, who: Who) -> tuple[str, str]:
         """As which a member may be named among the voters: by its address, or by its number."""
         return f"{who.host}:{who.port}", numbered(who.number)
 
@@ -120,7 +142,8 @@
     def wait(self, at: Instant) -> float:
         """Seconds until `tick` has something to do."""
         duties = min((duty.due for duty in self.duties.values()), default=inf) - at.boot
-        return max(0.0, min(self.members.due - at.now, self.next_look - at.now, duties))
+        pieces = min((piece.due for piece in self.pieces), default=inf) - at.now
+        return max(0.0, min(self.members.due - at.now, self.next_look - at.now, duties, pieces))
 
     def tick(self, at: Instant) -> list[Out]:
         if self.leaving:
@@ -130,11 +153,22 @@
             self.next_look = at.now + LOOK
             out += self._line_up(at)
         for duty in self.duties.values():
-            out += self._sent(duty.tick(at.boot))
+            out += self.to_voters(duty.tick(at.boot))
+        for piece in self.pieces:
+            if at.now >= piece.due:
+                out += piece.tick(at)
+        self._settle(at)
+        return out
+
+    def body(self, at: Instant, digest: bytes, body: bytes | None) -> list[Out]:
+        """What came of a fetch: the whole body, or nothing."""
+        if body is not None:
+            self.bodies.put(body)
+        out = [said for piece in self.pieces for said in piece.body(at, digest, body)]
         self._settle(at)
         return out
 
-    def hear(self, at: Instant, sender: str, address: Address, word: AnyWord) -> list[Out]:
+    def hear(self, at: Instant, sender: str, address: Address, word: Any) -> list[Out]:
         """A word whose sender is known to be one of the fleet."""
         out: list[Out] = []
         match word:
@@ -152,10 +186,14 @@
                 out = self._passed_on(word)
             case Ping() | Ack() | Indirect() | Nack() | Join() | Known():
                 out = list(self.members.hear(at.now, sender, address, word))
-                for news in self.members.fresh:
-                    if (duty := self._duty(news.key)) is not None:
-                        duty.heard(news.key, news.version)
-                self.members.fresh.clear()
+            case _:
+                for piece in self.pieces:
+                    if isinstance(word, piece.hears):
+                        out += piece.hear(at, sender, address, word)
+        for news in self.members.fresh:
+            if (duty := self._duty(news.key)) is not None:
+                duty.heard(news.key, news.version)
+        self.members.fresh.clear()
         self._settle(at)
         return out
 
@@ -167,38 +205,45 @@
         duty = self._duty(word.lease)
         if duty is None or word.ballot[1:] != (self.me.name, self.start):
             return []
-        who = self.me if sender == self.me.name else None
-        if who is None and (row := self.members.table.rows.get(sender)) is not None:
-            who = row.who
-        if who is None:
-            return []  # a voter that is not known yet: it is asked again
-        for name in self._names(who):
+        for name in self.names_of(sender):
             if name in self.voters.all:
-                return self._sent(duty.hear(at.boot, name, word))
+                return self.to_voters(duty.hear(at.boot, name, word))
         return []
 
-    def beat(self, beat: Beat) -> list[Out]:
-        """Tell all of the tier, by some who tell some others: two steps, and nobody has many to tell. Who
-        tells whom is drawn anew each time, so that one who is stopped keeps nobody in the dark for long."""
+    def names_of(self, sender: str) -> tuple[str, ...]:
+        """As which a sender may be named among the voters; (): it is not known yet, and is asked again."""
+        if sender == self.me.name:
+            return self.names(self.me)
+        row = self.members.table.rows.get(sender)
+        return self.names(row.who) if row is not None else ()
+
+    def spread(self, word: Any) -> list[Out]:
+        """Tell all of the tier a word that has a `to`, by some who tell some others: two steps, and nobody
+        has many to tell. Who tells whom is drawn anew each time, so that one who is stopped keeps nobody in
+        the dark for long."""
         others = [who.name for who in self.members.alive() if who.name != self.me.name]
         self.random.shuffle(others)
         branches = isqrt(len(others)) or 1
         out: list[Out] = []
         for number in range(min(branches, len(others))):
             first, *rest = others[number::branches]
-            out += self._to(first, structs.replace(beat, to=tuple(rest)))
+            out += self._to(first, structs.replace(word, to=tuple(rest)))
         return out
 
+    def pass_on(self, word: Any) -> list[Out]:
+        """What whoever hears such a word owes to those named in it."""
+        plain = structs.replace(word, to=())
+        return [said for name in word.to[:PASS] for said in self._to(name, plain)]
+
     def _passed_on(self, beat: Beat) -> list[Out]:
         self.beats.append(structs.replace(beat, to=()))
-        word = self.beats[-1]
-        return [said for name in beat.to[:PASS] for said in self._to(name, word)]
+        return self.pass_on(beat)
 
-    def _to(self, name: str, word: Beat) -> list[Out]:
+    def _to(self, name: str, word: Any) -> list[Out]:
         where = self.members.address(name)
         return [(where, word)] if where is not None else []
 
-    def _sent(self, said: list[ToVoters]) -> list[Out]:
+    def to_voters(self, said: Sequence[tuple[str, Any]]) -> list[Out]:
         """What voters are told, with where they are. Its own vote takes the same way as all."""
         out: list[Out] = []
         for name, word in said:
@@ -220,12 +265,14 @@
                     names = [who.name for who in self.line(name)]
                     place = names.index(self.me.name) if self.me.name in names else LINE
                     rank = place if place < LINE or duty.held is not None else None
-            out += self._sent(duty.in_line(at.boot, rank))
+            out += self.to_voters(duty.in_line(at.boot, rank))
         return out
 
     def line(self, name: str) -> list[Who]:
         """Who would hold a duty, the first first: by number, those near the last holder before others."""
         alive = self.members.alive()
+        if self.plans[name].voters:
+            alive = [who for who in alive if {*self.names(who)} & {*self.voters.all}]
         if not self.plans[name].near:
             return alive
         zone = next((who.zone for who in alive if who.name == self.holder(name)[0]), "")
@@ -257,7 +304,7 @@
         """Stand in line for a duty that only those told do, or leave the line."""
         if wanted:
             self.wanted.add(name)
-            out = self._sent(self.duties[name].in_line(at.boot, 0))
+            out = self.to_voters(self.duties[name].in_line(at.boot, 0))
             self._settle(at)
             return out
         self.wanted.discard(name)
@@ -267,7 +314,7 @@
         """Give a duty back; the next in line hears of it. Keep out of the line for so many terms."""
         duty = self.duties[name]
         held = duty.held
-        out = self._sent(duty.give_back(at.boot, keep_out * self.terms.term))
+        out = self.to_voters(duty.give_back(at.boot, keep_out * self.terms.term))
         self._settle(at)
         if held is None:
             return out
@@ -283,7 +330,7 @@
             return why, []
         out: list[Out] = []
         for duty in self.duties.values():
-            out += self._sent(duty.vote_by(at.boot, voters))
+            out += self.to_voters(duty.vote_by(at.boot, voters))
         self.me = self.me._replace(votes=voters.digest)
         self.members.renamed(self.me)
         self._settle(at)
--- a/wheatring/lease/words.py
+++ b/wheatring/lease/words.py
@@ -96,3 +96,68 @@
     gone: tuple[str, ...] = ()
     age: float = 0.0
     to: tuple[str, ...] = ()
+
+
+# The register: a numbered sequence of entries, kept by the voters, led by the holder of the duty `lead`.
+
+
+class Entry(NamedTuple):
+    """Of one number only one digest is ever chosen. `epoch`: of the leader that put it, `size` the bytes of
+    the body that the digest stands for, `inline` that body where it is small."""
+
+    number: int
+    epoch: int
+    digest: bytes
+    size: int = 0
+    inline: bytes = b""
+
+
+NOTHING = Entry(0, 0, b"")
+INLINE = 900  # bytes of a body that goes along with its entry
+
+
+class OfRegister(Struct, frozen=True, array_like=True, tag_field="w"):
+    """What all words on a register are about."""
+
+    register: str
+    epoch: int
+
+
+class Which(OfRegister, frozen=True, tag="which"):
+    """From a leader to a voter: promise to keep nothing of a lower epoch, and tell what you have."""
+
+    voters: int
+
+
+class Put(OfRegister, frozen=True, tag="put"):
+    """From a leader to a voter: keep this."""
+
+    voters: int
+    entry: Entry
+
+
+class Kept(OfRegister, frozen=True, tag="kept"):
+    """From a voter, to either: what it has now, and the epoch that it has promised. An `epoch` above the
+    asker's: it is led by another."""
+
+    entry: Entry
+    promised: int
+    asleep: float = 0.0  # seconds for which it says nothing yet, as it has just started
+
+
+class Chosen(OfRegister, frozen=True, tag="chosen"):
+    """A majority of the voters keeps it. `to`: members that whoever hears it tells as well."""
+
+    entry: Entry
+    to: tuple[str, ...] = ()
+
+
+class Newest(OfRegister, frozen=True, tag="newest"):
+    """To anybody: tell me what you know chosen, if it is above `number`. `all`: I am a voter that has
+    started, tell me also what you keep."""
+
+    number: int
+    all: bool = False
+
+
+RegisterWord = Which | Put | Kept | Chosen | Newest
--- a/wheatring/members/members.py
+++ b/wheatring/members/members.py
@@ -34,6 +34,7 @@
     Ping,
     Rumour,
     Who,
+    Word,
 )
 
 Address = tuple[str, int]
@@ -91,6 +92,7 @@
         self.next_probe = now + pace.period * random.random()
         self.next_sync = now + pace.sync * (0.5 + random.random())
         self.suspects: set[str] = set()
+        self.probing = True  # False: those who watch each other in an agreed view do it instead
         self.rumours.add(self.own())
 
     # The view
@@ -167,12 +169,12 @@
         self.next_probe = now + self.health.scaled(self.pace.period)
         self.table.forget(now, self.pace.forget)
         name = self._next()
-        if name is None:
+        if name is None or not self.probing:
             return []
         row = self.table.rows[name]
         self.seq += 1
         self.probe = _Probe(self.seq, name, now)
-        return [self._to(row, Ping(self.seq, *self._along(row)))]
+        return [self._to(row, Ping(self.seq, *self.along(row)))]
 
     def _next(self) -> str | None:
         """Each in turn, in an order that is drawn anew for each round."""
@@ -198,7 +200,7 @@
         probe.wanted = len(chosen) or -1
         out = []
         for name in chosen:
-            along = self._along()
+            along = self.along()
             out.append(self._to(self.table.rows[name], Indirect(probe.seq, *along, probe.name)))
         return out
 
@@ -233,13 +235,11 @@
         """A word from a member, and where it came from."""
         if self.left:
             return []
-        for rumour in word.rumours:
-            self._learn(now, rumour)
-        self.fresh += [news for news in word.news if self.board.learn(news)]
+        self.take(now, word)
         row = self.table.rows.get(sender)
         match word:
             case Ping():
-                out: list[Out] = [(address, Ack(word.seq, *self._along(row)))]
+                out: list[Out] = [(address, Ack(word.seq, *self.along(row)))]
                 if row is None:  # the rumour of it has not come by here: ask itself
                     out.append((address, Join(0, (self.own(),))))
                 return out
@@ -262,15 +262,31 @@
                 self.next_join = inf
         return []
 
-    def _acked(self, now: float, sender: str, seq: int) -> list[Out]:
-        if (row := self.table.rows.get(sender)) is not None:
+    def take(self, now: float, word: Word) -> None:
+        """What went along with a word."""
+        for rumour in word.rumours:
+            self._learn(now, rumour)
+        self.fresh += [news for news in word.news if self.board.learn(news)]
+
+    def answered(self, now: float, name: str) -> None:
+        """It has answered this member, in whatever words."""
+        if (row := self.table.rows.get(name)) is not None:
             row.heard = now
+
+    def blame(self, now: float, name: str) -> None:
+        """It does not answer this member."""
+        row = self.table.rows.get(name)
+        if row is not None and row.here:
+            self._learn(now, Rumour(row.who, row.incarnation, SUSPECT, self.me.name))
+
+    def _acked(self, now: float, sender: str, seq: int) -> list[Out]:
+        self.answered(now, sender)
         if self.probe is not None and self.probe.seq == seq and not self.probe.acked:
             self.probe.acked = True
             self.health.better()
         if seq in self.errands:
             whom, theirs, _ = self.errands.pop(seq)
-            return [(whom, Ack(theirs, *self._along()))]
+            return [(whom, Ack(theirs, *self.along()))]
         return []
 
     def _errand(self, now: float, address: Address, word: Indirect) -> list[Out]:
@@ -279,12 +295,12 @@
             return []
         self.seq += 1
         self.errands[self.seq] = (address, word.seq, now + self.pace.timeout)
-        return [self._to(row, Ping(self.seq, *self._along(row)))]
+        return [self._to(row, Ping(self.seq, *self.along(row)))]
 
     def _to(self, row: Row, word: MemberWord) -> Out:
         return row.place, word
 
-    def _along(self, row: Row | None = None) -> tuple[tuple[Rumour, ...], tuple[News, ...]]:
+    def along(self, row: Row | None = None) -> tuple[tuple[Rumour, ...], tuple[News, ...]]:
         """What goes along. Whoever is suspected is told first, so that it can refute."""
         first = [row.rumour(self.me.name)] if row is not None and row.state != ALIVE else []
         times = self.pace.times(len(self.table.rows) + 1)
--- a/wheatring/members/words.py
+++ b/wheatring/members/words.py
@@ -82,3 +82,83 @@
 
 
 MemberWord = Ping | Ack | Indirect | Nack | Join | Known
+
+
+# The view: agreed, numbered, the same for all. See docs/design/fleet-agrees.md.
+
+
+class Placed(NamedTuple):
+    """A member of a view. `start` tells its process from earlier ones of its name."""
+
+    who: Who
+    start: int
+
+
+class Stamp(NamedTuple):
+    """Minted by a leader: of which epoch, the how-manieth, and by which entries it stood then."""
+
+    epoch: int
+    seq: int
+    view: int = 0
+    plan: int = 0
+
+
+class Look(Word, frozen=True, tag="look"):
+    """Are you there? `view`: the number of the view in which whoever says a word stands; 0: in none."""
+
+    view: int = 0
+
+
+class Here(Word, frozen=True, tag="here"):
+    """I am. The newest stamp that I know, and how old it is at most, seconds."""
+
+    view: int = 0
+    stamp: Stamp = Stamp(0, 0)
+    age: float = 0.0
+
+
+class ViewWord(Struct, frozen=True, array_like=True, tag_field="w"):
+    view: int
+
+
+class Miss(ViewWord, frozen=True, tag="miss"):
+    """To the others that watch it: that one does not answer me; look at it now."""
+
+    name: str
+
+
+class Report(ViewWord, frozen=True, tag="report"):
+    """To the voters: all of my subjects that do not answer me, and for how long, seconds. My own name: I
+    leave."""
+
+    silent: tuple[tuple[str, float], ...] = ()
+
+
+class Knock(ViewWord, frozen=True, tag="knock"):
+    """To the voters: let me in."""
+
+    me: Placed
+
+
+class Wait(ViewWord, frozen=True, tag="wait"):
+    """From the leader, to one that knocked: not yet, and why."""
+
+    left: float
+    why: str
+
+
+class Doubt(ViewWord, frozen=True, tag="doubt"):
+    """From the leader: look whether you reach these, before they go."""
+
+    seq: int
+    names: tuple[str, ...]
+
+
+class Reached(ViewWord, frozen=True, tag="reached"):
+    """I have been answered by these."""
+
+    seq: int
+    names: tuple[str, ...]
+
+
+AnyViewWord = Look | Here | Miss | Report | Knock | Wait | Doubt | Reached
--- a/wheatring/peers/part.py
+++ b/wheatring/peers/part.py
@@ -198,7 +198,7 @@
 
     def beat(self, beat: Beat) -> None:
         if self.fleet is not None and not self.over:
-            self.say(self.fleet.beat(beat))
+            self.say(self.fleet.spread(beat))
 
     def release(self, duty: str) -> bool:
         """False: it is not held here."""
--- a/wheatring/peers/seal.py
+++ b/wheatring/peers/seal.py
@@ -16,7 +16,7 @@
 from collections import OrderedDict
 from collections.abc import Sequence
 from hashlib import blake2b
-from typing import Any
+from typing import Any, Generic, TypeVar, get_args
 
 import msgspec
 from msgspec import Struct
@@ -31,12 +31,21 @@
 SILENT = 5.0  # seconds after which a sender's earlier start may come back: its clock was set back
 
 
-class Frame(Struct, array_like=True, frozen=True):
+Words = TypeVar("Words")
+
+
+class Frame(Struct, Generic[Words], array_like=True, frozen=True):
     fleet: str
     sender: str
     start: int
     seq: int
-    word: AnyWord
+    word: Words
+
+
+class Tagged(Struct, array_like=True, frozen=True):
+    """Of any word: which it is."""
+
+    tag: str
 
 
 class Dropped(ValueError):
@@ -59,9 +68,11 @@
 
 class Seal:
     """For one process of one fleet. The first key seals, any of them opens; none: datagrams are not sealed,
-    and sealed ones not taken."""
+    and sealed ones not taken. `words` are the types of words that are known."""
 
-    def __init__(self, fleet: str, name: str, start: int, keys: Sequence[bytes]) -> None:
+    def __init__(
+        self, fleet: str, name: str, start: int, keys: Sequence[bytes], words: Any = AnyWord
+    ) -> None:
         self.fleet = fleet
         self.name = name
         self.start = start
@@ -69,9 +80,11 @@
         self.seq = 0
         self.heard: OrderedDict[str, _Heard] = OrderedDict()
         self.encoder = msgspec.msgpack.Encoder()
-        self.decoder: Any = msgspec.msgpack.Decoder(Frame)
+        self.decoder: Any = msgspec.msgpack.Decoder(Frame[words])
+        self.loose: Any = msgspec.msgpack.Decoder(Frame[Tagged])
+        self.tags = _tags(words)
 
-    def close(self, word: AnyWord) -> bytes:
+    def close(self, word: Any) -> bytes:
         """A datagram. Dropped where it would be too large."""
         self.seq += 1
         body = self.encoder.encode(Frame(self.fleet, self.name, self.start, self.seq, word))
@@ -80,7 +93,7 @@
             raise Dropped("too-large")
         return bytes((VERSION, len(mac))) + mac + body
 
-    def open(self, now: float, data: bytes) -> tuple[str, AnyWord]:
+    def open(self, now: float, data: bytes) -> tuple[str, Any]:
         """The sender's name, and its word. Dropped where it is not to be taken."""
         if len(data) > LARGEST:
             raise Dropped("too-large")
@@ -93,9 +106,9 @@
         if self.keys and not any(hmac.compare_digest(mac, self._mac(key, body)) for key in self.keys):
             raise Dropped("key")
         try:
-            frame: Frame = self.decoder.decode(body)
+            frame: Frame[Any] = self.decoder.decode(body)
         except (msgspec.DecodeError, RecursionError):
-            raise Dropped("form") from None
+            raise Dropped(self._strange(body)) from None
         if frame.fleet != self.fleet:
             raise Dropped("fleet")
         if frame.sender == self.name or not frame.sender:
@@ -103,10 +116,18 @@
         self._once(now, frame)
         return frame.sender, frame.word
 
+    def _strange(self, body: bytes) -> str:
+        """Why a frame can't be read: a newer program's word is no fault of anybody."""
+        try:
+            tag = self.loose.decode(body).word.tag
+        except (msgspec.DecodeError, RecursionError):
+            return "form"
+        return "form" if tag in self.tags else "unknown-word"
+
     def _mac(self, key: bytes, body: bytes) -> bytes:
         return blake2b(body, digest_size=MAC, key=key, person=b"wheatring").digest()
 
-    def _once(self, now: float, frame: Frame) -> None:
+    def _once(self, now: float, frame: Frame[Any]) -> None:
         heard = self.heard.get(frame.sender)
         if heard is None or (heard.start != frame.start and self._newer(now, heard, frame.start)):
             if heard is None and len(self.heard) >= SENDERS:
@@ -127,3 +148,8 @@
 
     def _newer(self, now: float, heard: _Heard, start: int) -> bool:
         return start > heard.start or now - heard.at > SILENT
+
+
+def _tags(words: Any) -> frozenset[str]:
+    """The tags of a union of words."""
+    return frozenset(str(kind.__struct_config__.tag) for kind in get_args(words))
