Stand in agreed views: [fleet] view = true, bodies over TCP, and the rig's doors take connections

Need: views were there in virtual time only. What does not fit into a datagram had no way between sidecars.

Change: peers/pieces.py puts the further deciders together, peers/stream.py carries bodies by their digests on the datagrams' port (bounded in time, bytes, places; sealed asks), Part wires both; `[fleet] view`, log lines view and view-standing, `view` in GET /control/duties. The rig's doors for datagrams take connections too, by the same links. Who is about to be down is waited for, so that two that die together go in one change.

Without `view` nothing of it is imported.

Ruled out: cutting whoever is down at once: of two killed together one went alone, as its silence began a moment earlier.

--- /dev/null
+++ b/tests/agree/test_view_band.py
@@ -0,0 +1,91 @@
+"""Agreed views of real processes: five to eight sidecars on links, whatever is done to them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from wheatring.lab.live.band import Band
+from wheatring.lab.live.process import ProcessError
+
+TERM = 1.0
+SIZE = 6
+
+
+@pytest.fixture
+def band(tmp_path: Path) -> Iterator[Band]:
+    with Band(tmp_path, SIZE, TERM, fleet={"view": "true"}, control=range(SIZE)) as made:
+        made.begin()
+        agree(made, made.members)
+        yield made
+        assert not [e for m in made.members.values() for e in m.events if e[1].startswith("unexpected")]
+
+
+def views(band: Band, names: Any) -> dict[str, dict[str, Any]]:
+    return {name: band.seen(name)["view"] for name in names}
+
+
+def agree(band: Band, names: Any) -> int:
+    """Wait until all of these stand in one view of just these, and count on it; its number."""
+
+    def so() -> int:
+        seen = views(band, names)
+        alike = len({one["number"] for one in seen.values()}) == 1
+        whole = all(one["names"] == sorted(names) and one["sure"] for one in seen.values())
+        return int(next(iter(seen.values()))["number"]) if alike and whole else 0
+
+    found: int = band.until(so, f"one view of {' '.join(names)}")
+    return found
+
+
+def without(band: Band, *names: str) -> list[str]:
+    return [name for name in band.members if name not in names]
+
+
+def test_two_that_are_killed_go_in_one_change_and_come_back_in_one(band: Band) -> None:
+    before = agree(band, band.members)
+    band.kill("d4", "d5")
+    assert agree(band, without(band, "d4", "d5")) == before + 1
+    band.start("d4")
+    band.start("d5")
+    assert agree(band, band.members) <= before + 3
+
+
+def test_a_killed_leader_goes_and_the_next_one_goes_on_from_its_number(band: Band) -> None:
+    before = agree(band, band.members)
+    leader = next(name for name, one in views(band, band.members).items() if one["leads"])
+    band.kill(leader)
+    assert agree(band, without(band, leader)) > before
+    band.start(leader)
+    agree(band, band.members)
+
+
+def test_one_that_is_cut_off_keeps_its_view_and_knows_that_it_is_old(band: Band) -> None:
+    before = agree(band, band.members)
+    band.cut_off("d5")
+    agree(band, without(band, "d5"))
+    band.until(lambda: not views(band, ["d5"])["d5"]["sure"], "it knows")
+    old = views(band, ["d5"])["d5"]
+    assert old["number"] == before and old["members"] == SIZE
+    band.mend()
+    agree(band, band.members)
+
+
+def test_one_that_ends_by_itself_is_out_at_once(band: Band) -> None:
+    from signal import SIGTERM
+
+    before = agree(band, band.members)
+    band.send(SIGTERM, "d5")
+    assert agree(band, without(band, "d5")) == before + 1
+
+
+def test_one_bad_link_takes_nobody_out(band: Band) -> None:
+    before = agree(band, band.members)
+    band.cut(["d3"], ["d4"])
+    band.cut(["d4"], ["d5"])
+    with pytest.raises(ProcessError):
+        band.until(lambda: views(band, ["d0"])["d0"]["number"] != before, "a change", 12.0)
+    agree(band, band.members)
--- a/wheatring/config/file.py
+++ b/wheatring/config/file.py
@@ -50,6 +50,7 @@
     key_file: str | None = None
     zone: Annotated[str, Meta(max_length=64)] = ""
     term: Annotated[float, Meta(ge=0.5, le=60.0)] = 3.0
+    view: bool = False  # whether all agree on a numbered set of members
 
 
 class DutyTable(Table, frozen=True, kw_only=True):
@@ -121,6 +122,8 @@
     if not fleet.seeds:
         return "fleet.seeds", "must name one at least"
     for name, duty in found.duty.items():
+        if name == "lead":
+            return f"duty.{name}", "is the name of a duty that fleets with a view have themselves"
         if not re.fullmatch(r"[a-z][a-z0-9-]{0,31}", name):
             return f"duty.{name}", "a name is lower-case letters, digits and hyphens, 32 at most"
         if (duty.work == "call") != (duty.call is not None):
--- a/wheatring/lab/live/links/datagrams.py
+++ b/wheatring/lab/live/links/datagrams.py
@@ -13,6 +13,7 @@
 from twisted.internet.protocol import DatagramProtocol
 
 from wheatring.lab.live.links.state import PLAIN, State, datagram
+from wheatring.lab.live.links.streams import StreamDoor
 
 Address = tuple[str, int]
 
@@ -29,9 +30,10 @@
         self.taken = self.passed = 0
 
     def open(self, party: str, host: str) -> int:
-        """Its door's port."""
-        self.doors[party] = DatagramDoor(self, party, host)
-        return self.doors[party].port
+        """Its door's port, which takes connections too."""
+        door = self.doors[party] = DatagramDoor(self, party, host)
+        StreamDoor(self, party, host, door.port)
+        return door.port
 
     def lead(self, party: str, target: Address) -> None:
         door = self.doors[party]
@@ -69,6 +71,7 @@
     def __init__(self, switch: Switch, party: str, host: str) -> None:
         self.switch = switch
         self.party = party
+        self.host = host
         self.target: Address = ("", 0)
         self.listening = switch.reactor.listenUDP(0, self, interface=host)
         self.port: int = self.listening.getHost().port
--- /dev/null
+++ b/wheatring/lab/live/links/streams.py
@@ -0,0 +1,100 @@
+"""Connections between the parties that datagrams go between: to the same doors, and by the same links.
+
+Who connects is known by its host. What a link loses or cuts holds a connection's bytes back, as TCP would
+send them again later; what it delays comes late.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory, Protocol, ServerFactory, connectionDone
+from twisted.python.failure import Failure
+
+from wheatring.lab.live.links.state import PLAIN, Lane
+
+LOOK = 0.05  # seconds between looks at whether what is held may go on
+
+
+class _End(Protocol):
+    """One of two connections that belong together: what comes here leaves by the other."""
+
+    transport: Any
+
+    def __init__(self, door: StreamDoor, way: tuple[str, str]) -> None:
+        self.door = door
+        self.way = way  # the link that what comes here takes
+        self.other: _End | None = None
+        self.lane = Lane(door.switch.random)
+        self.ended = False
+        self.timer: Any = None
+
+    def dataReceived(self, data: bytes) -> None:
+        self.lane.put(time.monotonic(), data, self.door.switch.states.get(self.way, PLAIN))
+        self.flush()
+
+    def flush(self) -> None:
+        other, switch = self.other, self.door.switch
+        there = switch.states.get(self.way, PLAIN).there
+        if other is not None and other.transport is not None and there:
+            data = self.lane.take(time.monotonic())
+            if data:
+                other.transport.write(data)
+            if self.ended and self.lane.next is None:
+                other.transport.loseConnection()
+                return
+        if (self.lane.next is not None or self.ended) and (self.timer is None or not self.timer.active()):
+            self.timer = switch.reactor.callLater(LOOK if not there else 0.002, self.flush)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.ended = True
+        if self.other is not None and self.other.ended:
+            if self.timer is not None and self.timer.active():
+                self.timer.cancel()
+            return
+        self.flush()
+
+
+class _Made(_End):
+    def connectionMade(self) -> None:
+        if self.other is not None:
+            self.other.flush()
+
+
+class _Dial(ClientFactory):
+    noisy = False
+
+    def __init__(self, near: _End) -> None:
+        self.near = near
+
+    def buildProtocol(self, addr: object) -> Protocol:
+        door, (one, other) = self.near.door, self.near.way
+        far = _Made(door, (other, one))
+        far.other, self.near.other = self.near, far
+        return far
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        if self.near.transport is not None:
+            self.near.transport.abortConnection()
+
+
+class StreamDoor(ServerFactory):
+    """Beside a party's door for datagrams. `switch` is that of the datagrams: its links are these too."""
+
+    noisy = False
+
+    def __init__(self, switch: Any, party: str, host: str, port: int) -> None:
+        self.switch = switch
+        self.party = party
+        switch.reactor.listenTCP(port, self, interface=host)
+
+    def buildProtocol(self, addr: Any) -> Protocol | None:
+        target = self.switch.doors[self.party].target
+        sender = next((d.party for d in self.switch.doors.values() if d.host == addr.host), None)
+        if sender is None or not target[1]:
+            return None
+        near = _End(self, (sender, self.party))
+        # From whose host it comes is to be seen at the other end too.
+        self.switch.reactor.connectTCP(*target, _Dial(near), timeout=None)
+        return near
--- a/wheatring/members/cuts.py
+++ b/wheatring/members/cuts.py
@@ -143,8 +143,10 @@
             self.waits = inf
             return []
         self.waits = min(self.waits, now)
-        # Who is down and has not been looked at once more yet is not clear either.
-        if (marks.unsure or marks.down - down - self.reached.keys()) and now < self.waits + WAIT:
+        # Who is about to be down, or was not looked at once more yet, is not clear either.
+        early = self.marks(now, view, rings, SECOND)
+        unclear = (marks.unsure | marks.down | early.unsure | early.down) - down - self.reached.keys()
+        if unclear and now < self.waits + WAIT:
             return []
         return sorted(down)
 
--- a/wheatring/peers/begin.py
+++ b/wheatring/peers/begin.py
@@ -37,10 +37,14 @@
         DutyPlan(name, duty.places, duty.near, duty.idle or inf, asked=duty.work == "turns")
         for name, duty in said.duty.items()
     ]
+    if fleet.view:
+        from wheatring.peers.pieces import LEADS
+
+        plans.append(LEADS)
     part = Part(
         reactor, clock, fleet.name, me, address.parse(fleet.listen),
         [address.parse(seed) for seed in fleet.seeds], voters, plans, Terms(fleet.term),
-        file.keys(fleet.key_file), Random(f"{told.seed}:fleet"),
+        file.keys(fleet.key_file), Random(f"{told.seed}:fleet"), view=fleet.view,
     )  # fmt: skip
     works: dict[str, Work] = {}
     listing = None
--- a/wheatring/peers/door.py
+++ b/wheatring/peers/door.py
@@ -10,7 +10,6 @@
 
 from wheatring import log
 from wheatring.core.clock import Clock
-from wheatring.lease.fleet import AnyWord
 from wheatring.members.members import Address
 from wheatring.peers.seal import Dropped, Seal
 
@@ -22,7 +21,7 @@
 
     transport: Any
 
-    def __init__(self, clock: Clock, seal: Seal, heard: Callable[[str, Address, AnyWord], object]) -> None:
+    def __init__(self, clock: Clock, seal: Seal, heard: Callable[[str, Address, Any], object]) -> None:
         self.clock = clock
         self.seal = seal
         self.heard = heard
@@ -47,7 +46,7 @@
             self.said[cause] = now
             log.line("peer-dropped", cause=cause, peer=peer, so_far=self.dropped[cause])
 
-    def send(self, address: Address, word: AnyWord) -> None:
+    def send(self, address: Address, word: Any) -> None:
         if self.transport is None:
             return
         try:
--- a/wheatring/peers/part.py
+++ b/wheatring/peers/part.py
@@ -6,7 +6,7 @@
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from random import Random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from wheatring import log
 from wheatring.core.clock import Clock, Timer
@@ -22,6 +22,10 @@
 from wheatring.peers.seal import LARGEST, Seal
 from wheatring.peers.work import Work
 
+if TYPE_CHECKING:  # what belongs to agreed views is imported with them
+    from wheatring.peers.pieces import Agreed
+    from wheatring.peers.stream import Streams
+
 AGAIN = 0.1  # seconds until it tries again to have its port, which an older process of this name may hold
 BUSY = 0.001  # seconds at least between two looks at what is due
 
@@ -33,7 +37,7 @@
 
 class Part:
     """`works` carry out duties, by their names. `listen` is the socket's address, `me` what others reach it
-    by."""
+    by. `view`: it stands in agreed views."""
 
     def __init__(
         self,
@@ -49,6 +53,7 @@
         keys: Sequence[bytes],
         random: Random,
         boot: Callable[[], float] = boot,
+        view: bool = False,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
@@ -58,7 +63,18 @@
         self.terms = terms
         self.given = (seeds, voters, plans, terms, random)
         self.start = round(clock.unix() * 1000)
-        self.seal = Seal(fleet, me.name, self.start, keys)
+        words: Any = AnyWord
+        self.streams: Streams | None = None
+        self.agreed: Agreed | None = None
+        self.make_agreed: Callable[[Instant, Fleet], Agreed] | None = None
+        if view:
+            from wheatring.peers.pieces import WORDS, Agreed
+            from wheatring.peers.stream import Streams, Want
+
+            words, self.make_agreed = WORDS, Agreed
+            seal = Seal(fleet, me.name, self.start, keys, Want)
+            self.streams = Streams(reactor, clock, seal, self.body_of, self.came)
+        self.seal = Seal(fleet, me.name, self.start, keys, words)
         self.door = Door(clock, self.seal, self.heard)
         self.works: Mapping[str, Work] = {}
         self.said: Any = None  # the file that it began with
@@ -68,6 +84,8 @@
         self.over = False
         self.said_taken = False
         self.shown_states: dict[str, int] = {}
+        self.shown_view = (0, False)
+        self.shown_standing = (False, "")
 
     def instant(self) -> Instant:
         return Instant(self.clock.now(), self.boot(), round(self.clock.unix() * 1000))
@@ -90,26 +108,41 @@
                 self.listen[1], self.door, interface=self.listen[0], maxPacketSize=LARGEST + 1
             )
         except CannotListenError as bad:
-            if not self.said_taken:
-                self.said_taken = True
-                log.line("fleet-waits", why=str(bad))
-            self.timer = self.clock.at(self.clock.now() + AGAIN, self.begin)
+            self._taken(bad)
             return
         where = self.port.getHost()
+        if self.streams is not None:
+            try:
+                self.streams.listen(where.host, where.port)
+            except CannotListenError as bad:  # the other half of the port is somebody's
+                self.port.stopListening()
+                self.port = None
+                self._taken(bad)
+                return
         if not self.me.port:
             self.me = self.me._replace(port=where.port)
         seeds, voters, plans, terms, random = self.given
         at = self.instant()
         self.fleet = Fleet(at, self.me, self.start, seeds, voters, plans, terms, Pace(), random)
+        if self.make_agreed is not None:
+            self.agreed = self.make_agreed(at, self.fleet)
         log.line("fleet-listening", host=where.host, port=where.port, votes=int(self.fleet.votes()))
         self.timer = None
         self.tick()
 
+    def _taken(self, bad: Exception) -> None:
+        if not self.said_taken:
+            self.said_taken = True
+            log.line("fleet-waits", why=str(bad))
+        self.timer = self.clock.at(self.clock.now() + AGAIN, self.begin)
+
     def leave(self) -> None:
         """Give all duties back and say so; the port is let go."""
         if self.over:
             return
         if self.fleet is not None:
+            if self.agreed is not None:
+                self.say(self.agreed.leave(self.instant()))
             self.say(self.fleet.leave(self.instant()))
         self.close()
 
@@ -122,6 +155,17 @@
         if self.port is not None:
             self.port.stopListening()
             self.port = None
+        if self.streams is not None:
+            self.streams.close()
+
+    # Bodies
+
+    def body_of(self, digest: bytes) -> bytes | None:
+        return None if self.fleet is None else self.fleet.bodies.get(digest)
+
+    def came(self, digest: bytes, body: bytes | None) -> None:
+        if self.fleet is not None and not self.over:
+            self.say(self.fleet.body(self.instant(), digest, body))
 
     # Events
 
@@ -129,7 +173,7 @@
         if self.fleet is not None and not self.over:
             self.say(self.fleet.tick(self.instant()))
 
-    def heard(self, sender: str, address: Address, word: AnyWord) -> None:
+    def heard(self, sender: str, address: Address, word: Any) -> None:
         if self.fleet is not None and not self.over:
             self.say(self.fleet.hear(self.instant(), sender, address, word))
 
@@ -146,6 +190,10 @@
                 words += fleet.hear(self.instant(), self.me.name, own, word)
             else:
                 self.door.send(address, word)
+        fetches, fleet.fetches = fleet.fetches, []
+        for fetch in fetches:
+            if self.streams is not None:
+                self.streams.fetch(fetch)
         beats, fleet.beats = fleet.beats, []
         for beat in beats:
             work = self.works.get(beat.duty)
@@ -161,6 +209,8 @@
             if work is not None:
                 work.office(None if change.why else change.epoch)
         self.tell_members(fleet)
+        if self.agreed is not None:
+            self.tell_view(self.agreed)
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
         if not self.over:
@@ -175,6 +225,18 @@
                 log.line("member", name=name, state=STATES[row.state], incarnation=row.incarnation)
         fleet.members.changed.clear()
 
+    def tell_view(self, agreed: Agreed) -> None:
+        """A new view, and whether it may be counted on."""
+        views, now = agreed.views, self.clock.now()
+        if self.shown_view != (views.view.number, views.inside):
+            self.shown_view = (views.view.number, views.inside)
+            view = views.view
+            log.line("view", number=view.number, members=len(view.members), inside=int(views.inside))
+        standing = (views.sure(now), views.side(now))
+        if self.shown_standing != standing and views.view.number:
+            self.shown_standing = standing
+            log.line("view-standing", sure=int(standing[0]), side=standing[1] or "whole")
+
     # What is asked of it
 
     def act(self, duty: str) -> int | None:
@@ -254,6 +316,7 @@
             "votes": fleet.votes(),
             "abstains_s": round(max(0.0, fleet.voter.silent - at.boot), 2),
             "health": fleet.members.health.score,
+            "view": None if self.agreed is None else self.agreed.seen(at.now),
             "members": members,
             "duties": duties,
             "lists": {name: work.seen() for name, work in self.works.items() if isinstance(work, Listing)},
--- a/wheatring/peers/seal.py
+++ b/wheatring/peers/seal.py
@@ -152,4 +152,4 @@
 
 def _tags(words: Any) -> frozenset[str]:
     """The tags of a union of words."""
-    return frozenset(str(kind.__struct_config__.tag) for kind in get_args(words))
+    return frozenset(str(kind.__struct_config__.tag) for kind in get_args(words) or (words,))
