Play agreed views with any number of real processes: lab duties pauses killed loss oneway

Need: what agreed views keep to has to be shown by a command, on real processes.

`fleet show` tells the view on one line.

Ruled out: reading all members' views by calls: at 200 the reading itself would take longer than what is measured.

--- /dev/null
+++ b/tests/agree/test_agreed_figures.py
@@ -0,0 +1,50 @@
+"""What `lab duties` reads off the logs of members that agree, and how `fleet show` tells it."""
+
+from __future__ import annotations
+
+import time
+from types import SimpleNamespace
+from typing import Any
+
+from wheatring.commands.fleet import view_shown
+from wheatring.lab.live.agreed import Judge, stood
+
+
+def band(**events: list[tuple[float, int, int]]) -> Any:
+    """Members whose logs say, so many seconds ago, in which view of how many they came to stand."""
+    now = time.monotonic()
+    members = {
+        name: SimpleNamespace(
+            events=[(now + at, f"view number={number} members={size} inside=1") for at, number, size in lines]
+        )
+        for name, lines in events.items()
+    }
+    return SimpleNamespace(members=members, until=lambda what, why, patience: what())
+
+
+def test_views_are_alike_while_all_stand_in_the_same() -> None:
+    made = band(a=[(-100, 1, 3), (-6, 2, 2)], b=[(-100, 1, 3), (-4, 2, 2)])
+    judge = Judge(made, time.monotonic() - 10)
+    assert judge.number == 1
+    assert abs(judge.alike(["a", "b"]) - 0.8) < 0.01
+    assert [(one.number, one.members) for one in judge.changes(["a", "b"])] == [(2, 2)]
+    assert abs(judge.whole(["a", "b"], 2) - 6) < 0.1
+    assert judge.whole(["a", "b"], 3) < 0  # it has not come, and is waited for
+
+
+def test_a_change_counts_once_however_many_stand_in_it() -> None:
+    made = band(a=[(-5, 4, 9), (-3, 5, 8), (-1, 6, 9)], b=[(-2, 5, 8)])
+    assert [one.number for one in Judge(made, time.monotonic() - 4).changes(["a", "b"])] == [5, 6]
+    assert stood(made, "b")[0].inside
+
+
+def test_a_view_is_told_on_one_line() -> None:
+    view = {
+        "number": 7, "members": 3, "inside": False, "sure": False, "age_s": None, "leads": False,
+        "side": "deaf", "deaf": ["x"], "waits": [4.5, "it went out again and again"],
+    }  # fmt: skip
+    line = view_shown(view)
+    assert "view 7" in line and "does not stand in" in line and "is deaf" in line and "waits 4.5 s" in line
+    assert "may count on it, a leader stood by it 1 s ago, leads" in view_shown(
+        {**view, "inside": True, "sure": True, "age_s": 1.0, "leads": True, "side": "", "waits": None}
+    )
--- a/wheatring/commands/fleet.py
+++ b/wheatring/commands/fleet.py
@@ -51,6 +51,24 @@
     return 0
 
 
+def view_shown(view: dict[str, Any]) -> str:
+    """In which agreed view it stands, on one line."""
+    inside = "stands in" if view["inside"] else "knows of, and does not stand in,"
+    sure = "may count on it" if view["sure"] else "may not count on it"
+    told = view["age_s"]
+    age = "never told by a leader" if told is None else f"a leader stood by it {told:g} s ago"
+    line = f"view {view['number']}: {inside} {view['members']} members, {sure}, {age}"
+    if view["leads"]:
+        line += ", leads"
+    if view["side"]:
+        line += f", is {view['side']}"
+    if view["deaf"]:
+        line += f"; heard and not answering: {', '.join(view['deaf'])}"
+    if view["waits"]:
+        line += f"; waits {view['waits'][0]:g} s to come in: {view['waits'][1]}"
+    return line
+
+
 def shown(seen: dict[str, Any]) -> Iterator[str]:
     """What was told, line by line."""
     if "waits" in seen:
@@ -60,6 +78,8 @@
     if seen["votes"] and seen["abstains_s"]:
         votes = f"abstains for {seen['abstains_s']:g} s yet"
     yield f"{seen['name']}: {votes}; voters {', '.join(seen['voters'])}; its own health {seen['health']} of 8"
+    if seen.get("view") is not None:
+        yield view_shown(seen["view"])
     for duty in seen["duties"]:
         left = f", {duty['left_s']:g} s left" if duty["left_s"] is not None else ""
         line = "not in line" if duty["rank"] is None else f"{duty['rank'] + 1}. in line"
--- a/wheatring/lab/live/band.py
+++ b/wheatring/lab/live/band.py
@@ -27,6 +27,7 @@
 FAR = 60.0  # seconds within which whatever is waited for must have come, on a machine that is busy
 TOLD = (
     "duty-held", "duty-over", "member", "fleet-listening", "unexpected", "peer-dropped", "list-held-back",
+    "view", "view-standing",
 )  # fmt: skip
 AT_ONCE = 16  # processes started side by side
 CLASSES = [{"name": "a", "slo": 1_000_000, "deadline": 2_000_000, "value": 1.0, "effect": "pure"}]
