Take the fleet's plan by POST /control/plan and tell it by GET, and set its floor by a call

Need: a plan is offered at any sidecar; the operators' door took no bodies.

Without a plan both are answered 404, as any call that there is not.

Ruled out: a door of its own for plans: a second port for one call.

--- a/wheatring/control/calls.py
+++ b/wheatring/control/calls.py
@@ -7,6 +7,7 @@
 from urllib.parse import unquote
 
 ROOT = "control"
+PLAN = 262_144  # bytes of a plan, where there is one to offer
 
 
 class Desk(Protocol):
@@ -33,6 +34,15 @@
     def release(self, duty: str) -> bool | None:
         """Give a duty back. False: it is not held here. None: there is no such duty."""
 
+    def plan(self) -> str | None:
+        """The fleet's plan as this sidecar knows it, as JSON. None: it has none."""
+
+    def offer(self, body: bytes) -> tuple[int, str]:
+        """Offer a plan to the fleet: the answer's status, and its line."""
+
+    def floor(self, least: int) -> tuple[int, str]:
+        """Raise or lower the least format that members have to read."""
+
 
 class Said(NamedTuple):
     """What a call is answered."""
@@ -42,7 +52,7 @@
     allow: str = ""  # of a 405: the method that there is
 
 
-def answer(desk: Desk, method: bytes, target: bytes) -> Said:
+def answer(desk: Desk, method: bytes, target: bytes, body: bytes = b"") -> Said:
     """Carry a call out. An unreadable path is one that there is not."""
     words = target.partition(b"?")[0].decode("latin-1").split("/")
     match words:
@@ -54,6 +64,10 @@
             return _duties(desk, method)
         case ["", root, "duties", duty, "release"] if root == ROOT:
             return _release(desk, method, duty)
+        case ["", root, "plan"] if root == ROOT:
+            return _plan(desk, method, body)
+        case ["", root, "plan", "floor", least] if root == ROOT:
+            return _floor(desk, method, least)
         case ["", root, word] if root == ROOT:
             return _whole(desk, method, word)
     return Said(404, "no such call")
@@ -83,6 +97,25 @@
     return Said(200, seen) if seen is not None else Said(404, "no fleet")
 
 
+def _plan(desk: Desk, method: bytes, body: bytes) -> Said:
+    seen = desk.plan()
+    if seen is None:
+        return Said(404, "no plan")
+    if method == b"POST":
+        return Said(*desk.offer(body))
+    return Said(200, seen) if method == b"GET" else Said(405, "plan takes GET and POST", "GET, POST")
+
+
+def _floor(desk: Desk, method: bytes, least: str) -> Said:
+    if desk.plan() is None:
+        return Said(404, "no plan")
+    if method != b"POST":
+        return Said(405, "floor takes POST", "POST")
+    if not least.isdecimal() or len(least) > 3:
+        return Said(400, "a format is a whole number")
+    return Said(*desk.floor(int(least)))
+
+
 def _release(desk: Desk, method: bytes, quoted: str) -> Said:
     if method != b"POST":
         return Said(405, "release takes POST", "POST")
--- a/wheatring/control/desk.py
+++ b/wheatring/control/desk.py
@@ -60,6 +60,16 @@
     def back(self) -> Callable[[], None]: ...
 
 
+class Plans(Protocol):
+    """The fleet's plan, as far as operators ask for it."""
+
+    def seen(self) -> dict[str, Any]: ...
+
+    def offer(self, body: bytes) -> tuple[int, str]: ...
+
+    def floor(self, least: int) -> tuple[int, str]: ...
+
+
 class Desk:
     """`places` are all that one sidecar may hold; `held` tells what this process does now, `resize` how many
     it may from now on. `open_door` lets callers in."""
@@ -93,6 +103,7 @@
         self.opened = False
         self.over = False
         self.fleet: Duties | None = None
+        self.plans: Plans | None = None
         self.waits = 0.0  # s, what the last call was told to wait for its turn
 
     def start(self) -> None:
@@ -142,6 +153,15 @@
     def release(self, duty: str) -> bool | None:
         return None if self.fleet is None else self.fleet.release(duty)
 
+    def plan(self) -> str | None:
+        return None if self.plans is None else json.dumps(self.plans.seen())
+
+    def offer(self, body: bytes) -> tuple[int, str]:
+        return (404, "no plan") if self.plans is None else self.plans.offer(body)
+
+    def floor(self, least: int) -> tuple[int, str]:
+        return (404, "no plan") if self.plans is None else self.plans.floor(least)
+
     def in_service(self) -> bool:
         if self.fleet is not None:
             self.fleet.back()
--- a/wheatring/control/door.py
+++ b/wheatring/control/door.py
@@ -23,10 +23,10 @@
 AT_ONCE = 4
 PATIENCE = 6.0  # seconds until a call that is not whole is ended, though there is room
 LINGER = 1.0  # seconds in which an answer is to be read
-BODY = 1024  # bytes of a body, which no call needs
+BODY = 1024  # bytes of a body, where no call needs one
 BACKLOG = 256
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-           500: "Internal Server Error", 503: "Service Unavailable"}  # fmt: skip
+REASONS = {200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+           409: "Conflict", 500: "Internal Server Error", 503: "Service Unavailable"}  # fmt: skip
 
 
 def written(said: Said) -> bytes:
@@ -43,7 +43,7 @@
 
     def __init__(self, door: Door) -> None:
         self.door = door
-        self.reader = Reader(responses=False, max_body=BODY)
+        self.reader = Reader(responses=False, max_body=door.body)
         self.code = ""
         self.late: Timer | None = None
 
@@ -62,7 +62,8 @@
             self.say(Said(400, str(bad)))
             return
         if message is not None:
-            self.say(self.door.call(*message.first[:2]))
+            method, target = message.first[:2]
+            self.say(self.door.call(method, target, message.body))
 
     def say(self, said: Said) -> None:
         self.code = f"answered-{said.status}"
@@ -98,6 +99,7 @@
         self.reactor = reactor
         self.clock = clock
         self.desk = desk
+        self.body = BODY  # bytes of a call's body at most
         self.calls: dict[Call, None] = {}  # in the order in which they came
         self.port: Any = None
 
@@ -121,9 +123,9 @@
     def went(self, call: Call) -> None:
         self.calls.pop(call, None)
 
-    def call(self, method: bytes, target: bytes) -> Said:
+    def call(self, method: bytes, target: bytes, body: bytes) -> Said:
         try:
-            said = answer(self.desk, method, target)
+            said = answer(self.desk, method, target, body)
         except Exception as bug:  # a call that trips us up is answered all the same
             log.line("control-broken", why=repr(bug))
             said = Said(500, "internal error")
