Prove views against a stopped leader, voters that are apart and voters that start anew

Need: the hard cases of a view's leader and voters were shown by no test with real processes.

Change: three stories on the one rig: a leader stopped for ten terms and gone on, voters 1, 1, 1, all voters killed and started.

Ruled out: nothing.

--- a/tests/agree/test_view_band.py
+++ b/tests/agree/test_view_band.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from wheatring.lab.live.agreed import stood
 from wheatring.lab.live.band import Band
 from wheatring.lab.live.process import ProcessError
 
@@ -89,3 +90,42 @@
     with pytest.raises(ProcessError):
         band.until(lambda: views(band, ["d0"])["d0"]["number"] != before, "a change", 12.0)
     agree(band, band.members)
+
+
+def test_a_leader_that_was_stopped_for_ten_terms_leads_nothing_when_it_goes_on(band: Band) -> None:
+    leader = next(name for name, one in views(band, band.members).items() if one["leads"])
+    rest = without(band, leader)
+    band.stop(leader)
+    out = agree(band, rest)
+    band.kill("d5")  # a change that it knows nothing of
+    after = agree(band, [name for name in rest if name != "d5"])
+    assert after > out
+    band.go_on(leader)
+    agree(band, without(band, "d5"))
+    numbers = [stood(band, name) for name in without(band, "d5")]
+    for seen in numbers:
+        assert [one.number for one in seen] == sorted({one.number for one in seen})
+    by_number: dict[int, set[int]] = {}
+    for seen in numbers:
+        for one in seen:
+            by_number.setdefault(one.number, set()).add(one.members)
+    assert all(len(sizes) == 1 for sizes in by_number.values())
+
+
+def test_a_minority_of_voters_changes_nothing_and_all_meet_again(band: Band) -> None:
+    before = agree(band, band.members)
+    parts = (["d0", "d3"], ["d1", "d4"], ["d2", "d5"])
+    for part in parts:
+        band.cut_off(*part)
+    band.until(lambda: not any(one["sure"] for one in views(band, band.members).values()), "all know it")
+    assert {one["number"] for one in views(band, band.members).values()} == {before}
+    band.mend()
+    agree(band, band.members)
+
+
+def test_all_voters_that_start_anew_go_on_from_what_the_others_know(band: Band) -> None:
+    before = agree(band, band.members)
+    band.kill("d0", "d1", "d2")
+    for name in ("d0", "d1", "d2"):
+        band.start(name)
+    assert agree(band, band.members) > before
