Push one plan for the fleet: read strictly, held by all of the view, then put to the register

Need: sidecars had no document that is whole and the same for all, and no way to bring one to all at once.

--- /dev/null
+++ b/wheatring/lab/agree_plan.py
@@ -0,0 +1,254 @@
+"""A fleet in virtual time that agrees on one plan, and the rules that are looked at after each event."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from math import inf
+from typing import Any
+
+from msgspec import Struct, field
+
+from wheatring.lab.leases.cluster import Cluster, Node
+from wheatring.lease.bodies import digest
+from wheatring.lease.fleet import Fleet, Instant, Out, Piece
+from wheatring.lease.register import LEAD
+from wheatring.lease.terms import Terms
+from wheatring.lease.views import Views
+from wheatring.lease.voters import Voters, first
+from wheatring.members.pace import Pace
+from wheatring.members.view import View
+from wheatring.peers.pieces import LEADS
+from wheatring.plan.judge import Reason, Stage, Verdict
+from wheatring.plan.lead import Lead
+from wheatring.plan.messages import OVER, PUTTING, REFUSED, SETTLED
+from wheatring.plan.push import Plans, Pushing
+from wheatring.plan.read import canonical, read
+from wheatring.plan.words import Plan, PlanMatch, PlanRoute, Settled
+
+VOTERS = 3
+TERMS = Terms()
+
+
+def body_of(title: str, size: int = 0) -> bytes:
+    """A plan of that title, and of `size` bytes at least."""
+    routes = [PlanRoute(name="all", weights={"blue": 1})]
+    each = len(canonical(Plan(format=1, routes=(_route(0),)))) - 20
+    routes += [_route(number) for number in range(size // each + 1 if size else 0)]
+    return canonical(Plan(format=1, title=title, routes=tuple(routes)))
+
+
+def _route(number: int) -> PlanRoute:
+    match = PlanMatch(prefix=f"/part-{number:06}")
+    return PlanRoute(name=f"r{number:06}", match=match, weights={"blue": 9, "green": 1})
+
+
+class Scripted:
+    """A judge that asks nobody: it knows who is able, and takes a while for each stage."""
+
+    def __init__(self, unable: set[str], each: float) -> None:
+        self.unable = unable
+        self.each = each
+        self.view = View()
+        self.began = inf
+        self.ended = 0
+
+    def begin(self, at: Instant, digest: bytes, plan: Plan, view: View) -> list[Out]:
+        self.began, self.view = at.now, view
+        return []
+
+    def moved(self, at: Instant, view: View) -> list[Out]:
+        return self.begin(at, b"", Plan(format=1, routes=()), view)
+
+    def verdict(self, now: float) -> Verdict:
+        stage = int((now - self.began) / self.each) if now >= self.began else 0
+        of, number = len(self.view.members), self.view.number
+        if stage < 2:
+            return Verdict((Stage.SURVEYED, Stage.TRIED)[stage], number, 0, of)
+        names = sorted(self.unable & self.view.names)
+        no = tuple(Reason(name, "unable", "is not able", "-") for name in names)
+        return Verdict(Stage.NO if no else Stage.YES, number, of, of, no)
+
+    def end(self) -> None:
+        self.began = inf
+        self.ended += 1
+
+
+class Seen(Struct):
+    """What came of a day, or a story."""
+
+    seed: int
+    breaches: list[str] = field(default_factory=list)
+    settled: int = 0  # entries of the register,
+    refused: int = 0  # and pushes,
+    lost: int = 0
+    taken: int = 0  # how often a sidecar went on to a plan
+
+
+class World:
+    """`judged`: seconds of each stage of a scripted judge; None: there is no judge. `unable` members cannot
+    go by any plan, as that judge knows."""
+
+    def __init__(
+        self,
+        seed: int,
+        size: int,
+        makes: type[Lead] = Lead,
+        judged: float | None = None,
+        unable: set[str] | None = None,
+        late: int = 0,
+    ) -> None:
+        self.makes, self.judged, self.unable = makes, judged, unable or set()
+        self.plans: dict[str, Plans] = {}
+        self.seen = Seen(seed)
+        self.took: dict[str, list[Settled]] = {}  # by process
+        self.current: dict[str, Settled] = {}
+        self.bodies: dict[bytes, bytes] = {}  # all that were offered
+        self.held: set[tuple[str, int, bytes]] = set()  # who has had which
+        self.kept: dict[tuple[int, int, bytes], set[str]] = {}  # which voters have kept what
+        self.chosen: dict[int, bytes] = {}
+        self.pushed: list[tuple[str, int, Pushing]] = []
+        self.put: set[tuple[str, int, int]] = set()
+        self.cluster = Cluster(
+            seed, size, Voters(first(VOTERS)), [LEADS], TERMS, Pace(), zones=2, pieces=self._pieces
+        )
+        self.cluster.after = self.after
+        for node in list(self.cluster.nodes.values())[: size - late]:
+            self.cluster.call(self.cluster.random.random(), self.cluster.start, node)
+
+    def _pieces(self, at: Instant, fleet: Fleet) -> list[Piece]:
+        name = fleet.me.name
+        views = Views(at, fleet)
+        judge = Scripted(self.unable, self.judged) if self.judged is not None else None
+        key = f"{name}/{fleet.start}"
+
+        def taken(at: Instant, settled: Settled) -> list[Out]:
+            self._taken(name, key, settled)
+            return []
+
+        plans = Plans(at, fleet, views, judge, taken)
+        plans.lead = self.makes(fleet, views, plans.register, judge)
+        self.plans[name] = plans
+        self.current.pop(name, None)
+        return [views, views.register, plans, plans.register]
+
+    # What is done to it
+
+    def alive(self) -> list[Node]:
+        return [node for node in self.cluster.nodes.values() if node.fleet is not None and not node.stopped]
+
+    def until(self, so: Callable[[], Any], most: float = 60.0) -> bool:
+        """Go on until it is so; False: it did not become so."""
+        end = self.cluster.now + most
+        while self.cluster.now < end and not so():
+            self.cluster.run(self.cluster.now + 0.1)
+        return bool(so())
+
+    def agreed(self) -> bool:
+        """Whether all that live stand in one view of just these, and count on it."""
+        alive = self.alive()
+        names = {node.name for node in alive}
+        return all(
+            self.plans[node.name].views.view.names == names
+            and self.plans[node.name].views.sure(self.cluster.instant(node).now)
+            for node in alive
+        )
+
+    def leader(self) -> str:
+        """Who leads and may put a plan; "": nobody at the moment."""
+        for node in self.alive():
+            if self.plans[node.name].register.ready and self.office(node):
+                return node.name
+        return ""
+
+    def office(self, node: Node) -> bool:
+        assert node.fleet is not None
+        return node.fleet.duties[LEAD].act(self.cluster.instant(node).boot) is not None
+
+    def offer(self, name: str, body: bytes) -> Pushing:
+        """Push a plan at that sidecar."""
+        node, plans = self.cluster.nodes[name], self.plans[name]
+        assert node.fleet is not None
+        self.bodies[digest(body)] = body
+        push = plans.pushes[plans.offer(self.cluster.instant(node), body)]
+        self.pushed.append((name, node.starts, push))
+        self.cluster.plan(node)
+        return push
+
+    # Rules
+
+    def _breach(self, what: str) -> None:
+        self.seen.breaches.append(f"{self.cluster.now:.3f} s: {what}")
+
+    def after(self, node: Node) -> None:
+        assert node.fleet is not None
+        plans = self.plans[node.name]
+        for key in self.bodies:
+            if node.fleet.bodies.get(key) is not None:
+                self.held.add((node.name, node.fleet.start, key))
+        if node.number < VOTERS and plans.register.kept.number:
+            entry = plans.register.kept
+            voters = self.kept.setdefault((entry.number, entry.epoch, entry.digest), set())
+            voters.add(node.name)
+            if 2 * len(voters) > VOTERS:
+                self._is_chosen(entry.number, entry.digest)
+        push = plans.lead.push
+        if push is not None and push.state == PUTTING and self.office(node):
+            assert plans.lead.epoch is not None
+            if (key3 := (node.name, plans.lead.epoch, push.number)) not in self.put:
+                self.put.add(key3)
+                self._is_put(node, plans.views.view, push.digest)
+        if plans.current is not None and plans.current is not self.current.get(node.name):
+            self._goes_by(node, plans.current)
+
+    def _is_chosen(self, number: int, key: bytes) -> None:
+        if self.chosen.setdefault(number, key) != key:
+            self._breach(f"number {number} has two bodies")
+        self.seen.settled = len(self.chosen)
+
+    def _is_put(self, node: Node, view: View, key: bytes) -> None:
+        for placed in view.members:
+            if (placed.who.name, placed.start, key) not in self.held:
+                self._breach(f"{node.name} puts a plan that {placed.who.name} never held")
+            if placed.who.name in self.unable and self.judged is not None:
+                self._breach(f"{node.name} puts a plan that {placed.who.name} is not able to go by")
+
+    def _goes_by(self, node: Node, settled: Settled) -> None:
+        assert node.fleet is not None
+        was = self.current.get(node.name)
+        if was is not None and (settled.number, settled.epoch) <= (was.number, was.epoch):
+            self._breach(f"{node.name} goes from {was.number} of {was.epoch} to {settled.number}")
+        self.current[node.name] = settled
+        body = node.fleet.bodies.get(settled.digest)
+        if body is None or digest(body) != settled.digest or read(body) != settled.plan:
+            self._breach(f"{node.name} goes by plan {settled.number} and does not have it whole")
+        if self.chosen.get(settled.number) != settled.digest:
+            self._breach(f"{node.name} goes by plan {settled.number}, which was not chosen")
+
+    def _taken(self, name: str, process: str, settled: Settled) -> None:
+        before = self.took.setdefault(process, [])
+        if before and settled.number <= before[-1].number:
+            self._breach(f"{name} takes {settled.number} after {before[-1].number}")
+        before.append(settled)
+        self.seen.taken += 1
+
+    def judge_end(self) -> None:
+        """What must hold once all troubles are long over."""
+        settled = {*self.chosen.values()}
+        offered: dict[bytes, int] = {}
+        for _, _, push in self.pushed:
+            offered[push.digest] = offered.get(push.digest, 0) + 1
+        for name, starts, push in self.pushed:
+            gone = self.cluster.nodes[name].fleet is None or self.cluster.nodes[name].starts != starts
+            self.seen.refused += push.state == REFUSED
+            self.seen.lost += push.state == "lost"
+            if push.state == SETTLED and push.digest not in settled:
+                self._breach(f"{name} tells {push.title} as settled, and it was not")
+            if push.state == REFUSED and push.digest in settled and offered[push.digest] == 1:
+                self._breach(f"{name} tells {push.title} as refused, and it was settled")
+            if push.state not in OVER and not gone:
+                self._breach(f"{name} does not tell what came of {push.title}: {push.state}")
+        newest = max(self.chosen, default=0)
+        for node in self.alive():
+            current = self.plans[node.name].current
+            if (current.number if current is not None else 0) != newest:
+                self._breach(f"{node.name} goes by {current and current.number}, not by {newest}")
--- a/wheatring/plan/words.py
+++ b/wheatring/plan/words.py
@@ -15,7 +15,7 @@
 OLDEST, NEWEST = 1, 3  # formats that there are
 
 _Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
-_Weight = Annotated[int, Meta(ge=0, le=1_000_000)]
+Weight = Annotated[int, Meta(ge=0, le=1_000_000)]
 _Text = Annotated[str, Meta(max_length=1000)]
 
 
@@ -45,7 +45,7 @@
 
     name: _Name
     match: PlanMatch = PlanMatch()
-    weights: dict[_Name, _Weight]
+    weights: dict[_Name, Weight]
     class_name: _Text = ""  # fixed; "": the first part of the path
     deadline: Annotated[float, Meta(gt=0, le=3600)] | None = None  # seconds
     split_by: _Text = ""
@@ -66,7 +66,7 @@
 
     name: _Name
     route: _Name
-    weights: dict[_Name, _Weight]
+    weights: dict[_Name, Weight]
     start: Annotated[str, Meta(pattern=r"^\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d$")]
     length: Annotated[float, Meta(ge=1, le=31_622_400)]
     rrule: _Text = ""
@@ -85,7 +85,7 @@
     target: _Text
     host: _Text = ""
     headers: dict[_Text, _Text] = {}
-    at: float | None = None
+    at: Annotated[float, Meta(ge=0, le=253_402_300_799)] | None = None
 
 
 class Plan(Part, frozen=True, kw_only=True):
