--- /dev/null
+++ b/tests/agree/test_plan.py
@@ -0,0 +1,279 @@
+"""One plan for the fleet, in virtual time: what becomes of a push, whatever befalls the fleet meanwhile."""
+
+from __future__ import annotations
+
+import pytest
+
+from wheatring.errors import Told
+from wheatring.lab.agree_plan import World, body_of
+from wheatring.lab.agree_plan_days import PLANTED, find, play
+from wheatring.lab.leases.cluster import CUT
+from wheatring.lab.live.links.state import State
+from wheatring.lease.bodies import digest
+from wheatring.plan.errors import PlanFormatUnknown, PlanNoView, PlanPushUnderWay
+from wheatring.plan.judge import Reason
+from wheatring.plan.lead import BOUNDS
+from wheatring.plan.messages import Offer, Pushed, cut, packed, unpacked
+from wheatring.plan.push import OPEN, PATIENCE
+
+
+def world(size: int = 6, seed: int = 1, judged: float | None = None, **more: object) -> World:
+    """A fleet that stands in one view and has a leader."""
+    made = World(seed, size, judged=judged, **more)  # type: ignore[arg-type]
+    assert made.until(lambda: made.agreed() and made.leader())
+    return made
+
+
+def numbers(made: World) -> set[int]:
+    """Of the plans by which those that live go; 0: by none."""
+    found = [made.plans[node.name].current for node in made.alive()]
+    return {current.number if current is not None else 0 for current in found}
+
+
+def settles(made: World, name: str, body: bytes, most: float = 60.0) -> int:
+    """Push it; its number, once all go by it."""
+    push = made.offer(name, body)
+    assert made.until(lambda: push.over, most) and push.state == "settled", (push.state, push.reasons)
+    assert made.until(lambda: numbers(made) == {push.number})
+    return push.number
+
+
+def kept(made: World) -> None:
+    """No rule was broken, and all came to one end."""
+    made.cluster.run(made.cluster.now + PATIENCE + 10)
+    made.judge_end()
+    assert made.seen.breaches == []
+
+
+def other_than(made: World, *names: str) -> str:
+    return next(node.name for node in reversed(made.alive()) if node.name not in names)
+
+
+def test_a_large_plan_is_gone_by_everywhere_within_seconds() -> None:
+    made = world(9)
+    began = made.cluster.now
+    body = body_of("large", 100 * 1024)
+    assert len(body) > 90 * 1024
+    assert settles(made, "n8", body) == 1
+    assert made.cluster.now - began < 5
+    assert settles(made, "n0", body_of("next")) == 2
+    kept(made)
+
+
+def test_the_plan_that_is_in_force_is_settled_already() -> None:
+    made = world()
+    settles(made, "n5", body_of("same"))
+    push = made.offer("n3", body_of("same"))
+    assert made.until(lambda: push.over, 2.0) and (push.state, push.number) == ("settled", 1)
+    kept(made)
+
+
+def test_a_leader_killed_before_it_has_settled_a_push_is_followed_by_one_that_does() -> None:
+    made = world(judged=1.0)
+    leader = made.leader()
+    push = made.offer(other_than(made, leader), body_of("first"))
+    assert made.until(lambda: (lead := made.plans[leader].lead.push) is not None and lead.state == "tried")
+    made.cluster.kill(made.cluster.nodes[leader])
+    assert made.until(lambda: push.over) and (push.state, push.number) == ("settled", 1)
+    made.cluster.start(made.cluster.nodes[leader])
+    assert made.until(lambda: numbers(made) == {1}), "who starts anew gets it back"
+    kept(made)
+
+
+def test_a_leader_that_goes_on_after_ten_terms_neither_goes_on_with_its_push_nor_back() -> None:
+    made = world(judged=1.0)
+    leader = made.leader()
+    push = made.offer(other_than(made, leader), body_of("first"))
+    assert made.until(lambda: (lead := made.plans[leader].lead.push) is not None and lead.state == "tried")
+    made.cluster.stop(made.cluster.nodes[leader])
+    assert made.until(lambda: push.over) and push.state == "settled"
+    second = made.offer(other_than(made, leader), body_of("second"))
+    made.cluster.run(made.cluster.now + 30)
+    assert second.state == "settled" and second.number == 2
+    made.cluster.go_on(made.cluster.nodes[leader])
+    assert made.plans[leader].lead.push is None
+    assert made.until(lambda: numbers(made) == {2}, 20.0)
+    kept(made)
+
+
+def test_of_two_pushes_at_two_sidecars_at_once_one_is_refused_and_told_of_the_other() -> None:
+    made = world(judged=0.5)
+    one, other = made.offer("n4", body_of("one")), made.offer("n5", body_of("other"))
+    assert made.until(lambda: one.over and other.over)
+    first, second = (one, other) if one.state == "settled" else (other, one)
+    assert (first.state, second.state) == ("settled", "refused")
+    (why,) = second.reasons
+    assert why.code == "plan-push-under-way" and (first.title in why.what or first.digest.hex() in why.what)
+    kept(made)
+
+
+def test_one_that_comes_in_while_a_plan_is_pushed_goes_by_it_as_well() -> None:
+    for seed in range(1, 4):
+        made = world(7, seed, late=1)
+        made.cluster.start(made.cluster.nodes["n6"])
+        made.cluster.run(made.cluster.now + seed * 0.4)
+        assert settles(made, "n5", body_of("first")) == 1
+        assert made.until(lambda: made.agreed() and numbers(made) == {1}, 15.0)  # noqa: B023
+        kept(made)
+
+
+def test_a_verdict_does_not_outlive_its_view() -> None:
+    """The newcomer is not able: it comes while another keeps the push waiting."""
+    made = world(7, judged=0.2, late=1, unable={"n6"})
+    before = made.plans["n0"].views.view.number
+    made.cluster.stop(made.cluster.nodes["n5"])
+    push = made.offer("n4", body_of("first"))
+    made.cluster.run(made.cluster.now + 0.8)
+    made.cluster.start(made.cluster.nodes["n6"])
+    assert made.until(lambda: made.plans["n0"].views.view.number > before, 4.0)
+    made.cluster.go_on(made.cluster.nodes["n5"])
+    assert made.until(lambda: push.over, 5.0)
+    assert push.state == "refused" and [why.member for why in push.reasons] == ["n6"]
+    assert numbers(made) == {0}
+    kept(made)
+
+
+def test_all_voters_start_anew_while_one_member_lives() -> None:
+    made = world(4)
+    settles(made, "n3", body_of("first"))
+    for name in ("n0", "n1", "n2"):
+        made.cluster.kill(made.cluster.nodes[name])
+    made.cluster.run(made.cluster.now + 0.5)
+    for name in ("n0", "n1", "n2"):
+        made.cluster.start(made.cluster.nodes[name])
+    assert made.until(lambda: made.agreed() and made.leader() and numbers(made) == {1}, 60.0)
+    assert settles(made, "n0", body_of("second")) == 2
+    kept(made)
+
+
+def test_a_third_cut_off_is_named_and_nothing_is_half_applied() -> None:
+    made = world(9)
+    third = ["n6", "n7", "n8"]
+    made.cluster.cut_off(third, CUT)
+    push = made.offer("n4", body_of("first"))
+    assert made.until(lambda: push.over, BOUNDS["offered"] + BOUNDS["surveyed"])
+    assert push.state == "refused" and sorted(why.member for why in push.reasons) == third
+    assert numbers(made) == {0}
+    made.cluster.mend()
+    assert made.until(lambda: made.agreed() and made.leader())
+    assert settles(made, "n4", body_of("first")) == 1
+    kept(made)
+
+
+def test_one_that_is_stopped_too_long_is_named_before_it_is_out_of_the_view() -> None:
+    made = world(6)
+    made.cluster.cut(["n5"], [made.leader()], CUT)  # its answers to the leader alone are lost
+    push = made.offer("n4", body_of("first"))
+    assert made.until(lambda: push.over, 25.0) and push.state == "refused"
+    assert {(why.member, why.code) for why in push.reasons} == {("n5", "plan-not-whole")}
+    kept(made)
+
+
+def test_one_that_dies_does_not_keep_the_rest_from_a_plan() -> None:
+    made = world(6)
+    made.cluster.kill(made.cluster.nodes["n5"])
+    assert settles(made, "n4", body_of("first"), 30.0) == 1
+    kept(made)
+
+
+def test_a_third_of_all_words_lost() -> None:
+    made = world(6)
+    names = list(made.cluster.nodes)
+    made.cluster.cut(names, names, State(delay=0.001, jitter=0.001, drop=0.3))
+    for number in (1, 2):
+        assert settles(made, "n5", body_of(f"plan {number}", 20_000)) == number
+    made.cluster.mend()
+    kept(made)
+
+
+def test_a_program_that_cannot_read_it_keeps_all_from_it() -> None:
+    made = world(5)
+    body = body_of("first")
+    made.plans["n4"].understood[digest(body)] = PlanFormatUnknown("format: 3, and this program reads 1 to 2")
+    push = made.offer("n3", body)
+    assert made.until(lambda: push.over, 5.0) and push.state == "refused"
+    assert [(why.member, why.code) for why in push.reasons] == [("n4", "plan-format-unknown")]
+    kept(made)
+
+
+def test_a_push_that_no_leader_answers_is_told_as_lost() -> None:
+    made = world(5)
+    made.cluster.cut_off(["n4"], CUT)
+    push = made.offer("n4", body_of("first"))
+    made.cluster.run(made.cluster.now + PATIENCE - 2)
+    assert not push.over
+    assert made.until(lambda: push.over, 4.0) and push.state == "lost"
+    assert [why.code for why in push.reasons] == ["plan-leader-lost"]
+    made.cluster.mend()
+    made.cluster.run(made.cluster.now + 20)
+    assert numbers(made) == {0}, "it is not offered once it was told as lost"
+
+
+def test_a_late_offer_puts_no_old_plan_over_a_newer_one() -> None:
+    made = world(5)
+    settles(made, "n4", body_of("first"))
+    settles(made, "n4", body_of("second"))
+    leader = made.plans[made.leader()]
+    node, epoch = made.cluster.nodes[made.leader()], leader.register.epoch
+    assert epoch is not None
+    first = digest(body_of("first"))
+    base = (Offer(first, epoch, 7, 90, 0), "plan-overtaken")
+    for late, told in (base, (Offer(first, epoch - 1, 8, 90, 2), "")):
+        out = leader.hear(made.cluster.instant(node), "n4", ("127.5.0.5", 7000), late)
+        codes = [why.code for _, word in out if isinstance(word, Pushed) for why in word.whys]
+        assert codes == ([told] if told else []) and leader.lead.push is None
+
+
+def test_what_is_refused_right_where_it_is_offered() -> None:
+    made = World(1, 5)
+    made.cluster.run(0.9)
+    with pytest.raises(PlanNoView, match="n0 stands in no view"):
+        made.offer("n0", body_of("early"))
+    made = world(5)
+    made.cluster.cut_off(["n4"], CUT)
+    for number in range(OPEN):
+        made.offer("n4", body_of(f"plan {number}"))
+    with pytest.raises(PlanPushUnderWay):
+        made.offer("n4", body_of("one more"))
+    with pytest.raises(Told, match="not JSON"):
+        made.offer("n3", b"{")
+
+
+def test_what_is_seen_of_it() -> None:
+    made = world(6, judged=1.0)
+    settles(made, "n4", body_of("first"))
+    made.cluster.stop(made.cluster.nodes["n5"])
+    push = made.offer("n4", body_of("second"))
+    made.cluster.run(made.cluster.now + 3)
+    now, leader = made.cluster.now, made.leader()
+    led = made.plans[leader].seen(now)["leads"]
+    assert (led["title"], led["state"], led["from"]) == ("second", "tried", "n4")
+    assert led["holds"] == ["n0", "n1", "n2", "n3", "n4"]
+    assert [(why["member"], why["code"]) for why in led["reasons"]] == [("n5", "plan-not-whole")]
+    seen = made.plans["n4"].seen(now)
+    assert (seen["number"], seen["title"], seen["format"]) == (1, "first", 1)
+    assert (seen["push"]["state"], seen["push"]["hold"], seen["push"]["members"]) == (push.state, 5, 6)
+    made.cluster.go_on(made.cluster.nodes["n5"])
+    assert made.until(lambda: numbers(made) == {2})
+    kept(made)
+
+
+def test_reasons_travel_as_far_as_there_is_room() -> None:
+    few = [Reason(f"n{number}", "plan-not-whole", "what", "do") for number in range(40)]
+    whys, more = packed(few)
+    assert more == 0 and len(whys) == 1 and list(unpacked(whys)) == few
+    many = [Reason(f"n{number}", "code", f"{number} " + "\N{SNOWMAN}" * 300, "do") for number in range(40)]
+    whys, more = packed(many)
+    assert more == 40 - len(unpacked(whys)) and 0 < len(whys) < 5
+    assert all(len(why.what.encode()) <= 240 and why.what == cut(why.what) for why in whys)
+
+
+def test_drawn_days_break_no_rule() -> None:
+    days = [play(seed) for seed in range(1, 5)]
+    assert [day.breaches for day in days] == [[]] * len(days)
+    assert sum(day.taken for day in days) > 20 and sum(day.refused for day in days) > 0
+
+
+@pytest.mark.parametrize("number", range(len(PLANTED)), ids=[what for what, _ in PLANTED])
+def test_drawn_days_find_what_is_planted(number: int) -> None:
+    assert find(number)[0]
--- a/wheatring/commands/lab.py
+++ b/wheatring/commands/lab.py
@@ -68,8 +68,9 @@
 def add_check(commands: Commands) -> None:
     parser = command(commands, "check", check, "tell what is wrong with scenarios, and draw each a few times")
     parser.add_argument(
-        "files", nargs="+", metavar="NAME|FILE|lease", help="lease: the deciders of duties' terms"
-    )
+        "files", nargs="+", metavar="NAME|FILE|lease|plan",
+        help="lease: the deciders of duties' terms; plan: those of the fleet's one plan",
+    )  # fmt: skip
     lab_lease.add_to(parser)
     parser.add_argument(
         "--draws", type=int, default=20, metavar="N", help="seeds to draw each with (default: 20)"
@@ -82,6 +83,8 @@
 
     if args.files == ["lease"]:
         return lab_lease.check(args)
+    if args.files == ["plan"]:
+        return lab_lease.check_plan(args)
     status = 0
     for where in args.files:
         try:
--- a/wheatring/commands/lab_lease.py
+++ b/wheatring/commands/lab_lease.py
@@ -1,21 +1,22 @@
-"""`wheatring lab check lease`: holds the deciders of terms to their promise."""
+"""`wheatring lab check lease` and `check plan`: hold deciders to their promise, of terms and of the plan."""
 
 from __future__ import annotations
 
 import argparse
+from collections.abc import Iterable
 
 
 def add_to(parser: argparse.ArgumentParser) -> None:
-    """Words that count for `lease` only."""
+    """Words that count for `lease` and `plan` only."""
     parser.add_argument(
-        "--days", type=int, default=400, metavar="N", help="lease: days to play (default: 400)"
+        "--days", type=int, default=400, metavar="N", help="lease, plan: days to play (default: 400)"
     )
     parser.add_argument(
         "--states", type=int, default=300_000, metavar="N",
         help="lease: states to look at in each search, at most (default: 300000)",
     )  # fmt: skip
     parser.add_argument(
-        "--jobs", type=int, metavar="N", help="lease: processes to work in (default: as many as cores)"
+        "--jobs", type=int, metavar="N", help="lease, plan: processes to work in (default: as many as cores)"
     )
 
 
@@ -24,8 +25,21 @@
 
     from wheatring.lab.leases.check import lines
 
-    failed = []
+    failed: list[int] = []
     jobs = args.jobs or os.cpu_count() or 1
-    for line in lines(args.days, args.states, jobs, lambda: failed.append(1)):
+    return _print(lines(args.days, args.states, jobs, lambda: failed.append(1)), failed)
+
+
+def check_plan(args: argparse.Namespace) -> int:
+    import os
+
+    from wheatring.lab.agree_plan_days import lines
+
+    failed: list[int] = []
+    return _print(lines(args.days, args.jobs or os.cpu_count() or 1, lambda: failed.append(1)), failed)
+
+
+def _print(found: Iterable[str], failed: list[int]) -> int:
+    for line in found:
         print(line, flush=True)
     return 1 if failed else 0
--- /dev/null
+++ b/wheatring/lab/agree_plan_days.py
@@ -0,0 +1,219 @@
+"""Drawn days of a fleet that agrees on one plan, and faults planted in its leader that they have to find.
+
+A seed gives a day, and the same day again. Troubles are aimed at pushes: they begin within seconds of one.
+Every third day all voters start anew at once and nothing else goes down; on the others no two voters do
+within `FORGET`: the register does not promise to remember what all who keep it have forgotten.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from contextlib import suppress
+from math import inf
+from random import Random
+from typing import NamedTuple
+
+from wheatring.errors import Told
+from wheatring.lab.agree_plan import VOTERS, Seen, World, body_of
+from wheatring.lab.leases.cluster import CUT, Node
+from wheatring.lab.live.links.state import State
+from wheatring.lease.fleet import Instant
+from wheatring.members.words import Placed
+from wheatring.plan.judge import Stage, Verdict
+from wheatring.plan.lead import Lead
+from wheatring.plan.one import Push
+
+SIZE, LATE = 7, 2  # sidecars, and of them those that come only with a trouble
+BEGIN, OFFERS = 15.0, 45.0  # seconds until the first push, and the last
+QUIET = 70.0  # seconds from then to the day's end: all that was offered is over
+FORGET = 16.0  # seconds between two voters that start anew: `LONG` terms, and some
+KINDS = ("kill", "kill", "stall", "stall", "cut", "lossy", "late", "join", "unheard", "slow", "slow", "slow")
+
+
+class Trouble(NamedTuple):
+    at: float
+    kind: str
+    length: float
+    nodes: tuple[str, ...]  # "lead": whoever leads by then
+
+
+def draw(seed: int) -> tuple[list[float], list[Trouble]]:
+    """When pushes are offered, and what befalls the day."""
+    random = Random(f"{seed}:plan")
+    offers = sorted(BEGIN + random.random() * (OFFERS - BEGIN - 5) for _ in range(random.randint(2, 4)))
+    names = [f"n{number}" for number in range(SIZE - LATE)]
+    troubles = []
+    for _ in range(random.randint(2, 6)):
+        kind = random.choice(KINDS)
+        if seed % 3 == 0 and kind == "kill":
+            kind = "voters"
+        at = random.choice(offers) + random.choice([-0.5, 0.2, 0.6, 1.0, 1.5, 3.0]) * random.random()
+        length = min(OFFERS + 5 - at, random.choice([0.5, 1.0, 2.0, 4.0, 12.0, 35.0]) * random.random())
+        nodes = random.sample(names, random.choice([1, 1, 2]))
+        if random.random() < 0.4:
+            nodes[0] = "lead"
+        if kind == "slow":
+            at = random.choice(offers) + 0.2 * random.random()
+        if kind == "join":
+            nodes = [f"n{SIZE - 1 - random.randrange(LATE)}"]
+        troubles.append(Trouble(at, kind, length, tuple(dict.fromkeys(nodes))))
+    return offers, sorted(troubles)
+
+
+class Day:
+    """Half of the days have a judge, by whom one of those that come late is not able to go by any plan."""
+
+    def __init__(self, seed: int, makes: type[Lead] = Lead) -> None:
+        self.random = Random(f"{seed}:day")
+        judged = 0.1 + 0.5 * self.random.random() if self.random.random() < 0.6 else None
+        unable = {f"n{SIZE - 1}"} if judged is not None else set()
+        self.world = World(seed, SIZE, makes, judged, unable, LATE)
+        self.forgot = dict.fromkeys((f"n{number}" for number in range(VOTERS)), -inf)
+        offers, troubles = draw(seed)
+        for number, at in enumerate(offers):
+            self.world.cluster.call(at, self.offer, f"{seed}-{number}")
+        for trouble in troubles:
+            self.world.cluster.call(trouble.at, self.begin, trouble)
+        self.world.cluster.call(OFFERS + 5, self.mend)
+
+    def run(self) -> Seen:
+        self.world.cluster.run(OFFERS + QUIET)
+        self.world.judge_end()
+        return self.world.seen
+
+    def offer(self, title: str) -> None:
+        """At one sidecar, or at two: the same plan, or another."""
+        alive = self.world.alive()
+        nodes = self.random.sample(alive, min(len(alive), self.random.choice([1, 1, 2])))
+        for number, node in enumerate(nodes):
+            other = number and self.random.random() < 0.6
+            body = body_of(f"{title}{'-b' if other else ''}", 3000 if len(title) % 2 else 0)
+            with suppress(Told):  # it stands in no view at that moment
+                self.world.offer(node.name, body)
+
+    # Troubles
+
+    def begin(self, trouble: Trouble) -> None:
+        cluster = self.world.cluster
+        lead = self.world.leader() or "n0"
+        names = [lead if name == "lead" else name for name in trouble.nodes]
+        over = cluster.now + max(0.05, trouble.length)
+        nodes = [cluster.nodes[name] for name in dict.fromkeys(names)]
+        match trouble.kind:
+            case "join":
+                for node in nodes:
+                    cluster.start(node)
+            case "voters":
+                voters = list(cluster.nodes.values())[:VOTERS]
+                if cluster.now > FORGET + max(self.forgot.values()):
+                    for node in voters:
+                        self.down(node, cluster.now + min(trouble.length, 2.0))
+            case "kill":
+                for node in nodes:
+                    if node.name not in self.forgot or cluster.now > FORGET + max(self.forgot.values()):
+                        self.down(node, over)
+            case "stall" | "slow":
+                if trouble.kind == "slow":  # and somebody comes while the others wait for this one
+                    over = cluster.now + 4.5
+                    cluster.call(cluster.now + 0.2, cluster.start, cluster.nodes[f"n{SIZE - 1}"])
+                for node in nodes:
+                    cluster.stop(node)
+                    cluster.call(over, cluster.go_on, node)
+            case "cut":
+                cluster.cut_off([node.name for node in nodes], CUT)
+                cluster.call(over, cluster.mend)
+            case "unheard":
+                others = [name for name in cluster.nodes if name not in names]
+                cluster.cut(names, others, CUT)
+                cluster.call(over, cluster.mend)
+            case "late":
+                slow = State(delay=1.5, jitter=1.0, duplicate=0.3, reorder=0.3)
+                cluster.cut_off([node.name for node in nodes], slow)
+                cluster.call(over, cluster.mend)
+            case "lossy":
+                bad = State(delay=0.001, drop=0.3, duplicate=0.1, reorder=0.1)
+                cluster.cut(list(cluster.nodes), list(cluster.nodes), bad)
+                cluster.call(over, cluster.mend)
+
+    def down(self, node: Node, back: float) -> None:
+        cluster = self.world.cluster
+        if node.fleet is None:
+            return
+        if node.name in self.forgot:
+            self.forgot[node.name] = back
+        cluster.kill(node)
+        cluster.call(back, cluster.start, node)
+
+    def mend(self) -> None:
+        cluster = self.world.cluster
+        cluster.mend()
+        for node in cluster.nodes.values():
+            cluster.go_on(node)
+
+
+def play(seed: int, makes: type[Lead] = Lead) -> Seen:
+    return Day(seed, makes).run()
+
+
+# Planted faults
+
+
+class Outlived(Lead):
+    """Goes on by a verdict, whatever becomes of the view that it was of."""
+
+    def _verdict(self, at: Instant, push: Push) -> Verdict:
+        if push.verdict.stage is Stage.YES:
+            return push.verdict._replace(view=self.views.view.number)
+        return super()._verdict(at, push)
+
+
+class Hopeful(Lead):
+    """Takes one that was asked twice and said nothing for one that holds it."""
+
+    def missing(self, push: Push) -> list[Placed]:
+        return [p for p in super().missing(push) if push.asked.get((p.who.name, p.start), inf) == inf]
+
+
+class Hasty(Lead):
+    """Puts once a majority of the view holds it."""
+
+    def missing(self, push: Push) -> list[Placed]:
+        missing = super().missing(push)
+        return missing if 2 * len(missing) >= len(push.view.members) else []
+
+
+PLANTED = (
+    ("a verdict that outlives its view", Outlived),
+    ("a silent one that is taken for yes", Hopeful),
+    ("a leader that puts before all hold", Hasty),
+)
+LOOKED = 60  # days in which a planted fault has to be found
+
+
+def find(number: int) -> tuple[int, str]:
+    """The first day in which it is found, and how; (0, ""): in none."""
+    for seed in range(1, LOOKED + 1):
+        if breaches := play(seed, PLANTED[number][1]).breaches:
+            return seed, breaches[0]
+    return 0, ""
+
+
+def lines(days: int, jobs: int, fail: Callable[[], object]) -> Iterator[str]:
+    """What is found, line by line; `fail` is called for each thing that is not as it has to be."""
+    with ProcessPoolExecutor(jobs) as pool:
+        found = pool.map(find, range(len(PLANTED)))
+        played = list(pool.map(play, range(1, days + 1), chunksize=5))
+        for (what, _), (seed, breach) in zip(PLANTED, found, strict=True):
+            if not seed:
+                fail()
+            yield f"found: {what}; day {seed}, {breach}" if seed else f"NOT FOUND: {what}"
+        breaches = [(day.seed, breach) for day in played for breach in day.breaches]
+        yield (
+            f"{len(played)} drawn days: {sum(day.settled for day in played)} plans settled, "
+            f"{sum(day.refused for day in played)} pushes refused, {sum(day.lost for day in played)} lost, "
+            f"{sum(day.taken for day in played)} times a sidecar went on to one, {len(breaches)} breaches"
+        )
+        for seed, breach in breaches[:20]:
+            fail()
+            yield f"    day {seed}, {breach}"
--- a/wheatring/lease/register.py
+++ b/wheatring/lease/register.py
@@ -20,7 +20,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from enum import Enum
 from math import inf
 from typing import get_args
@@ -39,6 +39,7 @@
     Which,
 )
 from wheatring.members.members import Address
+from wheatring.members.words import Who
 
 LEAD = "lead"  # the duty whose holder leads all registers
 LONG = 4  # terms after which a voter that started speaks, though it has not heard all the others
@@ -66,7 +67,10 @@
         self.fleet = fleet
         self.chosen_now = chosen_now
         self.chosen = self.have = NOTHING
-        # As a voter
+        # As a voter. `met`: whom one that started asks besides those it holds for there; None: not known
+        # yet, and it waits until they are asked.
+        self.met: Callable[[], Sequence[Who] | None] = lambda: ()
+        self.asked = False
         self.promised = 0
         self.kept = NOTHING
         self.began = at.boot
@@ -176,8 +180,8 @@
         if self.awake or at.now < self.wake:
             return []
         terms, others = self.fleet.terms, set(self.fleet.voters.all) - set(self.fleet.names(self.fleet.me))
-        since = at.boot - self.began
-        if since >= terms.abstain and (others <= self.told or since >= LONG * terms.term):
+        since, heard = at.boot - self.began, self.asked and others <= self.told
+        if since >= terms.abstain and (heard or since >= LONG * terms.term):
             self.awake = True
             self.wake = inf
             return []
@@ -185,8 +189,11 @@
         if not self.fleet.votes():
             return []
         word = self.newest(True)
-        alive = [who for who in self.fleet.members.alive() if who.name != self.fleet.me.name]
-        chosen = self.fleet.random.sample(alive, min(MANY, len(alive)))
+        met = self.met()
+        self.asked = met is not None
+        there = {who.name: who for who in [*(met or ()), *self.fleet.members.alive()]}
+        there.pop(self.fleet.me.name, None)
+        chosen = self.fleet.random.sample(list(there.values()), min(MANY, len(there)))
         return self.fleet.to_voters([(name, word) for name in sorted(others)]) + [
             ((who.host, who.port), word) for who in chosen
         ]
--- a/wheatring/plan/lead.py
+++ b/wheatring/plan/lead.py
@@ -164,7 +164,10 @@
         gone = sorted(push.first.names - push.view.names)
         if len(gone) > max(1, len(push.first.names) // GONE):
             lost = PlanMembersLost(f"went while it was {push.state}, {len(gone)} of {len(push.first.names)}")
-            return out + self._over(REFUSED, [reason(lost, name) for name in gone])
+            others = PlanNotWhole("had not told by then that it holds the plan")
+            why = [reason(lost, name) for name in gone]
+            why += [reason(others, placed.who.name) for placed in self.missing(push)]
+            return out + self._over(REFUSED, why)
         if no := [push.no[key(placed)] for placed in push.view.members if key(placed) in push.no]:
             return out + self._over(REFUSED, no)
         push.verdict = self._verdict(at, push)
--- a/wheatring/plan/push.py
+++ b/wheatring/plan/push.py
@@ -27,6 +27,7 @@
 from wheatring.lease.views import Views
 from wheatring.lease.words import Entry
 from wheatring.members.members import Address
+from wheatring.members.words import Who
 from wheatring.plan.errors import PlanLeaderLost, PlanNoView, PlanPushUnderWay, PlanTooLarge
 from wheatring.plan.judge import Judge, Reason
 from wheatring.plan.lead import Lead
@@ -95,6 +96,7 @@
         self.views = views
         self.taken: Taken = taken or (lambda at, settled: [])
         self.register = Register(at, "plan", fleet, self._chosen)
+        self.register.met = self._met
         self.lead = Lead(fleet, views, self.register, judge)
         self.current: Settled | None = None
         self.compiled: Compiled | None = None  # of the current one
@@ -180,6 +182,12 @@
             out += self._ask()
         return out
 
+    def _met(self) -> list[Who] | None:
+        """Whom a voter that has started asks for what it has forgotten. Voters that start together hold only
+        each other for there at first; that they have a view again, they have from the others."""
+        view = self.views.view
+        return [placed.who for placed in view.members] if view.number else None
+
     def _ask(self) -> list[Out]:
         """A stamp names a plan that it has missed: whoever leads has it, and so have most of the others."""
         others = [who for who in self.fleet.members.alive() if who.name != self.fleet.me.name]
