Read windows by RFC 5545 at a bounded cost, check them, and tell weights by calendar

Need: a plan's windows are local times, rules and exceptions; all sidecars are to find the same weights at the same instant.

A local time that a clock change skips opens with the offset before the gap (3.3.5) for rules as well, where 3.3.10 would leave it out.

Ruled out: zoneinfo.reset_tzpath, which is the whole process's; zones are read from the package instead.

--- /dev/null
+++ b/wheatring/schedule/check.py
@@ -0,0 +1,115 @@
+"""Whether the windows of a plan are in order. A function of the plan alone, so all sidecars find the same.
+
+Overlaps of one priority are looked for in what is open within `HORIZON` of any start of a window on the same
+route: rules that come back yearly are seen once. What would meet only later is not found, and then the one
+that opened first lies below. What this file guards besides: no plan may cost a sidecar more than so much
+work.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from datetime import timedelta
+from itertools import pairwise
+
+from wheatring.plan.words import Plan, PlanWindow
+from wheatring.schedule.errors import (
+    ExceptionIdle,
+    NeverOpens,
+    NoWeights,
+    Overlap,
+    RampTooLong,
+    RouteUnknown,
+    TooBusy,
+    TwoOfOneName,
+)
+from wheatring.schedule.timetable import MICRO
+from wheatring.schedule.windows import SHAPE, YEARS, Opening, Window
+from wheatring.schedule.zones import instant
+
+HORIZON = 400 * 86_400  # seconds
+MOST_STEPS = 20_000  # steps a day of all windows of a plan
+MOST_OPENINGS = 100_000  # openings looked at in one check
+
+
+def check(plan: Plan) -> None:
+    """Raises the first of `errors.WindowError`s, in the order of the plan's windows; overlaps come last."""
+    names: set[str] = set()
+    routes = {route.name: route for route in plan.routes}
+    windows: list[Window] = []
+    for one in plan.windows:
+        where = f"windows.{one.name}"
+        if one.name in names:
+            raise TwoOfOneName(f"{where}: two windows are called so")
+        names.add(one.name)
+        if one.route not in routes:
+            raise RouteUnknown(f"{where}: route: there is no route {one.route!r}")
+        if not any(one.weights.values()):
+            raise NoWeights(f"{where}: weights: {len(one.weights)} pools and none above 0")
+        if not any(routes[one.route].weights.values()):
+            raise NoWeights(f"routes.{one.route}: weights: none above 0, and {one.name} goes back to them")
+        _ramp(where, one)
+        window = Window(one)
+        _exceptions(where, window)
+        if not window.ever():
+            raise NeverOpens(f"{where}: {one.rrule or 'once'}: no opening within {YEARS} years of its start")
+        windows.append(window)
+    steps = sum(_steps(window) for window in windows)
+    if steps > MOST_STEPS:
+        raise TooBusy(f"windows: {steps} steps a day, {MOST_STEPS} are the most")
+    _overlaps(windows)
+
+
+def _ramp(where: str, window: PlanWindow) -> None:
+    if window.ramp is None:
+        return
+    both = 2 * (window.ramp.steps - 1) * window.ramp.every
+    if both >= window.length:
+        raise RampTooLong(f"{where}: ramp: takes {both:g} s in and out, the window lasts {window.length:g} s")
+
+
+def _exceptions(where: str, window: Window) -> None:
+    for text, left_out in zip(window.plan.except_, map(window.exception, window.plan.except_), strict=True):
+        unix = instant(left_out, window.zone)
+        if all(found != left_out for _, found in window.named(unix, unix + 1)):
+            raise ExceptionIdle(f"{where}: except_: it does not open at {text} in {window.plan.zone}")
+
+
+def _steps(window: Window) -> int:
+    """Of one day, at most."""
+    ramp = window.plan.ramp
+    openings = 1 if window.rule is None else window.rule.a_day
+    return openings * (2 if ramp is None else 2 * ramp.steps)
+
+
+def _overlaps(windows: Iterable[Window]) -> None:
+    groups: dict[tuple[str, int], list[Window]] = {}
+    for window in windows:
+        groups.setdefault((window.plan.route, window.plan.priority), []).append(window)
+    looked = 0
+    for group in groups.values():
+        found: list[tuple[Opening, str]] = []
+        for after, before in _spans(sorted(window.first for window in group)):
+            for window in group:
+                here = window.openings(after, before)
+                looked += len(here)
+                if looked > MOST_OPENINGS:
+                    raise TooBusy(f"windows: more than {MOST_OPENINGS} openings to look at for overlaps")
+                found += [(opening, window.plan.name) for opening in here]
+        for (one, name), (other, with_) in pairwise(sorted(found)):
+            if other.opens < one.closes:
+                both = f"{name} and {with_}" if name != with_ else f"{name} and itself"
+                at = f"{other.start.strftime(SHAPE)} ({(one.closes - other.opens) / MICRO:g} s)"
+                raise Overlap(f"windows: {both} overlap at {at}, with one priority on one route")
+
+
+def _spans(firsts: list[int]) -> list[tuple[int, int]]:
+    """What is within the horizon of any of these, in pieces that do not touch."""
+    day = round(timedelta(days=1).total_seconds())
+    spans: list[tuple[int, int]] = []
+    for first in firsts:
+        if spans and first - day <= spans[-1][1]:
+            spans[-1] = spans[-1][0], first + HORIZON
+        else:
+            spans.append((first - day, first + HORIZON))
+    return spans
--- /dev/null
+++ b/wheatring/schedule/zones.py
@@ -0,0 +1,42 @@
+"""Zones by the pinned `tzdata`, never by the machine's tables: sidecars on two images have one calendar.
+
+They are read straight from the package, so that the process's search path (`zoneinfo.TZPATH`) stays what it
+is for everybody else.
+"""
+
+from __future__ import annotations
+
+from datetime import datetime
+from functools import lru_cache
+from importlib.resources import files
+from zoneinfo import ZoneInfo
+
+EPOCH = datetime(1970, 1, 1)
+
+
+@lru_cache(maxsize=1)
+def names() -> frozenset[str]:
+    """All zones that there are."""
+    return frozenset((files("tzdata") / "zones").read_text(encoding="utf-8").split())
+
+
+@lru_cache(maxsize=1024)
+def zone(name: str) -> ZoneInfo:
+    """KeyError: there is none of that name."""
+    if name not in names():  # also keeps a name like ../x from being read as a path
+        raise KeyError(name)
+    with (files("tzdata") / "zoneinfo").joinpath(*name.split("/")).open("rb") as file:
+        return ZoneInfo.from_file(file, key=name)
+
+
+def instant(local: datetime, of: ZoneInfo) -> int:
+    """The Unix second of a local time. One that a clock change repeats is the first of the two, one that it
+    skips is read with the offset before the gap (RFC 5545, 3.3.5): so says `fold` 0 (PEP 495)."""
+    offset = local.replace(tzinfo=of, fold=0).utcoffset()
+    assert offset is not None
+    return round((local - EPOCH - offset).total_seconds())
+
+
+def local(unix: float, of: ZoneInfo) -> datetime:
+    """The local time of an instant, without its zone."""
+    return datetime.fromtimestamp(unix, of).replace(tzinfo=None, fold=0)
