Keep the fleet's time over the voters' clocks, and enter windows by it at one instant

Need: no sidecar may change anything by its own wall clock, and all are to enter a window together.

Change: schedule/fleet_time.py asks the voters, takes what the intervals of a majority hold (Marzullo), keeps it on the monotonic clock with the rate measured between fixes (1 % at first, 200 ppm beside the measured one later), never tells a time that goes back, and sees a suspend by boot - now. schedule/edges.py says which weights are in force and when to look again: a plan comes into force a lead (15 s) after it was settled, a window that says hold is entered only on a confirmation of at most 10 s before it opened or since, who is unsure enters nothing and leaves by the best it knows.

Clocks 1 % fast or slow stay within what is told and, cut off after 11 minutes, are sure for 10 more. A voter's clock an hour off moves nobody.

Ruled out: intersecting with the fix before: a voter whose clock is slewed would leave a sliver that is sure and wrong.

--- /dev/null
+++ b/tests/agree/test_time.py
@@ -0,0 +1,258 @@
+"""The fleet's time, and that all enter a window at one instant of it, in virtual time."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import UTC, datetime
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wheatring.lab.leases.cluster import CUT, YEAR, Cluster, Node
+from wheatring.lab.live.links.state import State
+from wheatring.lease.fleet import Fleet, Instant, Out, Piece
+from wheatring.lease.terms import Terms
+from wheatring.lease.voters import Voters
+from wheatring.members.members import Address
+from wheatring.members.pace import Pace
+from wheatring.plan.words import Plan, PlanRoute, PlanWindow
+from wheatring.schedule.edges import Edges
+from wheatring.schedule.fleet_time import UNKNOWN, FleetTime, Reading, Span, agreed
+from wheatring.schedule.timetable import Timetable
+
+TRUE = YEAR / 1000  # Unix seconds at the cluster's 0
+OPENS = 120.0  # seconds from there
+
+
+def plan(opens: float) -> Plan:
+    """A window of 5 s."""
+    start = datetime.fromtimestamp(TRUE + opens, UTC).strftime("%Y-%m-%dT%H:%M:%S")
+    window = PlanWindow(name="w", route="r", weights={"b": 1}, start=start, length=5.0)
+    return Plan(format=2, routes=(PlanRoute(name="r", weights={"a": 1}),), windows=(window,))
+
+
+@dataclass
+class Watcher:
+    """A piece that goes by `Edges`, and writes down when its weights changed, and all times told."""
+
+    cluster: Cluster
+    time: FleetTime
+    edges: Edges
+    due: float
+    hears: tuple[type, ...] = ()
+    changes: list[tuple[float, bool]] = field(default_factory=list)
+    last: Reading = UNKNOWN
+
+    def tick(self, at: Instant) -> list[Out]:
+        reading = self.time.now(at)
+        assert reading.unix >= self.last.unix
+        self.last = reading
+        look = self.edges.look(at.now, reading, 0.0)
+        if "r" in look.changed:
+            self.changes.append((self.cluster.now, "b" in look.changed["r"]))
+        self.due = look.due
+        return []
+
+    def hear(self, at: Instant, sender: str, address: Address, word: object) -> list[Out]:
+        return []
+
+    def body(self, at: Instant, digest: bytes, body: bytes | None) -> list[Out]:
+        return []
+
+
+class World:
+    """Sidecars whose time and weights are watched; the first three vote."""
+
+    def __init__(self, size: int, link: State | None = None, opens: float = OPENS) -> None:
+        self.cluster = Cluster(1, size, Voters(("#0", "#1", "#2")), [], Terms(), Pace(), pieces=self.pieces)
+        self.table = Timetable(plan(opens))
+        if link is not None:
+            self.cluster.net = link
+        self.watchers: dict[str, Watcher] = {}
+        for node in self.cluster.nodes.values():
+            self.cluster.call(self.cluster.random.random(), self.cluster.start, node)
+
+    def pieces(self, at: Instant, fleet: Fleet) -> list[Piece]:
+        time, edges = FleetTime(at, fleet), Edges(at.now)
+        edges.settle(at.now, 1, self.table, None)
+        self.watchers[fleet.me.name] = watcher = Watcher(self.cluster, time, edges, at.now)
+        return [time, watcher]
+
+    def node(self, name: str) -> Node:
+        return self.cluster.nodes[name]
+
+    def reading(self, name: str) -> Reading:
+        return self.watchers[name].time.now(self.cluster.instant(self.node(name)))
+
+    def error(self, name: str) -> float:
+        return self.reading(name).unix - TRUE - self.cluster.now
+
+    def holds(self, name: str) -> None:
+        """What is told is as right as it says, and sure."""
+        assert self.reading(name).sure and abs(self.error(name)) <= self.reading(name).uncertain
+
+    def lines(self, name: str) -> list[str]:
+        return [line.event for line in self.watchers[name].time.lines]
+
+    def entered(self) -> list[float]:
+        return [at for one in self.watchers.values() for at, inside in one.changes if inside]
+
+    def left(self) -> list[float]:
+        """When each changed to the base weights again, the start apart."""
+        changes = [change for one in self.watchers.values() for change in one.changes]
+        return [at for at, inside in changes if not inside and at > 10]
+
+
+def test_a_clock_that_is_an_hour_off_is_outvoted() -> None:
+    for wall in (3_600_000, -3_600_000):
+        world = World(6)
+        world.node("n1").wall = wall
+        world.node("n4").wall = wall  # no voter: its own wall clock decides nothing
+        world.cluster.run(60)
+        for name in world.watchers:
+            world.holds(name)
+            assert abs(world.error(name)) < 0.03
+
+
+def test_a_voters_clock_that_steps_by_an_hour_moves_nobody() -> None:
+    world = World(5)
+    world.cluster.run(60)
+    world.node("n0").wall = 3_600_000
+    for until in range(61, 150, 4):
+        world.cluster.run(until)
+        for name in world.watchers:
+            world.holds(name)
+
+
+def test_where_no_majority_meets_all_go_on_with_what_they_had_until_it_is_unsure() -> None:
+    world = World(4)
+    world.cluster.run(400)  # the rates are measured
+    world.node("n0").wall = 3_600_000
+    world.node("n1").wall = -3_600_000
+    world.cluster.run(600)
+    for name in world.watchers:
+        world.holds(name)
+        assert "time-voters-differ" in world.lines(name)
+    world.cluster.run(1400)
+    for name in world.watchers:
+        assert not world.reading(name).sure and world.lines(name)[-1] == "time-unsure"
+        assert abs(world.error(name)) < 0.1
+
+
+def test_fast_and_slow_clocks_tell_the_time_within_what_they_say_and_learn_their_rate() -> None:
+    world = World(6)
+    world.node("n3").fast, world.node("n4").fast = 0.01, -0.01
+    world.node("n0").fast = 0.009  # a voter's monotonic clock; what it tells is its wall clock
+    for until in range(10, 700, 7):
+        world.cluster.run(until)
+        for name in world.watchers:
+            world.holds(name)
+    world.cluster.cut_off(["n3", "n4"], CUT)
+    world.cluster.run(1300)  # ten minutes by its own clock, which alone would be 6 s off by now
+    for name in ("n3", "n4"):
+        world.holds(name)
+
+
+def test_delays_that_differ_by_way_and_losses_stay_within_what_is_told() -> None:
+    world = World(6, link=State(delay=0.002, jitter=0.02, drop=0.3))
+    slow = State(delay=0.18, jitter=0.02, drop=0.3)
+    world.cluster.cut(["n4"], ["n0", "n1", "n2"], slow)
+    world.cluster.cut(["n0", "n1", "n2"], ["n5"], slow)
+    for until in range(30, 200, 3):
+        world.cluster.run(until)
+        for name in world.watchers:
+            world.holds(name)
+
+
+def test_a_third_that_is_stopped_and_goes_on() -> None:
+    world = World(9)
+    world.cluster.run(40)
+    stopped = ["n1", "n5", "n6"]
+    for name in stopped:
+        world.cluster.stop(world.node(name))
+    world.cluster.run(118)
+    for name in set(world.watchers) - {*stopped}:
+        world.holds(name)
+    world.cluster.run(123)
+    for name in stopped:
+        world.cluster.go_on(world.node(name))
+    world.cluster.run(140)
+    for name in world.watchers:
+        world.holds(name)
+    at = sorted(world.entered())
+    assert at[5] - at[0] < 0.05 and all(123 <= late < 123.3 for late in at[6:])  # with the first fix
+    assert max(world.left()) - min(world.left()) < 0.05
+
+
+def test_voters_clocks_that_are_put_right_backwards_never_take_the_time_back() -> None:
+    """`Watcher.tick` looks at every time that is told. Half the pace until it is met, unsure meanwhile."""
+    world = World(4)
+    world.cluster.run(60)
+    for name in ("n0", "n1", "n2"):
+        world.node(name).wall = -2000
+    sure = []
+    for tenth in range(600, 800):
+        world.cluster.run(tenth / 10)
+        sure.append(world.reading("n3").sure)
+    assert 25 < sure.count(False) < 40 and sure[-1]  # 2 s at half the pace, less the bound
+    assert "time-moved" in world.lines("n3") and abs(world.error("n3") + 2.0) < 0.03
+
+
+def test_a_suspended_machine_is_seen_and_trusts_no_answer_to_what_it_asked_before() -> None:
+    world = World(4)
+    world.cluster.run(60)
+    time, at = world.watchers["n3"].time, world.cluster.instant(world.node("n3"))
+    before = time.now(at)
+    time.asked[time.seq] = (at.now, {"#0"})
+    woken = Instant(at.now, at.boot + 7200, at.wall)
+    reading = time.now(woken)
+    assert abs(reading.unix - before.unix - 7200) < 1 and 72 < reading.uncertain < 74
+    assert not time.asked and time.due <= at.now and time.lines[-1].event == "time-suspended"
+
+
+@pytest.mark.parametrize(("size", "delay", "aim"), [(200, 0.0005, 0.05), (60, 0.1, 0.15)])
+def test_all_enter_and_leave_within_the_aim(size: int, delay: float, aim: float) -> None:
+    """Every other one is delayed on the way there only, the others on the way back: the worst there is."""
+    world = World(size, State(delay=0.0005, jitter=0.0005), opens=30.0)
+    voters = ["n0", "n1", "n2"]
+    slow = State(delay=delay, jitter=delay / 10)
+    for number, node in enumerate(world.cluster.nodes.values()):
+        node.fast = (number % 5 - 2) * 0.0001
+        node.wall = (number * 7919) % 20_001 - 10_000 if number > 2 else number * 8 - 8
+        there, back = ([node.name], voters) if number % 2 else (voters, [node.name])
+        world.cluster.cut(there, back, slow)
+    world.cluster.run(29.5)
+    assert all(one.edges.ready for one in world.watchers.values()) and not world.entered()
+    world.cluster.run(36)
+    assert len(world.entered()) == len(world.left()) == size
+    for found, wanted in ((world.entered(), 30.0), (world.left(), 35.0)):
+        print(f"{size} members: spread {max(found) - min(found):.4f} s, at {min(found) - wanted:+.4f} s")
+        assert max(found) - min(found) < aim and abs(min(found) - wanted) < 0.1
+
+
+ends = st.floats(0, 10)
+
+
+@given(st.lists(st.tuples(ends, ends), min_size=3, max_size=7), ends, st.data())
+def test_what_a_majority_holds_is_held(
+    drawn: list[tuple[float, float]], true: float, data: st.DataObject
+) -> None:
+    """However the others lie: as long as a majority of the spans hold the true time, so does what is met."""
+    count = len(drawn)
+    right = data.draw(st.integers(count // 2 + 1, count))
+    spans = {
+        f"#{n}": Span(0.0, min(a, true), max(a, true)) if n < right else Span(0.0, min(a, b), max(a, b))
+        for n, (a, b) in enumerate(drawn)
+    }
+    met = agreed(spans, Voters(tuple(spans)))
+    assert met is not None and met[0] <= true <= met[1]
+
+
+def test_no_majority_or_only_one_of_two_sets_of_voters_agrees_on_nothing() -> None:
+    near, far = Span(0.0, 0.0, 1.0), Span(0.0, 3600.0, 3601.0)
+    assert agreed({"#0": near, "#1": far}, Voters(("#0", "#1", "#2"))) is None
+    assert agreed({}, Voters(("#0",))) is None
+    both = Voters(("#0", "#1", "#2"), ("#3", "#4", "#5"))
+    three = {"#0": near, "#1": near, "#3": near, "#4": far}
+    assert agreed(three, both) is None and agreed({**three, "#4": near}, both) == (0.0, 1.0)
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -51,6 +51,8 @@
     ("wheatring.skew", "wheatring.members"),
     ("wheatring.schedule", "wheatring.plan.words"),
     ("wheatring.schedule", "wheatring.routes"),
+    ("wheatring.schedule", "wheatring.members"),  # addresses
+    ("wheatring.schedule", "wheatring.lease"),  # the fleet that a piece is of, and its voters
     ("wheatring.config", "wheatring.errors"),
     ("wheatring.peers", "wheatring.http1.parser"),
     ("wheatring.control", "wheatring.http1.parser"),  # the operators' calls are HTTP too
