--- a/wheatring/schedule/fleet_time.py
+++ b/wheatring/schedule/fleet_time.py
@@ -158,23 +158,13 @@
         asked[1].difference_update(names)
         took = max(0.0, at.now - asked[0]) * _FAST
         span = Span(at.now, word.unix - word.spread, word.unix + word.spread + took)
-        for name in names:
-            self._answered(at.now, name, span)
+        self.answers.update((name, span) for name in names)
         self._fix(at.now)
         return []
 
     def body(self, at: Instant, digest: bytes, body: bytes | None) -> list[Out]:
         return []
 
-    def _answered(self, now: float, name: str, span: Span) -> None:
-        """An answer that was quick counts for longer, unless its clock says something else now."""
-        old = self.answers.get(name)
-        if old is not None and now - old.at < KEEP / 2:
-            later = old.later(now, self.rates)
-            if later.meets(span) and later.wide < span.wide:
-                return
-        self.answers[name] = span
-
     def _fix(self, now: float) -> None:
         voters = self.fleet.voters
         self.answers = {
@@ -193,7 +183,7 @@
         if self.fix is not None:
             old = self.fix.later(now, self.rates)
             if old.meets(new) and old.wide <= new.wide:
-                return
+                return  # that one was quicker
             if not old.meets(new):
                 self._moved(old, new)
         self.base = (now, self._read(now).unix if self.fix is not None else -inf)
--- a/wheatring/schedule/rules.py
+++ b/wheatring/schedule/rules.py
@@ -89,7 +89,8 @@
             return start
         whole = timedelta(hours=unit * self.interval)
         # What `rrule` would have taken from the start (weekday, hour, minute, second) stays the same but for
-        # the hour of an hourly rule, which is none of it.
+        # the hour of an hourly rule, which is none of it. One interval is kept before, as positions in the
+        # week of the start itself are counted from the start.
         return start + max(0, (after - start) // whole - 1) * whole
 
 
