Hold a plan back until every sidecar of the view understands it: survey, trials, floor

Need: the fleet goes on with older and newer programs side by side; none may be in a plan that it can't read.

--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -49,6 +49,8 @@
     ("wheatring.skew", "wheatring.plan.words"),
     ("wheatring.skew", "wheatring.plan.judge"),
     ("wheatring.skew", "wheatring.members"),
+    ("wheatring.skew", "wheatring.lease.fleet"),  # what a piece is
+    ("wheatring.skew", "wheatring.lease.bodies"),
     ("wheatring.schedule", "wheatring.plan.words"),
     ("wheatring.schedule", "wheatring.routes"),
     ("wheatring.schedule", "wheatring.members"),  # addresses
--- a/wheatring/lease/views.py
+++ b/wheatring/lease/views.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 from math import inf
 from typing import NamedTuple, get_args
@@ -78,6 +79,8 @@
         self.next_mint = self.next_knock = self.next_look = at.now
         self.told_wait: Wait | None = None
         self.held: tuple[Entry, Change, Address] | None = None  # chosen, and the whole view is fetched
+        # Why one that knocks is not let in now, by whoever knows what members have to be able to; "": it is.
+        self.admits: Callable[[Instant, Placed], str] = lambda at, placed: ""
         self.errands: list[_Errand] = []
         self.asked: dict[int, str] = {}  # looks of errands: at whom
         self.sides: dict[str, float] = {}  # who is heard and does not answer: when it was last heard
@@ -270,6 +273,10 @@
             for placed, left, cost in wait:
                 why = f"it went out again and again (cost {cost:.1f})"
                 out.append(((placed.who.host, placed.who.port), Wait(self.view.number, left, why)))
+            shut = {placed: why for placed in came if (why := self.admits(at, placed))}
+            for placed, why in shut.items():
+                out.append(((placed.who.host, placed.who.port), Wait(self.view.number, KNOCK, why)))
+            came = [placed for placed in came if placed not in shut]
             if went or came:
                 out += self._change(at, came, went)
         return out
--- /dev/null
+++ b/wheatring/skew/errors.py
@@ -0,0 +1,90 @@
+"""Why a plan or a floor is refused because not every sidecar of the view understands it."""
+
+from __future__ import annotations
+
+from wheatring.errors import Told
+
+
+class UnreadableFormat(Told):
+    code = "unreadable-format"
+    do = "Upgrade the sidecar that is named, or push the plan in a format that all of them read."
+
+
+class Unable(Told):
+    code = "unable"
+    do = "Install what the sidecar lacks or upgrade it, or push a plan that does without."
+
+
+class TooManyRoutes(Told):
+    code = "too-many-routes"
+    do = "Raise the limit of the sidecar that is named, or push a plan with fewer routes."
+
+
+class TooManyWindows(Told):
+    code = "too-many-windows"
+    do = "Raise the limit of the sidecar that is named, or push a plan with fewer windows."
+
+
+class TooManyExpressions(Told):
+    code = "too-many-expressions"
+    do = "Raise the limit of the sidecar that is named, or match by prefixes instead."
+
+
+class TooManyBytes(Told):
+    code = "too-many-bytes"
+    do = "Raise the limit of the sidecar that is named, or push a shorter plan."
+
+
+class Silent(Told):
+    code = "silent"
+    do = "See why it does not answer (stopped, cut off, or a program without plans), and push again."
+
+
+class NotCompiled(Told):
+    code = "not-compiled"
+    do = "Mend what the sidecar names in the plan, or upgrade that sidecar, and push again."
+
+
+class Disagrees(Told):
+    code = "disagrees"
+    do = "Bring the sidecar to the program and the libraries of the rest, and push again."
+
+
+class NoBody(Told):
+    code = "no-body"
+    do = "Push again; the leader no longer holds the bytes that it was to judge."
+
+
+class BelowFloor(Told):
+    code = "below-floor"
+    do = "Upgrade the sidecar that is named to a program that reads the floor, or lower the floor."
+
+
+class FloorInUse(Told):
+    code = "floor-in-use"
+    do = "Push a plan that does without the format first, then lower the floor."
+
+
+class FloorUnknown(Told):
+    code = "floor-unknown"
+    do = "Name a format that this program knows."
+
+
+class FloorNotLeading(Told):
+    code = "floor-not-leading"
+    do = "Ask the sidecar that leads, once its last entry is chosen."
+
+
+class SettledUnreadable(Told):
+    code = "settled-unreadable"
+    do = "Upgrade this sidecar; until then it lets nobody in and should not lead."
+
+
+class Unsurveyed(Told):
+    code = "unsurveyed"
+    do = "Wait; it is asked what it can."
+
+
+class FormatsUnknown(Told):
+    code = "formats-unknown"
+    do = "Name formats that this program knows, or leave [plan] formats out."
