--- a/wheatring/lab/agree_skew.py
+++ b/wheatring/lab/agree_skew.py
@@ -10,13 +10,14 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from datetime import tzinfo
 from random import Random
 from zoneinfo import ZoneInfo
 
 import msgspec
 
+from wheatring.errors import Told
 from wheatring.lab.leases.cluster import Cluster, Node
 from wheatring.lab.live.links.state import State
 from wheatring.lease.fleet import Fleet, Instant, Out, Piece
@@ -83,7 +84,8 @@
         self.days, self.fleet, self.abilities = days, fleet, abilities
         self.views = Views(at, fleet)
         self.register = Register(at, "plan", fleet, self._chosen)
-        stills = [_Still(register) for register in (self.views.register, self.register)]
+        self.floors = Register(at, "floor", fleet, self._floor)
+        stills = _Still(self.views.register), _Still(self.register, self.floors)
         self.skew = skew(fleet, abilities, compiles, *stills)
         self.views.admits = self._admits
         self.body_pushed: bytes | None = None
@@ -92,7 +94,7 @@
 
     @property
     def pieces(self) -> list[Piece]:
-        return [self.views, self.views.register, self.register, self.skew, self]
+        return [self.views, self.views.register, self.register, self.floors, self.skew, self]
 
     def _admits(self, at: Instant, placed: object) -> str:
         why = self.skew.admits(at, placed)  # type: ignore[arg-type]
@@ -106,6 +108,20 @@
         self.days.settled(entry, plan, body)
         return []
 
+    def _floor(self, at: Instant, entry: Entry, body: bytes) -> list[Out]:
+        self.skew.took_floor(body)
+        self.days.floored(entry, self.skew.floor)
+        return []
+
+    def move_floor(self, at: Instant, format: int) -> list[Out]:
+        try:
+            body = self.skew.floor_to(at, format, self.views.view)
+        except Told as bad:
+            self.days.counts[f"floor: {bad.code}"] += 1
+            return []
+        self.days.counts["floor: put"] += 1
+        return self.floors.put(at, body)
+
     def leads(self, at: Instant) -> bool:
         epoch = self.fleet.duties[LEAD].act(at.boot)
         return self.register.ready and epoch is not None and epoch == self.register.epoch
@@ -117,6 +133,9 @@
 
     def tick(self, at: Instant) -> list[Out]:
         self.due = at.now + LOOK
+        if self.leads(at) and self.skew.own():  # it could let nobody in
+            self.days.counts["stepped back"] += 1
+            return self.fleet.release(at, LEAD, 10.0)
         if self.body_pushed is None:
             return []
         if not self.leads(at):
@@ -149,11 +168,13 @@
 
 
 class _Still:
-    def __init__(self, register: Register) -> None:
-        self.register = register
+    """Whether this sidecar leads these registers, and no entry of theirs is being chosen."""
+
+    def __init__(self, *registers: Register) -> None:
+        self.registers = registers
 
     def __call__(self) -> bool:
-        return self.register.ready and self.register.have == self.register.chosen
+        return all(register.ready and register.have == register.chosen for register in self.registers)
 
 
 class Day:
@@ -174,6 +195,7 @@
         self.voter = 0.0  # when one was last restarted
         self.view = View()
         self.newest: tuple[Entry, Plan, bytes] | None = None
+        self.floor = (0, 1)  # of the newest entry: its number, and the format
         newer, middle, old = (own_abilities(range(1, last), version=str) for last in (4, 3, 2))
         self.kinds: tuple[Abilities | None, ...] = (newer, newer, middle, old, None)
         for node in self.cluster.nodes.values():
@@ -198,6 +220,11 @@
             self.counts["settled"] += 1
             self.judge()
 
+    def floored(self, entry: Entry, format: int) -> None:
+        if entry.number > self.floor[0]:
+            self.floor = (entry.number, format)
+            self.judge()
+
     def _after(self, node: Node) -> None:
         pusher = self.pushers.get(node.name)
         if pusher is not None and pusher.views.view.number > self.view.number:
@@ -205,32 +232,36 @@
             self.judge()
 
     def judge(self) -> None:
-        if self.newest is None:
-            return
-        needed = needs(self.newest[1], self.newest[2])
+        needed = needs(*self.newest[1:]) if self.newest is not None else None
         for placed in self.view.members:
             name = placed.who.name
             fleet = self.cluster.nodes[name].fleet
             if fleet is None or fleet.start != placed.start:
                 continue
-            why = lacks(needed, self.programs[name, placed.start] or OLDER, name)
-            if why:
-                self.breaches.append(
-                    f"{self.cluster.now:.2f} s: {name} in view {self.view.number} and plan "
-                    f"{self.newest[0].number}: {why[0].what}"
-                )
+            can = self.programs[name, placed.start] or OLDER
+            why = [one.what for one in lacks(needed, can, name)] if needed is not None else []
+            if not can.reads(self.floor[1]):
+                why.append(f"it does not read the floor, {self.floor[1]}")
+            for what in why:
+                self.breaches.append(f"{self.cluster.now:.2f} s: {name} in view {self.view.number}: {what}")
 
     # What befalls
 
     def push(self, plan: Plan) -> None:
-        """At whoever leads, if anybody does."""
+        """At whoever leads, if anybody does and does not push already."""
+        self._at_leader(lambda at, pusher: [] if pusher.body_pushed else pusher.begin(at, plan))
+
+    def move_floor(self, format: int) -> None:
+        self._at_leader(lambda at, pusher: pusher.move_floor(at, format))
+
+    def _at_leader(self, do: Callable[[Instant, Pusher], list[Out]]) -> None:
         for name, pusher in self.pushers.items():
             node = self.cluster.nodes[name]
             at = self.cluster.instant(node)
-            if node.fleet is not pusher.fleet or node.stopped or pusher.body_pushed is not None:
+            if node.fleet is not pusher.fleet or node.stopped:
                 continue
             if pusher.leads(at) and pusher.views.view.members:
-                self.cluster.say(node, pusher.begin(at, plan))
+                self.cluster.say(node, do(at, pusher))
                 return
 
     def restart(self, name: str, abilities: Abilities | None, away: float = 0.2) -> None:
@@ -243,7 +274,7 @@
         random, cluster = self.random, self.cluster
         others = list(cluster.nodes)[VOTERS:]
         one = random.choice(others)
-        match random.choices(range(8), (8, 3, 1, 2, 1, 1, 2, 6))[0]:
+        match random.choices(range(9), (8, 3, 1, 1, 1, 1, 2, 8, 2))[0]:
             case 0:
                 self.push(drawn(random))
             case 1:
@@ -263,26 +294,41 @@
                 cluster.cut_off([one], State(there=False))
             case 6:
                 cluster.mend()
-            case 7:  # one that was long out comes in while a plan is pushed, and a third is slow to answer
-                self.restart(one, random.choice(self.kinds), 12.0)
-                at = cluster.now + 12.0 + 1.5 * random.random()
-                node = cluster.nodes[random.choice([name for name in others if name != one])]
-                cluster.call(at - 0.1, cluster.stop, node)
-                cluster.call(at, self.push, drawn(random))
-                cluster.call(at + 2.0, cluster.go_on, node)
+            case 7:
+                self.come_in(one)
+            case 8:
+                self.move_floor(random.choice((1, 1, 2, 3)))
+
+    def come_in(self, name: str) -> None:
+        """One that is out comes in while a plan is pushed and another is slow to answer; else it goes out."""
+        cluster, random = self.cluster, self.random
+        cluster.net = State(delay=0.0005, jitter=0.0005)
+        out = [node for node in cluster.nodes.values() if node.fleet is None]
+        if not out:
+            cluster.kill(cluster.nodes[name])
+        elif self.newest is not None and needs(*self.newest[1:]).format > 1:
+            self.push(drawn(random, 1))  # so that older ones may come in at all
+        elif out[0].name not in self.view.names:
+            self.next[out[0].name] = random.choice(self.kinds[1:])
+            cluster.start(out[0])
+            slow = cluster.nodes[random.choice([other for other in cluster.nodes if other != out[0].name])]
+            at = cluster.now + random.random()
+            cluster.call(at - 0.05, cluster.stop, slow)
+            cluster.call(at, self.push, drawn(random, random.choice((2, 3))))
+            cluster.call(at + 2.0, cluster.go_on, slow)
 
     def play(self, seconds: float, quiet: float = 6.0) -> None:
         self.cluster.run(quiet)
         while self.cluster.now < seconds and not self.breaches:
             self.act()
-            self.cluster.run(self.cluster.now + self.random.expovariate(0.8))
+            self.cluster.run(self.cluster.now + self.random.expovariate(0.5))
 
 
-def drawn(random: Random) -> Plan:
-    """A plan of one of the formats, needing what that one came with."""
+def drawn(random: Random, format: int = 0) -> Plan:
+    """A plan of this format or any, needing what that one came with."""
     from wheatring.plan.words import PlanMatch, PlanRoute, PlanWindow, Ramp
 
-    format = random.choice((1, 1, 2, 3))
+    format = format or random.choice((1, 1, 2, 3))
     weights = {"blue": random.randrange(1, 1000), "green": 1}
     matches = [(f"r{number}", PlanMatch(prefix=f"/r{number}")) for number in range(3)]
     routes = tuple(PlanRoute(name=name, match=match, weights=weights) for name, match in matches)
@@ -297,10 +343,10 @@
 
 class _OutlivesItsView(Push):
     def moved(self, now: float, view: View) -> None:
-        if self.placed:
-            self.view = view
-        else:
-            super().moved(now, view)
+        before = dict(self.of)
+        super().moved(now, view)
+        if before:
+            self.of = {key: one for key, one in self.of.items() if key in before}
 
 
 class _SilentIsYes(Push):
@@ -335,3 +381,26 @@
 
 
 FAULTS: tuple[type[Skew], ...] = (OutlivesItsView, SilentIsYes, OpenGate)
+
+
+def check(days: int, seconds: float = 60.0, seed: int = 0) -> Iterator[tuple[bool, str]]:
+    """Plays days as they are, then days with each fault until it is found; whether all is well, and a line."""
+    played = [Day(number) for number in range(seed, seed + days)]
+    for day in played:
+        day.play(seconds)
+    counts = sum((day.counts for day in played), Counter())
+    told = ", ".join(f"{what} {count}" for what, count in sorted(counts.items()))
+    yield bool(counts["settled"]), f"{days} days of {seconds:g} s: {told}"
+    for day in played:
+        for breach in day.breaches[:1]:
+            yield False, f"breach: {breach}"
+    for fault in FAULTS:
+        what = " ".join((fault.__doc__ or "").split())
+        for number in range(seed, seed + max(20, days)):
+            day = Day(number, skew=fault)
+            day.play(seconds)
+            if day.breaches:
+                yield True, f"found after {number - seed + 1} days: {what} {day.breaches[0]}"
+                break
+        else:
+            yield False, f"not found: {what}"
