--- /dev/null
+++ b/tests/agree/test_skew.py
@@ -0,0 +1,313 @@
+"""What a plan needs, what a sidecar lacks for it, its trials, and the first that two answer differently."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from collections.abc import Mapping, Sequence
+from datetime import UTC, datetime
+from itertools import islice
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wheatring.lab.agree_pusher import Toy, body_of
+from wheatring.members.words import Placed, Who
+from wheatring.plan.words import NEWEST, Plan, PlanHeader, PlanMatch, PlanRoute, PlanWindow, Ramp, Trial
+from wheatring.skew.errors import BelowFloor, FloorInUse, FloorUnknown, FormatsUnknown
+from wheatring.skew.floor import MOST, OLD, Book, floor_body, floor_of, may_enter, raise_to
+from wheatring.skew.hunt import Hunt, Side
+from wheatring.skew.leader import Push
+from wheatring.skew.needs import Needs, lacks, needs, own_abilities
+from wheatring.skew.trials import Answers, Asked, asked, clock_changes, trials
+from wheatring.skew.words import FEATURES, OLDER, Abilities, Able, Survey, Try
+
+ALL = own_abilities(version=str)
+DAY = 20_700  # 4 September 2026
+WEIGHTS = {"blue": 3, "green": 1}
+
+matches = st.builds(
+    PlanMatch,
+    host=st.sampled_from(["", "a.test", "*.b.test"]),
+    prefix=st.sampled_from(["", "/a", "/ab/"]),
+    expression=st.sampled_from(["", "/v[0-9]+"]),
+    methods=st.sampled_from([(), ("PUT",)]),
+    headers=st.sampled_from([(), (PlanHeader(name="X", exact="1"), PlanHeader(name="Y"))]),
+)
+routes = st.builds(
+    PlanRoute,
+    name=st.sampled_from(["one", "two"]),
+    match=matches,
+    weights=st.just(WEIGHTS),
+    split_by=st.sampled_from(["", "customer"]),
+)
+windows = st.builds(
+    PlanWindow,
+    name=st.sampled_from(["w", "x"]),
+    route=st.just("one"),
+    weights=st.just(WEIGHTS),
+    start=st.sampled_from(["2026-10-25T01:30:00", "2026-01-01T00:00:00"]),
+    length=st.sampled_from([1.0, 3600.0]),
+    rrule=st.sampled_from(["", "FREQ=DAILY"]),
+    zone=st.sampled_from(["UTC", "Europe/Dublin"]),
+    ramp=st.sampled_from([None, Ramp(steps=2, every=0.1)]),
+    when_cut=st.sampled_from(["follow", "hold"]),
+)
+plans = st.builds(
+    Plan,
+    format=st.integers(1, NEWEST),
+    routes=st.lists(routes, max_size=4).map(tuple),
+    windows=st.lists(windows, max_size=3).map(tuple),
+)
+
+
+def needed(plan: Plan) -> Needs:
+    return needs(plan, body_of(plan))
+
+
+# Needs
+
+
+@given(plans, plans)
+def test_a_plan_with_more_in_it_never_needs_less(plan: Plan, more: Plan) -> None:
+    whole = msgspec.structs.replace(
+        plan, routes=plan.routes + more.routes, windows=plan.windows + more.windows
+    )
+    before, after = needed(plan), needed(whole)
+    assert before.features <= after.features and before.rules <= after.rules
+    numbers = [(n.format, n.written, n.routes, n.windows, n.expressions, n.bytes) for n in (before, after)]
+    assert all(one <= other for one, other in zip(*numbers, strict=True))
+
+
+def test_what_is_needed_is_read_off_the_plan_and_not_off_its_word() -> None:
+    route = PlanRoute(name="one", weights=WEIGHTS, split_by="customer")
+    lying = needed(Plan(format=1, routes=(route,)))
+    assert (lying.format, lying.written, *lying.features) == (3, 3, "split_by")
+    modest = needed(Plan(format=3, routes=(PlanRoute(name="one", weights=WEIGHTS),)))
+    assert (modest.format, modest.written) == (1, 3)
+
+
+abilities = st.builds(
+    Abilities,
+    st.sampled_from([((1, 1),), ((1, 2),), ((1, 3),), ((2, 3),), ((1, 1), (3, 3))]),
+    st.frozensets(st.sampled_from(sorted(FEATURES))),
+    st.integers(0, 4),
+    st.integers(0, 3),
+    st.integers(0, 1),
+    st.integers(100, 900),
+)
+
+
+@settings(max_examples=300)
+@given(plans, abilities)
+def test_nothing_is_lacking_iff_one_is_able(plan: Plan, can: Abilities) -> None:
+    need = needed(plan)
+    able = (
+        can.reads(need.written)
+        and need.features <= can.features
+        and need.routes <= can.routes
+        and need.windows <= can.windows
+        and need.expressions <= can.expressions
+        and need.bytes <= can.bytes
+    )
+    why = lacks(need, can, "n4")
+    assert (not why) == able
+    assert all(one.member == "n4" and one.code and one.what and one.do.endswith(".") for one in why)
+
+
+def test_who_lacks_something_is_told_what_and_what_would_do() -> None:
+    window = PlanWindow(name="w", route="one", weights={"b": 1}, start="2026-10-25T01:30:00", length=1,
+                        ramp=Ramp(steps=2, every=1))  # fmt: skip
+    route = PlanRoute(name="one", weights=WEIGHTS)
+    told = {one.code: one for one in lacks(needed(Plan(format=3, routes=(route,), windows=(window,))), OLDER)}
+    assert "in format 3, it reads 1" in told["unreadable-format"].what
+    assert "push a plan of format 1 without ramps, windows" in told["unreadable-format"].do
+    older = lacks(needed(Plan(format=3, routes=(route,))), OLDER)
+    assert [one.do for one in older] == ["Push the same plan in format 1, or upgrade it to read 3."]
+    few = msgspec.structs.replace(ALL, routes=1)
+    assert lacks(needed(Plan(format=1, routes=(route, route))), few)[0].code == "too-many-routes"
+
+
+def test_own_abilities_are_those_of_what_is_installed_and_of_the_formats_it_is_held_to() -> None:
+    bare = own_abilities(version=lambda name: "")
+    assert bare.features == {"headers", "holds", "ramps"} and bare.versions == ()
+    held = own_abilities([1, 3], version=lambda name: f"{name}-7")
+    assert held.formats == ((1, 1), (3, 3)) and not held.reads(2) and held.version("re2") == "google-re2-7"
+    assert "ramps" not in own_abilities([1, 2], version=str).features
+    for wrong in ([], [1, 4]):
+        with pytest.raises(FormatsUnknown):
+            own_abilities(wrong)
+
+
+# Trials
+
+
+class Odd(Toy):
+    """Another program: `after` trials as the rest, then one that is its own."""
+
+    def __init__(self, plan: Plan, wrong: int) -> None:
+        super().__init__(plan)
+        self.left = wrong
+
+    def way(self, trial: Trial) -> str:
+        self.left -= 1
+        return "other" if self.left == -1 else super().way(trial)
+
+
+def answered(plan: Plan, ruled: Toy) -> Answers:
+    answers = Answers(plan, ruled, DAY)
+    while not answers.work(7):
+        pass
+    return answers
+
+
+def hunted(one: Answers, other: Answers) -> tuple[Hunt, int]:
+    """A hunt that is over, and how many were asked for."""
+    hunt, asks = Hunt((one.count, other.count)), 0
+    while not hunt.done:
+        for side, answers in enumerate((one, other)):
+            if (upto := hunt.asks(side)) is not None:
+                asks += 1
+                hunt.shown(side, upto, Side(answers.prefix(upto), *answers.shown(upto - 1)))
+    return hunt, asks
+
+
+@settings(max_examples=60, deadline=None)
+@given(plans.filter(lambda plan: bool(plan.routes)), st.integers(0, 10_000))
+def test_halving_finds_the_first_answer_that_differs(plan: Plan, wrong: int) -> None:
+    plan = msgspec.structs.replace(plan, windows=())
+    usual = answered(plan, Toy(plan))
+    wrong %= usual.count
+    odd = answered(plan, Odd(plan, wrong))
+    assert odd.result != usual.result and odd.prefix(wrong) == usual.prefix(wrong)
+    hunt, asks = hunted(odd, usual)
+    assert hunt.high == wrong + 1 and asks <= 2 * (usual.count.bit_length() + 1)
+
+
+def test_one_with_more_trials_than_the_rest_is_found_by_the_first_that_is_more() -> None:
+    plan = Plan(format=1, routes=(PlanRoute(name="one", weights=WEIGHTS),))
+    more = msgspec.structs.replace(plan, routes=(*plan.routes, PlanRoute(name="two", weights=WEIGHTS)))
+    short, long = answered(plan, Toy(plan)), answered(more, Toy(plan))
+    hunt, _ = hunted(long, short)
+    assert hunt.longer and hunt.low == short.count and hunt.first().endswith("instead of no more trials")
+
+
+def test_prefixes_are_tried_at_their_borders_and_windows_at_theirs() -> None:
+    match = PlanMatch(prefix="/a", methods=("PUT",))
+    route = PlanRoute(name="one", match=match, weights=WEIGHTS, split_by="customer")
+    window = PlanWindow(name="w", route="one", weights={"b": 1}, start="2026-10-25T01:30:00", length=60,
+                        zone="Europe/Dublin")  # fmt: skip
+    plan = Plan(format=2, routes=(route,), windows=(window,))
+    found = list(trials(plan, Toy(plan), DAY))
+    requests = [one.trial for one in found if one.trial is not None]
+    assert {"/a", "/a/", "/ax", "/a/x"} <= {trial.target for trial in requests}
+    assert {"PUT", "GET"} == {trial.method for trial in requests}
+    assert len({trial.headers.get("customer") for trial in requests}) == 5
+    instants = {one.at for one in found if one.trial is None}
+    both = [datetime(2026, 10, 25, hour, 30, tzinfo=UTC).timestamp() for hour in (0, 1)]  # 01:30 comes twice
+    change = datetime(2026, 10, 25, 1, tzinfo=UTC).timestamp()
+    spring = datetime(2027, 3, 28, 1, tzinfo=UTC).timestamp()
+    edges = [*both, both[0] + 60, change, spring]
+    assert {at + apart for at in edges for apart in (-1, 0, 1)} <= instants
+
+
+def test_a_program_with_another_calendar_answers_otherwise() -> None:
+    class Late(Toy):
+        def edges(self, window: str, after: float, before: float) -> Sequence[float]:
+            return [after + 7]
+
+    class Heavy(Toy):
+        def weights(self, route: str, at: float) -> Mapping[str, int]:
+            return {"blue": int(at == change)}
+
+    window = PlanWindow(name="w", route="one", weights=WEIGHTS, start="2026-09-05T02:00:00", length=60,
+                        zone="Europe/Paris")  # fmt: skip
+    plan = Plan(format=2, routes=(PlanRoute(name="one", weights=WEIGHTS),), windows=(window,))
+    change = clock_changes(Toy(plan).zone("Europe/Paris"), DAY)[0]
+    results = {answered(plan, kind(plan)).result for kind in (Toy, Late, Heavy)}
+    assert len(results) == 3
+
+
+def test_trials_are_bounded_and_alike_in_any_process() -> None:
+    route = PlanRoute(name="r", match=PlanMatch(prefix="/a"), weights=WEIGHTS)
+    window = PlanWindow(name="w", route="r", weights=WEIGHTS, start="2026-10-25T01:30:00", length=60,
+                        rrule="FREQ=DAILY", zone="Europe/Dublin")  # fmt: skip
+    large = Plan(format=2, routes=(route,) * 10_000, windows=(window,) * 100)
+    assert sum(1 for _ in trials(large, Toy(large), DAY)) <= 41_000
+    plan = Plan(format=2, routes=(route,), windows=(window,), trials=(Trial(target="/own"),))
+    assert next(trials(plan, Toy(plan), DAY)) == Asked(Trial(target="/own"))
+    code = (
+        "import sys, msgspec; from wheatring.lab.agree_pusher import compiles\n"
+        "from wheatring.skew.trials import Answers\n"
+        "answers = Answers(*compiles(sys.stdin.buffer.read()), int(sys.argv[1])); answers.work(10**6)\n"
+        "print(answers.count, answers.result.hex())"
+    )
+    told = set()
+    for seed in ("1", "2"):
+        env = {"PYTHONHASHSEED": seed, "PYTHONPATH": ":".join(sys.path)}
+        call = [sys.executable, "-c", code, str(DAY)]
+        told.add(subprocess.run(call, input=body_of(plan), check=True, capture_output=True, env=env).stdout)
+    own = answered(plan, Toy(plan))
+    assert told == {f"{own.count} {own.result.hex()}\n".encode()} and own.count > 100
+    assert asked(next(islice(trials(plan, Toy(plan), DAY), 1, None))) == "GET /a/x host=any.test"
+
+
+# The floor
+
+
+def test_the_floor_rises_only_where_all_read_it_and_falls_only_where_no_plan_needs_it() -> None:
+    known = [("n1", ALL), ("n2", OLDER)]
+    with pytest.raises(BelowFloor, match=r"floor 2 is not read by 1 of 2: n2 \(1\)"):
+        raise_to(2, 1, None, known)
+    assert floor_of(raise_to(3, 1, None, known[:1])) == 3
+    settled = Needs(format=2, written=2)
+    with pytest.raises(FloorInUse):
+        raise_to(1, 3, settled, known[:1])
+    assert floor_of(raise_to(2, 3, settled, known[:1])) == 2
+    with pytest.raises(FloorUnknown):
+        raise_to(NEWEST + 1, 1, None, [])
+    assert floor_of(b"\xc1") is None and floor_of(floor_body(2)) == 2
+
+
+def test_who_may_not_come_in_is_told_by_which_law() -> None:
+    settled = Needs(format=3, written=3, features=frozenset({"ramps"}))
+    assert may_enter(ALL, 3, settled) == []
+    codes = [why.code for why in may_enter(OLDER, 2, settled, "n9")]
+    assert codes == ["below-floor", "unreadable-format", "unable"]
+    newer = msgspec.structs.replace(ALL, formats=((2, 3),))
+    assert "Raise the floor" in may_enter(newer, 1, None)[0].do
+
+
+def test_what_is_known_of_processes_is_bounded_and_of_one_start_only() -> None:
+    book = Book()
+    one = Placed(Who("n1", "127.0.0.1", 1), 5)
+    assert book.abilities(0.0, one) is None and book.asks(0.0) == [one] and book.asks(0.1) == []
+    assert book.abilities(OLD - 0.1, one) is None and book.asks(OLD - 0.1) == [one]
+    assert book.abilities(OLD, one) == OLDER  # it goes on knocking, and has not these words
+    book.learn("n1", 5, ALL)
+    assert book.abilities(OLD, one) == ALL and book.abilities(OLD, one._replace(start=6)) is None
+    assert book.asks(3 * OLD) == [] and not book.asking  # it knocks no more
+    for number in range(MOST + 10):
+        book.learn(f"m{number}", 1, ALL)
+    assert len(book.known) == MOST and ("n1", 5) not in book.known
+
+
+# The leader of a push, by hand
+
+
+def test_words_of_another_process_or_push_count_for_nobody() -> None:
+    from wheatring.members.view import View
+
+    view = View(1, 1, (Placed(Who("n1", "127.0.0.1", 1), 5),))
+    push = Push(0.0, 77, b"d" * 16, Needs(), DAY, view)
+    assert [type(word) for _, word in push.step(0.0)] == [Survey]
+    push.hear("n1", Able(77, 6, ALL))
+    push.hear("n1", Able(78, 5, ALL))
+    push.hear("n2", Able(77, 5, ALL))
+    push.step(0.1)
+    assert push.verdict(0.1, True).asked == 0
+    push.hear("n1", Able(77, 5, ALL))
+    push.step(0.2)
+    assert [type(word) for _, word in push.step(0.3)] == [Try]
--- /dev/null
+++ b/tests/agree/test_skew_fleet.py
@@ -0,0 +1,331 @@
+"""A plan is held back until every sidecar of the view understands it: fleets in virtual time."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+from typing import Any
+
+import msgspec
+import pytest
+
+from wheatring.lab.agree_pusher import Pusher, Toy, drawn
+from wheatring.lab.agree_skew import Day, OpenGate, OutlivesItsView, SilentIsYes
+from wheatring.lab.live.links.state import State
+from wheatring.members.view import View
+from wheatring.members.words import Placed, Who
+from wheatring.plan.judge import Reason, Stage
+from wheatring.plan.words import Plan
+from wheatring.skew.floor import OLD
+from wheatring.skew.judge import Skew
+from wheatring.skew.leader import Push
+from wheatring.skew.needs import Needs, own_abilities
+from wheatring.skew.words import Abilities, Able, Show, Survey, Tried, Try
+
+NEWER, OLDER = own_abilities(version=str), own_abilities([1], version=str)
+
+
+def plan(format: int) -> Plan:
+    return drawn(Random(7), format)
+
+
+class Fleet(Day):
+    """`out` are not started with the rest; `count` counts words, by their types."""
+
+    def __init__(self, *out: str, size: int = 7, skew: type[Skew] = Skew, **next_: Abilities | None) -> None:
+        super().__init__(5, size, skew)
+        self.next |= next_
+        self.count: Counter[str] = Counter()
+        arrive = self.cluster.arrive
+
+        def counted(node: Any, sender: str, word: Any) -> None:
+            self.count[type(word).__name__] += 1
+            arrive(node, sender, word)
+
+        self.cluster.arrive = counted  # type: ignore[method-assign]
+        for name in out:
+            self.cluster.call(1.0, self.cluster.kill, self.cluster.nodes[name])
+        self.after(20.0 if out else 6.0)
+        assert self.view.names == self.cluster.nodes.keys() - {*out}
+
+    def after(self, seconds: float) -> None:
+        self.cluster.run(self.cluster.now + seconds)
+
+    def pushed(self, format: int, seconds: float = 2.0) -> str:
+        """Push, and say what came of it within so many seconds."""
+        before = self.counts["settled"]
+        self.push(plan(format))
+        self.after(seconds)
+        if self.counts["settled"] > before:
+            return "settled"
+        return "refused" if self.refused else "open"
+
+    def start(self, name: str, abilities: Abilities | None) -> None:
+        self.next[name] = abilities
+        self.cluster.start(self.cluster.nodes[name])
+
+    def leader(self) -> Pusher:
+        at = self.cluster.instant(self.cluster.nodes["n0"])
+        return next(p for n, p in self.pushers.items() if self.cluster.nodes[n].fleet and p.leads(at))
+
+    def why(self) -> list[tuple[str, str]]:
+        return sorted({(one.member, one.code) for one in self.refused})
+
+
+def test_a_plan_that_all_understand_is_settled_and_each_is_asked_once() -> None:
+    fleet = Fleet()
+    assert fleet.pushed(3, 1.0) == "settled" and not fleet.breaches
+    assert (fleet.count["Survey"], fleet.count["Try"], fleet.count["Tried"]) == (7, 7, 7)
+
+
+def test_who_is_older_is_named_with_what_it_lacks_and_nothing_is_settled() -> None:
+    fleet = Fleet(n4=OLDER, n5=own_abilities([1, 2], version=str))
+    assert fleet.pushed(3) == "refused" and fleet.newest is None
+    assert {name for name, _ in fleet.why()} == {"n4", "n5"}
+    assert ("n4", "unable") in fleet.why() and ("n5", "unreadable-format") in fleet.why()
+    assert fleet.pushed(1) == "settled"
+
+
+@pytest.mark.parametrize("skew", [Skew, SilentIsYes])
+def test_one_that_does_not_answer_is_refused_by_name(skew: type[Skew]) -> None:
+    fleet = Fleet(skew=skew, n5=None)  # a program that has not these words
+    fleet.push(plan(2))
+    fleet.after(12.0)
+    if skew is Skew:
+        assert fleet.why() == [("n5", "silent")] and not fleet.breaches and fleet.newest is None
+        assert "has not answered the survey for 8" in fleet.refused[0].what
+    else:  # what the rule above guards against, and that it is seen
+        assert fleet.breaches
+
+
+def test_one_that_stops_after_the_survey_is_waited_for_and_named_meanwhile() -> None:
+    fleet = Fleet()
+    leader = fleet.leader()
+    fleet.push(plan(1))
+    while leader.skew.verdict(fleet.cluster.now).stage is Stage.SURVEYED:
+        fleet.after(0.005)
+    fleet.cluster.stop(fleet.cluster.nodes["n6"])
+    fleet.after(4.0)
+    late = leader.skew.verdict(fleet.cluster.now)
+    assert (late.stage, late.asked, late.of) == (Stage.TRIED, 6, 7)
+    assert [(one.member, one.code) for one in late.reasons] == [("n6", "silent")]
+    fleet.cluster.go_on(fleet.cluster.nodes["n6"])
+    fleet.after(1.0)
+    assert fleet.counts["settled"] == 1
+
+
+def test_who_decides_otherwise_is_named_with_the_first_request_that_differs() -> None:
+    fleet = Fleet("n5")
+
+    def odd(body: bytes) -> tuple[Plan, Toy]:
+        made = msgspec.json.decode(body, type=Plan)
+        return made, Toy(made, odd=True)
+
+    fleet.compiles["n5"] = odd
+    fleet.start("n5", msgspec.structs.replace(NEWER, versions=(("re2", "1"), ("tzdata", "2020.1"))))
+    fleet.after(4.0)
+    assert fleet.pushed(2) == "refused" and fleet.why() == [("n5", "disagrees")]
+    assert fleet.refused[0].what == (
+        "it answers otherwise than 6 of 7: GET /r0x host=any.test: r0 instead of none; "
+        "it has tzdata 2020.1 instead of tzdata"
+    )
+    assert fleet.count["Show"] <= 2 * 10
+
+
+def test_who_can_not_compile_it_is_named_with_its_error() -> None:
+    fleet = Fleet("n5")
+
+    def fails(body: bytes) -> tuple[Plan, Toy]:
+        raise ValueError("routes[0].match:\n no such thing")
+
+    fleet.compiles["n5"] = fails
+    fleet.start("n5", NEWER)
+    fleet.after(4.0)
+    assert fleet.pushed(1, 4.0) == "refused" and fleet.why() == [("n5", "not-compiled")]
+    assert fleet.refused[0].what == "routes[0].match: no such thing"
+
+
+def joins(abilities: Abilities, skew: type[Skew] = Skew) -> Fleet:
+    """One comes in while a plan is pushed, and another is slow to answer."""
+    fleet = Fleet("n6", skew=skew)
+    fleet.cluster.stop(fleet.cluster.nodes["n5"])
+    fleet.push(plan(3))
+    fleet.start("n6", abilities)
+    fleet.after(2.0)
+    assert "n6" in fleet.view.names and fleet.newest is None
+    fleet.cluster.go_on(fleet.cluster.nodes["n5"])
+    fleet.after(4.0)
+    return fleet
+
+
+def test_who_comes_in_meanwhile_is_asked_too_and_nobody_twice() -> None:
+    fleet = joins(NEWER)
+    assert fleet.counts["settled"] == 1 and not fleet.breaches
+    assert fleet.count["Try"] == 7 and fleet.count["Survey"] <= 6 + 1 + 5
+
+
+def test_who_comes_in_meanwhile_and_is_older_keeps_the_plan_from_being_settled() -> None:
+    fleet = joins(OLDER)
+    assert fleet.newest is None and {name for name, _ in fleet.why()} == {"n6"}
+    assert joins(OLDER, OutlivesItsView).breaches
+
+
+def test_one_that_can_not_read_what_is_settled_does_not_come_in_and_is_told_why() -> None:
+    fleet = Fleet("n6")
+    assert fleet.pushed(3) == "settled"
+    fleet.start("n6", OLDER)
+    fleet.after(5.0)
+    waits = fleet.pushers["n6"].views.told_wait
+    assert "n6" not in fleet.view.names and waits is not None and "in format 3, it reads 1" in waits.why
+    assert fleet.pushed(1) == "settled"
+    fleet.after(2.0)
+    assert "n6" in fleet.view.names and not fleet.breaches
+
+
+def test_the_gate_is_what_keeps_it_out() -> None:
+    fleet = Fleet("n6", skew=OpenGate)
+    assert fleet.pushed(3) == "settled"
+    fleet.start("n6", OLDER)
+    fleet.after(5.0)
+    assert fleet.breaches
+
+
+def test_a_program_without_these_words_counts_as_one_that_reads_format_1() -> None:
+    fleet = Fleet("n6")
+    assert fleet.pushed(1) == "settled"
+    fleet.start("n6", None)
+    fleet.after(OLD - 1.0)
+    assert "n6" not in fleet.view.names
+    fleet.after(4.0)
+    assert "n6" in fleet.view.names
+    fleet = Fleet("n6")
+    assert fleet.pushed(3) == "settled"
+    fleet.start("n6", None)
+    fleet.after(OLD + 5.0)
+    assert "n6" not in fleet.view.names
+
+
+def test_the_next_leader_knows_what_is_settled_and_keeps_the_gate() -> None:
+    fleet = Fleet("n6")
+    assert fleet.pushed(3) == "settled"
+    fleet.cluster.kill(fleet.cluster.nodes[fleet.leader().fleet.me.name])
+    fleet.start("n6", OLDER)
+    fleet.after(25.0)
+    assert "n6" not in fleet.view.names and len(fleet.view.names) == 5 and not fleet.breaches
+
+
+def test_a_leader_that_can_not_read_what_is_settled_lets_nobody_in() -> None:
+    fleet = Fleet()
+    leader = fleet.leader()
+    leader.skew.took(None, b"x" * 9)
+    at = fleet.cluster.instant(fleet.cluster.nodes["n0"])
+    placed = fleet.view.members[-1]
+    assert [one.code for one in leader.skew.admits(at, placed)] == ["settled-unreadable"]
+    assert [one.code for one in leader.skew.own()] == ["settled-unreadable"]
+
+
+def test_nobody_comes_in_while_a_plan_is_chosen_nor_a_plan_while_a_view_is() -> None:
+    fleet = Fleet()
+    skew = fleet.leader().skew
+    at = fleet.cluster.instant(fleet.cluster.nodes["n0"])
+    placed = fleet.view.members[-1]
+    assert skew.admits(at, placed) == ()
+    skew.plan_still = lambda: False
+    assert [one.code for one in skew.admits(at, placed)] == ["unsurveyed"]
+    skew.view_still = lambda: False
+    fleet.push(plan(1))
+    fleet.after(2.0)
+    assert skew.verdict(fleet.cluster.now).stage is Stage.TRIED and fleet.newest is None
+    skew.view_still = lambda: True
+    assert skew.verdict(fleet.cluster.now).stage is Stage.YES
+
+
+def test_loss_of_a_third_delays_and_no_more() -> None:
+    fleet = Fleet()
+    fleet.cluster.net = State(delay=0.0005, jitter=0.0005, drop=0.3)
+    assert fleet.pushed(3, 8.0) == "settled" and not fleet.breaches
+
+
+def test_the_floor_keeps_older_ones_out_and_moves_by_a_call_only() -> None:
+    fleet = Fleet("n6", n5=own_abilities([1, 2], version=str))
+    for format in (3, 3, 2):  # at first nobody has been asked yet
+        fleet.move_floor(format)
+        fleet.after(1.0)
+    assert fleet.counts["floor: unsurveyed"] == fleet.counts["floor: below-floor"] == 1
+    assert {pusher.skew.floor for name, pusher in fleet.pushers.items() if name != "n6"} == {2}
+    fleet.start("n6", OLDER)
+    fleet.after(5.0)
+    waits = fleet.pushers["n6"].views.told_wait
+    assert "n6" not in fleet.view.names and waits is not None and "the fleet's floor is 2" in waits.why
+    assert fleet.pushed(2) == "settled"
+    fleet.move_floor(1)
+    fleet.after(1.0)
+    assert fleet.counts["floor: floor-in-use"] == 1 and fleet.pushed(1) == "settled"
+    fleet.move_floor(1)
+    fleet.after(3.0)
+    assert fleet.floor[1] == 1 and "n6" in fleet.view.names and not fleet.breaches
+
+
+# A push of a large fleet, by hand
+
+
+def large(size: int) -> Push:
+    placed = tuple(Placed(Who(f"n{number:04}", "127.0.0.1", 1 + number), 9) for number in range(size))
+    return Push(0.0, 5, b"d" * 16, Needs(bytes=20_000), 20_700, View(1, 1, placed))
+
+
+def said(push: Push, now: float) -> list[Any]:
+    return [word for _, word in push.step(now)]
+
+
+def test_a_thousand_are_asked_over_two_seconds_and_again_only_while_they_do_not_answer() -> None:
+    push, most, asked = large(1000), 0, 0
+    for tick in range(60):
+        out = push.step(tick * 0.05)
+        most, asked = max(most, len(out)), asked + sum(isinstance(word, Survey) for _, word in out)
+        for (_, port), word in out:
+            if isinstance(word, Survey) and port > 10:
+                push.hear(f"n{port - 1:04}", Able(5, 9, NEWER))
+    assert most <= 26 + 10 and push.stage is Stage.SURVEYED
+    assert 990 + 10 * 5 <= asked <= 990 + 10 * 6
+
+
+def test_a_hunt_goes_on_while_a_word_is_lost_and_is_given_up_at_last() -> None:
+    push = large(3)
+    said(push, 0.01)
+    for name, start in list(push.of):
+        push.hear(name, Able(5, start, NEWER))
+    said(push, 0.05)
+    assert {type(word) for word in said(push, 0.1)} == {Try}
+    for number, (name, start) in enumerate(list(push.of)):
+        push.hear(name, Tried(5, start, b"odd" if number == 1 else b"rest", 100))
+    shows = [word for now in (0.2, 0.3, 0.8) for word in said(push, now)]
+    assert shows == [Show(5, 100)] * 4  # both at once, and once more after half a second
+    push.step(6.0)
+    verdict: tuple[Reason, ...] = push.verdict(6.0, True).reasons
+    assert [(one.member, one.code) for one in verdict] == [("n0001", "disagrees")]
+    assert "was not found in time" in verdict[0].what
+
+
+def test_who_went_no_longer_counts() -> None:
+    push = large(3)
+    said(push, 0.01)
+    for name, start in list(push.of)[:2]:
+        push.hear(name, Able(5, start, NEWER))
+    push.moved(1.0, View(2, 1, push.view.members[:2]))
+    push.step(1.0)
+    assert push.verdict(1.0, True)[:4] == (Stage.TRIED, 2, 0, 2)
+    assert {type(word) for now in (1.1, 2.0) for word in said(push, now)} == {Try}
+
+
+# Drawn days
+
+
+def test_in_drawn_days_nobody_is_in_a_plan_that_it_can_not_read() -> None:
+    settled = 0
+    for seed in range(3):
+        day = Day(seed)
+        day.play(40.0)
+        assert day.breaches == []
+        settled += day.counts["settled"]
+    assert settled >= 3
--- a/wheatring/lab/agree_skew.py
+++ b/wheatring/lab/agree_skew.py
@@ -10,173 +10,33 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterator, Mapping, Sequence
-from datetime import tzinfo
+from collections.abc import Callable, Iterator
 from random import Random
-from zoneinfo import ZoneInfo
 
-import msgspec
-
-from wheatring.errors import Told
+from wheatring.lab.agree_pusher import Pusher, compiles, drawn
 from wheatring.lab.leases.cluster import Cluster, Node
 from wheatring.lab.live.links.state import State
 from wheatring.lease.fleet import Fleet, Instant, Out, Piece
-from wheatring.lease.register import LEAD, Register
 from wheatring.lease.terms import Terms
 from wheatring.lease.views import Views
 from wheatring.lease.voters import Voters, first
 from wheatring.lease.words import Entry
 from wheatring.members.pace import Pace
 from wheatring.members.view import View
+from wheatring.members.words import Placed
 from wheatring.peers.pieces import LEADS
-from wheatring.plan.judge import Reason, Stage
-from wheatring.plan.words import Plan, Trial
+from wheatring.plan.judge import Reason
+from wheatring.plan.words import Plan
 from wheatring.skew.judge import Skew
 from wheatring.skew.leader import Push
+from wheatring.skew.member import Compile
 from wheatring.skew.needs import lacks, needs, own_abilities
 from wheatring.skew.words import OLDER, Abilities, Tried
 
 VOTERS = 3
-LOOK = 0.1  # seconds from one look at a verdict to the next
 Programs = dict[tuple[str, int], Abilities | None]  # what each process can; None: it has not these words
 
 
-class Toy:
-    """A plan as this lab compiles it: the route whose path or prefix is that of the request. `odd`: a program
-    that takes a prefix without its segments' borders."""
-
-    def __init__(self, plan: Plan, odd: bool = False) -> None:
-        self.plan = plan
-        self.odd = odd
-
-    def way(self, trial: Trial) -> str:
-        path = trial.target if self.odd else trial.target + "/"
-        for route in self.plan.routes:
-            if path.startswith(route.match.prefix + ("" if self.odd else "/")):
-                return route.name
-        return "none"
-
-    def zone(self, name: str) -> tzinfo:
-        return ZoneInfo(name)
-
-    def weights(self, route: str, at: float) -> Mapping[str, int]:
-        return next(one.weights for one in self.plan.routes if one.name == route)
-
-    def edges(self, window: str, after: float, before: float) -> Sequence[float]:
-        return ()
-
-
-def body_of(plan: Plan) -> bytes:
-    return msgspec.json.encode(plan)
-
-
-def compiles(body: bytes) -> tuple[Plan, Toy]:
-    plan = msgspec.json.decode(body, type=Plan)
-    return plan, Toy(plan)
-
-
-class Pusher:
-    """Pushes one plan at a time, as the plan's own part does: begins, tells the judge of views, puts."""
-
-    hears: tuple[type, ...] = ()
-
-    def __init__(self, at: Instant, days: Day, fleet: Fleet, abilities: Abilities, skew: type[Skew]) -> None:
-        self.days, self.fleet, self.abilities = days, fleet, abilities
-        self.views = Views(at, fleet)
-        self.register = Register(at, "plan", fleet, self._chosen)
-        self.floors = Register(at, "floor", fleet, self._floor)
-        stills = _Still(self.views.register), _Still(self.register, self.floors)
-        self.skew = skew(fleet, abilities, compiles, *stills)
-        self.views.admits = self._admits
-        self.body_pushed: bytes | None = None
-        self.judged = View()
-        self.due = at.now
-
-    @property
-    def pieces(self) -> list[Piece]:
-        return [self.views, self.views.register, self.register, self.floors, self.skew, self]
-
-    def _admits(self, at: Instant, placed: object) -> str:
-        why = self.skew.admits(at, placed)  # type: ignore[arg-type]
-        self.days.counts.update(f"shut out: {one.code}" for one in why)
-        return why[0].what if why else ""
-
-    def _chosen(self, at: Instant, entry: Entry, body: bytes) -> list[Out]:
-        plan = msgspec.json.decode(body, type=Plan)
-        blind = lacks(needs(plan, body), self.abilities)
-        self.skew.took(None if blind else plan, body)
-        self.days.settled(entry, plan, body)
-        return []
-
-    def _floor(self, at: Instant, entry: Entry, body: bytes) -> list[Out]:
-        self.skew.took_floor(body)
-        self.days.floored(entry, self.skew.floor)
-        return []
-
-    def move_floor(self, at: Instant, format: int) -> list[Out]:
-        try:
-            body = self.skew.floor_to(at, format, self.views.view)
-        except Told as bad:
-            self.days.counts[f"floor: {bad.code}"] += 1
-            return []
-        self.days.counts["floor: put"] += 1
-        return self.floors.put(at, body)
-
-    def leads(self, at: Instant) -> bool:
-        epoch = self.fleet.duties[LEAD].act(at.boot)
-        return self.register.ready and epoch is not None and epoch == self.register.epoch
-
-    def begin(self, at: Instant, plan: Plan) -> list[Out]:
-        self.body_pushed = body_of(plan)
-        self.judged = self.views.view
-        return self.skew.begin(at, self.fleet.bodies.put(self.body_pushed), plan, self.judged)
-
-    def tick(self, at: Instant) -> list[Out]:
-        self.due = at.now + LOOK
-        if self.leads(at) and self.skew.own():  # it could let nobody in
-            self.days.counts["stepped back"] += 1
-            return self.fleet.release(at, LEAD, 10.0)
-        if self.body_pushed is None:
-            return []
-        if not self.leads(at):
-            return self._end("leader lost")
-        out: list[Out] = []
-        if self.views.view.number != self.judged.number:
-            self.judged = self.views.view
-            out += self.skew.moved(at, self.judged)
-        verdict = self.skew.verdict(at.now)
-        if verdict.stage is Stage.NO:
-            self.days.refused += verdict.reasons
-            return out + self._end("refused: " + " ".join(sorted({why.code for why in verdict.reasons})))
-        now_ = verdict.stage is Stage.YES and verdict.view == self.views.view.number
-        if now_ and self.views.sure(at.now) and self.register.have == self.register.chosen:
-            out += self.register.put(at, self.body_pushed)
-            return out + self._end("put")
-        return out
-
-    def _end(self, what: str) -> list[Out]:
-        self.days.counts[what] += 1
-        self.body_pushed = None
-        self.skew.end()
-        return []
-
-    def hear(self, at: Instant, sender: str, address: tuple[str, int], word: object) -> list[Out]:
-        return []
-
-    def body(self, at: Instant, digest: bytes, body: bytes | None) -> list[Out]:
-        return []
-
-
-class _Still:
-    """Whether this sidecar leads these registers, and no entry of theirs is being chosen."""
-
-    def __init__(self, *registers: Register) -> None:
-        self.registers = registers
-
-    def __call__(self) -> bool:
-        return all(register.ready and register.have == register.chosen for register in self.registers)
-
-
 class Day:
     """A fleet for a while. `counts` of what happened, `breaches` of what must never hold."""
 
@@ -188,6 +48,7 @@
         self.skew = skew
         self.programs: Programs = {}
         self.next: dict[str, Abilities | None] = {}
+        self.compiles: dict[str, Compile] = {}  # of those who do it otherwise
         self.pushers: dict[str, Pusher] = {}
         self.counts: Counter[str] = Counter()
         self.refused: tuple[Reason, ...] = ()
@@ -209,7 +70,9 @@
         if abilities is None:
             views = Views(at, fleet)
             return [views, views.register]
-        pusher = self.pushers[fleet.me.name] = Pusher(at, self, fleet, abilities, self.skew)
+        pusher = self.pushers[fleet.me.name] = Pusher(
+            at, self, fleet, abilities, self.skew, self.compiles.get(fleet.me.name, compiles)
+        )
         return pusher.pieces
 
     # Rules
@@ -324,20 +187,6 @@
             self.cluster.run(self.cluster.now + self.random.expovariate(0.5))
 
 
-def drawn(random: Random, format: int = 0) -> Plan:
-    """A plan of this format or any, needing what that one came with."""
-    from wheatring.plan.words import PlanMatch, PlanRoute, PlanWindow, Ramp
-
-    format = format or random.choice((1, 1, 2, 3))
-    weights = {"blue": random.randrange(1, 1000), "green": 1}
-    matches = [(f"r{number}", PlanMatch(prefix=f"/r{number}")) for number in range(3)]
-    routes = tuple(PlanRoute(name=name, match=match, weights=weights) for name, match in matches)
-    ramp = Ramp(steps=4, every=1.0) if format == 3 else None
-    window = PlanWindow(name="w", route="r1", weights={"blue": 1}, start="2026-10-25T01:30:00", length=60.0,
-                        zone="Europe/Dublin", ramp=ramp)  # fmt: skip
-    return Plan(format=format, routes=routes, windows=(window,) if format > 1 else ())
-
-
 # Planted
 
 
@@ -376,7 +225,7 @@
 class OpenGate(Skew):
     """Whoever knocks comes in."""
 
-    def admits(self, at: Instant, placed: object) -> tuple[Reason, ...]:
+    def admits(self, at: Instant, placed: Placed) -> tuple[Reason, ...]:
         return ()
 
 
@@ -384,7 +233,7 @@
 
 
 def check(days: int, seconds: float = 60.0, seed: int = 0) -> Iterator[tuple[bool, str]]:
-    """Plays days as they are, then days with each fault until it is found; whether all is well, and a line."""
+    """Plays days as they are, then days with each fault until it is found: whether all is well, a line."""
     played = [Day(number) for number in range(seed, seed + days)]
     for day in played:
         day.play(seconds)
