Move what the daemon has of one pool into wheatring.pool.ServingPool, with no change of behaviour

A sidecar that serves several pools needs decision module, driver, connections and list once for each. ServingPool makes them in the order, at the instants and from the seeds that the daemon did; the daemon has exactly one, and its names (driver, pool, machine_list) stay. The reading of the house's floors: pool.py stands on floor 5, and the daemon may import it.

Modules loaded at a start: the same but for wheatring.pool itself.

--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -17,6 +17,7 @@
     ("wheatring.serving", 6),
     ("wheatring.daemon", 5),
     ("wheatring.plugin", 5),
+    ("wheatring.pool", 5),
     ("wheatring.control", 4),
     ("wheatring.http1", 4),
     ("wheatring.peers", 4),
@@ -60,6 +61,7 @@
     ("wheatring.control", "wheatring.http1.parser"),  # the operators' calls are HTTP too
     ("wheatring.config", "lapisway"),
     ("wheatring.operators", "wheatring.config"),
+    ("wheatring.daemon", "wheatring.pool"),
 }
 HOOKS = {"wheatring.http1": "wheatring.ops"}  # a hook of a line or two, and only when it is turned on
 
--- a/wheatring/daemon.py
+++ b/wheatring/daemon.py
@@ -7,7 +7,6 @@
 import time
 from collections.abc import Callable, Mapping
 from contextlib import ExitStack
-from random import Random
 from typing import TYPE_CHECKING, Any
 
 from wheatring import config, log, operators
@@ -15,7 +14,6 @@
 
 if TYPE_CHECKING:  # what belongs to a feature is imported once that is turned on
     from lapisway.interface import View
-    from lapisway.policy import Balancer
     from wheatring.config.file import File
     from wheatring.control.desk import Desk
     from wheatring.control.door import Door
@@ -46,19 +44,13 @@
         own: str | None = None,
         said: File | None = None,
     ) -> None:
-        from lapisway.policy import Balancer
         from wheatring.core.body import room_in
         from wheatring.core.clock import Clock
-        from wheatring.core.driver import Driver
         from wheatring.core.exchange import Exchange
-        from wheatring.http1.client import Pool
-        from wheatring.http1.machine_list import MachineList
         from wheatring.http1.server import Server
-        from wheatring.lifecycle.asking import DEFAULT, Asking
-        from wheatring.lifecycle.freshness import Freshness
+        from wheatring.pool import ServingPool
 
         settings = told.settings
-        limits = settings.limits
         self.reactor = reactor
         self.told = told
         self.own = own
@@ -66,24 +58,15 @@
         self.first_asked = asked
         self.clock = Clock(reactor, unix)
         self.exchange = Exchange(self.clock, settings.contract.answer_slack)
-        balancer = Balancer(settings, told.seed)
-        self.driver = Driver(balancer, self.exchange, self.clock)
         room = room_in(told.memory_mb, 2 if told.control else 1)
         self.places = told.sockets - RESERVE - (CALLS if told.control else 0)
         claims = int(self.places * CLAIMS)
-        self.pool = Pool(
-            reactor, self.clock, self.exchange, limits.connect_timeout, limits.idle_timeout, claims, room
-        )
-        copies, number, now = settings.copies, settings.number, self.clock.now()
-        freshness = Freshness(copies, number, Random(f"{told.seed}:list"), now)
-        asking = Asking(
-            copies,
-            number,
-            settings.contract.ask_within,
-            Random(f"{told.seed}:asking"),
-            now,
-            DEFAULT if said is None else pace_of(said),
+        pace = () if said is None else (pace_of(said),)
+        self.serving = ServingPool(
+            reactor, self.clock, self.exchange, settings, told.seed, claims, room, *pace
         )
+        self.driver = self.serving.driver
+        self.pool = self.serving.pool
         self.server = Server(reactor, self.clock, self.exchange, settings.classes, self.places - claims, room)
         on_view: Callable[[View], None] = self.driver.feed
         self.status = 0  # with which the process ends
@@ -99,12 +82,9 @@
             on_view = self.open_desk(told.control)
         if said is not None and said.fleet is not None:
             on_view = self.join_fleet(said, on_view)
-        self.machine_list = MachineList(
-            reactor, self.clock, told.discovery, self.pool.addresses, on_view, freshness, asking
-        )
-        self.driver.machine_list = self.machine_list
+        self.machine_list = self.serving.list_from(told.discovery, on_view)
         if capture:
-            self.capture(balancer)
+            self.capture()
         if asked.audit.on:
             self.keep_audit()
         if self.listing is not None:
@@ -161,7 +141,7 @@
         self.pool.most = int(places * CLAIMS)
         self.server.resize(places - self.pool.most)
 
-    def capture(self, balancer: Balancer) -> None:
+    def capture(self) -> None:
         from wheatring.ops.capture import record
         from wheatring.ops.capture.ring import Ring
 
@@ -172,7 +152,7 @@
         for line in record.header(told.name, told.seed, clock.unix_offset, told.given):
             self.ring.write(line)
         self.driver.balancer = record.Recorder(
-            balancer, clock.unix_offset, self.ring.write, self.driver.ident, self.pool.idle_at
+            self.serving.balancer, clock.unix_offset, self.ring.write, self.driver.ident, self.pool.idle_at
         )
 
     def start(self) -> None:
--- /dev/null
+++ b/wheatring/pool.py
@@ -0,0 +1,61 @@
+"""One pool that serves: its decision module, driver, kept connections and machine list.
+
+The plain daemon has exactly one. Guards that the parts of one pool know each other and nothing of another's:
+what is decided, dialled, listed and doubted here stays here. Driver and connections hang themselves into the
+exchange that they are given, so no two pools may have the same one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from lapisway.interface import Settings, View
+from lapisway.policy import Balancer
+from wheatring.core.body import Room
+from wheatring.core.clock import Clock
+from wheatring.core.driver import Driver
+from wheatring.core.exchange import Exchange
+from wheatring.http1.client import Pool
+from wheatring.http1.machine_list import MachineList
+from wheatring.lifecycle.asking import DEFAULT, Asking, Pace
+from wheatring.lifecycle.freshness import Freshness
+
+
+class ServingPool:
+    """`seed` is the decision module's; the list's timetables draw from seeds that begin with its text. `most`
+    is how many connections to nodes it may hold; `room` is what bodies may take, over all pools."""
+
+    __slots__ = ("asking", "balancer", "clock", "driver", "freshness", "machine_list", "pool", "reactor")
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        exchange: Exchange,
+        settings: Settings,
+        seed: int,
+        most: int,
+        room: Room,
+        pace: Pace = DEFAULT,
+    ) -> None:
+        limits, copies, number = settings.limits, settings.copies, settings.number
+        self.reactor = reactor
+        self.clock = clock
+        self.balancer = Balancer(settings, seed)
+        self.driver = Driver(self.balancer, exchange, clock)
+        self.pool = Pool(reactor, clock, exchange, limits.connect_timeout, limits.idle_timeout, most, room)
+        now = clock.now()
+        self.freshness = Freshness(copies, number, Random(f"{seed}:list"), now)
+        within = settings.contract.ask_within
+        self.asking = Asking(copies, number, within, Random(f"{seed}:asking"), now, pace)
+        self.machine_list: MachineList
+
+    def list_from(self, discovery: tuple[str, int], on_view: Callable[[View], None]) -> MachineList:
+        """Its own list, from that discovery; each view goes to `on_view`, which hands it to the driver."""
+        self.machine_list = MachineList(
+            self.reactor, self.clock, discovery, self.pool.addresses, on_view, self.freshness, self.asking
+        )
+        self.driver.machine_list = self.machine_list
+        return self.machine_list
