Serve several pools by routes of the configuration file, swapped whole on SIGHUP

One sidecar is to front several kinds of nodes. The file gets [pool.NAME] (a list of its own, or a part of the platform's by zone, machine, cell; connections of its own) and [route.NAME] (the conditions of routes.words, weights, split_by, class_name, deadline). A route is found and a pool drawn before there is a job; the job stays with that pool's driver. The callers' exchange stays one, so ids, deadlines, drills and leaving hold over all pools; each pool has an exchange of its own below it. Connections are shared by need with a floor each. A new file is staged, swapped at once, and pools that go end their jobs first.

The plain pool stays beside the others and keeps the platform's list, for all pools that go by it: that leaves fleet duties and the operators' desk as they are. Without routes none of this is loaded; a request then costs one attribute check. Ruled out: one exchange for all pools (close_idle and the hooks name no pool), and a pool field in every Job (the plain daemon would pay for it).

--- /dev/null
+++ b/tests/agree/pools_world.py
@@ -0,0 +1,81 @@
+"""A sidecar with several pools, amid scripted peers: nodes by pool, and lists of their own."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+from tests.virtual import Virtual
+from tests.world import Loopback, Wire, World, entry
+from wheatring.config.file import read
+from wheatring.daemon import routes_wrong
+from wheatring.pools.serve import Pools
+
+TWO = """
+[pool.old]
+zone = "a"
+[pool.new]
+zone = "b"
+[route.all]
+weights = { old = 3, new = 1 }
+"""
+T = TypeVar("T")
+TURNS = 20_000  # of the reactor, until something that must come counts as missing
+
+
+class PoolsWorld(World):
+    """`zones` are those of the nodes n0, n1 and so on, in the platform's list."""
+
+    def __init__(self, ground: Loopback | Virtual, folder: Path, text: str, zones: str = "ab") -> None:
+        self.file = folder / "w.toml"
+        self.zones = zones
+        self.taken: dict[int, Wire] = {}
+        self.file.write_text(text, encoding="utf-8")
+        own = str(self.file)
+        super().__init__(ground, len(zones), own=own, said=read(own, routes_wrong))
+
+    def known(self) -> list[dict[str, Any]]:
+        return [entry(f"n{n}", peer, zone=self.zones[n]) for n, peer in enumerate(self.nodes)]
+
+    @property
+    def pools(self) -> Pools:
+        assert self.sidecar.pools is not None
+        return self.sidecar.pools
+
+    def reload(self, text: str) -> None:
+        self.file.write_text(text, encoding="utf-8")
+        self.run(self.sidecar.reload_own)
+
+    def call(self, path: str = "/menu", more: str = "", wire: Wire | None = None) -> Wire:
+        wire = wire or self.caller()
+        self.asked += 1
+        fields = f"X-Correlation-Id: c{self.asked}\r\n{more}"
+        wire.send(f"GET {path} HTTP/1.1\r\nHost: shop\r\n{fields}\r\n".encode())
+        return wire
+
+    def met(self, call: Callable[[], T]) -> T:
+        """What that says in the reactor, once it says anything."""
+        for _ in range(TURNS):
+            if found := self.run(call):
+                return found
+            self.settle()
+        raise AssertionError("it never came")
+
+    def busy(self) -> list[str]:
+        """The pools that have a job, once one has."""
+        return self.met(lambda: [m.name for m in self.pools.all() if m.driver.jobs])
+
+    def at(self, node: int) -> Wire:
+        """The next request at a node, on the connection that it keeps; its answer is the story's to give."""
+        if node not in self.taken:
+            self.taken[node] = self.nodes[node].accept()
+        self.taken[node].read()
+        return self.taken[node]
+
+    def served(self, pool: str, node: int, path: str = "/menu") -> None:
+        """One request goes to that pool, and is answered by that node of it."""
+        caller = self.call(path)
+        assert self.busy() == [pool]
+        self.at(node).answer(200, pool.encode())
+        assert caller.read()[2] == pool.encode()
--- /dev/null
+++ b/tests/agree/test_pools.py
@@ -0,0 +1,248 @@
+"""Several pools behind one door, over sockets: who gets a request, and what a change does to it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+
+from lapisway import policy
+from tests.agree.pools_world import TWO, PoolsWorld
+from tests.virtual import Virtual
+from tests.world import Loopback, Peer, entry, list_body
+from wheatring import log
+from wheatring.errors import Told
+from wheatring.http1.parser import HOLD
+from wheatring.pools.errors import BadWeights, UnknownPool, UnknownRoute
+
+Make = Callable[..., PoolsWorld]
+ONE = TWO.replace("old = 3, new = 1", "new = 1").replace('[pool.old]\nzone = "a"\n', "")
+
+
+@pytest.fixture(params=["loopback", "virtual"])
+def ground(request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch) -> Loopback | Virtual:
+    monkeypatch.setattr(policy, "PATIENCE", 1e9)
+    monkeypatch.setattr(log, "line", log.line)
+    if request.param == "virtual":
+        return Virtual()
+    request.getfixturevalue("running")
+    return Loopback()
+
+
+@pytest.fixture
+def make(ground: Loopback | Virtual, tmp_path: Path) -> Iterator[Make]:
+    worlds: list[PoolsWorld] = []
+
+    def build(text: str = TWO, zones: str = "ab") -> PoolsWorld:
+        worlds.append(PoolsWorld(ground, tmp_path, text, zones))
+        return worlds[-1]
+
+    yield build
+    for world in worlds:
+        world.run(world.pools.stop)
+        world.end()
+
+
+def shares(world: PoolsWorld, count: int) -> Counter[str]:
+    got: Counter[str] = Counter()
+    caller = world.caller()
+    for _ in range(count):
+        world.call(wire=caller)
+        (pool,) = world.busy()
+        got[pool] += 1
+        world.at({"old": 0, "new": 1}[pool]).answer(200)
+        caller.read()
+    return got
+
+
+def test_each_pool_gets_its_part_of_a_routes_requests_and_weights_change_while_it_serves(make: Make) -> None:
+    world = make()
+    got = shares(world, 22)
+    assert abs(got["old"] - 16.5) <= 0.5 and got.total() == 22
+    world.run(lambda: world.pools.change_weights("all", {"old": 1, "new": 4}))
+    got = shares(world, 20)
+    assert abs(got["new"] - 16) <= 1 and got.total() == 20
+
+
+def test_weights_that_can_not_be_are_told_and_change_nothing(make: Make) -> None:
+    world = make()
+
+    def change(route: str, **weights: int) -> None:
+        world.run(lambda: world.pools.change_weights(route, weights))
+
+    refusals: list[tuple[type[Told], str, dict[str, int]]] = [
+        (UnknownRoute, "al", {"old": 1}), (UnknownPool, "all", {"old": 1, "nev": 1}),
+        (BadWeights, "all", {"old": 0}), (BadWeights, "all", {"old": -1}), (BadWeights, "all", {}),
+    ]  # fmt: skip
+    for kind, route, weights in refusals:
+        with pytest.raises(kind) as told:
+            change(route, **weights)
+        assert "\n" not in str(told.value) and route in told.value.what
+    change("all", new=1)
+    world.served("new", 1)
+
+
+def test_a_retry_stays_in_its_pool_though_another_would_serve(make: Make) -> None:
+    world = make(TWO.replace("new = 1 }", "new = 0 }"), "aab")
+    for peer in world.nodes[:2]:
+        peer.close()
+    caller = world.call(more="X-Time-Left-Ms: 900\r\n")
+    assert caller.read()[0].split()[1] in ("502", "503")
+    tried = world.run(lambda: [len(world.pools.pools[p].pool.connections) for p in ("old", "new")])
+    failed = [v["peer"] for e, v in world.lines if e == "claim-connection" and v["code"] == "connect-failed"]
+    assert len(failed) >= 2 and {f"127.0.0.1:{p.port}" for p in world.nodes[:2]} == set(failed)
+    assert tried == [0, 0] and world.run(lambda: world.pools.pools["new"].driver.last) == 0
+
+
+def test_what_no_route_wants_is_404_and_what_can_be_read_two_ways_400_with_the_reason(make: Make) -> None:
+    world = make(TWO.replace("[route.all]", '[route.all]\nprefix = "/menu"'))
+    caller = world.call("/order/1")
+    assert caller.read()[0].split()[1] == "404"
+    world.call("/order/2", wire=caller)  # the connection is kept
+    assert caller.read()[0].split()[1] == "404"
+    assert world.call("/menu/../order").read()[0].split()[1] == "400"
+    told = [values for event, values in world.lines if event == "not-routed"]
+    assert [(each["status"], each["why"]) for each in told] == [(404, "no route"), (400, "dot segments")]
+    assert world.run(lambda: [m.driver.last for m in world.pools.all()]) == [0, 0]
+    world.run(lambda: world.pools.change_weights("all", {"old": 1}))
+    world.served("old", 0, "/menu/x")
+
+
+def test_a_route_says_the_class_and_the_deadline_of_who_gives_none(make: Make) -> None:
+    text = TWO.replace("[route.all]", '[route.all]\nhost = "shop"\nclass_name = "menu"\ndeadline = 1.5')
+    world = make(text)
+    caller = world.call("/any/where", more="X-Service-Class: other\r\n")
+    assert world.busy() == ["old"]
+    ((name, allowed),) = world.run(
+        lambda: [(j.class_name, j.allowed) for j in world.sidecar.exchange.idents.values()]
+    )
+    assert (name, allowed) == ("menu", 1.5)
+    world.at(0).answer(200)
+    assert caller.read()[0].split()[1] == "200"
+
+
+def test_routes_move_with_jobs_in_flight_and_the_pool_that_goes_ends_its_own_first(make: Make) -> None:
+    world = make()
+    caller = world.call()
+    assert world.busy() == ["old"]
+    wire = world.at(0)
+    leaving = world.pools.pools["old"]
+    world.reload(ONE)
+    world.logged("routes", 2)
+    later = world.call()
+    world.at(1).answer(200, b"new")
+    assert later.read()[2] == b"new"
+    assert not leaving.closed and leaving in world.pools.leaving
+    wire.answer(200, b"kept")
+    assert caller.read()[2] == b"kept"
+    world.logged("pool-gone")
+    assert leaving.closed and wire.at_end()
+    assert world.run(lambda: list(world.pools.places.least)) == [world.pools.pools["new"].connections]
+
+
+def test_a_request_that_is_still_coming_keeps_its_pool_alive(make: Make) -> None:
+    world = make(TWO.replace("new = 1 }", "new = 0 }"))
+    caller, body = world.caller(), b"x" * (HOLD + 1000)
+    head = f"POST /order HTTP/1.1\r\nX-Correlation-Id: up\r\nContent-Length: {len(body)}\r\n\r\n"
+    caller.send(head.encode() + body[:-500])
+    world.met(lambda: any(c.job is not None for c in world.sidecar.server.connections))
+    world.reload(ONE)
+    world.logged("routes", 2)
+    for _ in range(3):
+        world.run(world.pools.look)
+    assert [m.name for m in world.pools.leaving] == ["old"] and not world.run(
+        lambda: world.pools.leaving[0].driver.jobs
+    )
+    caller.send(body[-500:])
+    wire = world.at(0)
+    wire.answer(200, b"whole")
+    assert caller.read()[2] == b"whole"
+    world.logged("pool-gone")
+
+
+def test_a_file_that_can_not_be_used_changes_nothing(make: Make) -> None:
+    world = make()
+    before = world.run(lambda: (world.pools.pools, world.pools.ways, world.pools.table))
+    bad = (
+        TWO.replace("new = 1", "nev = 1"), TWO.replace("[route.all]", "[route.all]\npath = '/a/../b'"),
+        TWO.replace("[route.all]", "[route.all]\nclass_name = 'none'"), "[list]\n",
+        TWO.replace('zone = "a"', 'zone = "a"\nleast = 1000'),
+    )  # fmt: skip
+    for count, text in enumerate(bad, 1):
+        world.reload(text)
+        world.logged("config-not-reloaded", count)
+    assert before == world.run(lambda: (world.pools.pools, world.pools.ways, world.pools.table))
+    assert world.run(world.pools.all) == list(before[0].values())
+    world.served("old", 0)
+
+
+def own_list(port: int, other: int) -> str:
+    return f"""
+[pool.x]
+discovery = "127.0.0.1:{port}"
+[pool.y]
+discovery = "127.0.0.1:{other}"
+[route.x]
+prefix = "/menu/x"
+weights = {{ x = 1 }}
+[route.y]
+weights = {{ y = 1 }}
+"""
+
+
+def test_a_drain_is_told_in_one_pool_and_holds_in_that_alone(make: Make, ground: Loopback | Virtual) -> None:
+    lists = [Peer(ground), Peer(ground)]
+    world = make(own_list(lists[0].port, lists[1].port))
+    watches = [each.accept() for each in lists]
+    for node, watch in enumerate(watches):  # the same name in both lists
+        assert watch.read()[0].startswith("GET /v1/servers")
+        watch.answer(200, list_body(1, entry("same", world.nodes[node]), reset=True))
+        watch.read()
+    world.met(lambda: all(m.ready for m in world.pools.all()))
+    world.served("x", 0, "/menu/x")
+    world.served("y", 1)
+    gone = {**entry("same", world.nodes[0]), "lifecycle": "DRAINING"}
+    watches[0].answer(200, list_body(2, gone))
+    watches[0].read()  # it asks on, so it has read that
+    refused = world.call("/menu/x", more="X-Time-Left-Ms: 500\r\n")
+    assert refused.read()[0].split()[1] == "503"
+    world.served("y", 1)
+    for wire in [*watches, *world.taken.values()]:
+        wire.close()
+    for each in lists:
+        each.close()
+
+
+def test_routes_wait_for_the_list_of_a_pool_that_is_new(make: Make, ground: Loopback | Virtual) -> None:
+    found = Peer(ground)
+    world = make()
+    world.reload(own_list(found.port, found.port).replace("/menu/x", "/x").replace("= { x", "= { y"))
+    world.logged("config-reloaded")
+    world.served("old", 0)  # the routes before stand, and nobody is refused meanwhile
+    calls = [found.accept(), found.accept()]
+    for watch in calls:
+        watch.read()
+        watch.answer(200, list_body(1, entry("n9", world.nodes[1]), reset=True))
+    world.logged("routes", 2)
+    world.served("y", 1)
+    world.logged("pool-gone", 2)
+    for watch in calls:
+        watch.close()
+    found.close()
+
+
+def test_a_flooded_pool_leaves_another_its_own_connections(make: Make) -> None:
+    world = make(TWO.replace('"b"\n', '"b"\nleast = 2\n'))
+    world.run(lambda: setattr(world.pools.places, "total", 6))
+    world.run(lambda: world.pools.change_weights("all", {"old": 1}))
+    flood = [world.call(more="X-Time-Left-Ms: 3000\r\n") for _ in range(9)]
+    world.met(lambda: world.pools.pools["old"].driver.last == len(flood))
+    held = [world.nodes[0].accept() for _ in range(4)]  # and none is answered
+    world.logged("too-many-connections")
+    assert world.run(lambda: world.pools.places.held()) == 4
+    world.run(lambda: world.pools.change_weights("all", {"new": 1}))
+    caller = world.call()
+    world.at(1).answer(200, b"still")
+    assert caller.read()[2] == b"still" and len(held) == 4
--- /dev/null
+++ b/tests/agree/test_pools_deciders.py
@@ -0,0 +1,96 @@
+"""What pools share and what each hears of the one list, held to their promises against obvious oracles."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lapisway.interface import EndpointEntry, EndpointState, View, ViewKind
+from wheatring.config.file import PoolTable
+from wheatring.pools.selection import Selection, Word
+from wheatring.pools.shares import Held, most
+
+LEAST = st.lists(st.integers(0, 4), min_size=1, max_size=4)
+
+
+@given(LEAST, st.integers(0, 12), st.lists(st.tuples(st.integers(0, 3), st.booleans()), max_size=60))
+def test_all_hold_no_more_than_there_is_and_each_can_have_its_own(
+    least: list[int], more: int, steps: list[tuple[int, bool]]
+) -> None:
+    total, held = sum(least) + more, [0] * len(least)
+
+    def may(pool: int) -> int:
+        others = [Held(*each) for n, each in enumerate(zip(held, least, strict=True)) if n != pool]
+        return most(total, others)
+
+    for pool, grows in steps:
+        pool %= len(least)
+        if grows and held[pool] < may(pool):
+            held[pool] += 1
+        elif not grows and held[pool]:
+            held[pool] -= 1
+        assert sum(held) <= total
+        for n, own in enumerate(least):
+            assert held[n] >= own or held[n] < may(n)
+    if len(least) == 1:
+        assert may(0) == total  # nobody else's: all of it
+
+
+ENTRIES = st.builds(
+    EndpointEntry,
+    st.sampled_from("abcd"),
+    st.sampled_from(EndpointState),
+    zone=st.sampled_from(["", "z", "y"]),
+    kind=st.sampled_from(["", "m"]),
+    cell=st.integers(0, 1),
+)
+VIEWS = st.lists(
+    st.builds(
+        View,
+        st.sampled_from(ViewKind),
+        st.lists(ENTRIES, max_size=5, unique_by=lambda e: e.endpoint).map(tuple),
+    ),
+    max_size=8,
+)
+TABLES = st.builds(
+    PoolTable,
+    zone=st.sampled_from([None, "z"]),
+    machine=st.sampled_from([None, "m"]),
+    cell=st.sampled_from([None, 1]),
+)
+
+
+def heard(views: list[View]) -> dict[str, EndpointEntry]:
+    """What somebody makes of views that goes by their words."""
+    held: dict[str, EndpointEntry] = {}
+    for view in views:
+        if view.kind is ViewKind.FAILED:
+            continue
+        if view.kind is not ViewKind.DELTA:
+            held = {}
+        for entry in view.entries:
+            held.pop(entry.endpoint, None)
+            if entry.state is not EndpointState.GONE:
+                held[entry.endpoint] = entry
+    return held
+
+
+@given(VIEWS, TABLES, st.integers(0, 8))
+def test_a_pool_knows_just_the_nodes_of_the_list_that_fit_whenever_it_came(
+    views: list[View], table: PoolTable, came: int
+) -> None:
+    word, selection = Word(), Selection(table)
+    told = []
+    for number, view in enumerate(views):
+        if number == came:
+            told.append(selection.of(word.whole()))
+        word.view(view)
+        if number >= came:
+            told.append(selection.of(view))
+    if came < len(views):
+        whole = heard(views)
+        fitting = {name: e for name, e in whole.items() if selection.fits(e)}
+        assert heard(told) == fitting and selection.names == set(fitting)
+        entries = [e for view in told if view.kind is not ViewKind.FAILED for e in view.entries]
+        ever = {e.endpoint for e in entries if selection.fits(e)}
+        assert {e.endpoint for e in entries} <= ever  # of who never fitted it hears nothing
--- /dev/null
+++ b/tests/agree/test_pools_file.py
@@ -0,0 +1,96 @@
+"""Pools and routes in the configuration file: refused in one line, and nothing without them."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+from pathlib import Path
+
+import pytest
+
+from tests.agree.pools_world import TWO
+from tests.test_process import begin, until
+from wheatring.__main__ import main
+
+ROUTE = "[pool.a]\n[route.r]\nweights = { a = 1 }\n"
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("[pool.a]\n", ":1: pool: needs a [route.NAME]"),
+        ("[route.a]\nweights = { a = 1 }\n", ":1: route: needs a [pool.NAME]"),
+        ("[pool.a]\nleast = 0\n", ":2: pool.a.least: expected `int` >= 1, is 0"),
+        ("[pool.A]\n" + ROUTE, ":1: pool.A: a name is lower-case"),
+        ("[pool.a]\ndiscovery = 'h:1'\nzone = 'z'\n" + ROUTE[9:], ":3: pool.a.zone: selects from"),
+        ("[pool.a]\ndiscovery = 'h:0'\n" + ROUTE[9:], ":2: pool.a.discovery: not a port"),
+        (ROUTE + "host = 'a:1'\n", ":4: route.r.host: not NAME or *.NAME without a port"),
+        (ROUTE + "path = '/a/../b'\n", ":4: route.r.path: not in its plain form"),
+        (ROUTE + "expression = '('\n", ":4: route.r.expression: missing )"),
+        (ROUTE + "deadline = 0\n", ":4: route.r.deadline: expected `float` > 0.0, is 0"),
+        (ROUTE + "paths = '/x'\n", ":4: route.r.paths: not a key"),
+        (ROUTE + "methods = ['GET', 'GET']\n", ":4: route.r.methods: one of them twice"),
+        (ROUTE + "headers = [{ name = 'Host' }]\n", ":2: route.r: header name: the host is stated as"),
+        (ROUTE.replace("a = 1 }", "b = 1 }"), ":3: route.r.weights: there is no [pool.b]"),
+        (ROUTE.replace("a = 1 }", "a = 0 }"), ":3: route.r.weights: must have one above 0"),
+        (ROUTE.replace("a = 1 }", "a = -1 }"), ":3: route.r.weights: expected `int` >= 0"),
+        (ROUTE + "[route.s]\nweights = { a = 1 }\n", ":2: route: s: the same conditions as r"),
+    ],
+)
+def test_what_can_not_be_used_is_one_line_with_file_line_and_key(
+    text: str, said: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    where = tmp_path / "w.toml"
+    where.write_text(text, encoding="utf-8")
+    assert main(["check", str(where)]) == 2
+    out, err = capsys.readouterr()
+    assert out == "" and err.count("\n") == 1 and f"{where}{said}" in err
+    where.write_text(ROUTE, encoding="utf-8")
+    assert main(["check", str(where)]) == 0
+
+
+@pytest.mark.parametrize(
+    ("text", "words", "said"),
+    [
+        (TWO, ("--capture",), "route: not with --capture"),
+        (
+            TWO.replace("[route.all]", "[route.all]\nclass_name = 'x'"),
+            (),
+            "route.all.class_name: not a class",
+        ),
+        (
+            TWO.replace('"a"', '"a"\nleast = 9999'),
+            (),
+            "pool: least: 10003 connections together, and there are",
+        ),
+    ],
+)
+def test_what_does_not_go_with_the_platforms_word_ends_the_start(
+    text: str, words: tuple[str, ...], said: str, tmp_path: Path
+) -> None:
+    where = tmp_path / "w.toml"
+    where.write_text(text, encoding="utf-8")
+    with begin(tmp_path, "", subprocess.PIPE, words=("--config", str(where), *words)) as process:
+        _, err = process.communicate()
+    assert process.returncode == 2 and err == f"wheatring: {where}: {err.partition(f'{where}: ')[2]}"
+    assert said in err and err.count("\n") == 1
+
+
+def loaded(folder: Path, text: str) -> set[str]:
+    (folder / "w.toml").write_text(text, encoding="utf-8")
+    words = ("--config", str(folder / "w.toml"))
+    with begin(folder, "", subprocess.PIPE, "-X", "importtime", words=words) as process:
+        until(process, "listening")
+        process.send_signal(signal.SIGTERM)
+        _, told = process.communicate()
+    assert process.returncode == 0
+    return {line.rpartition("|")[2].strip() for line in told.splitlines()}
+
+
+def test_a_file_without_routes_loads_nothing_of_them(tmp_path: Path) -> None:
+    without, with_them = loaded(tmp_path, "[list]\n"), loaded(tmp_path, TWO)
+    mine = ("wheatring.routes", "wheatring.pools")
+    assert not [name for name in without if name.startswith(mine)]
+    new = {name for name in with_them - without if name.startswith("wheatring.")}
+    assert {name for name in new if not name.startswith(mine)} <= {"wheatring.errors"}
+    assert "wheatring.pools.serve" in new
--- a/tests/test_config_file.py
+++ b/tests/test_config_file.py
@@ -76,6 +76,8 @@
         "[list]": file.ListAsking,
         "[fleet]": file.FleetTable,
         "[duty.NAME]": file.DutyTable,
+        "[pool.NAME]": file.PoolTable,
+        "[route.NAME]": file.RouteTable,
     }
     for title, table in tables.items():
         part = page.split(f"## `{title}`")[1].split("\n## ")[0]
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -18,6 +18,7 @@
     ("wheatring.daemon", 5),
     ("wheatring.plugin", 5),
     ("wheatring.pool", 5),
+    ("wheatring.pools", 5),
     ("wheatring.control", 4),
     ("wheatring.http1", 4),
     ("wheatring.peers", 4),
@@ -62,6 +63,8 @@
     ("wheatring.config", "lapisway"),
     ("wheatring.operators", "wheatring.config"),
     ("wheatring.daemon", "wheatring.pool"),
+    ("wheatring.daemon", "wheatring.pools"),  # only where the file has routes
+    ("wheatring.pools", "wheatring.pool"),
 }
 HOOKS = {"wheatring.http1": "wheatring.ops"}  # a hook of a line or two, and only when it is turned on
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -180,6 +180,7 @@
         operators: Operators = NO_OPERATORS,
         capture: bool = False,
         control: tuple[str, int] | None = None,
+        **more: Any,
     ) -> None:
         self.ground = ground
         self.reactor = ground.reactor
@@ -188,7 +189,7 @@
         self.discovery = Peer(ground)
         self.wires: list[Wire] = []
         self.asked = 0
-        known = {"generation": 7, "instances": [entry(f"n{n}", p) for n, p in enumerate(self.nodes)]}
+        known = {"generation": 7, "instances": self.known()}
         self.config = Config(
             name="test", listen=("127.0.0.1", 0), discovery=("127.0.0.1", self.discovery.port), seed=1,
             sockets=256, known=known, settings=settings_from(pairs(SETTINGS)), given=SETTINGS,
@@ -196,13 +197,16 @@
         )  # fmt: skip
 
         def start() -> tuple[Sidecar, int]:
-            sidecar = Sidecar(self.reactor, self.config, operators, capture, ground.unix)
+            sidecar = Sidecar(self.reactor, self.config, operators, capture, ground.unix, **more)
             sidecar.start()
             return sidecar, sidecar.server.port.getHost().port
 
         log.line = self._line
         self.sidecar, self.port = self.run(start)
 
+    def known(self) -> list[dict[str, Any]]:
+        return [entry(f"n{n}", p) for n, p in enumerate(self.nodes)]
+
     def _line(self, event: str, /, **values: object) -> None:
         if isinstance(self.ground, Virtual):
             self.lines.append((event, values))
--- a/wheatring/commands/__init__.py
+++ b/wheatring/commands/__init__.py
@@ -68,10 +68,11 @@
 
 
 def config_check(args: argparse.Namespace) -> int:
-    from wheatring.config import FileError, file
+    from wheatring.config import FileError
+    from wheatring.daemon import read_own
 
     try:
-        file.read(args.file)
+        read_own(args.file)
     except FileError as bad:
         print(f"wheatring: {bad}", file=sys.stderr)
         return 2
--- a/wheatring/config/file.py
+++ b/wheatring/config/file.py
@@ -8,6 +8,7 @@
 
 import re
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated, Any, Literal, get_args
 
@@ -65,16 +66,55 @@
     every: Annotated[float, Meta(ge=0.01, le=3600.0)] = 1.0
 
 
+class PoolTable(Table, frozen=True, kw_only=True):
+    """`[pool.NAME]`: nodes that serve together, of a list of their own or of the one list."""
+
+    discovery: _Address | None = None  # its own list; None: the platform's
+    zone: str | None = None  # of the platform's list, only those that state this; None: whatever they state
+    machine: str | None = None
+    cell: Annotated[int, Meta(ge=0)] | None = None
+    least: Annotated[int, Meta(ge=1, le=100_000)] = 4  # connections to nodes that are always its own
+
+
+class HeaderTable(Table, frozen=True, kw_only=True):
+    """One condition of a route on a header."""
+
+    name: str
+    exact: str = ""
+    prefix: str = ""
+
+
+class RouteTable(Table, frozen=True, kw_only=True):
+    """`[route.NAME]`: which requests, and the pools that they go to. `routes.words` checks the texts."""
+
+    host: str = ""
+    path: str = ""
+    prefix: str = ""
+    expression: str = ""
+    methods: tuple[str, ...] = ()
+    headers: tuple[HeaderTable, ...] = ()
+    weights: dict[str, Annotated[int, Meta(ge=0, le=1_000_000)]]
+    split_by: str = ""
+    class_name: str = ""  # "": the first part of the path
+    deadline: Annotated[float, Meta(gt=0.0, le=3600.0)] | None = None
+
+
 class File(Table, frozen=True, kw_only=True):
     """The whole file."""
 
     list: ListAsking = ListAsking()
     fleet: FleetTable | None = None
     duty: dict[str, DutyTable] = {}
+    pool: dict[str, PoolTable] = {}
+    route: dict[str, RouteTable] = {}
+
 
+TABLES: dict[str, type[Table]] = {"duty": DutyTable, "pool": PoolTable, "route": RouteTable}  # with names
+Wrong = tuple[str, str]  # a key and what is wrong with it
 
-def read(name: str) -> File:
-    """What a file says. FileError where it can't be used."""
+
+def read(name: str, more: Callable[[File], Wrong | None] | None = None) -> File:
+    """What a file says. FileError where it can't be used. `more` looks at what stands on higher floors."""
     try:
         text = Path(name).read_text(encoding="utf-8")
     except OSError as bad:
@@ -89,7 +129,7 @@
         found = msgspec.convert(raw, File)
     except msgspec.ValidationError as bad:
         raise FileError(_said(name, text, raw, str(bad))) from None
-    if why := _fleet_wrong(found):
+    if why := _fleet_wrong(found) or _pools_wrong(found) or (more and more(found)):
         key, what = why
         table, _, last = key.rpartition(".")
         at = _line(text, table, last) or _line(text, "", key) or _line(text, "", table)
@@ -101,6 +141,10 @@
     return found
 
 
+NAME = re.compile(r"[a-z][a-z0-9-]{0,31}")
+A_NAME = "a name is lower-case letters, digits and hyphens, 32 at most"
+
+
 def _fleet_wrong(found: File) -> tuple[str, str] | None:
     """The first key of `[fleet]` or a duty that does not go with the others, and why."""
     fleet = found.fleet
@@ -124,8 +168,8 @@
     for name, duty in found.duty.items():
         if name == "lead":
             return f"duty.{name}", "is the name of a duty that fleets with a view have themselves"
-        if not re.fullmatch(r"[a-z][a-z0-9-]{0,31}", name):
-            return f"duty.{name}", "a name is lower-case letters, digits and hyphens, 32 at most"
+        if not NAME.fullmatch(name):
+            return f"duty.{name}", A_NAME
         if (duty.work == "call") != (duty.call is not None):
             return f"duty.{name}.call", 'must be told for work = "call", and for no other'
     for work in ("turns", "list"):
@@ -137,6 +181,30 @@
     return None
 
 
+def _pools_wrong(found: File) -> Wrong | None:
+    """The first key of a pool or a route that does not go with the others, and why."""
+    if bool(found.pool) != bool(found.route):
+        kind, other = ("pool", "route") if found.pool else ("route", "pool")
+        return kind, f"needs a [{other}.NAME]"
+    for kind, tables in (("pool", found.pool), ("route", found.route)):
+        for name in tables:
+            if not NAME.fullmatch(name):
+                return f"{kind}.{name}", A_NAME
+    for name, pool in found.pool.items():
+        for key in ("zone", "machine", "cell"):
+            if pool.discovery is not None and getattr(pool, key) is not None:
+                return f"pool.{name}.{key}", "selects from the platform's list, so not beside discovery"
+        if pool.discovery is not None and not 1 <= int(pool.discovery.rpartition(":")[2]) <= 65535:
+            return f"pool.{name}.discovery", f"not a port that can be called, is {pool.discovery!r}"
+    for name, route in found.route.items():
+        unknown = next((pool for pool in route.weights if pool not in found.pool), None)
+        if unknown is not None:
+            return f"route.{name}.weights", f"there is no [pool.{unknown}]"
+        if not any(route.weights.values()):
+            return f"route.{name}.weights", "must have one above 0"
+    return None
+
+
 def keys(name: str | None) -> list[bytes]:
     """The keys of a key file, one a line in hexadecimal, 16 to 64 bytes each. FileError where it can't be
     used; what it holds is not said."""
@@ -158,13 +226,14 @@
     """One line on what msgspec found, with the key's line in the file."""
     what, _, path = why.partition(" - at `$")
     path = path.rstrip("`").lstrip(".")
-    if path.startswith("duty[...]"):  # it does not say which
-        for one, inner in raw["duty"].items():
+    kind, of_which, _ = path.partition("[...]")
+    if of_which and kind in TABLES:  # it does not say which
+        for one, inner in raw[kind].items():
             try:
-                msgspec.convert(inner, DutyTable)
+                msgspec.convert(inner, TABLES[kind])
             except msgspec.ValidationError as bad:
                 what, _, rest = str(bad).partition(" - at `$")
-                path = f"duty.{one}{rest.rstrip('`')}"
+                path = f"{kind}.{one}{rest.rstrip('`').partition('[')[0]}"
                 break
     unknown = re.fullmatch(r"Object contains unknown field `(.*)`", what)
     if unknown:
--- a/wheatring/daemon.py
+++ b/wheatring/daemon.py
@@ -17,12 +17,14 @@
     from wheatring.config.file import File
     from wheatring.control.desk import Desk
     from wheatring.control.door import Door
+    from wheatring.core.body import Room
     from wheatring.lifecycle.asking import Pace
     from wheatring.ops.audit import Audit
     from wheatring.ops.capture.ring import Ring
     from wheatring.ops.drills import Drills
     from wheatring.peers.listing import Listing
     from wheatring.peers.part import Part
+    from wheatring.pools.serve import Pools
 
 RESERVE = 24  # descriptors kept for the log, the reactor, the door, the configuration and calls to discovery
 CALLS = 32  # and, where operators call, for their door and its calls, and the files that two processes share
@@ -69,6 +71,7 @@
         self.pool = self.serving.pool
         self.server = Server(reactor, self.clock, self.exchange, settings.classes, self.places - claims, room)
         on_view: Callable[[View], None] = self.driver.feed
+        self.pools: Pools | None = None
         self.status = 0  # with which the process ends
         self.ends = ExitStack()  # of optional parts, in the reverse of the order in which they were put in
         self.desk: Desk | None = None
@@ -78,8 +81,10 @@
         self.drills: Drills | None = None
         self.part: Part | None = None
         self.listing: Listing | None = None
+        if said is not None and said.route:
+            on_view = self.share_out(said, claims, room, capture)
         if told.control is not None:
-            on_view = self.open_desk(told.control)
+            on_view = self.open_desk(told.control, on_view)
         if said is not None and said.fleet is not None:
             on_view = self.join_fleet(said, on_view)
         self.machine_list = self.serving.list_from(told.discovery, on_view)
@@ -92,18 +97,36 @@
 
     # Optional parts. Each is one method here: it imports the part, puts it in, and leaves its end in `ends`.
 
-    def open_desk(self, control: tuple[str, int]) -> Callable[[View], None]:
+    def share_out(self, said: File, claims: int, room: Room, capture: bool) -> Callable[[View], None]:
+        """Several pools, and routes to them. The one list goes to all that go by it."""
+        from wheatring.pools.serve import Pools
+
+        assert self.own is not None
+        if capture:
+            raise config.FileError(
+                f"{self.own}: route: not with --capture, which records one pool's decisions"
+            )
+        told = self.told
+        pools = self.pools = Pools(
+            self.reactor, self.clock, self.exchange, self.server, self.serving, told.settings, told.seed,
+            claims, room, pace_of(said), self.own,
+        )  # fmt: skip
+        pools.start(said)
+        self.ends.callback(pools.stop)
+        return pools.view
+
+    def open_desk(self, control: tuple[str, int], on_view: Callable[[View], None]) -> Callable[[View], None]:
         """What operators call goes to the desk, and what discovery says through what they have ordered."""
         from wheatring.control.desk import Desk
         from wheatring.control.door import Door
         from wheatring.lifecycle.byhand import ByHand
         from wheatring.lifecycle.handover import Folder
 
-        by_hand = ByHand(self.driver.feed)
+        by_hand = ByHand(on_view)
         folder = Folder(temporary(), self.told.name, round(self.clock.now() * 1e9))
         desk = self.desk = Desk(
-            self.clock, folder, by_hand, self.server, self.pool, self.places, self.held, self.resize,
-            self.listen,
+            self.clock, folder, by_hand, self.server, self.pools or self.pool, self.places, self.held,
+            self.resize, self.listen,
         )  # fmt: skip
         door = self.door = Door(self.reactor, self.clock, desk)
 
@@ -135,10 +158,15 @@
 
     def held(self) -> int:
         """Places taken now, by callers and claims."""
-        return len(self.server.connections) + len(self.pool.connections) + len(self.pool.dials)
+        claims = len(self.pool.connections) + len(self.pool.dials)
+        if self.pools is not None:
+            claims += self.pools.places.held()
+        return len(self.server.connections) + claims
 
     def resize(self, places: int) -> None:
         self.pool.most = int(places * CLAIMS)
+        if self.pools is not None:
+            self.pools.places.total = self.pool.most
         self.server.resize(places - self.pool.most)
 
     def capture(self) -> None:
@@ -159,6 +187,8 @@
         if self.desk is not None:
             self.begin_desk()
         self.machine_list.known(self.told.known)
+        if self.pools is not None:
+            self.pools.known()
         if self.desk is not None:
             self.desk.serve()
         else:
@@ -247,12 +277,22 @@
             log.line("config-reloaded")
 
     def refused(self, said: File) -> str:
-        """Why the fleet does not take a file that was read again; "": it does. FileError by its key file."""
-        if self.part is not None:
+        """Why a file that was read again is not taken; "": it is, by the fleet and the pools. FileError by
+        the fleet's key file."""
+        pools, why = self.pools, ""
+        if (pools is None) != (not said.route):
+            return "route: routes are taken up, and given up, by a start only"
+        if pools is not None:
+            why = pools.wrong(said)  # before the fleet has changed anything
+        if not why and self.part is not None:
             from wheatring.peers.begin import reload
 
-            return reload(self.part, said)
-        return "fleet: is taken up by a start only" if said.fleet is not None else ""
+            why = reload(self.part, said)
+        elif not why and said.fleet is not None:
+            why = "fleet: is taken up by a start only"
+        if not why and pools is not None:
+            pools.reload(said, pace_of(said))
+        return why
 
     def stop(self) -> None:
         """Answer what has come and what still arrives, as far as that is worth its time, then exit."""
@@ -313,7 +353,16 @@
         return None
     from wheatring.config import file
 
-    return file.read(own)
+    return file.read(own, routes_wrong)
+
+
+def routes_wrong(said: File) -> tuple[str, str] | None:
+    """The first key of a route that the table of routes does not take, and why."""
+    if not said.route:
+        return None
+    from wheatring.pools.tables import wrong
+
+    return wrong(said)
 
 
 def pace_of(said: File) -> Pace:
--- a/wheatring/http1/client.py
+++ b/wheatring/http1/client.py
@@ -148,8 +148,11 @@
     def idle_at(self, node: str) -> int:
         return len(self.idle_ones.get(Place(node, self.addresses.get(node, "")), ()))
 
+    def oldest_idle(self) -> ClaimConnection | None:
+        return min((q[0] for q in self.idle_ones.values() if q), key=lambda c: c.idle_since, default=None)
+
     def retire_oldest(self) -> bool:
-        oldest = min((q[0] for q in self.idle_ones.values() if q), key=lambda c: c.idle_since, default=None)
+        oldest = self.oldest_idle()
         if oldest is None:
             return False
         self.retire(oldest, "pool-full")
@@ -164,14 +167,16 @@
         for connection in list(self.idle_ones.get(place, ())):
             self.retire(connection, "close-idle")
 
-    def close(self) -> None:
+    def close(self, code: str = "stopping") -> None:
         """End all connections: there is no job left that would need them."""
+        if self.sweeping.active():
+            self.sweeping.cancel()
         for connection in list(self.connections):
-            connection.abort("stopping")
+            connection.abort(code)
 
     def sweep(self) -> None:
         now = self.clock.now()
-        self.clock.at(now + SWEEP, self.sweep)
+        self.sweeping = self.clock.at(now + SWEEP, self.sweep)
         for place, idle in list(self.idle_ones.items()):
             gone = self.addresses.get(place.node) != place.address
             while idle and (gone or now - idle[0].idle_since > self.idle):
--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -4,8 +4,9 @@
 
 import re
 from collections.abc import Callable, Container, Mapping
+from functools import partial
 from math import inf
-from typing import Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from twisted.internet.protocol import ServerFactory
 
@@ -18,6 +19,17 @@
 from wheatring.http1.door import open_door, open_shared_door
 from wheatring.http1.parser import Message, Request
 
+if TYPE_CHECKING:
+
+    class Way(Protocol):
+        """What a route makes of a request."""
+
+        class_name: bytes  # b"": the first part of the path says it
+        deadline: float | None  # seconds, for a caller that gives none
+
+        def job(self, fields: Mapping[bytes, bytes], **told: Any) -> Job: ...
+
+
 _IDENT = re.compile(rb"[!-~]{1,200}")
 _DIGITS = re.compile(rb"[0-9]{1,12}")
 _ONCE = frozenset((b"x-correlation-id", b"x-service-class", b"x-time-left-ms", b"idempotency-key"))
@@ -64,6 +76,7 @@
         self.away = False  # out of service: callers are sent away
         self.came_at = -inf  # the last new connection
         self.guard: Callable[[Mapping[bytes, bytes]], Container[str]] | None = None
+        self.router: Callable[[Message], Way] | None = None  # raises Refused
         self.port: Any = None
         self.full = False
         self.clearing: Timer | None = None  # the next look, or a crowd that comes and goes would start many
@@ -138,13 +151,16 @@
         fields = message.fields
         method, target = message.first
         rights = None if self.guard is None else self.guard(fields)
+        way = None if self.router is None else self.router(message)
         if not message.repeated.isdisjoint(_ONCE):
             raise Refused(400, "a field that may come once came twice")
         if target[:1] != b"/":
             raise Refused(404, "path")
         first = target[1:].partition(b"?")[0].partition(b"/")[0]
         name = fields.get(b"x-service-class", first)
-        if not first or name != first:
+        if way is not None and way.class_name:
+            name = way.class_name
+        elif not first or name != first:
             raise Refused(404, "path")
         known = self.classes.get(name.decode("latin-1"))
         if known is None:
@@ -165,8 +181,11 @@
             if not _DIGITS.fullmatch(left):
                 raise Refused(400, "bad time")
             seconds = min(seconds, int(left) / 1000)  # no caller waits longer than its class
+        elif way is not None and way.deadline is not None:
+            seconds = min(seconds, way.deadline)
         head = b"%s %s HTTP/1.1\r\n%s" % (method, target, message.end_to_end(b"x-time-left-ms"))
-        return Job(
+        make = Job if way is None else partial(way.job, fields)
+        return make(
             ident=ident.decode("latin-1"),
             class_name=name.decode("latin-1"),
             deadline=inf if message.open else self.clock.now() + seconds,
--- a/wheatring/pool.py
+++ b/wheatring/pool.py
@@ -39,13 +39,16 @@
         most: int,
         room: Room,
         pace: Pace = DEFAULT,
+        connections: Callable[..., Pool] = Pool,
     ) -> None:
         limits, copies, number = settings.limits, settings.copies, settings.number
         self.reactor = reactor
         self.clock = clock
         self.balancer = Balancer(settings, seed)
         self.driver = Driver(self.balancer, exchange, clock)
-        self.pool = Pool(reactor, clock, exchange, limits.connect_timeout, limits.idle_timeout, most, room)
+        self.pool = connections(
+            reactor, clock, exchange, limits.connect_timeout, limits.idle_timeout, most, room
+        )
         now = clock.now()
         self.freshness = Freshness(copies, number, Random(f"{seed}:list"), now)
         within = settings.contract.ask_within
--- /dev/null
+++ b/wheatring/pools/errors.py
@@ -0,0 +1,20 @@
+"""Why weights are not changed."""
+
+from __future__ import annotations
+
+from wheatring.errors import Told
+
+
+class UnknownRoute(Told):
+    code = "unknown-route"
+    do = "Name a route of the file that is in force."
+
+
+class UnknownPool(Told):
+    code = "unknown-pool"
+    do = "Name pools of the file that is in force."
+
+
+class BadWeights(Told):
+    code = "bad-weights"
+    do = "Give whole numbers from 0 to 1,000,000, one of them above 0."
