--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # build: all that run and sim need, inside this folder. test, lint: what CI calls. run: the example's sidecar.
 PYTHON ?= python3
 BIN = .venv/bin
+# Tests side by side; "auto": one for each core, 0: one after the other, in one process.
+JOBS ?= auto
 
 .PHONY: build test lint run lab bench
 
@@ -8,7 +10,7 @@
 	$(BIN)/python -m compileall -q lapisway wheatring
 
 test: .venv/dev
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(JOBS) --dist loadgroup
 
 lint: .venv/dev
 	$(BIN)/ruff check .
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import threading
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -14,6 +15,7 @@
 from tests.virtual import Virtual
 from tests.world import NO_OPERATORS, Loopback, World
 from wheatring import log
+from wheatring.lab.live import band
 from wheatring.operators import Operators
 
 SAFE = i.RequestClass("read", aim=1.0, deadline=4.0, effect=i.Effect.SAFE, late_worth=0.5)
@@ -34,6 +36,12 @@
 )
 
 
+def pytest_configure() -> None:
+    """A sidecar of a band needs both halves of a port that it was given one of, so no two bands that are
+    played at the same time share addresses."""
+    band.NET = 1 + int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
+
+
 class Copy:
     """A balancer copy under test: its clock, and the state that the outside would keep for it."""
 
--- a/tests/duties/test_band.py
+++ b/tests/duties/test_band.py
@@ -228,7 +228,11 @@
 
     reload(term="2.0")
     band.until(
-        lambda: any("fleet.term" in line for line in band.members["d0"].starts[0].lines), "the term stays"
+        lambda: any(
+            "fleet.term" in line and line.endswith(" code=restart-only")
+            for line in band.members["d0"].starts[0].lines
+        ),
+        "the term stays",
     )
     before = band.acts()[-1].epoch
     reload(voters_next=told)
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -58,6 +58,7 @@
     ("wheatring.schedule", "wheatring.members"),  # addresses
     ("wheatring.schedule", "wheatring.lease"),  # the fleet that a piece is of, and its voters
     ("wheatring.config", "wheatring.errors"),
+    ("wheatring.operators", "wheatring.errors"),
     ("wheatring.peers", "wheatring.http1.parser"),
     ("wheatring.control", "wheatring.http1.parser"),  # the operators' calls are HTTP too
     ("wheatring.config", "lapisway"),
--- a/wheatring/commands/__init__.py
+++ b/wheatring/commands/__init__.py
@@ -102,7 +102,7 @@
     from wheatring.ops import tokens
 
     if args.ttl < 1:
-        raise operators.OperatorsError("--ttl: must be 1 or more")
+        raise tokens.NotIssued("--ttl: must be 1 or more")
     told = operators.read(operators_file(args)).tokens
     print(tokens.issue(told, args.holder, args.rights, int(time.time()) + args.ttl))
     return 0
--- a/wheatring/config/__init__.py
+++ b/wheatring/config/__init__.py
@@ -16,6 +16,7 @@
 from lapisway.benchlink import settings_from
 from lapisway.interface import Settings
 from wheatring import address
+from wheatring.errors import Plain
 
 SOCKETS = 1024
 MEMORY_MB = 192
@@ -28,13 +29,54 @@
 }  # fmt: skip
 
 
-class ConfigError(ValueError):
+class ConfigError(Plain, ValueError):
     """A configuration that can't be used; the text begins with the key at fault."""
 
+    code = "config-key"
+    do = "Correct the key that the line names, in LB_CONFIG's file or in the variable that stands over it."
 
-class FileError(ValueError):
+
+class ConfigUnreadable(ConfigError):
+    """There is none, or it is no JSON object."""
+
+    code = "config-unreadable"
+    do = "Let LB_CONFIG name a file that this process may read and that holds one JSON object."
+
+
+class FileError(Plain, ValueError):
     """The project's own file can't be used; the text is one line. It is read in `file`."""
 
+    code = "file-key"
+    do = "Correct the key at the line that is named, and try the file with `wheatring check FILE`."
+
+
+class FileUnreadable(FileError):
+    """There is none, or it is no TOML."""
+
+    code = "file-unreadable"
+    do = "Let --config name a file that this process may read and that is TOML in UTF-8."
+
+
+class KeysError(FileError):
+    """The fleet's key file can't be used."""
+
+    code = "key-file"
+    do = "Let fleet.key_file name a readable file of keys, one a line, 32 to 128 hexadecimal digits each."
+
+
+class RestartOnly(FileError):
+    """A file that was read again changes what does not change while it runs."""
+
+    code = "restart-only"
+    do = "Take the change back, or restart this sidecar to put it into effect."
+
+
+class VotersKept(FileError):
+    """A file that was read again names voters that may not follow those in force."""
+
+    code = "voters-kept"
+    do = "Name the new ones as voters_next on all sidecars, and as voters after a term by both; reload again."
+
 
 @dataclass(frozen=True, slots=True)
 class Config:
@@ -86,15 +128,15 @@
 def read(environment: Mapping[str, str], *, again: bool = False) -> Config:
     where = environment.get("LB_CONFIG")
     if not where:
-        raise ConfigError("LB_CONFIG: not set")
+        raise ConfigUnreadable("LB_CONFIG: not set")
     try:
         data = json.loads(Path(where).read_text(encoding="utf-8"))
     except OSError as bad:
-        raise ConfigError(f"LB_CONFIG: {bad.strerror}: {where}") from bad
+        raise ConfigUnreadable(f"LB_CONFIG: {bad.strerror}: {where}") from bad
     except (ValueError, RecursionError) as bad:
-        raise ConfigError(f"LB_CONFIG: not JSON: {bad}") from bad
+        raise ConfigUnreadable(f"LB_CONFIG: not JSON: {bad}") from bad
     if not isinstance(data, dict):
-        raise ConfigError("LB_CONFIG: not a JSON object")
+        raise ConfigUnreadable("LB_CONFIG: not a JSON object")
 
     def told(key: str) -> object:
         return environment.get(f"LB_{key.upper()}") or data.get(key)
--- a/wheatring/config/file.py
+++ b/wheatring/config/file.py
@@ -15,7 +15,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from wheatring.config import FileError
+from wheatring.config import FileError, FileUnreadable, KeysError
 
 _PerS = Annotated[float, Meta(gt=0.0, le=1e6)]
 _Seconds = Annotated[float, Meta(ge=0.0, le=3600.0)]
@@ -118,13 +118,13 @@
     try:
         text = Path(name).read_text(encoding="utf-8")
     except OSError as bad:
-        raise FileError(f"{name}: can't be read: {bad.strerror}") from None
+        raise FileUnreadable(f"{name}: can't be read: {bad.strerror}") from None
     except UnicodeDecodeError:
-        raise FileError(f"{name}: not UTF-8") from None
+        raise FileUnreadable(f"{name}: not UTF-8") from None
     try:
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as bad:
-        raise FileError(f"{name}: not TOML: {bad}") from None
+        raise FileUnreadable(f"{name}: not TOML: {bad}") from None
     try:
         found = msgspec.convert(raw, File)
     except msgspec.ValidationError as bad:
@@ -206,7 +206,7 @@
 
 
 def keys(name: str | None) -> list[bytes]:
-    """The keys of a key file, one a line in hexadecimal, 16 to 64 bytes each. FileError where it can't be
+    """The keys of a key file, one a line in hexadecimal, 16 to 64 bytes each. KeysError where it can't be
     used; what it holds is not said."""
     if name is None:
         return []
@@ -214,11 +214,11 @@
         lines = [line.strip() for line in Path(name).read_text(encoding="ascii").splitlines()]
         found = [bytes.fromhex(line) for line in lines if line and not line.startswith("#")]
     except OSError as bad:
-        raise FileError(f"{name}: can't be read: {bad.strerror}") from None
+        raise KeysError(f"{name}: can't be read: {bad.strerror}") from None
     except ValueError:
-        raise FileError(f"{name}: not keys in hexadecimal, one a line") from None
+        raise KeysError(f"{name}: not keys in hexadecimal, one a line") from None
     if not found or any(not 16 <= len(key) <= 64 for key in found):
-        raise FileError(f"{name}: needs one key or more, of 16 to 64 bytes each")
+        raise KeysError(f"{name}: needs one key or more, of 16 to 64 bytes each")
     return found
 
 
--- a/wheatring/daemon.py
+++ b/wheatring/daemon.py
@@ -245,7 +245,7 @@
         try:
             asked = operators.read(file)
         except operators.OperatorsError as bad:
-            log.line("operators-not-reloaded", why=str(bad))
+            log.line("operators-not-reloaded", why=str(bad), code=bad.code)
         else:
             if file is not None:
                 self.record("config", "operators")
@@ -256,7 +256,7 @@
         try:
             told = config.read(environment, again=True)
         except config.ConfigError as bad:
-            log.line("not-reloaded", why=str(bad))
+            log.line("not-reloaded", why=str(bad), code=bad.code)
             return
         self.record("config", "platform")
         log.line("reloaded", discovery=":".join(map(str, told.discovery)))
@@ -267,32 +267,30 @@
         """Read the project's own file again, where there is one."""
         try:
             said = read_own(self.own)
-            why = "" if said is None else self.refused(said)
+            if said is None:
+                return
+            self.reload_parts(said)
         except config.FileError as bad:
-            said, why = None, str(bad)
-        if why:
-            log.line("config-not-reloaded", why=why)
-        elif said is not None:
+            log.line("config-not-reloaded", why=str(bad), code=bad.code)
+        else:
             self.machine_list.asking.pace = pace_of(said)
             log.line("config-reloaded")
 
-    def refused(self, said: File) -> str:
-        """Why a file that was read again is not taken; "": it is, by the fleet and the pools. FileError by
-        the fleet's key file."""
-        pools, why = self.pools, ""
+    def reload_parts(self, said: File) -> None:
+        """What pools and fleet take of a file that was read again. FileError where they take none of it."""
+        pools = self.pools
         if (pools is None) != (not said.route):
-            return "route: routes are taken up, and given up, by a start only"
-        if pools is not None:
-            why = pools.wrong(said)  # before the fleet has changed anything
-        if not why and self.part is not None:
+            raise config.RestartOnly("route: routes are taken up, and given up, by a start only")
+        if pools is not None and (why := pools.wrong(said)):  # before the fleet has changed anything
+            raise config.FileError(why)
+        if self.part is not None:
             from wheatring.peers.begin import reload
 
-            why = reload(self.part, said)
-        elif not why and said.fleet is not None:
-            why = "fleet: is taken up by a start only"
-        if not why and pools is not None:
+            reload(self.part, said)
+        elif said.fleet is not None:
+            raise config.RestartOnly("fleet: is taken up by a start only")
+        if pools is not None:
             pools.reload(said, pace_of(said))
-        return why
 
     def stop(self) -> None:
         """Answer what has come and what still arrives, as far as that is worth its time, then exit."""
--- a/wheatring/errors.py
+++ b/wheatring/errors.py
@@ -24,6 +24,13 @@
         return f"{self.code}: {self.what}. {self.do}"
 
 
+class Plain(Told):
+    """One whose line was there before codes were: its text is what happened alone."""
+
+    def __str__(self) -> str:
+        return self.what
+
+
 def kinds(of: type[Told] = Told) -> list[type[Told]]:
     """All kinds that have a code and are imported by now, by their codes."""
     found = [kind for below in of.__subclasses__() for kind in kinds(below)]
--- a/wheatring/lab/live/band.py
+++ b/wheatring/lab/live/band.py
@@ -30,6 +30,7 @@
     "view", "view-standing",
 )  # fmt: skip
 AT_ONCE = 16  # processes started side by side
+NET = 1  # the last part of all addresses: bands that are there at the same time each have their own
 CLASSES = [{"name": "a", "slo": 1_000_000, "deadline": 2_000_000, "value": 1.0, "effect": "pure"}]
 
 
@@ -67,7 +68,7 @@
         self.with_control = set(control)
         self.discovery = discovery
         self.members = {
-            f"d{n}": Member(f"d{n}", f"127.{81 + n // 250}.{n % 250 + 1}.1", n) for n in range(size)
+            f"d{n}": Member(f"d{n}", f"127.{81 + n // 250}.{n % 250 + 1}.{NET}", n) for n in range(size)
         }
         self.resource = Resource()
         hosts = {member.name: member.host for member in self.members.values()}
--- a/wheatring/operators.py
+++ b/wheatring/operators.py
@@ -11,6 +11,8 @@
 from pathlib import Path
 from typing import TypeVar
 
+from wheatring.errors import Plain
+
 T = TypeVar("T")
 
 DEFAULT = "deploy/operator.properties"  # read where none is named, if it is there
@@ -24,9 +26,19 @@
 _PERCENT = re.compile(r"([0-9]{1,3})(?:\.([0-9]{1,6}))?")
 
 
-class OperatorsError(ValueError):
+class OperatorsError(Plain, ValueError):
     """An operators' file that can't be used; the text begins with the key at fault."""
 
+    code = "operators-key"
+    do = "Correct the key that the line names, in the operators' file."
+
+
+class OperatorsUnreadable(OperatorsError):
+    """It is not there, or not text."""
+
+    code = "operators-unreadable"
+    do = "Let --operators name a file that this process may read and that is UTF-8."
+
 
 @dataclass(frozen=True, slots=True)
 class Drill:
@@ -177,6 +189,6 @@
     try:
         return parse(Path(where).read_text(encoding="utf-8-sig"))
     except OSError as bad:
-        raise OperatorsError(f"--operators: {bad.strerror}: {where}") from bad
+        raise OperatorsUnreadable(f"--operators: {bad.strerror}: {where}") from bad
     except UnicodeDecodeError:
-        raise OperatorsError(f"--operators: not UTF-8: {where}") from None
+        raise OperatorsUnreadable(f"--operators: not UTF-8: {where}") from None
--- a/wheatring/ops/drills.py
+++ b/wheatring/ops/drills.py
@@ -28,6 +28,9 @@
 class PlanError(OperatorsError):
     """A plan that can't be used; the text begins with the key at fault."""
 
+    code = "drill-plan"
+    do = "Correct the key that the line names, and sign the plan anew with `wheatring drill sign`."
+
 
 class Plan(NamedTuple):
     class_name: str
--- a/wheatring/ops/tokens.py
+++ b/wheatring/ops/tokens.py
@@ -15,6 +15,7 @@
 
 from wheatring.core.clock import Clock
 from wheatring.core.refused import Refused
+from wheatring.errors import Plain
 from wheatring.operators import OperatorsError, Tokens
 
 _BEARER = re.compile(rb"bearer +(\S.*)", re.IGNORECASE)
@@ -25,10 +26,34 @@
 _RIGHT = re.compile(r"[!-+.-:<-~-]+")  # nor, in a right, the comma
 
 
-class TokenError(ValueError):
+class NotIssued(OperatorsError):
+    """No token can be made of what was asked for; the text begins with the word or key at fault."""
+
+    code = "token-not-issued"
+    do = "Correct the word or the key that the line names, and issue it again."
+
+
+class TokenError(Plain, ValueError):
     """A token that counts for nothing."""
 
 
+class Missing(TokenError):
+    code = "token-missing"
+    do = "Have the caller send `Authorization: Bearer TOKEN` with each request."
+
+
+class Forged(TokenError):
+    """Not one that was signed here, with a key that there is."""
+
+    code = "token-forged"
+    do = "Give the caller a token that was issued with one of the keys in this sidecar's operators' file."
+
+
+class Expired(TokenError):
+    code = "token-expired"
+    do = "Issue a new token, and compare this machine's clock if it should still be good."
+
+
 def _encoded(data: bytes) -> bytes:
     return urlsafe_b64encode(data).rstrip(b"=")
 
@@ -36,10 +61,10 @@
 def _decoded(text: bytes) -> bytes:
     """Only the one way to write them: else one token could be written in several."""
     if not _CODED.fullmatch(text) or len(text) % 4 == 1:
-        raise TokenError("forged")
+        raise Forged("forged")
     data = urlsafe_b64decode(text + b"=" * (-len(text) % 4))
     if _encoded(data) != text:
-        raise TokenError("forged")
+        raise Forged("forged")
     return data
 
 
@@ -50,13 +75,13 @@
 def issue(told: Tokens, holder: str, rights: str, exp: int) -> str:
     """A token for these rights, good until `exp` in Unix time."""
     if not told.issue:
-        raise OperatorsError("tokens.issue.kid: not set")
+        raise NotIssued("tokens.issue.kid: not set")
     if not _HOLDER.fullmatch(holder):
-        raise OperatorsError("--holder: only printable ASCII without spaces and semicolons")
+        raise NotIssued("--holder: only printable ASCII without spaces and semicolons")
     if not all(map(_RIGHT.fullmatch, rights.split(","))):
-        raise OperatorsError("--rights: classes with commas between, without spaces and semicolons")
+        raise NotIssued("--rights: classes with commas between, without spaces and semicolons")
     if not _EXP.fullmatch(str(exp)):
-        raise OperatorsError("--ttl: the token would expire too late")
+        raise NotIssued("--ttl: the token would expire too late")
     payload = f"kid={told.issue};holder={holder};rights={rights};exp={exp}".encode("ascii")
     return (_encoded(payload) + b"." + _encoded(_mac(told.keys[told.issue], payload))).decode("ascii")
 
@@ -69,15 +94,15 @@
     for part in payload.decode("latin-1").split(";"):
         name, equals, value = part.partition("=")
         if not equals or not value or name in found or name not in _FIELDS:
-            raise TokenError("forged")
+            raise Forged("forged")
         found[name] = value
     key = told.keys.get(found.get("kid", ""))
     if key is None or len(found) < len(_FIELDS) or not _EXP.fullmatch(found["exp"]):
-        raise TokenError("forged")
+        raise Forged("forged")
     if not hmac.compare_digest(_decoded(mac), _mac(key, payload)):
-        raise TokenError("forged")
+        raise Forged("forged")
     if now > int(found["exp"]) + told.skew:
-        raise TokenError("expired")
+        raise Expired("expired")
     return frozenset(found["rights"].split(","))
 
 
@@ -92,7 +117,7 @@
         match = _BEARER.fullmatch(fields.get(b"authorization", b""))
         try:
             if match is None:
-                raise TokenError("missing")
+                raise Missing("missing")
             return rights(self.told, match[1], self.clock.unix())
         except TokenError as bad:
             body = f"token {bad}".encode()
--- a/wheatring/peers/begin.py
+++ b/wheatring/peers/begin.py
@@ -72,21 +72,20 @@
     return Voters(names(fleet.voters), names(fleet.voters_next))
 
 
-def reload(part: Part, said: file.File) -> str:
-    """Put into effect what may change while it runs: the voters and the keys. Why nothing of it is, if so.
-    FileError where the key file can't be used."""
+def reload(part: Part, said: file.File) -> None:
+    """Put into effect what may change while it runs: the voters and the keys; or nothing of it. RestartOnly,
+    VotersKept; KeysError where the key file can't be used."""
     fleet = said.fleet
     if fleet is None:
-        return "fleet: is left by a restart only"
+        raise config.RestartOnly("fleet: is left by a restart only")
     if why := _fixed(part.said, said):
-        return why
+        raise config.RestartOnly(why)
     keys = file.keys(fleet.key_file)
     voters = voters_of(fleet)
     changed = part.fleet is not None and voters != part.fleet.voters
     if changed and (why := part.vote_by(voters)):
-        return f"fleet.voters: {why}"
+        raise config.VotersKept(f"fleet.voters: {why}")
     part.seal.keys = keys
-    return ""
 
 
 def _fixed(before: file.File, said: file.File) -> str:
