Find who died together at one time, end second looks, and spread views without waits

A third killed left two of nineteen to later cuts, and a changed view reached the last sidecar 6 s late: looks were up to 4 s apart, a body that was not there was asked for once and then at the next exchange, and second looks never ended. Now the second missed look tells the other observers and has all others looked at within a second; turns are drawn apart again; what is told and over is taken back at once; a body is tried again after 0.3 s, and who passes an entry on has its body first; those who come or go are told by the leader itself; nobody is let in while somebody is about to go.

--- /dev/null
+++ b/wheatring/lab/agree/cases.py
@@ -0,0 +1,247 @@
+"""What befalls a virtual fleet that stands in views, one trouble at a time, and what is measured of it.
+
+A case begins when the fleet has stood in one whole view for a while. `alike` is the part of time, from the
+trouble on, in which all healthy members stand in the same view, read ten times a second.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from time import process_time
+from typing import NamedTuple
+
+from wheatring.lab.agree.fleet import Follow, cluster, views
+from wheatring.lab.leases.cluster import CUT, Cluster
+from wheatring.lab.live.links.state import State
+
+QUIET = 25.0  # seconds from the start to the trouble
+SPAN = 60.0  # seconds from the trouble to the end
+
+
+class Measured(NamedTuple):
+    case: str
+    size: int
+    seed: int
+    took: float  # s from the trouble (its end, where it has one) to one view as it should be; -1: never
+    out: int  # changes that took somebody out, from the trouble on,
+    into: int  # and that let somebody in
+    wrong: int  # members taken out that were to stay
+    alike: float
+    slowest: float  # s from a change's first sidecar to its last, at most
+    datagrams: float  # that a member sends a second, and bytes
+    traffic: float
+    cpu: float  # s of CPU for one of the fleet
+
+
+class Scene:
+    def __init__(self, size: int, seed: int, voters: int = 3) -> None:
+        self.fleet: Cluster = cluster(seed, size, voters)
+        self.follow = Follow(self.fleet)
+        self.names = list(self.fleet.nodes)
+        self.gone: set[str] = set()  # who is to be taken out
+        self.random = self.fleet.random
+        self.until = 0.0  # when the trouble ends
+        for node in self.fleet.nodes.values():
+            self.fleet.call(self.random.random(), self.fleet.start, node)
+
+    def kill(self, names: list[str]) -> None:
+        for name in names:
+            self.fleet.kill(self.fleet.nodes[name])
+            self.follow.left_out.add(name)
+            self.gone.add(name)
+
+    def stop(self, names: list[str], seconds: float) -> None:
+        for name in names:
+            self.fleet.stop(self.fleet.nodes[name])
+        self.follow.late |= {*names}
+        self.until = self.fleet.now + seconds
+        self.fleet.call(self.until, self.go_on, names)
+
+    def go_on(self, names: list[str]) -> None:
+        for name in names:
+            self.fleet.go_on(self.fleet.nodes[name])
+        self.fleet.call(self.fleet.now + 0.2, self.follow.late.clear)
+
+    def third(self) -> list[str]:
+        return sorted(self.random.sample(self.names[5:], len(self.names) // 3))
+
+    def one(self) -> str:
+        return self.random.choice(self.names)
+
+    def lead(self) -> str:
+        for node in self.fleet.nodes.values():
+            found = views(node)
+            if found is not None and found.register.ready:
+                return node.name
+        return self.names[0]
+
+    def half(self, but: str) -> list[str]:
+        others = [name for name in self.names if name != but]
+        return sorted(self.random.sample(others, len(others) // 2))
+
+
+def _no(scene: Scene) -> None:
+    """Nothing."""
+
+
+def _kill_one(scene: Scene) -> None:
+    scene.kill([scene.random.choice(scene.names[5:])])
+
+
+def _kill_leader(scene: Scene) -> None:
+    scene.kill([scene.lead()])
+
+
+def _kill_third(scene: Scene) -> None:
+    scene.kill(sorted(scene.random.sample(scene.names[5:], len(scene.names) // 3)))
+
+
+def _pause(scene: Scene, seconds: float) -> None:
+    scene.stop(scene.third(), seconds)
+
+
+def _loss(scene: Scene) -> None:
+    scene.fleet.net = State(delay=0.0005, jitter=0.0005, drop=0.3)
+
+
+def _loss_one(scene: Scene) -> None:
+    one = scene.one()
+    scene.fleet.cut([n for n in scene.names if n != one], [one], State(delay=0.0005, drop=0.8))
+
+
+def _pair(scene: Scene) -> None:
+    """From one to one of its subjects."""
+    one = scene.one()
+    found = views(scene.fleet.nodes[one])
+    assert found is not None
+    scene.fleet.cut([one], [scene.random.choice(found.rings.subjects(one))], CUT)
+
+
+def _half(scene: Scene) -> None:
+    one = scene.one()
+    scene.fleet.cut(scene.half(one), [one], CUT)
+
+
+def _mute(scene: Scene) -> None:
+    one = scene.random.choice(scene.names[5:])
+    scene.gone.add(one)
+    scene.follow.left_out.add(one)
+    scene.fleet.cut([one], scene.names, CUT)
+
+
+def _deaf(scene: Scene) -> None:
+    one = scene.random.choice(scene.names[5:])
+    scene.gone.add(one)
+    scene.follow.left_out.add(one)
+    scene.fleet.cut(scene.names, [one], CUT)
+
+
+def _voters(scene: Scene) -> None:
+    """Five voters apart 2, 2 and 1: the others are with the first two. Nobody has a majority."""
+    sides = [["n0", "n1", *scene.names[5:]], ["n2", "n3"], ["n4"]]
+    for side in sides:
+        scene.fleet.cut_off(side, CUT)
+    scene.until = scene.fleet.now + 20
+    scene.fleet.call(scene.until, scene.fleet.mend)
+
+
+def _moves(scene: Scene) -> None:
+    """One comes back under its name at another address."""
+    name = scene.random.choice(scene.names[5:])
+    node = scene.fleet.nodes[name]
+    scene.fleet.kill(node)
+    del scene.fleet.at[node.address]
+    node.address = (node.address[0], node.address[1] + 1)
+    scene.fleet.at[node.address] = node
+    scene.fleet.call(scene.fleet.now + 0.5, scene.fleet.start, node)
+
+
+def _join(scene: Scene) -> None:
+    """As many more come within a second, while a third of those who were there die."""
+    from wheatring.lab.leases.cluster import Node
+
+    size = len(scene.names)
+    _kill_third(scene)
+    for number in range(size, 2 * size):
+        address = (f"127.5.{number // 250}.{number % 250 + 1}", 7000)
+        node = Node(f"n{number}", address, number, "z0")
+        scene.fleet.nodes[node.name] = scene.fleet.at[address] = node
+        scene.fleet.call(scene.fleet.now + scene.random.random(), scene.fleet.start, node)
+    scene.names = list(scene.fleet.nodes)
+
+
+CASES: dict[str, Callable[[Scene], None]] = {
+    "rest": _no,
+    "kill-one": _kill_one,
+    "kill-leader": _kill_leader,
+    "kill-third": _kill_third,
+    "pause-5": lambda scene: _pause(scene, 5.0),
+    "pause-15": lambda scene: _pause(scene, 15.0),
+    "loss-30": _loss,
+    "loss-80-one": _loss_one,
+    "pair": _pair,
+    "half": _half,
+    "mute": _mute,
+    "deaf": _deaf,
+    "voters-apart": _voters,
+    "moves": _moves,
+    "join": _join,
+}
+
+
+def measure(case: str, size: int, seed: int, span: float = SPAN) -> Measured:
+    """Play one case."""
+    scene = Scene(size, seed, 5 if case == "voters-apart" else 3)
+    fleet, follow = scene.fleet, scene.follow
+    fleet.run(QUIET)
+    follow.clear()
+    for node in fleet.nodes.values():
+        node.sent = node.sent_bytes = 0
+    began, cpu = fleet.now, process_time()
+    CASES[case](scene)
+    fleet.run(max(scene.until, began))
+    want = set(scene.names) - scene.gone
+    took = follow.run_until_whole(want, span) if case != "moves" else _moved(scene, span)
+    fleet.run(max(fleet.now, began + span))
+    seconds = fleet.now - began
+    nodes = [node for node in fleet.nodes.values() if node.name not in scene.gone]
+    outs = [move for move in follow.moves if move.went]
+    stopped_long = case == "pause-15"
+    wrong = 0 if stopped_long else sum(len(move.went - scene.gone) for move in outs)
+    return Measured(
+        case,
+        size,
+        seed,
+        took,
+        len(outs),
+        sum(bool(move.came) for move in follow.moves),
+        wrong,
+        follow.alike,
+        max((move.last - move.at for move in follow.moves), default=0.0),
+        sum(node.sent for node in nodes) / seconds / len(nodes),
+        sum(node.sent_bytes for node in nodes) / seconds / len(nodes),
+        (process_time() - cpu) / seconds,
+    )
+
+
+def _moved(scene: Scene, span: float) -> float:
+    """Seconds until all know the one that came back by its new place."""
+    began = scene.fleet.now
+    while scene.fleet.now - began < span:
+        found = [views(node) for node in scene.follow.healthy()]
+        if (
+            all(one is not None and one.inside for one in found)
+            and scene.follow.moves
+            and len({one.view.number for one in found if one is not None}) == 1
+        ):
+            return scene.fleet.now - began
+        scene.fleet.run(scene.fleet.now + 0.1)
+    return -1.0
+
+
+def line(one: Measured) -> str:
+    return (
+        f"{one.case:13} {one.size:5} {one.seed:3}  took {one.took:5.1f} s  out {one.out} in {one.into} "
+        f"wrong {one.wrong}  alike {one.alike:.3f}  last after {one.slowest:.2f} s  "
+        f"{one.datagrams:.2f} datagrams {one.traffic:.0f} B a second  {1000 * one.cpu:.0f} ms CPU a second"
+    )
--- /dev/null
+++ b/wheatring/lab/agree/fleet.py
@@ -0,0 +1,125 @@
+"""A virtual fleet whose sidecars stand in views, and what is read off it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from msgspec import Struct
+
+from wheatring.lab.leases.cluster import Cluster, Node
+from wheatring.lab.leases.membership import size_of
+from wheatring.lease.fleet import Fleet, Instant, Piece
+from wheatring.lease.terms import Terms
+from wheatring.lease.views import Views
+from wheatring.lease.voters import Voters, first
+from wheatring.members.pace import Pace
+from wheatring.members.view import View
+from wheatring.peers.pieces import LEADS, Agreed
+
+Makes = Callable[[Instant, Fleet], list[Piece]]
+
+
+def agreed(at: Instant, fleet: Fleet) -> list[Piece]:
+    return Agreed(at, fleet).pieces
+
+
+def cluster(seed: int, size: int, voters: int = 3, makes: Makes = agreed, term: float = 3.0) -> Cluster:
+    """A fleet with the built-in duty `lead`; nobody of it is started yet."""
+    return Cluster(
+        seed,
+        size,
+        Voters(first(voters)),
+        [LEADS],
+        Terms(term),
+        Pace(),
+        zones=2,
+        size_of=size_of,
+        pieces=makes,
+    )
+
+
+def views(node: Node) -> Views | None:
+    """None: no process runs there."""
+    if node.fleet is None:
+        return None
+    piece = node.fleet.pieces[0]
+    assert isinstance(piece, Views)
+    return piece
+
+
+class Moved(Struct):
+    """A view, as the fleet came to know it: when somebody first stood in it, who came and went."""
+
+    at: float
+    number: int
+    came: frozenset[str]
+    went: frozenset[str]
+    last: float = 0.0  # when the last one came to stand in it
+
+
+class Follow:
+    """Follows which views there are, and reads `alike` off the fleet ten times a second."""
+
+    def __init__(self, fleet: Cluster, every: float = 0.1) -> None:
+        self.fleet = fleet
+        self.every = every
+        self.moves: list[Moved] = []
+        self.newest = 0
+        self.names: frozenset[str] = frozenset()
+        self.view = View()
+        self.left_out: set[str] = set()  # who is not expected to stand in the newest view,
+        self.late: set[str] = set()  # and who hears of it late, as it was stopped
+        self.samples = self.same = 0
+        self.stands: dict[str, int] = {}
+        fleet.after = self.after
+        fleet.call(fleet.now, self.sample)
+
+    def after(self, node: Node) -> None:
+        found = views(node)
+        if found is None or found.view.number == self.stands.get(node.name):
+            return
+        view = found.view
+        self.stands[node.name] = view.number
+        if view.number > self.newest:
+            came, went = view.names - self.names, self.names - view.names
+            self.newest, self.names, self.view = view.number, view.names, view
+            self.moves.append(Moved(self.fleet.now, view.number, came, went))
+        if self.moves and view.number == self.newest and node.name not in self.late:
+            self.moves[-1].last = self.fleet.now
+
+    def healthy(self) -> list[Node]:
+        return [
+            node
+            for node in self.fleet.nodes.values()
+            if node.fleet is not None and not node.stopped and node.name not in self.left_out
+        ]
+
+    def sample(self) -> None:
+        found = [one for node in self.healthy() if (one := views(node)) is not None]
+        numbers = {one.view.number for one in found if self.view.of(one.fleet.me.name) == one.placed}
+        self.samples += 1
+        self.same += len(numbers) <= 1
+        self.fleet.call(self.fleet.now + self.every, self.sample)
+
+    @property
+    def alike(self) -> float:
+        return self.same / max(1, self.samples)
+
+    def clear(self) -> None:
+        self.samples = self.same = 0
+        self.moves.clear()
+
+    def whole(self, names: Iterable[str]) -> bool:
+        """Whether each healthy one stands in one view of just these."""
+        want = frozenset(names)
+        found = [views(node) for node in self.healthy()]
+        return all(one is not None and one.view.names == want for one in found) and bool(found)
+
+    def run_until_whole(self, names: Iterable[str], longest: float) -> float:
+        """Seconds until each healthy one stands in a view of just these; -1: not within `longest`."""
+        want, began = list(names), self.fleet.now
+        while not self.whole(want):
+            if self.fleet.now - began >= longest:
+                return -1.0
+            self.fleet.run(self.fleet.now + 0.1)
+        return self.fleet.now - began
--- a/wheatring/lease/fleet.py
+++ b/wheatring/lease/fleet.py
@@ -261,7 +261,7 @@
             if name in self.wanted:
                 if self.plans[name].asked:
                     rank = 0
-                else:
+                elif not self.plans[name].voters or self.votes():  # else it is in no such line
                     names = [who.name for who in self.line(name)]
                     place = names.index(self.me.name) if self.me.name in names else LINE
                     rank = place if place < LINE or duty.held is not None else None
@@ -272,7 +272,8 @@
         """Who would hold a duty, the first first: by number, those near the last holder before others."""
         alive = self.members.alive()
         if self.plans[name].voters:
-            alive = [who for who in alive if {*self.names(who)} & {*self.voters.all}]
+            voters = {*self.voters.all}
+            alive = [who for who in alive if not voters.isdisjoint(self.names(who))]
         if not self.plans[name].near:
             return alive
         zone = next((who.zone for who in alive if who.name == self.holder(name)[0]), "")
--- a/wheatring/lease/register.py
+++ b/wheatring/lease/register.py
@@ -43,6 +43,7 @@
 
 LEAD = "lead"  # the duty whose holder leads all registers
 LONG = 4  # terms after which a voter that started speaks, though it has not heard all the others
+RETRY = 0.3  # seconds from a body that could not be had to the next try
 SYNC = 5.0  # seconds from one question after what is newest to the next
 MANY = 40  # members that a voter which started asks at once
 AGAIN = 0.5  # seconds until a body is asked for again
@@ -87,6 +88,8 @@
         self.wake = at.now
         self.fetched = -inf  # when a body was last asked for,
         self.where: Address = ("", 0)  # and who has that of the newest entry
+        self.retry = inf  # when the next try for it is
+        self.owed: Chosen | None = None  # to be passed on, once the body is here for who asks for it
 
     # What it is asked
 
@@ -111,7 +114,7 @@
         held = self.fleet.duties[LEAD].held
         if (None if held is None else held.epoch) != self.epoch:
             return -inf
-        return min(self.again, self.sync, self.wake)
+        return min(self.again, self.sync, self.wake, self.retry)
 
     def tick(self, at: Instant) -> list[Out]:
         out = self._wakes(at)
@@ -129,13 +132,18 @@
             if others:
                 who = self.fleet.random.choice(others)
                 out.append(((who.host, who.port), self.newest()))
-            out += self._fetch(at)
+        if at.now >= self.retry:
+            out += self._try_again(at)
         return out
 
     def newest(self, all_: bool = False) -> Newest:
         """The question after what is newer than what it has."""
         return Newest(self.name, self.have.epoch, self.have.number, all_)
 
+    def tells(self) -> Chosen:
+        """What it knows chosen, for one who has not heard of it."""
+        return Chosen(self.name, self.have.epoch, self.have)
+
     def _say(self, at: Instant) -> list[Out]:
         """Ask, or put, once more to those voters that have not answered."""
         assert self.epoch is not None
@@ -161,14 +169,23 @@
             case Kept():
                 return self._answered(at, sender, address, word)
             case Chosen():
-                return self.fleet.pass_on(word) + self.learn(at, address, word.entry)
+                return self._told_chosen(at, address, word)
             case Newest():
                 return self._told_newest(address, word)
 
+    def _told_chosen(self, at: Instant, address: Address, word: Chosen) -> list[Out]:
+        out = self.learn(at, address, word.entry)
+        if not word.to:
+            return out
+        if self.have.number >= word.entry.number:
+            return out + self.fleet.pass_on(word)
+        self.owed = word
+        return out
+
     def _told_newest(self, address: Address, word: Newest) -> list[Out]:
         out: list[Out] = []
         if (self.have.number, self.have.epoch) > (word.number, word.epoch):
-            out.append((address, Chosen(self.name, self.have.epoch, self.have)))
+            out.append((address, self.tells()))
         if word.all and self.fleet.votes():
             out.append((address, Kept(self.name, -1, self.kept, self.promised)))
         return out
@@ -249,8 +266,9 @@
         if self.phase is Phase.ASKING:
             return self._begins(at)
         self.phase, self.again = Phase.READY, inf
-        out = self.fleet.spread(Chosen(self.name, self.epoch, self.pending))
-        return out + self.learn(at, address, self.pending)
+        # First it goes by the entry itself, so that who asks it for more finds it there.
+        out = self.learn(at, address, self.pending)
+        return out + self.fleet.spread(Chosen(self.name, self.epoch, self.pending))
 
     def _begins(self, at: Instant) -> list[Out]:
         assert self.epoch is not None
@@ -277,27 +295,31 @@
         """Go by what is chosen, if its body is there."""
         body = self.fleet.bodies.get(self.chosen.digest)
         if body is None:
-            self.fetched = -inf
-            return self._fetch(at)
-        self.have = self.chosen
-        self.fleet.bodies.keep(self.name, self.have.digest)
-        return self.chosen_now(at, self.have, body)
-
-    def _fetch(self, at: Instant) -> list[Out]:
-        if self.have != self.chosen and at.now >= self.fetched + AGAIN:
             self.fetched = at.now
+            self.retry = inf  # until it is known what comes of this
             self.fleet.fetches.append(Fetch(self.where, self.chosen.digest))
-        return []
+            return []
+        self.have, self.retry = self.chosen, inf
+        self.fleet.bodies.keep(self.name, self.have.digest)
+        owed, self.owed = self.owed, None
+        out = self.chosen_now(at, self.have, body)
+        return out + (self.fleet.pass_on(owed) if owed is not None and owed.entry == self.have else [])
 
     def body(self, at: Instant, digest: bytes, body: bytes | None) -> list[Out]:
         if digest != self.chosen.digest or self.have == self.chosen:
             return []
         if body is not None:
             return self._take(at)
-        # Not there: anybody else may have it, and the answer names who does.
+        self.retry = at.now + RETRY * (0.5 + self.fleet.random.random())
+        return []
+
+    def _try_again(self, at: Instant) -> list[Out]:
+        """It was not to be had where it was said to be. Who says once more that it is chosen has it; whoever
+        said so first may have it by now."""
+        self.retry = at.now + RETRY * (0.5 + self.fleet.random.random())
+        self.fleet.fetches.append(Fetch(self.where, self.chosen.digest))
         others = [who for who in self.fleet.members.alive() if who.name != self.fleet.me.name]
         if not others:
             return []
         who = self.fleet.random.choice(others)
         return [((who.host, who.port), self.newest())]
-
--- a/wheatring/lease/views.py
+++ b/wheatring/lease/views.py
@@ -17,13 +17,14 @@
 
 from wheatring.lease.bodies import Fetch, digest
 from wheatring.lease.fleet import Fleet, Instant, Out
-from wheatring.lease.register import LEAD, Register
+from wheatring.lease.register import LEAD, RETRY, Register
 from wheatring.lease.words import Entry
 from wheatring.members.cuts import Cuts, groups
 from wheatring.members.members import Address
 from wheatring.members.view import Change, Rings, View, change_body, change_of, members_of
 from wheatring.members.watch import HELD, Watch
 from wheatring.members.words import (
+    ALIVE,
     AnyViewWord,
     Doubt,
     Here,
@@ -37,14 +38,16 @@
     Wait,
 )
 
+OFTEN = 0.1  # seconds from one look of a leader at what was reported to the next
 MINT = 1.0  # seconds from one stamp to the next
 SURE = 10.0  # seconds for which a stamp counts
 KNOCK = 1.0  # seconds from one knock to the next
 SECOND = 8  # members that look once more at who may go
 LOOKS = 3  # how often each of them does
 APART = 0.3  # seconds between these
+LATE = 2.0  # seconds after the last for which an answer is still told
 NAMES = 60  # names in one word
-WORDS = 16  # reports of one sidecar are cut off after so many words
+ERRANDS = 8  # second looks under way at once
 
 
 class _Errand(NamedTuple):
@@ -78,7 +81,8 @@
         self.born = -inf  # the latest instant at which the stamp surely was not older than its age
         self.next_mint = self.next_knock = self.next_look = at.now
         self.told_wait: Wait | None = None
-        self.held: tuple[Entry, Change, Address] | None = None  # chosen, and the whole view is fetched
+        self.held: tuple[Entry, Change] | None = None  # chosen, and the whole view is fetched
+        self.retry = inf  # when that is tried again
         # Why one that knocks is not let in now, by whoever knows what members have to be able to; "": it is.
         self.admits: Callable[[Instant, Placed], str] = lambda at, placed: ""
         self.errands: list[_Errand] = []
@@ -110,16 +114,19 @@
     @property
     def due(self) -> float:
         errands = min((errand.due for errand in self.errands), default=inf)
-        return min(self.watch.due, self.next_look, errands)
+        leads = self.next_look if self.register.epoch is not None else inf
+        knocks = inf if self.inside else self.next_knock
+        return min(self.watch.due, leads, knocks, errands, self.retry)
 
     def tick(self, at: Instant) -> list[Out]:
-        if (late := at.now - max(self.watch.due, self.next_look)) > HELD and self.moved:
+        if (late := at.now - self.due) > HELD and self.moved:
             self.watch.held_up(late)
             self.cuts.forget()
-        out = self._looks(at) + self._run(at)
-        if at.now >= self.next_look:
-            self.next_look = at.now + 0.1 * (0.9 + 0.2 * self.fleet.random.random())
-            out += self._knock(at)
+        out = self._looks(at) + self._run(at) + self._knock(at)
+        if at.now >= self.retry:
+            self._try_again()
+        if self.register.epoch is not None and at.now >= self.next_look:
+            self.next_look = at.now + OFTEN * (0.9 + 0.2 * self.fleet.random.random())
             out += self._lead(at)
         return out
 
@@ -182,11 +189,13 @@
             case Knock():
                 if word.me.who.name == sender:
                     self.cuts.knock(now, word.me)
+                    if self.view.of(sender) == word.me:  # it is in, and has not heard of it
+                        out.append((address, self.register.tells()))
             case Wait():
                 self.told_wait = word
                 self.next_knock = max(self.next_knock, now + min(word.left, 10.0) + 0.05)
             case Doubt():
-                if len(self.errands) < 8:
+                if len(self.errands) < ERRANDS:
                     self.errands.append(_Errand(address, word.seq, word.names[:NAMES], LOOKS, now))
             case Reached():
                 self.cuts.reaches(now, word.names)
@@ -215,6 +224,7 @@
 
     def _run(self, at: Instant) -> list[Out]:
         out: list[Out] = []
+        self.errands = [errand for errand in self.errands if errand.left > 0 or at.now < errand.due]
         for number, errand in enumerate(self.errands):
             if at.now < errand.due:
                 continue
@@ -222,8 +232,8 @@
                 self.watch.seq += 1
                 self.asked[self.watch.seq] = name
                 out += self._look(name, self.watch.seq)
-            self.errands[number] = errand._replace(left=errand.left - 1, due=at.now + APART)
-        self.errands = [errand for errand in self.errands if errand.left > 0 or at.now < errand.due]
+            left = errand.left - 1
+            self.errands[number] = errand._replace(left=left, due=at.now + (APART if left else LATE))
         while len(self.asked) > 4 * NAMES * LOOKS:
             del self.asked[next(iter(self.asked))]
         return out
@@ -231,11 +241,13 @@
     def _reached(self, name: str, seq: int) -> list[Out]:
         if self.asked.pop(seq) != name:
             return []
-        return [
-            (errand.leader, Reached(self.view.number, errand.seq, (name,)))
-            for errand in self.errands
-            if name in errand.names
-        ]
+        out: list[Out] = []
+        for number, errand in enumerate(self.errands):
+            if name in errand.names:  # it is told once, and not looked at any more
+                out.append((errand.leader, Reached(self.view.number, errand.seq, (name,))))
+                rest = tuple(other for other in errand.names if other != name)
+                self.errands[number] = errand._replace(names=rest)
+        return out
 
     # Coming in, and leaving
 
@@ -269,7 +281,7 @@
         if not self.watch.alone(now):
             out += self._second_look(now)
             went = self.cuts.going(now, self.view, self.rings)
-            came, wait = self.cuts.coming(now, self.view)
+            came, wait = self.cuts.coming(now, self.view, self.rings)
             for placed, left, cost in wait:
                 why = f"it went out again and again (cost {cost:.1f})"
                 out.append(((placed.who.host, placed.who.port), Wait(self.view.number, left, why)))
@@ -320,26 +332,34 @@
         whole = self.fleet.bodies.get(change.after)
         if whole is not None and (members := members_of(whole)) is not None:
             return self._stand(at, View(entry.number, entry.epoch, members), change)
-        self.held = (entry, change, self.register.where)
+        self.held, self.retry = (entry, change), inf
         self.fleet.fetches.append(Fetch(self.register.where, change.after))
         return []
 
     def body(self, at: Instant, key: bytes, body: bytes | None) -> list[Out]:
         if self.held is None or self.held[1].after != key:
             return []
-        entry, change, _ = self.held
+        entry, change = self.held
         if body is not None and (members := members_of(body)) is not None:
             return self._stand(at, View(entry.number, entry.epoch, members), change)
-        # Not there: somebody else of the fleet has it.
+        self.retry = at.now + RETRY * (0.5 + self.fleet.random.random())
+        return []
+
+    def _try_again(self) -> None:
+        """The whole view was not there: somebody else of the fleet has it."""
+        self.retry = inf
+        if self.held is None:
+            return
         alive = [who for who in self.fleet.members.alive() if who.name != self.fleet.me.name]
+        where = self.register.where
         if alive:
             who = self.fleet.random.choice(alive)
-            self.fleet.fetches.append(Fetch((who.host, who.port), key))
-        return []
+            where = (who.host, who.port)
+        self.fleet.fetches.append(Fetch(where, self.held[1].after))
 
     def _stand(self, at: Instant, view: View, change: Change) -> list[Out]:
         """From here on it stands in that view."""
-        self.held = None
+        self.held, self.retry = None, inf
         was, self.view = self.view, view
         self.fleet.bodies.put(view.body)
         self.fleet.bodies.keep("view/whole", change.after)
@@ -352,4 +372,18 @@
         self.fleet.members.probing = not (self.inside and self.watch.subjects)
         if self.inside:
             self.told_wait = None
-        return []
+        return self._tell_strangers(was, change) if self.register.epoch is not None else []
+
+    def _tell_strangers(self, was: View, change: Change) -> list[Out]:
+        """What is chosen is spread by opinion of who is there. A leader tells those of the view itself whom
+        its opinion does not have: they came just now, or were taken for dead a moment ago. And those who
+        went, who may still hear."""
+        rows = self.fleet.members.table.rows
+        strangers = [
+            placed.who
+            for placed in self.view.members
+            if placed.who.name != self.fleet.me.name
+            and ((row := rows.get(placed.who.name)) is None or row.state != ALIVE)
+        ]
+        gone = [placed.who for placed in was.members if placed.who.name in change.went]
+        return [((who.host, who.port), self.register.tells()) for who in strangers + gone]
--- a/wheatring/members/cuts.py
+++ b/wheatring/members/cuts.py
@@ -14,14 +14,15 @@
 from typing import NamedTuple
 
 from wheatring.members.view import Rings, View
-from wheatring.members.watch import SILENT
+from wheatring.members.watch import SILENT, TELL
 from wheatring.members.words import Placed
 
 FRESH = 3.5  # seconds for which a report counts
 HIGH, LOW = 5 / 6, 1 / 3  # parts of the observers that make one down, or unsure
 WAIT = 2.0  # seconds for which who is down waits for who is unsure
 SECOND = 4.0  # seconds of silence from which on who may go is looked at once more
-QUIET, GATHER = 0.3, 1.0  # seconds without a knock, and since the first, after which all are let in
+QUIET, GATHER = 0.3, 2.5  # seconds without a knock, and since the first, after which all are let in
+HOLD = 10.0  # seconds since the first knock for which those who come wait for those who are about to go
 HALF = 60.0  # seconds in which what going out cost is halved
 LONGEST = 60.0  # seconds that one waits to be let in again
 MOST = 4000  # names of whom something is kept
@@ -105,7 +106,7 @@
             # Of one with no observer left, the second look alone decides.
             sure = self._leaves(now, name) or len(votes) >= ceil(HIGH * len(left))
             (down if sure else unsure).add(name)
-        for name in rings.watched:
+        for name in sorted({subject for observer in doubted for subject in rings.subjects(observer)}):
             if name not in doubted and doubted.issuperset(rings.observers(name)):
                 down.add(name)  # nobody is left who could miss it
         down |= {name for name in self.reports if name in view.names and self._leaves(now, name)}
@@ -150,9 +151,12 @@
             return []
         return sorted(down)
 
-    def coming(self, now: float, view: View) -> tuple[list[Placed], list[tuple[Placed, float, float]]]:
+    def coming(
+        self, now: float, view: View, rings: Rings
+    ) -> tuple[list[Placed], list[tuple[Placed, float, float]]]:
         """Who comes in now, all in one change; and who has to wait yet: how long, and what going out has
-        cost it."""
+        cost it. A change gives subjects new observers, who begin anew: so nobody comes while somebody is
+        about to go, for `HOLD` at most."""
         self.knocks = {
             name: (at, placed)
             for name, (at, placed) in self.knocks.items()
@@ -168,12 +172,18 @@
                 come.append(placed)
         if come and now < self.last_knock + QUIET and now < self.first_knock + GATHER:
             return [], wait
+        if come and now < self.first_knock + HOLD and self._about(now, view, rings):
+            return [], wait
         if come:
             self.first_knock = self.last_knock = -inf
             for placed in come:
                 del self.knocks[placed.who.name]
         return come, wait
 
+    def _about(self, now: float, view: View, rings: Rings) -> bool:
+        """Whether somebody is about to go."""
+        return bool(self.marks(now, view, rings, TELL).down - self.reached.keys())
+
     # Who goes out again and again
 
     def costs(self, now: float, name: str) -> float:
--- a/wheatring/members/rumours.py
+++ b/wheatring/members/rumours.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Iterator
-from heapq import nsmallest
+from itertools import chain, islice
 
 from wheatring.members.words import Rumour
 
@@ -26,30 +26,52 @@
 
 
 class Rumours:
+    """`levels[n]` holds those that were told n times, who came there first first: so that what goes along
+    with a word is found without a look at all of them."""
+
     def __init__(self) -> None:
         self.told: dict[str, int] = {}  # of whom: how often it was told
-        self.of: dict[str, Rumour] = {}
+        self.levels: list[dict[str, Rumour]] = [{}]
+
+    @property
+    def of(self) -> dict[str, Rumour]:
+        return {name: self.levels[told][name] for name, told in self.told.items()}
 
     def add(self, rumour: Rumour) -> None:
         name = rumour.who.name
-        self.of[name], self.told[name] = rumour, 0
-        if len(self.of) > MOST:
-            oldest = max(self.told, key=lambda one: self.told[one])
-            del self.of[oldest], self.told[oldest]
+        self._drop(name)
+        self.told[name] = 0
+        self.levels[0][name] = rumour
+        if len(self.told) > MOST:
+            self._drop(next(name for level in reversed(self.levels) for name in level))
+
+    def _drop(self, name: str) -> None:
+        if name in self.told:
+            del self.levels[self.told.pop(name)][name]
+
+    def _count(self, name: str, times: int) -> None:
+        """It has been told once more."""
+        told = self.told[name] + 1
+        rumour = self.levels[told - 1].pop(name)
+        if told >= times:
+            del self.told[name]
+            return
+        if told == len(self.levels):
+            self.levels.append({})
+        self.told[name] = told
+        self.levels[told][name] = rumour
 
     def take(self, times: int, first: Collection[Rumour] = ()) -> tuple[Rumour, ...]:
         """Those to go along with one word; `first` go in any case."""
         room = ROOM - sum(rumour.size for rumour in first)
         taken = list(first)
-        for name in nsmallest(AT_ONCE, self.of, key=lambda one: self.told[one]):
-            rumour = self.of[name]
+        for rumour in islice(chain.from_iterable(level.values() for level in self.levels), AT_ONCE):
             if rumour in first:
                 continue
-            if rumour.size > room:
-                break
             room -= rumour.size
+            if room < 0:
+                break
             taken.append(rumour)
-            self.told[name] += 1
-            if self.told[name] >= times:
-                del self.of[name], self.told[name]
+        for rumour in taken[len(first) :]:
+            self._count(rumour.who.name, times)
         return tuple(taken)
--- a/wheatring/members/watch.py
+++ b/wheatring/members/watch.py
@@ -12,7 +12,9 @@
 
 EACH = 4.0  # seconds from one look at a subject to the next, as long as it answers
 AGAIN = 0.5  # seconds until it is looked at again where it does not
-MISSED = 3  # looks not answered after which the others that watch it are told
+FIRST = 0.25  # and until that is done for the first time
+MISSED = 2  # looks, the last of which tells that the first was not answered: its other observers are told
+HURRY = 1.0  # seconds within which all others are looked at then: trouble seldom comes alone
 SILENT = 5.5  # seconds of silence after which one is down: a stop of 5 s takes nobody out
 TELL = 2.5  # seconds of silence from which on the voters are told
 LEAST = 6  # looks not answered, at least
@@ -22,13 +24,14 @@
 
 
 class Subject:
-    __slots__ = ("due", "kicked", "looks", "seq", "since")
+    __slots__ = ("due", "early", "kicked", "looks", "seq", "since")
 
     def __init__(self, due: float) -> None:
         self.due = due  # of the next look
         self.since = inf  # the first look that was not answered
         self.looks = 0  # not answered, since then
         self.kicked = False
+        self.early = True  # the look that is due is not in its turn
         self.seq: dict[int, float] = {}  # looks that may be answered yet, and when they were sent
 
 
@@ -41,11 +44,12 @@
         self.next_report = now
         self.told: tuple[tuple[str, float], ...] = ()
         self.kicks: list[str] = []  # subjects whose other observers are to be told, emptied by whoever tells
+        self.hurried = now  # when all were last looked at early
 
     def watch(self, now: float, names: list[str]) -> None:
         """These from now on. Who was watched before keeps what is known of it."""
         self.subjects = {
-            name: self.subjects.get(name) or Subject(now + EACH * self.random.random()) for name in names
+            name: self.subjects.get(name) or Subject(now + HURRY * self.random.random()) for name in names
         }
 
     @property
@@ -76,16 +80,30 @@
             if subject.since == inf:
                 subject.since = now
             subject.looks += 1
-            subject.due = now + AGAIN
+            subject.due = now + (FIRST if subject.looks == 1 else AGAIN)
             if subject.looks == MISSED and not subject.kicked:
                 subject.kicked = True
                 self.kicks.append(name)
+        if self.kicks:
+            self._hurry(now)
         return out
 
     def kick(self, now: float, name: str) -> None:
         """Somebody else misses that one."""
         if (subject := self.subjects.get(name)) is not None and not subject.looks:
             subject.due = min(subject.due, now)
+            subject.kicked = subject.early = True  # the others have been told
+            self._hurry(now)
+
+    def _hurry(self, now: float) -> None:
+        """Where one is missed, others may be: who died together is to be found at one time, for one cut."""
+        if now < self.hurried + EACH:
+            return
+        self.hurried = now
+        for subject in self.subjects.values():
+            if not subject.looks:
+                subject.due = min(subject.due, now + HURRY * self.random.random())
+                subject.early = True
 
     def here(self, now: float, name: str, seq: int) -> float | None:
         """An answer: when its look was sent. None: it is none to a look of this one."""
@@ -94,9 +112,15 @@
             return None
         sent = subject.seq.pop(seq)
         self.answered = now
+        if any(name == one for one, _ in self.told):
+            self.next_report = now  # what was told is over, and is taken back before it counts for more
         subject.since, subject.looks, subject.kicked = inf, 0, False
         subject.seq = {one: at for one, at in subject.seq.items() if at > sent}
-        subject.due = now + EACH * (0.9 + 0.2 * self.random.random())
+        # Those who look early look together. Their next turns are drawn apart again, else all of its
+        # observers would leave one alone for the same seconds.
+        apart = self.random.random()
+        subject.due = now + EACH * (0.1 + 0.9 * apart if subject.early else 0.75 + apart / 2)
+        subject.early = False
         return sent
 
     # What it knows
