--- a/wheatring/commands/lab.py
+++ b/wheatring/commands/lab.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from wheatring.commands import lab_duties, lab_lease, lab_live, lab_pace, lab_run, lab_study
+from wheatring.commands import lab_duties, lab_lease, lab_live, lab_pace, lab_run, lab_study, lab_views
 
 if TYPE_CHECKING:
     Commands = argparse._SubParsersAction[argparse.ArgumentParser]
@@ -68,8 +68,8 @@
 def add_check(commands: Commands) -> None:
     parser = command(commands, "check", check, "tell what is wrong with scenarios, and draw each a few times")
     parser.add_argument(
-        "files", nargs="+", metavar="NAME|FILE|lease|plan",
-        help="lease: the deciders of duties' terms; plan: those of the fleet's one plan",
+        "files", nargs="+", metavar="NAME|FILE|lease|views|plan",
+        help="lease: the deciders of duties' terms; views: those of agreed views; plan: those of the one plan",
     )  # fmt: skip
     lab_lease.add_to(parser)
     parser.add_argument(
@@ -85,6 +85,8 @@
         return lab_lease.check(args)
     if args.files == ["plan"]:
         return lab_lease.check_plan(args)
+    if args.files == ["views"]:
+        return lab_views.check(args)
     status = 0
     for where in args.files:
         try:
--- a/wheatring/commands/lab_lease.py
+++ b/wheatring/commands/lab_lease.py
@@ -7,16 +7,17 @@
 
 
 def add_to(parser: argparse.ArgumentParser) -> None:
-    """Words that count for `lease` and `plan` only."""
+    """Words that count for `lease` only, but for days and jobs, which `views` and `plan` have too."""
     parser.add_argument(
-        "--days", type=int, default=400, metavar="N", help="lease, plan: days to play (default: 400)"
+        "--days", type=int, default=400, metavar="N", help="lease, views, plan: days to play (default: 400)"
     )
     parser.add_argument(
         "--states", type=int, default=300_000, metavar="N",
         help="lease: states to look at in each search, at most (default: 300000)",
     )  # fmt: skip
     parser.add_argument(
-        "--jobs", type=int, metavar="N", help="lease, plan: processes to work in (default: as many as cores)"
+        "--jobs", type=int, metavar="N",
+        help="lease, views, plan: processes to work in (default: as many as cores)",
     )
 
 
--- /dev/null
+++ b/wheatring/lab/agree/days.py
@@ -0,0 +1,255 @@
+"""Drawn days of a fleet that stands in views: what befalls it, and what must hold after every event.
+
+Rules, read off all sidecars from outside:
+
+- of one number there is one entry and one list of members, over all sidecars and all time;
+- no process goes to a lower number, or to a lower epoch of the same;
+- nobody counts on a view more than `SURE` after a newer one was chosen;
+- nobody goes out to whom nothing was done, and to whose links nothing was done;
+- at the end, a while after the last fault, all stand in one view of all and count on it;
+- on days of one trouble: those who die together go in one change, and one whom a half does not reach stays.
+
+A seed gives a day, and the same day again.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Literal, NamedTuple
+
+from msgspec import Struct, field
+
+from wheatring.lab.agree.fleet import Makes, agreed, cluster, views
+from wheatring.lab.leases.cluster import CUT, Node
+from wheatring.lab.live.links.state import State
+from wheatring.lease.terms import Terms
+from wheatring.lease.views import SURE
+
+Kind = Literal["mixed", "together", "half", "late"]
+KINDS: tuple[Kind, ...] = ("mixed", "together", "half", "late")
+QUIET = 15.0  # seconds from the start to the first fault
+AFTER = 75.0  # seconds from the last fault's end to the day's: who went out often waits up to 60
+TERMS = Terms()
+ILL = 20.0  # seconds after a fault's end for which it may still take somebody out
+
+
+class Fault(NamedTuple):
+    at: float
+    kind: str
+    length: float
+    names: tuple[str, ...]
+    size: float = 0.0
+
+
+class Day(Struct):
+    """What came of one."""
+
+    seed: int
+    kind: Kind
+    breaches: list[str] = field(default_factory=list)
+    views: int = 0
+    out: int = 0  # members taken out, all changes together
+    events: int = 0
+    length: float = 0.0
+
+
+def draw(seed: int, kind: Kind, names: list[str], voters: int) -> list[Fault]:
+    random = Random(f"{seed}:{kind}:faults")
+    if kind == "together":
+        return [Fault(QUIET, "die", 0.0, tuple(random.sample(names[voters:], len(names) // 3)))]
+    one = random.choice(names[voters:])
+    if kind == "half":
+        others = [name for name in names if name != one]
+        return [Fault(QUIET, "half", 20.0, (one, *random.sample(others, len(others) // 2)))]
+    if kind == "late":
+        return [Fault(QUIET, "late-cut", 30.0, (one,), 4 + 3.5 * random.random())]
+    faults, at = [], QUIET
+    for _ in range(random.randint(1, 4)):
+        what = random.choice(
+            ["kill", "again", "stall", "cut", "one-way", "split", "loss", "late", "voters", "leader"]
+        )
+        length = random.choice([0.5, 3.0, 6.0, 12.0, 25.0]) * (0.5 + random.random())
+        length = 10 * TERMS.term if what == "leader" else length
+        some = tuple(sorted(random.sample(names, random.choice([1, 1, 2, len(names) // 3]))))
+        faults.append(Fault(at, what, length, some, random.random()))
+        # Voters that start anew find out what they kept from whom they reach: no link is bad by then.
+        apart = random.choice([0.0, 0.3, 1.0]) if what not in ("voters", "kill", "again") else 1.0
+        at += max(1.0, apart * length) + (30.0 if what == "voters" else 5.0 * random.random())
+    return faults
+
+
+class Play:
+    def __init__(self, seed: int, kind: Kind = "mixed", makes: Makes = agreed) -> None:
+        random = Random(f"{seed}:day")
+        size = random.choice([7, 9, 12]) if kind == "mixed" else 12
+        self.voters = random.choice([3, 5]) if kind == "mixed" else 3
+        self.fleet = cluster(seed, size, self.voters, makes)
+        self.day = Day(seed, kind)
+        self.fleet.after = self.after
+        self.digests: dict[int, tuple[bytes, bytes]] = {}
+        self.names: dict[int, frozenset[str]] = {}
+        self.since: dict[int, float] = {}  # when a view was first stood in
+        self.knows: dict[tuple[str, int], tuple[int, int]] = {}
+        self.ill: dict[str, float] = {}  # until when a fault may take one out
+        self.changes = 0  # that took somebody out, since the faults began
+        for node in self.fleet.nodes.values():
+            node.fast = TERMS.rate * (2 * random.random() - 1)
+            self.fleet.call(random.random(), self.fleet.start, node)
+        faults = draw(seed, kind, list(self.fleet.nodes), self.voters)
+        for fault in faults:
+            self.fleet.call(fault.at, self.begin, fault)
+        self.day.length = max(fault.at + fault.length for fault in faults) + AFTER
+        self.fleet.call(1.0, self.sample)
+
+    def run(self) -> Day:
+        self.fleet.run(self.day.length)
+        here = {node.name for node in self.fleet.nodes.values() if node.fleet is not None}
+        for node in self.fleet.nodes.values():
+            found = views(node)
+            if found is None:
+                continue
+            sure = found.sure(self.fleet.instant(node).now)
+            if found.view.number != max(self.names) or found.view.names != here or not sure:
+                view = f"view {found.view.number} of {len(found.view.names)}, sure {sure}"
+                self.breach(f"{node.name} ends in {view}; there are {len(here)}")
+        if self.day.kind == "together" and self.changes != 1:
+            self.breach(f"those who died together went in {self.changes} changes")
+        self.day.views = len(self.names)
+        return self.day
+
+    def breach(self, what: str) -> None:
+        if len(self.day.breaches) < 20:
+            self.day.breaches.append(f"{self.fleet.now:.3f} s: {what}")
+
+    # Faults
+
+    def leader(self) -> str:
+        for node in self.fleet.nodes.values():
+            found = views(node)
+            if found is not None and not node.stopped and found.register.ready:
+                return node.name
+        return "n0"
+
+    def begin(self, fault: Fault) -> None:
+        fleet, names = self.fleet, fault.names
+        others = tuple(name for name in fleet.nodes if name not in names)
+        over = fleet.now + fault.length
+        touched = names
+        match fault.kind:
+            case "kill" | "again" | "voters":
+                if fault.kind == "voters":
+                    touched = names = tuple(fleet.nodes)[: self.voters]
+                    over = fleet.now + 1.0
+                for name in names:
+                    fleet.kill(fleet.nodes[name])
+                    fleet.call(over, fleet.start, fleet.nodes[name])
+                    if fault.kind == "again":
+                        fleet.call(over + 1.0, fleet.kill, fleet.nodes[name])
+                        fleet.call(over + 1.5, fleet.start, fleet.nodes[name])
+            case "die":
+                for name in names:
+                    fleet.kill(fleet.nodes[name])
+            case "stall" | "leader":
+                touched = names = (self.leader(),) if fault.kind == "leader" else names
+                for name in names:
+                    fleet.stop(fleet.nodes[name])
+                    fleet.call(over, fleet.go_on, fleet.nodes[name])
+            case "half":
+                one, *half = names
+                touched = ()
+                self.link(tuple(half), (one,), CUT, over)
+            case "cut" | "split":
+                self.link(names, others, CUT, over)
+                self.link(others, names, CUT, over)
+            case "one-way":
+                froms, tos = (names, others) if fault.size < 0.5 else (others, names)
+                self.link(froms, tos, CUT, over)
+            case "loss":
+                touched = ()
+                state = State(delay=0.001, jitter=0.001, drop=0.3, duplicate=0.1, reorder=0.1)
+                self.link(tuple(fleet.nodes), tuple(fleet.nodes), state, over)
+            case "late":
+                state = State(delay=8 * fault.size, jitter=2.0, duplicate=0.5, reorder=0.5)
+                self.link(names, others, state, over)
+                self.link(others, names, state, over)
+            case "late-cut":
+                self.link(others, names, State(delay=fault.size, jitter=0.5), over)
+                fleet.call(fleet.now + 6.5, self.link, others, names, CUT, over)
+        # Where most voters are on one side with whom it befalls, it is the others that are cut off.
+        if sum(name in touched for name in list(fleet.nodes)[: self.voters]) * 2 > self.voters:
+            touched = tuple(fleet.nodes)
+        for name in touched:
+            self.ill[name] = max(self.ill.get(name, 0.0), over + ILL)
+
+    def link(self, froms: tuple[str, ...], tos: tuple[str, ...], state: State, over: float) -> None:
+        self.fleet.cut(froms, tos, state)
+        self.fleet.call(over, self.mend, froms, tos, state)
+
+    def mend(self, froms: tuple[str, ...], tos: tuple[str, ...], state: State) -> None:
+        """What another fault has done to these links meanwhile stays."""
+        for one in froms:
+            for other in tos:
+                if self.fleet.links.get((one, other)) is state:
+                    del self.fleet.links[one, other]
+
+    # Rules
+
+    def after(self, node: Node) -> None:
+        found = views(node)
+        assert found is not None
+        self.day.events += 1
+        view, chosen = found.view, found.register.chosen
+        stands = (node.name, node.starts)
+        if chosen.number:
+            known = self.digests.setdefault(chosen.number, (chosen.digest, b""))
+            if known[0] != chosen.digest:
+                self.breach(f"{node.name} knows another entry {chosen.number}")
+        if self.knows.get(stands) != (view.number, view.epoch):
+            self.stood(node, stands)
+        self.counts(node)
+
+    def stood(self, node: Node, stands: tuple[str, int]) -> None:
+        """One has come to stand in a view."""
+        found = views(node)
+        assert found is not None
+        view = found.view
+        if (view.number, view.epoch) < self.knows.get(stands, (0, 0)):
+            self.breach(f"{node.name} goes back from {self.knows[stands]} to {view.number}, {view.epoch}")
+        self.knows[stands] = (view.number, view.epoch)
+        entry, members = self.digests.get(view.number, (found.register.have.digest, b""))
+        if members not in (b"", view.body):
+            self.breach(f"{node.name} stands in another view {view.number}")
+        self.digests[view.number] = (entry, view.body)
+        if view.number not in self.names:
+            self.names[view.number] = view.names
+            self.since[view.number] = self.fleet.now
+            self.went(self.names.get(view.number - 1, frozenset()) - view.names)
+
+    def went(self, names: frozenset[str]) -> None:
+        if not names:
+            return
+        self.day.out += len(names)
+        self.changes += 1
+        for name in sorted(names):
+            if self.fleet.now > self.ill.get(name, 0.0):
+                self.breach(f"{name} goes out, to whom nothing was done")
+
+    def counts(self, node: Node) -> None:
+        """Nobody counts on what is over for long. Clocks may be `rate` apart from true time."""
+        found = views(node)
+        if found is None or node.stopped or not found.sure(self.fleet.instant(node).now):
+            return
+        newer = self.since.get(found.view.number + 1)
+        if newer is not None and self.fleet.now - newer > SURE * (1 + 2 * TERMS.rate):
+            late = self.fleet.now - newer
+            self.breach(f"{node.name} counts on {found.view.number}, {late:.1f} s after the next was chosen")
+
+    def sample(self) -> None:
+        for node in self.fleet.nodes.values():
+            self.counts(node)
+        if self.fleet.now + 0.5 < self.day.length:
+            self.fleet.call(self.fleet.now + 0.5, self.sample)
+
+
+def play(seed: int, kind: Kind = "mixed", makes: Makes = agreed) -> Day:
+    return Play(seed, kind, makes).run()
--- /dev/null
+++ b/wheatring/lab/agree/orders.py
@@ -0,0 +1,197 @@
+"""The register alone, in drawn orders of all its words: late, lost, twice, across terms; voters start anew.
+
+The very `Register` on a ground that stands for the rest of a sidecar. One leader at a time is in office, as
+the terms have it; but what it said may arrive whenever it likes, terms later too. A voter starts anew only
+while all others are awake: that is what the register promises to outlive. A seed gives an order, and the same
+again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from types import SimpleNamespace
+from typing import Any, NamedTuple
+
+from wheatring.lease.bodies import Bodies, Fetch
+from wheatring.lease.fleet import Instant
+from wheatring.lease.register import LEAD, Register
+from wheatring.lease.terms import Terms
+from wheatring.lease.voters import Voters
+from wheatring.lease.words import Chosen, Entry
+from wheatring.members.members import Address
+from wheatring.members.words import Who
+
+STEPS = 500
+STEP = 0.05  # seconds
+STARTED = 100.0  # seconds that all have been up for at the beginning
+TWICE, AGAIN, PUTS = 0.05, 0.012, 0.3  # chances: of a word, and in a step
+# Drawn for each order: chances that a word is lost, that one that tells what is chosen is, that a word is
+# late, and that a term ends in a step.
+LOST, UNTOLD, LATE, ENDS = (0.1, 0.3), (0.1, 0.9), (0.05, 0.4), (0.02, 0.05)
+LATER = 8.0  # seconds by which a late word is late, at most
+
+Makes = Callable[..., Register]
+
+
+class Ground:
+    """What a register needs of its sidecar."""
+
+    def __init__(self, name: str, order: Order) -> None:
+        self.order = order
+        self.me = Who(name, name, 1)
+        self.voters = order.voters
+        self.terms = Terms()
+        self.bodies = Bodies()
+        self.fetches: list[Fetch] = []
+        self.random = Random(f"{order.seed}:{name}")
+        self.duties = {LEAD: self}
+        self.members = SimpleNamespace(alive=lambda: [Who(one, one, 1) for one in order.names])
+
+    @property
+    def held(self) -> Any:
+        epoch = self.act(0.0)
+        return None if epoch is None else SimpleNamespace(epoch=epoch)
+
+    def act(self, now: float) -> int | None:
+        return self.order.epoch if self.order.leader == self.me.name else None
+
+    def votes(self) -> bool:
+        return self.me.name in self.voters.all
+
+    def names(self, who: Who) -> tuple[str, ...]:
+        return (who.name,)
+
+    def names_of(self, sender: str) -> tuple[str, ...]:
+        return (sender,)
+
+    def to_voters(self, said: list[tuple[str, Any]]) -> list[tuple[Address, Any]]:
+        return [((name, 1), word) for name, word in said]
+
+    def spread(self, word: Any) -> list[tuple[Address, Any]]:
+        return [((name, 1), word) for name in self.order.names if name != self.me.name]
+
+    def pass_on(self, word: Any) -> list[tuple[Address, Any]]:
+        return []
+
+
+class Walked(NamedTuple):
+    seed: int
+    chosen: int  # entries that somebody came to know chosen
+    terms: int
+    restarts: int
+    breach: str  # "": none
+
+
+class Order:
+    """Three voters, and one who only follows; any of the four may lead."""
+
+    def __init__(self, seed: int, makes: Makes) -> None:
+        self.seed = seed
+        self.makes = makes
+        self.random = Random(f"{seed}:order")
+        self.lost, self.untold, self.late, self.ends = (
+            self.random.choice(each) for each in (LOST, UNTOLD, LATE, ENDS)
+        )
+        self.names = ["v0", "v1", "v2", "m0"]
+        self.voters = Voters(("v0", "v1", "v2"))
+        self.now = 0.0
+        self.leader, self.epoch = "", 0
+        self.words: list[tuple[float, str, str, Any]] = []  # from when on it may arrive, from whom, to whom
+        self.digests: dict[int, bytes] = {}  # of the entries known chosen
+        self.knows: dict[str, tuple[int, int]] = dict.fromkeys(self.names, (0, 0))
+        self.restarts = 0
+        self.breach = ""
+        self.registers: dict[str, Register] = {}
+        self.grounds: dict[str, Ground] = {}
+        for name in self.names:
+            self.start(name)
+        self.now = STARTED
+        for name in self.names:
+            self.registers[name].tick(self.at)
+            self.registers[name].awake = True
+
+    @property
+    def at(self) -> Instant:
+        return Instant(self.now, self.now, 0)
+
+    def start(self, name: str) -> None:
+        ground: Any = Ground(name, self)
+        self.grounds[name] = ground
+        self.registers[name] = self.makes(self.at, "view", ground, lambda at, entry, body: [])
+        self.knows[name] = (0, 0)
+
+    def walk(self) -> Walked:
+        terms = 0
+        for _ in range(STEPS):
+            self.now += STEP
+            terms += self.office()
+            if self.random.random() < AGAIN and self.awake():
+                self.restarts += 1
+                self.start(self.random.choice(self.voters.all))
+            for name in self.names:
+                register = self.registers[name]
+                if self.now >= register.due:
+                    self.say(name, register.tick(self.at))
+                if register.ready and self.random.random() < PUTS:
+                    number = register.chosen.number + 1
+                    self.say(name, register.put(self.at, f"{self.epoch}:{number}:{name}".encode(), number))
+            self.deliver()
+            if self.breach:
+                break
+        return Walked(self.seed, len(self.digests), terms, self.restarts, self.breach)
+
+    def awake(self) -> bool:
+        return all(self.registers[name].awake for name in self.voters.all)
+
+    def office(self) -> int:
+        """Terms end at any time; the next one begins some steps later, with a higher epoch."""
+        if self.leader:
+            if self.random.random() < self.ends:
+                self.leader = ""
+        elif self.random.random() < 0.2:
+            self.leader = self.random.choice(self.names)
+            self.epoch += 1
+            return 1
+        return 0
+
+    def deliver(self) -> None:
+        """About half of what may arrive does, in any order."""
+        may = [one for one in self.words if one[0] <= self.now]
+        self.words = [one for one in self.words if one[0] > self.now]
+        self.random.shuffle(may)
+        for _ in range(self.random.randint(0, len(may))):
+            _, source, target, word = may.pop()
+            if self.random.random() < TWICE:
+                self.words.append((self.now + LATER * self.random.random(), source, target, word))
+            self.say(target, self.registers[target].hear(self.at, source, (source, 1), word))
+        self.words += may
+
+    def say(self, name: str, out: list[Any]) -> None:
+        for address, word in out:
+            if self.random.random() >= (self.untold if isinstance(word, Chosen) else self.lost):
+                late = LATER * self.random.random() if self.random.random() < self.late else 0.0
+                self.words.append((self.now + late, name, address[0], word))
+        del self.words[:-400]
+        ground = self.grounds[name]
+        fetches, ground.fetches = ground.fetches, []
+        for fetch in fetches:
+            body = self.grounds[fetch.address[0]].bodies.get(fetch.digest)
+            if body is not None:
+                ground.bodies.put(body)
+            self.say(name, self.registers[name].body(self.at, fetch.digest, body))
+        self.judge(name, self.registers[name].chosen)
+
+    def judge(self, name: str, entry: Entry) -> None:
+        if not entry.number:
+            return
+        when = f"{self.now - STARTED:.2f} s: {name}"
+        if self.digests.setdefault(entry.number, entry.digest) != entry.digest:
+            self.breach = self.breach or f"{when} knows another entry {entry.number}"
+        if (entry.number, entry.epoch) < self.knows[name]:
+            self.breach = self.breach or f"{when} goes back to {entry.number}"
+        self.knows[name] = (entry.number, entry.epoch)
+
+
+def walk(seed: int, makes: Makes = Register) -> Walked:
+    return Order(seed, makes).walk()
