--- /dev/null
+++ b/tests/agree/test_views_fleet.py
@@ -0,0 +1,92 @@
+"""Fleets in virtual time that stand in views: what is done to them, and which changes come of it."""
+
+from __future__ import annotations
+
+import pytest
+
+from wheatring.lab.agree import days
+from wheatring.lab.agree.cases import Measured, Scene, measure
+from wheatring.lab.agree.fleet import views
+from wheatring.lab.leases.cluster import CUT
+
+SIZE = 15
+
+
+def case(name: str, seed: int = 1, span: float = 25.0) -> Measured:
+    return measure(name, SIZE, seed, span)
+
+
+def test_a_third_that_dies_goes_in_one_change_within_eight_seconds_and_a_bit() -> None:
+    for seed in (1, 2):
+        found = case("kill-third", seed)
+        assert (found.out, found.into, found.wrong) == (1, 0, 0)
+        assert 5.5 < found.took < 8.5
+
+
+@pytest.mark.parametrize("name", ["loss-30", "loss-80-one", "pair", "half", "pause-5", "voters-apart"])
+def test_what_is_no_death_takes_nobody_out(name: str) -> None:
+    found = case(name)
+    assert (found.out, found.into, found.took) == (0, 0, 0.0)
+    assert found.alike > 0.98
+
+
+def test_a_third_that_is_stopped_for_long_goes_once_and_comes_back_once() -> None:
+    found = case("pause-15")
+    assert (found.out, found.into) == (1, 1)
+    assert 0 < found.took <= 3
+
+
+@pytest.mark.parametrize("name", ["mute", "deaf"])
+def test_one_whose_words_or_ears_are_gone_goes_once(name: str) -> None:
+    found = case(name)
+    assert (found.out, found.into, found.wrong) == (1, 0, 0)
+
+
+def test_who_comes_back_elsewhere_is_known_there_within_seconds() -> None:
+    found = case("moves", span=10.0)
+    assert 0 < found.took < 4 and found.wrong == 0
+
+
+def test_as_many_more_come_while_a_third_dies() -> None:
+    found = case("join")
+    assert found.out == 1 and found.wrong == 0 and 0 < found.took < 12
+
+
+def test_a_member_at_rest_says_little() -> None:
+    found = case("rest", span=10.0)
+    assert found.datagrams <= 4 and found.traffic <= 2000
+
+
+def test_a_second_look_ends() -> None:
+    scene = Scene(SIZE, 1)
+    scene.fleet.run(20)
+    scene.stop(scene.names[8:10], 5.0)
+    scene.fleet.run(26)
+    assert any(one is not None and one.errands for one in map(views, scene.fleet.nodes.values()))
+    scene.fleet.run(35)
+    assert not any(one is not None and one.errands for one in map(views, scene.fleet.nodes.values()))
+
+
+def test_a_minority_keeps_its_view_and_says_that_it_is_old() -> None:
+    scene = Scene(SIZE, 1)
+    fleet = scene.fleet
+    fleet.run(20)
+    before = scene.follow.newest
+    fleet.cut_off(["n0", "n9"], CUT)
+    fleet.run(40)
+    cut_off, rest = views(fleet.nodes["n9"]), views(fleet.nodes["n4"])
+    assert cut_off is not None and rest is not None
+    assert cut_off.view.number == before < rest.view.number
+    assert not cut_off.sure(40) and rest.sure(40)
+    fleet.mend()
+    assert scene.follow.run_until_whole(scene.names, 10) >= 0
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_drawn_days_break_no_rule(seed: int) -> None:
+    day = days.play(seed)
+    assert day.breaches == [] and day.views
+
+
+def test_the_same_seed_gives_the_same_day() -> None:
+    assert days.play(3, "together") == days.play(3, "together")
