--- a/wheatring/lab/agree/fleet.py
+++ b/wheatring/lab/agree/fleet.py
@@ -113,7 +113,7 @@
         """Whether each healthy one stands in one view of just these."""
         want = frozenset(names)
         found = [views(node) for node in self.healthy()]
-        return all(one is not None and one.view.names == want for one in found) and bool(found)
+        return bool(found) and all(one is not None and one.inside and one.view.names == want for one in found)
 
     def run_until_whole(self, names: Iterable[str], longest: float) -> float:
         """Seconds until each healthy one stands in a view of just these; -1: not within `longest`."""
--- a/wheatring/lease/register.py
+++ b/wheatring/lease/register.py
@@ -301,6 +301,10 @@
             return []
         self.have, self.retry = self.chosen, inf
         self.fleet.bodies.keep(self.name, self.have.digest)
+        if self.have[1::-1] > self.kept[1::-1]:
+            # What is chosen counts as kept. Of voters that all started anew each may know it, and none keep it.
+            self.kept = self.have
+            self.fleet.bodies.keep(f"{self.name}/kept", self.have.digest)
         owed, self.owed = self.owed, None
         out = self.chosen_now(at, self.have, body)
         return out + (self.fleet.pass_on(owed) if owed is not None and owed.entry == self.have else [])
