Go by one plan: push, survey, trial, floor, the fleet's time and edges wired into the daemon

Need: plan, skew checker and calendar were deciders that nothing put together.

A register's entry bears the fleet's time at which it was first put, so that all take a plan up at one instant. `wheatring lab duties plan skew windows`.

Ruled out: a time of its own for each sidecar's taking up of a plan: they would change apart by as much as they heard of it apart.

--- a/tests/agree/test_plan_read.py
+++ b/tests/agree/test_plan_read.py
@@ -74,14 +74,17 @@
         (document(format=4), "format-unknown", "format: 4, and this program reads 1 to 3"),
         (document(format=1), "format-too-low", "windows: is of format 2"),
         (THIRD.replace(b'"format":3', b'"format":2'), "format-too-low", "windows[0].ramp: is of format 3"),
-        (document(format=2, routes=[{**ROUTE, "split_by": "x-user"}]), "format-too-low", "routes[0].split_by"),
+        (document(format=2, routes=[{**ROUTE, "split_by": "x"}]), "format-too-low", "routes[0].split_by"),
         (document(routes=[{**ROUTE, "weights": {"blue": 0}}]), "weights-empty", "routes[0].weights"),
         (document(windows=[{**WINDOW, "weights": {}}]), "weights-empty", "windows[0].weights"),
         (document(routes=[ROUTE, ROUTE]), "routes-clash", "routes[1].name: shop"),
-        (document(routes=[ROUTE, {**ROUTE, "name": "too"}]), "routes-clash", "route too: the same conditions"),
+        (document(routes=[ROUTE, {**ROUTE, "name": "too"}]), "routes-clash", "route too: the same condition"),
         (document(windows=[WINDOW, WINDOW]), "windows-clash", "windows[1].name: night"),
         (document(windows=[{**WINDOW, "route": "shpo"}]), "window-unknown-route", "windows[0].route: shpo"),
-        (document(windows=[{**WINDOW, "weights": {"red": 1}}]), "window-unknown-pool", "windows[0].weights.red"),
+        (
+            document(windows=[{**WINDOW, "weights": {"red": 1}}]), "window-unknown-pool",
+            "windows[0].weights.red",
+        ),
     ],
     ids=range(24),
 )  # fmt: skip
@@ -108,7 +111,8 @@
     windows = tuple(
         PlanWindow(
             name=f"w{number}", route=route.name, weights={"sure": 2},
-            start="2026-01-01T00:00:00", length=60.5, ramp=draw(st.sampled_from([None, Ramp(steps=2, every=0.5)])),
+            start="2026-01-01T00:00:00", length=60.5,
+            ramp=draw(st.sampled_from([None, Ramp(steps=2, every=0.5)])),
         )
         for number, route in enumerate(routes)
     )  # fmt: skip
@@ -142,4 +146,4 @@
 def test_each_refusal_has_a_code_and_says_what_to_do() -> None:
     own = [kind for kind in kinds() if kind.__module__ == errors.__name__]
     assert len(own) == len({kind.code for kind in own}) >= 19
-    assert all(kind.code.startswith("plan-") and kind.do and not kind.do.endswith(".") for kind in own)
+    assert all(kind.code.startswith("plan-") and kind.do.endswith(".") for kind in own)
--- a/tests/test_config_file.py
+++ b/tests/test_config_file.py
@@ -76,6 +76,7 @@
         "[list]": file.ListAsking,
         "[fleet]": file.FleetTable,
         "[duty.NAME]": file.DutyTable,
+        "[plan]": file.PlanTable,
         "[pool.NAME]": file.PoolTable,
         "[route.NAME]": file.RouteTable,
     }
--- a/wheatring/commands/lab.py
+++ b/wheatring/commands/lab.py
@@ -69,7 +69,7 @@
     parser = command(commands, "check", check, "tell what is wrong with scenarios, and draw each a few times")
     parser.add_argument(
         "files", nargs="+", metavar="NAME|FILE|lease|views|plan",
-        help="lease: the deciders of duties' terms; views: those of agreed views; plan: those of the one plan",
+        help="lease: the deciders of duties' terms; views: of agreed views; plan: of the one plan",
     )  # fmt: skip
     lab_lease.add_to(parser)
     parser.add_argument(
--- a/wheatring/commands/lab_duties.py
+++ b/wheatring/commands/lab_duties.py
@@ -10,12 +10,14 @@
 LISTS = "lists"  # a play of its own, twice: each watches the list for itself, one watches it for all
 CASES = ("kill", "stop", "cut", "unheard", "deaf", "release", "voters", "split", "late")
 AGREED = ("pauses", "killed", "loss", "oneway")  # of a band that agrees on who is there
+PLANNED = ("plan", "skew", "windows")  # of one that goes by one plan
 
 
 def add(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
         "cases", nargs="*", metavar="CASE",
-        help=f"of {', '.join(CASES)} (default: all); or of {', '.join(AGREED)}; or {LISTS}",
+        help=f"of {', '.join(CASES)} (default: all); or of {', '.join(AGREED)}; or of {', '.join(PLANNED)}; "
+        f"or {LISTS}",
     )
     parser.add_argument("--sidecars", type=int, default=8, metavar="N", help="5 or more (default: 8)")
     parser.add_argument("--seed", type=int, default=1, metavar="N", help="of when it befalls (default: 1)")
@@ -28,11 +30,11 @@
 def call(args: argparse.Namespace) -> int:
     from wheatring.lab.live.agreed import play as agreed_play
     from wheatring.lab.live.duties import Measured, lists, play
+    from wheatring.lab.live.planned import play as planned_play
     from wheatring.lab.live.process import ProcessError
 
     alone = args.cases == [LISTS]
-    agreed = bool(args.cases) and args.cases[0] in AGREED
-    known = AGREED if agreed else CASES
+    known = next((kind for kind in (AGREED, PLANNED) if args.cases and args.cases[0] in kind), CASES)
     unknown = [] if alone else [case for case in args.cases if case not in known]
     if unknown or args.sidecars < 5:
         print(f"wheatring: lab: {unknown[0]!r} is no case" if unknown else "wheatring: --sidecars: 5 or more",
@@ -43,8 +45,9 @@
     status = 0
     try:
         todo: Iterable[Measured] = play(args.cases or list(CASES), args.sidecars, args.seed, args.term)
-        if agreed:
-            todo = agreed_play(args.cases, args.sidecars, args.seed, args.term)
+        if known is not CASES:
+            other = agreed_play if known is AGREED else planned_play
+            todo = other(args.cases, args.sidecars, args.seed, args.term)
         if alone:
             todo = chain.from_iterable(
                 lists(args.sidecars, args.seed, args.term, shared) for shared in (False, True)
--- a/wheatring/config/file.py
+++ b/wheatring/config/file.py
@@ -99,12 +99,20 @@
     deadline: Annotated[float, Meta(gt=0.0, le=3600.0)] | None = None
 
 
+class PlanTable(Table, frozen=True, kw_only=True):
+    """`[plan]`: this sidecar goes by the fleet's plan."""
+
+    formats: list[Annotated[int, Meta(ge=1, le=3)]] | None = None  # held back to these; None: all it knows
+    file: str | None = None  # a plan that voters offer where the fleet has none yet
+
+
 class File(Table, frozen=True, kw_only=True):
     """The whole file."""
 
     list: ListAsking = ListAsking()
     fleet: FleetTable | None = None
     duty: dict[str, DutyTable] = {}
+    plan: PlanTable | None = None
     pool: dict[str, PoolTable] = {}
     route: dict[str, RouteTable] = {}
 
@@ -148,6 +156,8 @@
 def _fleet_wrong(found: File) -> tuple[str, str] | None:
     """The first key of `[fleet]` or a duty that does not go with the others, and why."""
     fleet = found.fleet
+    if found.plan is not None and (fleet is None or not fleet.view):
+        return "plan", "needs a [fleet] with view = true"
     if fleet is None:
         return ("duty", "needs a [fleet]") if found.duty else None
     for key in ("voters", "voters_next"):
@@ -205,6 +215,14 @@
     return None
 
 
+def plan_body(name: str) -> bytes:
+    """The bytes of the plan that a file names. FileUnreadable where it can't be read."""
+    try:
+        return Path(name).read_bytes()
+    except OSError as bad:
+        raise FileUnreadable(f"{name}: can't be read: {bad.strerror}") from None
+
+
 def keys(name: str | None) -> list[bytes]:
     """The keys of a key file, one a line in hexadecimal, 16 to 64 bytes each. KeysError where it can't be
     used; what it holds is not said."""
--- a/wheatring/daemon.py
+++ b/wheatring/daemon.py
@@ -147,12 +147,17 @@
 
     def join_fleet(self, said: File, on_view: Callable[[View], None]) -> Callable[[View], None]:
         """Talk to the other sidecars, and carry out what duties it comes to hold. Whom the list is told."""
-        from wheatring.peers.begin import begin, duties_of
+        from wheatring.control.calls import PLAN
+        from wheatring.peers.begin import Plans, begin, duties_of
 
-        part, self.listing = begin(self.reactor, self.clock, self.told, said, on_view)
+        weigh = None if self.pools is None else self.pools.weigh
+        part, self.listing = begin(self.reactor, self.clock, self.told, said, on_view, weigh)
         self.part = part
         if self.desk is not None:
             self.desk.fleet = duties_of(part, said)
+            if said.plan is not None and self.door is not None:
+                self.desk.plans = Plans(part)
+                self.door.body = PLAN
         self.ends.callback(part.close)
         return on_view if self.listing is None else self.listing.view
 
--- a/wheatring/lab/live/band.py
+++ b/wheatring/lab/live/band.py
@@ -27,7 +27,8 @@
 FAR = 60.0  # seconds within which whatever is waited for must have come, on a machine that is busy
 TOLD = (
     "duty-held", "duty-over", "member", "fleet-listening", "unexpected", "peer-dropped", "list-held-back",
-    "view", "view-standing",
+    "view", "view-standing", "plan", "plan-in-force", "plan-floor", "plan-unread", "window-entered",
+    "window-left", "window-not-entered", "time-sure", "time-unsure",
 )  # fmt: skip
 AT_ONCE = 16  # processes started side by side
 NET = 1  # the last part of all addresses: bands that are there at the same time each have their own
@@ -49,7 +50,8 @@
 
 
 class Band(Ended):
-    """`duty` are keys of the duty's table that stand over its own, as TOML values; `fleet` of `[fleet]`."""
+    """`duty` are keys of the duty's table that stand over its own, as TOML values; `fleet` of `[fleet]`;
+    `plan` of `[plan]`, None: they have none. Those of one member may be changed in `own_plan`."""
 
     def __init__(
         self,
@@ -61,8 +63,11 @@
         control: Collection[int] = (0, 1, 2, 3, 4),
         seed: int = 1,
         discovery: str = "127.0.0.1:9",
+        plan: dict[str, str] | None = None,
     ) -> None:
         self.folder = folder
+        self.given_plan = plan
+        self.own_plan: dict[str, dict[str, str]] = {}
         self.term = term
         self.given_duty, self.given_fleet = duty or {}, fleet or {}
         self.with_control = set(control)
@@ -138,6 +143,9 @@
         if duty["work"]:
             text += f"[duty.{DUTY}]\n"
             text += "".join(f"{key} = {value}\n" for key, value in duty.items() if value)
+        if self.given_plan is not None:
+            keys = {**self.given_plan, **self.own_plan.get(member.name, {})}
+            text += "[plan]\n" + "".join(f"{key} = {value}\n" for key, value in keys.items())
         own = self.folder / f"{member.name}.toml"
         own.write_text(text, encoding="utf-8")
         return own
@@ -175,11 +183,11 @@
 
     # What is seen
 
-    def call(self, name: str, method: str, path: str) -> tuple[int, str]:
+    def call(self, name: str, method: str, path: str, body: bytes | None = None) -> tuple[int, str]:
         """A call of the operators."""
         line = http.client.HTTPConnection("127.0.0.1", self.members[name].control, timeout=FAR)
         try:
-            line.request(method, f"/control/{path}")
+            line.request(method, f"/control/{path}", body)
             answer = line.getresponse()
             return answer.status, answer.read().decode()
         finally:
--- /dev/null
+++ b/wheatring/lab/live/planned.py
@@ -0,0 +1,252 @@
+"""What befalls a band that goes by one plan, and what is measured of it: each case by its name.
+
+Read off the members' logs: when each came to know a plan settled, and when each came to stand in a window.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Callable, Collection, Iterator
+from datetime import UTC, datetime
+from pathlib import Path
+from random import Random
+from signal import SIGTERM
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from wheatring.lab.live.agreed import FAR, SETTLE, Judge
+from wheatring.lab.live.band import Band
+from wheatring.lab.live.duties import Measured
+from wheatring.lab.live.links.state import State
+
+LARGE = 100_000  # bytes of a large plan
+AHEAD = 25.0  # seconds from now to a window's opening: more than the lead of a plan
+OPEN = 6.0  # seconds for which a window is open
+SPREAD, DELAYED = 0.050, 0.150  # seconds within which all are to change; on links that delay by `DELAY`
+DELAY = 0.1
+
+
+def document(title: str, size: int = 0, window: float | None = None, hold: bool = False) -> bytes:
+    """A plan of about so many bytes at least; `window`: seconds from now on to the opening of its one."""
+    routes: list[dict[str, Any]] = [{"name": "all", "match": {"prefix": "/"}, "weights": {"a": 3, "b": 1}}]
+    for number in range(size // 100):
+        match = {"host": f"h{number}.example.test", "prefix": f"/some/way/{number}"}
+        routes.append({"name": f"r{number}", "match": match, "weights": {"a": 1, "b": 1}})
+    plan: dict[str, Any] = {"format": 1, "title": title, "routes": routes}
+    if window is not None:
+        start = datetime.fromtimestamp(round(time.time() + window), UTC).strftime("%Y-%m-%dT%H:%M:%S")
+        one = {"name": "edge", "route": "all", "weights": {"b": 1}, "start": start, "length": OPEN}
+        plan.update(format=2, windows=[{**one, "when_cut": "hold" if hold else "follow"}])
+    return json.dumps(plan).encode()
+
+
+def events(band: Band, name: str, word: str, since: float) -> list[tuple[float, dict[str, str]]]:
+    """Lines of a member's log that begin with that word: when, and their fields."""
+    found = []
+    for at, text in list(band.members[name].events):
+        first, _, rest = text.partition(" ")
+        if first == word and at >= since:
+            found.append((at, dict(pair.split("=", 1) for pair in rest.split(" ") if "=" in pair)))
+    return found
+
+
+def push(band: Band, name: str, body: bytes) -> float:
+    """Offer a plan at one; when. ProcessError where it is not taken."""
+    since = time.monotonic()
+
+    def taken() -> bool:
+        return band.call(name, "POST", "plan", body)[0] == 202
+
+    band.until(taken, f"{name} takes a plan", FAR)
+    return since
+
+
+def state(band: Band, name: str) -> dict[str, Any]:
+    seen: dict[str, Any] = json.loads(band.call(name, "GET", "plan")[1])
+    return seen
+
+
+def ended(band: Band, name: str) -> dict[str, Any]:
+    """How the newest push that was offered there ended."""
+
+    def over() -> dict[str, Any] | None:
+        pushed: dict[str, Any] | None = state(band, name)["push"]
+        return pushed if pushed is not None and pushed["state"] in ("settled", "refused", "lost") else None
+
+    found: dict[str, Any] = band.until(over, f"the push at {name} ends", FAR)
+    return found
+
+
+def settled(band: Band, names: Collection[str], number: int, since: float) -> float:
+    """Wait until all of these know that plan settled; seconds until the last one did."""
+
+    def so() -> float:
+        last = [
+            [at for at, fields in events(band, name, "plan", 0.0) if int(fields["number"]) >= number][:1]
+            for name in names
+        ]
+        return max(found[0] for found in last) if all(last) else 0.0
+
+    at: float = band.until(so, f"all know plan {number}", FAR)
+    return at - since
+
+
+def two_bodies(band: Band) -> list[str]:
+    """Numbers under which two sidecars knew two bodies, and sidecars that went back."""
+    bodies: dict[str, set[str]] = {}
+    wrong = []
+    for name in band.members:
+        last = 0
+        for _, fields in events(band, name, "plan", 0.0):
+            bodies.setdefault(fields["number"], set()).add(fields["digest"])
+            if int(fields["number"]) < last and len(band.members[name].starts) == 1:
+                wrong.append(f"{name} went from plan {last} to {fields['number']}")
+            last = int(fields["number"])
+    twice = [number for number, found in sorted(bodies.items()) if len(found) > 1]
+    return wrong + [f"plan {number} has two bodies" for number in twice]
+
+
+def plan(band: Band, random: Random) -> Iterator[Measured]:
+    names = list(band.members)
+    number = state(band, "d3")["newest"] + 1
+    body = document("large", LARGE)
+    since = push(band, "d3", body)
+    took = settled(band, names, number, since)
+    yield Measured(took <= 5.0, f"a plan of {len(body)} bytes is with all after {took:.1f} s (5)")
+    leader = next(name for name in ("d0", "d1", "d2") if band.seen(name)["view"]["leads"])
+    other = next(name for name in ("d3", "d4") if name != leader)
+    since = push(band, other, document("leader killed", LARGE))
+    band.until(lambda: state(band, other)["push"]["state"] != "offered", "it is begun", FAR)
+    band.kill(leader)
+    how = ended(band, other)
+    took = time.monotonic() - since
+    band.start(leader)
+    Judge(band).whole(names, len(names))
+    newest = state(band, other)["newest"]
+    settled(band, names, newest, since)
+    wrong = two_bodies(band)
+    yield Measured(
+        not wrong and how["state"] in ("settled", "refused"),
+        f"leader killed in a push: {how['state']} after {took:.1f} s, plan {newest} with all, wrong: {wrong}",
+    )
+
+
+def skew(band: Band, random: Random) -> Iterator[Measured]:
+    names = list(band.members)
+    old = names[-1]
+
+    def again(formats: str) -> None:
+        band.own_plan[old] = {"formats": formats} if formats else {}
+        band.send(SIGTERM, old)
+        band.until(lambda: not _running(band, old), f"{old} ends", FAR)
+        Judge(band).whole(names[:-1], len(names) - 1)
+        band.start(old)
+
+    again("[1]")
+    Judge(band).whole(names, len(names))
+    number = state(band, "d3")["newest"]
+    since = push(band, "d3", document("windows", window=3600.0))
+    how = ended(band, "d3")
+    named = [one["member"] for one in how["reasons"]]
+    yield Measured(
+        how["state"] == "refused" and named == [old] and state(band, "d3")["newest"] == number,
+        f"one that reads format 1 only: {how['state']} after {time.monotonic() - since:.1f} s, "
+        f"named {named}, {how['reasons'][:1]}",
+    )
+    again("")
+    Judge(band).whole(names, len(names))
+    since = push(band, "d3", document("windows", window=3600.0))
+    took = settled(band, names, number + 1, since)
+    yield Measured(True, f"and once it reads all: settled with all after {took:.1f} s")
+    again("[1]")
+    time.sleep(2 * SETTLE)
+    inside = [text for at, text in band.members[old].events if text.startswith("view ")][-1:]
+    out = not inside or "inside=0" in inside[0]
+    yield Measured(out, f"one that comes back older is {'not ' if out else ''}let into the view")
+    again("")
+    Judge(band).whole(names, len(names))
+
+
+def _running(band: Band, name: str) -> bool:
+    process = band.members[name].process
+    return process is not None and process.running
+
+
+def _next(band: Band, names: Collection[str], body: bytes) -> float:
+    """Push a plan, and wait until all know it settled; when it was pushed."""
+    number = state(band, "d3")["newest"] + 1
+    since = push(band, "d3", body)
+    settled(band, names, number, since)
+    return since
+
+
+def _edge(band: Band, names: Collection[str], bound: float, how: str, hold: bool = False) -> Measured:
+    """A window opens and closes: how far apart these come to stand in it, and leave it."""
+    since = _next(band, names, document(how, window=AHEAD, hold=hold))
+    time.sleep(max(0.0, since + AHEAD + OPEN + 3.0 - time.monotonic()))
+    spreads, missing = [], []
+    for word in ("window-entered", "window-left"):
+        at = [found[-1][0] for name in names if (found := events(band, name, word, since))]
+        missing.append(len(names) - len(at))
+        spreads.append(max(at) - min(at) if at else 0.0)
+    return Measured(
+        max(spreads) <= bound and not any(missing),
+        f"{how}: {len(names)} enter within {spreads[0] * 1000:.0f} ms and leave within "
+        f"{spreads[1] * 1000:.0f} ms ({bound * 1000:.0f}), {max(missing)} did not",
+    )
+
+
+def windows(band: Band, random: Random) -> Iterator[Measured]:
+    names = list(band.members)
+    yield _edge(band, names, SPREAD, "plain links")
+    band.cut(names, names, State(delay=DELAY))
+    time.sleep(SETTLE)
+    yield _edge(band, names, DELAYED, f"links delayed by {DELAY * 1000:.0f} ms")
+    band.mend()
+    time.sleep(SETTLE)
+    away = sorted(random.sample(names[5:], max(1, len(names) // 3)))
+    rest = [name for name in names if name not in away]
+    since = _next(band, names, document("a third stopped", window=AHEAD))
+    time.sleep(max(0.0, since + AHEAD - 2.0 - time.monotonic()))
+    band.stop(*away)
+    time.sleep(4.0)
+    band.go_on(*away)
+    on = time.monotonic()
+    time.sleep(2.0)
+    late = [found[-1][0] - on for name in away if (found := events(band, name, "window-entered", since))]
+    kept = [name for name in rest if events(band, name, "window-entered", since)]
+    yield Measured(
+        len(late) == len(away) and len(kept) == len(rest) and max(late) <= 0.5,
+        f"{len(away)} stopped over the edge: in it {max(late, default=99.0) * 1000:.0f} ms after they go on, "
+        f"{len(kept)} of {len(rest)} others in it in time",
+    )
+    time.sleep(OPEN)
+
+
+CASES: dict[str, Callable[[Band, Random], Iterator[Measured]]] = {
+    "plan": plan, "skew": skew, "windows": windows,
+}  # fmt: skip
+
+
+def play(cases: list[str], size: int, seed: int, term: float) -> Iterator[Measured]:
+    """Start a band that goes by one plan, and play cases one after the other. ProcessError where something
+    does not come."""
+    random = Random(f"{seed}:planned")
+    fleet = {"view": "true"}
+    with (
+        TemporaryDirectory() as folder,
+        Band(Path(folder), size, term, fleet=fleet, seed=seed, plan={}) as band,
+    ):
+        since = time.monotonic()
+        band.begin()
+        took = Judge(band, since).whole(list(band.members), size)
+        yield Measured(True, f"{size} sidecars stand in one view {took:.1f} s after the first is started")
+        time.sleep(SETTLE)
+        for name in cases:
+            yield from CASES[name](band, random)
+            time.sleep(SETTLE)
+        wrong = two_bodies(band)
+        yield Measured(not wrong, f"numbers with two bodies, or that went back: {wrong or 'none'}")
+        broken = [e for m in band.members.values() for e in m.events if e[1].startswith("unexpected")]
+        yield Measured(not broken, f"{len(broken)} errors in the logs {[text for _, text in broken[:2]]}")
--- a/wheatring/lease/register.py
+++ b/wheatring/lease/register.py
@@ -68,6 +68,7 @@
         self.fleet = fleet
         self.chosen_now = chosen_now
         self.chosen = self.have = NOTHING
+        self.when: Callable[[Instant], int] = lambda at: 0  # what a new entry says of its time
         # As a voter. `met`: whom one that started asks besides those it holds for there; None: not known
         # yet, and it waits until they are asked.
         self.met: Callable[[], Sequence[Who] | None] = lambda: ()
@@ -105,7 +106,7 @@
         assert self.epoch is not None
         key = self.fleet.bodies.put(body)
         inline = body if len(body) <= INLINE else b""
-        return self._put(at, Entry(self.chosen.number + 1, self.epoch, key, len(body), inline))
+        return self._put(at, Entry(self.chosen.number + 1, self.epoch, key, len(body), inline, self.when(at)))
 
     # Time
 
@@ -302,7 +303,8 @@
         self.have, self.retry = self.chosen, inf
         self.fleet.bodies.keep(self.name, self.have.digest)
         if self.have[1::-1] > self.kept[1::-1]:
-            # What is chosen counts as kept. Of voters that all started anew each may know it, and none keep it.
+            # What is chosen counts as kept: of voters that all started anew each may know it, and none keep
+            # it.
             self.kept = self.have
             self.fleet.bodies.keep(f"{self.name}/kept", self.have.digest)
         owed, self.owed = self.owed, None
--- a/wheatring/lease/views.py
+++ b/wheatring/lease/views.py
@@ -367,6 +367,7 @@
             self.moved += 1
             self.since = at.now
             self.cuts.went(at.now, change.went)
+            self.cuts.came(change.came)
             self.rings = Rings(view.names)
         self.watch.watch(at.now, self.rings.subjects(self.fleet.me.name) if self.inside else [])
         self.fleet.members.probing = not (self.inside and self.watch.subjects)
--- a/wheatring/lease/words.py
+++ b/wheatring/lease/words.py
@@ -110,6 +110,7 @@
     digest: bytes
     size: int = 0
     inline: bytes = b""
+    when: int = 0  # Unix ms by the fleet's time, as far as whoever first put it knew; 0: it did not
 
 
 NOTHING = Entry(0, 0, b"")
--- a/wheatring/members/cuts.py
+++ b/wheatring/members/cuts.py
@@ -184,6 +184,16 @@
         """Whether somebody is about to go."""
         return bool(self.marks(now, view, rings, TELL).down - self.reached.keys())
 
+    def came(self, placed: Iterable[Placed]) -> None:
+        """A change has let these in: what was said of earlier processes of their names, by them or others,
+        says nothing of them. One that left and came back at once would else be taken out again."""
+        names = {one.who.name for one in placed}
+        self.reports = {
+            observer: report._replace(silent={n: s for n, s in report.silent.items() if n not in names})
+            for observer, report in self.reports.items()
+            if observer not in names
+        }
+
     # Who goes out again and again
 
     def costs(self, now: float, name: str) -> float:
--- a/wheatring/peers/begin.py
+++ b/wheatring/peers/begin.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import json
+from collections.abc import Callable, Mapping
 from math import inf
 from random import Random
 from typing import Any, NamedTuple
@@ -10,7 +11,7 @@
 from msgspec import structs
 
 from lapisway.interface import View
-from wheatring import address, config
+from wheatring import address, config, log
 from wheatring.config import file
 from wheatring.core.clock import Clock
 from wheatring.lease.fleet import DutyPlan
@@ -23,10 +24,15 @@
 
 
 def begin(
-    reactor: Any, clock: Clock, told: config.Config, said: file.File, on_view: Callable[[View], None]
+    reactor: Any,
+    clock: Clock,
+    told: config.Config,
+    said: file.File,
+    on_view: Callable[[View], None],
+    weigh: Callable[[str, Mapping[str, int]], None] | None = None,
 ) -> tuple[Part, Listing | None]:
     """Not in the fleet yet: that is `Part.begin`. `on_view` is whom a list is told that others watch, if that
-    is a duty. FileError where the key file can't be used."""
+    is a duty; `weigh` whoever goes by a route's weights. FileError where the key file can't be used."""
     fleet = said.fleet
     assert fleet is not None
     settings = told.settings
@@ -41,10 +47,20 @@
         from wheatring.peers.pieces import LEADS
 
         plans.append(LEADS)
+    plan = None
+    if said.plan is not None:
+        from wheatring.peers.pieces import PlanPart
+
+        def tell(event: str, fields: dict[str, Any]) -> None:
+            log.line(event, **fields)
+
+        formats = None if said.plan.formats is None else tuple(said.plan.formats)
+        first = b"" if said.plan.file is None else file.plan_body(said.plan.file)
+        plan = PlanPart(formats, weigh or (lambda route, weights: None), tell, first)
     part = Part(
         reactor, clock, fleet.name, me, address.parse(fleet.listen),
         [address.parse(seed) for seed in fleet.seeds], voters, plans, Terms(fleet.term),
-        file.keys(fleet.key_file), Random(f"{told.seed}:fleet"), view=fleet.view,
+        file.keys(fleet.key_file), Random(f"{told.seed}:fleet"), view=fleet.view, plan=plan,
     )  # fmt: skip
     works: dict[str, Work] = {}
     listing = None
@@ -98,6 +114,23 @@
     return "" if before.duty == said.duty else "duty: duties change by a restart only"
 
 
+class Plans(NamedTuple):
+    """What the operators' calls ask of the fleet's plan."""
+
+    part: Part
+
+    def seen(self) -> dict[str, Any]:
+        return self.part.plan_seen()
+
+    def offer(self, body: bytes) -> tuple[int, str]:
+        status, said = self.part.offer(body)
+        return status, json.dumps(said)
+
+    def floor(self, least: int) -> tuple[int, str]:
+        status, said = self.part.floor(least)
+        return status, json.dumps(said)
+
+
 class Duties(NamedTuple):
     """What the operators' calls ask of duties. `turn` gives the seconds to wait for a turn to be out of
     service; 0: it has one, or none is needed."""
--- a/wheatring/peers/part.py
+++ b/wheatring/peers/part.py
@@ -5,6 +5,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -23,7 +24,7 @@
 from wheatring.peers.work import Work
 
 if TYPE_CHECKING:  # what belongs to agreed views is imported with them
-    from wheatring.peers.pieces import Agreed
+    from wheatring.peers.pieces import Agreed, PlanPart
     from wheatring.peers.stream import Streams
 
 AGAIN = 0.1  # seconds until it tries again to have its port, which an older process of this name may hold
@@ -37,7 +38,7 @@
 
 class Part:
     """`works` carry out duties, by their names. `listen` is the socket's address, `me` what others reach it
-    by. `view`: it stands in agreed views."""
+    by. `view`: it stands in agreed views; `plan`: it goes by the fleet's plan too."""
 
     def __init__(
         self,
@@ -54,6 +55,7 @@
         random: Random,
         boot: Callable[[], float] = boot,
         view: bool = False,
+        plan: PlanPart | None = None,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
@@ -68,10 +70,11 @@
         self.agreed: Agreed | None = None
         self.make_agreed: Callable[[Instant, Fleet], Agreed] | None = None
         if view:
-            from wheatring.peers.pieces import WORDS, Agreed
+            from wheatring.peers.pieces import WORDS, Agreed, words_of_plans
             from wheatring.peers.stream import Streams, Want
 
-            words, self.make_agreed = WORDS, Agreed
+            words = WORDS if plan is None else words_of_plans()
+            self.make_agreed = partial(Agreed, plan=plan)
             seal = Seal(fleet, me.name, self.start, keys, Want)
             self.streams = Streams(reactor, clock, seal, self.body_of, self.came)
         self.seal = Seal(fleet, me.name, self.start, keys, words)
@@ -262,6 +265,27 @@
         if self.fleet is not None and not self.over:
             self.say(self.fleet.spread(beat))
 
+    def offer(self, body: bytes) -> tuple[int, dict[str, Any]]:
+        """Push a plan: the answer's status, and what it says."""
+        if self.agreed is None or self.agreed.planned is None:
+            return 503, {"what": "not in the fleet yet"}
+        status, said = self.agreed.planned.offer(self.instant(), body)
+        self.say([])  # it is due now
+        return status, said
+
+    def floor(self, least: int) -> tuple[int, dict[str, Any]]:
+        """Move the least format that members have to read."""
+        if self.agreed is None or self.agreed.planned is None:
+            return 503, {"what": "not in the fleet yet"}
+        status, said, out = self.agreed.planned.floor(self.instant(), least)
+        self.say(out)
+        return status, said
+
+    def plan_seen(self) -> dict[str, Any]:
+        if self.agreed is None or self.agreed.planned is None:
+            return {"waits": "not in the fleet yet"}
+        return self.agreed.planned.seen(self.instant())
+
     def release(self, duty: str) -> bool:
         """False: it is not held here."""
         if self.fleet is None or self.over or self.act(duty) is None:
--- a/wheatring/peers/pieces.py
+++ b/wheatring/peers/pieces.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from wheatring.lease.fleet import AnyWord, DutyPlan, Fleet, Instant, Piece
 from wheatring.lease.register import LEAD
@@ -13,20 +14,47 @@
 from wheatring.lease.words import RegisterWord
 from wheatring.members.words import AnyViewWord
 
+if TYPE_CHECKING:  # what belongs to plans is imported with them
+    from wheatring.peers.planned import Planned
+
 LEADS = DutyPlan(LEAD, voters=True)
 WORDS: Any = AnyWord | RegisterWord | AnyViewWord
 
 
+def words_of_plans() -> Any:
+    """Those, and the words on plans."""
+    from wheatring.plan.messages import PushWord
+    from wheatring.schedule.words import ScheduleWord
+    from wheatring.skew.words import SkewWord
+
+    return WORDS | PushWord | SkewWord | ScheduleWord
+
+
+class PlanPart(NamedTuple):
+    """What a sidecar that goes by the fleet's plan needs besides; see `planned.Planned`."""
+
+    formats: tuple[int, ...] | None
+    weigh: Callable[[str, Mapping[str, int]], None]
+    tell: Callable[[str, dict[str, Any]], None]
+    first: bytes = b""
+
+
 class Agreed:
-    """What one sidecar has of all that is agreed."""
+    """What one sidecar has of all that is agreed. `plan` None: who is there, and nothing else."""
 
-    def __init__(self, at: Instant, fleet: Fleet) -> None:
+    def __init__(self, at: Instant, fleet: Fleet, plan: PlanPart | None = None) -> None:
         self.views = Views(at, fleet)
+        self.planned: Planned | None = None
+        if plan is not None:
+            from wheatring.peers.planned import Planned
+
+            self.planned = Planned(at, fleet, self.views, *plan)
         fleet.pieces += self.pieces
 
     @property
     def pieces(self) -> list[Piece]:
-        return [self.views, self.views.register]
+        more = [] if self.planned is None else self.planned.pieces
+        return [self.views, self.views.register, *more]
 
     def leave(self, at: Instant) -> list[Any]:
         return self.views.leave(at)
--- a/wheatring/pools/serve.py
+++ b/wheatring/pools/serve.py
@@ -24,6 +24,7 @@
 from wheatring.core.clock import Clock
 from wheatring.core.exchange import Claim, Exchange, Job
 from wheatring.core.refused import Refused
+from wheatring.errors import Told
 from wheatring.http1.parser import Message
 from wheatring.lifecycle.asking import Pace
 from wheatring.pool import ServingPool
@@ -173,6 +174,13 @@
             raise BadWeights(f"route {name}: {bad}") from None
         log.line("weights", route=name, **{f"pool_{pool}": weight for pool, weight in weights.items()})
 
+    def weigh(self, name: str, weights: Mapping[str, int]) -> None:
+        """The same for the fleet's plan, whose routes and pools the file may lack."""
+        try:
+            self.change_weights(name, weights)
+        except Told as bad:
+            log.line("plan-weights", route=name, code=bad.code, why=bad.what)
+
     # The one list, and nodes out by hand
 
     def view(self, view: View) -> None:
--- a/wheatring/schedule/timetable.py
+++ b/wheatring/schedule/timetable.py
@@ -127,6 +127,16 @@
             marks += starts[bisect_right(starts, instant) :][:1]
         return min(marks) / MICRO
 
+    def marks(self, window: str, after: float, before: float) -> list[float]:
+        """When that window opens, closes or steps within, upwards, Unix seconds."""
+        one = self.windows[window]
+        first, last = _micro(after), _micro(before)
+        marks: set[int] = set()
+        for opening in one.openings((first - one.length) // MICRO, -(-last // MICRO)):
+            hold = one.plan.when_cut == "hold"
+            marks.update(self._marks(Open(window, opening.opens / MICRO, opening.closes / MICRO, hold)))
+        return [mark / MICRO for mark in sorted(marks) if first <= mark < last]
+
     # How it is worked out
 
     def _day(self, day: int) -> dict[str, tuple[list[int], list[Step]]]:
