--- a/wheatring/pools/shares.py
+++ b/wheatring/pools/shares.py
@@ -11,6 +11,7 @@
 from typing import Any, NamedTuple
 
 from wheatring.core.exchange import Claim
+from wheatring.http1.claim import ClaimConnection
 from wheatring.http1.client import Pool
 
 
@@ -59,12 +60,24 @@
     """A pool's connections, as many as the places let it have by now."""
 
     def __init__(self, places: Places, *told: Any) -> None:
-        super().__init__(*told)
         self.places = places
+        self.retired: set[ClaimConnection] = set()
+        super().__init__(*told)
         places.least[self] = 0
 
     def places_held(self) -> Held:
-        return Held(len(self.connections) + len(self.dials), self.places.least[self])
+        """One that has been told to close gives its place already: it is gone within this turn or the next,
+        and counted it would have two more closed in its stead."""
+        held = len(self.connections) - len(self.retired) + len(self.dials)
+        return Held(held, self.places.least[self])
+
+    def retire(self, connection: ClaimConnection, code: str) -> None:
+        self.retired.add(connection)
+        super().retire(connection, code)
+
+    def gone(self, connection: ClaimConnection) -> None:
+        self.retired.discard(connection)
+        super().gone(connection)
 
     def start(self, claim: Claim) -> None:
         self.most = self.places.most_of(self)
