--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	$(BIN)/python -m compileall -q lapisway wheatring
 
 test: .venv/dev
-	$(BIN)/python -m pytest -n $(JOBS) --dist loadgroup
+	$(BIN)/python -m pytest -n $(JOBS) --dist loadscope
 
 lint: .venv/dev
 	$(BIN)/ruff check .
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,8 @@
 from typing import Any
 
 import pytest
+from xdist.remote import Producer
+from xdist.scheduler import LoadScopeScheduling
 
 from lapisway import interface as i
 from lapisway import policy
@@ -36,6 +38,22 @@
 )
 
 
+# What these set up for all of their tests takes a minute: one worker has them all. All other tests go to
+# whichever worker is free.
+TOGETHER = ("tests/fleet/test_cold_start.py",)
+
+
+class Scheduling(LoadScopeScheduling):  # type: ignore[misc]  # it has no types
+    def _split_scope(self, nodeid: str) -> str:
+        file = nodeid.partition("::")[0]
+        return file if file in TOGETHER else nodeid
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_make_scheduler(config: pytest.Config, log: Producer) -> LoadScopeScheduling:
+    return Scheduling(config, log)
+
+
 def pytest_configure() -> None:
     """A sidecar of a band needs both halves of a port that it was given one of, so no two bands that are
     played at the same time share addresses."""
--- a/tests/fleet/test_cold_start.py
+++ b/tests/fleet/test_cold_start.py
@@ -20,7 +20,6 @@
 from wheatring.lab.scenario.load import fleet_names, load
 from wheatring.lab.study import asked, settings
 
-pytestmark = pytest.mark.xdist_group("cold-start")  # the days are played once, not by each worker
 FAR = 240.0
 SIDECARS = 8
 AT_ONCE = 6  # days played side by side
