--- a/wheatring/plan/errors.py
+++ b/wheatring/plan/errors.py
@@ -62,7 +62,7 @@
 
 class PlanNotFetched(Told):
     code = "plan-not-fetched"
-    do = "Look whether the leader reaches the sidecar it was pushed at, and push again, at another one if not."
+    do = "Look whether the leader reaches the sidecar it was pushed at; push again, at another one if not."
 
 
 class PlanNotWhole(Told):
--- a/wheatring/skew/floor.py
+++ b/wheatring/skew/floor.py
@@ -69,7 +69,7 @@
     FloorUnknown, FloorInUse, BelowFloor."""
     if not OLDEST <= format <= NEWEST:
         raise FloorUnknown(f"floor {format}, this program knows formats {OLDEST} to {NEWEST}")
-    if False and settled is not None and settled.format > format:
+    if format < floor and settled is not None and settled.format > format:
         raise FloorInUse(f"floor {format}, the settled plan needs format {settled.format}")
     below = [f"{name} ({spelled(can.formats)})" for name, can in known if not can.reads(format)]
     if below:
