--- a/wheatring/plan/push.py
+++ b/wheatring/plan/push.py
@@ -255,7 +255,6 @@
     # What is chosen
 
     def _chosen(self, at: Instant, entry: Entry, body: bytes) -> list[Out]:
-        self.views.plan = entry.number
         out = self.lead.chosen(at, entry)
         for push in self.pushes.values():
             if push.digest == entry.digest and not push.over and entry.number > push.base:
