End a push whose plan is kept but stands below a forgotten one; tell of all pushes of a sidecar

Need: a plan that all voters had forgotten may turn up while another is being put.

Change: the leader ends it as settled once the voters keep it; all go by the higher. GET /control/plan's part tells of all pushes that were offered at a sidecar, not only of the last.

--- a/tests/agree/test_plan.py
+++ b/tests/agree/test_plan.py
@@ -12,7 +12,7 @@
 from wheatring.lease.bodies import digest
 from wheatring.lease.fleet import Instant, Out
 from wheatring.lease.register import Phase
-from wheatring.lease.words import Newest
+from wheatring.lease.words import Entry, Newest
 from wheatring.members.view import View
 from wheatring.plan.errors import PlanFormatUnknown, PlanNoView, PlanPushUnderWay
 from wheatring.plan.judge import Reason
@@ -334,6 +334,27 @@
         assert made.seen.breaches == []
 
 
+def test_a_forgotten_plan_that_turns_up_keeps_no_push_from_its_end() -> None:
+    made = world(5, judged=1.0)
+    leader = made.leader()
+    plans, epoch = made.plans[leader], made.plans[leader].register.epoch
+    push = made.offer("n4", body_of("first"))
+    assert made.until(lambda: plans.lead.push is not None and plans.lead.push.state == "tried")
+    others = [made.cluster.nodes[name] for name in ("n0", "n1", "n2") if name != leader]
+    for node in others:
+        made.cluster.stop(node)
+    assert made.until(lambda: plans.lead.push is not None and plans.lead.push.state == "putting")
+    body = body_of("forgotten")
+    entry = Entry(2, 1, digest(body), len(body), body)
+    plans.register.learn(made.cluster.instant(made.cluster.nodes[leader]), ("127.5.0.4", 7000), entry)
+    for node in others:
+        made.cluster.go_on(node)
+    assert made.until(lambda: plans.lead.push is None, 1.0) and plans.lead.epoch == epoch
+    assert (push.state, push.number) == ("settled", 1)
+    assert made.until(lambda: numbers(made) == {2}, 15.0)
+    assert settles(made, "n4", body_of("third")) == 3
+
+
 def test_what_is_refused_right_where_it_is_offered() -> None:
     made = World(1, 5)
     made.cluster.run(0.9)
@@ -362,7 +383,9 @@
     assert [(why["member"], why["code"]) for why in led["reasons"]] == [("n5", "plan-not-whole")]
     seen = made.plans["n4"].seen(now)
     assert (seen["number"], seen["title"], seen["format"]) == (1, "first", 1)
-    assert (seen["push"]["state"], seen["push"]["hold"], seen["push"]["members"]) == (push.state, 5, 6)
+    first, second = seen["pushes"]
+    assert (first["state"], first["number"], second["id"]) == ("settled", 1, push.id)
+    assert (second["state"], second["hold"], second["members"]) == (push.state, 5, 6)
     made.cluster.go_on(made.cluster.nodes["n5"])
     assert made.until(lambda: numbers(made) == {2})
     kept(made)
--- a/wheatring/plan/lead.py
+++ b/wheatring/plan/lead.py
@@ -154,8 +154,10 @@
     # Steps
 
     def step(self, at: Instant) -> list[Out]:
-        if not self.office(at) or (push := self.push) is None or push.state == PUTTING:
+        if not self.office(at) or (push := self.push) is None:
             return []
+        if push.state == PUTTING:
+            return self._kept(push)
         if push.state == OFFERED:
             return self._offered(at, push)
         out: list[Out] = []
@@ -180,6 +182,12 @@
             return out + self._over(REFUSED, self._late(at, push))
         return out + self._spread(at, push)
 
+    def _kept(self, push: Push) -> list[Out]:
+        """The voters keep it, and the register does not say so: somebody has told meanwhile of a plan of a
+        higher number, which all the voters had forgotten. Both are settled, and all go by the higher."""
+        over = self.register.ready and self.register.chosen.number > push.number
+        return self._over(SETTLED) if over else []
+
     def _offered(self, at: Instant, push: Push) -> list[Out]:
         body = self.fleet.bodies.get(push.digest)
         if body is None:
--- a/wheatring/plan/push.py
+++ b/wheatring/plan/push.py
@@ -275,7 +275,6 @@
     def seen(self, now: float) -> dict[str, Any]:
         """For `GET /control/plan`."""
         current, lead = self.current, self.lead.push
-        newest = next(reversed(self.pushes.values()), None)
         return {
             "number": current.number if current is not None else 0,
             "epoch": current.epoch if current is not None else 0,
@@ -296,7 +295,7 @@
                 "holds": sorted({p.who.name for p in lead.view.members} - {*self._missing()}),
                 "reasons": _told(self.lead.reasons(lead, now)),
             },
-            "push": None if newest is None else self.told(newest, now),
+            "pushes": [self.told(push, now) for push in self.pushes.values()],
         }  # fmt: skip
 
     def _missing(self) -> list[str]:
