--- a/tests/agree/test_skew.py
+++ b/tests/agree/test_skew.py
@@ -22,7 +22,7 @@
 from wheatring.skew.leader import Push
 from wheatring.skew.needs import Needs, lacks, needs, own_abilities
 from wheatring.skew.trials import Answers, Asked, asked, clock_changes, trials
-from wheatring.skew.words import FEATURES, OLDER, Abilities, Able, Survey, Try
+from wheatring.skew.words import FEATURES, OLDER, Abilities, Able, SkewWord, Survey, Try
 
 ALL = own_abilities(version=str)
 DAY = 20_700  # 4 September 2026
@@ -298,6 +298,13 @@
     assert len(book.known) == MOST and ("n1", 5) not in book.known
 
 
+def test_a_word_of_a_later_program_is_read_for_what_is_known_of_it() -> None:
+    words: msgspec.msgpack.Decoder[SkewWord] = msgspec.msgpack.Decoder(SkewWord)
+    own = msgspec.msgpack.decode(msgspec.msgpack.encode(Able(7, 5, ALL)))
+    own[-1].append("what comes after the versions")
+    assert words.decode(msgspec.msgpack.encode([*own, "and after the abilities"])) == Able(7, 5, ALL)
+
+
 # The leader of a push, by hand
 
 
