Play plans by all pushes of a sidecar, and have members ask whoever looks at them and is a stranger

Cause: GET /control/plan tells all pushes now, the rig read one.

Change: the rig reads the newest of all pushes; whoever is looked at by one it does not know asks it to join, as for a ping.

Ruled out: a seed list of all members: it is the operators' and short.

--- a/wheatring/lab/live/planned.py
+++ b/wheatring/lab/live/planned.py
@@ -67,12 +67,18 @@
     return seen
 
 
+def newest(band: Band, name: str) -> dict[str, Any]:
+    """The newest push that was offered there; {}: there is none."""
+    pushes: list[dict[str, Any]] = state(band, name)["pushes"]
+    return pushes[-1] if pushes else {}
+
+
 def ended(band: Band, name: str) -> dict[str, Any]:
     """How the newest push that was offered there ended."""
 
     def over() -> dict[str, Any] | None:
-        pushed: dict[str, Any] | None = state(band, name)["push"]
-        return pushed if pushed is not None and pushed["state"] in ("settled", "refused", "lost") else None
+        pushed = newest(band, name)
+        return pushed if pushed.get("state") in ("settled", "refused", "lost") else None
 
     found: dict[str, Any] = band.until(over, f"the push at {name} ends", FAR)
     return found
@@ -117,18 +123,18 @@
     leader = next(name for name in ("d0", "d1", "d2") if band.seen(name)["view"]["leads"])
     other = next(name for name in ("d3", "d4") if name != leader)
     since = push(band, other, document("leader killed", LARGE))
-    band.until(lambda: state(band, other)["push"]["state"] != "offered", "it is begun", FAR)
+    band.until(lambda: newest(band, other)["state"] != "offered", "it is begun", FAR)
     band.kill(leader)
     how = ended(band, other)
     took = time.monotonic() - since
     band.start(leader)
     Judge(band).whole(names, len(names))
-    newest = state(band, other)["newest"]
-    settled(band, names, newest, since)
+    last = state(band, other)["newest"]
+    settled(band, names, last, since)
     wrong = two_bodies(band)
     yield Measured(
         not wrong and how["state"] in ("settled", "refused"),
-        f"leader killed in a push: {how['state']} after {took:.1f} s, plan {newest} with all, wrong: {wrong}",
+        f"leader killed in a push: {how['state']} after {took:.1f} s, plan {last} with all, wrong: {wrong}",
     )
 
 
--- a/wheatring/lease/views.py
+++ b/wheatring/lease/views.py
@@ -28,6 +28,7 @@
     AnyViewWord,
     Doubt,
     Here,
+    Join,
     Knock,
     Look,
     Miss,
@@ -176,6 +177,10 @@
                 along = self.fleet.members.along(self.fleet.members.table.rows.get(sender))
                 here = Here(word.seq, *along, self.view.number, self.stamp, max(0.0, now - self.born))
                 out = [(address, here)]
+                if self.fleet.members.table.rows.get(sender) is None:
+                    # The rumour of it has not come by here: it is asked itself, or voters that started anew
+                    # together would know of nobody but each other.
+                    out.append((address, Join(0, (self.fleet.members.own(),))))
                 if word.view > self.register.chosen.number:
                     out.append((address, self.register.newest()))
             case Here():
