Tell by stories that leaving, doubts, paces and the one list reach each pool

The one left is Shared.fetch, which the driver's interface wants and today's decisions never ask for.

--- a/tests/agree/test_pools.py
+++ b/tests/agree/test_pools.py
@@ -19,7 +19,10 @@
 from wheatring.core.exchange import Answer, Final
 from wheatring.errors import Told
 from wheatring.http1.parser import HOLD, Request
+from wheatring.pools import serve
 from wheatring.pools.errors import BadWeights, UnknownPool, UnknownRoute
+from wheatring.pools.member import Still
+from wheatring.pools.serve import Routed
 
 Make = Callable[..., PoolsWorld]
 ONE = TWO.replace("old = 3, new = 1", "new = 1").replace('[pool.old]\nzone = "a"\n', "")
@@ -45,8 +48,8 @@
 
     yield build
     for world in worlds:
-        world.run(world.pools.stop)
         world.end()
+        assert all(member.closed for member in world.pools.all())
 
 
 def shares(world: PoolsWorld, count: int) -> Counter[str]:
@@ -112,6 +115,9 @@
     tried = world.run(lambda: [len(world.pools.pools[p].pool.connections) for p in ("old", "new")])
     failed = [v["peer"] for e, v in world.lines if e == "claim-connection" and v["code"] == "connect-failed"]
     assert len(failed) >= 2 and {f"127.0.0.1:{p.port}" for p in world.nodes[:2]} == set(failed)
+    assert (
+        len(world.run(lambda: world.sidecar.serving.freshness.doubts)) == 2
+    )  # of the list that is theirs too
     assert tried == [0, 0] and world.run(lambda: world.pools.pools["new"].driver.last) == 0
 
 
@@ -154,8 +160,10 @@
     world.logged("routes", 2)
     places = world.pools.places
     assert world.run(lambda: places.most_of(world.pools.pools["new"].connections)) == places.total - 2
-    gone = i.View(i.ViewKind.DELTA, (i.EndpointEntry("n0", i.EndpointState.DRAINING, "a"),), 8)
-    world.run(lambda: world.sidecar.machine_list.on_view(gone))
+    watch = world.discovery.accept()  # one for all pools that go by the platform's list
+    watch.read()
+    watch.answer(200, list_body(8, {**entry("n0", world.nodes[0], zone="a"), "lifecycle": "DRAINING"}))
+    watch.read()
     assert not leaving.serving.balancer.endpoints  # what still goes on there is told of drains
     later = world.call()
     world.at(1).answer(200, b"new")
@@ -240,6 +248,8 @@
     refused = world.call("/menu/x", more="X-Time-Left-Ms: 500\r\n")
     assert refused.read()[0].split()[1] == "503"
     world.served("y", 1)
+    world.reload(own_list(lists[0].port, lists[1].port) + "[list]\nper_s = 20\n")
+    assert {m.serving.machine_list.asking.pace.haste for m in world.pools.all()} == {20.0}
     for wire in [*watches, *world.taken.values()]:
         wire.close()
     for each in lists:
@@ -258,7 +268,11 @@
         watch.answer(200, list_body(1, entry("n9", world.nodes[1]), reset=True))
     world.logged("routes", 2)
     world.served("y", 1)
-    world.logged("pool-gone", 2)
+    for watch in calls:
+        watch.read()
+    world.reload(TWO)
+    world.logged("pool-gone", 4)
+    assert world.logged("discovery-connection", 2) == ["unsubscribed"] * 2
     for watch in calls:
         watch.close()
     found.close()
@@ -279,33 +293,63 @@
     assert caller.read()[2] == b"still" and len(held) == 4
 
 
+def begun(world: PoolsWorld, ident: str) -> Routed:
+    """A job that came to its pool within this turn of the reactor."""
+    request, now = Request(b"GET /menu HTTP/1.1\r\n", b""), world.reactor.seconds()
+    job = world.pools.ways["all"].job({}, ident=ident, class_name="menu", deadline=now + 5, content=request)
+    world.sidecar.exchange.submit(job)
+    return job
+
+
 def test_idle_connections_give_way_to_need_but_not_those_that_are_a_pools_own(make: Make) -> None:
     text = TWO.replace('"a"\n', '"a"\nleast = 1\n').replace('"b"\n', '"b"\nleast = 1\n')
     world = make(text)
     world.run(lambda: setattr(world.pools.places, "total", 4))
-    for node, pool in enumerate(("old", "new")):
-        world.run(partial(world.pools.change_weights, "all", {pool: 1}))
-        callers = [world.call() for _ in range(3)]
-        wires = [world.nodes[node].accept() for _ in callers]  # for the last, an idle one has to go
-        world.wires += wires
-        for wire in wires:
-            wire.read()
-            wire.answer(200)
-        assert [caller.read()[0].split()[1] for caller in callers] == ["200"] * 3
-        world.met(lambda: not world.sidecar.exchange.open)
-    world.settle()
-    idle = world.run(lambda: [len(m.connections.connections) for m in world.pools.all()])
-    assert idle == [1, 3] and world.codes("claim-connection") == ["pool-full"] * 2
+    world.run(lambda: world.pools.change_weights("all", {"old": 1}))
+    callers = [world.call() for _ in range(3)]
+    world.wires += [world.nodes[0].accept() for _ in callers]
+    for wire in world.wires[-3:]:
+        wire.read()
+        wire.answer(200)
+    assert [caller.read()[0].split()[1] for caller in callers] == ["200"] * 3
+    world.met(lambda: len(world.pools.pools["old"].connections.idle_ones) and not world.sidecar.exchange.open)
+    world.run(lambda: world.pools.change_weights("all", {"new": 1}))
+
+    def four_at_once() -> list[int]:
+        for n in range(4):
+            begun(world, f"b{n}")
+        old, new = (world.pools.pools[name].connections for name in ("old", "new"))
+        return [sum(map(len, old.idle_ones.values())), len(new.dials)]
+
+    assert world.run(four_at_once) == [1, 3]
+    assert world.logged("claim-connection", 2) == ["pool-full"] * 2
+
+
+def test_what_the_callers_side_says_of_a_job_comes_to_its_pool(make: Make) -> None:
+    world = make()
+
+    class Heard(Still):
+        def handle(self, now: float, event: i.Event) -> list[i.Action]:
+            heard.append(type(event))
+            return []
+
+    def all_of_it() -> None:
+        for member in world.pools.all():
+            member.driver.balancer = Heard()
+        job = begun(world, "x")
+        world.sidecar.exchange.committed(job)
+        world.sidecar.exchange.leave(job)
+
+    heard: list[type] = []
+    world.run(all_of_it)
+    assert heard == [i.NewRequest, i.Committed, i.ClientGone]
 
 
 def test_a_job_that_ends_above_its_pool_ends_in_it_and_leaves_no_dial_behind(make: Make) -> None:
     world = make()
 
     def begin_and_end() -> list[int]:
-        now, pools = world.reactor.seconds(), world.pools
-        request = Request(b"GET /menu HTTP/1.1\r\n", b"")
-        job = pools.ways["all"].job({}, ident="x", class_name="menu", deadline=now + 5, content=request)
-        world.sidecar.exchange.submit(job)
+        job = begun(world, "x")
         counts = [len(job.pool.driver.jobs), len(job.pool.connections.dials)]
         world.sidecar.exchange.answer(job, Answer(Final.FAILED))
         counts.append(len(job.pool.driver.jobs))
@@ -320,7 +364,9 @@
     ]
 
 
-def test_a_newer_file_drops_what_still_waited_for_its_list_which_asks_no_more(make: Make) -> None:
+def test_a_newer_file_drops_what_still_waited_for_its_list_and_none_is_waited_for_without_end(
+    make: Make, monkeypatch: pytest.MonkeyPatch
+) -> None:
     world, nobody = make(), Peer(Loopback())
     nobody.close()
     world.reload(own_list(nobody.port, nobody.port))
@@ -332,6 +378,10 @@
         world.run(partial(member.driver.feed, i.TimerDue(0)))
     assert not any(m.serving.machine_list.watching for m in dropped)
     world.served("old", 0)
+    monkeypatch.setattr(serve, "PATIENCE", 0.1)
+    world.reload(own_list(nobody.port, nobody.port))
+    world.logged("routes", 3)  # the operators' word holds, though nobody tells the lists
+    assert world.call().read()[0].split()[1] == "503"
 
 
 @pytest.mark.parametrize("ground", ["loopback"], indirect=True)  # no door for operators in virtual time
