Hold what operators take offline in the lists that pools have of their own, too

The calls knew the platform's list alone, so a node of a pool's own list could not be taken out. The word lies over every list now, also of a pool that a reload adds; a name in several lists is out in all. Routes in force and the jobs by them moved to a module of their own.

--- a/tests/agree/test_pools.py
+++ b/tests/agree/test_pools.py
@@ -22,7 +22,7 @@
 from wheatring.pools import serve
 from wheatring.pools.errors import BadWeights, UnknownPool, UnknownRoute
 from wheatring.pools.member import Still
-from wheatring.pools.serve import Routed
+from wheatring.pools.way import Routed
 
 Make = Callable[..., PoolsWorld]
 ONE = TWO.replace("old = 3, new = 1", "new = 1").replace('[pool.old]\nzone = "a"\n', "")
@@ -385,6 +385,40 @@
 
 
 @pytest.mark.parametrize("ground", ["loopback"], indirect=True)  # no door for operators in virtual time
+def test_what_operators_take_offline_is_out_in_the_lists_that_pools_have_of_their_own(
+    make: Make, ground: Loopback, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    found = Peer(ground)
+    world = make(own_list(found.port, found.port), control=("127.0.0.1", 0))
+    watches = [found.accept(), found.accept()]
+    for watch in watches:
+        watch.read()
+        watch.answer(200, list_body(1, entry("own", world.nodes[0]), reset=True))
+        watch.read()
+    world.served("x", 0, "/menu/x")
+    desk = world.sidecar.desk
+    assert (
+        desk is not None
+        and not world.run(lambda: desk.offline("none"))
+        and world.run(lambda: desk.offline("own"))
+    )
+    assert world.logged("claim-connection") == ["close-idle"]
+    world.reload(own_list(found.port, found.port).replace("pool.x", "pool.z").replace("{ x", "{ z"))
+    watches.append(found.accept())  # a pool that comes later holds to it as well
+    watches[-1].read()
+    watches[-1].answer(200, list_body(1, entry("own", world.nodes[0]), reset=True))
+    world.logged("routes", 2)
+    for path in ("/menu/x", "/menu"):
+        assert world.call(path, more="X-Time-Left-Ms: 300\r\n").read()[0].split()[1] == "503"
+    world.settle()
+    assert world.codes("claim-connection") == ["close-idle"]  # no claim was made for these two
+    for wire in [*watches, *world.taken.values()]:
+        wire.close()
+    found.close()
+
+
+@pytest.mark.parametrize("ground", ["loopback"], indirect=True)
 def test_what_operators_take_offline_is_out_in_the_pools_of_that_list(
     make: Make, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -395,5 +429,7 @@
     assert world.run(lambda: world.sidecar.desk is not None and world.sidecar.desk.offline("n0"))
     assert world.logged("claim-connection") == ["close-idle"]
     assert world.call(more="X-Time-Left-Ms: 300\r\n").read()[0].split()[1] == "503"
+    world.settle()
+    assert world.codes("claim-connection") == ["close-idle"]
     world.run(lambda: world.sidecar.resize(100))
     assert world.pools.places.total == 40
--- a/tests/agree/test_pools_file.py
+++ b/tests/agree/test_pools_file.py
@@ -92,5 +92,7 @@
     mine = ("wheatring.routes", "wheatring.pools")
     assert not [name for name in without if name.startswith(mine)]
     new = {name for name in with_them - without if name.startswith("wheatring.")}
-    assert {name for name in new if not name.startswith(mine)} <= {"wheatring.errors"}
+    assert {name for name in new if not name.startswith(mine)} <= {
+        "wheatring.errors", "wheatring.lifecycle.byhand",
+    }  # fmt: skip
     assert "wheatring.pools.serve" in new
--- a/wheatring/daemon.py
+++ b/wheatring/daemon.py
@@ -122,7 +122,12 @@
         from wheatring.lifecycle.byhand import ByHand
         from wheatring.lifecycle.handover import Folder
 
-        by_hand = ByHand(on_view)
+        if self.pools is None:
+            by_hand = ByHand(on_view)
+        else:
+            from wheatring.pools.hands import Hands
+
+            by_hand = Hands(on_view, self.pools)
         folder = Folder(temporary(), self.told.name, round(self.clock.now() * 1e9))
         desk = self.desk = Desk(
             self.clock, folder, by_hand, self.server, self.pools or self.pool, self.places, self.held,
--- a/wheatring/pools/member.py
+++ b/wheatring/pools/member.py
@@ -22,6 +22,7 @@
 from wheatring.core.clock import Clock
 from wheatring.core.exchange import Exchange
 from wheatring.lifecycle.asking import Pace
+from wheatring.lifecycle.byhand import ByHand
 from wheatring.pool import ServingPool
 from wheatring.pools.selection import Selection, Word
 from wheatring.pools.shares import Places, SharedPool
@@ -87,6 +88,7 @@
         self.connections: SharedPool = self.pool
         self.ready = self.closed = False
         self.selection: Selection | None = None
+        self.by_hand = ByHand(self.driver.feed)  # over its own list
         if table.discovery is None:
             self.selection = Selection(table)
             self.driver.machine_list = Shared(home)
@@ -112,7 +114,7 @@
         """News of its own list."""
         if view.kind in (ViewKind.FULL, ViewKind.DELTA):
             self.ready = True
-        self.driver.feed(view)
+        self.by_hand.view(view)
 
     def repace(self, pace: Pace) -> None:
         if self.selection is None:
--- a/wheatring/pools/serve.py
+++ b/wheatring/pools/serve.py
@@ -13,7 +13,6 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Any, Protocol
 
 from lapisway.interface import Settings, View
@@ -33,37 +32,16 @@
 from wheatring.pools.selection import Word
 from wheatring.pools.shares import Places
 from wheatring.pools.tables import route
-from wheatring.routes.split import split
+from wheatring.pools.way import Routed, Way
 from wheatring.routes.table import Table
 from wheatring.routes.target import TurnedAway
-from wheatring.routes.words import Route, Weighted
+from wheatring.routes.words import Weighted
 
 LOOK = 0.1  # seconds between looks at what is staged and what leaves
 PATIENCE = 5.0  # seconds for which new pools may have no list before the routes go to them all the same
 SELDOM = 1.0  # seconds between two lines of the log on requests turned away for one reason
 
 
-@dataclass(slots=True, eq=False, kw_only=True)
-class Routed(Job):
-    """A job, and the pool that it stays in."""
-
-    pool: Member
-
-
-class Way:
-    """A route in force."""
-
-    def __init__(self, told: Route, pools: Mapping[str, Member]) -> None:
-        self.route = told
-        self.pools = pools
-        self.class_name = told.class_from.fixed.encode("latin-1")
-        self.deadline = told.deadline
-        self.split = split(told)
-
-    def job(self, fields: Mapping[bytes, bytes], **told: Any) -> Routed:
-        return Routed(pool=self.pools[self.split.pick(fields)], **told)
-
-
 class Server(Protocol):
     """What is steered of the callers' side, and asked of it."""
 
@@ -114,6 +92,7 @@
         self.where = where
         self.places = Places(claims)
         self.word = Word()
+        self.out: frozenset[str] = frozenset()
         self.pools: dict[str, Member] = {}  # in force
         self.ways: dict[str, Way] = {}
         self.table = Table(())
@@ -190,11 +169,16 @@
             member.view(view)
 
     def bar(self, node: str) -> None:
-        """Nothing new goes to a node of the one list."""
+        """Nothing new goes to a node of this name, in whichever list."""
         self.home.pool.bar(node)
         for member in self.all():
-            if member.selection is not None:
-                member.connections.bar(node)
+            member.connections.bar(node)
+
+    def put(self, now: float, out: frozenset[str]) -> None:
+        """These are out by hand, and no others: in the lists that pools have of their own."""
+        self.out = out
+        for member in self.all():
+            member.by_hand.put(now, out)
 
     def all(self) -> list[Member]:
         staged = self.staged.pools.values() if self.staged is not None else ()
@@ -248,10 +232,12 @@
         return self.staged
 
     def make(self, name: str, told: PoolTable) -> Member:
-        return Member(
+        member = Member(
             name, told, self.reactor, self.clock, self.front, self.settings, self.seed, self.places,
             self.room, self.pace, self.home,
         )  # fmt: skip
+        member.by_hand.put(self.clock.now(), self.out)
+        return member
 
     def drop_staged(self) -> None:
         """A newer file has come before the pools of this one had their lists."""
