Let rumours that others tell too run dry, and suspect later than one tells the other observers

Just after a start 200 members told each other 3.4 KB a second each, and every second look not answered made a suspicion. Changes are spread among those who are in the new view, not to relays that have just died.

--- a/wheatring/lab/agree/orders.py
+++ b/wheatring/lab/agree/orders.py
@@ -68,7 +68,7 @@
     def to_voters(self, said: list[tuple[str, Any]]) -> list[tuple[Address, Any]]:
         return [((name, 1), word) for name, word in said]
 
-    def spread(self, word: Any) -> list[tuple[Address, Any]]:
+    def spread(self, word: Any, among: Any = None) -> list[tuple[Address, Any]]:
         return [((name, 1), word) for name in self.order.names if name != self.me.name]
 
     def pass_on(self, word: Any) -> list[tuple[Address, Any]]:
--- a/wheatring/lease/fleet.py
+++ b/wheatring/lease/fleet.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from math import inf, isqrt
 from random import Random
 from typing import Any, NamedTuple, Protocol
@@ -217,11 +217,12 @@
         row = self.members.table.rows.get(sender)
         return self.names(row.who) if row is not None else ()
 
-    def spread(self, word: Any) -> list[Out]:
+    def spread(self, word: Any, among: Collection[str] | None = None) -> list[Out]:
         """Tell all of the tier a word that has a `to`, by some who tell some others: two steps, and nobody
         has many to tell. Who tells whom is drawn anew each time, so that one who is stopped keeps nobody in
-        the dark for long."""
+        the dark for long. `among`: only those."""
         others = [who.name for who in self.members.alive() if who.name != self.me.name]
+        others = [name for name in others if among is None or name in among]
         self.random.shuffle(others)
         branches = isqrt(len(others)) or 1
         out: list[Out] = []
--- a/wheatring/lease/register.py
+++ b/wheatring/lease/register.py
@@ -20,7 +20,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from enum import Enum
 from math import inf
 from typing import get_args
@@ -67,6 +67,7 @@
         self.name = name
         self.fleet = fleet
         self.chosen_now = chosen_now
+        self.among: Callable[[], Collection[str] | None] = lambda: None  # whom to tell, of those there are
         self.chosen = self.have = NOTHING
         self.when: Callable[[Instant], int] = lambda at: 0  # what a new entry says of its time
         # As a voter. `met`: whom one that started asks besides those it holds for there; None: not known
@@ -269,7 +270,7 @@
         self.phase, self.again = Phase.READY, inf
         # First it goes by the entry itself, so that who asks it for more finds it there.
         out = self.learn(at, address, self.pending)
-        return out + self.fleet.spread(Chosen(self.name, self.epoch, self.pending))
+        return out + self.fleet.spread(Chosen(self.name, self.epoch, self.pending), self.among())
 
     def _begins(self, at: Instant) -> list[Out]:
         assert self.epoch is not None
@@ -303,8 +304,7 @@
         self.have, self.retry = self.chosen, inf
         self.fleet.bodies.keep(self.name, self.have.digest)
         if self.have[1::-1] > self.kept[1::-1]:
-            # What is chosen counts as kept: of voters that all started anew each may know it, and none keep
-            # it.
+            # What is chosen counts as kept: voters that all started anew each know it, and none kept it.
             self.kept = self.have
             self.fleet.bodies.keep(f"{self.name}/kept", self.have.digest)
         owed, self.owed = self.owed, None
--- a/wheatring/lease/views.py
+++ b/wheatring/lease/views.py
@@ -70,6 +70,7 @@
     def __init__(self, at: Instant, fleet: Fleet) -> None:
         self.fleet = fleet
         self.register = Register(at, "view", fleet, self._chosen)
+        self.register.among = lambda: self.view.names
         self.watch = Watch(at.now, fleet.random)
         self.cuts = Cuts()
         self.view = View()
@@ -140,6 +141,8 @@
         for name in kicks:
             for other in self.rings.observers(name):
                 out += self._to(other, Miss(self.view.number, name))
+        blames, self.watch.blames = self.watch.blames, []
+        for name in blames:
             self.fleet.members.blame(at.now, name)
         silent = self.watch.report(at.now)
         if silent is not None:
--- a/wheatring/members/members.py
+++ b/wheatring/members/members.py
@@ -264,8 +264,10 @@
 
     def take(self, now: float, word: Word) -> None:
         """What went along with a word."""
+        times = self.pace.times(len(self.table.rows) + 1)
         for rumour in word.rumours:
-            self._learn(now, rumour)
+            if not self._learn(now, rumour):
+                self.rumours.heard(rumour, times)
         self.fresh += [news for news in word.news if self.board.learn(news)]
 
     def answered(self, now: float, name: str) -> None:
@@ -313,14 +315,14 @@
     def own(self) -> Rumour:
         return Rumour(self.me, self.incarnation)
 
-    def _learn(self, now: float, rumour: Rumour) -> None:
+    def _learn(self, now: float, rumour: Rumour) -> bool:
+        """Whether it said anything that counts."""
         name = rumour.who.name
         if name == self.me.name:
-            self._said_of_me(rumour)
-            return
+            return self._said_of_me(rumour)
         learnt = self.table.learn(now, rumour)
         if learnt is None:
-            return
+            return False
         row, news, newer = learnt
         if row.state == SUSPECT:
             members = self.table.here() + 1
@@ -333,15 +335,17 @@
             self.changed.append(name)
         if newer:
             self.board.again()
+        return True
 
-    def _said_of_me(self, rumour: Rumour) -> None:
+    def _said_of_me(self, rumour: Rumour) -> bool:
         if rumour.incarnation < self.incarnation or (
             rumour.incarnation == self.incarnation and rumour.state == ALIVE
         ):
-            return
+            return False
         self.health.worse()
         self.incarnation = rumour.incarnation + 1
         self.rumours.add(self.own())
+        return True
 
     # Joining, exchanging, leaving
 
--- a/wheatring/members/rumours.py
+++ b/wheatring/members/rumours.py
@@ -61,6 +61,17 @@
         self.told[name] = told
         self.levels[told][name] = rumour
 
+    def heard(self, rumour: Rumour, times: int) -> None:
+        """Somebody else tells it too: that is as good as having told it. With rumours that all know by now
+        nobody goes on for long (feedback and counter, of Demers et al., "Epidemic Algorithms for Replicated
+        Database Maintenance", 1987)."""
+        name = rumour.who.name
+        if name not in self.told:
+            return
+        own = self.levels[self.told[name]][name]
+        if (own.incarnation, own.state) == (rumour.incarnation, rumour.state):
+            self._count(name, times)
+
     def take(self, times: int, first: Collection[Rumour] = ()) -> tuple[Rumour, ...]:
         """Those to go along with one word; `first` go in any case."""
         room = ROOM - sum(rumour.size for rumour in first)
--- a/wheatring/members/watch.py
+++ b/wheatring/members/watch.py
@@ -14,6 +14,7 @@
 AGAIN = 0.5  # seconds until it is looked at again where it does not
 FIRST = 0.25  # and until that is done for the first time
 MISSED = 2  # looks, the last of which tells that the first was not answered: its other observers are told
+BLAMED = 5  # looks, the last of which makes it suspected in one's opinion: of what is lost, few are
 HURRY = 1.0  # seconds within which all others are looked at then: trouble seldom comes alone
 SILENT = 5.5  # seconds of silence after which one is down: a stop of 5 s takes nobody out
 TELL = 2.5  # seconds of silence from which on the voters are told
@@ -44,6 +45,7 @@
         self.next_report = now
         self.told: tuple[tuple[str, float], ...] = ()
         self.kicks: list[str] = []  # subjects whose other observers are to be told, emptied by whoever tells
+        self.blames: list[str] = []  # and those to be suspected, emptied there too
         self.hurried = now  # when all were last looked at early
 
     def watch(self, now: float, names: list[str]) -> None:
@@ -84,6 +86,8 @@
             if subject.looks == MISSED and not subject.kicked:
                 subject.kicked = True
                 self.kicks.append(name)
+            if subject.looks == BLAMED:
+                self.blames.append(name)
         if self.kicks:
             self._hurry(now)
         return out
