--- a/wheatring/lease/views.py
+++ b/wheatring/lease/views.py
@@ -135,8 +135,8 @@
 
     def _looks(self, at: Instant) -> list[Out]:
         out: list[Out] = []
-        for name, seq in self.watch.looks(at.now):
-            out += self._look(name, seq)
+        for name, seq, hurry in self.watch.looks(at.now):
+            out += self._look(name, seq, hurry)
         kicks, self.watch.kicks = self.watch.kicks, []
         for name in kicks:
             for other in self.rings.observers(name):
@@ -153,9 +153,9 @@
             )
         return out
 
-    def _look(self, name: str, seq: int) -> list[Out]:
+    def _look(self, name: str, seq: int, hurry: bool = False) -> list[Out]:
         row = self.fleet.members.table.rows.get(name)
-        return self._to(name, Look(seq, *self.fleet.members.along(row), self.view.number))
+        return self._to(name, Look(seq, *self.fleet.members.along(row), self.view.number, hurry))
 
     def _to(self, name: str, word: AnyViewWord) -> list[Out]:
         if name == self.fleet.me.name:
@@ -175,6 +175,8 @@
         match word:
             case Look():
                 self.fleet.members.take(now, word)
+                if word.hurry:
+                    self.watch.hurry(now, False)
                 if sender in self.watch.subjects:
                     self.sides[sender] = now
                 along = self.fleet.members.along(self.fleet.members.table.rows.get(sender))
--- a/wheatring/members/watch.py
+++ b/wheatring/members/watch.py
@@ -15,7 +15,7 @@
 FIRST = 0.25  # and until that is done for the first time
 MISSED = 2  # looks, the last of which tells that the first was not answered: its other observers are told
 BLAMED = 5  # looks, the last of which makes it suspected in one's opinion: of what is lost, few are
-HURRY = 1.0  # seconds within which all others are looked at then: trouble seldom comes alone
+HURRY = 0.5  # seconds within which all others are looked at then: trouble seldom comes alone
 SILENT = 5.5  # seconds of silence after which one is down: a stop of 5 s takes nobody out
 TELL = 2.5  # seconds of silence from which on the voters are told
 LEAST = 6  # looks not answered, at least
@@ -25,7 +25,7 @@
 
 
 class Subject:
-    __slots__ = ("due", "early", "kicked", "looks", "seq", "since")
+    __slots__ = ("due", "early", "kicked", "looks", "seq", "since", "spread")
 
     def __init__(self, due: float) -> None:
         self.due = due  # of the next look
@@ -33,6 +33,7 @@
         self.looks = 0  # not answered, since then
         self.kicked = False
         self.early = True  # the look that is due is not in its turn
+        self.spread = False  # that look tells it to look at its own subjects early
         self.seq: dict[int, float] = {}  # looks that may be answered yet, and when they were sent
 
 
@@ -68,14 +69,14 @@
             subject.due += late
             subject.seq.clear()
 
-    def looks(self, now: float) -> list[tuple[str, int]]:
-        """Whom to look at now, and by which number."""
+    def looks(self, now: float) -> list[tuple[str, int, bool]]:
+        """Whom to look at now, by which number, and whether it is to hurry too."""
         out = []
         for name, subject in self.subjects.items():
             if now < subject.due:
                 continue
             self.seq += 1
-            out.append((name, self.seq))
+            out.append((name, self.seq, subject.spread))
             subject.seq[self.seq] = now
             if len(subject.seq) > 16:
                 del subject.seq[min(subject.seq)]
@@ -89,7 +90,7 @@
             if subject.looks == BLAMED:
                 self.blames.append(name)
         if self.kicks:
-            self._hurry(now)
+            self.hurry(now, True)
         return out
 
     def kick(self, now: float, name: str) -> None:
@@ -97,17 +98,18 @@
         if (subject := self.subjects.get(name)) is not None and not subject.looks:
             subject.due = min(subject.due, now)
             subject.kicked = subject.early = True  # the others have been told
-            self._hurry(now)
+        self.hurry(now, True)
 
-    def _hurry(self, now: float) -> None:
-        """Where one is missed, others may be: who died together is to be found at one time, for one cut."""
+    def hurry(self, now: float, spread: bool) -> None:
+        """Where one is missed, others may be: who died together is to be found at one time, for one cut. Not
+        only by those who share a subject with it: those that are looked at hurry too, one step far."""
         if now < self.hurried + EACH:
             return
         self.hurried = now
         for subject in self.subjects.values():
             if not subject.looks:
                 subject.due = min(subject.due, now + HURRY * self.random.random())
-                subject.early = True
+                subject.early, subject.spread = True, spread
 
     def here(self, now: float, name: str, seq: int) -> float | None:
         """An answer: when its look was sent. None: it is none to a look of this one."""
@@ -124,7 +126,7 @@
         # observers would leave one alone for the same seconds.
         apart = self.random.random()
         subject.due = now + EACH * (0.1 + 0.9 * apart if subject.early else 0.75 + apart / 2)
-        subject.early = False
+        subject.early = subject.spread = False
         return sent
 
     # What it knows
--- a/wheatring/members/words.py
+++ b/wheatring/members/words.py
@@ -104,9 +104,11 @@
 
 
 class Look(Word, frozen=True, tag="look"):
-    """Are you there? `view`: the number of the view in which whoever says a word stands; 0: in none."""
+    """Are you there? `view`: the number of the view in which whoever says a word stands; 0: in none. `hurry`:
+    somebody is missed, look at your own subjects now."""
 
     view: int = 0
+    hurry: bool = False
 
 
 class Here(Word, frozen=True, tag="here"):
