--- a/wheatring/lease/register.py
+++ b/wheatring/lease/register.py
@@ -44,6 +44,7 @@
 LEAD = "lead"  # the duty whose holder leads all registers
 LONG = 4  # terms after which a voter that started speaks, though it has not heard all the others
 RETRY = 0.3  # seconds from a body that could not be had to the next try
+TELLS, APART = 3, 0.4  # how often a leader spreads what is chosen, each time by other ways; seconds between
 SYNC = 5.0  # seconds from one question after what is newest to the next
 MANY = 40  # members that a voter which started asks at once
 AGAIN = 0.5  # seconds until a body is asked for again
@@ -86,6 +87,7 @@
         self.pending = NOTHING
         self.yes: set[str] = set()
         self.again = inf
+        self.tells_left, self.next_tell = 0, inf
         self.sync = at.now + SYNC * fleet.random.random()
         self.wake = at.now
         self.fetched = -inf  # when a body was last asked for,
@@ -116,7 +118,7 @@
         held = self.fleet.duties[LEAD].held
         if (None if held is None else held.epoch) != self.epoch:
             return -inf
-        return min(self.again, self.sync, self.wake, self.retry)
+        return min(self.again, self.sync, self.wake, self.retry, self.next_tell)
 
     def tick(self, at: Instant) -> list[Out]:
         out = self._wakes(at)
@@ -126,6 +128,7 @@
             self.phase = Phase.ASKING
             self.found, self.pending, self.yes = self.chosen, NOTHING, set()
             self.again = inf if epoch is None else at.now
+            self.next_tell = inf
         if at.now >= self.again:
             out += self._say(at)
         if at.now >= self.sync:
@@ -136,8 +139,16 @@
                 out.append(((who.host, who.port), self.newest()))
         if at.now >= self.retry:
             out += self._try_again(at)
+        if at.now >= self.next_tell:
+            out += self._spread(at)
         return out
 
+    def _spread(self, at: Instant) -> list[Out]:
+        """Some of those who are to pass it on may have died just now: so not once."""
+        self.tells_left -= 1
+        self.next_tell = at.now + APART if self.tells_left else inf
+        return self.fleet.spread(self.tells(), self.among())
+
     def newest(self, all_: bool = False) -> Newest:
         """The question after what is newer than what it has."""
         return Newest(self.name, self.have.epoch, self.have.number, all_)
@@ -270,7 +281,8 @@
         self.phase, self.again = Phase.READY, inf
         # First it goes by the entry itself, so that who asks it for more finds it there.
         out = self.learn(at, address, self.pending)
-        return out + self.fleet.spread(Chosen(self.name, self.epoch, self.pending), self.among())
+        self.tells_left = TELLS
+        return out + self._spread(at)
 
     def _begins(self, at: Instant) -> list[Out]:
         assert self.epoch is not None
--- a/wheatring/lease/views.py
+++ b/wheatring/lease/views.py
@@ -144,6 +144,9 @@
         blames, self.watch.blames = self.watch.blames, []
         for name in blames:
             self.fleet.members.blame(at.now, name)
+        if self.watch.asks_others(at.now):
+            for name in self.rings.observers(self.fleet.me.name):
+                out += self._ask(name)
         silent = self.watch.report(at.now)
         if silent is not None:
             parts = list(groups([name for name, _ in silent], NAMES))[:1] or [[]]
@@ -216,7 +219,7 @@
         now = at.now
         self.fleet.members.take(now, word)
         if word.seq in self.asked:
-            return self._reached(sender, word.seq)
+            return self._reached(now, sender, word.seq)
         sent = self.watch.here(now, sender, word.seq)
         if sent is None:
             return []
@@ -240,18 +243,23 @@
             if at.now < errand.due:
                 continue
             for name in errand.names:
-                self.watch.seq += 1
-                self.asked[self.watch.seq] = name
-                out += self._look(name, self.watch.seq)
+                out += self._ask(name)
             left = errand.left - 1
             self.errands[number] = errand._replace(left=left, due=at.now + (APART if left else LATE))
+        return out
+
+    def _ask(self, name: str) -> list[Out]:
+        """Look at one that need not be a subject."""
+        self.watch.seq += 1
+        self.asked[self.watch.seq] = name
         while len(self.asked) > 4 * NAMES * LOOKS:
             del self.asked[next(iter(self.asked))]
-        return out
+        return self._look(name, self.watch.seq)
 
-    def _reached(self, name: str, seq: int) -> list[Out]:
+    def _reached(self, now: float, name: str, seq: int) -> list[Out]:
         if self.asked.pop(seq) != name:
             return []
+        self.watch.answered = now
         out: list[Out] = []
         for number, errand in enumerate(self.errands):
             if name in errand.names:  # it is told once, and not looked at any more
--- a/wheatring/members/watch.py
+++ b/wheatring/members/watch.py
@@ -47,6 +47,7 @@
         self.told: tuple[tuple[str, float], ...] = ()
         self.kicks: list[str] = []  # subjects whose other observers are to be told, emptied by whoever tells
         self.blames: list[str] = []  # and those to be suspected, emptied there too
+        self.next_self = now  # when it may look once more whether it is itself that is not heard
         self.hurried = now  # when all were last looked at early
 
     def watch(self, now: float, names: list[str]) -> None:
@@ -148,6 +149,16 @@
             return False
         return all(subject.looks for subject in self.subjects.values())
 
+    def asks_others(self, now: float) -> bool:
+        """Whether it has to ask others than its subjects if it is heard: none of these answers, and all of
+        them may be gone."""
+        if now < self.next_self or now - self.answered < ALONE / 2 or len(self.subjects) < 2:
+            return False
+        if not all(subject.looks >= MISSED for subject in self.subjects.values()):
+            return False
+        self.next_self = now + ALONE / 4
+        return True
+
     def side(self, now: float) -> str:
         """"mute": it hears and is not heard. "deaf": it hears nothing. "": neither."""
         if not self.alone(now):
