--- a/tests/agree/test_register_orders.py
+++ b/tests/agree/test_register_orders.py
@@ -27,18 +27,36 @@
     assert in_views(2, number)[1]
 
 
-def test_a_voter_that_starts_says_nothing_until_it_has_heard_what_it_kept() -> None:
-    order = Order(1, Register)
-    order.walk()
-    kept = order.registers["v1"].kept
-    order.start("v0")
+def wakes(order: Order, *names: str) -> float:
+    """Seconds until these, that start anew, have found out what they may have kept."""
+    order.leader = ""
+    for name in names:
+        order.start(name)
     began = order.now
-    while not order.registers["v0"].awake:
+    while not all(order.registers[name].awake for name in names):
         assert order.now - began < 15
         order.now += 0.05
         for name in order.names:
             if order.now >= order.registers[name].due:
                 order.say(name, order.registers[name].tick(order.at))
         order.deliver()
-    assert order.now - began >= order.grounds["v0"].terms.abstain
+    return order.now - began
+
+
+def test_a_voter_that_starts_says_nothing_until_it_has_heard_what_it_kept() -> None:
+    order = Order(1, Register)
+    order.walk()
+    kept = order.registers["v1"].kept
+    assert wakes(order, "v0") >= order.grounds["v0"].terms.abstain
     assert order.registers["v0"].kept.number >= kept.number
+
+
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_voters_that_all_start_anew_keep_what_any_member_knows_chosen(seed: int) -> None:
+    order = Order(seed, Register)
+    order.walk()
+    known = order.registers["m0"].have
+    assert known.number
+    order.lost = order.untold = order.late = 0.1  # what they promise is for members that they reach
+    wakes(order, "v0", "v1", "v2")
+    assert all(order.registers[name].kept.number >= known.number for name in ("v0", "v1", "v2"))
--- a/tests/agree/test_views_fleet.py
+++ b/tests/agree/test_views_fleet.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
 from wheatring.lab.agree import days
 from wheatring.lab.agree.cases import Measured, Scene, measure
 from wheatring.lab.agree.fleet import views
 from wheatring.lab.leases.cluster import CUT
+from wheatring.members.watch import Watch
 
 SIZE = 15
 
@@ -62,9 +65,12 @@
     scene.fleet.run(20)
     scene.stop(scene.names[8:10], 5.0)
     scene.fleet.run(26)
-    assert any(one is not None and one.errands for one in map(views, scene.fleet.nodes.values()))
+    found = [one for node in scene.fleet.nodes.values() if (one := views(node)) is not None]
+    assert any(one.errands.under_way for one in found)
     scene.fleet.run(35)
-    assert not any(one is not None and one.errands for one in map(views, scene.fleet.nodes.values()))
+    assert not any(
+        one is not None and one.errands.under_way for one in map(views, scene.fleet.nodes.values())
+    )
 
 
 def test_a_minority_keeps_its_view_and_says_that_it_is_old() -> None:
@@ -90,3 +96,34 @@
 
 def test_the_same_seed_gives_the_same_day() -> None:
     assert days.play(3, "together") == days.play(3, "together")
+
+
+def test_one_all_of_whose_subjects_die_reports_them() -> None:
+    scene = Scene(24, 1)
+    fleet = scene.fleet
+    fleet.run(20)
+    first = views(fleet.nodes["n0"])
+    assert first is not None
+    voters = {"n0", "n1", "n2"}
+    lonely = next(name for name in scene.names[3:] if not voters & {*first.rings.subjects(name)})
+    scene.kill(first.rings.subjects(lonely))
+    scene.follow.clear()
+    assert scene.follow.run_until_whole(set(scene.names) - scene.gone, 8.5) > 0
+    assert [move.went for move in scene.follow.moves] == [scene.gone]
+
+
+def test_who_missed_one_takes_that_back_at_once() -> None:
+    watch = Watch(0.0, Random(1))
+    watch.watch(0.0, ["a", "b"])
+    seen: list[int] = []
+    now = 0.0
+    while not watch.told:
+        now += 0.05
+        for name, seq, _ in watch.looks(now):
+            if name == "a":
+                watch.here(now, name, seq)
+            else:
+                seen.append(seq)
+        watch.report(now)
+    assert watch.here(now + 0.01, "b", seen[-1]) is not None
+    assert watch.report(now + 0.01) == ()
--- a/wheatring/lease/views.py
+++ b/wheatring/lease/views.py
@@ -13,13 +13,14 @@
 from collections.abc import Callable
 from dataclasses import replace
 from math import inf
-from typing import NamedTuple, get_args
+from typing import get_args
 
 from wheatring.lease.bodies import Fetch, digest
 from wheatring.lease.fleet import Fleet, Instant, Out
 from wheatring.lease.register import LEAD, RETRY, Register
 from wheatring.lease.words import Entry
 from wheatring.members.cuts import Cuts, groups
+from wheatring.members.errands import Errands
 from wheatring.members.members import Address
 from wheatring.members.view import Change, Rings, View, change_body, change_of, members_of
 from wheatring.members.watch import HELD, Watch
@@ -44,21 +45,8 @@
 SURE = 10.0  # seconds for which a stamp counts
 KNOCK = 1.0  # seconds from one knock to the next
 SECOND = 8  # members that look once more at who may go
-LOOKS = 3  # how often each of them does
-APART = 0.3  # seconds between these
-LATE = 2.0  # seconds after the last for which an answer is still told
 NAMES = 60  # names in one word
-ERRANDS = 8  # second looks under way at once
-
-
-class _Errand(NamedTuple):
-    """A second look for a leader."""
-
-    leader: Address
-    seq: int
-    names: tuple[str, ...]
-    left: int
-    due: float
+ASKED = 720  # looks at others than subjects that may be answered yet
 
 
 class Views:
@@ -87,7 +75,7 @@
         self.retry = inf  # when that is tried again
         # Why one that knocks is not let in now, by whoever knows what members have to be able to; "": it is.
         self.admits: Callable[[Instant, Placed], str] = lambda at, placed: ""
-        self.errands: list[_Errand] = []
+        self.errands = Errands()
         self.asked: dict[int, str] = {}  # looks of errands: at whom
         self.sides: dict[str, float] = {}  # who is heard and does not answer: when it was last heard
         self.doubt = 0
@@ -115,17 +103,16 @@
 
     @property
     def due(self) -> float:
-        errands = min((errand.due for errand in self.errands), default=inf)
         leads = self.next_look if self.register.epoch is not None else inf
         knocks = inf if self.inside else self.next_knock
-        return min(self.watch.due, leads, knocks, errands, self.retry)
+        return min(self.watch.due, leads, knocks, self.errands.due, self.retry)
 
     def tick(self, at: Instant) -> list[Out]:
         # By what is always due, and not by what a leader has to do: who comes to lead was not held up.
         if (late := at.now - self.watch.due) > HELD and self.moved:
             self.watch.held_up(late)
             self.cuts.forget()
-        out = self._looks(at) + self._run(at) + self._knock(at)
+        out = self._looks(at) + self._knock(at)
         if at.now >= self.retry:
             self._try_again()
         if self.register.epoch is not None and at.now >= self.next_look:
@@ -147,6 +134,8 @@
         if self.watch.asks_others(at.now):
             for name in self.rings.observers(self.fleet.me.name):
                 out += self._ask(name)
+        for name in self.errands.looks(at.now):
+            out += self._ask(name)
         silent = self.watch.report(at.now)
         if silent is not None:
             parts = list(groups([name for name, _ in silent], NAMES))[:1] or [[]]
@@ -209,8 +198,7 @@
                 self.told_wait = word
                 self.next_knock = max(self.next_knock, now + min(word.left, 10.0) + 0.05)
             case Doubt():
-                if len(self.errands) < ERRANDS:
-                    self.errands.append(_Errand(address, word.seq, word.names[:NAMES], LOOKS, now))
+                self.errands.take(now, address, word.seq, word.names[:NAMES])
             case Reached():
                 self.cuts.reaches(now, word.names)
         return out
@@ -236,23 +224,11 @@
 
     # Second looks, for a leader
 
-    def _run(self, at: Instant) -> list[Out]:
-        out: list[Out] = []
-        self.errands = [errand for errand in self.errands if errand.left > 0 or at.now < errand.due]
-        for number, errand in enumerate(self.errands):
-            if at.now < errand.due:
-                continue
-            for name in errand.names:
-                out += self._ask(name)
-            left = errand.left - 1
-            self.errands[number] = errand._replace(left=left, due=at.now + (APART if left else LATE))
-        return out
-
     def _ask(self, name: str) -> list[Out]:
         """Look at one that need not be a subject."""
         self.watch.seq += 1
         self.asked[self.watch.seq] = name
-        while len(self.asked) > 4 * NAMES * LOOKS:
+        while len(self.asked) > ASKED:
             del self.asked[next(iter(self.asked))]
         return self._look(name, self.watch.seq)
 
@@ -260,13 +236,10 @@
         if self.asked.pop(seq) != name:
             return []
         self.watch.answered = now
-        out: list[Out] = []
-        for number, errand in enumerate(self.errands):
-            if name in errand.names:  # it is told once, and not looked at any more
-                out.append((errand.leader, Reached(self.view.number, errand.seq, (name,))))
-                rest = tuple(other for other in errand.names if other != name)
-                self.errands[number] = errand._replace(names=rest)
-        return out
+        return [
+            (leader, Reached(self.view.number, number, (name,)))
+            for leader, number in self.errands.reached(name)
+        ]
 
     # Coming in, and leaving
 
@@ -325,7 +298,7 @@
             for name in chosen:
                 out += self._to(name, word)
             own = (self.fleet.me.host, self.fleet.me.port)
-            self.errands.append(_Errand(own, self.doubt, tuple(part), LOOKS, now))
+            self.errands.take(now, own, self.doubt, tuple(part))
         return out
 
     def _change(self, at: Instant, came: list[Placed], went: list[str]) -> list[Out]:
