--- a/wheatring/commands/lab.py
+++ b/wheatring/commands/lab.py
@@ -109,6 +109,11 @@
     lab_duties.add(command(commands, "duties", lab_duties.call, what))
 
 
+def add_views(commands: Commands) -> None:
+    what = "troubles of a virtual fleet that stands in views, and what is measured of them"
+    lab_views.add(command(commands, "views", lab_views.call, what))
+
+
 def add_plan(commands: Commands) -> None:
     parser = command(commands, "plan", plan, "draw a day, tell its figures, and write it out")
     scenario(parser)
@@ -132,7 +137,17 @@
     return 0
 
 
-COMMANDS = (add_list, add_check, add_plan, lab_run.add, lab_pace.add, lab_study.add, lab_live.add, add_duties)
+COMMANDS = (
+    add_list,
+    add_check,
+    add_plan,
+    lab_run.add,
+    lab_pace.add,
+    lab_study.add,
+    lab_live.add,
+    add_duties,
+    add_views,
+)
 
 
 def add(groups: Commands) -> None:
--- a/wheatring/commands/lab_views.py
+++ b/wheatring/commands/lab_views.py
@@ -1,8 +1,31 @@
-"""`wheatring lab check views`: holds agreed views and their register to their promise."""
+"""`wheatring lab views` plays troubles of a virtual fleet that stands in views and tells what is measured.
+`wheatring lab check views` holds views and their register to their promise.
+"""
 
 from __future__ import annotations
 
 import argparse
+import sys
+
+
+def add(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("cases", nargs="*", metavar="CASE", help="default: all; an unknown one lists them")
+    parser.add_argument("--sidecars", type=int, default=20, metavar="N", help="12 or more (default: 20)")
+    parser.add_argument("--seeds", type=int, default=3, metavar="N", help="to play each with (default: 3)")
+
+
+def call(args: argparse.Namespace) -> int:
+    from wheatring.lab.agree.cases import CASES, line, measure
+
+    unknown = [case for case in args.cases if case not in CASES]
+    if unknown or args.sidecars < 12 or args.seeds < 1:
+        why = f"{unknown[0]!r} is none of {', '.join(CASES)}" if unknown else "12 sidecars, 1 seed at least"
+        print(f"wheatring: lab: {why}", file=sys.stderr)
+        return 2
+    for case in args.cases or CASES:
+        for seed in range(1, args.seeds + 1):
+            print(line(measure(case, args.sidecars, seed)), flush=True)
+    return 0
 
 
 def check(args: argparse.Namespace) -> int:
--- a/wheatring/members/errands.py
+++ b/wheatring/members/errands.py
@@ -1,4 +1,4 @@
-"""Second looks for a leader: whom to look at once more, how often, and whom to tell who was reached. No I/O."""
+"""Second looks for a leader: at whom, how often, and whom to tell who was reached. No I/O."""
 
 from __future__ import annotations
 
