--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import pytest
+from hypothesis import settings
 from xdist.remote import Producer
 from xdist.scheduler import LoadScopeScheduling
 
@@ -20,6 +21,10 @@
 from wheatring.lab.live import band
 from wheatring.operators import Operators
 
+# No verdict by the machine's speed: what a test costs is told by --durations.
+settings.register_profile("counts", deadline=None)
+settings.load_profile("counts")
+
 SAFE = i.RequestClass("read", aim=1.0, deadline=4.0, effect=i.Effect.SAFE, late_worth=0.5)
 KEYED = i.RequestClass(
     "book", aim=1.0, deadline=4.0, worth=8.0, effect=i.Effect.KEYED, window=2.0, late_worth=0.5
