Never take the leader out by itself, and let doubted members look where none else is left

So all were in doubt, nobody was left for the second look, and the leader, who cannot look at itself, took itself out. It counts as reached now, and some of those in doubt look too.

--- a/tests/agree/test_views_fleet.py
+++ b/tests/agree/test_views_fleet.py
@@ -94,6 +94,11 @@
     assert day.breaches == [] and day.views
 
 
+def test_a_leader_whom_the_deaf_report_does_not_take_itself_out() -> None:
+    """Two of seven hear nobody but each other, and report all the others: nobody is out of doubt."""
+    assert days.play(381).breaches == []
+
+
 def test_the_same_seed_gives_the_same_day() -> None:
     assert days.play(3, "together") == days.play(3, "together")
 
--- a/wheatring/lease/views.py
+++ b/wheatring/lease/views.py
@@ -287,10 +287,15 @@
 
     def _second_look(self, now: float) -> list[Out]:
         new = self.cuts.doubts(now, self.view, self.rings)
+        # Whoever leads is there: two that are deaf report all, it among them, and nobody may be left to look.
+        self.cuts.reaches(now, [self.fleet.me.name])
         if not new:
             return []
-        rest = sorted(self.view.names - self.cuts.doubted.keys() - {self.fleet.me.name})
+        others = self.view.names - {self.fleet.me.name}
+        rest, doubted = sorted(others - self.cuts.doubted.keys()), sorted(others & self.cuts.doubted.keys())
         chosen = self.fleet.random.sample(rest, min(SECOND, len(rest)))
+        # Where so many are in doubt, some of these look too: one more that is reached by nobody does no harm.
+        chosen += self.fleet.random.sample(doubted, min(SECOND - len(chosen), len(doubted)))
         out: list[Out] = []
         for part in groups(new, NAMES):
             self.doubt += 1
