Let it count for 8 s only that one was reached, so that who died since is looked at anew

One whom half of the fleet does not reach and whom the second look reached stayed reached as long as its observers missed it: had it died then, it would never have gone.

--- a/wheatring/members/cuts.py
+++ b/wheatring/members/cuts.py
@@ -126,9 +126,12 @@
     def doubts(self, now: float, view: View, rings: Rings) -> list[str]:
         """Who is to be looked at once more, as it may have to go."""
         likely = self.marks(now, view, rings, SECOND).down
+        # That it was reached does not count for ever: it may have died since, and is looked at anew.
+        over = {name for name, at in self.reached.items() if now - at > TRUST}
+        self.doubted = {name: at for name, at in self.doubted.items() if name not in over}
         new = sorted(likely - self.doubted.keys())
         self.doubted = {name: self.doubted.get(name, now) for name in likely}
-        self.reached = {name: at for name, at in self.reached.items() if name in likely}
+        self.reached = {name: at for name, at in self.reached.items() if name in likely - over}
         return new
 
     def going(self, now: float, view: View, rings: Rings) -> list[str]:
@@ -215,6 +218,7 @@
         return max(0.0, at + min(LONGEST, float(2.0**cost)) - now)
 
 
+TRUST = 8.0  # seconds for which it counts that one was reached
 SECOND_LOOK = 1.0  # seconds for the second look
 
 
