Open the door once a plan's weights are known, leave the lead where one can't read the plan

Need: one that starts in a window is to be in it before it serves, and a leader that came back as an older program let nobody in and went on leading.

Change: with a plan the door opens when the weights are known or their bound is over; an unfit leader gives the lead to another voter that stands in the view.

Without a plan the start is as it was: door, then fleet.

Ruled out: to step back while no other voter stands in the view: nobody would tell that the view still holds.

--- a/wheatring/daemon.py
+++ b/wheatring/daemon.py
@@ -29,6 +29,7 @@
 RESERVE = 24  # descriptors kept for the log, the reactor, the door, the configuration and calls to discovery
 CALLS = 32  # and, where operators call, for their door and its calls, and the files that two processes share
 CLAIMS = 0.4  # part of the rest that is for claims: callers' requests may hold a third, and others are idle
+WEIGHTS = 6.0  # seconds for which the door waits for a fleet's plan, which has a bound of its own
 LOOK = 0.02  # seconds between looks at what is still to be done before it ends
 
 
@@ -199,17 +200,34 @@
         self.machine_list.known(self.told.known)
         if self.pools is not None:
             self.pools.known()
-        if self.desk is not None:
-            self.desk.serve()
-        else:
-            self.listen()
-        if self.part is not None:
+        if self.part is not None and not self.part.ready:
             self.part.begin()
+            self.open_late(self.clock.now() + WEIGHTS)
+        else:
+            self.open()
+            if self.part is not None:
+                self.part.begin()
         self.record("start", "platform")
         self.record("config", "platform")
         self.record("config", "operators")
         self.switch(self.first_asked)
 
+    def open(self) -> None:
+        if self.desk is not None:
+            self.desk.serve()
+        else:
+            self.listen()
+
+    def open_late(self, until: float) -> None:
+        """One that starts in a window is in it before it takes a request, or after a bound serves by the
+        file's weights."""
+        assert self.part is not None
+        now = self.clock.now()
+        if self.part.ready or now >= until:
+            self.open()
+        elif not self.server.stopping:
+            self.clock.at(now + LOOK, self.open_late, until)
+
     def listen(self) -> None:
         """Let callers in."""
         from twisted.internet.error import CannotListenError
--- a/wheatring/peers/part.py
+++ b/wheatring/peers/part.py
@@ -86,6 +86,7 @@
         self.timer: Timer | None = None
         self.over = False
         self.said_taken = False
+        self.has_plan = plan is not None
         self.shown_states: dict[str, int] = {}
         self.shown_view = (0, False)
         self.shown_standing = (False, "")
@@ -281,6 +282,14 @@
         self.say(out)
         return status, said
 
+    @property
+    def ready(self) -> bool:
+        """Whether it knows by which weights to serve, or goes by the file's for good reason."""
+        if self.make_agreed is None or not self.has_plan:
+            return True
+        planned = None if self.agreed is None else self.agreed.planned
+        return planned is not None and planned.edges.ready
+
     def plan_seen(self) -> dict[str, Any]:
         if self.agreed is None or self.agreed.planned is None:
             return {"waits": "not in the fleet yet"}
--- a/wheatring/peers/planned.py
+++ b/wheatring/peers/planned.py
@@ -11,7 +11,7 @@
 
 from wheatring.errors import Told
 from wheatring.lease.fleet import Fleet, Instant, Out, Piece
-from wheatring.lease.register import Register
+from wheatring.lease.register import LEAD, Register
 from wheatring.lease.views import Views
 from wheatring.lease.words import Entry
 from wheatring.members.members import Address
@@ -25,6 +25,7 @@
 from wheatring.skew.judge import Skew
 from wheatring.skew.needs import own_abilities
 
+AWAY = 10.0  # terms for which one that is unfit to lead keeps out of the line
 FIRST = 5.0  # seconds from one offer of the first plan to the next
 Weigh = Callable[[str, Mapping[str, int]], None]
 Tell = Callable[[str, dict[str, Any]], None]
@@ -123,6 +124,7 @@
             self.tell("plan-unread", {"code": unread.code, "why": unread.what})
         if self.first and at.now >= self.next_first:
             self._offer_first(at)
+        out = self._unfit(at)
         look = self.edges.look(at.now, self.time.now(at), self.confirmed(at.now))
         self.next = look.due
         for line in [*self.time.lines, *look.lines]:
@@ -130,7 +132,19 @@
         self.time.lines.clear()
         for route, weights in look.changed.items():
             self.weigh(route, weights)
-        return []
+        return out
+
+    def _unfit(self, at: Instant) -> list[Out]:
+        """One that can't read what is settled lets nobody in: it leaves the lead to another voter that stands
+        in the view, if there is one."""
+        if self.fleet.duties[LEAD].act(at.boot) is None or not self.skew.own():
+            return []
+        voters = {*self.fleet.voters.all}
+        others = [one.who for one in self.views.view.members if one.who.name != self.fleet.me.name]
+        if not any({*self.fleet.names(who)} & voters for who in others):
+            return []
+        self.tell("plan-lead-left", {"why": self.skew.own()[0].what})
+        return self.fleet.release(at, LEAD, AWAY)
 
     def _offer_first(self, at: Instant) -> None:
         self.next_first = at.now + FIRST
