--- a/tests/agree/test_pools_file.py
+++ b/tests/agree/test_pools_file.py
@@ -10,6 +10,7 @@
 
 from tests.agree.pools_world import TWO
 from tests.test_process import begin, until
+from tests.world import FAR
 from wheatring.__main__ import main
 
 ROUTE = "[pool.a]\n[route.r]\nweights = { a = 1 }\n"
@@ -71,7 +72,7 @@
     where = tmp_path / "w.toml"
     where.write_text(text, encoding="utf-8")
     with begin(tmp_path, "", subprocess.PIPE, words=("--config", str(where), *words)) as process:
-        _, err = process.communicate()
+        _, err = process.communicate(timeout=FAR)
     assert process.returncode == 2 and err == f"wheatring: {where}: {err.partition(f'{where}: ')[2]}"
     assert said in err and err.count("\n") == 1
 
@@ -82,7 +83,7 @@
     with begin(folder, "", subprocess.PIPE, "-X", "importtime", words=words) as process:
         until(process, "listening")
         process.send_signal(signal.SIGTERM)
-        _, told = process.communicate()
+        _, told = process.communicate(timeout=FAR)
     assert process.returncode == 0
     return {line.rpartition("|")[2].strip() for line in told.splitlines()}
 
