Say once when a register is still, and drop what reports and stamps did in a roundabout way

Change: Register.still; the report's first names; the stamp's age as it is. Behaviour is not meant to change.

--- a/wheatring/lease/register.py
+++ b/wheatring/lease/register.py
@@ -102,6 +102,11 @@
         """Whether it leads, and the next entry may be put."""
         return self.epoch is not None and self.phase is Phase.READY
 
+    @property
+    def still(self) -> bool:
+        """Whether it leads, nothing is being chosen, and it goes by what is."""
+        return self.ready and self.have == self.chosen
+
     def put(self, at: Instant, body: bytes, number: int | None = None) -> list[Out]:
         """Put a body as the next entry, which is to have that number. ValueError where it is not its turn."""
         if not self.ready or number not in (None, self.chosen.number + 1):
--- a/wheatring/lease/views.py
+++ b/wheatring/lease/views.py
@@ -138,11 +138,8 @@
             out += self._ask(name)
         silent = self.watch.report(at.now)
         if silent is not None:
-            parts = list(groups([name for name, _ in silent], NAMES))[:1] or [[]]
-            told = tuple(one for one in silent if one[0] in parts[0])
-            out += self.fleet.to_voters(
-                [(voter, Report(self.view.number, told)) for voter in self.fleet.voters.all]
-            )
+            word = Report(self.view.number, silent[:NAMES])
+            out += self.fleet.to_voters([(voter, word) for voter in self.fleet.voters.all])
         return out
 
     def _look(self, name: str, seq: int, hurry: bool = False) -> list[Out]:
@@ -217,7 +214,7 @@
         born = sent - max(0.0, word.age)
         newer = word.stamp[:2] > self.stamp[:2]
         if newer or (word.stamp[:2] == self.stamp[:2] and born > self.born):
-            self.stamp, self.born = word.stamp, born if newer else max(born, self.born)
+            self.stamp, self.born = word.stamp, born
         if max(word.view, word.stamp.view) > self.register.chosen.number:
             return [(address, self.register.newest())]
         return []
@@ -258,7 +255,7 @@
     # The leader
 
     def _lead(self, at: Instant) -> list[Out]:
-        if not self.register.ready or self.register.have != self.register.chosen or self.held is not None:
+        if not self.register.still or self.held is not None:
             return []
         if self.register.chosen.number != self.view.number:
             return []
--- a/wheatring/peers/planned.py
+++ b/wheatring/peers/planned.py
@@ -72,11 +72,10 @@
     # Between the deciders
 
     def _view_still(self) -> bool:
-        register = self.views.register
-        return register.ready and register.have == register.chosen and self.views.held is None
+        return self.views.register.still and self.views.held is None
 
     def _plan_still(self) -> bool:
-        return all(one.ready and one.have == one.chosen for one in (self.plans.register, self.floors))
+        return self.plans.register.still and self.floors.still
 
     def _admits(self, at: Instant, placed: Placed) -> str:
         reasons = self.skew.admits(at, placed)
