--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
 # build: all that run and sim need, inside this folder. test, lint: what CI calls. run: the example's sidecar.
+# Whoever copies what was built keeps the files' times (cp -p): else each start compiles all of it anew.
 PYTHON ?= python3
 BIN = .venv/bin
 # Tests side by side; "auto": one for each core, 0: one after the other, in one process.
--- /dev/null
+++ b/tests/ends/test_start.py
@@ -0,0 +1,88 @@
+"""What a start costs: many processes may start on one machine at once, and nine in ten of them have to be
+ready soon. Held by counts, as a clock would tell more of the machine than of the program."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+from tests.test_process import told, until
+from tests.world import FAR, Peer, Wire, entry
+from wheatring import late
+
+ROOT = Path(__file__).parents[2]
+# Runs the program as `run` does, and tells on standard error what it had done when it bound its socket, and
+# which of the modules that are put off it had used by its end.
+TELLING = """
+import gc, json, os, sys
+from wheatring import late
+done = {"open": [], "compile": 0}
+def seen(event, args):
+    if event == "open":
+        done["open"].append(str(args[0]))
+    elif event == "compile":
+        done["compile"] += 1
+    elif event == "socket.bind":
+        now = {**done, "modules": sorted(sys.modules), "collects": gc.isenabled()}
+        print(json.dumps(now), file=sys.stderr, flush=True)
+def end(status, leave=os._exit):
+    used = [name for name in late.UNUSED if type(sys.modules.get(name)) is not late.Late]
+    print(json.dumps({"used": used, "collects": gc.isenabled()}), file=sys.stderr, flush=True)
+    leave(status)
+os._exit = end
+sys.addaudithook(seen)
+from wheatring.__main__ import main
+main(["--operators", "deploy/operator.properties", "--capture"])
+"""
+# A module more costs about a millisecond of processor time, and a class of data as much (it compiles what it
+# is made of). Raise these by what a start can't do without, and by no more.
+MODULES = 320
+COMPILED = 252
+
+
+def test_a_start_loads_little_reads_little_and_leaves_asleep_what_service_never_uses(tmp_path: Path) -> None:
+    node, discovery = Peer(), Peer()
+    known = {"generation": 3, "instances": [entry("n0", node)]}
+    data = told(known=known, discovery=f"127.0.0.1:{discovery.port}")
+    (tmp_path / "c.json").write_text(json.dumps(data), encoding="utf-8")
+    environment = {**os.environ, "LB_CONFIG": str(tmp_path / "c.json"), "TMPDIR": str(tmp_path)}
+    pipes: dict[str, Any] = {"stdout": subprocess.PIPE, "stderr": subprocess.PIPE, "text": True}
+    with subprocess.Popen([sys.executable, "-c", TELLING], cwd=ROOT, env=environment, **pipes) as process:
+        try:
+            assert process.stderr is not None
+            done = json.loads(process.stderr.readline())
+            port = int(until(process, "listening").rpartition("=")[2])
+            watch = discovery.accept()
+            watch.read()
+            watch.close()  # a call that fails, a reload, a request, a caller and an endpoint that go
+            discovery.accept().read()
+            process.send_signal(signal.SIGHUP)
+            until(process, "reloaded")
+            wire = Wire(socket.create_connection(("127.0.0.1", port), FAR))
+            wire.send(b"GET /menu HTTP/1.1\r\nX-Correlation-Id: c1\r\n\r\n")
+            called = node.accept()
+            called.read()
+            called.answer(200, b"ok")
+            assert wire.read()[2] == b"ok"
+            called.close()
+            wire.close()
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(FAR) == 0
+            at_end = json.loads(process.stderr.readline())
+        finally:
+            process.kill()
+            node.close()
+            discovery.close()
+    assert at_end == {"used": [], "collects": True} and not done["collects"]
+    assert len(done["modules"]) <= MODULES, done["modules"]
+    assert done["compile"] <= COMPILED
+    files = [Path(name).name for name in done["open"] if not name.endswith((".py", ".pyc"))]
+    assert sorted(files) == ["c.json", "capture-n1-000001.log", "null", "operator.properties"]
+    assert set(late.UNUSED) <= {*done["modules"]}, "a name that nothing imports any more"
+    assert not {"_ssl", "_pickle", "argparse", "wheatring.config.file"} & {*done["modules"]}
--- a/wheatring/serving.py
+++ b/wheatring/serving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import signal
 import sys
@@ -15,6 +16,22 @@
 def serve(file: str | None, capture: bool, own: str | None = None) -> int:
     """Serve until told to stop; `file` is the operators', `own` the project's. The exit status: 2 where it
     could not start."""
+    gc.disable()  # nearly all that a start makes stays, and many may start on one machine at once
+    try:
+        sidecar = started(file, capture, own)
+    finally:
+        gc.enable()
+    if sidecar is None:
+        return 2
+    sidecar.reactor.run(installSignalHandlers=False)
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # The follower starts once this process is gone, and all that the interpreter would take apart is too.
+    os._exit(sidecar.status)
+
+
+def started(file: str | None, capture: bool, own: str | None) -> Sidecar | None:
+    """One that listens, and hears signals. None: it could not, and has said why."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload, it must not end us
     try:
         said = read_own(own)
@@ -22,7 +39,7 @@
         asked = operators.read(file)
     except (config.ConfigError, operators.OperatorsError, config.FileError) as bad:
         print(f"wheatring: {bad}", file=sys.stderr)
-        return 2
+        return None
     log.not_blocking()
     late.put_off()
     from twisted.internet import error
@@ -39,7 +56,7 @@
         sidecar = Sidecar(reactor, told, asked, capture, own=own, said=said)
     except config.FileError as bad:  # the key file that the project's own file names
         print(f"wheatring: {bad}", file=sys.stderr)
-        return 2
+        return None
 
     def told_to_stop(number: int, frame: object) -> None:
         reactor.callFromThread(sidecar.stop)
@@ -55,9 +72,5 @@
         sidecar.start()
     except error.CannotListenError as bad:
         print(f"wheatring: listen: {bad}", file=sys.stderr)
-        return 2
-    reactor.run(installSignalHandlers=False)
-    sys.stdout.flush()
-    sys.stderr.flush()
-    # The follower starts once this process is gone, and all that the interpreter would take apart is too.
-    os._exit(sidecar.status)
+        return None
+    return sidecar
