Shut the sending side before a caller's connection is closed, and hear the rest out

Cause: after the last answer a caller's connection was closed as soon as it was written. Bytes that were unread then, or came a moment later, made a reset of that, and what the system had not delivered yet was lost. Only refused input was heard out.

Change: each end of a caller's connection goes one way: shut the sending side behind what is to be written, then read and throw away, at most DRAIN bytes and LINGER seconds from the last answer (FLUSH when it leaves), then close without a reset. Nothing is read between the decision and the shutdown, so no request is read on a connection that can still answer it and then thrown away. `lingering` is gone: `code` says it. When all places are taken, those that are only heard out are let go first. A paused connection that is closed no longer gets the time of the pause on top.

That a transport tells the shutdown needs Twisted's half-close interface; a caller's FIN still means that it has left.

--- a/wheatring/http1/caller.py
+++ b/wheatring/http1/caller.py
@@ -3,6 +3,11 @@
 A request larger than what is held of one comes in as a body (`upload`), and is submitted once that is whole
 or there is no room for it. A large answer goes out as a body (`sender`). A connection with either has its
 `job` until the last byte, as with any other.
+
+Its end: once `code` is set, nothing more is read for a request. The sending side is shut behind what is still
+to be written (`shut`), the rest that comes is thrown away, and the connection is let go once its caller has
+closed it, or after a bounded time. A close at once is a reset where bytes are unread or still come, and what
+was last written would be lost with it.
 """
 
 from __future__ import annotations
@@ -11,6 +16,10 @@
 from math import ceil
 from typing import TYPE_CHECKING, Any
 
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.internet.protocol import connectionDone
+from zope.interface import implementer  # type: ignore[import-untyped]
+
 from wheatring import log
 from wheatring.core.body import Body, nothing
 from wheatring.core.exchange import Answer, Final, Job
@@ -34,10 +43,11 @@
 SLOWEST = 32 * 1024
 UNREAD = 180.0  # seconds in which a caller is to read a buffer of a large answer: 1 kB/s is fast enough
 STUCK = 10.0  # and a node one of a large request
-LINGER = 2.0  # seconds in which a caller may read the answer to what could not be read
-DRAIN = 1024 * 1024  # bytes of the rest of its request that are read meanwhile; more would only cost time
+LINGER = 2.0  # seconds in which a caller may read the last answer
+DRAIN = 1024 * 1024  # bytes that are read meanwhile and thrown away; more would only cost time
 
 
+@implementer(IHalfCloseableProtocol)
 class CallerConnection(Connection):
     """One caller. It is answered one request at a time, in the order in which they came."""
 
@@ -48,7 +58,7 @@
         self.server = server
         self.job: Job | None = None
         self.keep_alive = True
-        self.lingering = False
+        self.shut = False  # the sending side: all that was written is out
         self.paused = False
         self.drained = 0  # bytes thrown away after the last answer
         self.most_drained = DRAIN
@@ -65,7 +75,7 @@
         self.server.came(self)
 
     def dataReceived(self, data: bytes) -> None:
-        if self.lingering or self.code:
+        if self.code:
             self.drained += len(data)
             if self.drained > self.most_drained:
                 self.pause()
@@ -87,16 +97,17 @@
     def resume(self) -> None:
         if self.paused:
             self.paused = False
-            now = self.server.clock.now()
-            self.since += now - self.heard  # for so long it was not let on
-            self.heard = now
+            if not self.code:
+                now = self.server.clock.now()
+                self.since += now - self.heard  # for so long it was not let on
+                self.heard = now
             self.transport.resumeProducing()
 
     def advance(self) -> None:
         """Read on, until a job is under way or bytes are missing."""
         try:
             # A caller that has left must not start the next request that it had sent ahead.
-            while self.alive and self.job is None and not self.code and not self.lingering:
+            while self.alive and self.job is None and not self.code:
                 message = self.reader.next()
                 if message is None:
                     break
@@ -265,25 +276,46 @@
             self.close("stopping" if self.server.parting else "caller-asked")
 
     def reject(self, status: int, why: str, more: bytes = b"", body: bytes = b"") -> None:
-        """Answer what can't be read and end the connection. Closing at once would reset it under the
-        caller's unread bytes, and the answer would be lost with them."""
+        """Answer what can't be read and end the connection."""
         self.why = why
         self.give_up_job()
         self.transport.write(response(status, body, more, close=True))
         self.linger(f"bad-request-{status}")
 
     def linger(self, code: str) -> None:
-        """All is said: hear the rest out for a while, so that what was said can be read."""
+        """All is said in the middle of a request: its caller may have to write the rest before it reads."""
         if self.upload is not None:
             self.most_drained = MAX_BODY
             self.upload = None
-        self.lingering = True
         self.since = self.server.clock.now()
-        self.reader.buffer.clear()
-        self.transport.loseWriteConnection()
-        self.code = code
+        self.close(code)
+        self.resume()
+
+    def close(self, code: str) -> None:
+        """All is said. What is read from now on is thrown away, so nothing is until the sending side is shut:
+        a request that was read before would be one that was taken."""
+        if self.alive and not self.code:
+            self.code = code
+            self.reader.buffer.clear()
+            self.pause()
+            self.transport.loseWriteConnection()
+
+    def writeConnectionLost(self) -> None:
+        """The sending side is shut."""
+        self.shut = True
         self.resume()
 
+    def readConnectionLost(self) -> None:
+        """The caller has ended its sending: it has left, or has read all that it was to read."""
+        self.transport.connectionLost(connectionDone)
+
+    def let_go(self) -> None:
+        """Hear it out no longer: one that reads nothing must not keep its connection for ever."""
+        if self.shut:
+            self.transport.loseConnection()
+        else:
+            self.abort(self.code)
+
     def give_up_job(self) -> None:
         """The present request will not become whole, or its caller has gone."""
         if self.job is not None:
@@ -295,9 +327,8 @@
     def look(self, now: float, idle: float) -> None:
         """Close what is kept for nothing."""
         if self.code:
-            # A caller that reads nothing must not keep its connection for ever.
             if now > self.since + LINGER:
-                self.abort(self.code)
+                self.let_go()
         elif self.sender is not None:
             if (sent := self.sender.body.read) > self.sent:
                 self.sent, self.heard = sent, now
@@ -322,7 +353,7 @@
     def make_room(self) -> None:
         """Give the place up to a caller that waits for one."""
         if self.code:
-            self.abort(self.code)
+            self.let_go()
         else:
             self.give_up("full")
 
--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -134,7 +134,7 @@
             return
         now = self.clock.now()
         standing = [c for c in self.connections if c.job is None and now > c.since + STAND]
-        standing.sort(key=lambda c: c.since)
+        standing.sort(key=lambda c: (not c.code, c.since))  # those that are only heard out go first
         for connection in standing[: max(1, self.most // 8)]:
             connection.make_room()
         self.clearing = self.clock.at(now + STAND / 6, self.clear)
@@ -244,7 +244,7 @@
         for connection in list(self.connections):
             if connection.code:
                 if now > connection.since + FLUSH:
-                    connection.abort(connection.code)
+                    connection.let_go()
             elif connection.job is not None and (patient or connection.upload is None):
                 continue
             elif not connection.waiting:
