End connects under way to an endpoint that is told away before they write anything

Cause: which endpoint an attempt goes to is chosen before its connect, which may take up to the time that the settings allow for it (20 s in the tests' settings). When the list meanwhile told that endpoint to drain or to be gone, or gave its address to another one, the connect went on, and once up the request was written: after the grace for sends to draining endpoints, or to another endpoint than the chosen one.

Change: the driver hands each view to the exchange before the decisions see it, and the pool ends at once what is on its way up to an endpoint that is not ready, or not at that address, any more. The attempt never ran and goes out again at once. Idle connections there are closed, and one in use is not kept after its answer. The lab's client side without bytes does the same. Each pool of several has it by its own driver's views.

Ruled out: a check when the connect is up alone would have served too, but an endpoint that drains gets no request any more, so waiting for its connect costs the request its time.

--- a/wheatring/core/driver.py
+++ b/wheatring/core/driver.py
@@ -96,6 +96,9 @@
 
     def handle(self, event: i.Event) -> None:
         job = self.jobs.get(getattr(event, "request", 0))
+        if event.__class__ is i.View:
+            # Connects under way to who is told away end before the decisions go on: nothing is written there.
+            self.exchange.on_listed(event)
         try:
             actions = self.balancer.handle(self.clock.now(), event)
         except Exception as bug:  # a fault in the decisions must neither end the process nor strand a job
--- a/wheatring/core/exchange.py
+++ b/wheatring/core/exchange.py
@@ -12,7 +12,7 @@
 
 from twisted.internet.defer import Deferred
 
-from lapisway.interface import Outcome
+from lapisway.interface import Outcome, View
 from wheatring import log
 from wheatring.core.clock import Clock, Timer
 from wheatring.lifecycle.leaving import Leaving, Open, Usual
@@ -95,6 +95,7 @@
         self.on_committed: Callable[[Job], None]
         self.start_claim: Callable[[Claim], None]
         self.close_idle: Callable[[str], None]
+        self.on_listed: Callable[[View], None] = lambda view: None
 
     # The server side
 
--- a/wheatring/http1/client.py
+++ b/wheatring/http1/client.py
@@ -10,7 +10,7 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
-from lapisway.interface import Outcome
+from lapisway.interface import EndpointState, Outcome, View, ViewKind
 from wheatring import log
 from wheatring.core.body import Room
 from wheatring.core.clock import Clock, Timer
@@ -21,6 +21,17 @@
 SWEEP = 1.0  # seconds between looks for connections that have stood idle for too long
 
 
+def take(ready: set[str], view: View) -> None:
+    """Keep the names of those that may be sent something new."""
+    if view.kind in (ViewKind.FULL, ViewKind.CACHED):
+        ready.clear()
+    for entry in view.entries:
+        if entry.state is EndpointState.READY:
+            ready.add(entry.endpoint)
+        else:
+            ready.discard(entry.endpoint)
+
+
 class _Dial(ClientFactory):
     """One connect under way for one claim. Refused or not up by its deadline, it has failed."""
 
@@ -94,11 +105,13 @@
         self.most = most
         self.room = room
         self.addresses: dict[str, str] = {}
+        self.ready: set[str] = set()  # the nodes that the decisions may send to, as last told
         self.idle_ones: dict[Place, deque[ClaimConnection]] = {}
         self.connections: dict[ClaimConnection, None] = {}  # in the order in which they came
         self.dials: dict[_Dial, None] = {}  # under way, in the order in which they began
         exchange.start_claim = self.start
         exchange.close_idle = self.close_idle
+        exchange.on_listed = self.listed
         self.sweep()
 
     def start(self, claim: Claim) -> None:
@@ -129,10 +142,28 @@
             dial.connector.stopConnecting()
         self.close_idle(node)
 
+    def listed(self, view: View) -> None:
+        """What counts is the list at the first byte, not at the choice: a connect may take longer than sends
+        may go on to a node that drains, and its address may be another's by then."""
+        take(self.ready, view)
+        for dial in [dial for dial in self.dials if not self.fits(dial.place)]:
+            dial.connector.stopConnecting()
+        for place in [place for place in self.idle_ones if not self.fits(place)]:
+            gone = self.addresses.get(place.node) != place.address
+            for connection in list(self.idle_ones[place]):
+                self.retire(connection, "node-gone" if gone else "close-idle")
+
+    def fits(self, place: Place) -> bool:
+        """Something new may go there."""
+        return place.node in self.ready and self.addresses.get(place.node) == place.address
+
     def up(self, connection: ClaimConnection) -> None:
         self.connections[connection] = None
 
     def keep(self, connection: ClaimConnection) -> None:
+        if not self.fits(connection.place):
+            connection.close("node-gone")
+            return
         connection.idle_since = self.clock.now()
         self.idle_ones.setdefault(connection.place, deque()).append(connection)
 
--- a/wheatring/lab/direct/pool.py
+++ b/wheatring/lab/direct/pool.py
@@ -8,12 +8,12 @@
 from collections import deque
 from collections.abc import Mapping
 
-from lapisway.interface import Outcome
+from lapisway.interface import Outcome, View
 from wheatring import log
 from wheatring.core.clock import Timer
 from wheatring.core.exchange import Claim, Exchange
 from wheatring.http1.claim import Place
-from wheatring.http1.client import SWEEP
+from wheatring.http1.client import SWEEP, take
 from wheatring.lab.book import Book
 from wheatring.lab.direct.clock import DirectClock
 from wheatring.lab.direct.links import Links
@@ -88,7 +88,7 @@
     def not_up(self) -> None:
         """Refused, or not up in time."""
         claim, self.first, self.late = self.first, None, None
-        self.pool.dialling -= 1
+        del self.pool.dials[self]
         assert claim is not None
         self.pool.book.note("unconnected", sidecar=self.pool.name)
         self.pool.exchange.end(claim, CONNECT_FAILED)
@@ -100,7 +100,7 @@
             return
         self.late.cancel()
         self.late = None
-        pool.dialling -= 1
+        del pool.dials[self]
         pool.lines[self] = None
         self.alive = True
         claim, self.first = self.first, None
@@ -216,11 +216,13 @@
         self.idle = idle * 0.7  # as the HTTP client's
         self.most = most
         self.addresses: dict[str, str] = {}
+        self.ready: set[str] = set()
         self.idle_ones: dict[tuple[str, str], deque[Line]] = {}
         self.lines: dict[Line, None] = {}  # in the order in which they came
-        self.dialling = 0
+        self.dials: dict[Line, None] = {}  # under way, in the order in which they began
         exchange.start_claim = self.start
         exchange.close_idle = self.close_idle
+        exchange.on_listed = self.listed
         self.sweep()
 
     def start(self, claim: Claim) -> None:
@@ -233,14 +235,31 @@
         if idle:
             idle.pop().carry(claim)
             return
-        if len(self.lines) + self.dialling >= self.most and not self.retire_oldest():
+        if len(self.lines) + len(self.dials) >= self.most and not self.retire_oldest():
             log.line("too-many-connections", most=self.most)
             self.clock.at(self.clock.now(), self.exchange.end, claim, CONNECT_FAILED)
             return
-        self.dialling += 1
-        Line(self, Place(claim.node, address), claim).dial()
+        line = Line(self, Place(claim.node, address), claim)
+        self.dials[line] = None
+        line.dial()
+
+    def listed(self, view: View) -> None:
+        """As the HTTP client's."""
+        take(self.ready, view)
+        for line in [line for line in self.dials if not self.fits(line.place)]:
+            line.refused()
+        for place, idle in list(self.idle_ones.items()):
+            if not self.fits(Place(*place)):
+                for line in list(idle):
+                    line.close()
+
+    def fits(self, place: Place) -> bool:
+        return place.node in self.ready and self.addresses.get(place.node) == place.address
 
     def keep(self, line: Line) -> None:
+        if not self.fits(line.place):
+            line.close()
+            return
         line.idle_since = self.time.instant
         idle = self.idle_ones.get(line.place)
         if idle is None:
