--- a/wheatring/pool.py
+++ b/wheatring/pool.py
@@ -66,7 +66,7 @@
             reactor, clock, exchange, limits.connect_timeout, limits.idle_timeout, most, room
         )
         now = clock.now()
-        within = settings.contract.ask_within if settings.must_ask else 0.0
+        within = settings.contract.ask_within
         self.asking = Asking(copies, number, within, Random(f"{seed}:asking"), now, pace)
         self.freshness = Freshness(copies, number, Random(f"{seed}:list"), now, self.asking.told)
         self.machine_list: MachineList
