Take nothing that came before a request had left for its answer, and settle through our own faults

Cause: on a kept connection the endpoint's late second answer can lie in the system's buffer while the next request is handed to the transport. The reactor reads before it writes, so the old answer was read while no byte of the new request had left, and was served as its answer, or, where it said that the request was turned away, took for sure what nobody knew. An endpoint's close at that instant cost the request an attempt and the endpoint a failed connect. Apart from that, an exception in what an end calls (the pool, the list, `drop`) left the attempt open until its time was over, or its request until `overdue`; one that came as an attempt was written left the connection open, on which the request could still run after it had been told as never run.

Change: what comes on a kept connection before a byte of the request has left ends that connection, and the same attempt goes out on another one: `Exchange.unsent`. It counts against nobody. Faults in `drop`, in starting an attempt, in keeping and forgetting a connection and in what is made of the list are logged, and attempt and request are settled there and then; an attempt that broke as it was started is dropped.

Ruled out: looking into the buffer once more before each write, since the reactor reads first anyway. An answer that comes once the request has left can't be told from its own; that remains.

--- a/tests/ends/test_endpoint.py
+++ b/tests/ends/test_endpoint.py
@@ -1,49 +1,17 @@
-"""Ends on the endpoint's side: connects that come up late, answers to nothing, and faults amid an end."""
+"""Ends on the endpoint's side: connects that come up late, and answers to nothing."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from contextlib import suppress
-from typing import Any
 
 import pytest
 
 from lapisway.interface import Outcome
-from tests.world import Peer, Wire, World, entry
-from wheatring import log
+from tests.ends.attempts import kept, listed, reads, submit
+from tests.world import Peer, World, entry
 from wheatring.core.exchange import Answer, Final, Job
-from wheatring.http1.parser import Request
 
 Make = Callable[..., World]
-LATE = Request(b"POST /late HTTP/1.1\r\n", b"")
-
-
-def submit(world: World, name: str = "unsafe") -> tuple[Job, list[Answer]]:
-    """Called in the reactor: when it returns, the connect of the first attempt is under way."""
-    job = Job("late", name, world.sidecar.clock.now() + 6, LATE)
-    answers: list[Answer] = []
-
-    def answered(answer: Answer) -> None:
-        answers.append(answer)
-        log.line("answered")
-
-    world.sidecar.exchange.submit(job).addCallback(answered)
-    (claim,) = job.claims
-    assert claim.outcome is None and not claim.written
-    return job, answers
-
-
-def listed(world: World, *items: dict[str, Any], reset: bool = False) -> None:
-    """Called in the reactor: discovery has told this."""
-    world.sidecar.machine_list.take({"generation": 8, "reset": reset, "instances": list(items)}, None)
-
-
-def reads(peer: Peer) -> tuple[Wire, str]:
-    """The next connection there that carries a request, and its first line; others are closed unused."""
-    while True:
-        wire = peer.accept()
-        with suppress(EOFError, ConnectionResetError):
-            return wire, wire.read()[0]
 
 
 @pytest.mark.parametrize("how", ["draining", "deleted", "left out", "moved", "its address another's"])
@@ -89,3 +57,42 @@
     assert caller.read()[2] == b"the last"
     assert wire.at_end()
     assert world.logged("claim-connection") == ["node-gone"]
+
+
+@pytest.mark.parametrize(
+    ("how", "code"),
+    [("second answer", "unasked-data"), ("turned away", "unasked-data"), ("end", "peer-closed"),
+     ("reset", "peer-reset")],
+)  # fmt: skip
+@pytest.mark.parametrize("name", ["menu", "order", "unsafe"])
+@pytest.mark.parametrize("make", ["loopback"], indirect=True)  # where a peer's word is there in the same turn
+def test_what_comes_on_a_kept_connection_before_the_next_request_has_left_is_not_its_answer(
+    make: Make, how: str, code: str, name: str
+) -> None:
+    """It lies in the system's buffer while the request is handed to the connection, and nothing has left: the
+    request goes out on another connection, as the same attempt."""
+    world = make()
+    wire = kept(world, world.caller())
+
+    def crossing() -> tuple[Job, list[Answer]]:
+        if how == "second answer":
+            wire.answer(200, b"first")
+        elif how == "turned away":
+            wire.answer(503, b"", "X-Unprocessed: 1\r\n")
+        elif how == "end":
+            wire.close()
+        else:
+            wire.reset()
+        return submit(world, name, dialling=False)
+
+    job, answers = world.run(crossing)
+    claims = job.claims[:]
+    again = world.nodes[0].accept()
+    assert again.read()[0] == "POST /late HTTP/1.1"
+    assert [claim.number for claim in claims] == [0] and claims[0].outcome is None
+    if how in ("second answer", "turned away"):
+        assert wire.at_end()  # and it never read the request
+    again.answer(200, b"second")
+    world.logged("answered")
+    assert answers[0].content.body == b"second"  # type: ignore[attr-defined]
+    assert world.codes("claim-connection") == [code]
--- /dev/null
+++ b/tests/ends/test_endpoint_faults.py
@@ -0,0 +1,85 @@
+"""Faults of our own amid an end on the endpoint's side: attempt and request are settled all the same."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from tests.ends.attempts import kept, submit
+from tests.world import World
+from wheatring.core.exchange import Answer, Final
+from wheatring.http1 import client
+from wheatring.http1.claim import ClaimConnection
+from wheatring.http1.client import Pool
+from wheatring.http1.machine_list import MachineList
+
+Make = Callable[..., World]
+
+
+def broken(*told: object, **more: object) -> None:
+    raise ZeroDivisionError
+
+
+@pytest.mark.parametrize("how", ["answer", "reset"])
+@pytest.mark.parametrize(("where", "what"), [(Pool, "keep"), (Pool, "gone"), (MachineList, "seen")])
+def test_a_fault_amid_the_end_of_an_attempt_still_settles_it(
+    make: Make, monkeypatch: pytest.MonkeyPatch, where: type, what: str, how: str
+) -> None:
+    world = make()
+    caller = world.ask()
+    wire = world.nodes[0].accept()
+    wire.read()
+    monkeypatch.setattr(where, what, broken)
+    if how == "reset":
+        wire.reset()
+        wire = world.nodes[0].accept()
+        wire.read()
+    wire.answer(200, b"ok")
+    assert caller.read()[2] == b"ok"
+    assert world.run(lambda: len(world.sidecar.driver.jobs)) == 0
+    assert "overdue" not in [event for event, _ in world.lines]
+
+
+def test_a_fault_as_an_attempt_is_given_up_still_answers_its_job(
+    make: Make, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(ClaimConnection, "drop", broken)
+    world = make()
+    caller = world.ask("unsafe", left=100)
+    world.nodes[0].accept().read()
+    assert caller.read()[0] == "HTTP/1.1 502 Bad Gateway"
+    assert "overdue" not in [event for event, _ in world.lines]
+
+
+def test_a_fault_as_a_connect_is_given_up_keeps_no_answer_back(
+    make: Make, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(client._Dial, "drop", broken)
+    world = make()
+
+    def answered_amid() -> list[Answer]:
+        job, answers = submit(world)
+        world.sidecar.exchange.answer(job, Answer(Final.FAILED))
+        return answers
+
+    assert [answer.final for answer in world.run(answered_amid)] == [Final.FAILED]
+
+
+def test_an_attempt_that_broke_as_it_was_written_goes_no_further(
+    make: Make, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It has been told as one that ended, so nothing of it may come to run after that."""
+    world = make()
+    caller = world.caller()
+    wire = kept(world, caller)
+    writes = ClaimConnection.resumeProducing
+
+    def writes_and_breaks(connection: ClaimConnection) -> None:
+        writes(connection)
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(ClaimConnection, "resumeProducing", writes_and_breaks)
+    world.ask("unsafe", wire=caller)
+    assert caller.read()[0] == "HTTP/1.1 502 Bad Gateway"
+    assert wire.at_end()
--- a/wheatring/core/driver.py
+++ b/wheatring/core/driver.py
@@ -70,7 +70,10 @@
         job = claim.job
         assert claim.outcome is not None
         now = self.clock.now()
-        self.machine_list.seen(now, claim.node, claim.outcome)
+        try:
+            self.machine_list.seen(now, claim.node, claim.outcome)
+        except Exception as bug:  # what is made of the list must not keep the decisions from an end
+            log.line("list-broken", why=repr(bug))
         latency = now - claim.begun
         self.feed(i.AttemptEnded(job.number, claim.number, claim.outcome, claim.node, latency, job.over))
 
--- a/wheatring/core/exchange.py
+++ b/wheatring/core/exchange.py
@@ -155,11 +155,7 @@
             claim.late = self.clock.at(give_up, self._late, claim)
         else:
             claim.patience = give_up - now
-        try:
-            self.start_claim(claim)
-        except Exception as bug:  # a claim that could not be started must not strand its job
-            log.line("claim-broken", why=repr(bug))
-            self.end(claim, Outcome.RESET if claim.written else Outcome.CONNECT_FAILED)
+        self._start(claim)
         return claim
 
     def answer(self, job: Job, answer: Answer) -> None:
@@ -204,12 +200,31 @@
                 self.answer(job, Answer(FINAL_SERVED, content))
         self.on_claim_ended(claim)
 
+    def unsent(self, claim: Claim) -> None:
+        """What was to carry a claim has ended before a byte of it had left: something else may."""
+        claim.written, claim.drop = False, None
+        if claim.wanted:
+            self._start(claim)
+        else:
+            self.end(claim, Outcome.NOT_SENT)
+
     # Its own
 
+    def _start(self, claim: Claim) -> None:
+        try:
+            self.start_claim(claim)
+        except Exception as bug:  # a claim that could not be started must not strand its job
+            log.line("claim-broken", why=repr(bug))
+            # Nor may it go on by half, and run after its job was told that it never did.
+            self._stop(claim, Outcome.RESET if claim.written else Outcome.CONNECT_FAILED)
+
     def _stop(self, claim: Claim, outcome: Outcome) -> None:
         drop = claim.drop
         if drop is not None:
-            drop()
+            try:
+                drop()
+            except Exception as bug:  # job and claim are settled all the same
+                log.line("claim-broken", why=repr(bug))
         self.end(claim, outcome)
 
     def _late(self, claim: Claim) -> None:
--- a/wheatring/http1/claim.py
+++ b/wheatring/http1/claim.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from lapisway.interface import Outcome
+from wheatring import log
 from wheatring.core.body import Body, nothing
 from wheatring.core.clock import Timer
 from wheatring.core.exchange import Claim
@@ -52,6 +53,7 @@
         self.idle_since = 0.0
         self.to_write = b""
         self.flushed = False
+        self.kept = False  # it has stood idle: what comes on it may be late
 
     def carry(self, claim: Claim) -> None:
         """Write a claim's request. As a pull producer, this is told when its last byte has left."""
@@ -102,6 +104,12 @@
             self.sender.stopProducing()
             self.sender = None
 
+    @property
+    def unsent(self) -> bool:
+        """No byte of the request has left."""
+        begun = self.flushed or self.transport.dataBuffer or (self.sender is not None and self.sender.begun)
+        return self.claim is not None and not begun
+
     def drop(self) -> None:
         """Stop working on the claim: to an execute node, abandoning is closing."""
         self.claim = None
@@ -109,9 +117,10 @@
         self.abort("claim-abandoned")
 
     def dataReceived(self, data: bytes) -> None:
-        if self.claim is None and self.flow is None:
+        if (self.claim is None and self.flow is None) or (self.kept and self.unsent):
             # An answer to nothing would be taken for the next claim's.
             self.abort("unasked-data")
+            self.elsewhere()
             return
         self.reader.feed(data)
         self.stop_waiting()
@@ -160,6 +169,13 @@
         self.abort("bad-answer")
         self.fail()
 
+    def elsewhere(self) -> None:
+        """Nothing of the request has left, so it is still this attempt that another connection carries."""
+        claim, self.claim = self.claim, None
+        self.stop_sending()
+        if claim is not None:
+            self.pool.exchange.unsent(claim)
+
     def fail(self) -> None:
         """Before its last byte left, the claim can't have run."""
         self.stop_sending()
@@ -228,7 +244,11 @@
 
     def answered(self, message: Message) -> None:
         claim, self.claim, self.head_at = self.claim, None, 0.0
-        self.keep_or_close(message.keep_alive)
+        try:
+            self.keep_or_close(message.keep_alive)
+        except Exception as bug:  # whatever becomes of the connection, the claim has its answer
+            log.line("connection-broken", why=repr(bug))
+            self.abort("broken")
         if claim is not None:
             status = message.first[0]
             if status == b"200":
@@ -249,10 +269,15 @@
             self.pool.keep(self)
 
     def ended(self, orderly: bool) -> None:
-        self.pool.gone(self)
+        try:
+            self.pool.gone(self)
+        except Exception as bug:  # what it carried is settled all the same
+            log.line("connection-broken", why=repr(bug))
         self.stop_waiting()
         message = self.reader.end() if orderly and not self.code else None
-        if message is None:
+        if self.kept and self.unsent and not self.code:
+            self.elsewhere()  # the node closed it as this was about to write on it
+        elif message is None:
             self.fail()
         elif (flow := self.end_flow()) is not None:
             flow.put(b"", True)
--- a/wheatring/http1/client.py
+++ b/wheatring/http1/client.py
@@ -164,7 +164,7 @@
         if not self.fits(connection.place):
             connection.close("node-gone")
             return
-        connection.idle_since = self.clock.now()
+        connection.kept, connection.idle_since = True, self.clock.now()
         self.idle_ones.setdefault(connection.place, deque()).append(connection)
 
     def gone(self, connection: ClaimConnection) -> None:
--- a/wheatring/http1/connection.py
+++ b/wheatring/http1/connection.py
@@ -15,6 +15,8 @@
 class Transport(Protocol):
     """The part of Twisted's TCP transports that is used here."""
 
+    dataBuffer: bytes  # what has been tried to be sent, and has not all left
+
     def write(self, data: bytes) -> None: ...
 
     def loseConnection(self) -> None: ...
--- a/wheatring/http1/sending.py
+++ b/wheatring/http1/sending.py
@@ -31,10 +31,16 @@
         self.on_last = on_last
         self.starved = False
         self.ended = False  # the last byte has been handed over
+        self.begun = False  # the first piece has left
         body.on_more = self.more
         transport.registerProducer(self, False)
+        self.begun = False
 
     def resumeProducing(self) -> None:
+        self.begun = True
+        self.go_on()
+
+    def go_on(self) -> None:
         body = self.body
         if self.ended:
             self.transport.unregisterProducer()
@@ -52,7 +58,7 @@
             if self.chunked:
                 self.transport.write(LAST_CHUNK)
             else:
-                self.resumeProducing()
+                self.go_on()
         elif body.broken:
             self.on_broken()
         else:
@@ -61,7 +67,7 @@
     def more(self) -> None:
         if self.starved:
             self.starved = False
-            self.resumeProducing()
+            self.go_on()
 
     def stopProducing(self) -> None:
         """The connection has ended, or is given up: the body is another's to take."""
