Begin a further attempt of a keyed request only inside its window, whatever it waits for

Cause: the window was asked about when the attempt was chosen. Its connect may take longer than what is left of the window (1.5 s against windows of 1 s and less), and the request was written when it came up.

Change: `Send` says within which time its first byte must be written (`begin_within`), from the one law in the module, `repeatable_until`: no end for what never ran or is safe, the window's end for a keyed request that may have run, never for an unsafe one. The exchange holds it as an instant and is asked at the first byte (`in_time`): a connect is not waited for past it, and one that comes up late, or a stale connection that has the attempt go elsewhere, ends it as never run. The lab's client side without bytes does the same. The wire of the simulator has no such field and is as it was. Two planted faults name the lines as they are now.

Ruled out: cutting the attempt's time to the window: what has been written in time may be waited for longer.

--- a/lapisway/interface.py
+++ b/lapisway/interface.py
@@ -317,6 +317,7 @@
     endpoint: str
     timeout: float
     drawn: tuple[Drawn, ...] = ()  # for records: nothing is to be done with it
+    begin_within: float = inf  # past that it must not be begun, whatever it still waits for: CONNECT_FAILED
 
 
 @dataclass(slots=True)
--- a/lapisway/policy.py
+++ b/lapisway/policy.py
@@ -241,7 +241,7 @@
         endpoint, drawn = self.pick(now, request)
         left = request.deadline - now
         hopeless = left <= request.norm.base / 2  # work for it would be wasted here and below
-        if endpoint is None or hopeless or not self.repeatable(now, request):
+        if endpoint is None or hopeless or now >= (until := self.repeatable_until(request)):
             self.answer(request, out)
             return
         timeout = left
@@ -260,7 +260,7 @@
         endpoint.in_flight += 1
         self.in_flight += 1
         endpoint.turn = self.turns + 1 / self.warmth(now, endpoint)
-        out.append(Send(request.ident, endpoint.entry.endpoint, timeout, seen))
+        out.append(Send(request.ident, endpoint.entry.endpoint, timeout, seen, until - now))
 
     def attempt_ended(self, now: float, event: AttemptEnded, out: list[Action]) -> None:
         request = self.requests.get(event.request)
@@ -289,7 +289,7 @@
             delay = self.random.random() * min(ceiling, MAX_BACKOFF) * request.cls.aim
             request.retries += 1
             resent = now + delay
-            if resent + request.norm.mean / 2 >= request.deadline or not self.repeatable(resent, request):
+            if resent + request.norm.mean / 2 >= request.deadline or resent >= self.repeatable_until(request):
                 self.answer(request, out)
                 return
             self.timers[self.next_timer] = request.ident
@@ -300,13 +300,13 @@
 
     def may_retry(self, now: float, request: Request, outcome: Outcome) -> bool:
         more = len(request.attempts) < self.most_attempts and outcome in EVIDENCE
-        return more and self.repeatable(now, request)
+        return more and now < self.repeatable_until(request)
 
-    def repeatable(self, now: float, request: Request) -> bool:
+    def repeatable_until(self, request: Request) -> float:
         """No effect twice: what may have run goes out again only as its class allows."""
         if request.may_have_run is None or request.cls.effect is Effect.SAFE:
-            return True
-        return request.cls.effect is Effect.KEYED and now < request.may_have_run[0] + request.cls.window
+            return inf
+        return request.may_have_run[0] + request.cls.window if request.cls.effect is KEYED else -inf
 
     def answer(self, request: Request, out: list[Action]) -> None:
         """The one final answer. A refusal says that trying again is harmless."""
--- a/wheatring/core/driver.py
+++ b/wheatring/core/driver.py
@@ -131,8 +131,8 @@
     def carry_out(self, action: i.Action) -> None:
         match action:
             case i.Send(request, endpoint, timeout):
-                job = self.jobs[request]
-                claim = self.exchange.claim(job, endpoint, self.clock.now() + timeout)
+                job, now = self.jobs[request], self.clock.now()
+                claim = self.exchange.claim(job, endpoint, now + timeout, now + action.begin_within)
                 if claim.outcome is NOT_SENT:
                     self.claim_ended(claim)
             case i.Refuse(request, retry_after):
--- a/wheatring/core/exchange.py
+++ b/wheatring/core/exchange.py
@@ -70,6 +70,7 @@
     outcome: Outcome | None = None
     drop: Callable[[], None] | None = None  # the client side's way to stop working on it
     late: Timer | None = None
+    begin_by: float = inf  # an instant: its first byte must have been written before
     patience: float = 0.0  # seconds from the job's last byte, where that has not come, to `give_up`
 
     @property
@@ -142,11 +143,11 @@
 
     # The driver
 
-    def claim(self, job: Job, node: str, give_up: float) -> Claim:
+    def claim(self, job: Job, node: str, give_up: float, begin_by: float = inf) -> Claim:
         claims, now = job.claims, self.clock.now()
         if job.deadline < give_up:
             give_up = job.deadline
-        claim = Claim(job, len(claims), node, now, give_up)
+        claim = Claim(job, len(claims), node, now, give_up, begin_by=begin_by)
         claims.append(claim)
         if job.over or give_up <= now:
             claim.outcome = Outcome.NOT_SENT
@@ -203,10 +204,17 @@
     def unsent(self, claim: Claim) -> None:
         """What was to carry a claim has ended before a byte of it had left: something else may."""
         claim.written, claim.drop = False, None
-        if claim.wanted:
-            self._start(claim)
-        else:
+        if not claim.wanted:
             self.end(claim, Outcome.NOT_SENT)
+        elif self.in_time(claim):
+            self._start(claim)
+
+    def in_time(self, claim: Claim) -> bool:
+        """To be asked at the instant of the first byte: one that is too late ends, as never run."""
+        if self.clock.now() < claim.begin_by:
+            return True
+        self.end(claim, Outcome.CONNECT_FAILED)
+        return False
 
     # Its own
 
--- a/wheatring/http1/client.py
+++ b/wheatring/http1/client.py
@@ -45,7 +45,7 @@
         self.late: Timer | None = None
         claim.drop = self.drop
         self.connector: Any = pool.reactor.connectTCP(host, int(port), self, timeout=None)
-        by = min(claim.give_up, pool.clock.now() + pool.connect_time)
+        by = min(claim.give_up, claim.begin_by, pool.clock.now() + pool.connect_time)
         self.late = pool.clock.at(by, self.connector.stopConnecting)
 
     def buildProtocol(self, addr: object) -> ClaimConnection:
@@ -77,7 +77,7 @@
     def connectionMade(self) -> None:
         super().connectionMade()
         self.pool.up(self)
-        if self.first.wanted:
+        if self.first.wanted and self.pool.exchange.in_time(self.first):
             self.carry(self.first)
         else:
             self.pool.keep(self)
--- a/wheatring/lab/direct/pool.py
+++ b/wheatring/lab/direct/pool.py
@@ -64,7 +64,7 @@
         pool, claim = self.pool, self.first
         assert claim is not None
         claim.drop = self.keep_on
-        by = min(claim.give_up, pool.clock.now() + pool.connect_time)
+        by = min(claim.give_up, claim.begin_by, pool.clock.now() + pool.connect_time)
         self.late = pool.clock.at(by, self.not_up)
         self.way.send(0.0, self.knock)
 
@@ -105,7 +105,7 @@
         self.alive = True
         claim, self.first = self.first, None
         assert claim is not None
-        if claim.wanted:
+        if claim.wanted and pool.exchange.in_time(claim):
             self.carry(claim)
         else:
             pool.keep(self)
--- a/wheatring/lab/faults.py
+++ b/wheatring/lab/faults.py
@@ -34,7 +34,7 @@
         "written-when-over",
         "a connect that comes up late writes its claim though the job is over",
         "wheatring.http1.client:_Fresh.connectionMade",
-        "if self.first.wanted:",
+        "if self.first.wanted and self.pool.exchange.in_time(self.first):",
         "if True:",
         "faults",
         ON_SOCKETS,
@@ -75,7 +75,7 @@
     Fault(
         "unsafe-repeated",
         "what may have run is sent again though that does harm",
-        "lapisway.policy:Balancer.repeatable",
+        "lapisway.policy:Balancer.repeatable_until",
         "if request.may_have_run is None or request.cls.effect is Effect.SAFE:",
         "if True:",
         "faults",
