Keep a watch whatever ends a call to discovery, also where lists are pushed, and lose no word

- `discovery: pushed`: the module asks for nothing there, and nobody else did, so a real sidecar never opened a watch and held the list of its start for ever.
The list's client now sees to the watch itself: at once at the start, and within 0.25 s of a failure, as what the agent has counts at once.
- An exception in what a list or a failed call sets off (`on_view`, `goes_on`) left `watching` set with no call out: no watch was ever laid again.
It is logged (`list-broken`), the whole list is asked for next.
- A move of discovery (SIGHUP) reset the open watch, so an answer that was written but not read was lost, though it counts as told.
The old watch now stays until the new discovery has answered; what it says counts, its version does not.
A whole list asked of the old one was taken for the new one's, with its version: no longer.
- Changes with a lower version than the held one (discovery has begun anew) were taken as if they fitted.
They count, and the whole list is asked for next; an answer to a call for the whole list is whole, whatever it says.

Lines are read in a file of their own.

--- /dev/null
+++ b/tests/ends/test_lists.py
@@ -0,0 +1,411 @@
+"""Each way in which a call to discovery ends, and what the sidecar owes of what it would have told."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+
+from tests import world as worlds
+from tests.virtual import Virtual
+from tests.world import Peer, Wire, World, entry, list_body
+from wheatring import log
+from wheatring.http1 import list_calls
+from wheatring.lifecycle.told import AGAIN
+
+Make = Callable[..., World]
+HELD = "GET /v1/servers?index=7&wait=50000"
+WHOLE = "GET /v1/servers HTTP/1.1"
+DRAINS = {"instanceId": "n0", "hostPort": "127.0.0.1:1", "lifecycle": "DRAINING"}
+
+
+@pytest.fixture
+def told(monkeypatch: pytest.MonkeyPatch) -> Callable[..., None]:
+    """Changes settings of the worlds that are made from then on."""
+
+    def change(**more: Any) -> None:
+        monkeypatch.setattr(worlds, "SETTINGS", {**worlds.SETTINGS, **more})
+
+    return change
+
+
+@pytest.fixture
+def soon(told: Callable[..., None]) -> None:
+    """Who has failed asks again at once: the order is what counts."""
+    told(contract={**worlds.SETTINGS["contract"], "must_ask_in": 100_000})
+
+
+@pytest.fixture
+def virtual(monkeypatch: pytest.MonkeyPatch) -> Iterator[Callable[..., World]]:
+    """Worlds whose seconds pass at once."""
+    monkeypatch.setattr(log, "line", log.line)
+    made: list[World] = []
+
+    def build(nodes: int = 2, kind: type[World] = World) -> World:
+        made.append(kind(Virtual(), nodes))
+        return made[-1]
+
+    yield build
+    for world in made:
+        world.end()
+
+
+def now(world: World) -> float:
+    assert isinstance(world.ground, Virtual)
+    return world.ground.time.now()
+
+
+def asked(wire: Wire) -> str:
+    return wire.read()[0]
+
+
+def only(world: World, name: str, requests: int = 6) -> None:
+    """Nothing new goes to any other endpoint from now on."""
+    peer = world.nodes[int(name[1:])]
+    caller = world.ask()
+    wire = peer.accept()
+    for left in reversed(range(requests)):
+        wire.read()
+        wire.answer(200, name.encode())
+        assert caller.read()[2] == name.encode()
+        if left:
+            world.ask(wire=caller)
+
+
+# How a watch ends
+
+
+def cut(wire: Wire) -> None:
+    body = list_body(9, DRAINS, {"instanceId": "n1", "lifecycle": "DELETED"})
+    wire.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body[:-2])
+    wire.close()
+
+
+ENDINGS: dict[str, Callable[[Wire], None]] = {
+    "reset": Wire.reset,
+    "closed": Wire.close,
+    "refused": lambda wire: wire.answer(503),
+    "refused for good": lambda wire: wire.answer(503, more="Connection: close\r\n"),
+    "cut": cut,
+    "no JSON": lambda wire: wire.answer(200, b"[{"),
+    "deep": lambda wire: wire.answer(200, b"[" * 100_000),
+    "no list": lambda wire: wire.answer(200, b'{"generation":9,"instances":{}}'),
+    "no version": lambda wire: wire.answer(200, b'{"generation":1e999,"instances":[]}'),
+    "no HTTP": lambda wire: wire.send(b"\x00\x01\r\n\r\n"),
+}
+
+
+@pytest.mark.parametrize("ending", ENDINGS)
+def test_a_watch_that_ends_is_laid_anew_and_what_it_missed_is_kept(
+    make: Make, soon: None, ending: str
+) -> None:
+    world = make(2)
+    watch = world.discovery.accept()
+    assert asked(watch).startswith(HELD)
+    ENDINGS[ending](watch)
+    watch = world.discovery.accept()
+    assert asked(watch).startswith(HELD)  # nothing of what was half told counts
+    assert sorted(world.run(lambda: list(world.sidecar.pool.addresses))) == ["n0", "n1"]
+    watch.answer(200, list_body(9, DRAINS))
+    assert asked(watch).startswith("GET /v1/servers?index=9&")
+    only(world, "n1")
+
+
+@pytest.mark.parametrize("copies", [1, 20, 200])
+def test_who_is_refused_asks_again_within_three_seconds(
+    virtual: Make, told: Callable[..., None], copies: int
+) -> None:
+    told(peers_total=copies, slot_no=copies - 1)
+    world = virtual()
+    watch = world.discovery.accept()
+    asked(watch)
+    world.ground.time.run(now(world) + 20.0)  # type: ignore[union-attr]
+    for _ in range(12):
+        failed = now(world)
+        watch.answer(503)
+        watch = world.discovery.accept()
+        assert asked(watch).startswith(HELD)
+        assert now(world) - failed <= AGAIN + 0.1
+
+
+def test_a_silent_watch_is_laid_anew_before_its_news_count_and_at_once_again_when_nobody_is_there(
+    virtual: Make, told: Callable[..., None]
+) -> None:
+    told(peers_total=200, slot_no=199)
+    world = virtual()
+    silent = world.discovery.accept()
+    asked(silent)
+    laid = now(world)
+    time: Any = world.ground.time  # type: ignore[union-attr]
+    world.discovery.close()
+    time.run(laid + 49.1)
+    assert world.codes("discovery-connection") == ["connect-failed"]  # the watch stands
+    time.run(laid + 51.4)
+    time.run(laid + 49.1 + 30.0)
+    failed = world.codes("discovery-connection").count("connect-failed")
+    assert failed >= 30.0 / (AGAIN + 0.1)
+
+
+@pytest.mark.parametrize("make", ["loopback"], indirect=True)  # the queues of the lab's listeners don't fill
+def test_a_call_that_hangs_at_the_connect_is_given_up_and_made_again(
+    make: Make, soon: None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A listener whose queue is full. What the old discovery has still to tell counts meanwhile."""
+    world = make(2)
+    monkeypatch.setattr(list_calls, "DIAL", 0.2)
+    former = world.discovery.accept()
+    asked(former)
+    full = socket.socket()
+    full.bind(("127.0.0.1", 0))
+    full.listen(0)
+    filler = socket.create_connection(full.getsockname())
+    world.run(lambda: world.sidecar.machine_list.move(full.getsockname()))
+    world.logged("list-failed", 2)
+    former.answer(200, list_body(9, DRAINS))
+    only(world, "n1")
+    full.accept()[0].close()
+    full.settimeout(worlds.FAR)
+    new = Wire(full.accept()[0])
+    assert asked(new) == WHOLE
+    for each in (new.sock, full, filler):
+        each.close()
+
+
+# Where discovery moves
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_an_answer_that_crosses_the_move_counts_and_is_not_taken_for_the_new_ones(
+    make: Make, reset: bool
+) -> None:
+    world = make(2)
+    watch = world.discovery.accept()
+    asked(watch)
+    new = Peer(world.ground)
+    held = [entry("n1", world.nodes[1])] if reset else []
+    news = list_body(90, DRAINS, *held, reset=reset)
+
+    def crossing() -> None:
+        watch.answer(200, news)
+        world.sidecar.machine_list.move(("127.0.0.1", new.port))
+
+    world.run(crossing)
+    first = new.accept()
+    assert asked(first) == WHOLE  # no version of the old one
+    only(world, "n1")
+    first.answer(200, list_body(3, entry("n1", world.nodes[1]), reset=True))
+    assert asked(first).startswith("GET /v1/servers?index=3&")
+    assert watch.at_end()
+    new.close()
+
+
+def test_what_the_old_discovery_says_after_the_new_one_has_answered_counts_no_more(make: Make) -> None:
+    world = make(2)
+    watch = world.discovery.accept()
+    asked(watch)
+    new = Peer(world.ground)
+    world.run(lambda: world.sidecar.machine_list.move(("127.0.0.1", new.port)))
+    first = new.accept()
+    assert asked(first) == WHOLE
+
+    def crossing() -> None:
+        first.answer(200, list_body(3, entry("n1", world.nodes[1]), reset=True))
+        watch.answer(200, list_body(90, entry("n0", world.nodes[0])))
+
+    world.run(crossing)
+    assert asked(first).startswith("GET /v1/servers?index=3&")
+    new.close()
+
+
+def test_a_whole_list_that_was_asked_of_the_old_discovery_is_not_the_new_ones(make: Make) -> None:
+    world = make(2)
+    asked(world.discovery.accept())
+    world.run(world.sidecar.machine_list.fetch)
+    fetch = world.discovery.accept()
+    assert asked(fetch) == WHOLE
+    new = Peer(world.ground)
+
+    def crossing() -> None:
+        fetch.answer(200, list_body(90, reset=True))
+        world.sidecar.machine_list.move(("127.0.0.1", new.port))
+
+    world.run(crossing)
+    first = new.accept()
+    assert asked(first) == WHOLE
+    assert fetch.at_end()
+    assert world.run(lambda: world.sidecar.machine_list.version) is None
+    assert sorted(world.run(lambda: list(world.sidecar.pool.addresses))) == ["n0", "n1"]
+    new.close()
+
+
+# What a list says
+
+
+@pytest.mark.parametrize("form", ["indented", "in pieces"])
+def test_a_list_in_another_form_is_the_same(make: Make, form: str) -> None:
+    world = make(2)
+    watch = world.discovery.accept()
+    asked(watch)
+    body = json.dumps({"generation": 9, "reset": False, "instances": [DRAINS]}, indent=4).encode()
+    if form == "indented":
+        watch.answer(200, body)
+    else:
+        half = len(body) // 2
+        watch.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for part in (body[:half], body[half:], b""):
+            watch.send(b"%x\r\n%s\r\n" % (len(part), part))
+            world.settle()
+    assert asked(watch).startswith("GET /v1/servers?index=9&")
+    only(world, "n1")
+
+
+def test_a_version_that_starts_anew_with_the_whole_list_goes_on_from_there(make: Make) -> None:
+    world = make(2)
+    watch = world.discovery.accept()
+    asked(watch)
+    watch.answer(200, list_body(1, entry("n1", world.nodes[1]), reset=True))
+    assert asked(watch).startswith("GET /v1/servers?index=1&")
+    only(world, "n1")
+
+
+def test_changes_that_do_not_fit_count_and_the_whole_list_is_asked_for(make: Make) -> None:
+    """Discovery has begun anew, and tells of what came since: of that, not of what went before."""
+    world = make(3)
+    watch = world.discovery.accept()
+    asked(watch)
+    watch.answer(200, list_body(2, DRAINS))
+    assert asked(watch) == WHOLE
+    assert "list-failed" not in [event for event, _ in world.lines]
+    assert world.run(lambda: world.sidecar.serving.freshness.serving) == {"n1", "n2"}
+    watch.answer(200, list_body(2, entry("n1", world.nodes[1])))  # whole, though it does not say so
+    assert asked(watch).startswith("GET /v1/servers?index=2&")
+    only(world, "n1")
+
+
+@pytest.mark.parametrize(
+    "more",
+    [{}, {"hostPort": None}, {"hostPort": "n0:x"}, {"startedAtMs": None}, {"weight": "1"}, {"cell": 1e400}],
+)
+@pytest.mark.parametrize("state", ["DRAINING", "DELETED"])
+def test_that_an_endpoint_takes_nothing_new_counts_whatever_else_its_line_says(
+    virtual: Make, state: str, more: dict[str, object]
+) -> None:
+    world = virtual()
+    watch = world.discovery.accept()
+    asked(watch)
+    watch.answer(200, list_body(9, {"instanceId": "n0", "lifecycle": state, **more}))
+    assert asked(watch).startswith("GET /v1/servers?index=9&")
+    only(world, "n1")
+
+
+@pytest.mark.parametrize("together", [True, False])
+def test_one_that_drained_and_started_again_is_sent_to_where_it_is_now(make: Make, together: bool) -> None:
+    world = make(1)
+    watch = world.discovery.accept()
+    asked(watch)
+    world.nodes.append(Peer(world.ground))
+    warm = round(world.ground.unix() * 1000) - 100_000
+    again = entry("n0", world.nodes[1], startedAtMs=warm)
+    if together:
+        watch.answer(200, list_body(9, DRAINS, again))
+    else:
+        watch.answer(200, list_body(8, DRAINS))
+        assert asked(watch).startswith("GET /v1/servers?index=8&")
+        assert world.ask().read()[0].startswith("HTTP/1.1 503")
+        watch.answer(200, list_body(9, again))
+    assert asked(watch).startswith("GET /v1/servers?index=9&")
+    only(world, "n1", requests=2)
+
+
+# Where it starts
+
+
+class Unlisted(World):
+    def known(self) -> list[dict[str, Any]]:
+        return []
+
+
+def test_who_starts_with_no_list_and_no_discovery_asks_on_until_it_is_there(virtual: Make) -> None:
+    world = virtual(kind=Unlisted)
+    for _ in range(10):
+        first = world.discovery.accept()
+        assert asked(first) == WHOLE
+        assert world.ask().read()[0].startswith("HTTP/1.1 503")
+        first.reset()
+    first = world.discovery.accept()
+    asked(first)
+    first.answer(200, list_body(9, entry("n1", world.nodes[1]), reset=True))
+    assert asked(first).startswith("GET /v1/servers?index=9&")
+    only(world, "n1")
+
+
+@pytest.mark.parametrize("copies", [1, 200])
+def test_an_old_list_is_asked_about_in_time(virtual: Make, told: Callable[..., None], copies: int) -> None:
+    told(peers_total=copies, slot_no=copies - 1)
+    world = virtual()
+    began = now(world)
+    assert asked(world.discovery.accept()).startswith(HELD)
+    assert now(world) - began <= 8.0 + 0.1
+
+
+def test_where_lists_are_pushed_the_watch_is_there_from_the_first_moment_and_always(
+    virtual: Make, told: Callable[..., None]
+) -> None:
+    told(discovery="pushed", peers_total=200, slot_no=199)
+    world = virtual()
+    began = now(world)
+    watch = world.discovery.accept()
+    assert asked(watch).startswith(HELD)
+    assert now(world) - began < 0.1
+    for _ in range(6):
+        failed = now(world)
+        watch.answer(503)
+        watch = world.discovery.accept()
+        assert asked(watch).startswith(HELD)
+        assert now(world) - failed < 0.3
+    new = Peer(world.ground)
+    began = now(world)
+    world.run(lambda: world.sidecar.machine_list.move(("127.0.0.1", new.port)))
+    assert asked(new.accept()) == WHOLE
+    assert now(world) - began < 0.3
+    watch.answer(200, list_body(9, DRAINS))
+    only(world, "n1")
+
+
+# Faults of our own
+
+
+def broken(*_: object) -> None:
+    raise ZeroDivisionError
+
+
+@pytest.mark.parametrize("part", ["on_view", "goes_on"])
+@pytest.mark.parametrize("ending", ["list", "refused", "reset"])
+def test_what_breaks_at_the_end_of_a_call_leaves_no_sidecar_without_a_watch(
+    make: Make, soon: None, part: str, ending: str
+) -> None:
+    world = make(2)
+    watch = world.discovery.accept()
+    asked(watch)
+    lists = world.sidecar.machine_list
+    whole = getattr(lists, part)
+    world.run(lambda: setattr(lists, part, broken))
+    if ending == "list":
+        watch.answer(200, list_body(9, DRAINS))
+    elif ending == "refused":
+        watch.answer(503)
+    else:
+        watch.reset()
+    if part == "on_view" or ending == "list":
+        world.logged("list-broken")
+    world.run(lambda: setattr(lists, part, whole))
+    watch = world.discovery.accept()
+    first = asked(watch)
+    if part == "on_view" or ending == "list":
+        assert first == WHOLE  # what was told may have come to nobody
+        watch.answer(200, list_body(9, entry("n1", world.nodes[1]), reset=True))
+        assert asked(watch).startswith("GET /v1/servers?index=9&")
+        only(world, "n1")
--- a/wheatring/http1/machine_list.py
+++ b/wheatring/http1/machine_list.py
@@ -3,65 +3,25 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from functools import partial
-from math import inf, isfinite
+from math import inf
 from typing import Any
 
-from lapisway.interface import EndpointEntry, EndpointState, Outcome, View, ViewKind
-from wheatring import address, log
+from lapisway.interface import EndpointState, Outcome, View, ViewKind
+from wheatring import log
 from wheatring.core.clock import Clock, Timer
 from wheatring.http1.list_calls import WAIT, WHOLE, Caller, HttpCaller
+from wheatring.http1.list_lines import ListError, entry_from
 from wheatring.lifecycle.asking import Asking
 from wheatring.lifecycle.freshness import Freshness
 
 SLACK = 1.5  # seconds past a wait (or from the call, for the whole list: WHOLE) until the call has failed
 SPACING = 0.05  # seconds between calls of a watch at least, should discovery answer at once with no news
 
-STATES = {
-    "SERVING": EndpointState.READY,
-    "DRAINING": EndpointState.DRAINING,
-    "DELETED": EndpointState.GONE,
-}
 READY = EndpointState.READY  # looked up once: an enum takes its time
 
 
-class ListError(ValueError):
-    """A list that cannot be read."""
-
-
-def _number(item: Mapping[str, Any], name: str, default: float) -> float:
-    value = item.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value) or value < 0:
-        raise ListError(f"{name}: not a number: {value!r}")
-    return value
-
-
-def entry_from(item: object, clock: Clock) -> tuple[EndpointEntry, str]:
-    """One line of the list, and its address ("" for one that is deleted and has none)."""
-    if not isinstance(item, dict):
-        raise ListError("not an object")
-    name, state = item.get("instanceId"), item.get("lifecycle")
-    if not isinstance(name, str) or not name:
-        raise ListError(f"instanceId: {name!r}")
-    if not isinstance(state, str) or state not in STATES:
-        raise ListError(f"lifecycle: {state!r}")
-    where = ""
-    if STATES[state] is not EndpointState.GONE:
-        host, port = address.parse(item.get("hostPort"))
-        where = f"{host}:{port}"
-    entry = EndpointEntry(
-        endpoint=name,
-        state=STATES[state],
-        zone=str(item.get("zone") or ""),
-        kind=str(item.get("machineType") or ""),
-        cell=int(_number(item, "cell", 0)),
-        rating=_number(item, "weight", 1.0) or 1.0,
-        started_at=clock.from_unix_ms(_number(item, "startedAtMs", 0)),
-    )
-    return entry, where
-
-
 class MachineList:
     """Tells the driver each change of the list, and the pool where each execute node is."""
 
@@ -74,7 +34,9 @@
         on_view: Callable[[View], None],
         freshness: Freshness,
         asking: Asking,
+        pushed: bool = False,
     ) -> None:
+        self.pushed = pushed  # the decisions are told, and never ask: that there is a watch is seen to here
         self.clock = clock
         self.freshness = freshness
         self.asking = asking
@@ -87,6 +49,7 @@
         self.watching = False
         self.turn: Timer | None = None  # when the first call of a watch is this sidecar's to make
         self.called = 0.0
+        self.former: Caller | None = None  # the watch at the address that discovery had before
         self.goes_on: Callable[[], bool] | None = None  # asked after each answer; None: always
         self.second: Caller | None = None  # asks on a connection of its own, until that is up
         self.looking: Timer | None = None
@@ -106,6 +69,8 @@
         if not holds:
             self.version = None  # there is nothing that changes could be told of
         self.asking.begin(self.clock.now(), holds)
+        if self.pushed:
+            self.subscribe()
 
     def subscribe(self) -> None:
         if not self.watching:
@@ -118,6 +83,7 @@
                 self.watch(self.watcher)
 
     def unsubscribe(self) -> None:
+        self.drop_former("unsubscribed")
         if self.watching:
             self.call_off("unsubscribed")
 
@@ -137,9 +103,15 @@
 
     def move(self, address: tuple[str, int]) -> None:
         """Discovery is elsewhere now. Its versions may be others there, so the whole list comes first; until
-        it has come, what is held stands."""
+        it has come, what is held stands, and what the old one has still to tell counts: a watch that is out
+        there is left to its end, lest a word be lost that was written already."""
         if address == self.address:
             return
+        self.drop_former("moved")
+        if self.version is not None and self.watcher.done is not None:
+            former = self.former = self.watcher
+            former.done = partial(self.last_word, former)
+            self.watcher = self.caller()
         self.call_off("moved")
         self.address = address
         self.watcher = self.caller()
@@ -148,11 +120,12 @@
         self.subscribe()
 
     def fetch(self) -> None:
-        caller = self.caller()
+        caller, asked = self.caller(), self.address
 
         def done(answer: Any) -> None:
-            self.read(answer)
             caller.close("fetched")
+            if asked == self.address:
+                self.read(answer, whole=True)
 
         caller.call(None, self.clock.now() + WHOLE, done)
 
@@ -169,18 +142,50 @@
         self.plan()
 
     def watched(self, answer: Any) -> None:
-        if self.read(answer):
+        """The end of a call. Whatever it sets off, another one follows."""
+        try:
+            self.settle(answer)
+        except Exception as bug:
+            log.line("list-broken", why=repr(bug))
+            self.version = None  # what it told may have come to nobody
+            self.lost("list-broken")
+            self.subscribe()
+
+    def settle(self, answer: Any) -> None:
+        if self.read(answer, whole=self.version is None):
             self.asking.answered()
             self.asking.told.answered(self.clock.now())
             self.drop_second("given-up")
+            self.drop_former("moved")
             if self.goes_on is not None and not self.goes_on():
                 self.call_off("follows")
                 return
             self.clock.at(self.called + SPACING, self.watch, self.watcher)
         else:
-            now = self.clock.now()
-            self.asking.failed(now, now - self.called, broke=answer is None and self.watcher.part)
-            self.call_off("watch-failed")
+            self.lost("watch-failed", broke=answer is None and self.watcher.part)
+            if self.pushed:
+                self.subscribe()
+
+    def lost(self, code: str, broke: bool = False) -> None:
+        """The call has failed, and there is no watch."""
+        now = self.clock.now()
+        self.asking.failed(now, now - self.called, broke)
+        self.call_off(code)
+
+    def last_word(self, caller: Caller, answer: Any) -> None:
+        """What the old discovery had still to tell. Its version is nothing to the new one, which has not
+        answered yet."""
+        self.former = None
+        if answer is not None:
+            self.read(answer)
+            self.version = None
+            caller.close("moved")
+
+    def drop_former(self, code: str) -> None:
+        former, self.former = self.former, None
+        if former is not None:
+            former.done = None
+            former.stop(code)
 
     # A list that may have grown old
 
@@ -215,16 +220,17 @@
         self.freshness.ask(now)
         self.drop_second("given-up")
         second = self.second = self.caller()
-        second.on_up = self.renewed
         version = None if empty else self.version
+        second.on_up = partial(self.renewed, version)
         wait = WHOLE if version is None else WAIT + SLACK
         second.call(version, now + wait, partial(self.answered, second))
 
-    def renewed(self) -> None:
+    def renewed(self, version: int | None) -> None:
         """The second has its connection: it is the watch from now on, and the old one, which may be one to
         nobody, is over."""
         assert self.second is not None
         old, self.watcher, self.second = self.watcher, self.second, None
+        self.version = version
         self.watcher.on_up = None
         old.done = None
         old.stop("renewed")
@@ -247,12 +253,13 @@
             second.done = None
             second.stop(code)
 
-    def read(self, answer: Any) -> bool:
-        """Pass on what a call brought; a call that failed or can't be read is one FAILED view."""
+    def read(self, answer: Any, whole: bool = False) -> bool:
+        """Pass on what a call brought; a call that failed or can't be read is one FAILED view. What answers a
+        call for the whole list is one, whatever it says of itself."""
         try:
             if answer is None:
                 raise ListError("the call failed")
-            self.take(self.plain(answer), None)
+            self.take(self.plain(answer), ViewKind.FULL if whole else None)
         except (ValueError, RecursionError) as bad:
             log.line("list-failed", why=str(bad))
             self.on_view(View(ViewKind.FAILED))
@@ -284,6 +291,9 @@
                 self.addresses[name] = where
             else:
                 self.addresses.pop(name, None)
-        self.version = version
+        # Changes of a list older than the held one, as of a discovery that has begun anew, count as well, but
+        # they don't say what the rest is: that is asked for next.
+        older = kind is ViewKind.DELTA and self.version is not None and version < self.version
+        self.version = None if older else version
         self.freshness.listed(self.clock.now(), {e.endpoint: e.state is READY for e in entries}, whole)
         self.on_view(View(kind, tuple(entries), version))
--- a/wheatring/lab/direct/machine_list.py
+++ b/wheatring/lab/direct/machine_list.py
@@ -149,13 +149,14 @@
         on_view: Callable[[View], None],
         freshness: Freshness,
         asking: Asking,
+        pushed: bool,
     ) -> None:
         self.clock: DirectClock
         self.name = name
         self.host = host
         self.registry = registry
         self.links = links
-        super().__init__(None, clock, discovery, addresses, on_view, freshness, asking)
+        super().__init__(None, clock, discovery, addresses, on_view, freshness, asking, pushed)
 
     def caller(self) -> Caller:
         return DirectCaller(self)
--- a/wheatring/lab/direct/sidecar.py
+++ b/wheatring/lab/direct/sidecar.py
@@ -76,7 +76,7 @@
         freshness = Freshness(copies, number, Random(f"{seed}:list"), now, asking.told)
         self.machine_list = DirectList(
             self.clock, name, host, discovery, registry, links, self.pool.addresses, self.driver.feed,
-            freshness, asking,
+            freshness, asking, not settings.must_ask,
         )  # fmt: skip
         self.driver.machine_list = self.machine_list
         self.classes = settings.classes
--- a/wheatring/pool.py
+++ b/wheatring/pool.py
@@ -74,7 +74,8 @@
     def list_from(self, discovery: tuple[str, int], on_view: Callable[[View], None]) -> MachineList:
         """Its own list, from that discovery; each view goes to `on_view`, which hands it to the driver."""
         self.machine_list = MachineList(
-            self.reactor, self.clock, discovery, self.pool.addresses, on_view, self.freshness, self.asking
-        )
+            self.reactor, self.clock, discovery, self.pool.addresses, on_view, self.freshness, self.asking,
+            pushed=not self.balancer.settings.must_ask,
+        )  # fmt: skip
         self.driver.machine_list = self.machine_list
         return self.machine_list
