Let a fleet too large for the line give way, and tell a connect that hangs from a line

Change: who has failed in a line twice in a row doubles its step, up to copies / 4 (what discovery is likely to answer a second), 24 s at most. So up to 12 sidecars are always held to 3 s. A connect that hung, or was refused, says nothing of a line and keeps the step: a call's end now tells whether it had a connection.

Tried: longest steps of 8, 12, 16 s, doubling from the first failure in a line, less jitter: later or more failed.

--- a/tests/ends/test_told.py
+++ b/tests/ends/test_told.py
@@ -74,7 +74,7 @@
             if self.watch is not None:
                 self.freshness.failed(now)
             else:
-                self.lose(now, made)
+                self.lose(now, made, taken=how != "hangs")
             return
         self.failed = self.silent = False
         self.watch = self.known = now
@@ -83,12 +83,12 @@
         self.asking.told.laid(now, WAIT)
         self.freshness.watching(now)
 
-    def lose(self, now: float, made: float) -> None:
+    def lose(self, now: float, made: float, taken: bool = True) -> None:
         self.watch = None
         self.failed = True
         self.freshness.unwatched()
         self.asking.told.dropped()
-        self.asking.failed(now, now - made)
+        self.asking.failed(now, now - made, taken=taken)
         self.next = max(self.asking.due(now), now + self.random.random() * 2.5)  # as the module spreads it
 
     def counts(self, changed: float, now: float) -> float:
@@ -156,6 +156,20 @@
             now = one.due(now)
 
 
+@pytest.mark.parametrize(("copies", "longest"), [(1, AGAIN), (12, AGAIN), (20, 5.0), (200, 24.0)])
+def test_a_line_makes_only_a_fleet_give_way_that_is_too_large_for_it(copies: int, longest: float) -> None:
+    one, now = Asking(copies, 0, 10.0, Random(1), 0.0), 0.0
+    one.begin(now, holds=True)
+    gaps = []
+    for taken in [True] * 12 + [False] * 3:
+        now += 2.0
+        one.failed(now, 2.0, taken=taken)
+        gaps.append(one.due(now) - now)
+        now = one.due(now)
+    assert 0.5 * longest <= max(gaps[:12]) <= longest
+    assert max(gaps[12:]) <= AGAIN  # nobody is there: that costs nothing
+
+
 def test_who_holds_none_asks_on_after_an_hour_as_well() -> None:
     one, now = Asking(1, 0, 10.0, Random(1), 0.0), 0.0
     for _ in range(3000):
--- a/wheatring/http1/list_calls.py
+++ b/wheatring/http1/list_calls.py
@@ -65,6 +65,7 @@
     done: Done | None  # of the call that is out
     on_up: Callable[[], None] | None  # told each time it has a connection
     part: bool  # of the answer to the call that is out, or was the last one, had come
+    taken: bool  # that call had a connection
 
     def call(self, index: int | None, deadline: float, done: Done) -> None:
         """Ask for what is newer than a version, to wait for it until WAIT is over, or for the whole list."""
@@ -93,10 +94,12 @@
         self.deadline = 0.0  # of the present call
         self.latest = 0.0  # and of its answer, once that has begun
         self.part = False  # of its answer has come
+        self.taken = False  # it has been written
         self.late: Timer | None = None
 
     def call(self, index: int | None, deadline: float, done: Done) -> None:
         self.index, self.done, self.deadline, self.part = index, done, deadline, False
+        self.taken = False
         self.latest = max(deadline, self.clock.now() + WHOLE)
         if self.connection is not None:
             self.write()
@@ -120,6 +123,7 @@
     def write(self) -> None:
         assert self.connection is not None
         self.set_deadline(self.deadline)
+        self.taken = True
         host, port = self.address
         path = "/v1/servers"
         if self.index is not None:
--- a/wheatring/http1/machine_list.py
+++ b/wheatring/http1/machine_list.py
@@ -169,7 +169,7 @@
     def lost(self, code: str, broke: bool = False) -> None:
         """The call has failed, and there is no watch."""
         now = self.clock.now()
-        self.asking.failed(now, now - self.called, broke)
+        self.asking.failed(now, now - self.called, broke, self.watcher.taken)
         self.call_off(code)
 
     def last_word(self, caller: Caller, answer: Any) -> None:
--- a/wheatring/lab/direct/machine_list.py
+++ b/wheatring/lab/direct/machine_list.py
@@ -54,11 +54,11 @@
         self.on_up: Callable[[], None] | None = None
         self.out: _Out | None = None
         self.up = False
-        self.part = False
+        self.part = self.taken = False
         self.late: Timer | None = None
 
     def call(self, index: int | None, deadline: float, done: Done) -> None:
-        self.done, self.part = done, False
+        self.done, self.part, self.taken = done, False, self.up
         clock = self.owner.clock
         out = self.out = _Out(index, deadline)
         if self.up:
@@ -86,7 +86,7 @@
 
     def connected(self, out: _Out) -> None:
         if not out.over:
-            self.up = True
+            self.up = self.taken = True
             self.set_deadline(out.deadline)
             self.to_there(self.arrive, out)
             if self.on_up is not None:
--- a/wheatring/lifecycle/asking.py
+++ b/wheatring/lifecycle/asking.py
@@ -22,7 +22,9 @@
 line. At the start it comes after those that hold none, as far as that leaves room. Once a call has failed
 it takes no part in the rounds: it asks again within AGAIN. The first failure after an answer is seen by the
 whole fleet at the same time, so places are by number there; from then on each keeps its own step, which
-leaves the fleet as spread out as it is.
+leaves the fleet as spread out as it is. Only where one call after another fails in a line, in a fleet larger
+than discovery is likely to answer meanwhile, are the steps doubled: it can't be in time for all of them, and
+in a storm of calls that are left it would be for none.
 
 Pure: instants in seconds are handed in; nothing here knows of sockets.
 """
@@ -40,6 +42,7 @@
 SLOWEST = 1.0  # calls a second by all in the longest round
 SPARSE = 2  # from this round on, by number from 0, there is room for a second place within it
 GOLDEN = 0.6180339887498949
+LONGEST = 24.0  # seconds between calls at most of one that holds a list and finds a line
 LATE = 64  # no round is longer for its number from this one on
 QUEUE = 2.0  # seconds in which one that waits in line there is likely to have had its turn, or to have failed
 PATIENT = 5.0  # seconds after which a call for the whole list is given up in any case
@@ -80,6 +83,7 @@
         self.settled = False  # the last call was answered
         self.twice = False  # it has its second place in the present round
         self.after = now  # not to be made before
+        self.stood = 0  # calls in a row that failed in a line
         self.slow = 0  # calls in a row that were waited for to the end of patience
         self.told.begin(now)
         if moved:
@@ -126,13 +130,13 @@
         """A call has been answered."""
         self.settled = self.holds = True
 
-    def failed(self, now: float, took: float = 0.0, broke: bool = False) -> None:
+    def failed(self, now: float, took: float = 0.0, broke: bool = False, taken: bool = True) -> None:
         """A call has failed, or was given up, after so many seconds. `broke`: its answer had begun, so it did
-        have its turn."""
+        have its turn. `taken`: there was a connection, so that somebody has it."""
         self.told.failed(now)
-        self.slow = min(self.slow + 1, 2) if took >= HANG else 0
+        self.slow = min(self.slow + 1, 2) if taken and took >= HANG else 0
         if self.holds:
-            self.again(now)
+            self.again(now, stood=taken and took >= QUEUE / 2 and not broke)
             return
         if self.round >= SPARSE and took >= QUEUE / 2 and not self.twice and not broke:
             # It stood in line, and few are left by now: a chance crowd is no reason to wait for a round that
@@ -149,13 +153,19 @@
             self.origin = max(ended, now)
         self.after = now + _least(self.round) / 2
 
-    def again(self, now: float) -> None:
-        """The next call of one that holds a list, once the last has failed."""
+    def again(self, now: float, stood: bool) -> None:
+        """The next call of one that holds a list, once the last has failed. `stood`: in a line."""
         # After the first failure by number, as all saw it at once; then nearly in step.
         part = (self.place + GOLDEN) % 1.0 if self.settled else 1 - self.random.random() / 4
         self.round = 1 if self.settled else min(self.round + 1, LATE)
+        self.stood = self.stood + 1 if stood and not self.settled else 0
         self.settled = False
         gap = min(self.length(self.round), self.told.by() - now)
+        if self.stood > 1:
+            # More ask than can be answered in time, so a large fleet gives way: in a storm nobody would be.
+            most = min(self.copies / self.pace.likely, LONGEST)
+            gap = max(gap, min(gap * 2.0 ** (self.stood - 1), most))
+            part = 1 - self.random.random() / 2
         self.after = now + max(gap * part, min(_least(self.round), gap) / 2)
 
 
