See to a pushed list's watch in the list's client alone, asked as by one sidecar

Cause: two mends of one fault met: one told the module to ask, the other has the list's client keep its watch. Two owners of one debt is one too many.

Change: the client's way stays, with the module's settings as they are told; an agent is asked as by one sidecar, or a large fleet's longer steps would hold for it too.

--- a/wheatring/pool.py
+++ b/wheatring/pool.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -23,19 +22,6 @@
 from wheatring.lifecycle.asking import DEFAULT, Asking, Pace
 from wheatring.lifecycle.freshness import Freshness
 
-# Where lists are pushed, an agent has them, and what it has counts as told at once. So it is asked again this
-# soon (seconds): well within the shortest time in which sends have to cease.
-AGENT_WITHIN = 0.1
-
-
-def as_asked(settings: Settings) -> Settings:
-    """Pushed lists come over HTTP as all others do, on a watch that the sidecar has to open; without that it
-    would go by the list of its start for good. Who asks an agent asks alone: there's no fleet to spare it."""
-    if settings.must_ask:
-        return settings
-    contract = replace(settings.contract, ask_within=min(settings.contract.ask_within, AGENT_WITHIN))
-    return replace(settings, must_ask=True, contract=contract)
-
 
 class ServingPool:
     """`seed` is the decision module's; the list's timetables draw from seeds that begin with its text. `most`
@@ -56,8 +42,9 @@
         connections: Callable[..., Pool] = Pool,
     ) -> None:
         limits = settings.limits
-        copies, number = (settings.copies, settings.number) if settings.must_ask else (1, 0)
-        settings = as_asked(settings)
+        copies, number, within = settings.copies, settings.number, settings.contract.ask_within
+        if not settings.must_ask:  # the lists are pushed to an agent, which this sidecar asks alone
+            copies, number, within = 1, 0, 0.0
         self.reactor = reactor
         self.clock = clock
         self.balancer = Balancer(settings, seed)
@@ -66,7 +53,6 @@
             reactor, clock, exchange, limits.connect_timeout, limits.idle_timeout, most, room
         )
         now = clock.now()
-        within = settings.contract.ask_within
         self.asking = Asking(copies, number, within, Random(f"{seed}:asking"), now, pace)
         self.freshness = Freshness(copies, number, Random(f"{seed}:list"), now, self.asking.told)
         self.machine_list: MachineList
