Let connections rest before reuse where an endpoint was seen to answer a second time

Cause: an endpoint's second answer may come some milliseconds late. When the next request has left on that connection by then, nothing tells the old answer from its own: answers carry no id. It would be served, and one that says "turned away unseen" would have an unsafe request go out twice.

Change: an answer to nothing within a second of the last one is taken as a sign that this happens here. For a minute after it a connection carries the next request only once it has been quiet for 30 ms; else another one or a new one does. Where no such answer comes nothing changes, and no further connections are made.

Ruled out: rest always, which would cost dense traffic a connection for each 33 requests a second and endpoint; telling an answer by its being too quick, since a connect's own time is no bound where connects come up late.

What remains: the first second answer of a deployment, or of a minute, can still meet a request that left on its connection in those milliseconds, and so can one that comes more than 30 ms late.

--- a/tests/ends/test_endpoint.py
+++ b/tests/ends/test_endpoint.py
@@ -10,6 +10,7 @@
 from tests.ends.attempts import kept, listed, reads, submit
 from tests.world import Peer, World, entry
 from wheatring.core.exchange import Answer, Final, Job
+from wheatring.http1 import client
 
 Make = Callable[..., World]
 
@@ -96,3 +97,32 @@
     world.logged("answered")
     assert answers[0].content.body == b"second"  # type: ignore[attr-defined]
     assert world.codes("claim-connection") == [code]
+
+
+def test_where_second_answers_were_seen_a_connection_rests_before_it_is_used_again(
+    make: Make, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Once the next request has left on it, nothing tells a late second answer from that one's own."""
+    monkeypatch.setattr(client, "REST", 1e9)
+    world = make()
+    caller = world.caller()
+    wire = kept(world, caller)
+    world.ask(wire=caller)
+    wire.read()  # as long as none was seen, at once
+    wire.answer(200, b"second")
+    assert caller.read()[2] == b"second"
+    wire.answer(200, b"second")
+    assert world.logged("claim-connection") == ["unasked-data"]
+    wire = kept(world, caller)
+    world.ask(wire=caller)
+    other = world.nodes[0].accept()
+    other.read()
+    wire.answer(200, b"first")  # late, and the request is not on this one
+    assert world.logged("claim-connection", 2) == ["unasked-data"] * 2
+    other.answer(200, b"mine")
+    assert caller.read()[2] == b"mine"
+    monkeypatch.setattr(client, "REST", 0.0)
+    world.ask(wire=caller)
+    other.read()  # it has rested
+    other.answer(200, b"last")
+    assert caller.read()[2] == b"last"
--- a/wheatring/http1/claim.py
+++ b/wheatring/http1/claim.py
@@ -120,6 +120,7 @@
         if (self.claim is None and self.flow is None) or (self.kept and self.unsent):
             # An answer to nothing would be taken for the next claim's.
             self.abort("unasked-data")
+            self.pool.unasked(self)
             self.elsewhere()
             return
         self.reader.feed(data)
--- a/wheatring/http1/client.py
+++ b/wheatring/http1/client.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from functools import partial
+from math import inf
 from typing import Any
 
 from twisted.internet.error import UserError
@@ -18,6 +19,12 @@
 from wheatring.http1.claim import ClaimConnection, Place
 from wheatring.http1.parser import Request
 
+# Some endpoints answer a request a second time, some milliseconds late. On a connection that carries the next
+# one by then, the old answer would pass for the new one's. Where one was seen, connections rest before reuse.
+SECOND = 1.0  # seconds after an answer within which a second one is no other noise of an idle connection
+REST = 0.03  # seconds without a word after an answer, before the next request
+WARY = 60.0  # seconds for which they rest after the last second answer
+
 SWEEP = 1.0  # seconds between looks for connections that have stood idle for too long
 
 
@@ -105,6 +112,7 @@
         self.most = most
         self.room = room
         self.addresses: dict[str, str] = {}
+        self.wary_until = -inf
         self.ready: set[str] = set()  # the nodes that the decisions may send to, as last told
         self.idle_ones: dict[Place, deque[ClaimConnection]] = {}
         self.connections: dict[ClaimConnection, None] = {}  # in the order in which they came
@@ -124,18 +132,35 @@
         request = claim.job.content
         if isinstance(request, Request) and request.rest is not None:
             request.rest.again()
-        idle = self.idle_ones.get(place)
-        while idle:
-            connection = idle.pop()
-            if connection.alive and not connection.code:
-                connection.carry(claim)
-                return
+        if (connection := self.take_idle(place)) is not None:
+            connection.carry(claim)
+            return
         if len(self.connections) + len(self.dials) >= self.most and not self.retire_oldest():
             log.line("too-many-connections", most=self.most)
             self.reactor.callLater(0, partial(self.exchange.end, claim, Outcome.CONNECT_FAILED))
             return
         self.dials[_Dial(self, claim, place)] = None  # its end is never reported in this turn of the reactor
 
+    def take_idle(self, place: Place) -> ClaimConnection | None:
+        """The one used last, of those that have rested enough."""
+        idle = self.idle_ones.get(place)
+        if not idle:
+            return None
+        now = self.clock.now()
+        since = now - REST if now < self.wary_until else now
+        for at in range(len(idle) - 1, -1, -1):
+            connection = idle[at]
+            if connection.alive and not connection.code and connection.idle_since <= since:
+                del idle[at]
+                return connection
+        return None
+
+    def unasked(self, connection: ClaimConnection) -> None:
+        """Something came on it that answers nothing."""
+        now = self.clock.now()
+        if connection.kept and now - connection.idle_since < SECOND:
+            self.wary_until = now + WARY
+
     def bar(self, node: str) -> None:
         """Nothing new goes there: no connect still under way comes to a send, and no connection is kept."""
         for dial in [dial for dial in self.dials if dial.place.node == node]:
