Hear the end of a caller that has sent much ahead

Cause: more than 80 KB sent ahead of the present answer stopped the reading, so a FIN or reset behind it was not heard, and the waiting request was sent on, and again, for a caller that had gone. The new test was seen to fail without the mend with 200 KB and 3 MB ahead (end, reset, end of sending; sockets and virtual time: it was never heard); with one request ahead it passed.

Change: beyond that bound what was sent ahead and what still comes is thrown away, and the present answer is the connection's last. It is read at once up to DRAIN bytes, from then on so many each REST seconds, so that one that writes without end costs no more time than that.

Ruled out: a poll for the hang-up of paused sockets, which would have kept what is sent ahead: it hears an end only where the system tells it, and clients send one request at a time. The stories' sockets in virtual time now also shut one side.

--- a/tests/ends/test_caller.py
+++ b/tests/ends/test_caller.py
@@ -4,10 +4,12 @@
 
 import socket
 from collections.abc import Callable
+from time import monotonic
 from typing import Any
 
 import pytest
 
+from tests.virtual import Virtual
 from tests.world import FAR, Loopback, Wire, World
 from wheatring.http1 import caller
 
@@ -35,7 +37,9 @@
 
 def until(world: World, met: Callable[[], object]) -> None:
     """The reactor is let go on until something is so there."""
+    limit = monotonic() + FAR
     while not world.run(met):
+        assert monotonic() < limit, "it never came"
         world.settle()
 
 
@@ -105,3 +109,43 @@
     watcher: Any = sidecar.machine_list.watcher
     ends: list[Any] = [watcher.connection, *sidecar.server.connections, *sidecar.pool.connections]
     assert told(lambda: [end.transport.getTcpNoDelay() for end in ends]) == [True] * 3
+
+
+@pytest.mark.parametrize("how", ["end", "reset", "shut"])
+@pytest.mark.parametrize("ahead", [0, 200_000, 3_000_000])
+def test_a_caller_that_leaves_is_heard_however_much_it_has_sent_ahead(
+    make: Make, ahead: int, how: str
+) -> None:
+    """Nothing of it begins later: not what waits, and not what waits behind that."""
+    world = make()
+    wire = world.ask()
+    node = world.nodes[0].accept()
+    node.read()
+    request = b"GET /menu HTTP/1.1\r\nX-Correlation-Id: ahead\r\n\r\n"
+    wire.send(request * (ahead // len(request) + 1))
+    left = world.run(world.sidecar.clock.now)
+    if how == "shut":
+        wire.sock.shutdown(socket.SHUT_WR)
+    elif how == "reset":
+        wire.reset()
+    else:
+        wire.close()
+    world.logged("caller-connection")
+    if isinstance(world.ground, Virtual):
+        assert world.run(world.sidecar.clock.now) - left < 0.1
+    assert world.run(lambda: world.sidecar.exchange.open) == 0
+    assert world.sidecar.driver.last == 1
+
+
+def test_a_caller_that_sends_much_ahead_gets_the_present_answer_as_its_last(make: Make) -> None:
+    world = make()
+    wire = world.ask()
+    node = world.nodes[0].accept()
+    node.read()
+    (connection,) = world.sidecar.server.connections
+    wire.send(b"x" * 500_000)
+    until(world, lambda: connection.drained > 300_000)
+    assert not connection.reader.buffer
+    node.answer(200, b"here")
+    _, fields, body = wire.read()
+    assert (fields["connection"], body) == ("close", b"here") and wire.at_end()
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -25,6 +25,7 @@
         self.socket = socket
         self.setsockopt = socket.setsockopt
         self.getsockname = socket.getsockname
+        self.shutdown = socket.shutdown
         self.close = socket.close
 
     def settimeout(self, seconds: float) -> None:
--- a/wheatring/http1/caller.py
+++ b/wheatring/http1/caller.py
@@ -45,6 +45,7 @@
 STUCK = 10.0  # and a node one of a large request
 LINGER = 2.0  # seconds in which a caller may read the last answer
 DRAIN = 1024 * 1024  # bytes that are read meanwhile and thrown away; more would only cost time
+REST = 0.05  # seconds without reading after so much from a caller that has sent too much ahead
 
 
 @implementer(IHalfCloseableProtocol)
@@ -60,7 +61,8 @@
         self.keep_alive = True
         self.shut = False  # the sending side: all that was written is out
         self.paused = False
-        self.drained = 0  # bytes thrown away after the last answer
+        self.flooded = False  # too much was sent ahead: the present answer is the last
+        self.drained = 0  # bytes thrown away
         self.most_drained = DRAIN
         self.upload: Body | None = None  # of the present request, while it comes
         self.sender: Sender | None = None  # of the present answer, while it goes
@@ -75,10 +77,8 @@
         self.server.came(self)
 
     def dataReceived(self, data: bytes) -> None:
-        if self.code:
-            self.drained += len(data)
-            if self.drained > self.most_drained:
-                self.pause()
+        if self.code or self.flooded:
+            self.throw_away(len(data))
             return
         self.heard = self.server.clock.now()
         self.reader.feed(data)
@@ -87,7 +87,21 @@
         elif self.job is None:
             self.advance()
         elif len(self.reader.buffer) > MAX_HEAD + HOLD:
-            self.pause()  # a caller that sends ahead without end must not fill the memory
+            # A caller that sends ahead without end must not fill the memory, but its own end must be heard.
+            self.flooded, self.keep_alive = True, False
+            self.reader.buffer.clear()
+
+    def throw_away(self, size: int) -> None:
+        self.drained += size
+        if self.drained > self.most_drained:
+            self.pause()
+            if not self.code:
+                self.drained = 0
+                self.server.reactor.callLater(REST, self.rested)
+
+    def rested(self) -> None:
+        if not self.code:
+            self.resume()
 
     def pause(self) -> None:
         if not self.paused:
