Force each broken end of an attempt, by effect, and a reset right behind the last byte

Need: which ends prove that nothing ran decides whether an unsafe request goes out twice.

Change: tests only. Fourteen kinds of broken answers for a safe, a keyed and an unsafe class; resets once the endpoint has read the last byte, of requests without and with a body, small, in pieces and chunked; and a reset that is there before the first byte.

By reading, and held by these: the transport asks for more in the same call in which it has handed the last byte to the system, so a request can't be out whole and its connection be seen to end before it is known.

Ruled out: a test that resets while the connect is under way, ordered by timers: it failed at times for its own sake, since two calls put off to the next turn may come in either order. It was replaced by one that forces the order.

--- a/tests/ends/test_repeats.py
+++ b/tests/ends/test_repeats.py
@@ -14,6 +14,8 @@
 from tests.ends.attempts import kept
 from tests.world import World
 from wheatring.core.exchange import Claim
+from wheatring.http1 import client
+from wheatring.http1.claim import ClaimConnection
 
 Make = Callable[..., World]
 
@@ -132,3 +134,99 @@
     assert first.at_end()  # at once: while it were open this would raise
     idle.answer(200, b"ok")
     assert caller.read()[2] == b"ok"
+
+
+# What may have run
+
+LENGTH = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"
+BROKEN = {
+    "reset": (b"", True),
+    "end": (b"", False),
+    "half a status line": (b"HTTP/1.1 2", False),
+    "half a status line, reset": (b"HTTP/1.1 2", True),
+    "half a head": (b"HTTP/1.1 200 OK\r\nX: y\r\n", False),
+    "no length, reset": (b"HTTP/1.1 200 OK\r\n\r\nhalf of i", True),
+    "short": (LENGTH + b"12345678", False),
+    "short, reset": (LENGTH + b"12345678", True),
+    "chunk without an end": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", False),
+    "interim, end": (b"HTTP/1.1 102 Processing\r\n\r\n", False),
+    "interim, reset": (b"HTTP/1.1 102 Processing\r\n\r\n", True),
+    "noise": (b"\x00\xff\r\n\r\n", False),
+    "error": (b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", False),
+    "turned away by halves": (b"HTTP/1.1 503 X\r\nX-Unprocessed: 1\r\nContent-Length: 5\r\n\r\nab", True),
+}
+
+
+@pytest.mark.parametrize("name", ["menu", "order", "unsafe"])
+@pytest.mark.parametrize("how", BROKEN)
+def test_what_ends_after_its_last_byte_may_have_run_whatever_came_of_an_answer(
+    make: Make, monkeypatch: pytest.MonkeyPatch, how: str, name: str
+) -> None:
+    monkeypatch.setattr(policy, "INITIAL_BACKOFF", 0.0)
+    world = make()
+    caller = world.ask(name)
+    wire = world.nodes[0].accept()
+    wire.read()
+    data, reset = BROKEN[how]
+    if data:
+        wire.send(data)
+    if reset:
+        wire.reset()
+    else:
+        wire.close()
+    if name != "unsafe":
+        again = world.nodes[0].accept()
+        again.read()
+        again.answer(200, b"again")
+    status, _, body = caller.read()
+    assert (status.split()[1], body) == (("502", body) if name == "unsafe" else ("200", b"again"))
+    world.settle()
+    assert world.run(lambda: len(world.sidecar.pool.connections)) == (name != "unsafe")
+
+
+@pytest.mark.parametrize("size", [0, 1, 60_000, 300_000])
+@pytest.mark.parametrize("chunked", [False, True])
+def test_a_reset_once_the_last_byte_has_come_is_never_told_as_never_run(
+    make: Make, size: int, chunked: bool
+) -> None:
+    """However the request is written, its last byte is known to have left before the reset can be seen."""
+    world = make()
+    caller, body = world.caller(), b"x" * size
+    if chunked:
+        framing = "Transfer-Encoding: chunked"
+        body = (b"%x\r\n%s\r\n" % (size, body) if size else b"") + b"0\r\n\r\n"
+    else:
+        framing = f"Content-Length: {size}"
+    head = f"POST /unsafe HTTP/1.1\r\nX-Correlation-Id: c\r\nX-Service-Class: unsafe\r\n{framing}\r\n"
+    caller.send(f"{head}X-Time-Left-Ms: 6000\r\n\r\n".encode())
+    caller.send(body)
+    wire = world.nodes[0].accept()
+    _, fields, _ = wire.read()
+    if "transfer-encoding" in fields:
+        while not wire.held.endswith(b"0\r\n\r\n"):
+            wire.held += wire.sock.recv(65536)
+    wire.reset()
+    assert caller.read()[0] == "HTTP/1.1 502 Bad Gateway"
+    assert world.logged("claim-connection") == ["peer-reset"]
+
+
+@pytest.mark.parametrize("make", ["loopback"], indirect=True)  # where a peer's word is there in the same turn
+def test_a_reset_before_the_first_byte_proves_that_nothing_ran(
+    make: Make, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It is there when the connection is heard to be up, in the turn in which the request is handed to it."""
+    world = make(3)
+    up = client._Dial.buildProtocol
+
+    def up_and_reset(dial: client._Dial, address: object) -> ClaimConnection:
+        monkeypatch.setattr(client._Dial, "buildProtocol", up)
+        world.nodes[int(dial.place.node[1:])].accept().reset()
+        return up(dial, address)
+
+    monkeypatch.setattr(client._Dial, "buildProtocol", up_and_reset)
+    caller = world.ask("unsafe")
+    assert world.logged("claim-connection") == ["peer-reset"]
+    wire = world.first()
+    wire.read()
+    wire.answer(200, b"once")
+    assert caller.read()[2] == b"once"
