Show that a connect ends too when its endpoint leaves one of several pools

Need: the mend for connects that come up late goes by each pool's own views; only the plain daemon's was forced.

Change: a story with two pools, in which a node drains, or serves on at its address in the other pool's zone, while a connect to it is under way.

Ruled out: nothing.

--- a/tests/ends/test_endpoint.py
+++ b/tests/ends/test_endpoint.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from pathlib import Path
+from typing import Any
 
 import pytest
 
 from lapisway.interface import Outcome
+from tests.agree.pools_world import TWO, PoolsWorld
+from tests.agree.test_pools import begun
 from tests.ends.attempts import kept, listed, reads, submit
 from tests.world import Peer, World, entry
 from wheatring.core.exchange import Answer, Final, Job
@@ -126,3 +130,23 @@
     other.read()  # it has rested
     other.answer(200, b"last")
     assert caller.read()[2] == b"last"
+
+
+@pytest.mark.parametrize("more", [{"lifecycle": "DRAINING", "zone": "a"}, {"zone": "b"}])
+def test_in_one_of_several_pools_a_connect_to_who_has_left_the_pool_carries_nothing(
+    make: Make, tmp_path: Path, more: dict[str, Any]
+) -> None:
+    """Also where it serves on, at the same address, in another pool."""
+    world = PoolsWorld(make(0).ground, tmp_path, TWO)
+
+    def told_amid() -> list[object]:
+        world.pools.change_weights("all", {"old": 1})
+        job = begun(world, "late")
+        (claim,) = job.claims
+        listed(world, entry("n0", world.nodes[0], **more))
+        return [claim.outcome, claim.written, *(len(m.connections.dials) for m in world.pools.all())]
+
+    try:
+        assert world.run(told_amid) == [Outcome.CONNECT_FAILED, False, 0, 0]
+    finally:
+        world.end()
--- a/wheatring/http1/claim.py
+++ b/wheatring/http1/claim.py
@@ -249,7 +249,7 @@
             self.keep_or_close(message.keep_alive)
         except Exception as bug:  # whatever becomes of the connection, the claim has its answer
             log.line("connection-broken", why=repr(bug))
-            self.abort("broken")
+            self.abort("internal-error")
         if claim is not None:
             status = message.first[0]
             if status == b"200":
