Test any row of endings of calls to discovery, and hear the old one through two moves

Need: single endings were forced, rows of them not; a second move before the new discovery had answered dropped the watch on the first one, and an exception while its last word was passed on left its version set.

Change: the old watch stays until one that was answered takes its place; its version is put aside whatever happens. Tests: a drawn row of 4 to 10 endings (lists, resets, refusals, answers that are no list, moves, our own exceptions) leaves a call out within 3 s each time; whole lists that are swallowed after a move, for 1 and 200.

--- a/tests/ends/test_lists.py
+++ b/tests/ends/test_lists.py
@@ -5,9 +5,12 @@
 import json
 import socket
 from collections.abc import Callable, Iterator
+from functools import partial
 from typing import Any
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from tests import world as worlds
 from tests.virtual import Virtual
@@ -177,9 +180,9 @@
 # Where discovery moves
 
 
-@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize(("reset", "moves"), [(False, 1), (True, 1), (False, 2)])
 def test_an_answer_that_crosses_the_move_counts_and_is_not_taken_for_the_new_ones(
-    make: Make, reset: bool
+    make: Make, reset: bool, moves: int
 ) -> None:
     world = make(2)
     watch = world.discovery.accept()
@@ -190,7 +193,8 @@
 
     def crossing() -> None:
         watch.answer(200, news)
-        world.sidecar.machine_list.move(("127.0.0.1", new.port))
+        for port in (1, new.port)[-moves:]:
+            world.sidecar.machine_list.move(("127.0.0.1", port))
 
     world.run(crossing)
     first = new.accept()
@@ -409,3 +413,58 @@
         watch.answer(200, list_body(9, entry("n1", world.nodes[1]), reset=True))
         assert asked(watch).startswith("GET /v1/servers?index=9&")
         only(world, "n1")
+
+
+@pytest.mark.parametrize("copies", [1, 200])
+def test_who_is_moved_asks_in_time_and_waits_for_no_call_that_was_swallowed(
+    virtual: Make, told: Callable[..., None], copies: int
+) -> None:
+    """The new discovery takes the first calls and never answers; it does not even see them given up."""
+    told(peers_total=copies, slot_no=copies - 1)
+    world = virtual()
+    asked(world.discovery.accept())
+    new = Peer(world.ground)
+    before = now(world)
+    world.run(lambda: world.sidecar.machine_list.move(("127.0.0.1", new.port)))
+    for patience in (0.0, 2.0, 4.0):
+        first = new.accept()
+        assert asked(first) == WHOLE
+        assert now(world) - before <= (patience if copies == 1 else 5.0) + AGAIN + 0.1
+        before = now(world)
+    first.answer(200, list_body(3, entry("n1", world.nodes[1]), reset=True))
+    assert asked(first).startswith("GET /v1/servers?index=3&")
+    only(world, "n1")
+    new.close()
+
+
+@settings(max_examples=15)
+@given(st.lists(st.sampled_from([*ENDINGS, "news", "move", "broken"]), min_size=4, max_size=10))
+def test_a_call_is_out_or_due_after_any_row_of_endings(row: list[str]) -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(log, "line", log.line)
+        world = World(Virtual(), 2)
+        lists, discovery = world.sidecar.machine_list, world.discovery
+        watch = discovery.accept()
+        asked(watch)
+        peers = [discovery]
+        for number, ending in enumerate(row):
+            ended = now(world)
+            if ending == "news":
+                watch.answer(200, list_body(90 - number, entry("n1", world.nodes[1])))
+            elif ending == "move":
+                peers.append(Peer(world.ground))
+                world.run(partial(lists.move, ("127.0.0.1", peers[-1].port)))
+            elif ending == "broken":
+                world.run(partial(setattr, lists, "on_view", broken))
+                watch.answer(200, list_body(90 - number))
+                world.logged("list-broken", row[: number + 1].count("broken"))
+                world.run(partial(setattr, lists, "on_view", world.sidecar.driver.feed))
+            else:
+                ENDINGS[ending](watch)
+            if ending != "news":
+                watch = peers[-1].accept()
+            asked(watch)
+            assert now(world) - ended <= AGAIN + 0.1
+        for peer in peers[1:]:
+            peer.close()
+        world.end()
--- a/wheatring/http1/machine_list.py
+++ b/wheatring/http1/machine_list.py
@@ -107,8 +107,8 @@
         there is left to its end, lest a word be lost that was written already."""
         if address == self.address:
             return
-        self.drop_former("moved")
         if self.version is not None and self.watcher.done is not None:
+            self.drop_former("moved")
             former = self.former = self.watcher
             former.done = partial(self.last_word, former)
             self.watcher = self.caller()
@@ -177,9 +177,11 @@
         answered yet."""
         self.former = None
         if answer is not None:
-            self.read(answer)
-            self.version = None
             caller.close("moved")
+            try:
+                self.read(answer)
+            finally:
+                self.version = None
 
     def drop_former(self, code: str) -> None:
         former, self.former = self.former, None
