--- a/lapisway/policy.py
+++ b/lapisway/policy.py
@@ -486,8 +486,7 @@
                 self.update(now, entry)
             self.draw_subset(now)
         if self.settings.must_ask and event.kind in (ViewKind.CACHED, ViewKind.FAILED) and not self.asking:
-            # Copies that start or fail together would ask together, and fail together again. No failure may
-            # keep one from asking for long: what discovery has by then counts as told in a few seconds.
+            # Copies that ask together fail together again; but what one misses counts as told within seconds.
             self.asking = True
             spread = min(self.settings.contract.ask_within / 4, 2.5, 0.5 * 2**self.ask_failures)
             self.ask_failures += event.kind is ViewKind.FAILED and self.ask_failures < 3
