Ask in the lab as the daemon does where lists are pushed: as one sidecar

Need: the daemon asks an agent as one sidecar, the lab's sidecar did so as one of its fleet, which spreads its calls otherwise. Change: the same line in both.

--- a/wheatring/lab/direct/sidecar.py
+++ b/wheatring/lab/direct/sidecar.py
@@ -71,7 +71,9 @@
             limits.idle_timeout, claims,
         )  # fmt: skip
         copies, number, now = settings.copies, settings.number, self.clock.now()
-        within = settings.contract.ask_within if settings.must_ask else 0.0
+        within = settings.contract.ask_within
+        if not settings.must_ask:  # as in the daemon
+            copies, number, within = 1, 0, 0.0
         asking = Asking(copies, number, within, Random(f"{seed}:asking"), now)
         freshness = Freshness(copies, number, Random(f"{seed}:list"), now, asking.told)
         self.machine_list = DirectList(
