Answer what has come by the stop or by an eviction before its connection is ended

Cause, each seen in a test that failed without the mend: - The door was shut one look at it after the decision, and that look took as few callers as had come at a time before; the others in the backlog were reset with their requests. - An answer while stopping closed the connection over requests that were sent ahead and had been read. - A connection evicted for another caller, as idle or as silent was closed at once, also where a whole request lay in the system's buffer; one closed by the stop was looked at once more first, but a look before the first turn of the reactor reads nothing.

Change: the door lets in all who wait, as far as there are places, and is shut in the same call. An answer is the connection's last only where nothing of the next request has been read; once jobs are given up, what is left of those is refused in one go. All evictions go through `Server.part`, which lets two turns pass and ends the connection only where nothing has come. Once SIGKILL is near, those that are heard out get BRIEF, not FLUSH.

Ruled out: a request of which half had come, one whole in the system's buffer at SIGTERM, and one that comes after the shutdown: these tests passed without the mend. A fault in the half-uploaded request that is given up while stopping was made and found on the way: it is under way until it is whole.

--- /dev/null
+++ b/tests/ends/test_stop.py
@@ -0,0 +1,159 @@
+"""The process's own end, and evictions: what has been taken by then gets one whole answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from tests.world import Loopback, World
+from wheatring import log
+from wheatring.http1 import caller, server
+
+Make = Callable[..., World]
+HEALTH = b"GET /healthz HTTP/1.1\r\n\r\n"
+
+
+def leave(world: World) -> None:
+    """Tell it to stop. It logs its end, and the process goes on."""
+    line = log.line  # this world's: it may end after the story has
+    world.sidecar.finish = lambda: line("ended")  # type: ignore[method-assign]
+    world.run(world.sidecar.stop)
+
+
+def the(world: World) -> Any:
+    """The one connection of a caller."""
+    while not world.run(lambda: world.sidecar.server.connections):
+        world.settle()
+    (connection,) = world.run(lambda: list(world.sidecar.server.connections))
+    return connection
+
+
+def test_who_waits_at_the_door_comes_in_before_it_is_shut(make: Make) -> None:
+    world = make(0)
+    door: Any = world.sidecar.server.port
+    world.run(door.stopReading)
+    callers = [world.caller() for _ in range(5)]
+    for wire in callers:
+        wire.send(HEALTH)
+    world.settle()
+
+    def shut() -> None:
+        door.numberAccepts = 1  # as where callers have come one by one until now
+        door.startReading()
+        world.reactor.callLater(0, world.sidecar.server.shut)
+
+    world.run(shut)
+    assert [wire.read()[0] for wire in callers] == ["HTTP/1.1 200 OK"] * 5
+    with pytest.raises(ConnectionRefusedError):
+        world.caller()
+
+
+def test_what_was_sent_ahead_before_it_is_told_to_stop_is_answered(make: Make) -> None:
+    world = make()
+    wire = world.ask(wire=world.ask())
+    node = world.nodes[0].accept()
+    node.read()
+    leave(world)
+    node.answer(200, b"first")
+    assert wire.read()[2] == b"first"
+    node.read()
+    node.answer(200, b"second")
+    _, fields, body = wire.read()
+    assert (fields["connection"], body) == ("close", b"second") and wire.at_end()
+
+
+def test_what_was_sent_ahead_is_refused_in_one_go_once_jobs_are_given_up(make: Make) -> None:
+    world = make()
+    wire = world.ask("unsafe")
+    for _ in range(100):
+        world.ask("unsafe", wire)
+    node = world.nodes[0].accept()
+    node.read()
+    leave(world)
+    world.sidecar.leaving.last = 0.0  # nothing may run on once the door is shut
+    assert wire.read()[0].startswith("HTTP/1.1 502")  # it may have run
+    assert {wire.read()[0][:12] for _ in range(100)} == {"HTTP/1.1 503"}
+    assert wire.at_end() and world.sidecar.driver.last <= 2
+
+
+@pytest.mark.parametrize("instant", ["half", "unread", "resting"])
+def test_a_request_at_the_instant_of_the_stop_is_answered_or_not_read(make: Make, instant: str) -> None:
+    """Half of it had come; it was whole in the system's buffer; it comes as the connection is shut."""
+    world = make()
+    wire = world.caller()
+    wire.send(HEALTH)
+    wire.read()
+    connection = the(world)
+    request = b"GET /menu HTTP/1.1\r\nX-Correlation-Id: c\r\nX-Time-Left-Ms: 6000\r\n\r\n"
+    if instant == "half":
+        wire.send(request[:30])
+        while not world.run(lambda: connection.waiting):
+            world.settle()
+        leave(world)
+        wire.send(request[30:])
+    elif instant == "unread":
+        world.run(connection.transport.pauseProducing)
+        wire.send(request)
+        world.settle()
+        world.run(connection.transport.resumeProducing)  # heard of in the next look at the sockets
+        leave(world)
+    else:
+        world.run(lambda: connection.close("stopping"))
+        assert wire.at_end()
+        wire.send(request)
+        world.settle()
+        assert world.sidecar.driver.last == 0
+        return
+    node = world.nodes[0].accept()
+    node.read()
+    node.answer(200, b"last")
+    _, fields, body = wire.read()
+    assert (fields["connection"], body) == ("close", b"last") and wire.at_end()
+
+
+@pytest.mark.parametrize("why", ["full", "idle", "silent"])
+def test_a_request_that_has_come_by_its_eviction_is_read_first(
+    make: Make, monkeypatch: pytest.MonkeyPatch, why: str
+) -> None:
+    world = make()
+    wire = world.caller()
+    if why == "silent":
+        monkeypatch.setattr(caller, "PATIENCE", 1e9)
+    else:
+        wire.send(HEALTH)
+        wire.read()
+    connection = the(world)
+
+    def evict() -> None:
+        """The request is there, and not read yet."""
+        if isinstance(world.ground, Loopback):
+            wire.send(HEALTH)
+        connection.transport.resumeProducing()
+        monkeypatch.setattr(caller, "PATIENCE", 0.0)
+        if why == "full":
+            connection.make_room()
+        else:
+            connection.look(world.sidecar.clock.now() + 1, 0.0)
+
+    if not isinstance(world.ground, Loopback):
+        world.run(connection.transport.pauseProducing)
+        wire.send(HEALTH)
+        world.settle()
+    world.run(evict)
+    assert wire.read()[0] == "HTTP/1.1 200 OK"
+
+
+def test_the_end_waits_no_longer_for_those_that_are_heard_out_than_it_may(make: Make) -> None:
+    world = make()
+    wire = world.ask()
+    node = world.nodes[0].accept()
+    node.read()
+    leave(world)
+    world.sidecar.leaving.last = 0.0  # nothing may run on once the door is shut
+    assert wire.read()[0].startswith("HTTP/1.1 503")  # and it is not closed
+    told = world.run(world.sidecar.clock.now)
+    world.logged("ended")
+    if not isinstance(world.ground, Loopback):
+        assert world.run(world.sidecar.clock.now) - told < server.BRIEF + 0.05
--- a/wheatring/daemon.py
+++ b/wheatring/daemon.py
@@ -346,16 +346,18 @@
             if keep := leaving.keep(now):
                 server.shed(keep, leaving.rested)
             else:
-                server.close_between(patient=leaving.followed and now < leaving.last)
+                late = now >= leaving.last
+                server.close_between(patient=leaving.followed and not late, late=late)
             if not leaving.goes_on(now, self.exchange.left(now)):
                 if self.exchange.open:
                     log.line("cut-short", open=self.exchange.open, after=now - leaving.told)
+                    server.cut_short = True
                     self.exchange.give_up(leaving)
                 if not server.connections:
                     self.finish()
                     return
         elif leaving.shut(now, server.came_at, server.full):
-            self.reactor.callLater(0, server.shut)  # who waits at the door comes in first
+            server.shut()
         else:
             server.shed(leaving.keep(now), leaving.rested)
         self.clock.at(now + LOOK, self.leave)
--- a/wheatring/http1/caller.py
+++ b/wheatring/http1/caller.py
@@ -126,7 +126,7 @@
                 if message is None:
                     break
                 self.waiting = False
-                self.keep_alive = message.keep_alive and not self.server.parting
+                self.keep_alive = message.keep_alive and not self.parting
                 self.old = message.old
                 self.handle(message)
         except BadMessage as bad:
@@ -138,6 +138,12 @@
         if self.waiting and self.reader.message is not None:
             self.expect(self.reader.message)
 
+    @property
+    def parting(self) -> bool:
+        """The present answer is the last on its connection. What has been read of the next request is
+        answered first: with the sending side shut, it would be lost."""
+        return self.server.parting and not self.reader.started
+
     def expect(self, message: Message) -> None:
         if message.fields.pop(b"expect", b"").lower() == b"100-continue":
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -211,7 +217,7 @@
         if self.upload is not None:
             self.keep_alive = False  # what is still to come of the request would be taken for the next one
             self.resume()
-        close = not self.keep_alive or self.server.parting
+        close = not self.keep_alive or self.parting
         self.keep_alive = not close
         message = answer.content
         if answer.final is SERVED and isinstance(message, Message) and message.flow is not None:
@@ -353,9 +359,9 @@
                 self.reject(503, "no node takes it")
         elif self.waiting and not self.paused:
             if self.too_slow(now):
-                self.give_up("silent")
+                self.server.part(self, "silent")
         elif self.job is None and now > self.since + idle:
-            self.close("idle")
+            self.server.part(self, "idle")
 
     def too_slow(self, now: float) -> bool:
         """Whether what is awaited of a request takes too long."""
@@ -369,7 +375,7 @@
         if self.code:
             self.let_go()
         else:
-            self.give_up("full")
+            self.server.part(self, "full")
 
     def give_up(self, code: str) -> None:
         """Wait no longer. A caller that is in the middle of a request gets an answer."""
--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -48,6 +48,7 @@
 FRESH = 0.1
 HALF = 0.3
 FLUSH = 0.5
+BRIEF = 0.1  # instead, once SIGKILL is near
 
 
 class Server(ServerFactory):
@@ -74,6 +75,7 @@
         self.connections: dict[CallerConnection, None] = {}
         self.stopping = False
         self.away = False  # out of service: callers are sent away
+        self.cut_short = False  # what was under way has been given up, and nothing more is begun
         self.came_at = -inf  # the last new connection
         self.guard: Callable[[Mapping[bytes, bytes]], Container[str]] | None = None
         self.router: Callable[[Message], Way] | None = None  # raises Refused
@@ -148,6 +150,8 @@
 
     def job_from(self, message: Message) -> Job:
         """The job that a request asks for; Refused says what is wrong with it."""
+        if self.cut_short:
+            raise Refused(503, "stopping")
         fields = message.fields
         method, target = message.first
         rights = None if self.guard is None else self.guard(fields)
@@ -221,33 +225,42 @@
         before = self.clock.now() - rested
         for connection in standing[: max(0, len(standing) - keep)]:
             if connection.since <= before:
-                self.part(connection)
+                self.part(connection, "stopping")
 
-    def part(self, connection: CallerConnection) -> None:
-        """Close a connection between requests, unless one has come on it by now: that is read first."""
-        self.reactor.callLater(0, self.parted, connection, connection.since)
+    def part(self, connection: CallerConnection, code: str) -> None:
+        """End a connection that has no whole request under way, unless one has come by now: what the system
+        holds of it is read first. Between two turns of the reactor it looks at all sockets; before the first
+        one it may not."""
+        told = connection, code, connection.since, connection.reader.started
+        self.reactor.callLater(0, self.reactor.callLater, 0, self.parted, *told)
 
-    def parted(self, connection: CallerConnection, since: float) -> None:
-        if connection.job is None and not connection.reader.started and connection.since == since:
-            connection.close("stopping")
+    def parted(self, connection: CallerConnection, code: str, since: float, started: bool) -> None:
+        still = connection.since == since and connection.reader.started == started
+        whole = connection.job is not None and connection.upload is None
+        if still and not whole and not connection.code:
+            connection.give_up(code)
 
     def shut(self) -> None:
-        """Stop listening."""
-        if self.port is not None:
-            self.port.stopListening()
+        """Stop listening. Who waits at the door comes in first: with it, they would be turned out unheard."""
+        port, before = self.port, -1
+        if port is not None:
+            while before < len(self.connections) < self.most:
+                before = len(self.connections)
+                port.doRead()
+            port.stopListening()
             self.port = None
 
-    def close_between(self, patient: bool = False) -> None:
+    def close_between(self, patient: bool = False, late: bool = False) -> None:
         """Nobody else comes: close the connections that have no request under way, and those of callers that
         take too long to send one, unless `patient` with them, or to read its answer."""
         now = self.clock.now()
         for connection in list(self.connections):
             if connection.code:
-                if now > connection.since + FLUSH:
+                if now > connection.since + (BRIEF if late else FLUSH):
                     connection.let_go()
             elif connection.job is not None and (patient or connection.upload is None):
                 continue
-            elif not connection.waiting:
-                self.part(connection)
-            elif now > connection.since + (HALF if connection.reader.started else FRESH):
-                connection.give_up("stopping")
+            elif not connection.waiting or now > connection.since + (
+                HALF if connection.reader.started else FRESH
+            ):
+                self.part(connection, "stopping")
