Settle what a caller is owed when a callback of its end fails

A fault on the way to what was sent ahead, in a call that was put off, left the connection standing for its idle time. A fault right after a whole answer reset the connection, and took the answer back with it.

Change: the end gives the request up first, whatever else fails; a put-off step ends its connection, by way of the sending side, so that what was written still goes out; a fault in an answer resets only where that answer was not whole.

Ruled out: faults in what reads the socket; Twisted ends the connection for those, and its end settles the rest.

--- a/tests/ends/test_caller.py
+++ b/tests/ends/test_caller.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+import resource
+import signal
 import socket
 from collections.abc import Callable
+from pathlib import Path
+from threading import Event
 from time import monotonic
 from typing import Any
 
 import pytest
 
+from tests.test_process import begin
+from tests.test_process import until as told
 from tests.virtual import Virtual
-from tests.world import FAR, Loopback, Wire, World
+from tests.world import FAR, Loopback, Peer, Wire, World, entry, list_body
 from wheatring.http1 import caller
 
 Make = Callable[..., World]
@@ -105,10 +111,10 @@
     world.ask()
     node = world.nodes[0].accept()  # kept, or it would be closed
     node.read()
-    sidecar, told = world.sidecar, world.run
+    sidecar = world.sidecar
     watcher: Any = sidecar.machine_list.watcher
     ends: list[Any] = [watcher.connection, *sidecar.server.connections, *sidecar.pool.connections]
-    assert told(lambda: [end.transport.getTcpNoDelay() for end in ends]) == [True] * 3
+    assert world.run(lambda: [end.transport.getTcpNoDelay() for end in ends]) == [True] * 3
 
 
 @pytest.mark.parametrize("how", ["end", "reset", "shut"])
@@ -149,3 +155,82 @@
     node.answer(200, b"here")
     _, fields, body = wire.read()
     assert (fields["connection"], body) == ("close", b"here") and wire.at_end()
+
+
+def test_a_fault_in_a_callback_of_an_end_leaves_no_job_behind(make: Make) -> None:
+    world = make()
+    wire = world.ask()
+    world.run(lambda: setattr(world.sidecar.server, "went", None))  # to call it fails
+    wire.close()
+    world.logged("caller-connection")
+    assert world.run(lambda: world.sidecar.exchange.open) == 0
+
+
+def test_a_fault_on_the_way_to_what_was_sent_ahead_ends_the_connection(make: Make) -> None:
+    world = make()
+    wire = world.ask(wire=world.ask())
+    node = world.nodes[0].accept()
+    node.read()
+    (connection,) = world.run(lambda: list(world.sidecar.server.connections))
+    world.settle()
+    world.run(lambda: setattr(connection.reader, "next", None))
+    node.answer(200, b"first")
+    assert wire.read()[2] == b"first" and wire.at_end()
+    wire.close()
+    assert world.logged("caller-connection") == ["internal-error"]
+
+
+def test_a_fault_right_after_an_answer_does_not_take_it_back(make: Make) -> None:
+    world = make()
+    wire = world.ask()
+    node = world.nodes[0].accept()
+    node.read()
+    (connection,) = world.run(lambda: list(world.sidecar.server.connections))
+    world.run(lambda: setattr(connection, "go_on", None))
+    node.answer(200, b"first")
+    assert wire.read()[2] == b"first" and wire.at_end()
+    wire.close()
+    assert world.logged("caller-connection") == ["internal-error"]
+
+
+def test_idle_callers_that_fill_the_descriptors_leave_discovery_its_own(tmp_path: Path) -> None:
+    """And the endpoints: with discovery back, the list is there, and a request goes by it."""
+    old, new, discovery, back, heard = Peer(), Peer(), Peer(), Event(), Event()
+
+    def answer(wire: Wire) -> None:
+        first, _, _ = wire.read()
+        if not back.is_set():
+            wire.reset()
+        elif "index=9&" in first:
+            heard.set()
+            wire.read()
+        else:
+            wire.answer(200, list_body(9, entry("n1", new), reset=True))
+            answer(wire)
+
+    discovery.serve(answer)
+    where = f"127.0.0.1:{discovery.port}"
+    known = {"generation": 3, "instances": [entry("n0", old)]}
+    limits = {"cores": 1.0, "memory_mb": 192, "sockets": 64}
+    with begin(tmp_path, "", known=known, discovery=where, limits=limits) as process:
+        port = int(told(process, "listening").rpartition("=")[2])
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (64, 64))
+        told(process, "list-failed")
+        idle = [socket.create_connection(("127.0.0.1", port), FAR) for _ in range(100)]
+        told(process, "list-failed")  # while they stand
+        back.set()
+        assert heard.wait(FAR)
+        late = Wire(socket.create_connection(("127.0.0.1", port), FAR))
+        late.send(b"GET /menu HTTP/1.1\r\nX-Correlation-Id: c\r\nX-Time-Left-Ms: 6000\r\n\r\n")
+        node = new.accept()
+        node.read()
+        node.answer(200, b"by the new list")
+        assert late.read()[2] == b"by the new list"
+        process.send_signal(signal.SIGTERM)
+        assert process.stdout is not None
+        assert not [line for line in process.stdout if "unexpected" in line or "too-many" in line]
+        assert process.wait(FAR) == 0
+    for sock in idle:
+        sock.close()
+    for peer in (old, new, discovery):
+        peer.close()
--- a/wheatring/http1/caller.py
+++ b/wheatring/http1/caller.py
@@ -240,7 +240,15 @@
         """The answer is out: on to the next request."""
         self.resume()
         if self.reader.started:  # it is here already: not from within this one's answer
-            self.server.reactor.callLater(0, self.advance)
+            self.server.reactor.callLater(0, self.advance_later)
+
+    def advance_later(self) -> None:
+        """No transport ends the connection for a fault of ours here, as it does where bytes come."""
+        try:
+            self.advance()
+        except Exception as bug:
+            log.line("answer-broken", why=repr(bug))
+            self.close("internal-error")  # the answer before may not be out yet
 
     def forget_request(self, job: Job) -> None:
         """It is never sent again."""
@@ -283,7 +291,10 @@
     def broken(self, failure: Any) -> None:
         """Guards against a caller left without an answer by a fault of ours."""
         log.line("answer-broken", why=repr(failure.value))
-        self.abort("internal-error")
+        if self.job is None:  # the answer was whole before the fault
+            self.close("internal-error")
+        else:
+            self.abort("internal-error")
 
     def say(self, data: bytes) -> None:
         if not self.alive:
@@ -385,8 +396,10 @@
             self.close(code)
 
     def ended(self, orderly: bool) -> None:
-        self.server.went(self)
-        if self.sender is not None:
-            self.sender.body.cancel()
-            self.sender = None
-        self.give_up_job()
+        try:  # whatever else fails: nothing may be begun for a caller that has gone
+            self.give_up_job()
+        finally:
+            if self.sender is not None:
+                self.sender.body.cancel()
+                self.sender = None
+            self.server.went(self)
