Hear the end of a caller whose upload is paused

Cause: while nobody takes more of a large body and there is no room to hold it, nothing is read of its caller, so its end behind the unread bytes was not heard, and an attempt could begin for it until the upload was given up after 10 s.

Change: while an upload is paused, a look each 50 ms asks the system whether the peer has hung up; a reactor without descriptors brings a look of its own, as it brings its doors.

Ruled out: reading on, which has no memory to read into, and whose bytes may not be thrown away: the request would be.

--- a/tests/ends/test_caller.py
+++ b/tests/ends/test_caller.py
@@ -234,3 +234,23 @@
         sock.close()
     for peer in (old, new, discovery):
         peer.close()
+
+
+@pytest.mark.parametrize("how", ["end", "reset"])
+def test_a_caller_that_leaves_a_paused_upload_is_heard(make: Make, how: str) -> None:
+    """Nobody takes more of its body, so nothing is read of what it has sent, nor its end behind that."""
+    world = make()
+    world.sidecar.server.room_for_bodies.size = 0
+    world.sidecar.exchange.start_claim = lambda claim: None  # waits for its connection
+    wire = world.ask("order", more="Content-Length: 30000000\r\n")
+    while not world.run(lambda: [c for c in world.sidecar.server.connections if c.paused]):
+        wire.send(b"x" * 10_000)
+    if how == "reset":
+        wire.reset()
+    else:
+        wire.close()
+    left = world.run(world.sidecar.clock.now)
+    assert world.logged("caller-connection") == ["peer-closed"]  # not given up by this side
+    if isinstance(world.ground, Virtual):
+        assert world.run(world.sidecar.clock.now) - left < 0.1
+    assert world.run(lambda: world.sidecar.exchange.open) == 0
--- a/wheatring/http1/caller.py
+++ b/wheatring/http1/caller.py
@@ -45,6 +45,7 @@
 STUCK = 10.0  # and a node one of a large request
 LINGER = 2.0  # seconds in which a caller may read the last answer
 DRAIN = 1024 * 1024  # bytes that are read meanwhile and thrown away; more would only cost time
+HEAR = 0.05  # seconds between looks whether the caller of an upload that is paused has gone
 REST = 0.05  # seconds without reading after so much from a caller that has sent too much ahead
 
 
@@ -62,6 +63,7 @@
         self.shut = False  # the sending side: all that was written is out
         self.paused = False
         self.flooded = False  # too much was sent ahead: the present answer is the last
+        self.hearing = False  # the next look is due
         self.drained = 0  # bytes thrown away
         self.most_drained = DRAIN
         self.upload: Body | None = None  # of the present request, while it comes
@@ -211,6 +213,17 @@
             self.server.exchange.whole(job)
         if not whole and not self.code and upload.full:
             self.pause()
+            if not self.hearing:
+                self.hearing = True
+                self.server.reactor.callLater(HEAR, self.hear)
+
+    def hear(self) -> None:
+        """While nothing is read of an upload, its caller's end is not heard of: look."""
+        self.hearing = self.alive and self.paused and self.upload is not None
+        if self.hearing and self.server.hung_up(self.transport):
+            self.readConnectionLost()
+        elif self.hearing:
+            self.server.reactor.callLater(HEAR, self.hear)
 
     def answer(self, answer: Answer, job: Job) -> None:
         self.forget_request(job)
--- a/wheatring/http1/connection.py
+++ b/wheatring/http1/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 from typing import Any, Protocol
 
 from twisted.internet import protocol
@@ -39,6 +40,15 @@
 
     def getPeer(self) -> Any: ...
 
+    def fileno(self) -> int: ...
+
+
+def hung_up(transport: Transport) -> bool:
+    """Whether the peer has ended its sending or reset the connection, also behind bytes that are unread."""
+    poller = select.poll()
+    poller.register(transport.fileno(), select.POLLRDHUP)
+    return bool(poller.poll(0))
+
 
 class Connection(protocol.Protocol):
     """Leaves exactly one log line when it ends, with a code for the reason."""
--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -16,6 +16,7 @@
 from wheatring.core.exchange import Exchange, Job
 from wheatring.core.refused import Refused
 from wheatring.http1.caller import CallerConnection
+from wheatring.http1.connection import hung_up
 from wheatring.http1.door import open_door, open_shared_door
 from wheatring.http1.parser import Message, Request
 
@@ -63,8 +64,9 @@
         most: int,
         room: Room,
     ) -> None:
-        # A reactor without sockets brings doors of its own; they keep to `room` as well.
+        # A reactor without sockets brings doors of its own; they keep to `room` as well. And it looks itself.
         self.open_door: Callable[..., Any] = getattr(reactor, "open_door", open_door)
+        self.hung_up: Callable[[Any], bool] = getattr(reactor, "hung_up", hung_up)
         self.reactor = reactor
         self.clock = clock
         self.exchange = exchange
--- a/wheatring/lab/net/process.py
+++ b/wheatring/lab/net/process.py
@@ -281,6 +281,10 @@
         door.startListening()
         return door
 
+    def hung_up(self, transport: Any) -> bool:
+        """As `http1.connection.hung_up` says it."""
+        return bool(transport.socket.eof or transport.socket.broken)
+
     def resolve(self, name: str, timeout: object = ()) -> Deferred[str]:
         return fail(DNSLookupError(f"{name}: hosts have no names here"))
 
