Let cold endpoints be sent only what the others are known to carry, by few copies

Need: the sum of what all copies send a cold endpoint has to stay within N + 2 root of N + 2.

(1) A cold endpoint's turns came with all attempts, and with requests that nobody could serve: repeats, and refused clients that come again, brought it a multiple. (2) Each copy that found nothing fit in its own subset sent to any cold endpoint, each by a turn that is reckoned for the few copies of a subset: with 20 copies and a subset of 6 of 40 endpoints nearly seven times the share. (3) One that came into a copy's subset had its turn long behind it, so that all copies whose lists changed together sent at once: 48 of 60 with their first four requests.

Now: the turns of cold endpoints are a count of their own, the ramp. It goes on with first sends only, and no further than 1.5 times what an endpoint of the subset serves, by the answers; a trickle of 0.05 keeps it from standing still. While cold, an endpoint is sent to only by copies in whose subset it is; its first turn is drawn when it comes in there.

--- a/lapisway/policy.py
+++ b/lapisway/policy.py
@@ -15,7 +15,7 @@
 # fmt: off
 from lapisway.interface import (
     Action, AttemptEnded, ClientGone, Committed, Drawn, Effect, EndpointEntry, EndpointState, Event, Fail,
-    Group, LoadReport, NewRequest, Outcome, Refuse, RequestClass, Send, SetTimer, Settings, Subscribe,
+    Group, NewRequest, Outcome, Refuse, RequestClass, Send, SetTimer, Settings, Subscribe,
     TimerDue, View, ViewKind,
 )
 # fmt: on
@@ -53,6 +53,8 @@
 UNFIT = 4.0  # an endpoint this many times heavier than its calls in flight makes the draw go wider
 CROWDED = 2.8  # times the unloaded latency, from which an endpoint has to be let rest to be fast again
 FAR = 2.0  # how much heavier an endpoint of another zone counts
+CARRIED = 1.5  # most that a cold endpoint is sent, in parts of what the others are known to carry
+TRICKLE = 0.05  # and part of its turns that come with the sends, whatever is answered
 SILENT = 4.0  # answers that should have come meanwhile from an endpoint that counts as silent
 STAY_AWAY = 0.15  # least advice to a refused client, as a part of the aim; it is drawn up to twice that
 CALM = 1.5  # times the unloaded latency, below which the gate is open whatever is in flight
@@ -71,7 +73,7 @@
     """What this copy knows of one endpoint since its last start."""
 
     entry: EndpointEntry
-    turn: float  # cold: not to be sent to before this turn
+    turn: float = inf  # cold: not to be sent to before this turn of the ramp
     in_flight: int = 0
     heard: float = 0.0  # outcomes remembered, each less the older it is; of these:
     slow: float = 0.0  # the sum of latencies against the norm of their class, less 1
@@ -145,6 +147,9 @@
         self.tokens = MAX_TOKENS
         self.turns = 0.0
         self.capacity = 1.0  # of the near endpoints, in warm ones
+        self.subset: dict[str, Endpoint] = {}  # near and far: the only ones sent to while they are cold
+        self.ramp = 0.0  # the turns of cold endpoints
+        self.credit = CARRIED  # turns by which it may go on
         self.in_flight = 0
         self.served = self.served_at = 0.0
         self.held = 0.0  # calls in flight, over about the last second as the served are
@@ -152,7 +157,7 @@
         self.bore = 0.0  # warm endpoints, likewise
         self.gauged = 0.0  # when these were last updated
         self.best = 0.0  # unloaded latencies served a second by an endpoint, at the best of late
-        self.started: float | None = None  # when the first request came
+        self.started = inf  # when the first request came
         self.asking = False
         self.ask_failures = 0
         self.mean_report = 0.0
@@ -167,10 +172,8 @@
             case TimerDue(0):
                 self.asking = False
                 out.append(Subscribe())
-            case TimerDue(token):
-                request = self.requests.get(self.timers.pop(token, -1))
-                if request:  # it has waited out its backoff, and is not over
-                    self.send(now, request, out)
+            case TimerDue(token) if request := self.requests.get(self.timers.pop(token, -1)):
+                self.send(now, request, out)  # it has waited out its backoff, and is not over
             case View():
                 self.view(now, event, out)
             case ClientGone(ident) if ident in self.requests:
@@ -182,8 +185,7 @@
     # Requests
 
     def new_request(self, now: float, event: NewRequest, out: list[Action]) -> None:
-        if self.started is None:
-            self.started = now
+        self.started = min(self.started, now)
         name = event.class_name
         cls = self.classes.get(name)
         if cls is None:  # unknown classes are unsafe ones
@@ -230,7 +232,7 @@
 
     def known(self, now: float, cls: RequestClass) -> bool:
         """Whether this copy is old enough to know what is usual: the first answers are the fastest."""
-        return now - (self.started or 0.0) > cls.aim
+        return now - self.started > cls.aim
 
     def density(self, cls: RequestClass) -> float:
         """Worth for each unit of work; typical latency stands for the work."""
@@ -238,13 +240,15 @@
 
     def send(self, now: float, request: Request, out: list[Action]) -> None:
         self.turns += 1 / self.capacity
+        if not request.attempts:  # repeats grow with trouble, what an endpoint bears doesn't
+            step = max(min(1 / self.capacity, self.credit), TRICKLE / self.capacity)
+            self.ramp, self.credit = self.ramp + step, max(self.credit - step, 0.0)
         endpoint, drawn = self.pick(now, request)
-        left = request.deadline - now
+        timeout = left = request.deadline - now
         hopeless = left <= request.norm.base / 2  # work for it would be wasted here and below
         if endpoint is None or hopeless or now >= (until := self.repeatable_until(request)):
             self.answer(request, out)
             return
-        timeout = left
         if request.cls.effect is not UNSAFE and (mean := request.norm.mean):
             # A silent endpoint never answers: give the attempt up while there is time for another.
             patience = mean + PATIENCE * request.norm.deviation
@@ -259,7 +263,7 @@
             endpoint.progress = self.progress = now
         endpoint.in_flight += 1
         self.in_flight += 1
-        endpoint.turn = self.turns + 1 / self.warmth(now, endpoint)
+        endpoint.turn = self.ramp + 1 / self.warmth(now, endpoint)
         out.append(Send(request.ident, endpoint.entry.endpoint, timeout, seen, until - now))
 
     def attempt_ended(self, now: float, event: AttemptEnded, out: list[Action]) -> None:
@@ -318,9 +322,8 @@
 
     def stay_away(self, request: Request) -> float:
         """When a refused client should come again: spread out, or those refused together return together."""
-        limits = self.settings.limits
-        spread = STAY_AWAY * (1 + self.random.random()) * request.cls.aim
-        return min(spread, limits.max_retry_after) if limits.retry_after else 0.0
+        most = self.settings.limits.max_retry_after if self.settings.limits.retry_after else 0.0
+        return min(STAY_AWAY * (1 + self.random.random()) * request.cls.aim, most)
 
     def close(self, request: Request) -> None:
         request.over = True
@@ -337,18 +340,22 @@
         endpoint.heard = endpoint.heard * fade + 1
         endpoint.failed = endpoint.failed * fade + (outcome is not SERVED)
         endpoint.slow *= fade
-        if event.report is not None:
-            self.report(now, endpoint, event.report)
+        said = event.report
+        held = None if said is None else said.queue if said.in_flight is None else said.in_flight
+        if held is not None:
+            endpoint.reported, endpoint.reported_at = held, now
+            self.mean_report += LEARN / 4 * (held - self.mean_report)
         if outcome is SERVED or outcome is TIMED_OUT:
             if request.norm.mean:
                 longer = min(event.latency / request.norm.base, UNFIT) - 1
                 endpoint.slow += longer
                 self.usual += LEARN / 4 * (1 + longer - self.usual)
-            known = self.known(now, request.cls)
-            request.norm.learn(event.latency, known)
-            self.norm.learn(event.latency, known)
+            for norm in (request.norm, self.norm):
+                norm.learn(event.latency, self.known(now, request.cls))
         if outcome is SERVED:
             self.tokens = min(MAX_TOKENS, self.tokens + TOKEN_RATIO)
+            carried = 1 / self.warmth(now, endpoint) / max(len(self.subset), 1)  # by a warm one of the subset
+            self.credit = min(CARRIED, self.credit + CARRIED * carried)
             self.served = self.served * exp(self.served_at - now) + request.norm.base
             self.served_at = now
         elif outcome in RETRYABLE and (outcome is not REJECTED or request.unseen):
@@ -391,12 +398,6 @@
     def most_ill(self) -> bool:
         return 2 * sum([e.ill > 0 for e in self.ready]) > len(self.ready)
 
-    def report(self, now: float, endpoint: Endpoint, report: LoadReport) -> None:
-        held = report.in_flight if report.in_flight is not None else report.queue
-        if held is not None:
-            endpoint.reported, endpoint.reported_at = held, now
-            self.mean_report += LEARN / 4 * (held - self.mean_report)
-
     # Placement
 
     def pick(self, now: float, request: Request) -> tuple[Endpoint | None, list[Endpoint]]:
@@ -416,7 +417,8 @@
                 if drawn.entry.endpoint in seen:
                     continue
                 seen[drawn.entry.endpoint] = drawn
-                if self.turns < drawn.turn and self.warmth(now, drawn) < 1:
+                early = self.ramp < drawn.turn or drawn.entry.endpoint not in self.subset
+                if early and self.warmth(now, drawn) < 1:
                     continue
                 if drawn.ill:
                     full = drawn.in_flight >= drawn.window and not self.most_ill()
@@ -454,9 +456,7 @@
 
     def silence(self, now: float, endpoint: Endpoint) -> float:
         """Answers that should have come from an endpoint since its last one."""
-        if not endpoint.in_flight or not self.norm.mean:
-            return 0.0
-        return (now - endpoint.progress) * endpoint.in_flight / self.norm.mean
+        return (now - endpoint.progress) * endpoint.in_flight / (self.norm.mean or inf)
 
     def others(self, now: float, endpoint: Endpoint) -> float:
         """Work of other copies by the endpoint's last report; an old one says no more than the mean."""
@@ -500,11 +500,7 @@
         if known is not None and known.entry.started_at == entry.started_at:
             known.entry = entry
             return
-        # New or restarted: nothing is held against it, and its first turn is drawn so that copies told
-        # together don't all send to it at once.
-        fresh = Endpoint(entry, self.turns)
-        fresh.turn += self.random.random() / self.warmth(now, fresh)
-        self.endpoints[entry.endpoint] = fresh
+        self.endpoints[entry.endpoint] = fresh = Endpoint(entry)  # nothing from before is held against it
         if entry.owed:
             self.owed.append((now + OWED * self.settings.number / self.settings.copies, fresh))
 
@@ -513,14 +509,17 @@
         stable arc of the sorted ids, placed by its own number so that all are covered evenly."""
         self.ready = [self.endpoints[k] for k in sorted(self.endpoints)]
         self.progress = max([e.progress for e in self.ready], default=0.0)
-        zone = self.settings.zone
-        local = [e for e in self.ready if e.entry.zone == zone]
+        local = [e for e in self.ready if e.entry.zone == self.settings.zone]
         split = 2 * len(local) * max(1, len(self.settings.zones)) >= len(self.ready) > len(local)
         self.near = self.arc(local if split else self.ready)
         self.far = self.arc(self.ready) if split else []
         # A turn of a cold endpoint comes with what each warm one is sent; where most are cold, with no more
         # than 1.5 times the even share, so that a fleet that restarts as one is not pushed over.
         self.capacity = max(sum(self.warmth(now, e) for e in self.near), len(self.near) / 1.5, 1.0)
+        before, self.subset = self.subset, {e.entry.endpoint: e for e in self.near + self.far}
+        for name, e in self.subset.items():
+            if before.get(name) is not e:  # its first turn is drawn, or copies told together would all send
+                e.turn = self.ramp + self.random.random() / self.warmth(now, e)
 
     def arc(self, pool: list[Endpoint]) -> list[Endpoint]:
         size, copies = len(pool), self.settings.copies
