Refuse settings with numbers that no float holds, or a class named twice, by one line with the key

Fault: a whole number of 400 digits for a time, and NaN or Infinity for limits.memory_mb or the seed, ended the reading with a traceback (OverflowError or ValueError past the reading). A class that stands there twice was taken, and the last one held. A memory or a number of descriptors without bound was taken too.

Change: the adapter's reading and the configuration's name the key for these as for others; class names must differ; limits.sockets and limits.memory_mb are 1e9 at most.

An empty object in place of an optional number still counts as not said, which is open.

--- a/lapisway/benchlink.py
+++ b/lapisway/benchlink.py
@@ -93,7 +93,7 @@
             raise WireError(f"missing setting {path}")
         try:
             return read(self.values[path])
-        except (ValueError, KeyError) as bad:
+        except (ValueError, KeyError, OverflowError) as bad:
             raise WireError(f"setting {path}: cannot read {self.values[path]!r}") from bad
 
     def count(self, path: str) -> int:
--- a/lapisway/interface.py
+++ b/lapisway/interface.py
@@ -184,6 +184,8 @@
 
     def __post_init__(self) -> None:
         _require(len(self.classes) > 0, "classes", "at least one is needed")
+        names = {cls.name for cls in self.classes}
+        _require(len(names) == len(self.classes), "classes: name", "must not stand there twice")
         _require(self.copies >= 1, "copies", "must be 1 or more")
         _require(self.number >= 0, "number", "must not be negative")
         _require(self.tier >= 0, "tier", "must not be negative")
--- a/wheatring/config/__init__.py
+++ b/wheatring/config/__init__.py
@@ -20,6 +20,7 @@
 
 SOCKETS = 1024
 MEMORY_MB = 192
+MOST = 1e9  # of either that any machine has; NaN is not below it
 
 # The settings' own names for what the module's vocabulary calls otherwise, so that errors name the key.
 WIRE_NAMES = {
@@ -148,16 +149,16 @@
     seed = data.get("seed", "0")
     try:
         number = int(seed, 16) if isinstance(seed, str) else int(seed)
-    except (TypeError, ValueError) as bad:
+    except (TypeError, ValueError, OverflowError) as bad:
         raise ConfigError(f"seed: not a hexadecimal number: {seed!r}") from bad
     limits = data.get("limits", {})
     if not isinstance(limits, dict):
         raise ConfigError("limits: not an object")
     sockets = limits.get("sockets", SOCKETS)
-    if type(sockets) is not int or sockets < 64:
+    if type(sockets) is not int or not 64 <= sockets <= MOST:
         raise ConfigError(f"limits.sockets: not a whole number of 64 or more: {sockets!r}")
     memory = limits.get("memory_mb", MEMORY_MB)
-    if isinstance(memory, bool) or not isinstance(memory, int | float) or memory < 1:
+    if isinstance(memory, bool) or not isinstance(memory, int | float) or not 1 <= memory <= MOST:
         raise ConfigError(f"limits.memory_mb: not a number of 1 or more: {memory!r}")
     control = told("control")
     known = data.get("known", {"generation": 0, "instances": []})
