--- a/wheatring/ops/tokens.py
+++ b/wheatring/ops/tokens.py
@@ -1,6 +1,6 @@
 """Tokens: what a caller may ask for, as a signed statement that it brings with each request.
 
-    base64url(payload).base64url(mac)    payload: kid=k2;holder=courier-17;rights=place-order;exp=1734000000
+    base64url(payload).base64url(mac)    payload: kid=k2;holder=courier-17;rights=refund;exp=1734000000
 
 The mac is HMAC-SHA256 with the key that `kid` names, over the payload's bytes as they came.
 """
