Let the gate stand where every class is worth nothing

Change: the ratio's base is 1 then, so all have the same room.

Measured: the new test was seen to fail without it; tests/test_gate.py passes. Where any class is worth something no decision changes.

--- a/lapisway/policy.py
+++ b/lapisway/policy.py
@@ -226,7 +226,7 @@
         in_flight = min(in_flight, max(self.held, in_flight - CHANCE * sqrt(in_flight) * (1 - 1 / copies)))
         if in_flight * copies < FEW or congestion < CALM or not self.known(now, request.cls):
             return True
-        part = 0.4 + 0.6 * self.density(request.cls) / max(map(self.density, self.settings.classes))
+        part = 0.4 + 0.6 * self.density(request.cls) / (max(map(self.density, self.settings.classes)) or 1.0)
         most = count * (GROWTH * self.best + SLACK / copies * part)
         return in_flight <= most * max(LEAST, min(1.0, JAM / congestion))
 
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import replace
 
 import pytest
 
@@ -168,3 +169,12 @@
     else:
         assert all(0 < wait <= cap for wait in waits)
         assert cap < 0.1 or len(set(waits)) > 40  # those refused together must not return together
+
+
+def test_where_nothing_is_worth_anything_all_have_the_same_room() -> None:
+    """Worths of 0 can be settings of another customer; a ratio of two of them is none."""
+    free = replace(CHEAP, worth=0.0)
+    copy = Copy(classes=(free, replace(DEAR, worth=0.0)), tier=0, tiers=("front", "back"))
+    copy.view(*entries(*NODES))
+    keep(copy, 48, 0.1, 4.0)
+    assert 0 < admitted(copy, "cheap") < 400
