--- a/tests/ends/test_caller.py
+++ b/tests/ends/test_caller.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from lapisway import policy
 from tests.test_process import begin
 from tests.test_process import until as told
 from tests.virtual import Virtual
@@ -254,3 +255,31 @@
     if isinstance(world.ground, Virtual):
         assert world.run(world.sidecar.clock.now) - left < 0.1
     assert world.run(lambda: world.sidecar.exchange.open) == 0
+
+
+@pytest.mark.parametrize("how", ["end", "reset", "stays"])
+def test_a_caller_that_leaves_while_its_request_waits_out_a_back_off_gets_no_further_attempt(
+    make: Make, monkeypatch: pytest.MonkeyPatch, how: str
+) -> None:
+    for name in ("INITIAL_BACKOFF", "MAX_BACKOFF"):
+        monkeypatch.setattr(policy, name, 0.4)  # parts of the aim: a second at most
+    world = make()
+    wire = world.ask()
+    node = world.nodes[0].accept()
+    node.read()
+    monkeypatch.setattr(world.sidecar.serving.balancer.random, "random", lambda: 0.5)
+    node.reset()
+    assert world.logged("claim-connection") == ["peer-reset"]  # the back-off has begun
+    if how == "reset":
+        wire.reset()
+    elif how == "end":
+        wire.close()
+    if how != "stays":
+        world.logged("caller-connection")
+        assert world.run(lambda: (world.sidecar.exchange.open, len(world.sidecar.driver.jobs))) == (0, 0)
+    passed: list[bool] = []
+    world.run(lambda: world.reactor.callLater(1.2, passed.append, True))
+    until(world, lambda: passed)
+    pool = world.sidecar.pool
+    assert world.run(lambda: len(pool.dials) + len(pool.connections)) == (how == "stays")
+    assert world.codes("claim-connection") == ["peer-reset"]
