Dial no more to an endpoint that was told away for what a stale connection left unsent

Need: a request handed to a kept connection whose other side had closed it goes out on another connection, as the same attempt. Where the endpoint had been told as draining, gone or moved since the choice, that connect was begun all the same, and the request written whenever it came up: after the grace for drains, at worst.

Change: ClaimConnection.elsewhere asks the pool whether something new may still go there; if not, the attempt ends as one that never ran, and the decisions choose anew at once.

Measured: test_what_a_stale_connection_leaves_goes_no_more_to_an_endpoint_that_was_told_away, two rows, both seen to fail without the mend; tests/ends/test_endpoint.py, test_endpoint_faults.py and test_repeats.py pass.

Ruled out: asking in Pool.start, which would take one that has moved for fit at its new address, though its restart gives it another budget.

--- a/tests/ends/test_endpoint.py
+++ b/tests/ends/test_endpoint.py
@@ -13,7 +13,7 @@
 from tests.agree.test_pools import begun
 from tests.ends.attempts import kept, listed, reads, submit
 from tests.world import Peer, World, entry
-from wheatring.core.exchange import Answer, Final, Job
+from wheatring.core.exchange import Answer, Claim, Final, Job
 from wheatring.http1 import client
 
 Make = Callable[..., World]
@@ -103,6 +103,35 @@
     assert world.codes("claim-connection") == [code]
 
 
+@pytest.mark.parametrize("how", ["draining", "moved"])
+@pytest.mark.parametrize("make", ["loopback"], indirect=True)  # where a peer's word is there in the same turn
+def test_what_a_stale_connection_leaves_goes_no_more_to_an_endpoint_that_was_told_away(
+    make: Make, how: str
+) -> None:
+    """Its next connect might take longer than sends may go on there."""
+    world = make()
+    (old,), spare = world.nodes, Peer(world.ground)
+    wire = kept(world, world.caller())
+
+    def crossing() -> list[Claim]:
+        wire.close()
+        job, _ = submit(world, dialling=False)
+        if how == "draining":
+            listed(world, entry("n0", old, lifecycle="DRAINING"), entry("x", spare))
+        else:
+            listed(world, entry("n0", spare, startedAtMs=1))
+        return job.claims
+
+    claims = world.run(crossing)
+    again, first = reads(spare)
+    assert first == "POST /late HTTP/1.1"
+    sent = [(claim.node, claim.outcome) for claim in claims]
+    assert sent == [("n0", Outcome.CONNECT_FAILED), ("n0" if how == "moved" else "x", None)]
+    again.answer(200, b"there")
+    world.logged("answered")
+    spare.close()
+
+
 def test_where_second_answers_were_seen_a_connection_rests_before_it_is_used_again(
     make: Make, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/wheatring/http1/claim.py
+++ b/wheatring/http1/claim.py
@@ -171,10 +171,13 @@
         self.fail()
 
     def elsewhere(self) -> None:
-        """Nothing of the request has left, so it is still this attempt that another connection carries."""
+        """Nothing of the request has left, so it is still this attempt that another connection carries; to an
+        endpoint that was told away since the choice, none does."""
         claim, self.claim = self.claim, None
         self.stop_sending()
-        if claim is not None:
+        if claim is not None and claim.wanted and not self.pool.fits(self.place):
+            self.pool.exchange.end(claim, Outcome.CONNECT_FAILED)
+        elif claim is not None:
             self.pool.exchange.unsent(claim)
 
     def fail(self) -> None:
