Take no answer for a request's own that began before its last byte had left

Need: on a kept connection, a second answer that came while a larger request was still being written was served as that request's. One that began before the last byte left and ended after it, and said 503 with X-Unprocessed: 1, was taken as proof that the request never ran, though by then it was whole at the endpoint: an unsafe one was sent again.

Change: ClaimConnection notes whether an answer began before the last byte of its request had left (premature). Such a one ends the attempt as spoilt: as one that never ran, or, if the last byte has left by then, as one that may have. Only 503 or 504 with X-Unprocessed: 1 still counts while that byte hasn't left, as neither word could then do harm.

Ruled out: a verdict by speed. The protocol says that an endpoint starts on a request when its last byte has arrived.

--- a/tests/ends/test_endpoint.py
+++ b/tests/ends/test_endpoint.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -132,6 +133,39 @@
     spare.close()
 
 
+@pytest.mark.parametrize("amid", [False, True])
+@pytest.mark.parametrize("old", [(200, b"first", ""), (503, b"", "X-Unprocessed: 1\r\n")])
+def test_an_answer_that_begins_before_the_last_byte_of_its_request_has_left_is_not_its_own(
+    make: Make, old: tuple[int, bytes, str], amid: bool
+) -> None:
+    """An endpoint starts on a request with its last byte. If that left by the answer's end, it may run."""
+    world = make()
+    (node,), caller = world.nodes, world.caller()
+    node.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+    wire = kept(world, caller)
+    (connection,) = world.sidecar.pool.connections
+    sock: Any = connection.transport.socket  # type: ignore[attr-defined]
+    world.run(lambda: sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096))
+    body = b"x" * 65000  # more than both ends of the connection hold
+    world.ask("unsafe", wire=caller, more=f"Content-Length: {len(body)}\r\n")
+    caller.send(body)
+    wire.held = wire.sock.recv(1)  # it has begun to leave
+    if amid:
+        wire.send(b"HTTP/1.1 %d X\r\n" % old[0])
+        world.settle()
+        assert wire.read()[2] == body
+        wire.send(f"{old[2]}Content-Length: {len(old[1])}\r\n\r\n".encode() + old[1])
+        assert world.logged("claim-connection") == ["bad-answer"]
+        assert caller.read()[0] == "HTTP/1.1 502 Bad Gateway"
+        return
+    wire.answer(*old)
+    again = node.accept()
+    assert again.read()[2] == body
+    again.answer(200, b"mine")
+    assert caller.read()[2] == b"mine"
+    assert world.codes("claim-connection") == ["bad-answer" if old[0] == 200 else "not-clean"]
+
+
 def test_where_second_answers_were_seen_a_connection_rests_before_it_is_used_again(
     make: Make, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/wheatring/http1/claim.py
+++ b/wheatring/http1/claim.py
@@ -27,6 +27,10 @@
 EARLY_UNTOLD = 0.5
 
 
+def turned_away(message: Message) -> bool:
+    return message.first[0] in (b"503", b"504") and message.fields.get(b"x-unprocessed") == b"1"
+
+
 class Place(NamedTuple):
     """A node and where it is. Another node may come to the same address, and must not get its connections."""
 
@@ -50,6 +54,7 @@
         self.sender: Sender | None = None  # of a large request
         self.keep_alive = False  # after `flow`
         self.head_at = 0.0  # when the head of the present answer was read
+        self.premature = False  # it began before the last byte of its request had left
         self.idle_since = 0.0
         self.to_write = b""
         self.flushed = False
@@ -123,6 +128,8 @@
             self.pool.unasked(self)
             self.elsewhere()
             return
+        if not self.reader.started:
+            self.premature = not self.flushed
         self.reader.feed(data)
         self.stop_waiting()
         try:
@@ -141,6 +148,9 @@
             # Its length may be wrong: the rest that is missing then would be waited for until the deadline.
             if self.reader.started:
                 self.wait(STALL)
+        elif self.premature and (self.flushed or not turned_away(message)):
+            # A node starts on a request with its last byte, so this was an answer to the one before.
+            self.spoilt("answer before its request")
         elif message.open:
             self.begin(message)
         else:
@@ -254,10 +264,9 @@
             log.line("connection-broken", why=repr(bug))
             self.abort("internal-error")
         if claim is not None:
-            status = message.first[0]
-            if status == b"200":
+            if message.first[0] == b"200":
                 self.pool.exchange.end(claim, SERVED, message)
-            elif status in (b"503", b"504") and message.fields.get(b"x-unprocessed") == b"1":
+            elif turned_away(message):
                 self.pool.exchange.end(claim, Outcome.REJECTED)
             else:
                 self.pool.exchange.end(claim, Outcome.ERROR)
