--- a/tests/ends/test_repeats.py
+++ b/tests/ends/test_repeats.py
@@ -70,12 +70,16 @@
     return further
 
 
-@pytest.mark.parametrize(("name", "written"), [("order", False), ("menu", True)])
-def test_a_connect_that_comes_up_after_the_window_carries_no_keyed_request(
-    make: Make, monkeypatch: pytest.MonkeyPatch, name: str, written: bool
+@pytest.mark.parametrize(
+    ("name", "later", "status"), [("order", 1.0, "502"), ("menu", 1.0, "200"), ("menu", 3.1, "503")]
+)
+def test_a_connect_that_comes_up_after_the_window_or_the_time_carries_nothing(
+    make: Make, monkeypatch: pytest.MonkeyPatch, name: str, later: float, status: str
 ) -> None:
+    """Of 3 s, and a window of 1 for the keyed one: whichever timer that it crosses is still to be called."""
+    written = status == "200"
     world = make()
-    further = crossing(world, monkeypatch, 1.0, lambda: None)
+    further = crossing(world, monkeypatch, later, lambda: None)
     caller = world.ask(name, left=3000)
     wire = world.nodes[0].accept()
     wire.read()
@@ -84,7 +88,7 @@
         wire = world.nodes[0].accept()
         wire.read()
         wire.answer(200, b"again")
-    assert caller.read()[0].split()[1] == ("200" if written else "502")
+    assert caller.read()[0].split()[1] == status
     (claim,) = further
     assert (claim.written, claim.outcome) == (
         written,
