Use no connection that has stood idle for too long, also between two looks of the pool

Need: connections are closed at 0.7 of the endpoint's idle time by a look each second, so where the settings give an idle time under 3.3 s one could be used for up to a second more, past the instant at which the endpoint closes it. A request written to it then ends in a reset, and an unsafe one in a failure.

Change: Pool.take_idle retires what has stood for too long before it chooses, by the same rule as the look (Pool.retire_stale).

Measured: test_a_connection_that_has_stood_idle_for_too_long_is_not_used_though_nobody_has_looked, both grounds seen to fail without the mend; tests/ends/test_endpoint.py, test_endpoint_faults.py, test_repeats.py, tests/test_bodies.py, test_stories.py, tests/lab/test_wire_http.py pass.

Ruled out: looks more often, which would cost all copies and leave a gap still. The lab's connections without bytes keep their look alone: at the sites' idle times the two are the same.

--- a/tests/ends/test_endpoint.py
+++ b/tests/ends/test_endpoint.py
@@ -166,6 +166,22 @@
     assert world.codes("claim-connection") == ["bad-answer" if old[0] == 200 else "not-clean"]
 
 
+def test_a_connection_that_has_stood_idle_for_too_long_is_not_used_though_nobody_has_looked(
+    make: Make,
+) -> None:
+    """Between two looks of the pool: its endpoint may close it at any moment, and a request would be lost."""
+    world = make()
+    caller = world.caller()
+    wire = kept(world, caller)
+    world.sidecar.pool.idle = -1.0
+    world.ask("unsafe", wire=caller)
+    other = world.nodes[0].accept()
+    other.read()
+    assert wire.at_end()
+    other.answer(200, b"mine")
+    assert caller.read()[2] == b"mine"
+
+
 def test_where_second_answers_were_seen_a_connection_rests_before_it_is_used_again(
     make: Make, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/wheatring/http1/client.py
+++ b/wheatring/http1/client.py
@@ -147,6 +147,7 @@
         if not idle:
             return None
         now = self.clock.now()
+        self.retire_stale(place, idle, now)
         since = now - REST if now < self.wary_until else now
         for at in range(len(idle) - 1, -1, -1):
             connection = idle[at]
@@ -234,6 +235,9 @@
         now = self.clock.now()
         self.sweeping = self.clock.at(now + SWEEP, self.sweep)
         for place, idle in list(self.idle_ones.items()):
-            gone = self.addresses.get(place.node) != place.address
-            while idle and (gone or now - idle[0].idle_since > self.idle):
-                self.retire(idle[0], "node-gone" if gone else "idle")
+            self.retire_stale(place, idle, now)
+
+    def retire_stale(self, place: Place, idle: deque[ClaimConnection], now: float) -> None:
+        gone = self.addresses.get(place.node) != place.address
+        while idle and (gone or now - idle[0].idle_since > self.idle):
+            self.retire(idle[0], "node-gone" if gone else "idle")
