Use a connection that has rested before one that has just answered

Need: a second answer some milliseconds late is taken for the next request's where that has left on the same connection by then, and the connection used last went out first: the one that is most likely to bring it. Connections rest before reuse only once a second answer was seen.

--- a/tests/ends/test_endpoint.py
+++ b/tests/ends/test_endpoint.py
@@ -211,6 +211,29 @@
     assert caller.read()[2] == b"last"
 
 
+@pytest.mark.parametrize("rested", [True, False])
+def test_of_several_idle_connections_one_that_has_rested_is_used_first(
+    make: Make, monkeypatch: pytest.MonkeyPatch, rested: bool
+) -> None:
+    """Before any second answer was seen, too: it costs nothing. If none has, the one that rested longest."""
+    monkeypatch.setattr(client, "REST", 1e9)
+    world = make()
+    world.sidecar.pool.idle = 4e9
+    callers, wires = [], []
+    for _ in range(2):
+        callers.append(world.ask())
+        wires.append(world.nodes[0].accept())
+        wires[-1].read()
+    for caller, wire in zip(callers, wires, strict=True):
+        wire.answer(200)
+        caller.read()
+    (idle,) = world.sidecar.pool.idle_ones.values()
+    if rested:
+        world.run(lambda: setattr(idle[0], "idle_since", -2e9))
+    world.ask("unsafe")
+    assert wires[0].read()[0] == "POST /unsafe HTTP/1.1"
+
+
 @pytest.mark.parametrize("more", [{"lifecycle": "DRAINING", "zone": "a"}, {"zone": "b"}])
 def test_in_one_of_several_pools_a_connect_to_who_has_left_the_pool_carries_nothing(
     make: Make, tmp_path: Path, more: dict[str, Any]
--- a/wheatring/http1/client.py
+++ b/wheatring/http1/client.py
@@ -142,19 +142,22 @@
         self.dials[_Dial(self, claim, place)] = None  # its end is never reported in this turn of the reactor
 
     def take_idle(self, place: Place) -> ClaimConnection | None:
-        """The one used last, of those that have rested enough."""
+        """The one used last of those that have rested; where none has or must, the one that did longest."""
         idle = self.idle_ones.get(place)
         if not idle:
             return None
         now = self.clock.now()
         self.retire_stale(place, idle, now)
-        since = now - REST if now < self.wary_until else now
-        for at in range(len(idle) - 1, -1, -1):
-            connection = idle[at]
-            if connection.alive and not connection.code and connection.idle_since <= since:
-                del idle[at]
-                return connection
-        return None
+        usable = [connection for connection in idle if connection.alive and not connection.code]
+        rested = [connection for connection in usable if connection.idle_since <= now - REST]
+        if rested:
+            chosen = rested[-1]
+        elif usable and now >= self.wary_until:
+            chosen = usable[0]
+        else:
+            return None
+        idle.remove(chosen)
+        return chosen
 
     def unasked(self, connection: ClaimConnection) -> None:
         """Something came on it that answers nothing."""
