Rest connections also after a second answer right behind the first, or amid a request

Need: connections rest before reuse once a second answer was seen on an idle one. One that came in one piece with the first, or while the next request was still being written, ended its connection and was forgotten, so the first that came late might still be taken for another request's.

Change: Pool.beware, called as well where bytes stand behind an answer, and, through Pool.unasked, where an answer began before the last byte of its request had left.

Ruled out: telling answers from other noise behind an answer. A rest does no harm.

--- a/tests/ends/test_endpoint.py
+++ b/tests/ends/test_endpoint.py
@@ -157,6 +157,7 @@
         wire.send(f"{old[2]}Content-Length: {len(old[1])}\r\n\r\n".encode() + old[1])
         assert world.logged("claim-connection") == ["bad-answer"]
         assert caller.read()[0] == "HTTP/1.1 502 Bad Gateway"
+        assert world.sidecar.pool.wary_until > 0
         return
     wire.answer(*old)
     again = node.accept()
@@ -211,6 +212,27 @@
     assert caller.read()[2] == b"last"
 
 
+def test_a_second_answer_right_behind_the_first_has_connections_rest_as_well(
+    make: Make, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(client, "REST", 1e9)
+    world = make()
+    caller = world.ask()
+    wire = world.nodes[0].accept()
+    wire.read()
+    wire.send(b"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\na" * 2)
+    assert caller.read()[2] == b"a"
+    assert world.logged("claim-connection") == ["not-clean"]
+    wire = kept(world, caller)
+    world.ask(wire=caller)
+    other = world.nodes[0].accept()
+    other.read()
+    other.answer(200, b"mine")
+    assert caller.read()[2] == b"mine"
+    assert world.codes("claim-connection") == ["not-clean"]
+    wire.close()
+
+
 @pytest.mark.parametrize("rested", [True, False])
 def test_of_several_idle_connections_one_that_has_rested_is_used_first(
     make: Make, monkeypatch: pytest.MonkeyPatch, rested: bool
--- a/wheatring/http1/claim.py
+++ b/wheatring/http1/claim.py
@@ -150,6 +150,7 @@
                 self.wait(STALL)
         elif self.premature and (self.flushed or not turned_away(message)):
             # A node starts on a request with its last byte, so this was an answer to the one before.
+            self.pool.unasked(self)
             self.spoilt("answer before its request")
         elif message.open:
             self.begin(message)
@@ -274,6 +275,8 @@
     def keep_or_close(self, keep_alive: bool) -> None:
         if not self.flushed or self.reader.started:
             # Half a request or a part of some answer is left on it: the next claim would get the wrong one.
+            if self.reader.started:
+                self.pool.beware()
             self.stop_sending()
             self.abort("not-clean")
         elif not keep_alive:
--- a/wheatring/http1/client.py
+++ b/wheatring/http1/client.py
@@ -161,9 +161,12 @@
 
     def unasked(self, connection: ClaimConnection) -> None:
         """Something came on it that answers nothing."""
-        now = self.clock.now()
-        if connection.kept and now - connection.idle_since < SECOND:
-            self.wary_until = now + WARY
+        if connection.kept and self.clock.now() - connection.idle_since < SECOND:
+            self.beware()
+
+    def beware(self) -> None:
+        """A second answer was seen."""
+        self.wary_until = self.clock.now() + WARY
 
     def bar(self, node: str) -> None:
         """Nothing new goes there: no connect still under way comes to a send, and no connection is kept."""
