Force the ends of answers without a length over both versions of HTTP, and interim ones

Need: the issue asks for an answer without a length that is reset, over both versions, and for 1xx; what stood was 1.1 alone, and a large one that breaks off was forced with a length and with chunks only.

Change: tests alone. test_what_ends_after_its_last_byte_may_have_run_whatever_came_of_an_answer has three more kinds; test_an_answer_without_a_length_is_whole_at_an_end_in_good_order is new; test_one_that_breaks_off_does_not_pass_for_whole plays its two framings, and an answer without a length, to callers of both versions, and asks for a reset where nothing else tells.

Ruled out: a weaker check than before: the two framings of the large one stand, with the same ends asked for.

--- a/tests/ends/test_repeats.py
+++ b/tests/ends/test_repeats.py
@@ -150,6 +150,9 @@
     "half a status line, reset": (b"HTTP/1.1 2", True),
     "half a head": (b"HTTP/1.1 200 OK\r\nX: y\r\n", False),
     "no length, reset": (b"HTTP/1.1 200 OK\r\n\r\nhalf of i", True),
+    "no length, reset, old": (b"HTTP/1.0 200 OK\r\n\r\nhalf of i", True),
+    "no length, nothing, reset": (b"HTTP/1.0 200 OK\r\n\r\n", True),
+    "short, old": (LENGTH.replace(b"1.1", b"1.0") + b"12345678", False),
     "short": (LENGTH + b"12345678", False),
     "short, reset": (LENGTH + b"12345678", True),
     "chunk without an end": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", False),
@@ -188,6 +191,23 @@
     assert world.run(lambda: len(world.sidecar.pool.connections)) == (name != "unsafe")
 
 
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+def test_an_answer_without_a_length_is_whole_at_an_end_in_good_order(make: Make, version: bytes) -> None:
+    """With interim ones before it, which are no answers, however they are cut."""
+    world = make()
+    caller = world.ask("unsafe")
+    wire = world.nodes[0].accept()
+    wire.read()
+    interim = b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 10", b"3 X\r\nX: y\r\n\r\n"
+    for piece in (*interim, b"HTTP/%b 200 X\r\n\r\nall" % version):
+        wire.send(piece)
+        world.settle()
+    wire.close()
+    first, _, body = caller.read()
+    assert (first.split()[1], body) == ("200", b"all")
+    assert world.logged("claim-connection") == ["peer-closed"]
+
+
 @pytest.mark.parametrize("size", [0, 1, 60_000, 300_000])
 @pytest.mark.parametrize("chunked", [False, True])
 def test_a_reset_once_the_last_byte_has_come_is_never_told_as_never_run(
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -87,20 +87,25 @@
     assert again.read()[2] == b"next"
 
 
-@pytest.mark.parametrize("length", [True, False], ids=["length", "chunks"])
-def test_one_that_breaks_off_does_not_pass_for_whole(make: Make, length: bool) -> None:
+@pytest.mark.parametrize("old", [False, True], ids=["1.1", "1.0"])
+@pytest.mark.parametrize(
+    "framing", [f"Content-Length: {len(LARGE)}", "Transfer-Encoding: chunked", "X-Length: none"]
+)
+def test_one_that_breaks_off_does_not_pass_for_whole(make: Make, framing: str, old: bool) -> None:
     world = make(2)
-    caller = world.ask()
+    caller = world.caller()
+    caller.send(f"GET /menu HTTP/{'1.0' if old else '1.1'}\r\nX-Correlation-Id: b1\r\n\r\n".encode())
     node = world.first()
     node.read()
-    framing = f"Content-Length: {len(LARGE)}" if length else "Transfer-Encoding: chunked"
     node.send(f"HTTP/1.1 200 OK\r\n{framing}\r\n\r\n".encode())
-    node.send(LARGE[:100000] if length else b"%x\r\n%s\r\n" % (100000, LARGE[:100000]))
-    head(caller)
+    node.send(b"%x\r\n%s\r\n" % (100000, LARGE[:100000]) if "chunked" in framing else LARGE[:100000])
+    told = head(caller)
     node.reset()
-    with pytest.raises((EOFError, OSError)):
-        body(caller, len(LARGE)) if length else chunks(caller)
+    with pytest.raises((EOFError, OSError)) as end:
+        chunks(caller) if "chunked" in told else body(caller, len(LARGE))
     assert "answer-cut" in world.logged("caller-connection")
+    if old and "content-length" not in told:  # nothing but a reset tells it that this is not the end
+        assert end.type is ConnectionResetError
 
 
 def test_a_spoilt_one_that_has_not_been_passed_on_is_had_elsewhere(make: Make) -> None:
