Cut an answer that never ends once its caller's time is over

Need: an answer without an end that trickles is passed on after half a second, as it may be a large one, and then for as long as another byte came within 10 s. Its request had no final answer in its time, nor half a second later, and so was lost; one that is cut so that its caller can tell has failed.

Change: at the request's deadline, and each 0.1 s from then on, ClaimConnection.look asks who is behind. Where the caller has all that came, nothing more comes until the reactor has looked at all sockets, and the answer has brought less than 32 kB a second, it is spoilt. Large bodies at a fair pace and slow readers go on as before.

Measured: test_one_that_never_ends_is_cut_once_its_callers_time_is_over seen to fail without the mend (two of its four rows run so, one on each ground); test_one_that_has_brought_enough_goes_on_after_its_callers_time; tests/test_bodies.py (50 slow readers of 32 MB among it), test_stories.py, tests/lab/test_wire_http.py, tests/ends/test_repeats.py and test_endpoint.py pass.

Ruled out: a cut of all that is not whole by then, which would end large downloads that have been let run until now.

--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -19,6 +19,7 @@
 
 from tests.test_process import told, until
 from tests.world import FAR, Peer, Wire, World, entry
+from wheatring import log
 from wheatring.core.body import WINDOWS, Body, Room
 from wheatring.http1 import caller as callers
 from wheatring.http1 import claim
@@ -108,6 +109,50 @@
         assert end.type is ConnectionResetError
 
 
+@pytest.mark.parametrize("framing", ["Transfer-Encoding: chunked", "X-Length: none"])
+def test_one_that_never_ends_is_cut_once_its_callers_time_is_over(
+    make: Make, monkeypatch: pytest.MonkeyPatch, framing: str
+) -> None:
+    """However it trickles: an answer in its time is owed, and this one can't be had elsewhere any more."""
+    monkeypatch.setattr(claim, "EARLY_UNTOLD", 0.0)
+    monkeypatch.setattr(claim, "SLOWEST", 1e9)
+    world = make()
+    caller = world.ask(left=300)
+    node = world.nodes[0].accept()
+    node.read()
+    node.send(f"HTTP/1.1 200 OK\r\n{framing}\r\n\r\n".encode())
+    head(caller)
+    give_up = world.run(world.sidecar.clock.now) + FAR
+    with pytest.raises((OSError, EOFError)):  # whichever end hears of it first
+        while world.run(world.sidecar.clock.now) < give_up:
+            node.send(b"1\r\nx\r\n" if "chunked" in framing else b"x")
+            body(caller, 6)
+    assert world.logged("claim-connection") == ["bad-answer"]
+    assert world.logged("caller-connection") == ["answer-cut"]
+
+
+def test_one_that_has_brought_enough_goes_on_after_its_callers_time(
+    make: Make, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    looks, look = [], claim.ClaimConnection.look
+
+    def looked(connection: claim.ClaimConnection, flow: Body, came: int = -1) -> None:
+        looks.append(came)
+        log.line("looked")
+        look(connection, flow, came)
+
+    monkeypatch.setattr(claim.ClaimConnection, "look", looked)
+    monkeypatch.setattr(claim, "SLOWEST", 1)
+    world = make()
+    caller = world.ask(left=50)
+    node = world.nodes[0].accept()
+    node.read()
+    node.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LARGE) + LARGE[:150000])
+    world.logged("looked", 3)
+    node.send(LARGE[150000:])
+    assert caller.read()[2] == LARGE
+
+
 def test_a_spoilt_one_that_has_not_been_passed_on_is_had_elsewhere(make: Make) -> None:
     world = make(2)
     caller = world.ask()
--- a/wheatring/http1/claim.py
+++ b/wheatring/http1/claim.py
@@ -25,6 +25,10 @@
 # length is told nowhere. Its first bytes are what its caller waits for.
 EARLY = 0.3
 EARLY_UNTOLD = 0.5
+# Once its caller's time is over: bytes a second that such an answer must have brought, unless its caller is
+# behind, and seconds between looks. One with no end would be owed for ever.
+SLOWEST = 32 * 1024
+LOOK = 0.1
 
 
 def turned_away(message: Message) -> bool:
@@ -204,14 +208,16 @@
 
     def begin(self, message: Message) -> None:
         """Pass the answer on from here: for its job this is the end, whatever becomes of the rest."""
-        claim, self.claim, self.head_at = self.claim, None, 0.0
+        claim, self.claim = self.claim, None
         assert claim is not None
         if message.first[0] != b"200":
             self.abort("large-error")
             self.pool.exchange.end(claim, Outcome.ERROR)
             return
         self.keep_alive = message.keep_alive
+        self.head_at = self.head_at or self.pool.clock.now()
         flow = self.flow = message.flow = Body(self.pool.room, message.length)
+        self.pool.clock.at(claim.job.deadline, self.look, flow)
         flow.on_room = self.go_on
         flow.on_cancel = self.nobody_takes
         flow.put(message.body)
@@ -232,9 +238,23 @@
         flow.put(data, whole)
         self.hold_back(flow)
 
+    def look(self, flow: Body, came: int = -1) -> None:
+        """The caller's time is over. If it has all that came, and no more has, it is the node's end that is
+        missing."""
+        if self.flow is not flow:
+            return
+        now, later = self.pool.clock.now(), LOOK
+        if flow.read == flow.end < SLOWEST * (now - self.head_at):
+            if flow.end == came:
+                self.spoilt("answer not whole in time")
+                return
+            later = 0.0
+        # Between two turns of the reactor it looks at all sockets; before the first one it may not.
+        self.pool.reactor.callLater(later, self.pool.reactor.callLater, 0, self.look, flow, flow.end)
+
     def end_flow(self) -> Body | None:
         """This side has no more to do with it."""
-        flow, self.flow = self.flow, None
+        flow, self.flow, self.head_at = self.flow, None, 0.0
         if flow is not None:
             flow.on_room = flow.on_cancel = nothing
         return flow
