Drop the desk's own word to the pool on who is out by hand

Need: Pool.bar stopped connects under way to a node that was put out and closed its idle connections. Pool.listed does the same for every view, and each order makes one.

Change: Pool.bar, Pools.bar and the desk's pool are gone. Followed by hand: Desk.obey calls ByHand.put, which shows the node as draining, or as started anew on its return, and hands that view to Driver.feed (over several pools: to each pool's, and to those with lists of their own by Pools.put) before it returns; Driver.handle calls Pool.listed before the decisions. A node that discovery doesn't list, or lists as draining, is no fit one in any case. On the return nothing can stand open: while a node is out no connect is begun and no connection kept (Pool.fits).

Measured: tests/control, tests/agree/test_pools*.py and tests/test_house.py pass, unchanged, those on connections from before a ban and on a connect under way among them.

Ruled out: an order given amid another event, which would leave the view waiting: calls of the desk come by the reactor, never from within the decisions.

--- a/wheatring/control/desk.py
+++ b/wheatring/control/desk.py
@@ -1,7 +1,7 @@
 """The operators' desk: carries out what they call, in this process and by the folder in the other one.
 
 It wires the deciders of `lifecycle/` to the parts that they steer: the list that the module sees, the
-callers' side, the pool, and the places that all of them may take.
+callers' side, and the places that all of them may take.
 """
 
 from __future__ import annotations
@@ -38,12 +38,6 @@
     def shed(self, keep: int, rested: float) -> None: ...
 
 
-class Pool(Protocol):
-    """What is steered of the claims' side."""
-
-    def bar(self, node: str) -> None: ...
-
-
 class Duties(Protocol):
     """The fleet, as far as operators ask for it."""
 
@@ -80,7 +74,6 @@
         folder: Folder,
         by_hand: ByHand,
         server: Server,
-        pool: Pool,
         places: int,
         held: Callable[[], int],
         resize: Callable[[int], None],
@@ -90,7 +83,6 @@
         self.folder = folder
         self.by_hand = by_hand
         self.server = server
-        self.pool = pool
         self.places = places
         self.held = held
         self.resize = resize
@@ -180,8 +172,6 @@
         if changed:
             self.by_hand.put(now, orders.offline)
         for node in changed:
-            # On the return too: what stands open there was opened before the restart.
-            self.pool.bar(node)
             log.line("endpoint", node=node, offline=int(node in orders.offline))
         if orders.out_of_service != before.out_of_service:
             self.server.away = orders.out_of_service
--- a/wheatring/daemon.py
+++ b/wheatring/daemon.py
@@ -131,9 +131,8 @@
             by_hand = Hands(on_view, self.pools)
         folder = Folder(temporary(), self.told.name, round(self.clock.now() * 1e9))
         desk = self.desk = Desk(
-            self.clock, folder, by_hand, self.server, self.pools or self.pool, self.places, self.held,
-            self.resize, self.listen,
-        )  # fmt: skip
+            self.clock, folder, by_hand, self.server, self.places, self.held, self.resize, self.listen
+        )
         door = self.door = Door(self.reactor, self.clock, desk)
 
         def begin() -> None:
--- a/wheatring/http1/client.py
+++ b/wheatring/http1/client.py
@@ -168,12 +168,6 @@
         """A second answer was seen."""
         self.wary_until = self.clock.now() + WARY
 
-    def bar(self, node: str) -> None:
-        """Nothing new goes there: no connect still under way comes to a send, and no connection is kept."""
-        for dial in [dial for dial in self.dials if dial.place.node == node]:
-            dial.connector.stopConnecting()
-        self.close_idle(node)
-
     def listed(self, view: View) -> None:
         """What counts is the list at the first byte, not at the choice: a connect may take longer than sends
         may go on to a node that drains, and its address may be another's by then."""
--- a/wheatring/pools/serve.py
+++ b/wheatring/pools/serve.py
@@ -168,12 +168,6 @@
         for member in self.all():
             member.view(view)
 
-    def bar(self, node: str) -> None:
-        """Nothing new goes to a node of this name, in whichever list."""
-        self.home.pool.bar(node)
-        for member in self.all():
-            member.connections.bar(node)
-
     def put(self, now: float, out: frozenset[str]) -> None:
         """These are out by hand, and no others: in the lists that pools have of their own."""
         self.out = out
