Keep a list as it was last told in one place

Need: lifecycle/byhand.ByHand and pools/selection.Word kept it by the same eight lines.

Change: Word stands in lifecycle/byhand.py, which the pools import, and ByHand has one. Behaviour is unchanged.

Measured: tests/control, tests/agree/test_pools*.py, tests/duties/test_listing.py, tests/ends/test_start.py (modules loaded at a start) and tests/test_house.py pass, unchanged but for one import.

Ruled out: a module of its own, which a start with a desk would load as well; Freshness and the pool's ready names, which keep less and by other rules.

--- a/tests/agree/test_pools_deciders.py
+++ b/tests/agree/test_pools_deciders.py
@@ -7,7 +7,8 @@
 
 from lapisway.interface import EndpointEntry, EndpointState, View, ViewKind
 from wheatring.config.file import PoolTable
-from wheatring.pools.selection import Selection, Word
+from wheatring.lifecycle.byhand import Word
+from wheatring.pools.selection import Selection
 from wheatring.pools.shares import Held, most
 
 LEAST = st.lists(st.integers(0, 4), min_size=1, max_size=4)
--- a/wheatring/lifecycle/byhand.py
+++ b/wheatring/lifecycle/byhand.py
@@ -17,46 +17,61 @@
 READY, GONE = EndpointState.READY, EndpointState.GONE
 
 
+class Word:
+    """A list as it was last told, with all that it lists."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, EndpointEntry] = {}
+        self.version = 0
+
+    def view(self, view: View) -> None:
+        if view.kind is ViewKind.FAILED:
+            return
+        self.version = view.version
+        if view.kind is not ViewKind.DELTA:
+            self.entries.clear()
+        for entry in view.entries:
+            if entry.state is GONE:
+                self.entries.pop(entry.endpoint, None)
+            else:
+                self.entries[entry.endpoint] = entry
+
+    def whole(self) -> View:
+        return View(ViewKind.FULL, tuple(self.entries.values()), self.version)
+
+
 class ByHand:
     def __init__(self, on_view: Callable[[View], None]) -> None:
         self.on_view = on_view
-        self.word: dict[str, EndpointEntry] = {}  # discovery's, of all that it lists
-        self.version = 0
+        self.word = Word()  # discovery's
         self.out: frozenset[str] = frozenset()
         self.back: dict[str, float] = {}  # when one that is listed came back
 
     def view(self, view: View) -> None:
         """News of discovery."""
+        self.word.view(view)
         if view.kind is not ViewKind.FAILED:
-            self.version = view.version
-            if view.kind is not ViewKind.DELTA:
-                self.word.clear()
-            for entry in view.entries:
-                if entry.state is GONE:
-                    self.word.pop(entry.endpoint, None)
-                else:
-                    self.word[entry.endpoint] = entry
             # One that has gone and comes again is told of with a start of its own.
-            self.back = {name: at for name, at in self.back.items() if name in self.word}
+            self.back = {name: at for name, at in self.back.items() if name in self.word.entries}
             if self.out or self.back:
                 view = replace(view, entries=tuple(map(self.shown, view.entries)))
         self.on_view(view)
 
     def knows(self, name: str) -> bool:
-        return name in self.word or name in self.out
+        return name in self.word.entries or name in self.out
 
     def put(self, now: float, out: frozenset[str]) -> None:
         """From now on these are out, and no others."""
-        changed = sorted(self.out ^ out)
+        changed, word = sorted(self.out ^ out), self.word.entries
         self.out = out
         for name in changed:
             if name in out:
                 self.back.pop(name, None)
-            elif name in self.word:
+            elif name in word:
                 self.back[name] = now
-        entries = tuple([self.shown(self.word[name]) for name in changed if name in self.word])
+        entries = tuple([self.shown(word[name]) for name in changed if name in word])
         if entries:
-            self.on_view(View(ViewKind.DELTA, entries, self.version))
+            self.on_view(View(ViewKind.DELTA, entries, self.word.version))
 
     def shown(self, entry: EndpointEntry) -> EndpointEntry:
         name = entry.endpoint
--- a/wheatring/pools/member.py
+++ b/wheatring/pools/member.py
@@ -22,9 +22,9 @@
 from wheatring.core.clock import Clock
 from wheatring.core.exchange import Exchange
 from wheatring.lifecycle.asking import Pace
-from wheatring.lifecycle.byhand import ByHand
+from wheatring.lifecycle.byhand import ByHand, Word
 from wheatring.pool import ServingPool
-from wheatring.pools.selection import Selection, Word
+from wheatring.pools.selection import Selection
 from wheatring.pools.shares import Places, SharedPool
 
 NONE = {"generation": 0, "instances": []}  # the list of a pool that has just been made
--- a/wheatring/pools/selection.py
+++ b/wheatring/pools/selection.py
@@ -46,26 +46,3 @@
                 self.names.discard(name)
                 kept.append(replace(entry, state=GONE))
         return View(view.kind, tuple(kept), view.version)
-
-
-class Word:
-    """The one list as it was last told, for pools that come later."""
-
-    def __init__(self) -> None:
-        self.entries: dict[str, EndpointEntry] = {}
-        self.version = 0
-
-    def view(self, view: View) -> None:
-        if view.kind is ViewKind.FAILED:
-            return
-        self.version = view.version
-        if view.kind is not ViewKind.DELTA:
-            self.entries.clear()
-        for entry in view.entries:
-            if entry.state is GONE:
-                self.entries.pop(entry.endpoint, None)
-            else:
-                self.entries[entry.endpoint] = entry
-
-    def whole(self) -> View:
-        return View(ViewKind.FULL, tuple(self.entries.values()), self.version)
--- a/wheatring/pools/serve.py
+++ b/wheatring/pools/serve.py
@@ -26,10 +26,10 @@
 from wheatring.errors import Told
 from wheatring.http1.parser import Message
 from wheatring.lifecycle.asking import Pace
+from wheatring.lifecycle.byhand import Word
 from wheatring.pool import ServingPool
 from wheatring.pools.errors import BadWeights, UnknownPool, UnknownRoute
 from wheatring.pools.member import Member
-from wheatring.pools.selection import Word
 from wheatring.pools.shares import Places
 from wheatring.pools.tables import route
 from wheatring.pools.way import Routed, Way
