Say once when a sidecar's list is asked for, in service and in the lab

Need: ServingPool and the lab's sidecar without bytes built the list's timetable and freshness by the same lines, those for pushed lists among them.

Change: pool.timetable builds both; behaviour is unchanged.

Ruled out: merging tests/ends/test_pushed.py into the pushed story of test_lists.py: the one plays both grounds and settings without must_ask_in, the other has the tighter times and a move, and no merged story would be shorter and lose none.

--- a/wheatring/lab/direct/sidecar.py
+++ b/wheatring/lab/direct/sidecar.py
@@ -5,7 +5,6 @@
 from collections import deque
 from collections.abc import Callable, Mapping
 from math import inf
-from random import Random
 from typing import TYPE_CHECKING, Any
 
 from lapisway.interface import Settings
@@ -20,9 +19,8 @@
 from wheatring.lab.direct.node import DirectNode
 from wheatring.lab.direct.pool import DirectPool
 from wheatring.lab.timers import PlayedTime
-from wheatring.lifecycle.asking import Asking
-from wheatring.lifecycle.freshness import Freshness
 from wheatring.lifecycle.leaving import Leaving
+from wheatring.pool import timetable
 
 if TYPE_CHECKING:
     from wheatring.lab.direct.way import DirectAsked, DirectWay
@@ -70,12 +68,7 @@
             name, host, nodes, self.clock, self.exchange, links, book, limits.connect_timeout,
             limits.idle_timeout, claims,
         )  # fmt: skip
-        copies, number, now = settings.copies, settings.number, self.clock.now()
-        within = settings.contract.ask_within
-        if not settings.must_ask:  # as in the daemon
-            copies, number, within = 1, 0, 0.0
-        asking = Asking(copies, number, within, Random(f"{seed}:asking"), now)
-        freshness = Freshness(copies, number, Random(f"{seed}:list"), now, asking.told)
+        asking, freshness = timetable(settings, seed, self.clock.now())
         self.machine_list = DirectList(
             self.clock, name, host, discovery, registry, links, self.pool.addresses, self.driver.feed,
             freshness, asking, not settings.must_ask,
--- a/wheatring/pool.py
+++ b/wheatring/pool.py
@@ -23,6 +23,17 @@
 from wheatring.lifecycle.freshness import Freshness
 
 
+def timetable(
+    settings: Settings, seed: int, now: float, pace: Pace = DEFAULT
+) -> tuple[Asking, Freshness]:
+    """When a list is to be asked for, and what is made of its age."""
+    copies, number, within = settings.copies, settings.number, settings.contract.ask_within
+    if not settings.must_ask:  # the lists are pushed to an agent, which this sidecar asks alone
+        copies, number, within = 1, 0, 0.0
+    asking = Asking(copies, number, within, Random(f"{seed}:asking"), now, pace)
+    return asking, Freshness(copies, number, Random(f"{seed}:list"), now, asking.told)
+
+
 class ServingPool:
     """`seed` is the decision module's; the list's timetables draw from seeds that begin with its text. `most`
     is how many connections to nodes it may hold; `room` is what bodies may take, over all pools."""
@@ -42,9 +53,6 @@
         connections: Callable[..., Pool] = Pool,
     ) -> None:
         limits = settings.limits
-        copies, number, within = settings.copies, settings.number, settings.contract.ask_within
-        if not settings.must_ask:  # the lists are pushed to an agent, which this sidecar asks alone
-            copies, number, within = 1, 0, 0.0
         self.reactor = reactor
         self.clock = clock
         self.balancer = Balancer(settings, seed)
@@ -52,9 +60,7 @@
         self.pool = connections(
             reactor, clock, exchange, limits.connect_timeout, limits.idle_timeout, most, room
         )
-        now = clock.now()
-        self.asking = Asking(copies, number, within, Random(f"{seed}:asking"), now, pace)
-        self.freshness = Freshness(copies, number, Random(f"{seed}:list"), now, self.asking.told)
+        self.asking, self.freshness = timetable(settings, seed, clock.now(), pace)
         self.machine_list: MachineList
 
     def list_from(self, discovery: tuple[str, int], on_view: Callable[[View], None]) -> MachineList:
