Force an answer on a new connection before the first byte of its request has left

Need: what an endpoint says on a new connection before it was asked was served until the mend of answers that begin too soon; that was forced on kept connections only.

Change: a test alone: the story of a reset in that instant plays an answer as well. What it held stands unchanged.

Measured: the new row fails with the mend's branch taken out, and passes with it; tests/ends/test_repeats.py passes.

Ruled out: nothing else was found there.

--- a/tests/ends/test_repeats.py
+++ b/tests/ends/test_repeats.py
@@ -234,22 +234,27 @@
     assert world.logged("claim-connection") == ["peer-reset"]
 
 
+@pytest.mark.parametrize(("how", "code"), [("reset", "peer-reset"), ("answer", "bad-answer")])
 @pytest.mark.parametrize("make", ["loopback"], indirect=True)  # where a peer's word is there in the same turn
-def test_a_reset_before_the_first_byte_proves_that_nothing_ran(
-    make: Make, monkeypatch: pytest.MonkeyPatch
+def test_a_reset_or_an_answer_before_the_first_byte_proves_that_nothing_ran(
+    make: Make, monkeypatch: pytest.MonkeyPatch, how: str, code: str
 ) -> None:
     """It is there when the connection is heard to be up, in the turn in which the request is handed to it."""
     world = make(3)
-    up = client._Dial.buildProtocol
+    up, spoken = client._Dial.buildProtocol, []
 
-    def up_and_reset(dial: client._Dial, address: object) -> ClaimConnection:
+    def up_and_spoken_to(dial: client._Dial, address: object) -> ClaimConnection:
         monkeypatch.setattr(client._Dial, "buildProtocol", up)
-        world.nodes[int(dial.place.node[1:])].accept().reset()
+        spoken.append(world.nodes[int(dial.place.node[1:])].accept())
+        if how == "reset":
+            spoken[0].reset()
+        else:
+            spoken[0].answer(200, b"nobody's")
         return up(dial, address)
 
-    monkeypatch.setattr(client._Dial, "buildProtocol", up_and_reset)
+    monkeypatch.setattr(client._Dial, "buildProtocol", up_and_spoken_to)
     caller = world.ask("unsafe")
-    assert world.logged("claim-connection") == ["peer-reset"]
+    assert world.logged("claim-connection") == [code]
     wire = world.first()
     wire.read()
     wire.answer(200, b"once")
