Take no answer for a request's own that began before the request was delivered

Need: a second answer that crosses the next request on its way was served as that one's. That the request has left this process says nothing yet: it may lie in the system's buffer, or be on the wire.

Change: where an answer begins on a connection that was kept, the system is asked whether all that was written has been confirmed (undelivered, SIOCOUTQ). The peer's system confirms with all that it sends what had come before, so an answer to a request that it had whole always finds nothing unconfirmed. Otherwise the attempt is spoilt, as one that may have run. Where a system doesn't tell, as in the lab, nothing changes.

Ruled out: that it settles the row. On one machine delivery takes microseconds, and what comes after it stays untold.

--- a/tests/ends/test_endpoint.py
+++ b/tests/ends/test_endpoint.py
@@ -167,6 +167,24 @@
     assert world.codes("claim-connection") == ["bad-answer" if old[0] == 200 else "not-clean"]
 
 
+@pytest.mark.parametrize("make", ["loopback"], indirect=True)  # where a system tells what was delivered
+def test_an_answer_that_begins_before_its_request_has_been_delivered_is_not_its_own(make: Make) -> None:
+    """All of it has left, and may still come: an unsafe one has failed."""
+    world = make()
+    (node,), caller = world.nodes, world.caller()
+    node.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+    wire = kept(world, caller)
+    world.ask("unsafe", wire=caller, more="Content-Length: 65000\r\n")
+    caller.send(b"x" * 65000)  # this end's system takes it, and the other's has no room
+    wire.held = wire.sock.recv(1)
+    world.settle()
+    (connection,) = world.sidecar.pool.connections
+    assert connection.flushed
+    wire.answer(200, b"first")
+    assert caller.read()[0] == "HTTP/1.1 502 Bad Gateway"
+    assert world.logged("claim-connection") == ["bad-answer"]
+
+
 def test_a_connection_that_has_stood_idle_for_too_long_is_not_used_though_nobody_has_looked(
     make: Make,
 ) -> None:
--- a/wheatring/http1/client.py
+++ b/wheatring/http1/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from functools import partial
 from math import inf
 from typing import Any
@@ -17,6 +18,7 @@
 from wheatring.core.clock import Clock, Timer
 from wheatring.core.exchange import Claim, Exchange
 from wheatring.http1.claim import ClaimConnection, Place
+from wheatring.http1.connection import undelivered
 from wheatring.http1.parser import Request
 
 # Some endpoints answer a request a second time, some milliseconds late. On a connection that carries the next
@@ -103,6 +105,7 @@
         most: int,
         room: Room,
     ) -> None:
+        self.undelivered: Callable[[Any], bool] = getattr(reactor, "undelivered", undelivered)
         self.reactor = reactor
         self.clock = clock
         self.exchange = exchange
--- a/wheatring/http1/connection.py
+++ b/wheatring/http1/connection.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import fcntl
 import select
+import termios
 from typing import Any, Protocol
 
 from twisted.internet import protocol
@@ -50,6 +52,16 @@
     return bool(poller.poll(0))
 
 
+def undelivered(transport: Transport) -> bool:
+    """Whether a part of what was written has not come to the peer's system, which confirms with all that it
+    sends what had come before."""
+    try:
+        left = fcntl.ioctl(transport.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:  # no system that tells it
+        return False
+    return left != bytes(4)
+
+
 class Connection(protocol.Protocol):
     """Leaves exactly one log line when it ends, with a code for the reason."""
 
--- a/wheatring/lab/net/process.py
+++ b/wheatring/lab/net/process.py
@@ -285,6 +285,10 @@
         """As `http1.connection.hung_up` says it."""
         return bool(transport.socket.eof or transport.socket.broken)
 
+    def undelivered(self, transport: Any) -> bool:
+        """As `http1.connection.undelivered` where a system does not tell it."""
+        return False
+
     def resolve(self, name: str, timeout: object = ()) -> Deferred[str]:
         return fail(DNSLookupError(f"{name}: hosts have no names here"))
 
