Choose an idle connection in one walk from the newest

Need: the choice built two lists for each request, and the pool's comment still said that the last one used goes first.

Change: Pool.take_idle walks from the newest to the first that has rested; the choice is the same.

Ruled out: keeping the idle ones by their rest, which the order in which they were kept already is.

--- a/wheatring/http1/client.py
+++ b/wheatring/http1/client.py
@@ -22,7 +22,8 @@
 from wheatring.http1.parser import Request
 
 # Some endpoints answer a request a second time, some milliseconds late. On a connection that carries the next
-# one by then, the old answer would pass for the new one's. Where one was seen, connections rest before reuse.
+# one by then, the old answer would pass for the new one's. So one that has rested goes first, and where a
+# second answer was seen, all others must rest.
 SECOND = 1.0  # seconds after an answer within which a second one is no other noise of an idle connection
 REST = 0.03  # seconds without a word after an answer, before the next request
 WARY = 60.0  # seconds for which they rest after the last second answer
@@ -93,7 +94,8 @@
 
 
 class Pool:
-    """Starts claims, and keeps clean connections for the next ones; the last one used goes out first."""
+    """Starts claims, and keeps clean connections for the next ones; of those that have rested, the last one
+    used goes out first."""
 
     def __init__(
         self,
@@ -151,15 +153,17 @@
             return None
         now = self.clock.now()
         self.retire_stale(place, idle, now)
-        usable = [connection for connection in idle if connection.alive and not connection.code]
-        rested = [connection for connection in usable if connection.idle_since <= now - REST]
-        if rested:
-            chosen = rested[-1]
-        elif usable and now >= self.wary_until:
-            chosen = usable[0]
-        else:
-            return None
-        idle.remove(chosen)
+        chosen = None
+        for connection in reversed(idle):
+            if not connection.alive or connection.code:
+                continue
+            rested = connection.idle_since <= now - REST
+            if rested or now >= self.wary_until:
+                chosen = connection
+            if rested:
+                break
+        if chosen is not None:
+            idle.remove(chosen)
         return chosen
 
     def unasked(self, connection: ClaimConnection) -> None:
