Write nothing into an answer that has begun before its request was whole

Where bodies have no room, a large request is sent on while it comes, and an endpoint may answer it before it is whole. At a stop, `close_between` takes such a connection for one in the middle of a request, and `parted` wrote a 408 into the answer that was on its way: the caller reads it as part of the body, or gets a reset.

A connection is now `busy` with a whole request or with an answer, in one place; `parted` and `close_between` go by that.

--- a/tests/ends/test_stop.py
+++ b/tests/ends/test_stop.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tests.test_bodies import LARGE, body, head, no_room, post
 from tests.world import Loopback, World
 from wheatring import log
 from wheatring.http1 import caller, server
@@ -113,6 +114,28 @@
     assert (fields["connection"], body) == ("close", b"last") and wire.at_end()
 
 
+def test_nothing_is_written_into_an_answer_that_has_begun_before_its_request_was_whole(make: Make) -> None:
+    """Not by the stop either, which has no patience with a request that is not whole by then."""
+    world = make()
+    no_room(world)
+    wire = post(world, len(LARGE))
+    wire.send(LARGE[:150000])
+    node = world.nodes[0].accept()
+    head(node)
+    node.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LARGE) + LARGE[:100000])
+    head(wire)
+    connection = the(world)
+    world.run(lambda: setattr(connection, "since", -1e9))
+    world.run(lambda: world.sidecar.server.close_between(late=True))
+    passed: list[bool] = []
+    later = world.reactor.callLater
+    world.run(lambda: later(0, later, 0, later, 0, passed.append, True))  # it takes two turns
+    while not world.run(lambda: passed):
+        world.settle()
+    node.send(LARGE[100000:])
+    assert body(wire, len(LARGE)) == LARGE and wire.at_end()
+
+
 @pytest.mark.parametrize("why", ["full", "idle", "silent"])
 def test_a_request_that_has_come_by_its_eviction_is_read_first(
     make: Make, monkeypatch: pytest.MonkeyPatch, why: str
--- a/wheatring/http1/caller.py
+++ b/wheatring/http1/caller.py
@@ -146,6 +146,12 @@
         answered first: with the sending side shut, it would be lost."""
         return self.server.parting and not self.reader.started
 
+    @property
+    def busy(self) -> bool:
+        """A whole request is under way here, or an answer: also one that has begun before its request was
+        whole. Nothing else may be written into that."""
+        return self.job is not None and (self.upload is None or self.sender is not None)
+
     def expect(self, message: Message) -> None:
         if message.fields.pop(b"expect", b"").lower() == b"100-continue":
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -230,16 +230,14 @@
                 self.part(connection, "stopping")
 
     def part(self, connection: CallerConnection, code: str) -> None:
-        """End a connection that has no whole request under way, unless one has come by now: what the system
-        holds of it is read first. Between two turns of the reactor it looks at all sockets; before the first
-        one it may not."""
+        """End a connection that is not busy, unless it is by now: what the system holds of it is read first.
+        Between two turns of the reactor it looks at all sockets; before the first one it may not."""
         told = connection, code, connection.since, connection.reader.started
         self.reactor.callLater(0, self.reactor.callLater, 0, self.parted, *told)
 
     def parted(self, connection: CallerConnection, code: str, since: float, started: bool) -> None:
         still = connection.since == since and connection.reader.started == started
-        whole = connection.job is not None and connection.upload is None
-        if still and not whole and not connection.code:
+        if still and not connection.busy and not connection.code:
             connection.give_up(code)
 
     def shut(self) -> None:
@@ -260,7 +258,7 @@
             if connection.code:
                 if now > connection.since + (BRIEF if late else FLUSH):
                     connection.let_go()
-            elif connection.job is not None and (patient or connection.upload is None):
+            elif connection.busy or (patient and connection.job is not None):
                 continue
             elif not connection.waiting or now > connection.since + (
                 HALF if connection.reader.started else FRESH
