Say in one place, as an answer is written, whether it is the last on its connection

Whether an answer is the last was said as its request was read and once more as it was written. With the stop told before that request, the first word stood: the next one, read while the answer was still under way, was thrown away at the close. Behind a request that had come before the stop it was answered.

`CallerConnection.is_last` alone says it now, asked as the answer is written. An upload that is not whole, too much sent ahead, the caller's own wish and the stop meet there; `CallerConnection.parting` is gone. A request without body costs one call less as it is read.

The test of what is sent ahead at a stop has a second case, told before both; it failed without the change (end of the connection where the second request was due). Its first case now waits until the second request has been read, where it went by luck before.

--- a/tests/ends/test_stop.py
+++ b/tests/ends/test_stop.py
@@ -51,12 +51,22 @@
         world.caller()
 
 
-def test_what_was_sent_ahead_before_it_is_told_to_stop_is_answered(make: Make) -> None:
+@pytest.mark.parametrize("told", ["behind both", "before both"])
+def test_what_was_sent_ahead_at_a_stop_is_answered(make: Make, told: str) -> None:
+    """Also where the answer before would have been the last one as its request was read."""
     world = make()
-    wire = world.ask(wire=world.ask())
+    wire = world.caller()
+    connection = the(world)
+    if told == "before both":
+        leave(world)
+    world.ask(wire=wire)
     node = world.nodes[0].accept()
     node.read()
-    leave(world)
+    world.ask(wire=wire)
+    while not world.run(lambda: connection.reader.buffer):
+        world.settle()
+    if told == "behind both":
+        leave(world)
     node.answer(200, b"first")
     assert wire.read()[2] == b"first"
     node.read()
--- a/wheatring/http1/caller.py
+++ b/wheatring/http1/caller.py
@@ -128,7 +128,7 @@
                 if message is None:
                     break
                 self.waiting = False
-                self.keep_alive = message.keep_alive and not self.parting
+                self.keep_alive = message.keep_alive
                 self.old = message.old
                 self.handle(message)
         except BadMessage as bad:
@@ -140,11 +140,13 @@
         if self.waiting and self.reader.message is not None:
             self.expect(self.reader.message)
 
-    @property
-    def parting(self) -> bool:
-        """The present answer is the last on its connection. What has been read of the next request is
-        answered first: with the sending side shut, it would be lost."""
-        return self.server.parting and not self.reader.started
+    def is_last(self) -> bool:
+        """The present answer is the last on its connection, which it says: to be asked as it is written. What
+        is still to come of its request would be taken for the next one; what has been read of the next one is
+        answered first, or it would be lost with the sending side shut."""
+        if self.upload is not None or (self.server.parting and not self.reader.started):
+            self.keep_alive = False
+        return not self.keep_alive
 
     @property
     def busy(self) -> bool:
@@ -162,14 +164,14 @@
                 if message.first[0] != b"GET":
                     raise Refused(405, "method", b"Allow: GET\r\n")
                 status, word = (503, b"away\n") if self.server.away else (200, b"ok\n")
-                self.say(response(status, word, close=not self.keep_alive))
+                self.say(response(status, word, close=self.is_last()))
                 return
             job = self.server.job_from(message)
         except Refused as refused:
             if refused.status == 400 or message.open:
                 self.reject(refused.status, str(refused), refused.more, refused.body)
             else:
-                self.say(response(refused.status, refused.body, refused.more, close=not self.keep_alive))
+                self.say(response(refused.status, refused.body, refused.more, close=self.is_last()))
             return
         except Exception as bug:  # a request that trips us up is answered all the same
             log.line("request-broken", why=repr(bug))
@@ -234,10 +236,8 @@
     def answer(self, answer: Answer, job: Job) -> None:
         self.forget_request(job)
         if self.upload is not None:
-            self.keep_alive = False  # what is still to come of the request would be taken for the next one
             self.resume()
-        close = not self.keep_alive or self.parting
-        self.keep_alive = not close
+        close = self.is_last()
         message = answer.content
         if answer.final is SERVED and isinstance(message, Message) and message.flow is not None:
             self.stream(message, message.flow, b"X-Drill: 1\r\n" if job.drill else b"")
