Count the time of a request that was sent ahead from when it came, not from its turn

A caller that sends several requests at once has its time running for all of them. The second one's began with its turn, when the answer before was out: its attempts told the endpoint up to the whole time of the first one too much, and its answer could come that much after its time.

`Arrivals` keeps the instants of what waits behind a request that is being answered; a deadline is reckoned from the instant of the last byte. One whose time is up by its turn is answered then and sent nowhere. A request that waits for nothing has the instant of its read, which was asked anyway.

A property holds `Arrivals` to a list of one instant for each byte.

--- a/tests/ends/test_caller.py
+++ b/tests/ends/test_caller.py
@@ -5,6 +5,7 @@
 import resource
 import signal
 import socket
+from collections import deque
 from collections.abc import Callable
 from pathlib import Path
 from threading import Event
@@ -12,6 +13,8 @@
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from lapisway import policy
 from tests.test_process import begin
@@ -19,6 +22,7 @@
 from tests.virtual import Virtual
 from tests.world import FAR, Loopback, Peer, Wire, World, entry, list_body
 from wheatring.http1 import caller
+from wheatring.http1.arrivals import Arrivals
 
 Make = Callable[..., World]
 LARGE = b"x" * 60000
@@ -158,6 +162,67 @@
     assert (fields["connection"], body) == ("close", b"here") and wire.at_end()
 
 
+@pytest.mark.parametrize("others", [1, 3])
+def test_the_time_of_what_is_sent_ahead_runs_from_when_it_came(make: Make, others: int) -> None:
+    """And not from its turn, which comes when the answers before it are out."""
+    world = make()
+    wire = world.ask()
+    node = world.nodes[0].accept()
+    node.read()
+    (connection,) = world.run(lambda: list(world.sidecar.server.connections))
+    for n in range(others):
+        world.ask(wire=wire, left=4000)
+        while world.run(lambda: len(connection.arrivals.pieces)) <= n:  # each has an instant of its own
+            world.settle()
+    came = world.run(world.sidecar.clock.now)
+    passed: list[bool] = []
+    world.run(lambda: world.reactor.callLater(0.5, passed.append, True))
+    until(world, lambda: passed)
+    for _ in range(others):
+        node.answer(200, b"before")
+        wire.read()
+        _, fields, _ = node.read()
+        assert int(fields["x-time-left-ms"]) <= 3500
+    (job,) = world.run(lambda: list(world.sidecar.exchange.idents.values()))
+    assert job.deadline <= came + 4.0
+    node.answer(200, b"last")
+    wire.read()
+    world.ask(wire=wire, left=4000)  # this one has its turn as it comes
+    node.read()
+    (job,) = world.run(lambda: list(world.sidecar.exchange.idents.values()))
+    assert job.deadline > came + 4.5
+
+
+def test_one_whose_time_is_up_when_its_turn_comes_is_answered_at_once_and_sent_nowhere(make: Make) -> None:
+    world = make()
+    wire = world.ask()
+    node = world.nodes[0].accept()
+    node.read()
+    (connection,) = world.run(lambda: list(world.sidecar.server.connections))
+    world.ask(wire=wire, left=300)
+    until(world, lambda: connection.arrivals.size)
+    now = world.run(world.sidecar.clock.now)
+    until(world, lambda: world.sidecar.clock.now() > now + 0.3)
+    node.answer(200, b"first")
+    assert wire.read()[2] == b"first"
+    assert wire.read()[0].split()[1] in ("502", "503")
+    assert world.run(lambda: len(world.sidecar.pool.connections)) == 1
+
+
+@given(st.lists(st.tuples(st.integers(0, 5), st.booleans()), max_size=40))
+def test_what_waits_is_told_by_the_instant_of_its_last_byte(steps: list[tuple[int, bool]]) -> None:
+    """Against a list of one instant for each byte."""
+    arrivals, plain = Arrivals(), deque[float]()
+    for now, (size, reads) in enumerate(steps):
+        if reads:
+            taken = [plain.popleft() for _ in range(min(size, len(plain)))]
+            assert arrivals.left(len(plain), -1.0) == (taken[-1] if taken else -1.0)
+        else:
+            plain.extend([float(now)] * size)
+            arrivals.held(len(plain), float(now))
+        assert arrivals.size == len(plain)
+
+
 def test_a_fault_in_a_callback_of_an_end_leaves_no_job_behind(make: Make) -> None:
     world = make()
     wire = world.ask()
--- a/wheatring/http1/caller.py
+++ b/wheatring/http1/caller.py
@@ -25,6 +25,7 @@
 from wheatring.core.exchange import Answer, Final, Job
 from wheatring.core.refused import Refused
 from wheatring.http1.answers import response
+from wheatring.http1.arrivals import Arrivals
 from wheatring.http1.connection import Connection
 from wheatring.http1.parser import HOLD, MAX_BODY, MAX_HEAD, BadMessage, Message, Request
 from wheatring.http1.sending import Sender
@@ -66,6 +67,7 @@
         self.hearing = False  # the next look is due
         self.drained = 0  # bytes thrown away
         self.most_drained = DRAIN
+        self.arrivals = Arrivals()  # of what waits behind the present request
         self.upload: Body | None = None  # of the present request, while it comes
         self.sender: Sender | None = None  # of the present answer, while it goes
         self.old = False  # the present request is HTTP/1.0
@@ -82,7 +84,7 @@
         if self.code or self.flooded:
             self.throw_away(len(data))
             return
-        self.heard = self.server.clock.now()
+        self.heard = now = self.server.clock.now()
         self.reader.feed(data)
         if self.upload is not None and self.job is not None:
             self.receive(self.upload, self.job)
@@ -92,6 +94,8 @@
             # A caller that sends ahead without end must not fill the memory, but its own end must be heard.
             self.flooded, self.keep_alive = True, False
             self.reader.buffer.clear()
+        if self.reader.buffer and self.upload is None and self.job is not None:
+            self.arrivals.held(len(self.reader.buffer), now)
 
     def throw_away(self, size: int) -> None:
         self.drained += size
@@ -126,6 +130,7 @@
             while self.alive and self.job is None and not self.code:
                 message = self.reader.next()
                 if message is None:
+                    self.arrivals.clear()
                     break
                 self.waiting = False
                 self.keep_alive = message.keep_alive
@@ -158,6 +163,12 @@
         if message.fields.pop(b"expect", b"").lower() == b"100-continue":
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def came(self) -> float:
+        """When the last byte came of the request that has just been read."""
+        if self.arrivals.size:
+            return self.arrivals.left(len(self.reader.buffer), self.heard)
+        return self.heard
+
     def handle(self, message: Message) -> None:
         try:
             if message.first[1].partition(b"?")[0] == b"/healthz" and not message.open:
@@ -166,7 +177,7 @@
                 status, word = (503, b"away\n") if self.server.away else (200, b"ok\n")
                 self.say(response(status, word, close=self.is_last()))
                 return
-            job = self.server.job_from(message)
+            job = self.server.job_from(message, self.came())
         except Refused as refused:
             if refused.status == 400 or message.open:
                 self.reject(refused.status, str(refused), refused.more, refused.body)
@@ -213,7 +224,9 @@
         if whole:
             self.upload, self.waiting = None, False
             upload.on_room = nothing
-            job.deadline = self.server.clock.now() + job.allowed
+            job.deadline = self.came() + job.allowed
+        else:
+            self.arrivals.clear()
         upload.put(data, whole)
         if not job.taken and (whole or upload.crowded):
             self.submit(job)
--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -150,8 +150,8 @@
         for connection in list(self.connections):
             connection.look(now, idle)
 
-    def job_from(self, message: Message) -> Job:
-        """The job that a request asks for; Refused says what is wrong with it."""
+    def job_from(self, message: Message, came: float) -> Job:
+        """The job that a request asks for, whose last byte came then; Refused says what is wrong with it."""
         if self.cut_short:
             raise Refused(503, "stopping")
         fields = message.fields
@@ -194,7 +194,7 @@
         return make(
             ident=ident.decode("latin-1"),
             class_name=name.decode("latin-1"),
-            deadline=inf if message.open else self.clock.now() + seconds,
+            deadline=inf if message.open else came + seconds,
             content=self.content(message, head),
             repeat=fields.get(b"x-repeat") == b"1",
             allowed=seconds,
