See the end of a caller that has sent too much before all of that has been read

What a caller sends ahead beyond 80 kB is thrown away, 1 MiB at a time with 50 ms between, so that its end is heard.

At each rest it is now asked whether the caller has hung up, as for a paused upload; and the rest is 15 ms, so that the 4 MB that may still wait at the caller's end are read in time. To read on without a rest was ruled out: many such callers would take the whole core.

The new test failed without the change on both grounds: the program went on to read.

--- a/tests/ends/test_caller.py
+++ b/tests/ends/test_caller.py
@@ -162,6 +162,30 @@
     assert (fields["connection"], body) == ("close", b"here") and wire.at_end()
 
 
+def test_the_end_of_a_caller_that_has_sent_too_much_is_seen_behind_what_is_unread(
+    make: Make, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Not once all of that has been read, a part at a time."""
+    monkeypatch.setattr(caller, "DRAIN", 5)
+    monkeypatch.setattr(caller, "REST", 1e9)
+    world = make()
+    wire = world.ask()
+    node = world.nodes[0].accept()
+    node.read()
+    (connection,) = world.run(lambda: list(world.sidecar.server.connections))
+    wire.send(b"x" * 100_000)
+    until(world, lambda: connection.flooded)
+    wire.send(b"x" * 10)
+    until(world, lambda: connection.paused)
+    wire.send(b"x" * 10)
+    wire.close()
+    world.settle()
+    world.run(lambda: setattr(connection, "resume", None))  # to read on fails
+    world.run(connection.rested)
+    assert world.logged("caller-connection") == ["peer-closed"]
+    assert world.run(lambda: world.sidecar.exchange.open) == 0
+
+
 @pytest.mark.parametrize("others", [1, 3])
 def test_the_time_of_what_is_sent_ahead_runs_from_when_it_came(make: Make, others: int) -> None:
     """And not from its turn, which comes when the answers before it are out."""
--- a/wheatring/http1/caller.py
+++ b/wheatring/http1/caller.py
@@ -47,7 +47,9 @@
 LINGER = 2.0  # seconds in which a caller may read the last answer
 DRAIN = 1024 * 1024  # bytes that are read meanwhile and thrown away; more would only cost time
 HEAR = 0.05  # seconds between looks whether the caller of an upload that is paused has gone
-REST = 0.05  # seconds without reading after so much from a caller that has sent too much ahead
+# Seconds without reading after so much from a caller that has sent too much ahead. An end shows behind what
+# the system has got, but not behind what has no room there (4 MB at most): that has to be read in 0.1 s.
+REST = 0.015
 
 
 @implementer(IHalfCloseableProtocol)
@@ -106,7 +108,11 @@
                 self.server.reactor.callLater(REST, self.rested)
 
     def rested(self) -> None:
-        if not self.code:
+        if self.code or not self.alive:
+            return
+        if self.server.hung_up(self.transport):  # what is still unread would only hold up the word of its end
+            self.readConnectionLost()
+        else:
             self.resume()
 
     def pause(self) -> None:
