Tell no caller of HTTP/1.0 to go on: it would take the word for its answer

`Expect: 100-continue` in an HTTP/1.0 request was answered with an informational `100 Continue`, which that version does not have (RFC 9110, 10.1.1: such an expectation is ignored): its caller reads it as the final answer, and the answer itself as its body. `expect` now asks for the version.

The new test holds both versions, with a small and a large body, on the turn of a request that was sent ahead; its HTTP/1.0 cases failed without the change on both grounds.

--- a/tests/ends/test_caller.py
+++ b/tests/ends/test_caller.py
@@ -247,6 +247,31 @@
         assert arrivals.size == len(plain)
 
 
+@pytest.mark.parametrize("size", [3, 100_000])
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_a_caller_is_told_to_go_on_on_its_turn_where_it_knows_the_word(
+    make: Make, version: str, size: int
+) -> None:
+    """HTTP/1.0 has no informational answers: its caller would take one for the final one."""
+    world = make()
+    wire = world.ask()
+    node = world.nodes[0].accept()
+    node.read()
+    fields = "X-Correlation-Id: e\r\nExpect: 100-continue\r\n"
+    wire.send(f"POST /order HTTP/{version}\r\n{fields}Content-Length: {size}\r\n\r\n".encode())
+    (connection,) = world.run(lambda: list(world.sidecar.server.connections))
+    until(world, lambda: connection.reader.buffer)
+    node.answer(200, b"before")
+    assert wire.read()[2] == b"before"
+    until(world, lambda: connection.waiting)
+    if version == "1.1":
+        assert wire.read()[0] == "HTTP/1.1 100 Continue"
+    wire.send(b"x" * size)
+    assert node.read()[2] == b"x" * size
+    node.answer(200, b"here")
+    assert wire.read()[2] == b"here"
+
+
 def test_a_fault_in_a_callback_of_an_end_leaves_no_job_behind(make: Make) -> None:
     world = make()
     wire = world.ask()
--- a/wheatring/http1/caller.py
+++ b/wheatring/http1/caller.py
@@ -166,7 +166,7 @@
         return self.job is not None and (self.upload is None or self.sender is not None)
 
     def expect(self, message: Message) -> None:
-        if message.fields.pop(b"expect", b"").lower() == b"100-continue":
+        if message.fields.pop(b"expect", b"").lower() == b"100-continue" and not message.old:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def came(self) -> float:
