Bound what is held of answers that nobody reads, and leave their caller time to read them

A caller that asked on and on and read nothing had all its answers held: 3.7 MB after it had sent 10 MB of `/healthz` in 2 s (a trial over loopback), and as much more for as long as it went on. And any connection whose last answer had not all left this process was reset 2 s after that answer was written, which destroyed the rest of it for a slow reader.

What is written while the system takes no more is counted (`behind`); beyond 1 MiB the present answer is the last on its connection, by `is_last`. The 2 s to read a last answer run from when all of it has left; until then its connection stands as long as an idle one may (20 s, 2 s where half of the places are taken), and is still the first to go where a caller waits for its place. The times at a stop are as they were.

The new test failed on both grounds without the bound (the connection was never ended) and without the time (a reset in the middle of an answer).

--- a/tests/ends/test_caller.py
+++ b/tests/ends/test_caller.py
@@ -96,6 +96,30 @@
     assert world.logged("caller-connection") == ["caller-asked"]  # and it is let go in its time
 
 
+def test_one_that_asks_on_and_reads_nothing_is_given_a_last_answer_and_time_to_read(
+    make: Make, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its answers must not fill the memory; those that it has are whole, once it reads."""
+    monkeypatch.setattr(caller, "BEHIND", 10_000)
+    world = make()
+    wire = narrow(world)
+    until(world, lambda: world.sidecar.server.connections)
+    (connection,) = world.run(lambda: list(world.sidecar.server.connections))
+    transport: Any = connection.transport
+    world.run(lambda: transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096))
+    for _ in range(100):
+        if not world.run(lambda: connection.code):
+            wire.send(b"GET /healthz HTTP/1.1\r\n\r\n" * 200)
+            world.settle()
+    assert world.run(lambda: connection.code) and not connection.shut
+    world.run(lambda: connection.look(connection.since + 2 * caller.LINGER, 20.0))
+    answers = [wire.read()]
+    while "connection" not in answers[-1][1]:
+        answers.append(wire.read())
+    assert wire.at_end() and len(answers) < 3000
+    assert {(first, body) for first, _, body in answers} == {("HTTP/1.1 200 OK", b"ok\n")}
+
+
 def test_those_that_are_only_heard_out_take_no_place_from_a_caller(make: Make) -> None:
     world = make()
     most = world.sidecar.server.most
--- a/wheatring/http1/caller.py
+++ b/wheatring/http1/caller.py
@@ -44,7 +44,8 @@
 SLOWEST = 32 * 1024
 UNREAD = 180.0  # seconds in which a caller is to read a buffer of a large answer: 1 kB/s is fast enough
 STUCK = 10.0  # and a node one of a large request
-LINGER = 2.0  # seconds in which a caller may read the last answer
+BEHIND = 1024 * 1024  # bytes of answers that wait behind one which the system takes no more of
+LINGER = 2.0  # seconds in which a caller may read the last answer, once all of it has left this process
 DRAIN = 1024 * 1024  # bytes that are read meanwhile and thrown away; more would only cost time
 HEAR = 0.05  # seconds between looks whether the caller of an upload that is paused has gone
 # Seconds without reading after so much from a caller that has sent too much ahead. An end shows behind what
@@ -67,6 +68,7 @@
         self.paused = False
         self.flooded = False  # too much was sent ahead: the present answer is the last
         self.hearing = False  # the next look is due
+        self.behind = 0  # bytes written while the system took no more
         self.drained = 0  # bytes thrown away
         self.most_drained = DRAIN
         self.arrivals = Arrivals()  # of what waits behind the present request
@@ -74,7 +76,8 @@
         self.sender: Sender | None = None  # of the present answer, while it goes
         self.old = False  # the present request is HTTP/1.0
         self.sent = 0  # bytes of it by the last look
-        self.heard = 0.0  # the last byte from the caller, or the last look at which it had taken some
+        # The last byte from the caller, or the last look at which it had taken some; or when all had left.
+        self.heard = 0.0
         self.since = server.clock.now()  # of the present state: between requests, or in the middle of one
         self.waiting = True  # a request is awaited and not whole; the first one from the connect on
 
@@ -154,8 +157,10 @@
     def is_last(self) -> bool:
         """The present answer is the last on its connection, which it says: to be asked as it is written. What
         is still to come of its request would be taken for the next one; what has been read of the next one is
-        answered first, or it would be lost with the sending side shut."""
-        if self.upload is not None or (self.server.parting and not self.reader.started):
+        answered first, or it would be lost with the sending side shut. And one that asks on and reads nothing
+        must not fill the memory."""
+        leaving = self.server.parting and not self.reader.started
+        if leaving or self.upload is not None or self.behind > BEHIND:
             self.keep_alive = False
         return not self.keep_alive
 
@@ -338,6 +343,7 @@
         if not self.alive:
             return
         self.since = self.server.clock.now()
+        self.behind = self.behind + len(data) if self.transport.dataBuffer else 0
         self.transport.write(data)
         if self.upload is not None:
             self.linger("answered-early")
@@ -371,7 +377,7 @@
 
     def writeConnectionLost(self) -> None:
         """The sending side is shut."""
-        self.shut = True
+        self.shut, self.heard = True, self.server.clock.now()
         self.resume()
 
     def readConnectionLost(self) -> None:
@@ -396,7 +402,8 @@
     def look(self, now: float, idle: float) -> None:
         """Close what is kept for nothing."""
         if self.code:
-            if now > self.since + LINGER:
+            # What has not left yet is owed for as long as an idle connection would stand.
+            if now > (self.heard + LINGER if self.shut else self.since + max(LINGER, idle)):
                 self.let_go()
         elif self.sender is not None:
             if (sent := self.sender.body.read) > self.sent:
