Count how often a sender is asked for more, where a flag was set in three places

`Sender.begun` was set before its transport was told of it, by the first ask that comes from within that, and back again behind it. Whether anything has left is now told by the number of asks: the first one comes as the sender is registered, the second once all that was written has left. Behaviour is unchanged; the tests of uploads, repeats and endpoints are as they were and pass.

--- a/wheatring/http1/sending.py
+++ b/wheatring/http1/sending.py
@@ -31,13 +31,17 @@
         self.on_last = on_last
         self.starved = False
         self.ended = False  # the last byte has been handed over
-        self.begun = False  # the first piece has left
+        self.asked = 0  # times that the transport has asked for more: once for the first piece
         body.on_more = self.more
         transport.registerProducer(self, False)
-        self.begun = False
+
+    @property
+    def begun(self) -> bool:
+        """All that had been written has left, at least once."""
+        return self.asked > 1
 
     def resumeProducing(self) -> None:
-        self.begun = True
+        self.asked += 1
         self.go_on()
 
     def go_on(self) -> None:
