Tell the state of a caller's connection in one place, by which all go that may end one

Whether a connection could be ended was read off its flags (`code`, `shut`, `job`, `upload`, `sender`, `waiting`) in five places, each in another order: `look`, `standing`, `clear`, `parted` and `close_between`. The 408 in the middle of an answer came of one that asked for the upload before the sender.

`state_of` in `states.py` names the seven states, with what is owed in each, and knows no sockets; the five go by it. The flags are still kept by the events that set them: a stored state for every event was left out, as it touches each request's path.

Behaviour is unchanged, but that a connection which is just being aborted is taken for one that ends. A story walks one connection through its states.

--- a/tests/ends/test_caller.py
+++ b/tests/ends/test_caller.py
@@ -22,7 +22,7 @@
 from tests.virtual import Virtual
 from tests.world import FAR, Loopback, Peer, Wire, World, entry, list_body
 from wheatring.http1 import caller
-from wheatring.http1.arrivals import Arrivals
+from wheatring.http1.states import Arrivals, State
 
 Make = Callable[..., World]
 LARGE = b"x" * 60000
@@ -133,6 +133,45 @@
     assert world.run(lambda: len(world.sidecar.server.connections)) <= most
 
 
+def test_a_connection_is_in_one_state_after_the_other(make: Make) -> None:
+    """And is ended between requests and in the middle of one, but not in the middle of an answer."""
+    world = make()
+    wire = world.caller()
+    until(world, lambda: world.sidecar.server.connections)
+    (connection,) = world.run(lambda: list(world.sidecar.server.connections))
+
+    def comes_to(state: State) -> None:
+        until(world, lambda: connection.state is state)
+
+    request = b"GET /menu HTTP/1.1\r\nX-Correlation-Id: a\r\n\r\n"
+    comes_to(State.READING)
+    wire.send(b"GET /healthz HTTP/1.1\r\n\r\n")
+    comes_to(State.RESTING)
+    assert wire.read()[0] == "HTTP/1.1 200 OK"
+    wire.send(request[:20])
+    comes_to(State.READING)
+    wire.send(request[20:])
+    comes_to(State.BUSY)
+    node = world.nodes[0].accept()
+    node.read()
+    node.send(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + b"x" * 100_000)
+    comes_to(State.STREAMING)
+    world.run(lambda: world.sidecar.server.close_between(late=True))
+    node.send(b"x" * 100_000)
+    assert wire.read()[2] == b"x" * 200_000
+    comes_to(State.RESTING)
+    wire.send(b"POST /order HTTP/1.1\r\nX-Correlation-Id: b\r\nContent-Length: 200000\r\n\r\n")
+    wire.send(b"x" * 100_000)
+    comes_to(State.UPLOADING)
+    wire.send(b"x" * 100_000)
+    comes_to(State.BUSY)
+    node.read()
+    world.sidecar.server.stopping = True
+    node.answer(200, b"last")
+    assert wire.read()[2] == b"last" and wire.at_end()
+    comes_to(State.SHUT)
+
+
 def test_no_small_write_is_held_back_on_any_connection(make: Make) -> None:
     world = make()
     watch = world.discovery.accept()
--- a/wheatring/http1/caller.py
+++ b/wheatring/http1/caller.py
@@ -25,10 +25,10 @@
 from wheatring.core.exchange import Answer, Final, Job
 from wheatring.core.refused import Refused
 from wheatring.http1.answers import response
-from wheatring.http1.arrivals import Arrivals
 from wheatring.http1.connection import Connection
 from wheatring.http1.parser import HOLD, MAX_BODY, MAX_HEAD, BadMessage, Message, Request
 from wheatring.http1.sending import Sender
+from wheatring.http1.states import Arrivals, State, state_of
 
 if TYPE_CHECKING:
     from wheatring.http1.server import Server
@@ -165,10 +165,15 @@
         return not self.keep_alive
 
     @property
-    def busy(self) -> bool:
-        """A whole request is under way here, or an answer: also one that has begun before its request was
-        whole. Nothing else may be written into that."""
-        return self.job is not None and (self.upload is None or self.sender is not None)
+    def state(self) -> State:
+        return state_of(
+            ending=bool(self.code),
+            shut=self.shut,
+            job=self.job is not None,
+            upload=self.upload is not None,
+            sender=self.sender is not None,
+            waiting=self.waiting,
+        )
 
     def expect(self, message: Message) -> None:
         if message.fields.pop(b"expect", b"").lower() == b"100-continue" and not message.old:
@@ -401,23 +406,30 @@
 
     def look(self, now: float, idle: float) -> None:
         """Close what is kept for nothing."""
-        if self.code:
-            # What has not left yet is owed for as long as an idle connection would stand.
-            if now > (self.heard + LINGER if self.shut else self.since + max(LINGER, idle)):
-                self.let_go()
-        elif self.sender is not None:
-            if (sent := self.sender.body.read) > self.sent:
-                self.sent, self.heard = sent, now
-            elif now > self.heard + UNREAD:
-                self.abort("unread")
-        elif self.upload is not None and self.paused:
-            if now > self.heard + STUCK:
-                self.reject(503, "no node takes it")
-        elif self.waiting and not self.paused:
-            if self.too_slow(now):
-                self.server.part(self, "silent")
-        elif self.job is None and now > self.since + idle:
-            self.server.part(self, "idle")
+        match self.state:
+            case State.RESTING:
+                if now > self.since + idle:
+                    self.server.part(self, "idle")
+            case State.READING:
+                if self.too_slow(now):
+                    self.server.part(self, "silent")
+            case State.UPLOADING:
+                if not self.paused and self.too_slow(now):
+                    self.server.part(self, "silent")
+                elif self.paused and now > self.heard + STUCK:
+                    self.reject(503, "no node takes it")
+            case State.STREAMING:
+                assert self.sender is not None
+                if (sent := self.sender.body.read) > self.sent:
+                    self.sent, self.heard = sent, now
+                elif now > self.heard + UNREAD:
+                    self.abort("unread")
+            case State.CLOSING:  # what has not left yet is owed for as long as an idle connection would stand
+                if now > self.since + max(LINGER, idle):
+                    self.let_go()
+            case State.SHUT:
+                if now > self.heard + LINGER:
+                    self.let_go()
 
     def too_slow(self, now: float) -> bool:
         """Whether what is awaited of a request takes too long."""
--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -19,6 +19,7 @@
 from wheatring.http1.connection import hung_up
 from wheatring.http1.door import open_door, open_shared_door
 from wheatring.http1.parser import Message, Request
+from wheatring.http1.states import State
 
 if TYPE_CHECKING:
 
@@ -37,6 +38,9 @@
 
 SAFE = Effect.SAFE  # looked up once: an enum takes its time
 
+JOBLESS = frozenset((State.RESTING, State.READING, State.CLOSING, State.SHUT))
+UNANSWERED = frozenset((State.RESTING, State.READING, State.UPLOADING))  # nothing is written for this request
+
 SWEEP = 0.25  # seconds between looks for callers that keep a connection for nothing
 IDLE = 20.0  # seconds after which a connection between requests is closed
 IDLE_CROWDED = 2.0  # the same once half of the places are taken: a caller may rely on no more
@@ -137,7 +141,7 @@
         if not self.full:
             return
         now = self.clock.now()
-        standing = [c for c in self.connections if c.job is None and now > c.since + STAND]
+        standing = [c for c in self.connections if c.state in JOBLESS and now > c.since + STAND]
         standing.sort(key=lambda c: (not c.code, c.since))  # those that are only heard out go first
         for connection in standing[: max(1, self.most // 8)]:
             connection.make_room()
@@ -216,7 +220,7 @@
 
     def standing(self) -> list[CallerConnection]:
         """The connections between requests, that which has stood longest first."""
-        found = [c for c in self.connections if c.job is None and not c.waiting and not c.code]
+        found = [c for c in self.connections if c.state is State.RESTING]
         found.sort(key=lambda c: c.since)
         return found
 
@@ -230,14 +234,14 @@
                 self.part(connection, "stopping")
 
     def part(self, connection: CallerConnection, code: str) -> None:
-        """End a connection that is not busy, unless it is by now: what the system holds of it is read first.
+        """End a connection that may be ended, if that is so by then: what the system holds is read first.
         Between two turns of the reactor it looks at all sockets; before the first one it may not."""
         told = connection, code, connection.since, connection.reader.started
         self.reactor.callLater(0, self.reactor.callLater, 0, self.parted, *told)
 
     def parted(self, connection: CallerConnection, code: str, since: float, started: bool) -> None:
         still = connection.since == since and connection.reader.started == started
-        if still and not connection.busy and not connection.code:
+        if still and connection.state in UNANSWERED:
             connection.give_up(code)
 
     def shut(self) -> None:
@@ -255,12 +259,14 @@
         take too long to send one, unless `patient` with them, or to read its answer."""
         now = self.clock.now()
         for connection in list(self.connections):
-            if connection.code:
-                if now > connection.since + (BRIEF if late else FLUSH):
-                    connection.let_go()
-            elif connection.busy or (patient and connection.job is not None):
-                continue
-            elif not connection.waiting or now > connection.since + (
-                HALF if connection.reader.started else FRESH
-            ):
-                self.part(connection, "stopping")
+            match connection.state:
+                case State.CLOSING | State.SHUT:
+                    if now > connection.since + (BRIEF if late else FLUSH):
+                        connection.let_go()
+                case State.RESTING:
+                    self.part(connection, "stopping")
+                case State.READING | State.UPLOADING as state:
+                    if patient and state is State.UPLOADING:
+                        continue
+                    if now > connection.since + (HALF if connection.reader.started else FRESH):
+                        self.part(connection, "stopping")
