Write no request into the rest of one that was answered before it had left

A large answer may begin before its request has all left. Its job is over then and the request's body cancelled, which drops what it still holds. `Sender.go_on` took a body that was whole and gave nothing more for one that had left: `flush` called the connection clean, it was kept at the answer's end, and the next request was written where the endpoint still waited for the rest of this one. Both are lost then, or the second read as the first's body.

It now asks for `all_taken`. Such a connection is not flushed, so it ends with its answer as not clean. Ending it as the body is cancelled was ruled out: the rest of the answer is owed.

--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -9,6 +9,7 @@
 import sys
 import threading
 from collections.abc import Callable
+from functools import partial
 from itertools import pairwise
 from pathlib import Path
 from typing import Any
@@ -343,6 +344,29 @@
     assert ends == []
 
 
+def test_a_sender_whose_body_is_cancelled_has_not_sent_it() -> None:
+    """Its connection would be taken for clean, and the next request be read as the rest of this one."""
+
+    class Held:
+        """A transport that asks for more when it is told to."""
+
+        def write(self, data: bytes) -> None: ...
+
+        def registerProducer(self, producer: Sender, streaming: bool) -> None:
+            producer.resumeProducing()
+
+    transport: Any = Held()
+    large = Body(Room(1000000), kept=True)
+    large.put(b"a" * 20000)
+    large.put(b"b" * 20000, True)
+    ends: list[str] = []
+    done, cut, last = (partial(ends.append, what) for what in ("done", "cut", "last"))
+    sender = Sender(transport, large, False, done, cut, last)
+    large.cancel()  # its answer has come before all of it had left
+    sender.resumeProducing()
+    assert ends == []
+
+
 def test_one_refused_for_its_head_is_answered_before_its_body_is_there(make: Make) -> None:
     world = make()
     caller = world.caller()
--- a/wheatring/http1/sending.py
+++ b/wheatring/http1/sending.py
@@ -56,7 +56,7 @@
                 self.ended = True
                 self.on_last()
             self.transport.write(piece)
-        elif body.whole:
+        elif body.all_taken:  # and not just whole: what a cancelled one still held will never leave
             self.ended = True
             self.on_last()
             if self.chunked:
