Hold back no small write on the operators' door and between the fleet's members

`TCP_NODELAY` was set on callers', endpoints' and discovery's connections only. The operators' calls, the bodies that members of a fleet give one another, and the calls of a duty had it unset: the last small piece of a large body waits for an acknowledgement there, and is lost with a reset. A caller sees none of this.

They set it as they are made. A law over the source holds it for each class of connection outside the lab, and a test over a real socket for the operators' door; both failed without the change.

--- a/tests/control/test_calls.py
+++ b/tests/control/test_calls.py
@@ -181,3 +181,13 @@
         copy.now += policy.OWED / 2
         assert (copy.send().endpoint == "d") is not first
         assert copy.send().endpoint != "d"  # it is cold, and owed no more
+
+
+def test_no_small_write_is_held_back_on_an_operators_call(make: Make) -> None:
+    world = make()
+    assert world.sidecar.door is not None
+    wire, calls = dial(world), world.sidecar.door.calls
+    while not world.run(lambda: calls):
+        world.settle()
+    assert world.run(lambda: [call.transport.getTcpNoDelay() for call in calls]) == [True]
+    wire.close()
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -143,3 +143,19 @@
     for path in sorted((ROOT / "wheatring" / "lab" / "models").rglob("*.py")):
         for imported in imports(path):
             assert imported.startswith("wheatring.lab"), f"{path.name} imports {imported}"
+
+
+def test_every_connection_sends_small_writes_at_once() -> None:
+    """Accepted or dialled: what the system held back would be lost with a reset. Datagrams are none."""
+    silent, made = [], 0
+    for path in sorted((ROOT / "wheatring").rglob("*.py")):
+        if "lab" in path.parts:
+            continue
+        for found in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if isinstance(found, ast.ClassDef) and "protocol.Protocol" in map(ast.unparse, found.bases):
+                made += 1
+                first = [ast.unparse(each) for each in found.body if isinstance(each, ast.FunctionDef)]
+                first = [each for each in first if each.startswith("def connectionMade(")]
+                if not any("self.transport.setTcpNoDelay(True)" in each for each in first):
+                    silent.append(f"{path.name}: {found.name}")
+    assert made >= 4 and not silent
--- a/wheatring/control/door.py
+++ b/wheatring/control/door.py
@@ -48,6 +48,7 @@
         self.late: Timer | None = None
 
     def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
         clock = self.door.clock
         self.late = clock.at(clock.now() + PATIENCE, self.end, "silent")
         self.door.came(self)
--- a/wheatring/peers/stream.py
+++ b/wheatring/peers/stream.py
@@ -47,6 +47,7 @@
         self.late: Timer | None = None
 
     def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
         clock = self.streams.clock
         self.late = clock.at(clock.now() + PATIENCE, self.transport.abortConnection)
 
--- a/wheatring/peers/work.py
+++ b/wheatring/peers/work.py
@@ -55,6 +55,7 @@
         self.late: Timer | None = None
 
     def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
         work = self.work
         self.late = work.clock.at(work.clock.now() + PATIENCE, self.transport.abortConnection)
         # Now, and not when the call was due: connecting may have taken longer than the term lasts.
