Hear the last word of a watch that is laid anew, and of a whole list through a second move

Cause, each forced on the code as it was: when an ask beside a watch had its connection, the watch was reset at once, with whatever discovery had written on it by then, which counts as told; should the new watch then fail or fall silent, the news were lost for up to 50 s. A whole list that was under way from the second of three addresses was dropped by the move to the third. An interim answer (1xx) failed its call, and bytes that came between two calls were taken for the head of the next answer.

A call that is left behind goes to one row, `formers`: a watch that another has replaced is heard for 1 s more, a call at a former address to its end, all until the present one has answered. What one says has no bearing on the version that the present call goes by, unless it fits; those left behind before it are dropped.

Ruled out: keeping the replaced watch until the new one answers. Each news would take two turns of discovery.

The fixture of `test_old_list` plays this second in hundredths too, as it does the other times: there asks are nearer to each other than it.

--- a/tests/ends/test_lists.py
+++ b/tests/ends/test_lists.py
@@ -258,6 +258,55 @@
     new.close()
 
 
+def test_a_whole_list_that_crosses_another_move_counts_and_what_is_older_does_not(make: Make) -> None:
+    world = make(2)
+    watch = world.discovery.accept()
+    asked(watch)
+    lists = world.sidecar.machine_list
+    second, third = Peer(world.ground), Peer(world.ground)
+    world.run(lambda: lists.move(("127.0.0.1", second.port)))
+    crossing = second.accept()
+    assert asked(crossing) == WHOLE
+    world.run(lambda: lists.move(("127.0.0.1", third.port)))
+    crossing.answer(200, list_body(3, entry("n1", world.nodes[1])))  # whole, though it does not say so
+    assert crossing.at_end() and watch.at_end()
+    assert world.run(lambda: list(world.sidecar.pool.addresses)) == ["n1"]
+    first = third.accept()
+    assert asked(first) == WHOLE
+    first.answer(200, list_body(90, entry("n1", world.nodes[1])))
+    assert asked(first).startswith("GET /v1/servers?index=90&")
+    only(world, "n1")
+    second.close()
+    third.close()
+
+
+@pytest.mark.parametrize("version", [9, 2])
+def test_what_the_watch_says_as_another_takes_its_place_counts(virtual: Make, version: int) -> None:
+    """Discovery has written it before it hears that the watch is over, and the new one falls silent."""
+    world = virtual()
+    watch = world.discovery.accept()
+    asked(watch)
+    world.ground.time.run(now(world) + 24.0)  # type: ignore[union-attr]
+    anew = world.discovery.accept()
+    assert asked(anew).startswith(HELD)
+    watch.answer(200, list_body(version, DRAINS))
+    assert watch.at_end()
+    only(world, "n1")
+    anew.answer(200, list_body(11, entry("n0", world.nodes[0])))
+    assert asked(anew).startswith("GET /v1/servers?index=11&")  # it was not taken for the whole list
+    assert sorted(world.run(lambda: list(world.sidecar.pool.addresses))) == ["n0", "n1"]
+
+
+def test_a_watch_that_another_has_taken_the_place_of_ends(virtual: Make) -> None:
+    world = virtual()
+    watch = world.discovery.accept()
+    asked(watch)
+    world.ground.time.run(now(world) + 24.0)  # type: ignore[union-attr]
+    asked(world.discovery.accept())
+    assert watch.at_end()
+    assert world.run(lambda: world.sidecar.machine_list.formers) == []
+
+
 def test_a_whole_list_that_was_asked_of_the_old_discovery_is_not_the_new_ones(make: Make) -> None:
     world = make(2)
     asked(world.discovery.accept())
@@ -279,16 +328,32 @@
     new.close()
 
 
+def test_bytes_that_answer_no_call_are_not_the_head_of_the_next_answer(virtual: Make) -> None:
+    world = virtual()
+    watch = world.discovery.accept()
+    asked(watch)
+    watch.answer(200, list_body(8))
+    world.ground.time.run(now(world) + 0.001)  # type: ignore[union-attr]
+    watch.send(b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{")
+    ended = now(world)
+    watch = world.discovery.accept()
+    assert asked(watch).startswith("GET /v1/servers?index=8&")
+    assert now(world) - ended < 0.1
+
+
 # What a list says
 
 
-@pytest.mark.parametrize("form", ["indented", "in pieces"])
+@pytest.mark.parametrize("form", ["indented", "in pieces", "after a 103"])
 def test_a_list_in_another_form_is_the_same(make: Make, form: str) -> None:
     world = make(2)
     watch = world.discovery.accept()
     asked(watch)
     body = json.dumps({"generation": 9, "reset": False, "instances": [DRAINS]}, indent=4).encode()
-    if form == "indented":
+    if form != "in pieces":
+        if form == "after a 103":
+            watch.send(b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n")
+            world.settle()
         watch.answer(200, body)
     else:
         half = len(body) // 2
--- a/tests/test_old_list.py
+++ b/tests/test_old_list.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.world import Peer, World, entry, list_body
-from wheatring.http1 import list_calls
+from wheatring.http1 import list_calls, machine_list
 from wheatring.lifecycle import freshness
 
 Make = Callable[..., World]
@@ -20,6 +20,7 @@
     with pytest.MonkeyPatch.context() as patch:
         for name in ("NEED", "EMPTY", "FLOOR", "CEILING", "SPREAD"):
             patch.setattr(freshness, name, getattr(freshness, name) / 100)
+        patch.setattr(machine_list, "LAST_WORD", machine_list.LAST_WORD / 100)
         yield
 
 
--- a/wheatring/http1/list_calls.py
+++ b/wheatring/http1/list_calls.py
@@ -41,6 +41,8 @@
         self.reader.feed(data)
         try:
             message = self.reader.next()
+            while message is not None and message.first[0][:1] == b"1":  # the answer is still to come
+                message = self.reader.next()
         except BadMessage as bad:
             log.line("bad-list", why=str(bad))
             self.abort("bad-answer")
@@ -110,6 +112,9 @@
 
     def begun(self) -> None:
         """A part of the answer has come."""
+        if self.done is None:  # to no call: what follows would be taken for the next one's
+            self.stop("not-kept")
+            return
         now = self.clock.now()
         if not self.part:
             self.part = True
--- a/wheatring/http1/machine_list.py
+++ b/wheatring/http1/machine_list.py
@@ -15,8 +15,10 @@
 from wheatring.http1.list_lines import ListError, entry_from
 from wheatring.lifecycle.asking import Asking
 from wheatring.lifecycle.freshness import Freshness
+from wheatring.lifecycle.told import ANSWER
 
 SLACK = 1.5  # seconds past a wait (or from the call, for the whole list: WHOLE) until the call has failed
+LAST_WORD = ANSWER  # for which a watch is still heard when another has taken its place
 SPACING = 0.05  # seconds between calls of a watch at least, should discovery answer at once with no news
 
 READY = EndpointState.READY  # looked up once: an enum takes its time
@@ -49,7 +51,7 @@
         self.watching = False
         self.turn: Timer | None = None  # when the first call of a watch is this sidecar's to make
         self.called = 0.0
-        self.former: Caller | None = None  # the watch at the address that discovery had before
+        self.formers: list[Caller] = []  # left behind, in this order; what they have still to tell counts
         self.goes_on: Callable[[], bool] | None = None  # asked after each answer; None: always
         self.second: Caller | None = None  # asks on a connection of its own, until that is up
         self.looking: Timer | None = None
@@ -83,7 +85,7 @@
                 self.watch(self.watcher)
 
     def unsubscribe(self) -> None:
-        self.drop_former("unsubscribed")
+        self.drop_formers("unsubscribed")
         if self.watching:
             self.call_off("unsubscribed")
 
@@ -103,15 +105,13 @@
 
     def move(self, address: tuple[str, int]) -> None:
         """Discovery is elsewhere now. Its versions may be others there, so the whole list comes first; until
-        it has come, what is held stands, and what the old one has still to tell counts: a watch that is out
+        it has come, what is held stands, and what the old one has still to tell counts: a call that is out
         there is left to its end, lest a word be lost that was written already."""
         if address == self.address:
             return
         out, waits = self.watcher.done is not None, self.version is not None
-        if out and waits:
-            self.drop_former("moved")
-            former = self.former = self.watcher
-            former.done = partial(self.last_word, former)
+        if out and self.watcher.taken:
+            self.leave_behind(self.watcher)
             self.watcher = self.caller()
         self.call_off("moved")
         self.address = address
@@ -158,7 +158,7 @@
             self.asking.answered()
             self.asking.told.answered(self.clock.now())
             self.drop_second("given-up")
-            self.drop_former("moved")
+            self.drop_formers("answered")
             if self.goes_on is not None and not self.goes_on():
                 self.call_off("follows")
                 return
@@ -175,20 +175,33 @@
         self.asking.failed(now, now - self.called, broke, self.watcher.taken, waits)
         self.call_off(code)
 
-    def last_word(self, caller: Caller, answer: Any) -> None:
-        """What the old discovery had still to tell. Its version is nothing to the new one, which has not
-        answered yet."""
-        self.former = None
-        if answer is not None:
-            caller.close("moved")
-            try:
-                self.read(answer)
-            finally:
-                self.version = None
+    def leave_behind(self, caller: Caller) -> None:
+        """Another call takes this one's place, but may not be answered as soon."""
+        caller.done = partial(self.last_word, caller, self.version is None)
+        self.formers.append(caller)
 
-    def drop_former(self, code: str) -> None:
-        former, self.former = self.former, None
-        if former is not None:
+    def last_word(self, caller: Caller, whole: bool, answer: Any) -> None:
+        """What a call that was left behind had still to tell. Those left behind before it know less."""
+        at = self.formers.index(caller)
+        if answer is None:
+            del self.formers[at]
+            return
+        for each in self.formers[:at]:
+            each.done = None
+            each.stop("answered")
+        del self.formers[: at + 1]
+        caller.close("left-behind")
+        # The call that is out goes by the version that it was given, or is for the whole list.
+        held, fits = self.version, False
+        try:
+            fits = self.read(answer, whole) and None not in (held, self.version)
+        finally:
+            if not fits:
+                self.version = held
+
+    def drop_formers(self, code: str) -> None:
+        formers, self.formers = self.formers, []
+        for former in formers:
             former.done = None
             former.stop(code)
 
@@ -232,14 +245,15 @@
 
     def renewed(self, version: int | None) -> None:
         """The second has its connection: it is the watch from now on, and the old one, which may be one to
-        nobody, is over."""
+        nobody, is over, but for a word that is under way by now."""
         assert self.second is not None
         old, self.watcher, self.second = self.watcher, self.second, None
+        self.called = self.clock.now()
+        if old.done is not None:
+            self.leave_behind(old)
+            self.clock.at(self.called + LAST_WORD, old.stop, "renewed")
         self.version = version
         self.watcher.on_up = None
-        old.done = None
-        old.stop("renewed")
-        self.called = self.clock.now()
         self.asking.told.laid(self.called, WAIT)
         self.freshness.watching(self.called)
 
--- a/wheatring/lab/direct/machine_list.py
+++ b/wheatring/lab/direct/machine_list.py
@@ -167,6 +167,6 @@
 
     def die(self) -> None:
         """Its process has ended: what is out is closed, and nobody hears of it."""
-        for caller in (self.watcher, self.second, self.former):
+        for caller in (self.watcher, self.second, *self.formers):
             if isinstance(caller, DirectCaller):
                 caller.hang_up()
