Reckon an answer that trickles on a watch from its first byte, and test a refusal with Retry-After

Cause: a watch that stood counts as heard up to its end, but not while its answer comes and never gets whole: that is given up after 4.75 s, and the next call came by number within 3 s more. Met: 7.7 s from the first byte, 5 are allowed. The list's client now tells since when an answer had begun.

The test was seen to fail with that line taken back. `test_asking` draws the time since the answer's begin where it drew whether it had begun. A refusal with Retry-After: 60 is one more ending of a watch; it passed at once.

--- a/tests/ends/test_lists.py
+++ b/tests/ends/test_lists.py
@@ -92,6 +92,7 @@
     "reset": Wire.reset,
     "closed": Wire.close,
     "refused": lambda wire: wire.answer(503),
+    "refused for a while": lambda wire: wire.answer(503, more="Retry-After: 60\r\n"),
     "refused for good": lambda wire: wire.answer(503, more="Connection: close\r\n"),
     "cut": cut,
     "no JSON": lambda wire: wire.answer(200, b"[{"),
@@ -118,6 +119,24 @@
     only(world, "n1")
 
 
+def test_an_answer_that_trickles_on_a_watch_keeps_no_news_back_for_longer(
+    virtual: Make, told: Callable[..., None]
+) -> None:
+    told(peers_total=200, slot_no=75)  # whose place after a failure is the last
+    world = virtual()
+    watch = world.discovery.accept()
+    asked(watch)
+    time: Any = world.ground.time  # type: ignore[union-attr]
+    time.run(now(world) + 10.0)
+    began = now(world)
+    with suppress(OSError):
+        while not world.discovery.listener.socket.queue:
+            watch.send(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n" if now(world) == began else b" ")
+            time.run(now(world) + 0.5)
+    assert asked(world.discovery.accept()).startswith(HELD)
+    assert now(world) - began <= 5.0 + 0.1
+
+
 @pytest.mark.parametrize("copies", [1, 20, 200])
 def test_who_is_refused_asks_again_within_three_seconds(
     virtual: Make, told: Callable[..., None], copies: int
--- a/tests/fleet/test_asking.py
+++ b/tests/fleet/test_asking.py
@@ -111,7 +111,7 @@
     for _ in range(8):
         took = data.draw(st.floats(0.0, 60.0))
         now += took
-        one.failed(now, took, data.draw(st.booleans()))
+        one.failed(now, took, data.draw(st.none() | st.floats(0.0, 5.0)))
         assert now < one.due(now) < now + 40.0
         now = one.due(now)
 
--- a/wheatring/http1/list_calls.py
+++ b/wheatring/http1/list_calls.py
@@ -67,7 +67,7 @@
 
     done: Done | None  # of the call that is out
     on_up: Callable[[], None] | None  # told each time it has a connection
-    part: bool  # of the answer to the call that is out, or was the last one, had come
+    part: float | None  # since when there was one of the answer to the call that is out, or was the last one
     taken: bool  # that call had a connection
 
     def call(self, index: int | None, deadline: float, done: Done) -> None:
@@ -96,12 +96,12 @@
         self.on_up: Callable[[], None] | None = None
         self.deadline = 0.0  # of the present call
         self.latest = 0.0  # and of its answer, once that has begun
-        self.part = False  # of its answer has come
+        self.part: float | None = None  # since when there is one of its answer
         self.taken = False  # it has been written
         self.late: Timer | None = None
 
     def call(self, index: int | None, deadline: float, done: Done) -> None:
-        self.index, self.done, self.deadline, self.part = index, done, deadline, False
+        self.index, self.done, self.deadline, self.part = index, done, deadline, None
         self.taken = False
         self.latest = max(deadline, self.clock.now() + WHOLE)
         if self.connection is not None:
@@ -116,8 +116,8 @@
             self.stop("not-kept")
             return
         now = self.clock.now()
-        if not self.part:
-            self.part = True
+        if self.part is None:
+            self.part = now
             self.deadline = min(self.latest, now + WHOLE)
         self.set_deadline(min(self.deadline, now + STALL))
 
--- a/wheatring/http1/machine_list.py
+++ b/wheatring/http1/machine_list.py
@@ -164,15 +164,16 @@
                 return
             self.clock.at(self.called + SPACING, self.watch, self.watcher)
         else:
-            self.lost("watch-failed", broke=answer is None and self.watcher.part)
+            self.lost("watch-failed", None if answer is not None else self.watcher.part)
             if self.pushed or self.asking.holds:  # the decisions' own spread would come on top
                 self.subscribe()
 
-    def lost(self, code: str, broke: bool = False) -> None:
-        """The call has failed, and there is no watch."""
+    def lost(self, code: str, part: float | None = None) -> None:
+        """The call has failed, and there is no watch. `part`: since when there was one of its answer."""
         now = self.clock.now()
+        since = None if part is None else now - part
         waits = self.version is not None
-        self.asking.failed(now, now - self.called, broke, self.watcher.taken, waits)
+        self.asking.failed(now, now - self.called, since, self.watcher.taken, waits)
         self.call_off(code)
 
     def leave_behind(self, caller: Caller) -> None:
--- a/wheatring/lab/direct/machine_list.py
+++ b/wheatring/lab/direct/machine_list.py
@@ -54,11 +54,12 @@
         self.on_up: Callable[[], None] | None = None
         self.out: _Out | None = None
         self.up = False
-        self.part = self.taken = False
+        self.part: float | None = None
+        self.taken = False
         self.late: Timer | None = None
 
     def call(self, index: int | None, deadline: float, done: Done) -> None:
-        self.done, self.part, self.taken = done, False, self.up
+        self.done, self.part, self.taken = done, None, self.up
         clock = self.owner.clock
         out = self.out = _Out(index, deadline)
         if self.up:
@@ -101,7 +102,8 @@
     def answered(self, out: _Out, answer: Any) -> None:
         if not out.over:
             self.up = answer is not None
-            self.part = out.pending is not None and out.pending.broken
+            if out.pending is not None and out.pending.broken:
+                self.part = self.owner.clock.now()
             self.end(answer)
 
     # Ends
--- a/wheatring/lifecycle/asking.py
+++ b/wheatring/lifecycle/asking.py
@@ -137,19 +137,25 @@
         self.settled = self.holds = True
 
     def failed(
-        self, now: float, took: float = 0.0, broke: bool = False, taken: bool = True, waits: bool = False
+        self,
+        now: float,
+        took: float = 0.0,
+        part: float | None = None,
+        taken: bool = True,
+        waits: bool = False,
     ) -> None:
-        """A call has failed, or was given up, after so many seconds. `broke`: its answer had begun, so it did
-        have its turn. `taken`: there was a connection, so that somebody has it. `waits`: for news."""
+        """A call has failed, or was given up, after so many seconds. `part`: so many since its answer had
+        begun, for which it had had its turn. `taken`: there was a connection, so that somebody has it.
+        `waits`: for news."""
         if heard(waits, took):
             # It ended as all others did that stood, which is no sign of a line.
-            self.settled, took = True, 0.0
+            self.settled, took = True, part or 0.0
         self.told.failed(now, now - took)
         self.slow = min(self.slow + 1, 2) if taken and took >= HANG else 0
         if self.holds:
-            self.again(now, stood=taken and took >= QUEUE / 2 and not broke)
+            self.again(now, stood=taken and took >= QUEUE / 2 and part is None)
             return
-        if self.round >= SPARSE and took >= QUEUE / 2 and not self.twice and not broke:
+        if self.round >= SPARSE and took >= QUEUE / 2 and not self.twice and part is None:
             # It stood in line, and few are left by now: a chance crowd is no reason to wait for a round that
             # is longer still. One that was refused at once says nothing of a line.
             self.twice = True
@@ -159,7 +165,7 @@
             self.twice = False
             ended = self.origin + self.length(self.round)
             # One that had its turn saw that the line is not long: no slower, and rather one round back.
-            self.round = min(self.round, max(1, self.round - 1)) if broke else self.round + 1
+            self.round = min(self.round, max(1, self.round - 1)) if part is not None else self.round + 1
             # One that has fallen behind the timetable (a stall, a call that took long) goes by its own.
             self.origin = max(ended, now)
         self.after = now + _least(self.round) / 2
