Have holders of a list in a line give way by number, so that few calls fail and no fewer are in time

Change: after one failure in a line 150 sidecars (all that 25 calls a second answer in 6 s) ask again within 3 s, the others spread their next call over N / 4 s, 24 at most; after two in a row all do. Steps were doubled before.

--- a/tests/ends/test_told.py
+++ b/tests/ends/test_told.py
@@ -169,6 +169,20 @@
     assert max(gaps[12:]) <= AGAIN  # nobody is there: that costs nothing
 
 
+@pytest.mark.parametrize("copies", [20, 140, 200, 400])
+def test_after_one_failure_in_a_line_as_many_ask_again_in_time_as_a_fast_discovery_answers(
+    copies: int,
+) -> None:
+    soon = 0
+    for number in range(copies):
+        one = Asking(copies, number, 10.0, Random(number), 0.0)
+        one.begin(0.0, holds=True)
+        one.failed(10.0, 2.0, waits=True)
+        soon += one.due(10.0) <= 10.0 + AGAIN
+    most = min(copies, 25 * 6)
+    assert most - 2 <= soon <= most + (copies - most) * 0.25  # of those that give way some come early
+
+
 def test_who_holds_none_asks_on_after_an_hour_as_well() -> None:
     one, now = Asking(1, 0, 10.0, Random(1), 0.0), 0.0
     for _ in range(3000):
--- a/tests/fleet/test_cold_start.py
+++ b/tests/fleet/test_cold_start.py
@@ -14,6 +14,7 @@
 import pytest
 
 from wheatring.__main__ import main
+from wheatring.lab.live.fleet import judged
 from wheatring.lab.live.play import LiveOutcome
 from wheatring.lab.play import play
 from wheatring.lab.scenario.draw import draw
@@ -141,6 +142,12 @@
     assert said in last and "Traceback" not in err
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_two_hundred_that_hold_a_wrong_list_learn_of_it_with_few_calls_in_vain(seed: int) -> None:
+    plan = draw(load("cold-release"), seed)
+    assert [what for kept, what in judged(plan, play(plan, "exchange")) if not kept] == []
+
+
 @pytest.mark.parametrize("held", ["none", "now"])
 def test_watches_that_take_turns_keep_no_storm_alive(held: str) -> None:
     """Two hundred in virtual time: nothing fails any more once the start is over."""
--- a/wheatring/lifecycle/asking.py
+++ b/wheatring/lifecycle/asking.py
@@ -19,12 +19,14 @@
 recurrence; Kuipers and Niederreiter 1974).
 
 Who holds a list that names somebody to send to is held to what it counts as told (`told.py`), whatever the
-line. At the start it comes after those that hold none, as far as that leaves room. Once a call has failed
-it takes no part in the rounds: it asks again within AGAIN. The first failure after an answer is seen by the
+line. At the start it comes after those that hold none, as far as that leaves room. Once a call has failed it
+takes no part in the rounds: it asks again within AGAIN. The first failure after an answer is seen by the
 whole fleet at the same time, so places are by number there; from then on each keeps its own step, which
-leaves the fleet as spread out as it is. Only where one call after another fails in a line, in a fleet larger
-than discovery is likely to answer meanwhile, are the steps doubled: it can't be in time for all of them, and
-in a storm of calls that are left it would be for none.
+leaves the fleet as spread out as it is. Only where a call fails in a line, in a fleet larger than discovery
+is likely to answer meanwhile, do some give way, and spread their next calls over the time that the line is
+likely to take: it can't be in time for all of them, and in a storm of calls that are left it would be for
+none. After one such failure these are the ones for whom even a fast discovery has no turn in time, by
+number; after the second in a row the news are late in any case, so all do.
 
 Pure: instants in seconds are handed in; nothing here knows of sockets.
 """
@@ -35,9 +37,9 @@
 from random import Random
 from typing import NamedTuple
 
-from wheatring.lifecycle.told import AGAIN, GIVE_UP, HANG, Told
+from wheatring.lifecycle.told import AGAIN, GIVE_UP, HANG, REACHED, Told
 
-HOLDERS = 25.0  # calls a second by those that hold a list: most wait for news, which costs no turn
+HOLDERS = 25.0  # calls a second by those that hold a list, which a fast discovery can answer
 LEAST = 0.25  # seconds, doubled from round to round, that a further round takes at least; up to
 LEAST_UP_TO = 2.5
 SLOWEST = 1.0  # calls a second by all in the longest round
@@ -178,11 +180,12 @@
         self.stood = self.stood + 1 if stood and not self.settled else 0
         self.settled = False
         gap = min(self.length(self.round), self.told.by() - now)
-        most = min(self.copies / self.pace.likely, LONGEST)
-        if self.stood > 1 and most > self.told.step:
+        line = min(self.copies / self.pace.likely, LONGEST)
+        if self.stood and line > self.told.step:
             # More ask than can be answered in time, so a large fleet gives way: in a storm nobody would be.
-            gap = max(gap, min(self.told.step * 2.0 ** (self.stood - 1), most))
-            part = 1 - self.random.random() / 2
+            turn = (self.place + self.round * GOLDEN) % 1.0 * self.copies
+            if self.stood > 1 or turn >= HOLDERS * REACHED:
+                gap, part = line, self.random.random() if self.stood < 3 else 1 - self.random.random() / 2
         self.after = now + max(gap * part, min(_least(self.round), gap) / 2)
 
 
