Close a watch that another replaces between two of its calls

Since the last word of a replaced watch is heard, one with no call out was left open for good, as nothing ended it: found on reading, forced by an ask in the 50 ms between an answer and the next call. It is now ended 1 s later too.

--- a/tests/ends/test_lists.py
+++ b/tests/ends/test_lists.py
@@ -326,6 +326,24 @@
     assert world.run(lambda: world.sidecar.machine_list.formers) == []
 
 
+def test_a_watch_that_another_replaces_between_two_of_its_calls_is_closed(virtual: Make) -> None:
+    world = virtual()
+    watch = world.discovery.accept()
+    asked(watch)
+    watch.answer(200, list_body(8))
+    time: Any = world.ground.time  # type: ignore[union-attr]
+    lists = world.sidecar.machine_list
+    while lists.version == 7:
+        time.run(now(world) + 0.001)
+    assert lists.watcher.done is None  # the next call is still to be made
+    world.run(lambda: lists.ask(world.sidecar.clock.now()))
+    anew = world.discovery.accept()
+    assert asked(anew).startswith("GET /v1/servers?index=8&")
+    assert watch.at_end()
+    anew.answer(200, list_body(9, DRAINS))
+    assert asked(anew).startswith("GET /v1/servers?index=9&")
+
+
 def test_a_whole_list_that_was_asked_of_the_old_discovery_is_not_the_new_ones(make: Make) -> None:
     world = make(2)
     asked(world.discovery.accept())
--- a/wheatring/http1/machine_list.py
+++ b/wheatring/http1/machine_list.py
@@ -252,7 +252,7 @@
         self.called = self.clock.now()
         if old.done is not None:
             self.leave_behind(old)
-            self.clock.at(self.called + LAST_WORD, old.stop, "renewed")
+        self.clock.at(self.called + LAST_WORD, old.stop, "renewed")
         self.version = version
         self.watcher.on_up = None
         self.asking.told.laid(self.called, WAIT)
