--- a/tests/lab/test_direct.py
+++ b/tests/lab/test_direct.py
@@ -338,10 +338,11 @@
     assert len(calls) == 5
 
 
-def test_a_discovery_that_can_not_be_reached_is_a_failed_view_within_seconds() -> None:
+def test_a_discovery_that_can_not_be_reached_is_a_failed_view_within_seconds_and_asked_again() -> None:
+    """Whatever the decisions make of it, which here hear nothing."""
     world = World()
     views: list[View] = []
     world.sidecar.machine_list.on_view = views.append
     world.links.vanish("d")
     world.time.play(5.0)
-    assert not world.registry.calls and [view.kind for view in views] == [ViewKind.FAILED]
+    assert not world.registry.calls and [view.kind for view in views] == [ViewKind.FAILED] * 2
--- a/wheatring/lab/direct/sidecar.py
+++ b/wheatring/lab/direct/sidecar.py
@@ -19,8 +19,8 @@
 from wheatring.lab.direct.node import DirectNode
 from wheatring.lab.direct.pool import DirectPool
 from wheatring.lab.timers import PlayedTime
+from wheatring.lifecycle.freshness import deciders
 from wheatring.lifecycle.leaving import Leaving
-from wheatring.pool import timetable
 
 if TYPE_CHECKING:
     from wheatring.lab.direct.way import DirectAsked, DirectWay
@@ -68,7 +68,7 @@
             name, host, nodes, self.clock, self.exchange, links, book, limits.connect_timeout,
             limits.idle_timeout, claims,
         )  # fmt: skip
-        asking, freshness = timetable(settings, seed, self.clock.now())
+        asking, freshness = deciders(settings, seed, self.clock.now())
         self.machine_list = DirectList(
             self.clock, name, host, discovery, registry, links, self.pool.addresses, self.driver.feed,
             freshness, asking, not settings.must_ask,
--- a/wheatring/lifecycle/freshness.py
+++ b/wheatring/lifecycle/freshness.py
@@ -25,7 +25,8 @@
 from math import inf
 from random import Random
 
-from lapisway.interface import Outcome
+from lapisway.interface import Outcome, Settings
+from wheatring.lifecycle.asking import DEFAULT, Asking, Pace
 from wheatring.lifecycle.told import HANG, Told
 
 NEED = 6.0  # node-seconds of doubt
@@ -173,3 +174,12 @@
         """The ask has found nobody, and the old watch stands, which may be one to nobody."""
         self.told.failed(now, self.asked)
         self.again = now + (self.told.by() - now) * (1 - self.random.random() / 4)
+
+
+def deciders(settings: Settings, seed: int, now: float, pace: Pace = DEFAULT) -> tuple[Asking, Freshness]:
+    """When one sidecar asks for its list, by one law for both: in the daemon and in all that plays it."""
+    copies, number, within = settings.copies, settings.number, settings.contract.ask_within
+    if not settings.must_ask:  # the lists are pushed to an agent, which this sidecar asks alone
+        copies, number, within = 1, 0, 0.0
+    asking = Asking(copies, number, within, Random(f"{seed}:asking"), now, pace)
+    return asking, Freshness(copies, number, Random(f"{seed}:list"), now, asking.told)
--- a/wheatring/pool.py
+++ b/wheatring/pool.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from random import Random
 from typing import Any
 
 from lapisway.interface import Settings, View
@@ -19,19 +18,8 @@
 from wheatring.core.exchange import Exchange
 from wheatring.http1.client import Pool
 from wheatring.http1.machine_list import MachineList
-from wheatring.lifecycle.asking import DEFAULT, Asking, Pace
-from wheatring.lifecycle.freshness import Freshness
-
-
-def timetable(
-    settings: Settings, seed: int, now: float, pace: Pace = DEFAULT
-) -> tuple[Asking, Freshness]:
-    """When a list is to be asked for, and what is made of its age."""
-    copies, number, within = settings.copies, settings.number, settings.contract.ask_within
-    if not settings.must_ask:  # the lists are pushed to an agent, which this sidecar asks alone
-        copies, number, within = 1, 0, 0.0
-    asking = Asking(copies, number, within, Random(f"{seed}:asking"), now, pace)
-    return asking, Freshness(copies, number, Random(f"{seed}:list"), now, asking.told)
+from wheatring.lifecycle.asking import DEFAULT, Pace
+from wheatring.lifecycle.freshness import deciders
 
 
 class ServingPool:
@@ -60,7 +48,7 @@
         self.pool = connections(
             reactor, clock, exchange, limits.connect_timeout, limits.idle_timeout, most, room
         )
-        self.asking, self.freshness = timetable(settings, seed, clock.now(), pace)
+        self.asking, self.freshness = deciders(settings, seed, clock.now(), pace)
         self.machine_list: MachineList
 
     def list_from(self, discovery: tuple[str, int], on_view: Callable[[View], None]) -> MachineList:
