Hear the last word of a watch as another sidecar comes to watch for all

Cause: where the duty `list` is held, a sidecar ended its watch as soon as the holder was heard, with what discovery had written on it by then, which counts as told. Now it is heard for 1 s more, as one that another call replaces. The holder's own word, each second, only made the loss short. The test was seen to fail with the line taken back.

--- a/tests/ends/test_lists.py
+++ b/tests/ends/test_lists.py
@@ -326,6 +326,18 @@
     assert world.run(lambda: world.sidecar.machine_list.formers) == []
 
 
+def test_what_a_watch_says_as_another_sidecar_comes_to_watch_for_all_counts(virtual: Make) -> None:
+    world = virtual()
+    watch = world.discovery.accept()
+    asked(watch)
+    world.run(world.sidecar.machine_list.rest)
+    watch.answer(200, list_body(9, DRAINS))
+    assert watch.at_end()
+    only(world, "n1")
+    lists = world.sidecar.machine_list
+    assert world.run(lambda: (lists.version, lists.watching)) == (9, False)
+
+
 def test_a_watch_that_another_replaces_between_two_of_its_calls_is_closed(virtual: Make) -> None:
     world = virtual()
     watch = world.discovery.accept()
--- a/wheatring/http1/machine_list.py
+++ b/wheatring/http1/machine_list.py
@@ -103,6 +103,13 @@
             self.looking.cancel()
         self.looking = None
 
+    def rest(self) -> None:
+        """Another sidecar watches for all. What has been written by now on a watch that is out counts."""
+        if self.watcher.done is not None and self.watcher.taken:
+            self.replaced(self.watcher)
+            self.watcher = self.caller()
+        self.call_off("follows")
+
     def move(self, address: tuple[str, int]) -> None:
         """Discovery is elsewhere now. Its versions may be others there, so the whole list comes first; until
         it has come, what is held stands, and what the old one has still to tell counts: a call that is out
@@ -160,7 +167,7 @@
             self.drop_second("given-up")
             self.drop_formers("answered")
             if self.goes_on is not None and not self.goes_on():
-                self.call_off("follows")
+                self.rest()
                 return
             self.clock.at(self.called + SPACING, self.watch, self.watcher)
         else:
@@ -176,6 +183,12 @@
         self.asking.failed(now, now - self.called, since, self.watcher.taken, waits)
         self.call_off(code)
 
+    def replaced(self, caller: Caller) -> None:
+        """It is over but for a word that is under way."""
+        if caller.done is not None:
+            self.leave_behind(caller)
+        self.clock.at(self.clock.now() + LAST_WORD, caller.stop, "replaced")
+
     def leave_behind(self, caller: Caller) -> None:
         """Another call takes this one's place, but may not be answered as soon."""
         caller.done = partial(self.last_word, caller, self.version is None)
@@ -246,13 +259,11 @@
 
     def renewed(self, version: int | None) -> None:
         """The second has its connection: it is the watch from now on, and the old one, which may be one to
-        nobody, is over, but for a word that is under way by now."""
+        nobody, is over."""
         assert self.second is not None
         old, self.watcher, self.second = self.watcher, self.second, None
         self.called = self.clock.now()
-        if old.done is not None:
-            self.leave_behind(old)
-        self.clock.at(self.called + LAST_WORD, old.stop, "renewed")
+        self.replaced(old)
         self.version = version
         self.watcher.on_up = None
         self.asking.told.laid(self.called, WAIT)
--- a/wheatring/peers/listing.py
+++ b/wheatring/peers/listing.py
@@ -32,7 +32,7 @@
 
     def subscribe(self) -> None: ...
 
-    def call_off(self, code: str) -> None: ...
+    def rest(self) -> None: ...
 
 
 class Teller(Protocol):
@@ -95,15 +95,15 @@
         return self.epoch is not None or self.following.asks(now, listed.version, doubt)
 
     def look(self) -> None:
-        """See to it that it watches if it is to, and does not if not. A call that is out and asks for what is
-        newer is let end."""
+        """See to it that it watches if it is to, and does not if not. What was written by now on a watch
+        that is out still counts."""
         if self.over or self.machine_list is None:
             return
         self.timer = self.clock.at(self.clock.now() + LOOK, self.look)
         if self.asks():
             self.machine_list.subscribe()
         elif self.machine_list.watching and self.machine_list.version is not None:
-            self.machine_list.call_off("follows")
+            self.machine_list.rest()
 
     # In office
 
