Refuse every wrong value of the settings at the start, by one line that names its key

Of the bad values of each key that were tried, many were served: the settings were read as path=value pairs, in which an object or a list in place of a value is not there any more, so that the default was taken, and numbers that are not finite, negative prices and a slot_no past peers_total passed. Deep nesting and names with line breaks gave a traceback, or two lines.

Change: the adapter's one reading of the settings now takes JSON as it is (Nested), with types: none is taken for another, no number is infinite or past 64 bits, no text holds half a pair of surrogates. Rules on values that only the sidecar's start asks stand in one table in config, so that the simulator's adapter refuses no more than before, but for an unknown word in `discovery`. A key that stands twice in one object, a name that can't be printed and a host that can't be one are told too. A line is cut to 300 characters and stays one, whatever it quotes. Keys that are not known are left alone, whatever they hold.

Tests: the three of test_settings that tried NaN, infinities, 10**400, [] and "x" on some keys, seeds and a class named twice are replaced by one that tries these and more on every key of the sample; a key that the reader comes to ask for and the sample lacks fails a test of its own.

--- a/lapisway/benchlink.py
+++ b/lapisway/benchlink.py
@@ -10,7 +10,7 @@
 
 import sys
 from collections.abc import Callable, Iterable, Sequence
-from typing import TextIO, TypeVar
+from typing import Any, TextIO, TypeVar
 
 from lapisway import interface as i
 from lapisway.policy import Balancer
@@ -40,6 +40,7 @@
     "SAVED": i.ViewKind.CACHED,
     "FAILED": i.ViewKind.FAILED,
 }
+MUST_ASK = {"pushed": False, "on_request": True}
 REPORT_FIELDS = {
     "rif": "in_flight",
     "q": "queue",
@@ -74,11 +75,11 @@
     return int(text) / US
 
 
-class _Pairs:
+class Pairs:
     """The path=value settings of one instance; unknown ones are left alone."""
 
     def __init__(self, pairs: Iterable[str]) -> None:
-        self.values: dict[str, str] = {}
+        self.values: dict[str, Any] = {}
         for pair in pairs:
             path, equals, value = pair.partition("=")
             if not equals:
@@ -92,17 +93,86 @@
         if path not in self.values:
             raise WireError(f"missing setting {path}")
         try:
-            return read(self.values[path])
+            return read(self.text(self.values[path], read))
         except (ValueError, KeyError, OverflowError) as bad:
-            raise WireError(f"setting {path}: cannot read {self.values[path]!r}") from bad
+            raise WireError(f"setting {path}: cannot read {shown(self.values[path])}") from bad
+
+    def within(self, path: str) -> list[str]:
+        """The paths of all that stands there by names that are not known beforehand."""
+        return [inner for inner in self.values if inner.startswith(f"{path}.")]
+
+    def text(self, value: Any, read: Callable[[str], object]) -> str:
+        """What is to be read."""
+        return str(value)
 
     def count(self, path: str) -> int:
         return self.get(f"{path}.count", int, 0)
 
 
-def settings_from(pairs: Iterable[str]) -> i.Settings:
+class Nested(Pairs):
+    """The same as JSON objects, whose values have types: none is taken for another. null: not there."""
+
+    def __init__(self, given: object) -> None:
+        self.values = {}
+        left = [("", given)]
+        while left:  # not by calls, which how deep it is nested could use up
+            path, value = left.pop()
+            inner: Iterable[tuple[object, object]] = ()
+            if path:
+                self.values[path] = value
+            if isinstance(value, dict):
+                inner = value.items()
+            elif isinstance(value, list):
+                self.values[f"{path}.count"] = len(value)
+                inner = enumerate(value)
+            left += [(f"{path}.{key}" if path else str(key), one) for key, one in inner if one is not None]
+
+    def text(self, value: Any, read: Callable[[str], object]) -> str:
+        form = FORMS.get(read, str)
+        if form is list and isinstance(value, list) and all(isinstance(one, str) for one in value):
+            value = ",".join(value)
+        elif form is float and type(value) in (int, float) and abs(value) <= LARGEST:
+            return str(value)
+        elif form is int and type(value) in (int, float) and value == int(value) and abs(value) < 1 << 63:
+            return str(int(value))
+        elif form is bool and isinstance(value, bool):
+            return str(value).lower()
+        elif form is not str or not isinstance(value, str):
+            raise ValueError
+        value.encode()  # half of a pair of surrogates stands for nothing
+        return str(value)
+
+    def get(self, path: str, read: Callable[[str], T], default: T) -> T:
+        if path not in self.values:
+            self.within(path.rpartition(".")[0])
+        return super().get(path, read, default)
+
+    def within(self, path: str) -> list[str]:
+        if not isinstance(self.values.get(path, {}), dict):
+            raise WireError(f"setting {path}: not an object: {shown(self.values[path])}")
+        return super().within(path)
+
+    def count(self, path: str) -> int:
+        if path in self.values and f"{path}.count" not in self.values:
+            raise WireError(f"setting {path}: not a list: {shown(self.values[path])}")
+        return super().count(path)
+
+
+LARGEST = 1e15  # of a number that is not a time: sums of it and its products stay finite
+FORMS: dict[Callable[[str], object], type] = {
+    int: int, _seconds: int, float: float, _bool: bool, _list: list, _fields: list,
+}  # fmt: skip
+
+
+def shown(value: object) -> str:
+    """A value in little room, on one line."""
+    if isinstance(value, dict | list):
+        return "a list" if isinstance(value, list) else "an object"
+    return repr(value)[:60]
+
+
+def settings_from(has: Pairs) -> i.Settings:
     """The module's settings from the wire's; missing optional ones keep the interface's defaults."""
-    has = _Pairs(pairs)
     classes = []
     for n in range(has.need("classes.count", int)):
         at = f"classes.{n}"
@@ -169,7 +239,7 @@
         tenants=tuple(tenants),
         over_quota_worth=has.get("over_share_worth", float, 1.0),
         worth_by_work=has.get("worth_by", str, "request") == "work",
-        must_ask=has.get("discovery", str, "pushed") == "on_request",
+        must_ask=has.get("discovery", MUST_ASK.__getitem__, False),
         passes_deadline=has.get("extra.passes_deadline", _bool, True),
         warm_keys=has.get("extra.warm_keys", _bool, False),
         rated=has.get("weight_source", str, "none") != "none",
@@ -180,11 +250,7 @@
         limits=limits,
         contract=contract,
         goal=goal,
-        prices={
-            path.removeprefix("prices."): has.need(path, float)
-            for path in has.values
-            if path.startswith("prices.")
-        },
+        prices={path.removeprefix("prices."): has.need(path, float) for path in has.within("prices")},
     )
 
 
@@ -361,7 +427,7 @@
             if not name:
                 raise WireError(f"{word} before any SWITCH_TO")
             if word == "BEGIN":
-                self.balancers[name] = Balancer(settings_from(parts[2:]), int(parts[1]))
+                self.balancers[name] = Balancer(settings_from(Pairs(parts[2:])), int(parts[1]))
                 continue
             if word == "STOP":
                 (_,) = parts
--- a/lapisway/interface.py
+++ b/lapisway/interface.py
@@ -86,10 +86,11 @@
     stream: bool = False  # the answer comes as a stream
 
     def __post_init__(self) -> None:
-        _require(self.aim > 0, f"class {self.name}: aim", "must be above 0")
-        _require(self.deadline >= self.aim, f"class {self.name}: deadline", "must not be below the aim")
-        _require(self.worth >= 0, f"class {self.name}: worth", "must not be negative")
-        _require(self.window >= 0, f"class {self.name}: window", "must not be negative")
+        name = f"class {self.name[:40]}"  # the key has to stand in a line of a log
+        _require(self.aim > 0, f"{name}: aim", "must be above 0")
+        _require(self.deadline >= self.aim, f"{name}: deadline", "must not be below the aim")
+        _require(self.worth >= 0, f"{name}: worth", "must not be negative")
+        _require(self.window >= 0, f"{name}: window", "must not be negative")
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,7 +102,7 @@
     share: float = 1.0
 
     def __post_init__(self) -> None:
-        _require(self.quota_per_s >= 0, f"tenant {self.name}: quota_per_s", "must not be negative")
+        _require(self.quota_per_s >= 0, f"tenant {self.name[:40]}: quota_per_s", "must not be negative")
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/ends/test_settings.py
+++ b/tests/ends/test_settings.py
@@ -1,53 +1,181 @@
-"""Settings that can't be served: one line that names the key, whatever stands in its place."""
+"""Settings that can't be served: one line that names the key, whatever stands in its place, and status 2."""
 
 from __future__ import annotations
 
 import copy
 import json
+import os
+import re
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from lapisway import benchlink
 from tests.test_process import told
-from wheatring import config
+from wheatring import config, late, log, serving
+from wheatring.__main__ import main
 
 HUGE = 10**400  # a whole number that no float holds
-AT = {
-    "limits.sockets": ("limits", "sockets"),
-    "limits.memory_mb": ("limits", "memory_mb"),
-    "deadline": ("settings", "classes", 0, "deadline"),
-    "cold": ("settings", "contract", "cold"),
-    "dial_timeout": ("settings", "limits", "dial_timeout"),
-    "stop_sending_within": ("settings", "contract", "stop_sending_within"),
-    "must_ask_in": ("settings", "contract", "must_ask_in"),
-}
-
-
-def read(tmp_path: Path, path: tuple[str | int, ...], value: object) -> str:
-    """What is said of settings with this in that place."""
-    data: Any = copy.deepcopy(told())
-    inner = data
-    for key in path[:-1]:
+DEEP: Any = []  # as deep as JSON is read
+for _ in range(900):
+    DEEP = [DEEP]
+HALF = "\ud800"  # of a pair of surrogates
+# All that the platform's page names. That nothing more is read of the settings is held below.
+WHOLE: dict[str, Any] = told(control="127.0.0.1:0", settings={
+    "classes": [
+        {"name": "menu", "slo": 2500000, "deadline": 6000000, "value": 1.0, "late_worth": 0.25,
+         "effect": "pure", "aim_stretch": 0.5, "stream": False},
+        {"name": "order", "slo": 2500000, "deadline": 6000000, "value": 5, "late_worth": 0.5,
+         "effect": "token", "group": "all", "memory_span": 10000000},
+    ],
+    "tenants": [{"name": "one", "allowance_per_s": 40.0, "share": 0.5}, {"name": "two"}],
+    "contract": {
+        "grace_to_answer": 20000, "stop_sending_within": 2500000, "must_ask_in": 10000000, "cold_from": 0.13,
+        "cold": 24000000, "fall_multiple": 2.5, "overload_for": 1000000,
+    },
+    "limits": {
+        "dial_timeout": 250000, "keepalive": 30000000, "retry_after": True, "max_retry_after": 200000,
+        "max_attempts": 5, "streams_per_conn": 1, "may_cancel": True, "second_copies": True,
+        "may_probe": False, "peers": False, "open_cap": 28958, "cpu_us_per_s": 1158352,
+        "cpu_us_per_request": 0.0,
+    },
+    "goal": {"whole": 0.6, "worst_window": 0.2, "worst_class": 0.2, "worst_tenant": 0.0},
+    "prices": {"waste": 0.04, "late_fail": 0.031}, "report": {"source": "none", "columns": ["rif"]},
+    "extra": {"passes_deadline": True, "warm_keys": False}, "callers": {"marks_retry": False},
+    "peers_total": 2, "slot_no": 1, "tier": 0, "tiers": ["near", "far"], "zone": "a", "zones": ["a", "b"],
+    "step": 5000, "discovery": "on_request", "weight_source": "none", "worth_by": "request",
+    "over_share_worth": 0.1,
+})  # fmt: skip
+Place = tuple[str | int, ...]
+
+
+def places(value: Any, place: Place = ()) -> Iterator[tuple[Place, Any]]:
+    """Each key with what stands there, those that hold others too."""
+    if place:
+        yield place, value
+    if isinstance(value, dict) or (isinstance(value, list) and value and isinstance(value[0], dict)):
+        for key, inner in value.items() if isinstance(value, dict) else enumerate(value):
+            yield from places(inner, (*place, key))
+
+
+KEYS = {".".join(map(str, place)): (place, value) for place, value in places(WHOLE)}
+for name in ("limits.cores", "known.reset"):  # nothing goes by them
+    del KEYS[name]
+NUMBERS = [float("nan"), float("inf"), -float("inf"), HUGE, -1, -0.5, "x", "", "1", [], [1], {"a": 1}, True]
+NUMBERS += [DEEP]
+BAD: dict[type, list[Any]] = {
+    int: NUMBERS, float: NUMBERS, bool: [0, 1, "x", "true", [], {"a": True}, DEEP],
+    str: [5, True, HALF, [], ["x"], {"a": "x"}, DEEP], dict: ["x", 5, True, [], [1], DEEP],
+    list: ["x", 5, True, {"a": 1}, [5], [HALF], [[]], DEEP],
+}  # fmt: skip
+# What is of its type and yet can't be. A line that names another key at fault names that one.
+MORE: dict[str, list[Any]] = {
+    "name": ["", "a\nb"], "seed": ["", "xyz", *NUMBERS[:3]], "discovery": ["", "here", "a:99999", ":80"],
+    "listen": ["here", "a:99999", "a\nb:80", "..:80", f"{'a' * 64}:80", "\u00e9:80"], "control": ["", "here"],
+    "limits.sockets": [0, 63, 64.5], "limits.memory_mb": [0], "known": [{}, {"instances": []}],
+    "known.generation": [1.5, 1 << 63], "settings": [{}], "settings.classes": [[], ["x"]],
+    "settings.classes.0": [{}], "settings.classes.1.name": ["", "menu"],
+    "settings.classes.0.slo": [0, 1 << 63, 0.5], "settings.classes.0.deadline": [0, 2499999],
+    "settings.classes.0.value": [1e300], "settings.classes.0.effect": ["keyed", ""],
+    "settings.classes.1.group": ["none"], "settings.classes.1.memory_span": [0],
+    "settings.tenants.1.name": ["one"], "settings.contract": [{}], "settings.contract.must_ask_in": [0],
+    "settings.contract.cold_from": [0, 1.5], "settings.contract.fall_multiple": [0],
+    "settings.contract.overload_for": [0], "settings.limits.dial_timeout": [0, 999],
+    "settings.limits.keepalive": [0], "settings.limits.open_cap": [0], "settings.limits.max_attempts": [0],
+    "settings.limits.streams_per_conn": [0], "settings.limits.cpu_us_per_s": [0],
+    "settings.peers_total": [0, 1 << 63], "settings.slot_no": [2], "settings.discovery": ["", "on request"],
+    "settings.prices.waste": [1e300],
+}  # fmt: skip
+LINES = [[5], [HALF], [[]], DEEP]  # of the list held: each line that can't be read is left out
+
+
+def said(data: object, folder: Path, capsys: pytest.CaptureFixture[str]) -> str:
+    """The line with which a start ends."""
+    (folder / "c.json").write_text(json.dumps(data), encoding="utf-8")
+    assert main([]) == 2
+    out, err = capsys.readouterr()
+    assert out == "" and err.count("\n") == 1 and len(err) < 400 and "Traceback" not in err
+    return err
+
+
+def changed(place: Place, value: object) -> Any:
+    data = copy.deepcopy(WHOLE)
+    inner: Any = data
+    for key in place[:-1]:
         inner = inner[key]
-    inner[path[-1]] = value
-    (tmp_path / "c.json").write_text(json.dumps(data), encoding="utf-8")
-    with pytest.raises(config.ConfigError) as bad:
-        config.read({"LB_CONFIG": str(tmp_path / "c.json")})
-    return str(bad.value)
+    inner[place[-1]] = value
+    return data
+
+
+@pytest.fixture(autouse=True)
+def told_there(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    def taken(*_: object) -> None:
+        raise AssertionError("it would serve")
 
+    monkeypatch.setenv("LB_CONFIG", str(tmp_path / "c.json"))
+    monkeypatch.setattr(serving, "Sidecar", taken)
+    monkeypatch.setattr(log, "not_blocking", lambda: None)
+    monkeypatch.setattr(late, "put_off", lambda: None)
 
-@pytest.mark.parametrize("value", [float("nan"), float("inf"), HUGE, [], "x"], ids=lambda v: str(v)[:4])
-@pytest.mark.parametrize("key", AT)
-def test_a_value_that_is_no_number_is_told_by_its_key(key: str, value: object, tmp_path: Path) -> None:
-    said = read(tmp_path, AT[key], value)
-    assert key in said and "\n" not in said
 
+@pytest.mark.parametrize("name", KEYS)
+def test_whatever_can_not_be_served_is_told_by_its_key(
+    name: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    place, good = KEYS[name]
+    key = [step for step in place if isinstance(step, str)][-1]
+    for value in [*BAD[type(good)], *MORE.get(name, [])]:
+        if (name, value) == ("seed", 5) or (name == "known.instances" and value in LINES):
+            continue
+        assert key in said(changed(place, value), tmp_path, capsys).replace("LB_CONFIG", "")
 
-@pytest.mark.parametrize("value", [float("nan"), float("inf"), [], "x"])
-def test_a_seed_that_is_no_number_is_told(value: object, tmp_path: Path) -> None:
-    assert "seed" in read(tmp_path, ("seed",), value)
 
+@pytest.mark.parametrize("name", KEYS)
+def test_a_key_that_is_not_there_is_told_or_has_a_default(name: str, tmp_path: Path) -> None:
+    place, _ = KEYS[name]
+    (tmp_path / "c.json").write_text(json.dumps(changed(place, None)), encoding="utf-8")
+    try:
+        config.read(os.environ)
+    except config.ConfigError as bad:
+        assert [step for step in place if isinstance(step, str)][-1] in str(bad)
 
-def test_a_class_named_twice_is_told(tmp_path: Path) -> None:
-    assert "name" in read(tmp_path, ("settings", "classes", 1, "name"), "menu")
+
+def test_nothing_is_read_of_the_settings_that_is_not_tried_here(monkeypatch: pytest.MonkeyPatch) -> None:
+    asked: set[str] = set()
+
+    def asking(way: Any) -> Any:
+        def ask(has: Any, path: str, *how: Any) -> Any:
+            asked.add(path)
+            return way(has, path, *how)
+
+        return ask
+
+    for way in ("get", "need"):
+        monkeypatch.setattr(benchlink.Nested, way, asking(getattr(benchlink.Nested, way)))
+    config.settings_in(WHOLE["settings"])
+    tried = {name.removeprefix("settings.") for name in KEYS}
+    one = re.compile(r"\.\d+\.")  # of several
+    read = {one.sub(".", path) for path in asked if not path.endswith(".count")}
+    assert read - {one.sub(".", path) for path in tried} == set() and len(read) > 50
+
+
+def test_a_file_that_says_a_key_twice_is_told(tmp_path: Path) -> None:
+    text = json.dumps(WHOLE).replace('"slot_no": 1', '"slot_no": 1, "slot_no": 0')
+    (tmp_path / "c.json").write_text(text, encoding="utf-8")
+    with pytest.raises(config.ConfigError, match=r"^slot_no: stands there twice"):
+        config.read(os.environ)
+
+
+def test_a_name_breaks_no_line_and_hides_no_key(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    data = changed(("settings", "classes", 0, "name"), "a\nb\u2028" * 500)
+    data["settings"]["classes"][0]["slo"] = 0
+    assert "slo: must be above 0" in said(data, tmp_path, capsys)
+
+
+def test_what_is_not_known_is_left_alone_however_odd(tmp_path: Path) -> None:
+    odd = {"new": DEEP, "newer": {"a": float("nan"), "": HALF}, "newest": HUGE}
+    data = {**WHOLE, **odd, "settings": {**WHOLE["settings"], **odd}}
+    (tmp_path / "c.json").write_text(json.dumps(data), encoding="utf-8")
+    assert config.read(os.environ).settings == config.settings_in(WHOLE["settings"])
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -20,13 +20,12 @@
 from twisted.internet.task import Clock as Reactor
 
 from lapisway import interface as i
-from lapisway.benchlink import settings_from
 from lapisway.policy import Balancer
 from tests.test_process import begin, told, until
 from tests.world import FAR, SETTINGS, Peer, Wire, World, entry, list_body
 from wheatring import operators
 from wheatring.__main__ import main
-from wheatring.config import pairs
+from wheatring.config import settings_in
 from wheatring.core.clock import Clock
 from wheatring.ops.capture import record, ring
 
@@ -45,7 +44,7 @@
     draw, now = Random(seed), 100.0
     for line in record.header("n/3", seed, 1_700_000_000.25, SETTINGS):
         to.write(line)
-    balancer = Balancer(settings_from(pairs(SETTINGS)), seed)
+    balancer = Balancer(settings_in(SETTINGS), seed)
     recorder = record.Recorder(balancer, 1_700_000_000.25, to.write, "c/{}".format, lambda node: 2)
     nodes = ["-", "a b", "c:1/2", "d,e", "f%", "g\ud800", "g\ud801", "h"]
     out: list[tuple[i.Send, int]] = []
--- a/tests/world.py
+++ b/tests/world.py
@@ -20,10 +20,9 @@
 from twisted.internet import reactor as installed
 from twisted.internet.threads import blockingCallFromThread
 
-from lapisway.benchlink import settings_from
 from tests.virtual import Virtual
 from wheatring import log
-from wheatring.config import Config, pairs
+from wheatring.config import Config, settings_in
 from wheatring.daemon import Sidecar
 from wheatring.operators import Operators
 
@@ -192,7 +191,7 @@
         known = {"generation": 7, "instances": self.known()}
         self.config = Config(
             name="test", listen=("127.0.0.1", 0), discovery=("127.0.0.1", self.discovery.port), seed=1,
-            sockets=256, known=known, settings=settings_from(pairs(SETTINGS)), given=SETTINGS,
+            sockets=256, known=known, settings=settings_in(SETTINGS), given=SETTINGS,
             control=control,
         )  # fmt: skip
 
--- a/wheatring/config/__init__.py
+++ b/wheatring/config/__init__.py
@@ -13,13 +13,14 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from lapisway.benchlink import settings_from
-from lapisway.interface import Settings
+from lapisway.benchlink import Nested, settings_from, shown
+from lapisway.interface import Effect, Settings
 from wheatring import address
 from wheatring.errors import Plain
 
 SOCKETS = 1024
 MEMORY_MB = 192
+LONGEST = 300  # of a line on what is wrong
 MOST = 1e9  # of either that any machine has; NaN is not below it
 
 # The settings' own names for what the module's vocabulary calls otherwise, so that errors name the key.
@@ -36,6 +37,10 @@
     code = "config-key"
     do = "Correct the key that the line names, in LB_CONFIG's file or in the variable that stands over it."
 
+    def __init__(self, what: str) -> None:
+        """On one line, whatever stands in the names of the file, and with all of it out of bounds."""
+        super().__init__("".join(c if c.isprintable() else ascii(c)[1:-1] for c in what[:LONGEST]))
+
 
 class ConfigUnreadable(ConfigError):
     """There is none, or it is no JSON object."""
@@ -97,33 +102,61 @@
 
 def _address(key: str, text: object) -> tuple[str, int]:
     try:
-        return address.parse(text)
+        return address.parse(text if isinstance(text, str) else shown(text))
     except ValueError as bad:
         raise ConfigError(f"{key}: {bad}") from bad
 
 
-def pairs(value: object, path: str = "") -> Iterator[str]:
-    """Nested settings as the path=value pairs of the simulator's first message."""
-    if isinstance(value, Mapping):
-        for name, inner in value.items():
-            yield from pairs(inner, f"{path}.{name}" if path else str(name))
-    elif isinstance(value, list):
-        if any(isinstance(inner, Mapping) for inner in value):
-            yield f"{path}.count={len(value)}"
-            for number, inner in enumerate(value):
-                yield from pairs(inner, f"{path}.{number}")
-        else:
-            yield f"{path}=" + ",".join(map(_text, value))
-    elif value is not None:
-        yield f"{path}={_text(value)}"
-
-
-def _text(value: object) -> str:
-    if isinstance(value, bool):
-        return "true" if value else "false"
-    if isinstance(value, float) and value.is_integer():
-        return str(int(value))
-    return str(value)
+def settings_in(given: object) -> Settings:
+    """What the platform's `settings` say."""
+    try:
+        read = settings_from(Nested(given))
+    except ValueError as bad:
+        key = re.sub(r"\w+(?=: must )", lambda word: WIRE_NAMES.get(word[0], word[0]), str(bad))
+        raise ConfigError(f"settings: {key}") from bad
+    for path, fits, rule in _rules(read):
+        if not fits:
+            raise ConfigError(f"settings: {path}: must {rule}")
+    return read
+
+
+def _rules(read: Settings) -> Iterator[tuple[str, bool, str]]:
+    """What is asked of a sidecar's settings beyond what the decisions themselves can't do without."""
+    limits, contract = read.limits, read.contract
+    yield "slot_no", read.number < read.copies, f"be below peers_total, which is {read.copies}"
+    for each in read.classes:
+        at = f"class {each.name[:40]}"
+        yield f"{at}: name", each.name != "", "not be empty"
+        yield f"{at}: memory_span", each.effect is not Effect.KEYED or each.window > 0, "be above 0"
+        yield f"{at}: late_worth", each.late_worth >= 0, "not be negative"
+        yield f"{at}: aim_stretch", each.aim_stretch >= 0, "not be negative"
+    names = [each.name for each in read.tenants]
+    yield "tenants: name", len(set(names)) == len(names), "not stand there twice"
+    yield "tenants: share", all(each.share >= 0 for each in read.tenants), "not be negative"
+    yield "limits.dial_timeout", limits.connect_timeout >= 1e-3, "be 1000 us or more"
+    yield "limits.keepalive", limits.idle_timeout >= 1e-3, "be 1000 us or more"
+    yield "limits.max_retry_after", limits.max_retry_after >= 0, "be 0 us or more"
+    yield "limits.open_cap", limits.max_open >= 1, "be 1 or more"
+    yield "limits.cpu_us_per_s", limits.cpu_per_s > 0, "be above 0"
+    yield "limits.cpu_us_per_request", limits.cpu_per_request >= 0, "not be negative"
+    yield "contract.grace_to_answer", contract.answer_slack >= 0, "be 0 us or more"
+    yield "contract.stop_sending_within", contract.drain_grace >= 0, "not be negative"
+    yield "contract.must_ask_in", contract.ask_within > 0 or not read.must_ask, "be above 0"
+    yield "contract.overload_for", contract.fall_time > 0, "be above 0"
+    yield "over_share_worth", read.over_quota_worth >= 0, "not be negative"
+    for key in ("whole", "worst_window", "worst_class", "worst_tenant"):
+        yield f"goal.{key}", getattr(read.goal, key) >= 0, "not be negative"
+    for name, price in read.prices.items():
+        yield f"prices.{name[:40]}", price >= 0, "not be negative"
+
+
+def _once(given: list[tuple[str, object]]) -> dict[str, object]:
+    """An object of the file. One that says a key twice may mean either."""
+    found = dict(given)
+    if len(found) < len(given):
+        names = [name for name, _ in given]
+        raise ConfigError(f"{next(name for name in names if names.count(name) > 1)}: stands there twice")
+    return found
 
 
 def read(environment: Mapping[str, str], *, again: bool = False) -> Config:
@@ -131,7 +164,9 @@
     if not where:
         raise ConfigUnreadable("LB_CONFIG: not set")
     try:
-        data = json.loads(Path(where).read_text(encoding="utf-8"))
+        data = json.loads(Path(where).read_text(encoding="utf-8"), object_pairs_hook=_once)
+    except ConfigError:
+        raise
     except OSError as bad:
         raise ConfigUnreadable(f"LB_CONFIG: {bad.strerror}: {where}") from bad
     except (ValueError, RecursionError) as bad:
@@ -142,46 +177,38 @@
     def told(key: str) -> object:
         return environment.get(f"LB_{key.upper()}") or data.get(key)
 
-    discovery = (again and data.get("discovery")) or told("discovery")
+    discovery = data.get("discovery") if again else None
+    if discovery is None:
+        discovery = told("discovery")
     name = told("name")
     if not isinstance(name, str) or not name:
         raise ConfigError("name: missing")
+    if not name.isprintable():
+        raise ConfigError(f"name: not to be printed: {shown(name)}")
     seed = data.get("seed", "0")
     try:
-        number = int(seed, 16) if isinstance(seed, str) else int(seed)
-    except (TypeError, ValueError, OverflowError) as bad:
-        raise ConfigError(f"seed: not a hexadecimal number: {seed!r}") from bad
+        number = seed if type(seed) is int else int(seed, 16)
+    except (TypeError, ValueError) as bad:
+        raise ConfigError(f"seed: not a hexadecimal number: {shown(seed)}") from bad
     limits = data.get("limits", {})
     if not isinstance(limits, dict):
         raise ConfigError("limits: not an object")
     sockets = limits.get("sockets", SOCKETS)
     if type(sockets) is not int or not 64 <= sockets <= MOST:
-        raise ConfigError(f"limits.sockets: not a whole number of 64 or more: {sockets!r}")
+        raise ConfigError(f"limits.sockets: not a whole number of 64 or more: {shown(sockets)}")
     memory = limits.get("memory_mb", MEMORY_MB)
     if isinstance(memory, bool) or not isinstance(memory, int | float) or not 1 <= memory <= MOST:
-        raise ConfigError(f"limits.memory_mb: not a number of 1 or more: {memory!r}")
+        raise ConfigError(f"limits.memory_mb: not a number of 1 or more: {shown(memory)}")
     control = told("control")
     known = data.get("known", {"generation": 0, "instances": []})
     if not isinstance(known, dict) or not isinstance(known.get("instances"), list):
         raise ConfigError("known: not a list of instances")
-    if type(known.get("generation")) is not int:
+    generation = known.get("generation")
+    if type(generation) is not int or not 0 <= generation < 1 << 63:
         raise ConfigError("known.generation: not a whole number")
     settings = data.get("settings")
     if not isinstance(settings, dict):
         raise ConfigError("settings: missing")
-    try:
-        read_settings = settings_from(pairs(settings))
-    except ValueError as bad:
-        name_on_wire = re.sub(r"\w+(?=: must )", lambda word: WIRE_NAMES.get(word[0], word[0]), str(bad))
-        raise ConfigError(f"settings: {name_on_wire}") from bad
-    for path, value, least in (
-        ("limits.dial_timeout", read_settings.limits.connect_timeout, 1e-3),
-        ("limits.keepalive", read_settings.limits.idle_timeout, 1e-3),
-        ("limits.max_retry_after", read_settings.limits.max_retry_after, 0.0),
-        ("contract.grace_to_answer", read_settings.contract.answer_slack, 0.0),
-    ):
-        if value < least:
-            raise ConfigError(f"settings: {path}: must be {least * 1e6:.0f} us or more")
     return Config(
         name=name,
         listen=_address("listen", told("listen")),
@@ -191,6 +218,6 @@
         memory_mb=int(memory),
         control=None if control is None else _address("control", control),
         known=known,
-        settings=read_settings,
+        settings=settings_in(settings),
         given=settings,
     )
--- a/wheatring/lab/world/seats.py
+++ b/wheatring/lab/world/seats.py
@@ -6,8 +6,7 @@
 from random import Random
 from typing import Any
 
-from lapisway.benchlink import settings_from
-from wheatring.config import Config, pairs
+from wheatring.config import Config, settings_in
 from wheatring.lab.plan import Plan
 from wheatring.lab.settings import settings
 from wheatring.lab.timers import Timer, Timers
@@ -36,7 +35,7 @@
         self.known = known
         self.limits = plan.limits
         self.told = settings(plan, tier, number, copies)
-        self.read = settings_from(pairs(self.told))
+        self.read = settings_in(self.told)
         self.random = Random(f"{plan.seed}:sidecar:{name}")
         self.start_time = plan.sidecar_start
         self.running = False
--- a/wheatring/ops/capture/replay.py
+++ b/wheatring/ops/capture/replay.py
@@ -11,9 +11,8 @@
 from urllib.parse import unquote
 
 from lapisway import interface as i
-from lapisway.benchlink import settings_from
+from lapisway.benchlink import Nested, settings_from
 from lapisway.policy import Balancer
-from wheatring.config import pairs
 from wheatring.ops.capture.record import REPORT, Recorder
 from wheatring.ops.capture.ring import CUT, files_in
 
@@ -120,7 +119,7 @@
 
     def begin(self, offset: float, settings: object) -> None:
         assert self.seed is not None
-        balancer = Balancer(settings_from(pairs(settings)), self.seed)
+        balancer = Balancer(settings_from(Nested(settings)), self.seed)
         self.seed = None
         self.idents.clear()
         self.due.clear()
