--- a/tests/lab/test_study.py
+++ b/tests/lab/test_study.py
@@ -9,6 +9,7 @@
 import sqlite3
 import subprocess
 import sys
+import time
 from collections import Counter
 from pathlib import Path
 
@@ -16,6 +17,7 @@
 import pytest
 from rich.console import Console
 
+from tests.lab.grounds import FAR
 from tests.lab.study_runner import RUN, job, told
 from wheatring.lab.study import StudyError, settings, store, sweep
 from wheatring.lab.study.jobs import Ended, Job, build_at, seeds_of
@@ -53,6 +55,10 @@
     seen: list[int] = []
     while len(seen) < 12:  # past the tenth: the run that hangs is on
         seen.append(int(going.stdout.readline()))
+    give_up = time.monotonic() + FAR  # its worker has been handed the run, and may yet have to begin it
+    while not (pid.exists() and pid.read_text()):
+        assert time.monotonic() < give_up, "the run that hangs never began"
+        time.sleep(0.01)
     left_over = os.pidfd_open(int(pid.read_text()))
     going.kill()
     going.communicate()
