Split a cold endpoint's turns among all that a copy reaches, also in other zones

Cause: where copies reach into other zones, the ramp's turn was an even share of the own zone's endpoints, and every one reached there got it, up to twice as many.

Change: the turn is an even share of all that the copy reaches, as the credit has it already. Without zones no decision changes.

--- a/lapisway/policy.py
+++ b/lapisway/policy.py
@@ -240,7 +240,8 @@
     def send(self, now: float, request: Request, out: list[Action]) -> None:
         self.turns += 1 / self.capacity
         if not request.attempts:  # repeats grow with trouble, what an endpoint bears doesn't
-            step = max(min(1 / self.capacity, self.credit), TRICKLE / self.capacity)
+            turn = len(self.near) / self.capacity / max(len(self.subset), 1)  # the far get their part of it
+            step = max(min(turn, self.credit), TRICKLE * turn)
             self.ramp, self.credit = self.ramp + step, max(self.credit - step, 0.0)
         endpoint, drawn = self.pick(now, request)
         timeout = left = request.deadline - now
--- a/tests/ends/test_cold.py
+++ b/tests/ends/test_cold.py
@@ -23,6 +23,12 @@
     assert [start.entry.endpoint for start in starts if start.over] == []
 
 
+@pytest.mark.parametrize("seed", [42, 70])
+def test_no_window_is_over_its_budget_where_all_are_cold_and_copies_reach_into_other_zones(seed: int) -> None:
+    starts = Fleet(replace(drawn(seed, 200), cold_part=1.0, zones=3, failing=0.0), seed).play().starts
+    assert [start.entry.endpoint for start in starts if start.over] == []
+
+
 @pytest.mark.parametrize(("copies", "seed"), [(20, 7), (200, 0), (200, 3), (200, 7)])
 def test_one_put_back_by_the_operators_gets_a_call_in_3_s_and_no_more_than_its_budget(
     copies: int, seed: int
