Have the capture's test see its request taken before the caller leaves

Cause: since a request whose caller had gone before it was read is sent nowhere.

Change: it reads the request at the endpoint, then the caller leaves. All that it asserts stands.

No other test closes behind an unread request, by search.

Ruled out: a fault of the capture.

--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -301,7 +301,9 @@
         node.read()
         node.answer(status, b"ok", more)
     assert caller.read()[2] == b"ok"
-    world.ask("order").close()
+    left = world.ask("order")
+    node.read()  # one whose caller had gone before it was read would be sent nowhere
+    left.close()
     world.logged("caller-connection")
     flush(world)
     lines = lines_in(tmp_path)
