Say once how a call to discovery is dropped unheard, and how what the system holds is read first

Four places of the list's client took a call's end away and stopped it; the server's evictions and the look at an answer without an end both spelt out the two turns of the reactor.

Change: machine_list.drop and connection.after_a_look; behaviour as it was.

Ruled out: one owner for Asking.answered and Told.answered, which tests call apart.

--- a/wheatring/http1/claim.py
+++ b/wheatring/http1/claim.py
@@ -10,7 +10,7 @@
 from wheatring.core.body import Body, nothing
 from wheatring.core.clock import Timer
 from wheatring.core.exchange import Claim
-from wheatring.http1.connection import Connection
+from wheatring.http1.connection import Connection, after_a_look
 from wheatring.http1.parser import HOLD, MAX_BODY, BadMessage, Message, Request
 from wheatring.http1.sending import Sender
 
@@ -251,8 +251,7 @@
                 self.spoilt("answer not whole in time")
                 return
             later = 0.0
-        # Between two turns of the reactor it looks at all sockets; before the first one it may not.
-        self.pool.reactor.callLater(later, self.pool.reactor.callLater, 0, self.look, flow, flow.end)
+        after_a_look(self.pool.reactor, self.look, flow, flow.end, later=later)
 
     def end_flow(self) -> Body | None:
         """This side has no more to do with it."""
--- a/wheatring/http1/connection.py
+++ b/wheatring/http1/connection.py
@@ -4,6 +4,7 @@
 
 import fcntl
 import select
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from twisted.internet import protocol
@@ -63,6 +64,12 @@
     return left != bytes(4)
 
 
+def after_a_look(reactor: Any, call: Callable[..., object], *args: Any, later: float = 0.0) -> None:
+    """Call it once all that the system holds by now, or by so many seconds later, has been read. Between two
+    turns of the reactor it looks at all sockets; before the first one it may not."""
+    reactor.callLater(later, reactor.callLater, 0, call, *args)
+
+
 class Connection(protocol.Protocol):
     """Leaves exactly one log line when it ends, with a code for the reason."""
 
--- a/wheatring/http1/machine_list.py
+++ b/wheatring/http1/machine_list.py
@@ -24,6 +24,12 @@
 READY = EndpointState.READY  # looked up once: an enum takes its time
 
 
+def drop(caller: Caller, code: str) -> None:
+    """End it; nobody hears of that."""
+    caller.done = None
+    caller.stop(code)
+
+
 class MachineList:
     """Tells the driver each change of the list, and the pool where each execute node is."""
 
@@ -94,8 +100,7 @@
         if self.turn is not None and self.turn.active():
             self.turn.cancel()
         self.turn = None
-        self.watcher.done = None
-        self.watcher.stop(code)
+        drop(self.watcher, code)
         self.drop_second(code)
         self.freshness.unwatched()
         self.asking.told.dropped()
@@ -201,8 +206,7 @@
             del self.formers[at]
             return
         for each in self.formers[:at]:
-            each.done = None
-            each.stop("answered")
+            drop(each, "answered")
         del self.formers[: at + 1]
         caller.close("left-behind")
         # The call that is out goes by the version that it was given, or is for the whole list.
@@ -216,8 +220,7 @@
     def drop_formers(self, code: str) -> None:
         formers, self.formers = self.formers, []
         for former in formers:
-            former.done = None
-            former.stop(code)
+            drop(former, code)
 
     # A list that may have grown old
 
@@ -281,8 +284,7 @@
     def drop_second(self, code: str) -> None:
         second, self.second = self.second, None
         if second is not None:
-            second.done = None
-            second.stop(code)
+            drop(second, code)
 
     def read(self, answer: Any, whole: bool = False) -> bool:
         """Pass on what a call brought; a call that failed or can't be read is one FAILED view. What answers a
--- a/wheatring/http1/server.py
+++ b/wheatring/http1/server.py
@@ -16,7 +16,7 @@
 from wheatring.core.exchange import Exchange, Job
 from wheatring.core.refused import Refused
 from wheatring.http1.caller import CallerConnection
-from wheatring.http1.connection import hung_up
+from wheatring.http1.connection import after_a_look, hung_up
 from wheatring.http1.door import open_door, open_shared_door
 from wheatring.http1.parser import Message, Request
 from wheatring.http1.states import State
@@ -234,10 +234,9 @@
                 self.part(connection, "stopping")
 
     def part(self, connection: CallerConnection, code: str) -> None:
-        """End a connection that may be ended, if that is so by then: what the system holds is read first.
-        Between two turns of the reactor it looks at all sockets; before the first one it may not."""
+        """End a connection that may be ended, if that is so by then: what the system holds is read first."""
         told = connection, code, connection.since, connection.reader.started
-        self.reactor.callLater(0, self.reactor.callLater, 0, self.parted, *told)
+        after_a_look(self.reactor, self.parted, *told)
 
     def parted(self, connection: CallerConnection, code: str, since: float, started: bool) -> None:
         still = connection.since == since and connection.reader.started == started
