Add the serving tier: controllers, storage replicas and sidecars, the whole path in thin form

Need: the operators move to machines without the list service and the settings files; the tier has to know its endpoints, keep the configuration, and keep turns and budgets by itself.

Change: consensus (Raft over a log of one entry, free of I/O), record file, controllers with the operator's API, subscription, storage replicas with placement by epochs, quorum client, turns, budgets, and a sidecar on the present parser and decision module. deploy/system.toml and its build. What is usual on a route is now known by that route's own answers: with the module's common start a route that came late had a base of 0, and all its endpoints counted as crowded.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # Tests side by side; "auto": one for each core, 0: one after the other, in one process.
 JOBS ?= auto
 
-.PHONY: build test lint run lab bench
+.PHONY: build test lint run lab bench system proto
 
 build: .venv/built
 	$(BIN)/python -m compileall -q lapisway wheatring
@@ -41,3 +41,16 @@
 .venv/dev: .venv/built pyproject.toml
 	$(BIN)/pip install -q -r requirements.txt -e '.[dev]'
 	touch $@
+
+# What the roles in deploy/system.toml run: libraries and a precompiled copy of the program, all under target/.
+system:
+	test target/deps/.built -nt requirements-tier.txt || { $(PYTHON) -m pip install -q --upgrade --target target/deps \
+	  -r requirements-tier.txt && $(PYTHON) -m compileall -q target/deps; touch target/deps/.built; }
+	rm -rf target/app && mkdir -p target/app
+	cp -r wheatring lapisway target/app/
+	cp deploy/tier.py target/app/tier.py
+	$(PYTHON) -m compileall -q target/app
+
+# The internal protocol's generated code, which is committed.
+proto: .venv/dev
+	cd wheatring/transport && ../../$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. messages.proto
--- /dev/null
+++ b/wheatring/budgets/__init__.py
@@ -0,0 +1,1 @@
+"""Token budgets of agent programs."""
--- /dev/null
+++ b/wheatring/controller/commands.py
@@ -0,0 +1,148 @@
+"""What may be done to the control state, as functions from one state to the next.
+
+Each command is applied by the leader to the newest committed state. It returns an outcome, and changes the
+state that it is given where it has succeeded; the caller has the change committed before it tells the
+outcome."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+
+from wheatring.controller.configuration import InvalidConfiguration, parse
+from wheatring.transport.messages_pb2 import ControlState, Retirement
+
+MAX_TAKEN = 4096  # configurations remembered, so that a repeat is acknowledged again
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """Accepted, now or before."""
+
+    body: bytes = b"{}"
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """Another version is current, or too few machines would be left."""
+
+    reason: str
+    status: int = 412
+
+
+@dataclass(frozen=True, slots=True)
+class Invalid:
+    """Can never be accepted."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class NotFound:
+    """There is no such thing."""
+
+    reason: str
+
+
+Outcome = Done | Conflict | Invalid | NotFound
+
+
+@dataclass(frozen=True, slots=True)
+class ReplaceConfiguration:
+    """Put a whole configuration in the place of the one that it builds on."""
+
+    base: int
+    body: bytes
+
+    @property
+    def digest(self) -> bytes:
+        """Tells a repeat of an order from another order."""
+        return hashlib.blake2b(b"%d\n%s" % (self.base, self.body), digest_size=16).digest()
+
+    def apply(self, state: ControlState) -> Outcome:
+        """Check against the current version, which is the only one that may be replaced."""
+        digest = self.digest
+        if any(taken.digest == digest for taken in state.taken):
+            return Done()
+        if self.base != state.generation:
+            return Conflict(f"version {state.generation} is current")
+        try:
+            configuration = parse(self.body)
+        except InvalidConfiguration as error:
+            return Invalid(str(error))
+        if configuration.generation <= state.generation:
+            return Invalid(f"generation: must be above {state.generation}")
+        state.generation = configuration.generation
+        state.configuration = self.body
+        state.taken.add(generation=configuration.generation, digest=digest)
+        if len(state.taken) > MAX_TAKEN:
+            del state.taken[0]
+        return Done()
+
+
+@dataclass(frozen=True, slots=True)
+class DescribeConfiguration:
+    """Read the newest configuration."""
+
+    def apply(self, state: ControlState) -> Outcome:
+        """Nothing changes."""
+        if not state.generation:
+            return NotFound("no configuration has been taken yet")
+        return Done(state.configuration)
+
+
+@dataclass(frozen=True, slots=True)
+class StartRetirement:
+    """Empty a storage machine."""
+
+    node: str
+    reachable: frozenset[str]  # replica ids of the storage members that are alive
+    needed: int  # members that have to be left
+
+    def apply(self, state: ControlState) -> Outcome:
+        """The members change later, once the others hold what this one does."""
+        if _retirement_of(state, self.node) is not None:
+            return Done()
+        members = list(state.placement.next or state.placement.current)
+        leaving = [member for member in members if member.node == self.node]
+        if not leaving:
+            return NotFound(f"no storage machine {self.node}")
+        retiring = {retirement.replica_id for retirement in state.retirements if not retirement.completed}
+        left = [m for m in members if m.node != self.node and m.replica_id not in retiring]
+        if len(left) < self.needed:
+            return Conflict(
+                f"{len(left)} storage machines would be left, {self.needed} are needed", status=409
+            )
+        state.retirements.add(node=self.node, replica_id=leaving[0].replica_id)
+        return Done()
+
+
+@dataclass(frozen=True, slots=True)
+class DescribeRetirement:
+    """Read how far a retirement is."""
+
+    node: str
+
+    def apply(self, state: ControlState) -> Outcome:
+        """Nothing changes."""
+        retirement = _retirement_of(state, self.node)
+        if retirement is None:
+            return NotFound(f"{self.node} is not being retired")
+        return Done(b'{"state":"completed"}' if retirement.completed else b'{"state":"running"}')
+
+
+def _retirement_of(state: ControlState, node: str) -> Retirement | None:
+    """The newest one of a node that has not come back with another disk since."""
+    members = {
+        member.replica_id
+        for member in (*state.placement.current, *state.placement.next)
+        if member.node == node
+    }
+    for retirement in reversed(state.retirements):
+        if retirement.node == node:
+            back = retirement.completed and bool(members - {retirement.replica_id})
+            return None if back else retirement
+    return None
+
+
+Command = ReplaceConfiguration | DescribeConfiguration | StartRetirement | DescribeRetirement
--- /dev/null
+++ b/wheatring/controller/members.py
@@ -0,0 +1,95 @@
+"""Which storage replicas hold records: decides on the next placement.
+
+A change is first a joint phase: the set aimed at stands as `next`, all writes go to both sets, and its
+members copy what they lack. Once all of them say that they are whole for that epoch, it becomes the current
+set. Until then the current set holds everything, so the aim may change at any time."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from wheatring.transport.messages_pb2 import ControlState, Placement, StorageMember
+
+UNREACHABLE_SECONDS = 2.0  # after which a member is replaced, where another replica waits
+BOOTSTRAP_SECONDS = 1.5  # after the first storage replica has come, for the others to come
+
+
+@dataclass(frozen=True, slots=True)
+class Reported:
+    """A storage replica as it last said, and how long ago (seconds)."""
+
+    member: StorageMember
+    whole_epoch: int
+    age: float
+
+
+def _first(reported: Mapping[str, Reported], losses: int, waited: float) -> Placement | None:
+    """The placement of a new system: nothing has been written yet, so all that are there hold everything."""
+    wanted = 2 * losses + 1
+    if len(reported) < wanted and (waited < BOOTSTRAP_SECONDS or len(reported) < losses + 1):
+        return None
+    members = sorted((r.member for r in reported.values()), key=lambda member: member.replica_id)
+    return Placement(epoch=1, current=members)
+
+
+def _aim(state: ControlState, reported: Mapping[str, Reported], losses: int) -> list[StorageMember]:
+    """The set of members that there should be."""
+    placement = state.placement
+    current = list(placement.current)
+    held = {member.replica_id for member in current}
+    retiring = {retirement.replica_id for retirement in state.retirements}
+    alive = {i: r for i, r in reported.items() if r.age <= UNREACHABLE_SECONDS}
+    joining = [r.member for i, r in alive.items() if i not in held and i not in retiring]
+    fresh_addresses = {member.address for member in joining}
+    fresh_nodes = {member.node for member in joining}
+    staying = []
+    for member in current:
+        superseded = member.address in fresh_addresses or member.node in fresh_nodes
+        if member.replica_id not in retiring and not superseded:
+            staying.append(member)
+    aim = staying + joining
+    unreachable = [member for member in staying if member.replica_id not in alive]
+    if joining:
+        for member in unreachable:
+            if len(aim) > 2 * losses + 1:
+                aim.remove(member)
+    return sorted(aim, key=lambda member: member.replica_id)
+
+
+def _ids(members: Sequence[StorageMember]) -> list[str]:
+    return sorted(member.replica_id for member in members)
+
+
+def next_placement(
+    state: ControlState, reported: Mapping[str, Reported], losses: int, waited: float
+) -> Placement | None:
+    """The placement to change to, or None. `waited` is how long storage replicas have been known
+    (seconds)."""
+    placement = state.placement
+    if not placement.epoch:
+        return _first(reported, losses, waited)
+    aim = _aim(state, reported, losses)
+    if len(aim) < losses + 1:
+        return None
+    if _ids(aim) == _ids(placement.current):
+        if placement.next:
+            return Placement(epoch=placement.epoch + 1, current=placement.current)
+        return None
+    if _ids(aim) != _ids(placement.next):
+        return Placement(epoch=placement.epoch + 1, current=placement.current, next=aim)
+    if all(_is_whole(reported.get(member.replica_id), placement.epoch) for member in aim):
+        return Placement(epoch=placement.epoch + 1, current=aim)
+    return None
+
+
+def _is_whole(report: Reported | None, epoch: int) -> bool:
+    return report is not None and report.whole_epoch >= epoch
+
+
+def complete_retirements(state: ControlState) -> None:
+    """Mark those as completed whose replica no longer stands in the placement."""
+    members = {member.replica_id for member in (*state.placement.current, *state.placement.next)}
+    for retirement in state.retirements:
+        if retirement.replica_id not in members:
+            retirement.completed = True
--- /dev/null
+++ b/wheatring/controller/store.py
@@ -0,0 +1,85 @@
+"""What a controller keeps on its disk: its identity, term, vote and newest entry."""
+
+from __future__ import annotations
+
+import hashlib
+import os
+import secrets
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from wheatring.durable.committer import Committer
+from wheatring.durable.record_file import DamagedFile, RecordFile
+from wheatring.transport.messages_pb2 import ConsensusRecord, ControlState, Entry, HardState, Member
+
+FILE_NAME = "consensus"
+REWRITE_ABOVE = 4 * 1024 * 1024  # bytes
+
+
+@dataclass(slots=True)
+class Loaded:
+    """What was found."""
+
+    replica_id: str
+    hard_state: HardState
+    entry: Entry
+
+
+def seed_member(address: str) -> Member:
+    """The identity of a seed in a new system, the same for all that know its address."""
+    return Member(replica_id=f"seed-{address}", address=address)
+
+
+def first_entry(seeds: Sequence[str]) -> Entry:
+    """The entry that all seeds of a new system begin with."""
+    ordered = sorted(seeds)
+    cluster_id = hashlib.blake2b("\n".join(ordered).encode(), digest_size=8).hexdigest()
+    entry = Entry(term=0, index=1, data=ControlState(cluster_id=cluster_id).SerializeToString())
+    entry.voters.extend(seed_member(address) for address in ordered)
+    return entry
+
+
+class Store:
+    """The file of one controller."""
+
+    def __init__(self, folder: Path) -> None:
+        os.makedirs(folder, exist_ok=True)
+        self._folder = folder
+        self._file = RecordFile(folder / FILE_NAME)
+        self.committer: Committer
+
+    def open(self, address: str, seeds: Sequence[str], bootstrap: bool, live: Callable[[], bytes]) -> Loaded:
+        """Read the file, or begin a new one. A damaged file counts as a lost disk. Raises DiskError."""
+        try:
+            payloads = self._file.open()
+        except DamagedFile:
+            self._file.path.rename(self._file.path.with_suffix(".damaged"))
+            self._file = RecordFile(self._folder / FILE_NAME)
+            payloads = self._file.open()
+            bootstrap = False
+        loaded = Loaded("", HardState(), Entry())
+        for payload in payloads:
+            record = ConsensusRecord.FromString(payload)
+            loaded.replica_id = record.replica_id or loaded.replica_id
+            if record.HasField("hard_state"):
+                loaded.hard_state = record.hard_state
+            if record.HasField("entry"):
+                loaded.entry = record.entry
+        if not loaded.replica_id:
+            loaded = self._begin(address, seeds, bootstrap)
+        replica_id = loaded.replica_id
+        self.committer = Committer(
+            self._file,
+            lambda: [ConsensusRecord(replica_id=replica_id).SerializeToString(), live()],
+            REWRITE_ABOVE,
+        )
+        return loaded
+
+    def _begin(self, address: str, seeds: Sequence[str], bootstrap: bool) -> Loaded:
+        record = ConsensusRecord(replica_id=secrets.token_hex(8))
+        if bootstrap and address in seeds:
+            record.replica_id = seed_member(address).replica_id
+            record.entry.CopyFrom(first_entry(seeds))
+        self._file.append([record.SerializeToString()])
+        return Loaded(record.replica_id, HardState(), record.entry)
--- /dev/null
+++ b/wheatring/durable/__init__.py
@@ -0,0 +1,1 @@
+"""Files that survive a loss of power."""
--- /dev/null
+++ b/wheatring/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which storage members hold which key."""
--- /dev/null
+++ b/wheatring/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings file of a process, read and checked."""
--- /dev/null
+++ b/wheatring/sidecar/client_connection.py
@@ -0,0 +1,217 @@
+"""One client's connection: requests in, one after the other, and their answers out."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+from wheatring.http1.answers import REASONS, response
+from wheatring.http1.parser import BadMessage, Message, Reader
+from wheatring.settings.events import log_event
+from wheatring.sidecar.routes import Limits
+
+MAX_WAITING_BYTES = 256 * 1024  # that a client may send ahead while a request is under way
+
+Handler = Callable[["ClientConnection", Message, float], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class ConnectionSettings:
+    """What all client connections of a sidecar share; replaced as a whole when it changes."""
+
+    limits: Limits
+    closing: bool = False  # every answer is the last one on its connection
+
+
+class ClientConnection(asyncio.Protocol):
+    """Answers one request at a time. A client that leaves ends its request."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        settings: Callable[[], ConnectionSettings],
+        lost: Callable[[ClientConnection], None],
+    ) -> None:
+        self._handler = handler
+        self._settings = settings
+        self._on_lost = lost
+        self._reader = Reader(responses=False, max_body=settings().limits.body_bytes)
+        self._transport: Any = None
+        self._task: asyncio.Task[None] | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._keep_alive = True
+        self._timer: asyncio.TimerHandle | None = None
+        self._received_at = 0.0
+        self._ended = False
+
+    # Called by the event loop
+
+    def connection_made(self, transport: Any) -> None:
+        """A client has connected."""
+        self._transport = transport
+        self._wait_for_request()
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes of this request, or of the next one."""
+        if self._ended:
+            return
+        self._received_at = asyncio.get_running_loop().time()
+        begun = self._reader.started
+        self._reader.feed(data)
+        if self._task is not None:
+            if len(self._reader.buffer) > MAX_WAITING_BYTES:
+                self._transport.pause_reading()
+            return
+        if not begun:
+            self._set_timer(self._settings().limits.header_time, self._late)
+        self._advance()
+
+    def eof_received(self) -> bool:
+        """The client sends nothing more; what is under way is still answered."""
+        if self._task is None:
+            return False
+        self._keep_alive = False
+        return True
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """The client has gone."""
+        self._ended = True
+        self._clear_timer()
+        self._writable.set()
+        if self._task is not None:
+            self._task.cancel()
+        self._on_lost(self)
+
+    def pause_writing(self) -> None:
+        """The client reads slowly."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """It has caught up."""
+        self._writable.set()
+
+    # Requests
+
+    @property
+    def busy(self) -> bool:
+        return self._task is not None
+
+    def _advance(self) -> None:
+        try:
+            message = self._reader.next()
+        except BadMessage as bad:
+            self._refuse(bad.status)
+            return
+        if message is None:
+            pending = self._reader.message
+            if pending is not None and pending.fields.pop(b"expect", b"").lower() == b"100-continue":
+                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            return
+        self._clear_timer()
+        self._keep_alive = message.keep_alive
+        self._task = asyncio.get_running_loop().create_task(self._serve(message))
+
+    async def _serve(self, message: Message) -> None:
+        try:
+            await self._handler(self, message, self._received_at)
+        except asyncio.CancelledError:
+            return
+        except Exception as error:  # a fault of ours must not leave the client without an end
+            log_event("request-broken", error=repr(error))
+            self.break_off()
+        finally:
+            self._task = None
+        if self._ended:
+            return
+        if not self._keep_alive or self._settings().closing:
+            self.close()
+            return
+        self._transport.resume_reading()
+        self._wait_for_request()
+        if self._reader.started:
+            self._advance()
+
+    def _wait_for_request(self) -> None:
+        self._set_timer(self._settings().limits.idle_time, self.close)
+
+    def _late(self) -> None:
+        if self._reader.started:
+            self._refuse(408)
+        else:
+            self.close()
+
+    def _refuse(self, status: int) -> None:
+        self._transport.write(response(status, close=True))
+        self.close()
+
+    def _set_timer(self, seconds: float, call: Callable[[], None]) -> None:
+        self._clear_timer()
+        self._timer = asyncio.get_running_loop().call_later(seconds, call)
+
+    def _clear_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    # Answers
+
+    @property
+    def gone(self) -> bool:
+        return self._ended
+
+    def _closing_line(self) -> bytes:
+        if self._settings().closing and not self._reader.started:
+            self._keep_alive = False
+        return b"" if self._keep_alive else b"Connection: close\r\n"
+
+    def answer(self, status: int, fields: bytes = b"", body: bytes = b"") -> None:
+        """Write a whole answer; `fields` are finished header lines."""
+        reason = REASONS.get(status, b"OK")
+        closing = self._closing_line()
+        head = b"HTTP/1.1 %d %s\r\n%s%sContent-Length: %d\r\n\r\n" % (
+            status,
+            reason,
+            fields,
+            closing,
+            len(body),
+        )
+        self._transport.write(head + body)
+
+    def begin_stream(self, status: int, fields: bytes, length: int | None = None) -> None:
+        """Write the head of an answer whose body follows in pieces."""
+        reason = REASONS.get(status, b"OK")
+        framing = b"Transfer-Encoding: chunked\r\n" if length is None else b"Content-Length: %d\r\n" % length
+        closing = self._closing_line()
+        self._transport.write(b"HTTP/1.1 %d %s\r\n%s%s%s\r\n" % (status, reason, fields, framing, closing))
+
+    def write_chunk(self, data: bytes) -> None:
+        """A piece of a body without a length."""
+        if data:
+            self._transport.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def write_raw(self, data: bytes) -> None:
+        """A piece of a body with a length."""
+        self._transport.write(data)
+
+    def end_stream(self) -> None:
+        """The body without a length is whole."""
+        self._transport.write(b"0\r\n\r\n")
+
+    async def drain(self) -> None:
+        """Wait for a client that reads slowly."""
+        await self._writable.wait()
+
+    def break_off(self) -> None:
+        """End the connection in the middle of an answer, so that it does not look whole."""
+        self._keep_alive = False
+        self.close()
+
+    def close(self) -> None:
+        """End the connection once all that was written has left."""
+        self._ended = True
+        self._clear_timer()
+        if self._transport is not None:
+            self._transport.close()
--- /dev/null
+++ b/wheatring/sidecar/decisions.py
@@ -0,0 +1,222 @@
+"""The decision module in the tier: one balancer for each service, fed with what happens on this sidecar's
+sockets.
+
+The retry policy is the module's own (gRFC A6). What the tier adds: the attempt limit of the route, admission
+by the places that endpoints say they have, and, for endpoints that run a model, the prefix that they have
+cached."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from lapisway import interface as i
+from lapisway.policy import Balancer, Endpoint, Request
+from wheatring.sidecar.routes import Route
+
+MAX_RETRY_AFTER = 1.0  # seconds
+REPORT_SECONDS = 1.0  # for which an endpoint's word of its load counts
+PREFIX_SECONDS = 20.0  # for which a prompt part is taken to be cached where it was last read
+MAX_PREFIXES = 20_000
+MAX_ATTEMPTS = 5
+KNOWN_ANSWERS = 12  # of a route, from which what is usual on it is known
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt, and its size in tokens."""
+
+    ident: bytes
+    tokens: int
+
+
+@dataclass(slots=True)
+class Call:
+    """One request under the decisions of one service."""
+
+    number: int
+    route: Route
+    parts: tuple[PromptPart, ...]
+    attempts: int = 0
+    steps: asyncio.Queue[i.Action] = field(default_factory=asyncio.Queue)
+
+
+class TierBalancer(Balancer):
+    """The decision module with the tier's limits."""
+
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.max_attempts: dict[str, int] = {}  # by route
+        self.slots: dict[str, int] = {}  # by endpoint
+        self.parts: dict[int, tuple[PromptPart, ...]] = {}  # by request
+        self.cached: dict[bytes, dict[str, float]] = {}  # by prompt part: endpoint, and when it last read it
+
+    def may_retry(self, now: float, request: Request, outcome: i.Outcome) -> bool:
+        """The attempt limit is the route's."""
+        if len(request.attempts) >= self.max_attempts.get(request.cls.name, MAX_ATTEMPTS):
+            return False
+        return super().may_retry(now, request, outcome)
+
+    def known(self, now: float, cls: i.RequestClass) -> bool:
+        """Routes come and go while a sidecar runs, so what is usual is known for each by its own answers."""
+        norm = self.norms.get(cls.name)
+        return norm is not None and norm.count >= KNOWN_ANSWERS
+
+    def judge(self, now: float, endpoint: Endpoint, outcome: i.Outcome) -> None:
+        """Only failures have an endpoint left alone. How long an answer takes follows from its length here,
+        and counts in the burden alone."""
+        slow, endpoint.slow = endpoint.slow, 0.0
+        super().judge(now, endpoint, outcome)
+        if endpoint.heard:
+            endpoint.slow = slow
+
+    def admits(self, now: float, request: Request) -> bool:
+        """Nothing is refused while an endpoint has a free place."""
+        return super().admits(now, request) or any(
+            self.occupancy(now, endpoint) < self.slots.get(endpoint.entry.endpoint, 0)
+            for endpoint in self.ready
+        )
+
+    def occupancy(self, now: float, endpoint: Endpoint) -> float:
+        """Requests at an endpoint, by its own word while that is new and by this sidecar's own otherwise."""
+        if endpoint.reported_at and now - endpoint.reported_at < REPORT_SECONDS:
+            return max(endpoint.reported, endpoint.in_flight)
+        return endpoint.in_flight
+
+    def pick(self, now: float, request: Request) -> tuple[Endpoint | None, list[Endpoint]]:
+        """The lighter of a few, to which the endpoint that holds the longest part of the prompt is added."""
+        best, drawn = super().pick(now, request)
+        parts = self.parts.get(request.ident)
+        if best is None or not parts or len(self.ready) < 2:
+            return best, drawn
+        holders = [endpoint for endpoint in self._holders(now, parts) if endpoint not in request.attempts]
+        candidates = {endpoint.entry.endpoint: endpoint for endpoint in (*holders, best)}
+        chosen = min(candidates.values(), key=lambda endpoint: self._cost(now, endpoint, parts))
+        return chosen, list({e.entry.endpoint: e for e in (*drawn, chosen)}.values())
+
+    def _holders(self, now: float, parts: Sequence[PromptPart]) -> list[Endpoint]:
+        """Endpoints that hold the last part of a prompt that anyone is known to hold."""
+        for part in reversed(parts):
+            found = [
+                self.endpoints[name]
+                for name, read_at in self.cached.get(part.ident, {}).items()
+                if now - read_at < PREFIX_SECONDS and name in self.endpoints
+            ]
+            usable = [endpoint for endpoint in found if not (endpoint.ill and self.alone(now, endpoint))]
+            if usable:
+                return usable
+        return []
+
+    def _cost(self, now: float, endpoint: Endpoint, parts: Sequence[PromptPart]) -> float:
+        """Load in requests, with what has to be read of the prompt counted as load too."""
+        missing = sum(part.tokens for part in parts)
+        for part in parts:
+            read_at = self.cached.get(part.ident, {}).get(endpoint.entry.endpoint)
+            if read_at is None or now - read_at >= PREFIX_SECONDS:
+                break
+            missing -= part.tokens
+        slots = max(self.slots.get(endpoint.entry.endpoint, 1), 1)
+        load = self.occupancy(now, endpoint) / slots
+        far = FAR_COST if endpoint.entry.zone != self.settings.zone else 0.0
+        return load + missing / TOKENS_PER_LOAD + far + max(0.0, self.burden(now, endpoint) - 1) * BURDEN_COST
+
+    def prompt_read(self, now: float, endpoint: str, parts: Sequence[PromptPart]) -> None:
+        """An endpoint has answered a prompt: it holds its parts now."""
+        for part in parts:
+            self.cached.setdefault(part.ident, {})[endpoint] = now
+        while len(self.cached) > MAX_PREFIXES:
+            del self.cached[next(iter(self.cached))]
+
+
+TOKENS_PER_LOAD = 4000.0  # prompt tokens that weigh as much as a full batch
+FAR_COST = 0.02  # of a full batch, for an endpoint in another zone
+BURDEN_COST = 0.2  # of a full batch, for each unit by which an endpoint is slower than usual
+
+
+class ServiceDecisions:
+    """Hosts the balancer of one service: events in, each request's actions out into its own queue."""
+
+    def __init__(self, zone: str, zones: tuple[str, ...], seed: int) -> None:
+        limits = i.Limits(max_attempts=MAX_ATTEMPTS, max_retry_after=MAX_RETRY_AFTER, retry_after=True)
+        settings = i.Settings(
+            classes=(i.RequestClass("unknown", 1.0, 1.0, late_worth=0.3),),
+            zone=zone,
+            zones=zones,
+            limits=limits,
+        )
+        self.balancer = TierBalancer(settings, seed)
+        self.addresses: dict[str, str] = {}
+        self._calls: dict[int, Call] = {}
+        self._last = 0
+
+    @property
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def set_endpoints(self, entries: Sequence[tuple[i.EndpointEntry, str, int]]) -> None:
+        """The service's endpoints, with address and slots, as the list has them now."""
+        self.addresses = {entry.endpoint: address for entry, address, _ in entries}
+        self.balancer.slots = {entry.endpoint: slots for entry, _, slots in entries}
+        self._feed(i.View(i.ViewKind.FULL, tuple(entry for entry, _, _ in entries)))
+
+    def begin(self, route: Route, time_left: float, parts: tuple[PromptPart, ...]) -> Call:
+        """A request comes under the decisions; its first step is in its queue afterwards."""
+        self._last += 1
+        call = Call(self._last, route, parts)
+        self._calls[call.number] = call
+        balancer = self.balancer
+        balancer.max_attempts[route.name] = route.max_attempts
+        known = balancer.classes.get(route.name)
+        if known is None or known.aim != route.target or known.effect is not route.effect:
+            self._learn_class(route)
+        if parts:
+            balancer.parts[call.number] = parts
+        self._feed(i.NewRequest(call.number, route.name, time_left))
+        return call
+
+    def _learn_class(self, route: Route) -> None:
+        worth = 1.0 / (1 + route.priority)
+        deadline = max(route.timeout, route.target)
+        cls = i.RequestClass(
+            route.name,
+            route.target,
+            deadline,
+            worth=worth,
+            late_worth=0.3,
+            effect=route.effect,
+            stream=route.streaming,
+        )
+        self.balancer.classes[route.name] = cls
+        self.balancer.norms.setdefault(route.name, type(self.balancer.norm)())
+
+    def ended(
+        self, call: Call, endpoint: str, outcome: i.Outcome, latency: float, load: float | None
+    ) -> None:
+        """An attempt has ended; unless the request was served, its next step is in its queue afterwards."""
+        report = i.LoadReport(in_flight=load) if load is not None else None
+        served = outcome is i.Outcome.SERVED
+        event = i.AttemptEnded(call.number, call.attempts - 1, outcome, endpoint, latency, served, report)
+        self._feed(event)
+
+    def heard_load(self, endpoint: str, load: float) -> None:
+        """An endpoint tells its load at the head of an answer that goes on."""
+        known = self.balancer.endpoints.get(endpoint)
+        if known is not None:
+            known.reported, known.reported_at = load, self.now
+
+    def over(self, call: Call) -> None:
+        """The request has its answer, or its client has gone."""
+        self._feed(i.ClientGone(call.number))
+        self._calls.pop(call.number, None)
+        self.balancer.parts.pop(call.number, None)
+
+    def _feed(self, event: i.Event) -> None:
+        for action in self.balancer.handle(self.now, event):
+            if isinstance(action, i.SetTimer):
+                loop = asyncio.get_running_loop()
+                loop.call_later(action.delay, self._feed, i.TimerDue(action.token))
+            elif isinstance(action, i.Send | i.Refuse | i.Fail):
+                call = self._calls.get(action.request)
+                if call is not None:
+                    call.steps.put_nowait(action)
--- /dev/null
+++ b/wheatring/sidecar/forwarder.py
@@ -0,0 +1,227 @@
+"""Sends one request to endpoints as the decision module says, until it has an answer."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from lapisway import interface as i
+from wheatring.http1.parser import Message
+from wheatring.sidecar import headers
+from wheatring.sidecar.decisions import Call, PromptPart, ServiceDecisions
+from wheatring.sidecar.routes import Route
+from wheatring.sidecar.upstream import UpstreamConnection, Upstreams
+from wheatring.sidecar.verdict import AttemptFailed, Rejected, Verdict
+
+LEAST_RETRY_AFTER = 0.05  # seconds
+
+_OWN_FIELDS = (headers.DEADLINE, headers.EXPECTED_INSTANCE, headers.PRIORITY, headers.LAST_EVENT_ID)
+
+
+@dataclass(slots=True)
+class OutgoingRequest:
+    """A request as it goes to endpoints. `deadline` is an instant of the event loop's clock (seconds)."""
+
+    message: Message
+    body: bytes
+    request_id: bytes
+    route: Route
+    deadline: float
+    last_event_id: bytes = b""
+    parts: tuple[PromptPart, ...] = ()
+
+    def encode(self, endpoint: str, left: float) -> bytes:
+        """The bytes for one endpoint."""
+        method, target = self.message.first
+        resumed = b"Last-Event-Id: %s\r\n" % self.last_event_id if self.last_event_id else b""
+        length = b"Content-Length: %d\r\n" % len(self.body) if self.body or method != b"GET" else b""
+        return b"".join(
+            (
+                b"%s %s HTTP/1.1\r\n" % (method, target),
+                self.message.end_to_end(*_OWN_FIELDS),
+                resumed,
+                b"Wheatring-Deadline-Ms: %d\r\n" % max(1, int(left * 1000)),
+                b"Wheatring-Expected-Instance: %s\r\n" % endpoint.encode("latin-1"),
+                b"Priority: %d\r\n" % min(max(self.route.priority, 0), 9),
+                length,
+                b"\r\n",
+                self.body,
+            )
+        )
+
+
+@dataclass(slots=True)
+class Answer:
+    """The head of an endpoint's answer and the connection that brings the rest."""
+
+    message: Message
+    connection: UpstreamConnection
+    endpoint: str
+    begun: float
+
+    @property
+    def status(self) -> int:
+        return int(self.message.first[0])
+
+
+@dataclass(slots=True)
+class Failure:
+    """An endpoint's own failure, kept to be passed on unchanged."""
+
+    status: int
+    fields: bytes
+    body: bytes
+
+
+@dataclass(slots=True)
+class Forwarding:
+    """One request on its way. `next_answer` may be called again after a stream broke off."""
+
+    request: OutgoingRequest
+    decisions: ServiceDecisions
+    upstreams: Upstreams
+    call: Call = field(init=False)
+    may_have_run: bool = False
+    failure: Failure | None = None
+    _answer: Answer | None = None
+
+    def __post_init__(self) -> None:
+        left = self.request.deadline - self._now()
+        self.call = self.decisions.begin(self.request.route, max(left, 0.001), self.request.parts)
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
+    async def next_answer(self) -> Answer:
+        """The head of an answer that is no failure. Raises Rejected where there will be none; `failure` then
+        holds the endpoint's own words, if it had any."""
+        while True:
+            step = await self._next_step()
+            if isinstance(step, i.Send):
+                answer = await self._attempt(step)
+                if answer is not None:
+                    return answer
+            elif isinstance(step, i.Refuse) and not self.may_have_run:
+                raise Rejected(503, "no endpoint takes it", max(step.retry_after, LEAST_RETRY_AFTER))
+            else:
+                raise Rejected(504 if self._now() >= self.request.deadline else 502, "failed")
+
+    async def _next_step(self) -> i.Action:
+        """What the decision module wants next; it may wait for a backoff, but not beyond the deadline."""
+        steps = self.call.steps
+        if not steps.empty():
+            return steps.get_nowait()
+        try:
+            async with asyncio.timeout_at(self.request.deadline):
+                return await steps.get()
+        except TimeoutError:
+            return i.Fail(self.call.number)
+
+    async def _attempt(self, step: i.Send) -> Answer | None:
+        """Send to one endpoint; None where that has failed and the decision module has been told."""
+        self.call.attempts += 1
+        begun = self._now()
+        connection: UpstreamConnection | None = None
+        give_up = self.request.deadline
+        if self.request.route.kind == "safe":
+            give_up = min(give_up, begun + step.timeout)
+        try:
+            async with asyncio.timeout_at(give_up):
+                connection = await self._connect(step.endpoint)
+                left = self.request.deadline - self._now()
+                data = self.request.encode(step.endpoint, left)
+                message = await connection.send(data, self.request.request_id)
+                answer = Answer(message, connection, step.endpoint, begun)
+                return await self._judge(answer)
+        except AttemptFailed as failed:
+            self.failed(step.endpoint, begun, failed)
+        except TimeoutError:
+            verdict = Verdict.NOT_RUN if connection is None else Verdict.MAY_HAVE_RUN
+            outcome = i.Outcome.CONNECT_FAILED if connection is None else i.Outcome.TIMED_OUT
+            if connection is not None:
+                connection.abort()
+            self.failed(step.endpoint, begun, AttemptFailed(verdict, outcome, "no answer in time"))
+        except asyncio.CancelledError:
+            if connection is not None:
+                connection.abort()
+            raise
+        return None
+
+    async def _connect(self, endpoint: str) -> UpstreamConnection:
+        address = self.decisions.addresses.get(endpoint)
+        if address is None:
+            raise AttemptFailed(Verdict.NOT_RUN, i.Outcome.CONNECT_FAILED, "not on the list any more")
+        return await self.upstreams.connect(endpoint, address, self.request.deadline - self._now())
+
+    async def _judge(self, answer: Answer) -> Answer | None:
+        """What an answer's head says of the request. Raises AttemptFailed."""
+        message, status = answer.message, answer.status
+        load = reported_load(message)
+        if load is not None:
+            self.decisions.heard_load(answer.endpoint, load)
+        if status == 421 or headers.NOT_EXECUTED in message.fields:
+            await self.read_whole(answer)
+            raise AttemptFailed(Verdict.NOT_RUN, i.Outcome.REJECTED, f"refused with {status}")
+        if headers.SIGNATURE not in message.fields:
+            answer.connection.abort()
+            raise AttemptFailed(Verdict.MAY_HAVE_RUN, i.Outcome.RESET, f"status {status} without a signature")
+        if status >= 500:
+            body = await self.read_whole(answer)
+            self.failure = Failure(status, message.end_to_end(), body)
+            raise AttemptFailed(Verdict.RAN, i.Outcome.ERROR, f"status {status}")
+        self._answer = answer
+        return answer
+
+    async def read_whole(self, answer: Answer) -> bytes:
+        """All of an answer's body. Raises AttemptFailed where it breaks off."""
+        pieces = [answer.message.body]
+        whole = not answer.message.open
+        while not whole:
+            data, whole = await answer.connection.more(answer.message)
+            pieces.append(data)
+        self._release(answer)
+        return b"".join(pieces)
+
+    def _release(self, answer: Answer) -> None:
+        answer.connection.finish(answer.message, self._now())
+        self.upstreams.release(answer.connection)
+
+    def failed(self, endpoint: str, begun: float, failed: AttemptFailed) -> None:
+        """An attempt has failed: tell the decision module, whose next step follows."""
+        self._answer = None
+        if failed.verdict is not Verdict.NOT_RUN:
+            self.may_have_run = True
+            if failed.verdict is Verdict.MAY_HAVE_RUN:
+                self.failure = None
+        self.decisions.ended(self.call, endpoint, failed.outcome, self._now() - begun, None)
+
+    def served(self, answer: Answer) -> None:
+        """The answer is whole."""
+        self._answer = None
+        self._release(answer)
+        latency = self._now() - answer.begun
+        if self.request.parts:
+            self.decisions.balancer.prompt_read(self._now(), answer.endpoint, self.request.parts)
+        load = reported_load(answer.message)
+        self.decisions.ended(self.call, answer.endpoint, i.Outcome.SERVED, latency, load)
+
+    def close(self) -> None:
+        """The request is over, in whatever way."""
+        answer, self._answer = self._answer, None
+        if answer is not None:
+            answer.connection.abort()
+            latency = self._now() - answer.begun
+            self.decisions.ended(self.call, answer.endpoint, i.Outcome.CANCELLED, latency, None)
+        self.decisions.over(self.call)
+
+
+def reported_load(message: Message) -> float | None:
+    """Requests at the endpoint, running and waiting, as its answer tells."""
+    value = message.fields.get(headers.SERVER_LOAD)
+    if value is None:
+        return None
+    parts = value.split(b",")
+    if len(parts) < 2 or not all(part.strip().isdigit() for part in parts[:2]):
+        return None
+    return float(int(parts[0]) + int(parts[1]))
--- /dev/null
+++ b/wheatring/sidecar/headers.py
@@ -0,0 +1,31 @@
+"""The header fields that the sidecar reads and writes, in lower case as the parser gives them."""
+
+from __future__ import annotations
+
+REQUEST_ID = b"wheatring-request-id"
+DEADLINE = b"wheatring-deadline-ms"
+EXPECTED_INSTANCE = b"wheatring-expected-instance"
+SIGNATURE = b"wheatring-response-signature"
+NOT_EXECUTED = b"wheatring-not-executed"
+SERVER_LOAD = b"wheatring-server-load"
+TOKEN_USAGE = b"wheatring-token-usage"
+PROMPT_PREFIX = b"wheatring-prompt-prefix"
+LAST_EVENT_ID = b"last-event-id"
+PROGRAM = b"program"
+SESSION = b"session"
+BUDGET = b"budget"
+PREVIOUS = b"previous"
+PRIORITY = b"priority"
+KEEP_ALIVE = b"keep-alive"
+
+
+def whole_number(value: bytes | None) -> int | None:
+    """A header's value as a whole number of 0 or more; None where it is absent or something else."""
+    if value is None or not value.isdigit() or len(value) > 15:
+        return None
+    return int(value)
+
+
+def text(value: bytes | None) -> str:
+    """A header's value as text."""
+    return value.decode("latin-1") if value else ""
--- /dev/null
+++ b/wheatring/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Replicas that keep turns and budgets, and the quorum client that reads and writes them."""
--- /dev/null
+++ b/wheatring/storage/process.py
@@ -0,0 +1,109 @@
+"""The process of one storage replica."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from random import Random
+
+from wheatring.settings.events import log_event
+from wheatring.settings.process import Settings
+from wheatring.settings.watch import SettingsWatch
+from wheatring.storage.repair import Repair
+from wheatring.storage.replica import Replica
+from wheatring.subscription.client import Subscription
+from wheatring.transport.client import ClientTable
+from wheatring.transport.connection import EnvelopeConnection, EnvelopeServer
+from wheatring.transport.messages_pb2 import ROLE_STORAGE, Envelope, Presence
+
+PRESENCE_SECONDS = 0.4
+CLEAN_SECONDS = 5.0
+
+
+class StorageProcess:
+    """Serves one replica and keeps it in step with the placement."""
+
+    def __init__(self, settings: Settings, random: Random) -> None:
+        self.settings = settings
+        losses = settings.tolerance.losses
+        loop = asyncio.get_running_loop()
+        self.replica = Replica(Path(settings.data_folder or "."), losses, loop.time)
+        self._watch = SettingsWatch(settings)
+        self._peers = ClientTable(settings.storage_port)
+        self.repair = Repair(self.replica, self._peers, losses)
+        self.server = EnvelopeServer(self._on_envelope, lambda connection: None)
+        self.subscription = Subscription(
+            seeds=lambda: [seed.host for seed in self._watch.settings.seeds],
+            port=settings.controller_port,
+            zone=settings.zone,
+            presence=self._presence,
+            presence_pause=PRESENCE_SECONDS,
+            changed=self._changed,
+            random=random,
+        )
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._told_epoch = 0
+
+    async def start(self) -> None:
+        """Read the file, listen, and join. Raises OSError or DiskError."""
+        self.replica.open()
+        await self.server.listen(self.settings.ip, self.settings.storage_port)
+        log_event("storage-started", replica=self.replica.identity, records=len(self.replica.table))
+        for job in (
+            self.subscription.run(),
+            self._watch.run(),
+            self.replica.keep_clean(CLEAN_SECONDS),
+            self._tell(),
+        ):
+            self._keep(asyncio.create_task(job))
+
+    async def stop(self) -> None:
+        """Answer what was read and end."""
+        await asyncio.sleep(0.1)
+        self.server.close()
+
+    def reload(self) -> None:
+        """The settings file may have changed."""
+        self._watch.reload()
+
+    def _keep(self, task: asyncio.Task[None]) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _presence(self) -> Presence:
+        settings = self.settings
+        return Presence(
+            role=ROLE_STORAGE,
+            replica_id=self.replica.identity,
+            node=settings.node,
+            address=settings.ip,
+            zone=settings.zone,
+            whole_epoch=self.repair.whole_epoch,
+        )
+
+    def _changed(self) -> None:
+        self.repair.follow(self.subscription.view.placement)
+
+    async def _tell(self) -> None:
+        """Have the controllers know at once when a copy is complete."""
+        while True:
+            await asyncio.sleep(0.05)
+            if self.repair.whole_epoch != self._told_epoch:
+                self._told_epoch = self.repair.whole_epoch
+                self.subscription.send_now()
+
+    def _on_envelope(self, connection: EnvelopeConnection, envelope: Envelope) -> None:
+        kind = envelope.WhichOneof("body")
+        if kind == "storage_request":
+            self._keep(asyncio.create_task(self._answer(connection, envelope)))
+        elif kind == "scan_request":
+            self._keep(asyncio.create_task(self._answer_scan(connection, envelope)))
+
+    async def _answer(self, connection: EnvelopeConnection, envelope: Envelope) -> None:
+        reply = await self.replica.handle(envelope.storage_request)
+        if envelope.call:
+            connection.send(Envelope(call=envelope.call, reply=True, storage_reply=reply))
+
+    async def _answer_scan(self, connection: EnvelopeConnection, envelope: Envelope) -> None:
+        reply = await self.replica.scan(envelope.scan_request)
+        connection.send(Envelope(call=envelope.call, reply=True, scan_reply=reply))
--- /dev/null
+++ b/wheatring/storage/repair.py
@@ -0,0 +1,118 @@
+"""Copies what a replica is to hold under the next placement from those that hold it under the current one."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from wheatring.durable.record_file import DiskError
+from wheatring.placement.placement import quorums
+from wheatring.settings.events import log_event
+from wheatring.storage.replica import Replica
+from wheatring.transport.client import ClientTable, Unreachable
+from wheatring.transport.messages_pb2 import (
+    STORAGE_STATUS_DONE,
+    Envelope,
+    Placement,
+    ScanRequest,
+    StorageMember,
+)
+
+PAGE_BYTES = 512 * 1024
+PAGE_SECONDS = 1.5  # for one page to come
+RETRY_SECONDS = 0.2
+
+
+def needs_no_copy(identity: str, placement: Placement, losses: int) -> bool:
+    """Whether a replica holds all that it will hold already: every current member holds every key."""
+    in_current = any(member.replica_id == identity for member in placement.current)
+    return in_current and len(placement.current) <= quorums(len(placement.current), losses).copies
+
+
+def sources_needed(placement: Placement, losses: int) -> int:
+    """Of how many current members a copy has to be complete: every acknowledged write is on one of them."""
+    return max(1, len(placement.current) - losses)
+
+
+class Repair:
+    """Brings one replica up to each placement that names it, one after the other."""
+
+    def __init__(self, replica: Replica, clients: ClientTable, losses: int) -> None:
+        self._replica = replica
+        self._clients = clients
+        self._losses = losses
+        self._task: asyncio.Task[None] | None = None
+        self._epoch = 0
+        self.whole_epoch = 0
+
+    def follow(self, placement: Placement) -> None:
+        """A placement is in force: begin what it asks of this replica."""
+        self._replica.learn_placement(placement)
+        if placement.epoch <= self._epoch:
+            return
+        self._epoch = placement.epoch
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+        if all(member.replica_id != self._replica.identity for member in placement.next):
+            return
+        if needs_no_copy(self._replica.identity, placement, self._losses):
+            self.whole_epoch = placement.epoch
+            return
+        self._task = asyncio.get_running_loop().create_task(self._copy(placement))
+
+    async def _copy(self, placement: Placement) -> None:
+        """Run the copies side by side until enough are complete."""
+        identity = self._replica.identity
+        others = [member for member in placement.current if member.replica_id != identity]
+        needed = sources_needed(placement, self._losses) - (len(placement.current) - len(others))
+        if len(others) < len(placement.current):
+            await self._fence_self(placement.epoch)
+        tasks = [asyncio.create_task(self._copy_from(member, placement)) for member in others]
+        try:
+            await _complete(tasks, needed)
+        finally:
+            for task in tasks:
+                task.cancel()
+        self.whole_epoch = placement.epoch
+        log_event("repair-complete", epoch=placement.epoch, records=len(self._replica.table))
+
+    async def _fence_self(self, epoch: int) -> None:
+        while True:
+            try:
+                await self._replica.raise_fence(epoch)
+                return
+            except DiskError:
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _copy_from(self, member: StorageMember, placement: Placement) -> None:
+        """Copy page by page; a source that does not answer is asked again."""
+        position, done = 0, False
+        client = self._clients.to(member.address)
+        while not done:
+            request = ScanRequest(
+                replica_id=member.replica_id,
+                placement=placement,
+                after=position,
+                limit_bytes=PAGE_BYTES,
+                requester=self._replica.identity,
+            )
+            try:
+                envelope = await client.call(Envelope(scan_request=request), PAGE_SECONDS)
+                reply = envelope.scan_reply
+                if reply.status != STORAGE_STATUS_DONE:
+                    await asyncio.sleep(RETRY_SECONDS)
+                    continue
+                await self._replica.store(list(reply.records))
+            except (Unreachable, DiskError):
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            position, done = reply.next, reply.done
+
+
+async def _complete(tasks: Sequence[asyncio.Task[None]], needed: int) -> None:
+    """Wait until so many of the tasks have ended."""
+    for ended, future in enumerate(asyncio.as_completed(tasks)):
+        if ended >= needed:
+            return
+        await future
--- /dev/null
+++ b/wheatring/tier/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of the serving tier."""
--- /dev/null
+++ b/wheatring/tier/run.py
@@ -0,0 +1,67 @@
+"""Runs one process of the tier: settings, signals and the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+from wheatring.durable.record_file import DiskError
+from wheatring.settings.events import log_event, start_logging
+from wheatring.settings.process import Settings, SettingsError, read_settings, settings_path
+
+STATUS_CANNOT_START = 2
+
+
+class Process(Protocol):
+    """What each role provides."""
+
+    async def start(self) -> None:
+        """Begin to serve."""
+
+    async def stop(self) -> None:
+        """End in good order."""
+
+    def reload(self) -> None:
+        """Read the settings again."""
+
+
+Factory = Callable[[Settings, Random], Process]
+
+
+async def _serve(make: Factory, settings: Settings) -> int:
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    try:
+        process = make(settings, Random())
+        loop.add_signal_handler(signal.SIGHUP, process.reload)
+        await process.start()
+    except (OSError, DiskError, KeyError) as error:
+        print(f"wheatring: cannot start: {error}", file=sys.stderr)
+        return STATUS_CANNOT_START
+    gc.freeze()
+    await stopping.wait()
+    log_event("stopping")
+    await process.stop()
+    return 0
+
+
+def run(make: Factory) -> None:
+    """Run one process until it is told to stop; ends the interpreter."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    try:
+        settings = read_settings(settings_path())
+    except SettingsError as error:
+        print(f"wheatring: {error}", file=sys.stderr)
+        sys.exit(STATUS_CANNOT_START)
+    start_logging(settings.node)
+    status = asyncio.run(_serve(make, settings))
+    sys.stdout.flush()
+    os._exit(status)
--- /dev/null
+++ b/wheatring/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Framing, calls and connections between the processes of the serving tier."""
