--- /dev/null
+++ b/tests/tier/drawn.py
@@ -0,0 +1,54 @@
+"""Scenarios drawn from a seed: a busy system and troubles that its tolerance covers, one after the other."""
+
+from __future__ import annotations
+
+from random import Random
+
+from tests.tier.scenario import Scenario, Step
+
+CATCH_UP = 4.4  # seconds after a trouble for which its machine still counts as lost
+
+
+def _trouble(random: Random, host: str, spare: str) -> tuple[list[tuple[float, str]], float]:
+    """Events, and how long the machine counts as lost."""
+    length = round(random.uniform(0.2, 4.0), 2)
+    kind = random.choice(("kill", "wipe", "freeze", "cut", "one-way", "full", "stall", "replace"))
+    if kind == "replace":
+        return [(0.0, f"remove {host}"), (length, f"add {spare}")], length
+    if kind == "one-way":
+        return [(0.0, f"cut {host} one-way for {length}")], length
+    return [(0.0, f"{kind} {host} for {length}")], length
+
+
+def draw(seed: int, length: float = 30.0) -> Scenario:
+    """A day of so many seconds."""
+    random = Random(seed)
+    scenario = Scenario(f"drawn-{seed}")
+    scenario.header["seed"] = seed
+    scenario.header["writers"] = 2
+    lines: list[tuple[float, str]] = [(1.0, "replaces 10 24 0.8"), (2.0, "turns w1 60 0.3"), (2.1, "turns w2 60 0.3")]
+    for number in range(60):
+        at = random.uniform(2.0, length)
+        writer = random.choice(("w1", "w2"))
+        lines.append((at, f"reserve {writer} p{number % 6} t{number} {random.choice((30, 40))} 100"))
+    machines = {"c": ["c1", "c2", "c3"], "s": ["s1", "s2", "s3"]}
+    at = 4.0
+    added = 3
+    while at < length:
+        kind = random.choice("ccss")
+        host = random.choice(machines[kind])
+        word = "leader" if kind == "c" and random.random() < 0.5 else host
+        added += 1
+        spare = f"{kind}{added}"
+        events, lost = _trouble(random, word, spare)
+        if events[0][1].startswith("remove"):
+            events = [(t, line.replace("remove leader", f"remove {host}")) for t, line in events]
+            machines[kind].remove(host)
+            machines[kind].append(spare)
+        lines += [(at + offset, line) for offset, line in events]
+        at += lost + CATCH_UP + random.uniform(0.0, 1.0)
+        if random.random() < 0.15:
+            lines.append((at, f"kill-all for {random.uniform(0.2, 1.0):.2f}"))
+            at += CATCH_UP + 1.0
+    scenario.steps = [Step(round(at, 3), tuple(line.split())) for at, line in lines]
+    return scenario
--- /dev/null
+++ b/tests/tier/scenario.py
@@ -0,0 +1,264 @@
+"""Scenarios as text: one line an event, played on simulated time.
+
+    controllers 3          the system, before the first event (defaults: 3, 3, 1, 1, 1)
+    storage 3
+    losses 1
+    writers 1
+    seed 1
+    0.5 replace 3          at 0.5 s, put generation 3 on top of the newest acknowledged one
+    1 kill leader for 2    HOST may be leader, a follower (follower), or a name
+    ...
+
+Every event runs by itself: one that waits does not hold up the next. Lines that end in `-> WORD` check the outcome.
+After the last event everything is healed and started, and what was acknowledged is read back.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from tests.tier.world import BrokenRule, World
+
+RECOVERY_SECONDS = 6.0
+HEADERS = {"controllers": 3, "storage": 3, "losses": 1, "writers": 1, "seed": 1}
+
+
+@dataclass(frozen=True)
+class Step:
+    """One event."""
+
+    at: float
+    words: tuple[str, ...]
+    expected: str = ""
+
+
+@dataclass
+class Scenario:
+    """A system and what happens to it."""
+
+    name: str
+    header: dict[str, int] = field(default_factory=lambda: dict(HEADERS))
+    steps: list[Step] = field(default_factory=list)
+
+
+def parse(name: str, text: str) -> Scenario:
+    """Read a scenario."""
+    scenario = Scenario(name)
+    for line in text.splitlines():
+        line = line.partition("#")[0].strip()
+        if not line:
+            continue
+        line, _, expected = (part.strip() for part in line.partition("->"))
+        words = line.split()
+        if words[0] in HEADERS:
+            scenario.header[words[0]] = int(words[1])
+        else:
+            scenario.steps.append(Step(float(words[0]), tuple(words[1:]), expected))
+    return scenario
+
+
+class Player:
+    """Plays one scenario."""
+
+    def __init__(self, scenario: Scenario, folder: Path) -> None:
+        header = scenario.header
+        self.scenario = scenario
+        self.world = World(folder, header["seed"], header["controllers"], header["storage"], header["losses"])
+        self._after: list[tuple[str, Callable[[], None]]] = []
+
+    def play(self) -> World:
+        """Play it. Raises BrokenRule."""
+        self.world.run(self._play)
+        return self.world
+
+    async def _play(self) -> None:
+        world = self.world
+        for number in range(1, self.scenario.header["writers"] + 1):
+            world.add_writer(f"w{number}")
+        tasks = []
+        for step in sorted(self.scenario.steps, key=lambda step: step.at):
+            await world.settle(step.at - world.loop.time())
+            tasks.append(asyncio.create_task(self._step(step)))
+        await self._watched(tasks)
+        await self._recover()
+
+    async def _watched(self, tasks: list[asyncio.Task[None]]) -> None:
+        while tasks:
+            await self.world.settle(0.1)
+            for task in [task for task in tasks if task.done()]:
+                tasks.remove(task)
+                task.result()
+
+    async def _step(self, step: Step) -> None:
+        verb, *words = step.words
+        action = getattr(self, "do_" + verb.replace("-", "_"))
+        outcome = await action(*words)
+        if step.expected and str(outcome) != step.expected:
+            wanted = f"{step.at} {' '.join(step.words)} -> {step.expected}"
+            raise BrokenRule(f"{self.scenario.name}: {wanted}, was {outcome}")
+
+    async def _recover(self) -> None:
+        """Everything comes back; what was acknowledged must be there, and orders be taken again."""
+        world = self.world
+        for _, undo in self._after:
+            undo()
+        for name, host in list(world.hosts.items()):
+            if host.life is None and name[0] in "cs":
+                world.start(name)
+        await world.settle(RECOVERY_SECONDS)
+        if not await world.describe() and world.acknowledged:
+            raise BrokenRule("nothing is read back after everything came back")
+        for turn_id in list(world.recorded):
+            if await world.read("w1", turn_id) != "found":
+                raise BrokenRule(f"turn {turn_id} was recorded and cannot be read after everything came back")
+        generation = max([0, *world.acknowledged, *world.unclear]) + 10
+        while True:
+            status = await world.replace(generation)
+            if status == 200:
+                break
+            if not status:
+                raise BrokenRule("no configuration is taken after everything came back")
+            await self._learn_current()
+            generation += 10
+        await world.settle(1.0)
+        for name, writer in world.writers.items():
+            if writer.subscription.view.generation != generation:
+                raise BrokenRule(f"{name} has not got generation {generation} a second later")
+
+    async def _learn_current(self) -> None:
+        """An order without a clear answer is in force after all."""
+        world = self.world
+        generation = await world.describe()
+        if generation in world.unclear:
+            world.acknowledged[generation] = (await world.order("GET", "/config/describe"))[1]
+
+    # Hosts
+
+    def _host(self, word: str) -> str:
+        world = self.world
+        leader = world.leader()
+        if word == "leader":
+            return leader
+        if word == "follower":
+            return next(name for name in world.running("c") if name != leader)
+        return word
+
+    async def _for(self, words: tuple[str, ...], undo: Callable[[], None]) -> None:
+        """Undo something after `for SECONDS`, or once the scenario is over."""
+        if "for" not in words:
+            self._after.append(("", undo))
+            return
+        await asyncio.sleep(float(words[words.index("for") + 1]))
+        undo()
+
+    def _start_if_down(self, name: str) -> None:
+        if self.world.hosts[name].life is None:
+            self.world.start(name)
+
+    async def do_kill(self, host: str, *words: str) -> None:
+        name = self._host(host)
+        self.world.kill(name)
+        await self._for(words, lambda: self._start_if_down(name))
+
+    async def do_wipe(self, host: str, *words: str) -> None:
+        name = self._host(host)
+        self.world.kill(name, wipe=True)
+        await self._for(words, lambda: self._start_if_down(name))
+
+    async def do_kill_all(self, *words: str) -> None:
+        names = self.world.running("c") + self.world.running("s")
+        for name in names:
+            self.world.kill(name)
+        await self._for(words, lambda: [self._start_if_down(name) for name in names] and None)
+
+    async def do_freeze(self, host: str, *words: str) -> None:
+        name = self._host(host)
+        self.world.freeze(name)
+        await self._for(words, lambda: self.world.thaw(name))
+
+    async def do_cut(self, host: str, *words: str) -> None:
+        name = self._host(host)
+        others = [other for other in self.world.hosts if other != name and other[0] in "cs"]
+        self.world.cut(name, others, one_way="one-way" in words)
+        await self._for(words, lambda: self.world.heal(name, others))
+
+    async def do_full(self, host: str, *words: str) -> None:
+        life = self.world.hosts[self._host(host)].life
+        if life is None:
+            return
+        life.disk_full = True
+        await self._for(words, lambda: setattr(life, "disk_full", False))
+
+    async def do_stall(self, host: str, *words: str) -> None:
+        life = self.world.hosts[self._host(host)].life
+        if life is None:
+            return
+        before, life.disk_delay = life.disk_delay, 3.0
+        await self._for(words, lambda: setattr(life, "disk_delay", before))
+
+    async def do_add(self, name: str, *words: str) -> None:
+        self.world.add(name)
+        self.world.start(name)
+
+    async def do_remove(self, host: str, *words: str) -> None:
+        """A machine is gone for good."""
+        name = self._host(host)
+        self.world.kill(name, wipe=True)
+        del self.world.hosts[name]
+
+    # Orders and programs
+
+    async def do_replace(self, generation: str) -> int:
+        return await self.world.replace(int(generation))
+
+    async def do_describe(self) -> int:
+        return await self.world.describe()
+
+    async def do_retire(self, node: str) -> int:
+        status, _ = await self.world.order("POST", f"/retire/{node}/start", body=b"{}")
+        return status
+
+    async def do_retired(self, node: str) -> str:
+        """Wait until a retirement is completed, then take the machine away."""
+        for _ in range(100):
+            _, body = await self.world.order("GET", f"/retire/{node}/describe")
+            if b"completed" in body:
+                await self.do_remove(node)
+                return "completed"
+            await asyncio.sleep(0.1)
+        return "running"
+
+    async def do_turn(self, writer: str, turn: str, previous: str = "") -> str:
+        return "recorded" if await self.world.record(writer, turn, previous) else "not sure"
+
+    async def do_read(self, writer: str, turn: str) -> str:
+        return await self.world.read(writer, turn)
+
+    async def do_reserve(self, writer: str, program: str, turn: str, most: str, budget: str) -> str:
+        return await self.world.reserve(writer, program, turn, int(most), int(budget))
+
+    async def do_turns(self, writer: str, count: str, pause: str) -> None:
+        """A conversation of so many turns."""
+        previous = ""
+        for number in range(int(count)):
+            turn = f"{writer}-{self.world.loop.time():.4f}-{number}"
+            if await self.world.record(writer, turn, previous):
+                previous = turn
+            await asyncio.sleep(float(pause))
+
+    async def do_replaces(self, first: str, count: str, pause: str) -> None:
+        """So many configurations, one after the other; one without a clear answer is found out about."""
+        generation = int(first)
+        for _ in range(int(count)):
+            status = await self.world.replace(generation)
+            if status != 200:
+                await self._learn_current()
+            generation += 3
+            await asyncio.sleep(float(pause))
+
+
+Action = Callable[..., Coroutine[Any, Any, Any]]
--- /dev/null
+++ b/tests/tier/test_scenarios.py
@@ -0,0 +1,22 @@
+"""Plays the scenario files, and days drawn from seeds."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from tests.tier.drawn import draw
+from tests.tier.scenario import Player, parse
+
+FILES = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
+
+
+@pytest.mark.parametrize("file", FILES, ids=lambda file: file.stem)
+def test_scenario(file: Path, tmp_path: Path) -> None:
+    Player(parse(file.stem, file.read_text(encoding="utf-8")), tmp_path).play()
+
+
+@pytest.mark.parametrize("seed", range(1, 25))
+def test_drawn_day(seed: int, tmp_path: Path) -> None:
+    Player(draw(seed), tmp_path).play()
--- /dev/null
+++ b/tests/tier/virtual_loop.py
@@ -0,0 +1,303 @@
+"""An asyncio event loop on simulated time, with a simulated network and disk threads.
+
+Nothing sleeps: when no callback is due, the clock jumps to the next timer. Connections are pairs of in-memory
+transports whose bytes arrive after a delay, unless the way between two hosts is cut. What runs in an executor is
+called at once and its result handed over after the disk's delay.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import selectors
+from collections.abc import Callable
+from typing import Any
+
+from wheatring.durable.record_file import DiskError
+
+DEFAULT_DELAY = 0.001  # seconds one way
+DISK_DELAY = 0.0005  # seconds for a write and its sync
+SYN_RETRY = 1.0  # seconds after which the system tries an unanswered connect again
+
+
+class _JumpingSelector(selectors.BaseSelector):
+    """Waits for nothing: what the loop would wait for is added to its clock."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._keys: dict[Any, selectors.SelectorKey] = {}
+
+    def register(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:
+        key = selectors.SelectorKey(fileobj, 0, events, data)
+        self._keys[fileobj] = key
+        return key
+
+    def unregister(self, fileobj: Any) -> selectors.SelectorKey:
+        return self._keys.pop(fileobj)
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        if timeout is None:
+            raise RuntimeError("everything waits, and nothing will ever happen")
+        self.now += max(timeout, 0.0)
+        return []
+
+    def get_map(self) -> Any:
+        return self._keys
+
+
+class Life:
+    """One life of a host's process: what it has scheduled happens only while it lives and is not frozen."""
+
+    def __init__(self, host: str) -> None:
+        self.host = host
+        self.alive = True
+        self.frozen = False
+        self.disk_full = False
+        self.disk_delay = DISK_DELAY
+        self._held: list[tuple[Callable[..., object], tuple[Any, ...], contextvars.Context]] = []
+
+    def run(self, call: Callable[..., object], args: tuple[Any, ...], context: contextvars.Context) -> None:
+        if not self.alive:
+            return
+        if self.frozen:
+            self._held.append((call, args, context))
+            return
+        call(*args)
+
+    def thaw(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Everything that has come due meanwhile happens next, in its order."""
+        self.frozen = False
+        held, self._held = self._held, []
+        for call, args, context in held:
+            loop.call_soon(call, *args, context=context)
+
+
+LIFE: contextvars.ContextVar[Life | None] = contextvars.ContextVar("LIFE", default=None)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """One loop for a whole simulated system."""
+
+    def __init__(self) -> None:
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+        self.network = Network(self)
+        self.faults: list[dict[str, Any]] = []  # what tasks and callbacks have raised unseen
+        self.set_exception_handler(lambda loop, context: self.faults.append(context))
+
+    def time(self) -> float:
+        return self._jumping.now
+
+    def _guarded(
+        self, callback: Callable[..., object], args: tuple[Any, ...], context: contextvars.Context | None
+    ) -> tuple[Callable[..., object], tuple[Any, ...], contextvars.Context]:
+        context = contextvars.copy_context() if context is None else context
+        life = context.get(LIFE)
+        if life is None:
+            return callback, args, context
+        return life.run, (callback, args, context), context
+
+    def call_soon(self, callback: Any, *args: Any, context: Any = None) -> asyncio.Handle:
+        if self.is_closed():
+            return asyncio.Handle(callback, args, self, context)
+        call, given, ctx = self._guarded(callback, args, context)
+        return super().call_soon(call, *given, context=ctx)
+
+    def call_at(self, when: float, callback: Any, *args: Any, context: Any = None) -> asyncio.TimerHandle:
+        call, given, ctx = self._guarded(callback, args, context)
+        return super().call_at(when, call, *given, context=ctx)
+
+    def run_in_executor(self, executor: Any, func: Any, *args: Any) -> asyncio.Future[Any]:
+        """The disk's thread: what has not been done when the process ends is never done."""
+        future = self.create_future()
+        life = LIFE.get()
+
+        def work() -> None:
+            if future.cancelled():
+                return
+            try:
+                if life is not None and life.disk_full:
+                    raise DiskError("no space left")
+                future.set_result(func(*args))
+            except Exception as error:
+                future.set_exception(error)
+
+        self.call_later(life.disk_delay if life is not None else DISK_DELAY, work)
+        return future
+
+    async def create_connection(self, factory: Any, host: Any = None, port: Any = None, **options: Any) -> Any:
+        return await self.network.connect(factory, host, port)
+
+    async def create_server(self, factory: Any, host: Any = None, port: Any = None, **options: Any) -> Any:
+        return self.network.listen(factory, host, port)
+
+
+class VirtualTransport(asyncio.Transport):
+    """One end of a connection."""
+
+    def __init__(self, network: Network, host: str, peer_host: str, protocol: Any, context: Any) -> None:
+        super().__init__()
+        self.context = context
+        self._network = network
+        self.host = host
+        self.peer_host = peer_host
+        self.protocol = protocol
+        self.peer: VirtualTransport
+        self.closed = False
+        self._ending = False
+        self._paused: list[bytes] | None = None
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return default
+
+    def write(self, data: Any) -> None:
+        if self.closed or self._ending:
+            return
+        self._network.deliver(self, self.peer, bytes(data))
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def is_closing(self) -> bool:
+        return self.closed or self._ending
+
+    def pause_reading(self) -> None:
+        if self._paused is None:
+            self._paused = []
+
+    def resume_reading(self) -> None:
+        waiting, self._paused = self._paused, None
+        for data in waiting or ():
+            self.received(data)
+
+    def close(self) -> None:
+        if not self.is_closing():
+            self._ending = True
+            self._network.finish(self, self.peer)
+            self._network.loop.call_soon(self.lost, None, context=self.context)
+
+    def abort(self) -> None:
+        if not self.closed:
+            self._network.finish(self, self.peer, reset=True)
+            self._network.loop.call_soon(self.lost, None, context=self.context)
+
+    def received(self, data: bytes) -> None:
+        if self.closed:
+            return
+        if self._paused is not None:
+            self._paused.append(data)
+        else:
+            self.protocol.data_received(data)
+
+    def ended(self, reset: bool) -> None:
+        """The other end has closed."""
+        if self.closed:
+            return
+        if not reset and not self._ending and self.protocol.eof_received():
+            return
+        self._network.finish(self, self.peer)
+        self.lost(ConnectionResetError() if reset else None)
+
+    def lost(self, error: Exception | None) -> None:
+        if not self.closed:
+            self.closed = True
+            self._network.transports.discard(self)
+            self.protocol.connection_lost(error)
+
+
+class VirtualServer:
+    """A listening address."""
+
+    def __init__(self, network: Network, address: tuple[str, int], factory: Callable[[], Any]) -> None:
+        self.network = network
+        self.context = contextvars.copy_context()
+        self.address = address
+        self.factory = factory
+
+    def close(self) -> None:
+        if self.network.servers.get(self.address) is self:
+            del self.network.servers[self.address]
+
+
+class Network:
+    """Hosts, the ways between them, and who listens where."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.loop = loop
+        self.servers: dict[tuple[str, int], VirtualServer] = {}
+        self.transports: set[VirtualTransport] = set()
+        self.cuts: set[tuple[str, str]] = set()  # from host, to host: bytes do not pass
+        self.delay: Callable[[str, str], float] = lambda source, target: DEFAULT_DELAY
+        self._last_arrival: dict[VirtualTransport, float] = {}
+        self._held: dict[tuple[str, str], list[tuple[VirtualTransport, Callable[[], None]]]] = {}
+
+    # Ways
+
+    def cut(self, source: str, target: str) -> None:
+        """Bytes from one host to another are held back."""
+        self.cuts.add((source, target))
+
+    def heal(self, source: str, target: str) -> None:
+        """They pass again, and what was held back arrives."""
+        self.cuts.discard((source, target))
+        for transport, arrive in self._held.pop((source, target), []):
+            self.loop.call_later(self.delay(source, target), arrive, context=transport.context)
+
+    def kill(self, host: str) -> None:
+        """A host's processes are gone: its peers get resets, and it hears nothing more."""
+        for address in [address for address in self.servers if address[0] == host]:
+            del self.servers[address]
+        for transport in [t for t in self.transports if t.host == host]:
+            transport.closed = True
+            self.transports.discard(transport)
+            self.finish(transport, transport.peer, reset=True)
+
+    # Bytes
+
+    def _later(self, source: VirtualTransport, target: VirtualTransport, call: Callable[[], None]) -> None:
+        if self.loop.is_closed():
+            return
+        way = (source.host, target.host)
+        if way in self.cuts:
+            self._held.setdefault(way, []).append((target, call))
+            return
+        due = self.loop.time() + self.delay(*way)
+        due = max(due, self._last_arrival.get(target, 0.0))  # bytes of one connection keep their order
+        self._last_arrival[target] = due
+        self.loop.call_at(due, call, context=target.context)
+
+    def deliver(self, source: VirtualTransport, target: VirtualTransport, data: bytes) -> None:
+        """Bytes on their way."""
+        self._later(source, target, lambda: target.received(data))
+
+    def finish(self, source: VirtualTransport, target: VirtualTransport, reset: bool = False) -> None:
+        """The end of a connection on its way."""
+        self._later(source, target, lambda: target.ended(reset))
+
+    # Connections
+
+    def listen(self, factory: Callable[[], Any], host: str, port: int) -> VirtualServer:
+        """As the loop's `create_server`."""
+        server = VirtualServer(self, (host, port), factory)
+        self.servers[(host, port)] = server
+        return server
+
+    async def connect(self, factory: Callable[[], Any], host: str, port: int) -> tuple[Any, Any]:
+        """As the loop's `create_connection`, from the host whose life this is."""
+        life = LIFE.get()
+        source = life.host if life is not None else "outside"
+        while (source, host) in self.cuts or (host, source) in self.cuts:
+            await asyncio.sleep(SYN_RETRY)
+        await asyncio.sleep(2 * self.delay(source, host))
+        server = self.servers.get((host, port))
+        if server is None:
+            raise ConnectionRefusedError(f"{host}:{port}")
+        protocol = factory()
+        near = VirtualTransport(self, source, host, protocol, contextvars.copy_context())
+        accepted = server.context.copy().run(server.factory)
+        far = VirtualTransport(self, host, source, accepted, server.context)
+        near.peer, far.peer = far, near
+        self.transports |= {near, far}
+        self.loop.call_soon(accepted.connection_made, far, context=server.context)
+        protocol.connection_made(near)
+        return near, protocol
--- /dev/null
+++ b/tests/tier/world.py
@@ -0,0 +1,383 @@
+"""A whole system on simulated time: real controllers, storage replicas and the sidecars' storage client, with what
+an operator and programs do to them, and the checks that hold on every run.
+
+Controllers are c1, c2, ...; storage machines s1, s2, ...; readers and writers of turns w1, w2, .... A host's name is
+its address.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import json
+import shutil
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from tests.tier.virtual_loop import LIFE, Life, VirtualLoop
+from wheatring.budgets.budgets import Budgets, BudgetSpent
+from wheatring.consensus.replica import State
+from wheatring.controller.api import Orders
+from wheatring.controller.node import Controller
+from wheatring.settings.process import Address, Settings, Tolerance
+from wheatring.storage.process import StorageProcess
+from wheatring.storage.quorum import NotSure, QuorumClient
+from wheatring.subscription.client import Subscription
+from wheatring.transport.client import ClientTable
+from wheatring.transport.messages_pb2 import ROLE_SIDECAR, EndpointList, OperatorRequest, Presence, Turn
+from wheatring.turns.conversations import Conversations, NoSuchTurn
+
+CONTROL_PORT, INTERNAL_PORT = 8000, 7000
+ORDER_SECONDS = 1.0  # that an operator waits for one controller
+APPLY_SECONDS = 2.0  # after an acknowledgement, for a configuration to be in force
+
+
+class BrokenRule(AssertionError):
+    """Something that must never happen has happened."""
+
+
+@dataclass
+class Host:
+    """One machine."""
+
+    name: str
+    folder: Path
+    bootstrap: bool
+    life: Life | None = None
+    process: Any = None
+    orders: Orders | None = None
+
+
+@dataclass
+class Writer:
+    """What of a sidecar reads and writes turns."""
+
+    subscription: Subscription
+    store: QuorumClient
+    conversations: Conversations
+    budgets: Budgets
+    generations: list[int] = field(default_factory=list)
+
+
+@dataclass
+class Platform:
+    """The platform's list, as a reader finds it."""
+
+    endpoints: EndpointList = field(default_factory=EndpointList)
+
+    async def read(self) -> EndpointList:
+        await asyncio.sleep(0.002)
+        return self.endpoints
+
+
+def configuration(generation: int) -> bytes:
+    """A small sound configuration."""
+    route = {
+        "name": f"r{generation}",
+        "hostname": "h",
+        "pathPrefix": "/a/",
+        "routeType": "safe",
+        "timeoutMs": 1000,
+        "backend": "s",
+    }
+    return json.dumps({"generation": generation, "routes": [route], "services": [{"name": "s"}]}).encode()
+
+
+class World:
+    """The system and its checks."""
+
+    def __init__(self, folder: Path, seed: int, controllers: int, storage: int, losses: int) -> None:
+        self.loop = VirtualLoop()
+        self.folder = folder
+        self.random = Random(seed)
+        self.losses = losses
+        self.hosts: dict[str, Host] = {}
+        self.platform = Platform()
+        self.seeds = [f"c{n}" for n in range(1, min(controllers, 3) + 1)]
+        self.writers: dict[str, Writer] = {}
+        self.acknowledged: dict[int, bytes] = {}  # configurations by generation
+        self.refused: set[bytes] = set()
+        self.recorded: dict[str, Turn] = {}
+        self.granted: dict[str, int] = {}  # tokens by program
+        self.budget: dict[str, int] = {}
+        self.unclear: set[int] = set()
+        for number in range(1, controllers + 1):
+            self.add(f"c{number}", bootstrap=True)
+        for number in range(1, storage + 1):
+            self.add(f"s{number}", bootstrap=True)
+
+    # Hosts
+
+    def add(self, name: str, bootstrap: bool = False) -> None:
+        """A machine is put up."""
+        self.hosts[name] = Host(name, self.folder / name, bootstrap)
+
+    def _settings(self, host: Host) -> Settings:
+        return Settings(
+            path=str(self.folder / "none.json"),
+            node=host.name,
+            ip=host.name,
+            zone=f"z{host.name[1:]}",
+            listen={"control": Address(host.name, CONTROL_PORT)},
+            internal_ports=(INTERNAL_PORT, INTERNAL_PORT + 15),
+            seeds=tuple(Address(seed, CONTROL_PORT) for seed in self.seeds),
+            bootstrap=host.bootstrap,
+            data_folder=str(host.folder),
+            memory_mb=300,
+            disk_mb=128,
+            tolerance=Tolerance(self.losses, 0, 0),
+            platform=None,
+            bounds={"drainMs": 3000},
+        )
+
+    def run_as(self, life: Life, work: Callable[[], Coroutine[Any, Any, Any]]) -> asyncio.Task[Any]:
+        """Run a coroutine as part of a process."""
+        context = contextvars.copy_context()
+        context.run(LIFE.set, life)
+        return context.run(lambda: self.loop.create_task(work(), context=context))
+
+    def start(self, name: str) -> None:
+        """Start a machine's process."""
+        host = self.hosts[name]
+        life = host.life = Life(name)
+
+        async def begin() -> None:
+            random = Random(self.random.getrandbits(32))
+            settings = self._settings(host)
+            if name.startswith("c"):
+                host.process = Controller(settings, random, self.platform)
+                host.orders = Orders(host.process)
+            else:
+                host.process = StorageProcess(settings, random)
+            await host.process.start()
+            host.bootstrap = False
+
+        self.run_as(life, begin)
+
+    def kill(self, name: str, wipe: bool = False) -> None:
+        """A process ends at once; what has not been synced is lost, and with `wipe` the disk too."""
+        host = self.hosts[name]
+        if host.life is not None:
+            host.life.alive = False
+            host.life = None
+            host.process = host.orders = None
+        self.loop.network.kill(name)
+        if wipe:
+            shutil.rmtree(host.folder, ignore_errors=True)
+
+    def freeze(self, name: str) -> None:
+        """A process stands still."""
+        life = self.hosts[name].life
+        if life is not None:
+            life.frozen = True
+
+    def thaw(self, name: str) -> None:
+        """It goes on."""
+        life = self.hosts[name].life
+        if life is not None:
+            life.thaw(self.loop)
+
+    def cut(self, name: str, others: list[str], one_way: bool = False) -> None:
+        """Bytes from a machine to others are held back, and those the other way too."""
+        for other in others:
+            self.loop.network.cut(name, other)
+            if not one_way:
+                self.loop.network.cut(other, name)
+
+    def heal(self, name: str, others: list[str]) -> None:
+        """They pass again."""
+        for other in others:
+            self.loop.network.heal(name, other)
+            self.loop.network.heal(other, name)
+
+    def running(self, prefix: str) -> list[str]:
+        """Machines of a class whose processes run."""
+        return [n for n, host in self.hosts.items() if n.startswith(prefix) and host.life is not None]
+
+    def leader(self) -> str:
+        """The controller that leads, by its own opinion; the one with the newest term."""
+        leading = [
+            (host.process.core.term, name)
+            for name, host in self.hosts.items()
+            if host.process is not None and name.startswith("c") and host.process.core.state is State.LEADER
+        ]
+        return max(leading)[1] if leading else self.running("c")[0]
+
+    # What the operator does
+
+    async def order(self, method: str, path: str, base: int = 0, body: bytes = b"") -> tuple[int, bytes]:
+        """Try controllers until one answers clearly; status 0 where none does."""
+        for attempt in range(12):
+            running = self.running("c")
+            if running:
+                name = running[(self.random.randrange(len(running)) + attempt) % len(running)]
+                reply = await self._order_at(name, method, path, base, body)
+                if reply[0] and reply[0] < 500:
+                    return reply
+            await asyncio.sleep(0.3)
+        return 0, b""
+
+    async def _order_at(self, name: str, method: str, path: str, base: int, body: bytes) -> tuple[int, bytes]:
+        host = self.hosts[name]
+        if host.life is None or host.orders is None:
+            return 0, b""
+        request = OperatorRequest(method=method, path=path, base_revision=str(base), body=body)
+        task = self.run_as(host.life, lambda: host.orders.take(request))  # type: ignore[union-attr]
+        done, _ = await asyncio.wait([task], timeout=ORDER_SECONDS)
+        if not done:
+            return 0, b""
+        reply = task.result()
+        return reply.status, reply.body
+
+    async def replace(self, generation: int) -> int:
+        """Put a configuration on top of the newest acknowledged one."""
+        base = max(self.acknowledged, default=0)
+        body = configuration(generation)
+        status, _ = await self.order("POST", "/config/replace", base, body)
+        if status == 200:
+            self.acknowledged[generation] = body
+        elif status in (400, 412):
+            self.refused.add(body)
+        else:
+            self.unclear.add(generation)
+        return status
+
+    async def describe(self) -> int:
+        """Read back; checks that nothing acknowledged is lost. Returns the generation, 0 for no answer."""
+        newest = max(self.acknowledged, default=0)
+        status, body = await self.order("GET", "/config/describe")
+        if status != 200:
+            return 0
+        generation = int(json.loads(body)["generation"])
+        if generation < newest:
+            raise BrokenRule(f"generation {newest} was acknowledged, {generation} is read back")
+        if generation in self.acknowledged and body != self.acknowledged[generation]:
+            raise BrokenRule(f"generation {generation} is not what was sent")
+        if generation not in self.acknowledged and generation not in self.unclear:
+            raise BrokenRule(f"generation {generation} is in force and was never accepted")
+        return generation
+
+    # What programs do
+
+    def add_writer(self, name: str) -> Writer:
+        """A sidecar's client of the storage machines."""
+        life = Life(name)
+        clients = ClientTable(INTERNAL_PORT + 1)
+        writer: Writer
+
+        def changed() -> None:
+            view = subscription.view
+            if writer.generations and view.generation < writer.generations[-1]:
+                raise BrokenRule(f"{name} went back to {view.generation}")
+            writer.generations.append(view.generation)
+
+        subscription = Subscription(
+            seeds=lambda: self.seeds,
+            port=INTERNAL_PORT,
+            zone="z1",
+            presence=lambda: Presence(role=ROLE_SIDECAR, replica_id=name, node=name, address=name),
+            presence_pause=2.0,
+            changed=changed,
+            random=Random(self.random.getrandbits(32)),
+        )
+        store = QuorumClient(
+            clients, self.losses, "z1", lambda: subscription.view.placement, subscription.adopt_placement
+        )
+        writer = Writer(subscription, store, Conversations(store), Budgets(store))
+        self.writers[name] = writer
+        self.hosts[name] = Host(name, self.folder / name, False, life)
+        self.run_as(life, subscription.run)
+        return writer
+
+    async def as_writer(self, name: str, work: Callable[[Writer], Coroutine[Any, Any, Any]]) -> Any:
+        """Have something done by a writer."""
+        life = self.hosts[name].life
+        assert life is not None
+        return await self.run_as(life, lambda: work(self.writers[name]))
+
+    async def record(self, name: str, turn_id: str, previous: str = "") -> bool:
+        """Record a turn after another one. Whether it was acknowledged."""
+        before = self.recorded.get(previous)
+        ancestors = [*before.ancestors, before.id] if before is not None else []
+        turn = Turn(id=turn_id, ancestors=ancestors, input=b"in " + turn_id.encode(), retention_ms=600_000)
+        try:
+            await self.as_writer(name, lambda writer: writer.conversations.record(turn, 2.0))
+        except NotSure:
+            return False
+        self.recorded[turn_id] = turn
+        return True
+
+    async def read(self, name: str, turn_id: str) -> str:
+        """Read a conversation, past the cache: "found", "none" or "not sure"."""
+        writer = self.writers[name]
+        writer.conversations.cache._turns.clear()
+        writer.conversations.cache._size = 0
+        try:
+            chain = await self.as_writer(name, lambda w: w.conversations.chain(turn_id, 2.0))
+        except NotSure:
+            return "not sure"
+        except NoSuchTurn:
+            if turn_id in self.recorded:
+                raise BrokenRule(f"turn {turn_id} was recorded and is said not to exist") from None
+            return "none"
+        expected = [*self.recorded[turn_id].ancestors, turn_id] if turn_id in self.recorded else None
+        if expected is not None and [turn.id for turn in chain] != expected:
+            raise BrokenRule(f"turn {turn_id} came with the wrong chain")
+        return "found"
+
+    async def reserve(self, name: str, program: str, turn: str, most: int, budget: int) -> str:
+        """Reserve tokens; checks the sum of what was granted. "granted", "spent" or "not sure"."""
+        try:
+            await self.as_writer(name, lambda w: w.budgets.reserve(program, turn, most, budget, 2.0))
+        except BudgetSpent:
+            return "spent"
+        except NotSure:
+            return "not sure"
+        self.granted[program] = self.granted.get(program, 0) + most
+        if self.granted[program] > budget:
+            raise BrokenRule(f"program {program} was granted {self.granted[program]} of {budget}")
+        return "granted"
+
+    # Checks
+
+    def check(self) -> None:
+        """What must hold at any moment."""
+        leaders: dict[int, str] = {}
+        for name, host in self.hosts.items():
+            if not name.startswith("c") or host.process is None:
+                continue
+            core = host.process.core
+            if core.state is State.LEADER:
+                other = leaders.setdefault(core.term, name)
+                if other != name:
+                    raise BrokenRule(f"{name} and {other} both lead term {core.term}")
+        for fault in self.loop.faults:
+            error = fault.get("exception")
+            if error is not None and not isinstance(error, asyncio.CancelledError):
+                raise BrokenRule(f"unexpected: {fault['message']}: {error!r}") from error
+
+    async def settle(self, seconds: float) -> None:
+        """Let time pass, checking all the while."""
+        end = self.loop.time() + seconds
+        while (left := end - self.loop.time()) > 0:
+            await asyncio.sleep(min(0.05, left))
+            self.check()
+
+    def run(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Play something from the start on."""
+        asyncio.set_event_loop(self.loop)
+        try:
+            for name in list(self.hosts):
+                self.start(name)
+            self.loop.run_until_complete(work())
+            self.check()
+        finally:
+            for host in self.hosts.values():
+                if host.life is not None:
+                    host.life.alive = False
+            for task in asyncio.all_tasks(self.loop):
+                task._log_destroy_pending = False  # type: ignore[attr-defined]
+            asyncio.set_event_loop(None)
--- a/wheatring/controller/node.py
+++ b/wheatring/controller/node.py
@@ -16,7 +16,7 @@
 from wheatring.controller.members import Reported, complete_retirements, next_placement
 from wheatring.controller.store import Store
 from wheatring.controller.voters import Candidate, next_voters
-from wheatring.discovery.platform_list import ListUnavailable, PlatformList
+from wheatring.discovery.platform_list import ListReader, ListUnavailable
 from wheatring.durable.record_file import DiskError
 from wheatring.settings.events import log_event
 from wheatring.settings.process import Settings
@@ -42,6 +42,10 @@
 PRESENCE_SECONDS = 0.3  # between words of a controller to the leader, and for what it passes on
 ANNOUNCE_SECONDS = 0.4  # without a leader, before a controller announces itself to all that it knows
 LEARNER_SECONDS = 3.0  # after which a silent learner is given up
+LIST_PAUSE_PART = 0.42  # of the time in which sends to a leaving endpoint have to end
+LEAST_LIST_PAUSE = 0.3  # seconds
+LEADER_LOOK_SECONDS = 0.05  # between looks whether this controller leads by now
+LEAST_RECENT_QUORUM = 1.0  # seconds since a majority has answered, above which a leader may not be one any more
 LIST_FAILURES = 3  # calls in vain, after which another controller is to lead
 FORWARD_SECONDS = 0.8  # for the leader to answer an order that has come to another controller
 FIND_LEADER_SECONDS = 0.7  # for a leader to be known, before an order is answered 503
@@ -82,8 +86,10 @@
 class Controller:
     """The owner of all state of one controller process."""
 
-    def __init__(self, settings: Settings, random: Random) -> None:
+    def __init__(self, settings: Settings, random: Random, reader: ListReader | None) -> None:
+        """`reader` reads the platform's list; None where the platform has none."""
         self.settings = settings
+        self._reader = reader
         self.losses = settings.tolerance.losses
         self.clock = Clock()
         self._random = random
@@ -107,8 +113,6 @@
         self._was_leader = False
         self._led_term = -1
         self._led_at = 0.0
-        self._list: PlatformList | None = None
-        self._list_bytes = b""
         self._tasks: list[asyncio.Task[None]] = []
         self.stopping = False
 
@@ -271,7 +275,7 @@
             self.peers.to(core.leader.address).send(envelope)
             return
         hosts = {seed.host for seed in self.settings.seeds} | {voter.address for voter in core.voters}
-        for host in hosts - {self.settings.ip}:
+        for host in sorted(hosts - {self.settings.ip}):
             self.peers.to(host).send(envelope)
 
     def _forward_presences(self, now: float) -> None:
@@ -465,9 +469,8 @@
         core = self.core
 
         def known() -> bool:
-            if core.state is State.LEADER:
-                return core.silence(self.clock.now()) < 1.0
-            return core.leader is not None and core.silence(self.clock.now()) < 1.0
+            recent = core.silence(self.clock.now()) < LEAST_RECENT_QUORUM
+            return recent and (core.state is State.LEADER or core.leader is not None)
 
         if not await self._until(known, FIND_LEADER_SECONDS):
             return ""
@@ -500,17 +503,15 @@
 
     async def _read_list(self) -> None:
         """Read the platform's list while this controller leads."""
-        platform = self.settings.platform
-        if platform is None:
+        reader = self._reader
+        if reader is None:
             return
-        pause = max(self.settings.drain * 0.42, 0.3)
-        reader = PlatformList(str(platform.address), platform.calls_per_second)
+        pause = max(self.settings.drain * LIST_PAUSE_PART, LEAST_LIST_PAUSE)
         failures = 0
         while True:
-            if not self.core.is_ready_leader or self.core.silence(self.clock.now()) > 1.0:
+            if not self._leads_with_quorum():
                 failures = 0
-                self._advanced.clear()
-                await self._until(lambda: self.core.is_ready_leader, 1.0)
+                await asyncio.sleep(LEADER_LOOK_SECONDS)
                 continue
             try:
                 endpoint_list = await reader.read()
@@ -526,6 +527,10 @@
             self._take_list(endpoint_list.SerializeToString())
             await asyncio.sleep(pause)
 
+    def _leads_with_quorum(self) -> bool:
+        silence = self.core.silence(self.clock.now())
+        return self.core.is_ready_leader and silence < LEAST_RECENT_QUORUM
+
     def _take_list(self, data: bytes) -> None:
         changed = data != self.core.soft_state or not self.core.soft_version
         if changed and self.core.state is State.LEADER:
--- a/wheatring/controller/process.py
+++ b/wheatring/controller/process.py
@@ -7,6 +7,7 @@
 
 from wheatring.controller.api import make_server
 from wheatring.controller.node import Controller
+from wheatring.discovery.platform_list import PlatformList
 from wheatring.settings.process import Settings
 from wheatring.settings.watch import SettingsWatch
 
@@ -15,7 +16,9 @@
     """Starts and stops a controller."""
 
     def __init__(self, settings: Settings, random: Random) -> None:
-        self.controller = Controller(settings, random)
+        platform = settings.platform
+        reader = PlatformList(str(platform.address), platform.calls_per_second) if platform else None
+        self.controller = Controller(settings, random, reader)
         self._watch = SettingsWatch(settings)
         self._server = make_server(self.controller, settings.listen["control"])
         self._tasks: list[asyncio.Task[None]] = []
--- a/wheatring/discovery/platform_list.py
+++ b/wheatring/discovery/platform_list.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+from typing import Any, Protocol
 
 import httpx
 
@@ -18,6 +18,13 @@
     """The list could not be read whole."""
 
 
+class ListReader(Protocol):
+    """Whoever reads the list."""
+
+    async def read(self) -> EndpointList:
+        """All of it. Raises ListUnavailable."""
+
+
 def _endpoint(values: dict[str, Any]) -> Endpoint:
     return Endpoint(
         id=str(values["id"]),
