--- a/tests/tier/drawn.py
+++ b/tests/tier/drawn.py
@@ -26,7 +26,11 @@
     scenario = Scenario(f"drawn-{seed}")
     scenario.header["seed"] = seed
     scenario.header["writers"] = 2
-    lines: list[tuple[float, str]] = [(1.0, "replaces 10 24 0.8"), (2.0, "turns w1 60 0.3"), (2.1, "turns w2 60 0.3")]
+    lines: list[tuple[float, str]] = [
+        (1.0, "replaces 10 24 0.8"),
+        (2.0, "turns w1 60 0.3"),
+        (2.1, "turns w2 60 0.3"),
+    ]
     for number in range(60):
         at = random.uniform(2.0, length)
         writer = random.choice(("w1", "w2"))
--- a/tests/tier/scenario.py
+++ b/tests/tier/scenario.py
@@ -9,9 +9,8 @@
     1 kill leader for 2    HOST may be leader, a follower (follower), or a name
     ...
 
-Every event runs by itself: one that waits does not hold up the next. Lines that end in `-> WORD` check the outcome.
-After the last event everything is healed and started, and what was acknowledged is read back.
-"""
+Every event runs by itself: one that waits does not hold up the next. Lines that end in `-> WORD` check the
+outcome. After the last event everything is healed and started, and what was acknowledged is read back. """
 
 from __future__ import annotations
 
@@ -173,7 +172,12 @@
         names = self.world.running("c") + self.world.running("s")
         for name in names:
             self.world.kill(name)
-        await self._for(words, lambda: [self._start_if_down(name) for name in names] and None)
+
+        def start_all() -> None:
+            for name in names:
+                self._start_if_down(name)
+
+        await self._for(words, start_all)
 
     async def do_freeze(self, host: str, *words: str) -> None:
         name = self._host(host)
--- /dev/null
+++ b/tests/tier/test_commands.py
@@ -0,0 +1,124 @@
+"""Orders on the control state: what is taken, what is refused, and what a repeat is answered."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from wheatring.controller.commands import Conflict, Done, Invalid, ReplaceConfiguration
+from wheatring.controller.configuration import InvalidConfiguration, parse
+from wheatring.transport.messages_pb2 import ControlState
+
+
+def sound(generation: int = 7, **changed: Any) -> dict[str, Any]:
+    route = {
+        "name": "r1",
+        "hostname": "a.example",
+        "pathPrefix": "/x/",
+        "routeType": "streaming",
+        "timeoutMs": 4000,
+        "targetLatencyMs": 200,
+        "priority": 0,
+        "trafficSplit": [{"backend": "s", "weight": 90}, {"backend": "t", "weight": 10}],
+        "maxAttempts": 2,
+        "retained": True,
+        "retentionS": 60.0,
+        "unknownField": {"a": 1},
+    }
+    return {
+        "generation": generation,
+        "routes": [route | changed, route | {"name": "r2", "pathPrefix": "/y/"}],
+        "services": [{"name": "s", "engine": {"stride": 9}}, {"name": "t"}],
+        "limits": {"maxHeaderBytes": 16384},
+    }
+
+
+def body(values: object) -> bytes:
+    return json.dumps(values).encode()
+
+
+def test_a_sound_configuration_is_taken() -> None:
+    assert parse(body(sound())).generation == 7
+
+
+BAD: dict[str, bytes] = {
+    "cut short": body(sound())[:-20],
+    "unknown service": body(sound(trafficSplit=None, backend="nobody")),
+    "unknown service in a split": body(sound(trafficSplit=[{"backend": "nobody", "weight": 1}])),
+    "same place": body(sound(pathPrefix="/y/")),
+    "same place in other letters": body(sound(pathPrefix="/y/", hostname="A.example")),
+    "no weight": body(sound(trafficSplit=[{"backend": "s", "weight": 0}])),
+    "negative weight": body(
+        sound(trafficSplit=[{"backend": "s", "weight": -1}, {"backend": "t", "weight": 2}])
+    ),
+    "no time": body(sound(timeoutMs=0)),
+    "no service": body(sound(trafficSplit=None)),
+    "same name": body(sound(name="r2")),
+    "prefix without slash": body(sound(pathPrefix="/x")),
+    "a key twice": body(sound()).replace(b'"generation": 7', b'"generation": 7, "generation": 8'),
+    "not a number": body(sound()).replace(b"4000", b"NaN"),
+    "a text for a number": body(sound(timeoutMs="4000")),
+    "truth for a number": body(sound(timeoutMs=True)),
+    "half a generation": body(sound() | {"generation": 7.5}),
+    "not an object": b"[]",
+    "empty": b"",
+    "unknown type": body(sound(routeType="perhaps")),
+    "broken text": b'{"generation": 7, "x": "\xff"}',
+    "too deep": b"[" * 100_000,
+}
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_an_invalid_configuration_is_refused_and_changes_nothing(name: str) -> None:
+    with pytest.raises(InvalidConfiguration):
+        parse(BAD[name])
+    state = ControlState()
+    assert isinstance(ReplaceConfiguration(0, BAD[name]).apply(state), Invalid)
+    assert state == ControlState()
+
+
+class OrdersMachine(RuleBasedStateMachine):
+    """Any sequence of orders beside a plain list of what was taken."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.state = ControlState()
+        self.taken: list[tuple[int, int, str]] = []  # base, generation, operator
+
+    @property
+    def current(self) -> int:
+        return self.taken[-1][1] if self.taken else 0
+
+    @rule(base=st.integers(0, 30), step=st.integers(-2, 5), operator=st.sampled_from("ab"))
+    def replace(self, base: int, step: int, operator: str) -> None:
+        generation = base + step
+        order = ReplaceConfiguration(base, body(sound(generation, name=f"r-{operator}")))
+        outcome = order.apply(self.state)
+        if (base, generation, operator) in self.taken:
+            assert outcome == Done()
+        elif base != self.current:
+            assert isinstance(outcome, Conflict) and outcome.status == 412
+        elif generation <= self.current:
+            assert isinstance(outcome, Invalid)
+        else:
+            assert outcome == Done()
+            self.taken.append((base, generation, operator))
+
+    @rule()
+    def on_top(self) -> None:
+        self.replace(self.current, 2, "a")
+
+    @invariant()
+    def the_newest_is_in_force(self) -> None:
+        assert self.state.generation == self.current
+        if self.taken:
+            assert json.loads(self.state.configuration)["generation"] == self.current
+
+
+TestOrders = OrdersMachine.TestCase
+TestOrders.settings = settings(max_examples=40, stateful_step_count=25, deadline=None)
--- a/tests/tier/virtual_loop.py
+++ b/tests/tier/virtual_loop.py
@@ -1,9 +1,8 @@
 """An asyncio event loop on simulated time, with a simulated network and disk threads.
 
 Nothing sleeps: when no callback is due, the clock jumps to the next timer. Connections are pairs of in-memory
-transports whose bytes arrive after a delay, unless the way between two hosts is cut. What runs in an executor is
-called at once and its result handed over after the disk's delay.
-"""
+transports whose bytes arrive after a delay, unless the way between two hosts is cut. What runs in an executor
+is called at once and its result handed over after the disk's delay. """
 
 from __future__ import annotations
 
@@ -125,7 +124,9 @@
         self.call_later(life.disk_delay if life is not None else DISK_DELAY, work)
         return future
 
-    async def create_connection(self, factory: Any, host: Any = None, port: Any = None, **options: Any) -> Any:
+    async def create_connection(
+        self, factory: Any, host: Any = None, port: Any = None, **options: Any
+    ) -> Any:
         return await self.network.connect(factory, host, port)
 
     async def create_server(self, factory: Any, host: Any = None, port: Any = None, **options: Any) -> Any:
--- a/tests/tier/world.py
+++ b/tests/tier/world.py
@@ -1,9 +1,8 @@
-"""A whole system on simulated time: real controllers, storage replicas and the sidecars' storage client, with what
-an operator and programs do to them, and the checks that hold on every run.
+"""A whole system on simulated time: real controllers, storage replicas and the sidecars' storage client, with
+what an operator and programs do to them, and the checks that hold on every run.
 
-Controllers are c1, c2, ...; storage machines s1, s2, ...; readers and writers of turns w1, w2, .... A host's name is
-its address.
-"""
+Controllers are c1, c2, ...; storage machines s1, s2, ...; readers and writers of turns w1, w2, .... A host's
+name is its address. """
 
 from __future__ import annotations
 
--- a/wheatring/storage/repair.py
+++ b/wheatring/storage/repair.py
@@ -112,7 +112,6 @@
 
 async def _complete(tasks: Sequence[asyncio.Task[None]], needed: int) -> None:
     """Wait until so many of the tasks have ended."""
-    for ended, future in enumerate(asyncio.as_completed(tasks)):
-        if ended >= needed:
-            return
-        await future
+    running = set(tasks)
+    while running and len(tasks) - len(running) < needed:
+        _, running = await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
