--- /dev/null
+++ b/tests/tier/edge.py
@@ -0,0 +1,249 @@
+"""Endpoints and clients on the simulated network, around real sidecars.
+
+An endpoint answers as its script says: one behaviour for each request that it reads, the last one for all others.
+It keeps what it ran, so that a test can look for what must not have run, or not twice.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from tests.tier.virtual_loop import LIFE, Life
+from tests.tier.world import FRONT_PORT, World
+from wheatring.http1.parser import Message, Reader
+from wheatring.transport.messages_pb2 import Endpoint, EndpointList
+
+SERVICE_PORT = 9000
+
+
+@dataclass
+class Ran:
+    """A request that an endpoint has begun to work on."""
+
+    ident: str
+    path: str
+    body: bytes
+    headers: dict[bytes, bytes]
+
+
+@dataclass
+class StandIn:
+    """One endpoint."""
+
+    name: str  # its host
+    ident: str
+    script: list[str]
+    ran: list[Ran] = field(default_factory=list)
+    read: int = 0
+
+    def next_behaviour(self) -> str:
+        self.read += 1
+        return self.script.pop(0) if len(self.script) > 1 else self.script[0]
+
+
+class EndpointConnection(asyncio.Protocol):
+    """One connection to an endpoint."""
+
+    def __init__(self, endpoint: StandIn) -> None:
+        self.endpoint = endpoint
+        self.reader = Reader(responses=False, max_body=1 << 20)
+        self.transport: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.reader.feed(data)
+        message = self.reader.next()
+        if message is not None:
+            loop = asyncio.get_running_loop()
+            self.task = loop.create_task(self.answer(message))
+
+    def _head(self, status: int, ident: bytes, more: bytes = b"") -> bytes:
+        return b"HTTP/1.1 %d X\r\nWheatring-Request-Id: %s\r\nKeep-Alive: timeout=5\r\n%s" % (
+            status,
+            ident,
+            more,
+        )
+
+    async def answer(self, message: Message) -> None:
+        endpoint = self.endpoint
+        ident = message.fields.get(b"wheatring-request-id", b"")
+        behaviour, _, argument = endpoint.next_behaviour().partition(":")
+        expected = message.fields.get(b"wheatring-expected-instance", b"").decode()
+        write = self.transport.write
+        if expected and expected != endpoint.ident:
+            write(self._head(421, ident) + b"Content-Length: 0\r\n\r\n")
+            return
+        if behaviour == "full":
+            write(self._head(503, ident, b"Wheatring-Not-Executed: 1\r\n") + b"Content-Length: 0\r\n\r\n")
+            return
+        endpoint.ran.append(Ran(ident.decode(), message.first[1].decode(), message.body, message.fields))
+        signature = b"Wheatring-Response-Signature: sig-%s-%s\r\n" % (endpoint.ident.encode(), ident)
+        if behaviour == "reset":
+            self.transport.abort()
+        elif behaviour == "silent":
+            return
+        elif behaviour == "noise":
+            write(b"what is this\r\n\r\n")
+        elif behaviour == "error":
+            write(self._head(500, ident, signature) + b"Content-Length: 5\r\n\r\nsorry")
+        elif behaviour == "slow":
+            await asyncio.sleep(float(argument))
+            write(self._head(200, ident, signature) + b"Content-Length: 2\r\n\r\nok")
+        elif behaviour == "late-other":
+            write(self._head(200, b"other", signature) + b"Content-Length: 5\r\n\r\nstale")
+            write(self._head(200, ident, signature) + b"Content-Length: 2\r\n\r\nok")
+        elif behaviour == "half":
+            write(self._head(200, ident, signature) + b"Content-Length: 10\r\n\r\nhalf")
+            await asyncio.sleep(0.01)
+            self.transport.abort()
+        elif behaviour == "ok":
+            write(self._head(200, ident, signature) + b"Content-Length: 2\r\n\r\nok")
+        else:
+            await self._stream(message, ident, signature, behaviour, argument)
+
+    async def _stream(
+        self, message: Message, ident: bytes, signature: bytes, behaviour: str, argument: str
+    ) -> None:
+        """`stream:N` sends N events; `break:N` breaks off within the event behind N; `cut:N` behind N whole ones."""
+        count = int(argument)
+        write = self.transport.write
+        write(self._head(200, ident, signature) + b"Transfer-Encoding: chunked\r\n\r\n")
+        after = int(message.fields.get(b"last-event-id", b"0"))
+        for number in range(after + 1, count + 1):
+            await asyncio.sleep(0.01)
+            event = b"id: %d\ndata: %s-%d\n\n" % (number, ident, number)
+            write(b"%x\r\n%s\r\n" % (len(event), event))
+        if behaviour == "stream":
+            write(b"0\r\n\r\n")
+            return
+        if behaviour == "break":
+            piece = b"id: %d\nda" % (count + 1)
+            write(b"%x\r\n%s\r\n" % (len(piece), piece))
+        await asyncio.sleep(0.01)
+        self.transport.abort()
+
+
+@dataclass
+class Received:
+    """What a client got."""
+
+    status: int = 0  # 0: no answer
+    headers: dict[bytes, bytes] = field(default_factory=dict)
+    body: bytes = b""
+    whole: bool = False
+    at: float = 0.0
+
+    @property
+    def events(self) -> list[str]:
+        """The data of each event, in order."""
+        return [line[6:].decode() for line in self.body.split(b"\n") if line.startswith(b"data: ")]
+
+
+class ClientSide(asyncio.Protocol):
+    """One connection of a client, for one request."""
+
+    def __init__(self) -> None:
+        self.reader = Reader(responses=True, max_body=1 << 24, hold=0)
+        self.received = Received()
+        self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.message: Message | None = None
+        self.transport: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.reader.feed(data)
+        if self.message is None:
+            message = self.reader.next()
+            if message is None and self.reader.message is not None:
+                message = self.reader.begin()
+            if message is None:
+                return
+            self.message = message
+            self.received.status = int(message.first[0])
+            self.received.headers = message.fields
+            self.received.body = message.body
+            if not message.open:
+                self.finish(True)
+                return
+        piece, whole = self.reader.more()
+        self.received.body += piece
+        if whole:
+            self.finish(True)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.finish(False)
+
+    def finish(self, whole: bool) -> None:
+        if not self.done.done():
+            self.received.whole = whole
+            self.received.at = asyncio.get_running_loop().time()
+            self.done.set_result(None)
+
+
+class EdgeWorld(World):
+    """A system with sidecars, endpoints and clients."""
+
+    def __init__(self, folder: Path, routes: Sequence[dict[str, Any]], scripts: dict[str, list[str]]) -> None:
+        super().__init__(folder, seed=3, controllers=1, storage=1, losses=0)
+        self.add("e1")
+        self.endpoints = {name: StandIn(name, f"i-{name}", script) for name, script in scripts.items()}
+        self.routes = routes
+        self._last_id = 0
+
+    async def begin(self) -> None:
+        """Put endpoints and configuration in place and wait for the sidecar to be ready."""
+        entries = []
+        for endpoint in self.endpoints.values():
+            self.run_as(Life(endpoint.name), lambda endpoint=endpoint: self._listen(endpoint))  # type: ignore[misc]
+            address = f"{endpoint.name}:{SERVICE_PORT}"
+            entries.append(Endpoint(id=endpoint.ident, service="s", address=address, zone="z1", slots=4))
+        self.platform.endpoints = EndpointList(endpoints=entries)
+        routes = [
+            {"name": f"r{n}", "hostname": "h", "backend": "s", "timeoutMs": 2000, "targetLatencyMs": 200}
+            | route
+            for n, route in enumerate(self.routes)
+        ]
+        services = [{"name": "s", "engine": {"stride": 10, "slots": 4}}]
+        body = json.dumps({"generation": 1, "routes": routes, "services": services}).encode()
+        await self.settle(0.8)
+        status, _ = await self.order("POST", "/config/replace", 0, body)
+        assert status == 200
+        await self.settle(3.5)
+        assert self.hosts["e1"].process.ready
+
+    async def _listen(self, endpoint: StandIn) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.create_server(lambda: EndpointConnection(endpoint), endpoint.name, SERVICE_PORT)
+
+    async def request(self, path: str, method: str = "GET", body: bytes = b"", **headers: str) -> Received:
+        """One request of a client, on a connection of its own."""
+        self._last_id += 1
+        ident = headers.pop("ident", f"q{self._last_id}")
+        lines = [f"{method} {path} HTTP/1.1", "Host: h", f"Wheatring-Request-Id: {ident}"]
+        lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        data = "\r\n".join([*lines, "", ""]).encode() + body
+        LIFE.set(Life("client"))
+        try:
+            _, client = await self.loop.create_connection(ClientSide, "e1", FRONT_PORT)
+        except ConnectionRefusedError:
+            return Received()
+        client.transport.write(data)
+        await client.done
+        client.transport.abort()
+        received: Received = client.received
+        return received
+
+    def runs(self, ident: str) -> int:
+        """How often a request has run, at all endpoints together."""
+        return sum(ran.ident == ident for endpoint in self.endpoints.values() for ran in endpoint.ran)
--- a/tests/tier/world.py
+++ b/tests/tier/world.py
@@ -2,7 +2,7 @@
 what an operator and programs do to them, and the checks that hold on every run.
 
 Controllers are c1, c2, ...; storage machines s1, s2, ...; readers and writers of turns w1, w2, .... A host's
-name is its address. """
+name is its address."""
 
 from __future__ import annotations
 
@@ -22,6 +22,7 @@
 from wheatring.controller.api import Orders
 from wheatring.controller.node import Controller
 from wheatring.settings.process import Address, Settings, Tolerance
+from wheatring.sidecar.process import Sidecar
 from wheatring.storage.process import StorageProcess
 from wheatring.storage.quorum import NotSure, QuorumClient
 from wheatring.subscription.client import Subscription
@@ -29,7 +30,7 @@
 from wheatring.transport.messages_pb2 import ROLE_SIDECAR, EndpointList, OperatorRequest, Presence, Turn
 from wheatring.turns.conversations import Conversations, NoSuchTurn
 
-CONTROL_PORT, INTERNAL_PORT = 8000, 7000
+CONTROL_PORT, INTERNAL_PORT, FRONT_PORT = 8000, 7000, 8100
 ORDER_SECONDS = 1.0  # that an operator waits for one controller
 APPLY_SECONDS = 2.0  # after an acknowledgement, for a configuration to be in force
 
@@ -120,7 +121,11 @@
             node=host.name,
             ip=host.name,
             zone=f"z{host.name[1:]}",
-            listen={"control": Address(host.name, CONTROL_PORT)},
+            listen={
+                "control": Address(host.name, CONTROL_PORT),
+                "front": Address(host.name, FRONT_PORT),
+                "ready": Address(host.name, FRONT_PORT + 1),
+            },
             internal_ports=(INTERNAL_PORT, INTERNAL_PORT + 15),
             seeds=tuple(Address(seed, CONTROL_PORT) for seed in self.seeds),
             bootstrap=host.bootstrap,
@@ -149,6 +154,8 @@
             if name.startswith("c"):
                 host.process = Controller(settings, random, self.platform)
                 host.orders = Orders(host.process)
+            elif name.startswith("e"):
+                host.process = Sidecar(settings, random)
             else:
                 host.process = StorageProcess(settings, random)
             await host.process.start()
