Have controllers take part in elections before the operator's API is loaded

Change: the node starts first, the libraries are loaded by a thread; the first election timeout after a start is 0.06 to 0.3 s.

--- a/wheatring/consensus/replica.py
+++ b/wheatring/consensus/replica.py
@@ -46,10 +46,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Timing:
-    """Seconds. An election timeout is drawn between `election` and twice that."""
+    """Seconds. An election timeout is drawn between `election` and twice that; the first one after a start,
+    when most likely all have started together, between `first_election` and five times that."""
 
     heartbeat: float = 0.1
     election: float = 0.5
+    first_election: float = 0.06
 
 
 @dataclass(slots=True)
@@ -124,7 +126,7 @@
         self._votes: set[str] = set()
         self._election_at = 0.0
         self._heartbeat_at = 0.0
-        self._reset_election(now)
+        self._election_at = now + timing.first_election * (1 + 4 * random.random())
 
     # What the host asks
 
--- a/wheatring/controller/commands.py
+++ b/wheatring/controller/commands.py
@@ -9,7 +9,6 @@
 import hashlib
 from dataclasses import dataclass
 
-from wheatring.controller.configuration import InvalidConfiguration, parse
 from wheatring.transport.messages_pb2 import ControlState, Retirement
 
 MAX_TAKEN = 4096  # configurations remembered, so that a repeat is acknowledged again
@@ -64,6 +63,9 @@
         digest = self.digest
         if any(taken.digest == digest for taken in state.taken):
             return Done()
+        # Imported when it is first needed: cattrs takes a tenth of a second, and no start waits for that.
+        from wheatring.controller.configuration import InvalidConfiguration, parse
+
         if self.base != state.generation:
             return Conflict(f"version {state.generation} is current")
         try:
--- a/wheatring/discovery/platform_list.py
+++ b/wheatring/discovery/platform_list.py
@@ -1,14 +1,19 @@
-"""Reads the platform's endpoint list, page by page."""
+"""Reads the platform's endpoint list, page by page.
+
+httpx is imported by a thread when the list is first read, so that a controller that starts can take part in
+an election meanwhile. """
 
 from __future__ import annotations
 
 import asyncio
-from typing import Any, Protocol
-
-import httpx
+import importlib
+from typing import TYPE_CHECKING, Any, Protocol
 
 from wheatring.transport.messages_pb2 import Endpoint, EndpointList
 
+if TYPE_CHECKING:
+    import httpx
+
 CALL_SECONDS = 0.8
 MAX_PAGES = 200
 DRAINING = "draining"
@@ -44,9 +49,16 @@
     def __init__(self, address: str, calls_per_second: float) -> None:
         self._url = f"http://{address}/instances"
         self._pause = 1 / max(calls_per_second, 0.1)
-        self._client = httpx.AsyncClient(timeout=CALL_SECONDS, trust_env=False)
+        self._client: httpx.AsyncClient | None = None
         self.calls = 0
 
+    async def prepare(self) -> httpx.AsyncClient:
+        """Load the library and make the client, once."""
+        if self._client is None:
+            module = await asyncio.get_running_loop().run_in_executor(None, importlib.import_module, "httpx")
+            self._client = module.AsyncClient(timeout=CALL_SECONDS, trust_env=False)
+        return self._client
+
     async def read(self) -> EndpointList:
         """All pages. Raises ListUnavailable."""
         endpoints: list[Endpoint] = []
@@ -64,9 +76,12 @@
         raise ListUnavailable("the list has no end")
 
     async def _page(self, token: str | None) -> Any:
+        client = await self.prepare()
+        import httpx
+
         self.calls += 1
         try:
-            response = await self._client.get(self._url, params={"pageToken": token} if token else None)
+            response = await client.get(self._url, params={"pageToken": token} if token else None)
             if response.status_code != httpx.codes.OK:
                 raise ListUnavailable(f"status {response.status_code}")
             return response.json()
@@ -75,4 +90,5 @@
 
     async def close(self) -> None:
         """End the connections."""
-        await self._client.aclose()
+        if self._client is not None:
+            await self._client.aclose()
