--- a/tests/tier/edge.py
+++ b/tests/tier/edge.py
@@ -1,7 +1,7 @@
 """Endpoints and clients on the simulated network, around real sidecars.
 
 An endpoint answers as its script says: one behaviour for each request that it reads, the last one for all
-others. It keeps what it ran, so that a test can look for what must not have run, or not twice. """
+others. It keeps what it ran, so that a test can look for what must not have run, or not twice."""
 
 from __future__ import annotations
 
--- a/tests/tier/test_placement.py
+++ b/tests/tier/test_placement.py
@@ -8,8 +8,9 @@
 from hypothesis import strategies as st
 
 from wheatring.controller.members import Reported, complete_retirements, next_placement
+from wheatring.controller.voters import Candidate, next_voters
 from wheatring.placement.placement import place, quorums, replicas_for
-from wheatring.transport.messages_pb2 import ControlState, Placement, StorageMember
+from wheatring.transport.messages_pb2 import ControlState, Member, Placement, StorageMember
 
 
 def members(*numbers: int) -> list[StorageMember]:
@@ -111,10 +112,49 @@
     joint = next_placement(state, reported(1, 2, 3, 4), 1, 9.0)
     assert joint is not None and {m.replica_id for m in joint.next} == {"r2", "r3", "r4"}
     state.placement.CopyFrom(joint)
-    complete_retirements(state)
+    complete_retirements(state, ())
     assert not state.retirements[0].completed
     done = next_placement(state, reported(1, 2, 3, 4, whole=joint.epoch), 1, 9.0)
     assert done is not None
     state.placement.CopyFrom(done)
-    complete_retirements(state)
+    complete_retirements(state, ())
     assert state.retirements[0].completed
+
+
+def voter(number: int) -> Member:
+    return Member(replica_id=f"v{number}", node=f"n{number}", address=f"a{number}")
+
+
+def test_a_lost_voter_is_replaced_at_its_address_in_one_step() -> None:
+    fresh = Member(replica_id="new", node="n2", address="a2")
+    voters = [voter(1), voter(2), voter(3)]
+    changed = next_voters("v1", voters, [Candidate(fresh, True)], {"v2": 0.3}, 3)
+    assert changed is not None and {v.replica_id for v in changed} == {"v1", "v3", "new"}
+    assert next_voters("v1", voters, [Candidate(fresh, False)], {"v2": 9.0}, 3) is None
+
+
+def test_a_silent_voter_is_removed_only_for_one_that_waits() -> None:
+    voters = [voter(1), voter(2), voter(3)]
+    assert next_voters("v1", voters, [], {"v2": 9.0}, 3) is None
+    without = next_voters("v1", voters, [Candidate(voter(4), True)], {"v2": 9.0, "v3": 0.1}, 3)
+    assert without == [voter(1), voter(3)]
+    assert next_voters("v1", without, [Candidate(voter(4), True)], {}, 3) == [voter(1), voter(3), voter(4)]
+
+
+def test_a_retired_machine_gives_its_vote_to_another_first() -> None:
+    voters = [voter(1), voter(2), voter(3)]
+    more = next_voters("v1", voters, [Candidate(voter(4), True)], {}, 3, {"n2"})
+    assert more == [*voters, voter(4)]
+    assert next_voters("v1", more, [], {}, 3, {"n2"}) == [voter(1), voter(3), voter(4)]
+    assert next_voters("v1", voters, [], {}, 3, {"n2"}) is None  # nobody could take its place
+
+
+def test_each_change_of_voters_overlaps_with_the_one_before() -> None:
+    for count in range(1, 7):
+        before = [voter(n) for n in range(count)]
+        for after in ([*before, voter(9)], before[1:]):
+            if not after:
+                continue
+            majority_before, majority_after = count // 2 + 1, len(after) // 2 + 1
+            shared = len({v.replica_id for v in before} | {v.replica_id for v in after})
+            assert majority_before + majority_after > shared
--- a/wheatring/consensus/replica.py
+++ b/wheatring/consensus/replica.py
@@ -46,12 +46,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Timing:
-    """Seconds. An election timeout is drawn between `election` and twice that; the first one after a start,
-    when most likely all have started together, between `first_election` and five times that."""
+    """Seconds. An election timeout is drawn between `election` and twice that, and between `first_election`
+    and twice that until a leader is known for the first time."""
 
     heartbeat: float = 0.1
     election: float = 0.5
-    first_election: float = 0.06
+    first_election: float = 0.08
 
 
 @dataclass(slots=True)
@@ -126,7 +126,7 @@
         self._votes: set[str] = set()
         self._election_at = 0.0
         self._heartbeat_at = 0.0
-        self._election_at = now + timing.first_election * (1 + 4 * random.random())
+        self._reset_election(now)
 
     # What the host asks
 
@@ -263,7 +263,11 @@
     # Elections
 
     def _reset_election(self, now: float) -> None:
-        self._election_at = now + self.timing.election * (1 + self.random.random())
+        """Until a leader is known for the first time there is nobody to be disturbed, and most likely all
+        have started together; pre-votes lost then are soon repeated."""
+        started = self.leader is None and self.leader_heard_at < 0
+        timeout = self.timing.first_election if started else self.timing.election
+        self._election_at = now + timeout * (1 + self.random.random())
 
     def _others(self) -> list[Member]:
         return [voter for voter in self.entry.voters if voter.replica_id != self.me.replica_id]
--- a/wheatring/controller/members.py
+++ b/wheatring/controller/members.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
 from wheatring.transport.messages_pb2 import ControlState, Placement, StorageMember
@@ -87,9 +87,13 @@
     return report is not None and report.whole_epoch >= epoch
 
 
-def complete_retirements(state: ControlState) -> None:
-    """Mark those as completed whose replica no longer stands in the placement."""
+def complete_retirements(state: ControlState, voting_nodes: Collection[str]) -> bool:
+    """Mark those as completed whose replica no longer stands in the placement and whose machine has no vote.
+    Returns whether there were any."""
     members = {member.replica_id for member in (*state.placement.current, *state.placement.next)}
+    changed = False
     for retirement in state.retirements:
-        if retirement.replica_id not in members:
-            retirement.completed = True
+        gone = retirement.replica_id not in members and retirement.node not in voting_nodes
+        if gone and not retirement.completed:
+            retirement.completed = changed = True
+    return changed
--- a/wheatring/controller/node.py
+++ b/wheatring/controller/node.py
@@ -308,33 +308,37 @@
         """Propose the next change of voters or placement, if there is one."""
         core = self.core
         assert core.committed is not None
-        voters = self._next_voters(now)
+        state = ControlState.FromString(core.committed.data)
+        voters = self._next_voters(now, state)
+        if voters is not None and all(voter.replica_id != core.me.replica_id for voter in voters):
+            self._apply(core.transfer(now))  # another one removes this replica
+            return
         if voters is not None:
             log_event("voters", replicas=[voter.replica_id for voter in voters])
             _, effects = core.propose(now, core.entry.data, voters)
             self._apply(effects)
             return
-        state = ControlState.FromString(core.committed.data)
         waited = now - self._storage_since if self._storage_since is not None else 0.0
         placement = next_placement(state, self._reported(now), self.losses, waited)
-        if placement is None:
+        if placement is not None:
+            state.placement.CopyFrom(placement)
+            log_event(
+                "placement",
+                epoch=placement.epoch,
+                current=[member.node for member in placement.current],
+                next=[member.node for member in placement.next],
+            )
+        voting_nodes = {voter.node for voter in core.voters}
+        if not complete_retirements(state, voting_nodes) and placement is None:
             return
-        state.placement.CopyFrom(placement)
-        complete_retirements(state)
-        log_event(
-            "placement",
-            epoch=placement.epoch,
-            current=[member.node for member in placement.current],
-            next=[member.node for member in placement.next],
-        )
         _, effects = core.propose(now, state.SerializeToString())
         self._apply(effects)
 
-    def _next_voters(self, now: float) -> list[Member] | None:
+    def _next_voters(self, now: float, state: ControlState) -> list[Member] | None:
         core = self.core
-        target = entry_position(core.entry)
+        newest = entry_position(core.entry)
         candidates = [
-            Candidate(learner, core.progress[i].on_disk == target)
+            Candidate(learner, core.progress[i].on_disk == newest)
             for i, learner in core.learners.items()
             if i in core.progress and now - core.progress[i].heard_at < 1.0
         ]
@@ -346,7 +350,9 @@
         described = self._described_voters()
         if described is not None:
             return described
-        return next_voters(core.me.replica_id, core.voters, candidates, unheard, 2 * self.losses + 1)
+        leaving = {retirement.node for retirement in state.retirements if not retirement.completed}
+        target = 2 * self.losses + 1
+        return next_voters(core.me.replica_id, core.voters, candidates, unheard, target, leaving)
 
     def _led_since(self, now: float) -> float:
         """A new leader has not heard from anybody yet, which says nothing of them."""
--- a/wheatring/tier/__main__.py
+++ b/wheatring/tier/__main__.py
@@ -4,7 +4,7 @@
 
 import click
 
-from wheatring.tier.run import run
+from wheatring.tier.roles import ROLES
 
 
 @click.group()
@@ -12,28 +12,8 @@
     """The serving tier for agent programs."""
 
 
-@main.command()
-def sidecar() -> None:
-    """Serve clients on an edge machine."""
-    from wheatring.sidecar.process import Sidecar
-
-    run(Sidecar)
-
-
-@main.command()
-def controller() -> None:
-    """Keep the control state on a core machine."""
-    from wheatring.controller.process import ControllerProcess
-
-    run(ControllerProcess)
-
-
-@main.command()
-def storage() -> None:
-    """Keep turns and budgets on a storage machine."""
-    from wheatring.storage.process import StorageProcess
-
-    run(StorageProcess)
+for _name, _run in ROLES.items():
+    main.command(_name, help=_run.__doc__)(_run)
 
 
 if __name__ == "__main__":
