Hold requests until a sidecar's first configuration, and keep the endpoint list on disk

Change: a request that comes right after a start waits up to 0.8 s for routes and endpoints; controllers keep the list on disk and begin with it; libraries are loaded once a leader is known.

--- a/wheatring/consensus/replica.py
+++ b/wheatring/consensus/replica.py
@@ -240,6 +240,11 @@
         self._broadcast(now, effects)
         return effects
 
+    def restore_soft_state(self, version: int, state: bytes) -> None:
+        """Begin with the soft state of an earlier life; whatever a leader sends is newer."""
+        self.soft_version = version
+        self.soft_state = state
+
     def set_learners(self, learners: dict[str, Member]) -> None:
         """Replicas that are kept up to date without a vote."""
         self.learners = learners
--- a/wheatring/controller/node.py
+++ b/wheatring/controller/node.py
@@ -100,6 +100,8 @@
         me = Member(replica_id=loaded.replica_id, node=settings.node, address=settings.ip, zone=settings.zone)
         now = self.clock.now()
         self.core = Replica(me, loaded.hard_state, loaded.entry, random, now, Timing())
+        self.core.restore_soft_state(loaded.soft_version, loaded.soft_state)
+        self._kept_list = loaded.soft_state
         self.peers = ClientTable(settings.controller_port)
         self.subscribers = Subscribers(lambda: self.core.silence(self.clock.now()))
         self.server = EnvelopeServer(self._on_envelope, self.subscribers.remove)
@@ -143,7 +145,13 @@
     def _live_record(self) -> bytes:
         core = self.core
         hard_state = HardState(term=core.term, voted_for=core.voted_for)
-        return ConsensusRecord(hard_state=hard_state, entry=core.entry).SerializeToString()
+        record = ConsensusRecord(
+            hard_state=hard_state,
+            entry=core.entry,
+            soft_version=core.soft_version,
+            soft_state=core.soft_state,
+        )
+        return record.SerializeToString()
 
     def _arm(self) -> None:
         due = self.core.next_event()
@@ -193,12 +201,27 @@
             self._advanced.set()
         if core.soft_version and core.soft_state:
             self.subscribers.publish_list(core.soft_version, core.soft_state)
+            self._keep_list()
         leads = core.state is State.LEADER
         if leads != self._was_leader:
             self._was_leader = leads
             log_event("leader" if leads else "follower", term=core.term)
         self._advanced.set()
 
+    def _keep_list(self) -> None:
+        """Have the endpoint list on disk: after a loss of power sidecars need one before the platform is
+        asked."""
+        core = self.core
+        if core.soft_state == self._kept_list:
+            return
+        self._kept_list = core.soft_state
+        record = ConsensusRecord(soft_version=core.soft_version, soft_state=core.soft_state)
+        self._store.committer.append([record.SerializeToString()])
+
+    async def wait_for_leader(self, seconds: float) -> None:
+        """Until a leader is known, for so long at most."""
+        await self._until(lambda: self.core.leader is not None, seconds)
+
     # Envelopes
 
     def _on_envelope(self, connection: EnvelopeConnection, envelope: Envelope) -> None:
--- a/wheatring/controller/process.py
+++ b/wheatring/controller/process.py
@@ -1,6 +1,6 @@
 """The process of one controller: its node and its HTTP server on one event loop.
 
-The node starts first, and the libraries of the operator's API are loaded by a thread meanwhile: after a loss
+The node starts first, and the libraries of the operator's API are loaded by a thread afterwards: after a loss
 of power sidecars wait for a leader, and the operator can wait."""
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
 from wheatring.settings.watch import SettingsWatch
 
 TAKE_SETTINGS_SECONDS = 0.5
+LEADER_SECONDS = 0.5  # for an election to end, before the libraries are loaded
 
 
 class ControllerProcess:
@@ -37,6 +38,7 @@
         self._tasks = [asyncio.create_task(job) for job in jobs]
 
     async def _serve_operator(self) -> None:
+        await self.controller.wait_for_leader(LEADER_SECONDS)
         if self._reader is not None:
             await self._reader.prepare()
         loop = asyncio.get_running_loop()
--- a/wheatring/controller/store.py
+++ b/wheatring/controller/store.py
@@ -24,6 +24,8 @@
     replica_id: str
     hard_state: HardState
     entry: Entry
+    soft_version: int = 0
+    soft_state: bytes = b""
 
 
 def seed_member(address: str) -> Member:
@@ -66,6 +68,8 @@
                 loaded.hard_state = record.hard_state
             if record.HasField("entry"):
                 loaded.entry = record.entry
+            if record.soft_state:
+                loaded.soft_version, loaded.soft_state = record.soft_version, record.soft_state
         if not loaded.replica_id:
             loaded = self._begin(address, seeds, bootstrap)
         replica_id = loaded.replica_id
--- a/wheatring/sidecar/process.py
+++ b/wheatring/sidecar/process.py
@@ -168,6 +168,7 @@
                 self.service.decisions[name] = decisions
             decisions.set_endpoints(entries)
         self._upstreams.keep_only(usable)
+        self.service.started.set()
 
     # Readiness
 
--- a/wheatring/sidecar/service.py
+++ b/wheatring/sidecar/service.py
@@ -28,6 +28,7 @@
 RECORD_SECONDS = 2.5  # for a turn to be recorded once its last event is there
 UNSURE_RETRY_AFTER = 0.3  # seconds, told where the storage members could not be asked
 NO_CONFIGURATION_RETRY_AFTER = 0.2
+START_WAIT_SECONDS = 0.8  # that a request waits for the first configuration of a sidecar's life
 STREAM_ABOVE = 256 * 1024  # bytes of a plain answer, from which it is passed on before it is whole
 
 
@@ -80,6 +81,7 @@
         self.table: RouteTable | None = None
         self.decisions: dict[str, ServiceDecisions] = {}
         self.under_way = 0
+        self.started = asyncio.Event()  # set once there are routes and endpoints
 
     async def handle(self, client: ClientConnection, message: Message, received_at: float) -> None:
         """Answer one request."""
@@ -101,9 +103,7 @@
             log_event("rejected", request=request_id, status=rejected.status, reason=rejected.reason)
 
     async def _answer(self, client: ClientConnection, message: Message, received_at: float) -> None:
-        table = self.table
-        if table is None:
-            raise Rejected(503, "no configuration yet", NO_CONFIGURATION_RETRY_AFTER)
+        table = await self._known_table()
         path = headers.text(message.first[1]).partition("?")[0]
         route = table.find(headers.text(message.fields.get(b"host")), path)
         if route is None:
@@ -126,6 +126,17 @@
         else:
             await self._plain(client, request, service)
 
+    async def _known_table(self) -> RouteTable:
+        """The routes; a request that comes right after a start waits for them a little. Raises Rejected."""
+        if self.table is None or not self.decisions:
+            try:
+                async with asyncio.timeout(START_WAIT_SECONDS):
+                    await self.started.wait()
+            except TimeoutError:
+                raise Rejected(503, "no configuration yet", NO_CONFIGURATION_RETRY_AFTER) from None
+        assert self.table is not None
+        return self.table
+
     def _forwarding(self, request: OutgoingRequest, service: str) -> Forwarding:
         decisions = self.decisions.get(service)
         if decisions is None:
