Add the scale run: real controllers and storage beside hollow sidecars

Need: docs/CAPACITY.md rests on slopes that were measured.

Change: python -m wheatring.tier scale (wheatring/lab/scale); check and status beside it on the command line; envelope connections count their bytes.

--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -26,6 +26,7 @@
     ("wheatring.durable", 1),
     ("wheatring.settings", 1),
     ("wheatring.transport", 1),
+    ("wheatring.lab.scale", 6),
     ("wheatring.lab", 6),
     ("wheatring.serving", 6),
     ("wheatring.daemon", 5),
--- /dev/null
+++ b/wheatring/lab/scale/hollow.py
@@ -0,0 +1,158 @@
+"""A process of hollow sidecars: the real subscription, storage client and budget code, with no clients of
+their own.
+
+    python -m wheatring.lab.scale.hollow SETTINGS COUNT TURNS_PER_SECOND
+
+writes one JSON object a line: `{"generation": G, "at": T}` once the last of its sidecars has a configuration
+in force (T in seconds of the machine's steady clock), and at its end, on SIGTERM, what it has received and
+done."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+import time
+from random import Random
+
+from wheatring.budgets.budgets import Budgets, BudgetSpent
+from wheatring.settings.process import Settings, read_settings
+from wheatring.storage.quorum import NotSure, QuorumClient
+from wheatring.subscription.client import Subscription
+from wheatring.transport.client import ClientTable
+from wheatring.transport.connection import TRAFFIC
+from wheatring.transport.messages_pb2 import ROLE_SIDECAR, Presence, Turn
+from wheatring.turns.conversations import Conversations
+
+INPUT_BYTES, OUTPUT_BYTES = 4300, 640  # of a turn, as the small sites have them
+TURNS_OF_A_PROGRAM = 11
+TOKENS = 72
+
+
+class Hollow:
+    """One hollow sidecar."""
+
+    def __init__(self, settings: Settings, name: str, random: Random, process: HollowProcess) -> None:
+        self.generation = 0
+        self._process = process
+        self.subscription = Subscription(
+            seeds=lambda: [seed.host for seed in settings.seeds],
+            port=settings.controller_port,
+            zone=settings.zone,
+            presence=lambda: Presence(role=ROLE_SIDECAR, replica_id=name, node=name, address="127.0.0.1"),
+            presence_pause=2.0,
+            changed=self._changed,
+            random=random,
+        )
+        self.store = QuorumClient(
+            process.clients,
+            settings.tolerance.losses,
+            settings.zone,
+            lambda: self.subscription.view.placement,
+            self.subscription.adopt_placement,
+        )
+
+    def _changed(self) -> None:
+        generation = self.subscription.view.generation
+        if generation > self.generation:
+            self.generation = generation
+            self._process.applied()
+
+
+class HollowProcess:
+    """All hollow sidecars of one process."""
+
+    def __init__(self, settings: Settings, count: int, turns_per_second: float) -> None:
+        self._random = Random(count)
+        self.clients = ClientTable(settings.storage_port)
+        self._told = 0
+        self._turns_per_second = turns_per_second
+        self.turns = self.failed = 0
+        self.turn_seconds: list[float] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.sidecars = [Hollow(settings, f"hollow-{n}", self._random, self) for n in range(count)]
+
+    def applied(self) -> None:
+        """One of them has a new configuration: tell once all have it."""
+        least = min(sidecar.generation for sidecar in self.sidecars)
+        if least > self._told:
+            self._told = least
+            print(json.dumps({"generation": least, "at": time.monotonic()}), flush=True)
+
+    async def run(self) -> None:
+        """Until SIGTERM."""
+        loop = asyncio.get_running_loop()
+        stopping = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, stopping.set)
+        loop.add_signal_handler(signal.SIGUSR1, self._tell_received)
+        for sidecar in self.sidecars:
+            self._keep(loop.create_task(sidecar.subscription.run()))
+        if self._turns_per_second > 0:
+            self._keep(loop.create_task(self._programs()))
+        await stopping.wait()
+        done = sorted(self.turn_seconds)
+        summary = {
+            "received": TRAFFIC.received,
+            "sent": TRAFFIC.sent,
+            "turns": self.turns,
+            "failed": self.failed,
+            "turn_p50_ms": round(done[len(done) // 2] * 1000, 2) if done else 0.0,
+            "turn_p99_ms": round(done[int(len(done) * 0.99)] * 1000, 2) if done else 0.0,
+        }
+        print(json.dumps(summary), flush=True)
+
+    @staticmethod
+    def _tell_received() -> None:
+        print(json.dumps({"received": TRAFFIC.received}), flush=True)
+
+    def _keep(self, task: asyncio.Task[None]) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _programs(self) -> None:
+        """Start programs so that so many turns a second come about."""
+        number = 0
+        while True:
+            await asyncio.sleep(TURNS_OF_A_PROGRAM / self._turns_per_second)
+            number += 1
+            sidecar = self.sidecars[number % len(self.sidecars)]
+            if sidecar.subscription.view.placement.epoch:
+                self._keep(asyncio.get_running_loop().create_task(self._program(sidecar, number)))
+
+    async def _program(self, sidecar: Hollow, number: int) -> None:
+        """A conversation of several turns, each reserved, recorded and settled."""
+        conversations, budgets = Conversations(sidecar.store), Budgets(sidecar.store)
+        program = f"{id(self)}-{number}"
+        ancestors: list[str] = []
+        for _ in range(TURNS_OF_A_PROGRAM):
+            turn_id = f"{self._random.getrandbits(64):016x}"
+            turn = Turn(
+                id=turn_id,
+                ancestors=ancestors,
+                input=bytes(INPUT_BYTES),
+                output=bytes(OUTPUT_BYTES),
+                program=program,
+                retention_ms=60_000,
+            )
+            began = time.monotonic()
+            try:
+                await budgets.reserve(program, turn_id, TOKENS, 10**9, 2.0)
+                await conversations.record(turn, 2.0)
+            except (NotSure, BudgetSpent):
+                self.failed += 1
+                continue
+            budgets.settle(program, turn_id, TOKENS)
+            self.turns += 1
+            self.turn_seconds.append(time.monotonic() - began)
+            ancestors = [*ancestors, turn_id]
+            await asyncio.sleep(0.1)
+
+
+async def _main() -> None:
+    settings = read_settings(sys.argv[1])
+    await HollowProcess(settings, int(sys.argv[2]), float(sys.argv[3])).run()
+
+
+if __name__ == "__main__":
+    asyncio.run(_main())
--- a/wheatring/tier/__main__.py
+++ b/wheatring/tier/__main__.py
@@ -16,5 +16,61 @@
     main.command(_name, help=_run.__doc__)(_run)
 
 
+@main.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+def check(file: str) -> None:
+    """Check a settings file or an operator's configuration; every error is one line with its path."""
+    from wheatring.controller.configuration import InvalidConfiguration, parse
+    from wheatring.settings.process import SettingsError, read_settings
+
+    with open(file, "rb") as opened:
+        body = opened.read()
+    try:
+        if b'"routes"' in body:
+            parse(body)
+        else:
+            read_settings(file)
+    except InvalidConfiguration as error:
+        raise click.ClickException(f"{file}: {error}") from error
+    except SettingsError as error:
+        raise click.ClickException(str(error)) from error
+    click.echo(f"{file}: sound")
+
+
+@main.command()
+@click.argument("address")
+def status(address: str) -> None:
+    """Ask a controller (ADDRESS is host:port of its control address) how it and the system are."""
+    import httpx
+
+    try:
+        reply = httpx.get(f"http://{address}/status", timeout=2.0, trust_env=False)
+        reply.raise_for_status()
+    except httpx.HTTPError as error:
+        raise click.ClickException(f"{address}: {error}") from error
+    for name, value in reply.json().items():
+        click.echo(f"{name}: {value}")
+
+
+@main.command()
+@click.option("--sidecars", default="30,100,300,1000", help="sizes to measure, by commas")
+@click.option("--turns", default=20.0, help="turns a second, of all sidecars together")
+@click.option("--json", "as_json", is_flag=True, help="for the page's table")
+def scale(sidecars: str, turns: float, as_json: bool) -> None:
+    """Measure how the cost of control grows: real controllers and storage beside hollow sidecars on
+    loopback."""
+    import asyncio
+
+    from wheatring.lab.scale.run import measure, report
+
+    try:
+        sizes = [int(size) for size in sidecars.split(",")]
+    except ValueError as error:
+        raise click.ClickException(f"--sidecars: must be whole numbers by commas, is {sidecars!r}") from error
+    if not sizes or min(sizes) < 1:
+        raise click.ClickException("--sidecars: each must be 1 or more")
+    click.echo(report(asyncio.run(measure(sizes, turns)), as_json))
+
+
 if __name__ == "__main__":
     main()
--- a/wheatring/transport/connection.py
+++ b/wheatring/transport/connection.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from google.protobuf.message import DecodeError
@@ -17,6 +18,17 @@
 UNACKNOWLEDGED_MS = 1500  # a peer that acknowledges nothing for so long is gone
 MAX_UNSENT_BYTES = 16 * 1024 * 1024  # a peer that reads nothing is cut off at this backlog
 
+
+@dataclass(slots=True)
+class Traffic:
+    """Bytes of all envelope connections of this process, for those who measure."""
+
+    received: int = 0
+    sent: int = 0
+
+
+TRAFFIC = Traffic()
+
 Receiver = Callable[["EnvelopeConnection", Envelope], None]
 
 
@@ -51,6 +63,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Cut the frames out and hand each one over."""
+        TRAFFIC.received += len(data)
         buffer = self._buffer
         buffer += data
         offset = 0
@@ -83,6 +96,7 @@
         if not self.alive:
             return
         payload = envelope.SerializeToString()
+        TRAFFIC.sent += len(payload) + _LENGTH.size
         self._transport.write(_LENGTH.pack(len(payload)) + payload)
         if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.abort()
