--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # Tests side by side; "auto": one for each core, 0: one after the other, in one process.
 JOBS ?= auto
 
-.PHONY: build test lint run lab bench system proto
+.PHONY: build test lint run lab bench system proto tier
 
 build: .venv/built
 	$(BIN)/python -m compileall -q lapisway wheatring
@@ -42,6 +42,14 @@
 	$(BIN)/pip install -q -r requirements.txt -e '.[dev]'
 	touch $@
 
+# A small whole tier on loopback with stand-in endpoints and platform, and a conversation through it.
+tier: .venv/tier
+	$(BIN)/python -m wheatring.tier demo
+
+.venv/tier: .venv/built pyproject.toml
+	$(BIN)/pip install -q -r requirements.txt -e '.[tier]'
+	touch $@
+
 # What the roles in deploy/system.toml run: libraries and a precompiled copy of the program, all under target/.
 system:
 	test target/deps/.built -nt requirements-tier.txt || { $(PYTHON) -m pip install -q --upgrade --target target/deps \
--- /dev/null
+++ b/tests/tier/test_command_line.py
@@ -0,0 +1,95 @@
+"""The command line: checked settings, checked configurations, and the small system that `demo` starts."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from wheatring.settings.process import SettingsError, read_settings
+from wheatring.tier.__main__ import main
+
+SOUND: dict[str, Any] = {
+    "node": "n1",
+    "ip": "10.0.0.1",
+    "zone": "z",
+    "listen": {"control": "10.0.0.1:8000"},
+    "portRange": [7000, 7015],
+    "seeds": ["10.0.0.1:8000"],
+    "bootstrap": True,
+    "dataDir": "/data",
+    "faultTolerance": {"machines": 1, "zones": 0, "regions": 0},
+    "bounds": {"graceS": 8, "drainMs": 3000},
+    "cloud": {"address": "10.0.0.9:80", "ratePerS": 44.0},
+    "something": "that is not known",
+}
+
+WRONG = [
+    ("node", None, "node: is missing"),
+    ("node", 5, "node: must be str"),
+    ("portRange", [5], "portRange: must be a first and a last port"),
+    ("portRange", [7015, 7000], "portRange: must be a first and a last port"),
+    ("seeds", "here", "seeds: must be list"),
+    ("seeds", ["here"], "seeds: must be an address and a port"),
+    ("listen", {"control": "10.0.0.1"}, "listen.control: must be an address and a port"),
+    ("bootstrap", "yes", "bootstrap: must be bool"),
+    ("faultTolerance", {"machines": "one"}, "faultTolerance.machines: must be int"),
+    ("cloud", {"ratePerS": 4}, "cloud.address: is missing"),
+]
+
+
+def test_sound_settings_are_read(tmp_path: Path) -> None:
+    path = tmp_path / "local.json"
+    path.write_text(json.dumps(SOUND), encoding="utf-8")
+    settings = read_settings(str(path))
+    assert settings.controller_port == 7000 and settings.storage_port == 7001
+    assert settings.tolerance.losses == 1 and settings.grace == 8.0 and settings.drain == 3.0
+
+
+@pytest.mark.parametrize(("key", "value", "what"), WRONG)
+def test_wrong_settings_are_one_line_with_file_and_key(
+    tmp_path: Path, key: str, value: object, what: str
+) -> None:
+    path = tmp_path / "local.json"
+    path.write_text(json.dumps(SOUND | {key: value}), encoding="utf-8")
+    with pytest.raises(SettingsError) as told:
+        read_settings(str(path))
+    text = str(told.value)
+    assert text.startswith(f"{path}: {what}") and "\n" not in text
+
+
+def test_a_role_with_wrong_settings_ends_with_status_2(tmp_path: Path) -> None:
+    path = tmp_path / "local.json"
+    path.write_text("{", encoding="utf-8")
+    ended = subprocess.run(
+        [sys.executable, "-m", "wheatring.tier", "storage"],
+        env=os.environ | {"WHEATRING_BOOT": str(path)},
+        capture_output=True,
+        text=True,
+        timeout=20,
+    )
+    assert ended.returncode == 2
+    assert ended.stderr.startswith(f"wheatring: {path}: is no JSON") and ended.stderr.count("\n") == 1
+
+
+def test_check_tells_what_is_wrong_with_a_configuration(tmp_path: Path) -> None:
+    path = tmp_path / "configuration.json"
+    path.write_text('{"generation": 1, "routes": [{"name": "r"}], "services": []}', encoding="utf-8")
+    told = CliRunner().invoke(main, ["check", str(path)])
+    assert told.exit_code == 1 and "routes" in told.output
+    path.write_text('{"generation": 1, "routes": [], "services": []}', encoding="utf-8")
+    assert CliRunner().invoke(main, ["check", str(path)]).exit_code == 0
+
+
+def test_the_demo_keeps_a_conversation_whole() -> None:
+    ended = subprocess.run(
+        [sys.executable, "-m", "wheatring.tier", "demo"], capture_output=True, text=True, timeout=90
+    )
+    assert ended.returncode == 0, ended.stderr
+    assert "the conversation was kept whole" in ended.stdout
--- /dev/null
+++ b/wheatring/lab/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A small whole tier on loopback, to see it work."""
--- a/wheatring/lab/scale/system.py
+++ b/wheatring/lab/scale/system.py
@@ -14,6 +14,7 @@
 
 CONTROL_PORT, INTERNAL_PORT, PLATFORM_PORT = 28144, 27380, 28142
 TICKS = os.sysconf("SC_CLK_TCK")
+MAX_SEEDS = 3
 PAGE = 50  # endpoints on a page of the platform's list
 
 
@@ -58,19 +59,23 @@
         self.losses = losses
         self.running: list[Running] = []
 
-    def settings(self, name: str, role: str, address: str, bootstrap: bool = True) -> Path:
+    def settings(
+        self, name: str, role: str, address: str, bootstrap: bool = True, front_port: int = 0
+    ) -> Path:
         """Write a settings file as the platform does."""
+        listen = {"control": f"{address}:{CONTROL_PORT}"}
+        if front_port:
+            listen = {"front": f"{address}:{front_port}", "ready": f"{address}:{front_port + 1}"}
+        seeds = range(1, min(self.controllers, MAX_SEEDS) + 1)
         values = {
             "node": name,
             "ip": address,
             "zone": "z1",
-            "listen": {"control": f"{address}:{CONTROL_PORT}"},
+            "listen": listen,
             "portRange": [INTERNAL_PORT, INTERNAL_PORT + 15],
-            "seeds": [
-                f"{_address('controller', n)}:{CONTROL_PORT}" for n in range(1, min(self.controllers, 3) + 1)
-            ],
+            "seeds": [f"{_address('controller', number)}:{CONTROL_PORT}" for number in seeds],
             "bootstrap": bootstrap,
-            "dataDir": str(self.folder / f"{name}-data") if role != "hollow" else None,
+            "dataDir": str(self.folder / f"{name}-data") if role in ("controller", "storage") else None,
             "faultTolerance": {"machines": self.losses},
             "limits": {"memoryMb": 1024},
             "bounds": {"drainMs": 3000},
@@ -86,6 +91,15 @@
         path = self.settings(name, role, _address(role, number), bootstrap)
         return self._start(name, role, ["-m", "wheatring.tier", role], {"WHEATRING_BOOT": str(path)})
 
+    def start_sidecar(self, number: int, front_port: int) -> Running:
+        """Start one sidecar."""
+        name = f"sidecar-{number}"
+        address = f"127.0.4.{number}"
+        path = self.settings(name, "sidecar", address, front_port=front_port)
+        return self._start(
+            name, "sidecar", ["-m", "wheatring.tier", "sidecar"], {"WHEATRING_BOOT": str(path)}
+        )
+
     def start_hollow(self, number: int, count: int, turns_per_second: float) -> Running:
         """Start one process of hollow sidecars."""
         name = f"hollow-{number}"
@@ -142,7 +156,7 @@
     """Serves a list of so many endpoints, in pages, as the platform does."""
 
     def __init__(self, endpoints: int) -> None:
-        self._entries = [
+        self.entries = [
             {
                 "id": f"i-{number:08x}",
                 "backend": f"service-{number % 29}",
@@ -172,9 +186,9 @@
 
     def _page(self, target: str) -> bytes:
         first = int(target.partition("pageToken=p-")[2] or 0)
-        following = first + PAGE if first + PAGE < len(self._entries) else None
+        following = first + PAGE if first + PAGE < len(self.entries) else None
         page = {
-            "instances": self._entries[first : first + PAGE],
+            "instances": self.entries[first : first + PAGE],
             "nextPageToken": f"p-{following}" if following is not None else None,
         }
         body = json.dumps(page).encode()
--- a/wheatring/tier/__main__.py
+++ b/wheatring/tier/__main__.py
@@ -52,6 +52,19 @@
         click.echo(f"{name}: {value}")
 
 
+@main.command()
+def demo() -> None:
+    """Start a small whole tier on loopback and play a conversation through it."""
+    import asyncio
+
+    from wheatring.lab.demo.play import DemoFailed, play
+
+    try:
+        asyncio.run(play())
+    except DemoFailed as error:
+        raise click.ClickException(str(error)) from error
+
+
 @main.command()
 @click.option("--sidecars", default="30,100,300,1000", help="sizes to measure, by commas")
 @click.option("--turns", default=20.0, help="turns a second, of all sidecars together")
