--- a/tests/tier/scenario.py
+++ b/tests/tier/scenario.py
@@ -138,12 +138,12 @@
     # Hosts
 
     def _host(self, word: str) -> str:
-        world = self.world
-        leader = world.leader()
+        """A name, or who is the leader or a follower now."""
         if word == "leader":
-            return leader
+            return self.world.leader()
         if word == "follower":
-            return next(name for name in world.running("c") if name != leader)
+            leader = self.world.leader()
+            return next(name for name in self.world.running("c") if name != leader)
         return word
 
     async def _for(self, words: tuple[str, ...], undo: Callable[[], None]) -> None:
--- a/wheatring/lab/scale/run.py
+++ b/wheatring/lab/scale/run.py
@@ -85,6 +85,7 @@
         self.sidecars = sidecars
         self._turns = turns_per_second
         self._longest = 0.0
+        self._told: dict[int, dict[str, float]] = {}  # by process: the newest generation and its time
         self.system = System(folder, controllers=3, storage=3, losses=1)
         self._generation = 0
         self._hollow: list[Running] = []
@@ -205,8 +206,11 @@
         return last - since
 
     def _applied_at(self, hollow: Running) -> float:
-        while (told := _next_line(hollow, "generation"))["generation"] < self._generation:
-            pass
+        """When a process told that all its sidecars have the newest configuration."""
+        told = self._told.get(hollow.process.pid, {"generation": 0.0, "at": 0.0})
+        while told["generation"] < self._generation:
+            told = _next_line(hollow, "generation")
+        self._told[hollow.process.pid] = told
         return told["at"]
 
     async def _change(self) -> float:
