Split the controller by concern: host, command queue, presences, list reader

Change: host.py (replica, timer, file, messages), command_queue.py, presences.py (free of I/O), list_keeper.py; node.py wires them. Behaviour is as it was.

--- a/wheatring/controller/api.py
+++ b/wheatring/controller/api.py
@@ -10,6 +10,7 @@
 import uvicorn
 from litestar import Litestar, MediaType, Request, Response, get, post
 
+from wheatring.controller.command_queue import NoLeader
 from wheatring.controller.commands import (
     Command,
     Conflict,
@@ -22,7 +23,7 @@
     ReplaceConfiguration,
     StartRetirement,
 )
-from wheatring.controller.node import Controller, NoLeader
+from wheatring.controller.node import Controller
 from wheatring.settings.process import Address
 from wheatring.transport.client import Unreachable
 from wheatring.transport.messages_pb2 import OperatorReply, OperatorRequest
--- /dev/null
+++ b/wheatring/controller/list_keeper.py
@@ -0,0 +1,54 @@
+"""Reads the platform's endpoint list while this controller leads, and hands it to the other controllers."""
+
+from __future__ import annotations
+
+import asyncio
+
+from wheatring.consensus.replica import State
+from wheatring.controller.host import ConsensusHost
+from wheatring.discovery.platform_list import ListReader, ListUnavailable
+from wheatring.settings.events import log_event
+
+PAUSE_PART = 0.42  # of the time in which sends to a leaving endpoint have to end
+LEAST_PAUSE = 0.3  # seconds
+RETRY_SECONDS = 0.25
+LEADER_LOOK_SECONDS = 0.05  # between looks whether this controller leads by now
+MAX_FAILURES = 3  # calls in vain, after which another controller is to lead
+
+
+class ListKeeper:
+    """The one reader of the list."""
+
+    def __init__(self, host: ConsensusHost, reader: ListReader, drain_seconds: float) -> None:
+        self._host = host
+        self._reader = reader
+        self._pause = max(drain_seconds * PAUSE_PART, LEAST_PAUSE)
+
+    async def run(self) -> None:
+        """Read whenever this controller leads, for as long as the process runs."""
+        host = self._host
+        failures = 0
+        while True:
+            if not host.leads_with_quorum:
+                failures = 0
+                await asyncio.sleep(LEADER_LOOK_SECONDS)
+                continue
+            try:
+                endpoint_list = await self._reader.read()
+                failures = 0
+            except ListUnavailable as error:
+                failures += 1
+                log_event("list-unavailable", error=str(error), failures=failures)
+                if failures >= MAX_FAILURES:
+                    failures = 0
+                    host.apply(host.core.transfer(host.now()))
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            self._take(endpoint_list.SerializeToString())
+            await asyncio.sleep(self._pause)
+
+    def _take(self, data: bytes) -> None:
+        core = self._host.core
+        changed = data != core.soft_state or not core.soft_version
+        if changed and core.state is State.LEADER:
+            self._host.apply(core.set_soft_state(self._host.now(), data))
--- /dev/null
+++ b/wheatring/controller/presences.py
@@ -0,0 +1,114 @@
+"""What processes have said of themselves: storage replicas, controllers without a vote, and others."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from wheatring.controller.members import Reported
+from wheatring.transport.messages_pb2 import ROLE_CONTROLLER, ROLE_STORAGE, Member, Presence, StorageMember
+
+FORWARD_SECONDS = 0.3  # between two words of one process that are passed on to the leader
+SILENT_SECONDS = 3.0  # after which a process is not passed on, and a learner is given up
+FORGET_SECONDS = 30.0
+RECENT_SECONDS = 2.0  # within which a storage replica counts as reachable
+
+
+@dataclass(slots=True)
+class Known:
+    """A presence and when it came here."""
+
+    presence: Presence
+    at: float
+    forwarded_at: float = -1e9
+
+    def age(self, now: float) -> float:
+        """Seconds since the process itself spoke."""
+        return now - self.at + self.presence.age_ms / 1000
+
+
+def member_of(presence: Presence) -> Member:
+    """A controller as it has described itself."""
+    return Member(
+        replica_id=presence.replica_id,
+        node=presence.node,
+        address=presence.address,
+        zone=presence.zone,
+    )
+
+
+class Presences:
+    """The newest word of each process."""
+
+    def __init__(self) -> None:
+        self._known: dict[str, Known] = {}
+        self._storage_since: float | None = None
+
+    def heard(self, presence: Presence, now: float) -> bool:
+        """Take a word in. Returns whether it is newer than what was known."""
+        if presence.role not in (ROLE_CONTROLLER, ROLE_STORAGE):
+            return False
+        if presence.role == ROLE_STORAGE and self._storage_since is None:
+            self._storage_since = now
+        known = self._known.get(presence.replica_id)
+        spoken_at = now - presence.age_ms / 1000
+        if known is not None and spoken_at <= now - known.age(now):
+            return False
+        urgent = known is None or known.presence.whole_epoch != presence.whole_epoch
+        forwarded_at = -1e9 if urgent or known is None else known.forwarded_at
+        self._known[presence.replica_id] = Known(presence, now, forwarded_at)
+        return True
+
+    def get(self, replica_id: str) -> Presence | None:
+        """What a process has said last."""
+        known = self._known.get(replica_id)
+        return known.presence if known is not None else None
+
+    def forget_old(self, now: float) -> None:
+        """Drop those that have not spoken for long."""
+        for replica_id in [i for i, known in self._known.items() if known.age(now) > FORGET_SECONDS]:
+            del self._known[replica_id]
+
+    def to_forward(self, now: float) -> Iterator[Presence]:
+        """Words that the leader has not been told yet, each with its age."""
+        for known in self._known.values():
+            told = known.at <= known.forwarded_at or now - known.forwarded_at < FORWARD_SECONDS
+            if told or known.age(now) > SILENT_SECONDS:
+                continue
+            known.forwarded_at = now
+            presence = Presence()
+            presence.CopyFrom(known.presence)
+            presence.age_ms = int(known.age(now) * 1000)
+            yield presence
+
+    def controllers(self, now: float) -> dict[str, Member]:
+        """Controllers that have spoken lately."""
+        return {
+            replica_id: member_of(known.presence)
+            for replica_id, known in self._known.items()
+            if known.presence.role == ROLE_CONTROLLER and known.age(now) < SILENT_SECONDS
+        }
+
+    def storage_known_for(self, now: float) -> float:
+        """Seconds since the first storage replica has spoken here."""
+        return now - self._storage_since if self._storage_since is not None else 0.0
+
+    def storage(self, now: float) -> dict[str, Reported]:
+        """Storage replicas; of two at one address the one that spoke last is there."""
+        newest: dict[str, Reported] = {}
+        for replica_id, known in self._known.items():
+            presence = known.presence
+            if presence.role != ROLE_STORAGE:
+                continue
+            member = StorageMember(
+                replica_id=replica_id, node=presence.node, address=presence.address, zone=presence.zone
+            )
+            report = Reported(member, presence.whole_epoch, known.age(now))
+            other = newest.get(member.address)
+            if other is None or report.age < other.age:
+                newest[member.address] = report
+        return {report.member.replica_id: report for report in newest.values()}
+
+    def reachable_storage(self, now: float) -> frozenset[str]:
+        """Replica ids of the storage replicas that have spoken lately."""
+        return frozenset(i for i, report in self.storage(now).items() if report.age < RECENT_SECONDS)
