--- a/tests/tier/world.py
+++ b/tests/tier/world.py
@@ -18,7 +18,7 @@
 
 from tests.tier.virtual_loop import LIFE, Life, VirtualLoop
 from wheatring.budgets.budgets import Budgets, BudgetSpent
-from wheatring.consensus.replica import State
+from wheatring.consensus.types import State
 from wheatring.controller.api import Orders
 from wheatring.controller.node import Controller
 from wheatring.settings.process import Address, Settings, Tolerance
--- a/wheatring/controller/command_queue.py
+++ b/wheatring/controller/command_queue.py
@@ -2,7 +2,7 @@
 
 A batch is applied to the newest committed state. If it has changed that, the new state is committed before
 anyone is answered; if not, a majority has to answer a heartbeat that was sent afterwards. So an answer is
-never taken back. """
+never taken back."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from wheatring.consensus.replica import State
+from wheatring.consensus.types import State
 from wheatring.controller.commands import Command, Outcome
 from wheatring.controller.host import ConsensusHost
 from wheatring.transport.messages_pb2 import ControlState
--- a/wheatring/controller/host.py
+++ b/wheatring/controller/host.py
@@ -8,16 +8,8 @@
 from pathlib import Path
 from random import Random
 
-from wheatring.consensus.replica import (
-    Effects,
-    Message,
-    Position,
-    Replica,
-    State,
-    Timing,
-    Write,
-    entry_position,
-)
+from wheatring.consensus.replica import Replica
+from wheatring.consensus.types import Effects, Message, Position, State, Timing, Write, entry_position
 from wheatring.controller.store import Store
 from wheatring.durable.record_file import DiskError
 from wheatring.settings.events import log_event
--- a/wheatring/controller/list_keeper.py
+++ b/wheatring/controller/list_keeper.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from wheatring.consensus.replica import State
+from wheatring.consensus.types import State
 from wheatring.controller.host import ConsensusHost
 from wheatring.discovery.platform_list import ListReader, ListUnavailable
 from wheatring.settings.events import log_event
--- a/wheatring/controller/node.py
+++ b/wheatring/controller/node.py
@@ -6,7 +6,7 @@
 import json
 from random import Random
 
-from wheatring.consensus.replica import State, entry_position
+from wheatring.consensus.types import State, entry_position
 from wheatring.controller.command_queue import FIND_LEADER_SECONDS, CommandQueue
 from wheatring.controller.commands import Command, Outcome
 from wheatring.controller.host import CONSENSUS_MESSAGES, RECENT_QUORUM_SECONDS, ConsensusHost
