Have a member that ends or is gone leave the placement where enough others are

Change: a member that has been told to end, or has been silent for 3 s, leaves the placement where 2f + 1 others are; a storage replica that ends waits until that is done, a controller until its vote has been given to a learner, 0.6 s at most.

--- a/tests/tier/scenario.py
+++ b/tests/tier/scenario.py
@@ -204,6 +204,13 @@
         before, life.disk_delay = life.disk_delay, 3.0
         await self._for(words, lambda: setattr(life, "disk_delay", before))
 
+    async def do_stop(self, name: str, *words: str) -> None:
+        """SIGTERM, and the machine is gone for good once its process has ended."""
+        host = self.world.hosts[name]
+        if host.life is not None:
+            await self.world.run_as(host.life, host.process.stop)
+        await self.do_remove(name)
+
     async def do_add(self, name: str, *words: str) -> None:
         self.world.add(name)
         self.world.start(name)
--- a/tests/tier/test_placement.py
+++ b/tests/tier/test_placement.py
@@ -106,6 +106,23 @@
     assert next_placement(state, reported(2, 3), 1, 9.0) is None
 
 
+def test_a_member_that_is_gone_leaves_where_enough_others_are() -> None:
+    state = state_with(Placement(epoch=1, current=members(1, 2, 3, 4)))
+    now = reported(1, 3, 4) | reported(2, age=2.5)
+    assert next_placement(state, now, 1, 9.0) is None
+    smaller = next_placement(state, reported(1, 3, 4) | reported(2, age=3.5), 1, 9.0)
+    assert smaller is not None and {m.replica_id for m in smaller.next} == {"r1", "r3", "r4"}
+
+
+def test_a_member_that_ends_hands_over_where_enough_others_are() -> None:
+    ending = {"r2": Reported(members(2)[0], 0, 0.1, leaving=True)}
+    four = state_with(Placement(epoch=1, current=members(1, 2, 3, 4)))
+    smaller = next_placement(four, reported(1, 3, 4) | ending, 1, 9.0)
+    assert smaller is not None and {m.replica_id for m in smaller.next} == {"r1", "r3", "r4"}
+    three = state_with(Placement(epoch=1, current=members(1, 2, 3)))
+    assert next_placement(three, reported(1, 3) | ending, 1, 9.0) is None
+
+
 def test_a_retirement_is_complete_once_its_replica_is_out() -> None:
     state = state_with(Placement(epoch=1, current=members(1, 2, 3, 4)))
     state.retirements.add(node="s1", replica_id="r1")
--- a/wheatring/controller/members.py
+++ b/wheatring/controller/members.py
@@ -12,6 +12,7 @@
 from wheatring.transport.messages_pb2 import ControlState, Placement, StorageMember
 
 UNREACHABLE_SECONDS = 2.0  # after which a member is replaced, where another replica waits
+GONE_SECONDS = 3.0  # after which one goes without a successor, where enough others are left
 BOOTSTRAP_SECONDS = 1.5  # after the first storage replica has come, for the others to come
 
 
@@ -22,6 +23,7 @@
     member: StorageMember
     whole_epoch: int
     age: float
+    leaving: bool = False
 
 
 def _first(reported: Mapping[str, Reported], losses: int, waited: float) -> Placement | None:
@@ -40,7 +42,7 @@
     held = {member.replica_id for member in current}
     retiring = {retirement.replica_id for retirement in state.retirements}
     alive = {i: r for i, r in reported.items() if r.age <= UNREACHABLE_SECONDS}
-    joining = [r.member for i, r in alive.items() if i not in held and i not in retiring]
+    joining = [r.member for i, r in alive.items() if i not in held and i not in retiring and not r.leaving]
     fresh_addresses = {member.address for member in joining}
     fresh_nodes = {member.node for member in joining}
     staying = []
@@ -49,14 +51,19 @@
         if member.replica_id not in retiring and not superseded:
             staying.append(member)
     aim = staying + joining
-    unreachable = [member for member in staying if member.replica_id not in alive]
-    if joining:
-        for member in unreachable:
-            if len(aim) > 2 * losses + 1:
-                aim.remove(member)
+    for member in staying:
+        if len(aim) > 2 * losses + 1 and _may_go(reported.get(member.replica_id), bool(joining)):
+            aim.remove(member)
     return sorted(aim, key=lambda member: member.replica_id)
 
 
+def _may_go(report: Reported | None, replaced: bool) -> bool:
+    """Whether a member is gone, or about to go."""
+    if report is None or report.leaving:
+        return True
+    return report.age > (UNREACHABLE_SECONDS if replaced else GONE_SECONDS)
+
+
 def _ids(members: Sequence[StorageMember]) -> list[str]:
     return sorted(member.replica_id for member in members)
 
--- a/wheatring/controller/node.py
+++ b/wheatring/controller/node.py
@@ -36,6 +36,7 @@
 CANDIDATE_SECONDS = 1.0  # within which a learner has to have answered, to be given a vote
 FORWARD_SECONDS = 0.8  # for the leader to answer an order that has come to another controller
 LAST_WORDS_SECONDS = 0.15  # for what is said at a stop to leave
+LEAVE_SECONDS = 0.6  # for another replica to be given the vote of one that ends
 
 
 class Controller:
@@ -54,6 +55,7 @@
         self._list = ListKeeper(self.host, reader, settings.drain) if reader is not None else None
         self._presences = Presences()
         self._answering: set[asyncio.Task[None]] = set()
+        self._leaving = False
         self._led_term = -1
         self._led_at = 0.0
         self._tasks: list[asyncio.Task[None]] = []
@@ -71,11 +73,16 @@
         self.host.start()
 
     async def stop(self) -> None:
-        """Give the leadership away and tell the subscribers to go elsewhere."""
+        """Give leadership and vote away where there is somebody to take them, and send the subscribers
+        elsewhere."""
         if self.core.state is State.LEADER:
             self.host.apply(self.core.transfer(self.host.now()))
         self.subscribers.stop()
-        await asyncio.sleep(LAST_WORDS_SECONDS)
+        self._leaving = True
+        deadline = self.host.now() + LEAVE_SECONDS
+        while self.core.is_voter and self.host.now() < deadline:
+            self._announce(self.host.now())
+            await asyncio.sleep(LAST_WORDS_SECONDS)
         for task in self._tasks:
             task.cancel()
         self.server.close()
@@ -144,6 +151,7 @@
             node=me.node,
             address=me.address,
             zone=me.zone,
+            leaving=self._leaving,
         )
 
     def _announce(self, now: float) -> None:
@@ -220,6 +228,7 @@
             if i in core.progress and now - core.progress[i].heard_at < CANDIDATE_SECONDS
         ]
         leaving = {retirement.node for retirement in state.retirements if not retirement.completed}
+        leaving |= self._presences.leaving_controllers(now)
         target = 2 * self.losses + 1
         return next_voters(core.me.replica_id, core.voters, candidates, self._unheard(now), target, leaving)
 
--- a/wheatring/controller/presences.py
+++ b/wheatring/controller/presences.py
@@ -54,7 +54,11 @@
         spoken_at = now - presence.age_ms / 1000
         if known is not None and spoken_at <= now - known.age(now):
             return False
-        urgent = known is None or known.presence.whole_epoch != presence.whole_epoch
+        urgent = (
+            known is None
+            or known.presence.whole_epoch != presence.whole_epoch
+            or known.presence.leaving != presence.leaving
+        )
         forwarded_at = -1e9 if urgent or known is None else known.forwarded_at
         self._known[presence.replica_id] = Known(presence, now, forwarded_at)
         return True
@@ -86,7 +90,19 @@
         return {
             replica_id: member_of(known.presence)
             for replica_id, known in self._known.items()
-            if known.presence.role == ROLE_CONTROLLER and known.age(now) < SILENT_SECONDS
+            if known.presence.role == ROLE_CONTROLLER
+            and known.age(now) < SILENT_SECONDS
+            and not known.presence.leaving
+        }
+
+    def leaving_controllers(self, now: float) -> set[str]:
+        """Nodes whose controllers have said that they are about to end."""
+        return {
+            known.presence.node
+            for known in self._known.values()
+            if known.presence.role == ROLE_CONTROLLER
+            and known.presence.leaving
+            and known.age(now) < SILENT_SECONDS
         }
 
     def storage_known_for(self, now: float) -> float:
@@ -103,7 +119,7 @@
             member = StorageMember(
                 replica_id=replica_id, node=presence.node, address=presence.address, zone=presence.zone
             )
-            report = Reported(member, presence.whole_epoch, known.age(now))
+            report = Reported(member, presence.whole_epoch, known.age(now), presence.leaving)
             other = newest.get(member.address)
             if other is None or report.age < other.age:
                 newest[member.address] = report
--- a/wheatring/storage/process.py
+++ b/wheatring/storage/process.py
@@ -18,6 +18,9 @@
 
 PRESENCE_SECONDS = 0.4
 CLEAN_SECONDS = 5.0
+STOP_MARGIN = 1.5  # seconds before SIGKILL at which a replica ends in any case
+STOP_LOOK_SECONDS = 0.05
+TAKE_OVER_SECONDS = 0.5  # after which nobody is going to take over
 
 
 class StorageProcess:
@@ -43,6 +46,7 @@
         )
         self._tasks: set[asyncio.Task[None]] = set()
         self._told_epoch = 0
+        self._leaving = False
 
     async def start(self) -> None:
         """Read the file, listen, and join. Raises OSError or DiskError."""
@@ -58,10 +62,29 @@
             self._keep(asyncio.create_task(job))
 
     async def stop(self) -> None:
-        """Answer what was read and end."""
-        await asyncio.sleep(0.1)
+        """Have others take over what this replica holds, where there are enough of them, and end."""
+        loop = asyncio.get_running_loop()
+        self._leaving = True
+        began = loop.time()
+        self.subscription.send_now()
+        while loop.time() - began < self.settings.grace - STOP_MARGIN:
+            await asyncio.sleep(STOP_LOOK_SECONDS)
+            if not self._is_handed_over(loop.time() - began):
+                continue
+            break
         self.server.close()
 
+    def _is_handed_over(self, waited: float) -> bool:
+        """Whether nobody needs this replica any more, or nobody is going to take over."""
+        placement = self.subscription.view.placement
+        identity = self.replica.identity
+        in_current = any(member.replica_id == identity for member in placement.current)
+        in_next = any(member.replica_id == identity for member in placement.next)
+        if not in_current and not in_next:
+            return True
+        under_way = bool(placement.next) and not in_next
+        return not under_way and waited > TAKE_OVER_SECONDS
+
     def reload(self) -> None:
         """The settings file may have changed."""
         self._watch.reload()
@@ -79,6 +102,7 @@
             address=settings.ip,
             zone=settings.zone,
             whole_epoch=self.repair.whole_epoch,
+            leaving=self._leaving,
         )
 
     def _changed(self) -> None:
