Let a new leader take nobody for gone that it has not heard yet

Change: silence counts from the start of the leadership at most; a word that a member is about to end counts for 1 s.

A new test of the placement; the tier's tests pass.

--- a/tests/tier/test_placement.py
+++ b/tests/tier/test_placement.py
@@ -82,9 +82,9 @@
 
 
 def test_the_first_placement_waits_for_all_that_are_needed() -> None:
-    assert next_placement(ControlState(), reported(1, 2), 1, 0.1) is None
-    assert next_placement(ControlState(), reported(1, 2), 1, 5.0) is not None
-    first = next_placement(ControlState(), reported(1, 2, 3), 1, 0.1)
+    assert next_placement(ControlState(), reported(1, 2), 1, 0.1, 9.0) is None
+    assert next_placement(ControlState(), reported(1, 2), 1, 5.0, 9.0) is not None
+    first = next_placement(ControlState(), reported(1, 2, 3), 1, 0.1, 9.0)
     assert first is not None and len(first.current) == 3
 
 
@@ -92,46 +92,52 @@
     state = state_with(Placement(epoch=1, current=members(1, 2, 3)))
     fresh = StorageMember(replica_id="new", node="s1", address="a1", zone="z1")
     now = reported(2, 3) | {"new": Reported(fresh, 0, 0.1)}
-    joint = next_placement(state, now, 1, 9.0)
+    joint = next_placement(state, now, 1, 9.0, 9.0)
     assert joint is not None and {m.replica_id for m in joint.next} == {"new", "r2", "r3"}
     state.placement.CopyFrom(joint)
-    assert next_placement(state, now, 1, 9.0) is None  # not whole yet
+    assert next_placement(state, now, 1, 9.0, 9.0) is None  # not whole yet
     whole = reported(2, 3, whole=joint.epoch) | {"new": Reported(fresh, joint.epoch, 0.1)}
-    done = next_placement(state, whole, 1, 9.0)
+    done = next_placement(state, whole, 1, 9.0, 9.0)
     assert done is not None and not done.next and {m.replica_id for m in done.current} == {"new", "r2", "r3"}
 
 
 def test_a_silent_member_stays_while_nobody_could_take_its_place() -> None:
     state = state_with(Placement(epoch=1, current=members(1, 2, 3)))
-    assert next_placement(state, reported(2, 3), 1, 9.0) is None
+    assert next_placement(state, reported(2, 3), 1, 9.0, 9.0) is None
 
 
 def test_a_member_that_is_gone_leaves_where_enough_others_are() -> None:
     state = state_with(Placement(epoch=1, current=members(1, 2, 3, 4)))
     now = reported(1, 3, 4) | reported(2, age=2.5)
-    assert next_placement(state, now, 1, 9.0) is None
-    smaller = next_placement(state, reported(1, 3, 4) | reported(2, age=3.5), 1, 9.0)
+    assert next_placement(state, now, 1, 9.0, 9.0) is None
+    smaller = next_placement(state, reported(1, 3, 4) | reported(2, age=3.5), 1, 9.0, 9.0)
     assert smaller is not None and {m.replica_id for m in smaller.next} == {"r1", "r3", "r4"}
 
 
+def test_a_new_leader_takes_nobody_for_gone_that_it_has_not_heard_yet() -> None:
+    state = state_with(Placement(epoch=1, current=members(1, 2, 3, 4)))
+    assert next_placement(state, reported(1, 3, 4), 1, 9.0, 0.2) is None
+    assert next_placement(state, reported(1, 3, 4) | reported(2, age=20.0), 1, 9.0, 0.2) is None
+
+
 def test_a_member_that_ends_hands_over_where_enough_others_are() -> None:
     ending = {"r2": Reported(members(2)[0], 0, 0.1, leaving=True)}
     four = state_with(Placement(epoch=1, current=members(1, 2, 3, 4)))
-    smaller = next_placement(four, reported(1, 3, 4) | ending, 1, 9.0)
+    smaller = next_placement(four, reported(1, 3, 4) | ending, 1, 9.0, 9.0)
     assert smaller is not None and {m.replica_id for m in smaller.next} == {"r1", "r3", "r4"}
     three = state_with(Placement(epoch=1, current=members(1, 2, 3)))
-    assert next_placement(three, reported(1, 3) | ending, 1, 9.0) is None
+    assert next_placement(three, reported(1, 3) | ending, 1, 9.0, 9.0) is None
 
 
 def test_a_retirement_is_complete_once_its_replica_is_out() -> None:
     state = state_with(Placement(epoch=1, current=members(1, 2, 3, 4)))
     state.retirements.add(node="s1", replica_id="r1")
-    joint = next_placement(state, reported(1, 2, 3, 4), 1, 9.0)
+    joint = next_placement(state, reported(1, 2, 3, 4), 1, 9.0, 9.0)
     assert joint is not None and {m.replica_id for m in joint.next} == {"r2", "r3", "r4"}
     state.placement.CopyFrom(joint)
     complete_retirements(state, ())
     assert not state.retirements[0].completed
-    done = next_placement(state, reported(1, 2, 3, 4, whole=joint.epoch), 1, 9.0)
+    done = next_placement(state, reported(1, 2, 3, 4, whole=joint.epoch), 1, 9.0, 9.0)
     assert done is not None
     state.placement.CopyFrom(done)
     complete_retirements(state, ())
--- a/wheatring/controller/members.py
+++ b/wheatring/controller/members.py
@@ -12,6 +12,7 @@
 from wheatring.transport.messages_pb2 import ControlState, Placement, StorageMember
 
 UNREACHABLE_SECONDS = 2.0  # after which a member is replaced, where another replica waits
+LEAVING_SECONDS = 1.0  # for which a word that a member is about to end counts
 GONE_SECONDS = 3.0  # after which one goes without a successor, where enough others are left
 BOOTSTRAP_SECONDS = 1.5  # after the first storage replica has come, for the others to come
 
@@ -35,7 +36,9 @@
     return Placement(epoch=1, current=members)
 
 
-def _aim(state: ControlState, reported: Mapping[str, Reported], losses: int) -> list[StorageMember]:
+def _aim(
+    state: ControlState, reported: Mapping[str, Reported], losses: int, led: float
+) -> list[StorageMember]:
     """The set of members that there should be."""
     placement = state.placement
     current = list(placement.current)
@@ -52,16 +55,18 @@
             staying.append(member)
     aim = staying + joining
     for member in staying:
-        if len(aim) > 2 * losses + 1 and _may_go(reported.get(member.replica_id), bool(joining)):
+        report = reported.get(member.replica_id)
+        if len(aim) > 2 * losses + 1 and _may_go(report, bool(joining), led):
             aim.remove(member)
     return sorted(aim, key=lambda member: member.replica_id)
 
 
-def _may_go(report: Reported | None, replaced: bool) -> bool:
-    """Whether a member is gone, or about to go."""
-    if report is None or report.leaving:
+def _may_go(report: Reported | None, replaced: bool, led: float) -> bool:
+    """Whether a member is gone, or about to go. A new leader has not heard from all of them yet."""
+    if report is not None and report.leaving and report.age < LEAVING_SECONDS:
         return True
-    return report.age > (UNREACHABLE_SECONDS if replaced else GONE_SECONDS)
+    silent = led if report is None else min(report.age, led)
+    return silent > (UNREACHABLE_SECONDS if replaced else GONE_SECONDS)
 
 
 def _ids(members: Sequence[StorageMember]) -> list[str]:
@@ -69,14 +74,14 @@
 
 
 def next_placement(
-    state: ControlState, reported: Mapping[str, Reported], losses: int, waited: float
+    state: ControlState, reported: Mapping[str, Reported], losses: int, waited: float, led: float
 ) -> Placement | None:
-    """The placement to change to, or None. `waited` is how long storage replicas have been known
-    (seconds)."""
+    """The placement to change to, or None. `waited` is how long storage replicas have been known, `led` how
+    long this controller has led (seconds)."""
     placement = state.placement
     if not placement.epoch:
         return _first(reported, losses, waited)
-    aim = _aim(state, reported, losses)
+    aim = _aim(state, reported, losses, led)
     if len(aim) < losses + 1:
         return None
     if _ids(aim) == _ids(placement.current):
--- a/wheatring/controller/node.py
+++ b/wheatring/controller/node.py
@@ -192,7 +192,8 @@
             self._propose_voters(now, voters)
             return
         waited = self._presences.storage_known_for(now)
-        placement = next_placement(state, self._presences.storage(now), self.losses, waited)
+        led = now - self._led_since(now)
+        placement = next_placement(state, self._presences.storage(now), self.losses, waited, led)
         if placement is not None:
             state.placement.CopyFrom(placement)
             log_event(
@@ -235,14 +236,19 @@
     def _unheard(self, now: float) -> dict[str, float]:
         """For how long each other voter has not answered; at most since this replica leads."""
         core = self.core
-        if self._led_term != core.term:
-            self._led_term, self._led_at = core.term, now
+        led_since = self._led_since(now)
         return {
-            voter.replica_id: now - max(core.progress[voter.replica_id].heard_at, self._led_at)
+            voter.replica_id: now - max(core.progress[voter.replica_id].heard_at, led_since)
             for voter in core.voters
             if voter.replica_id in core.progress
         }
 
+    def _led_since(self, now: float) -> float:
+        """When this replica was first seen to lead in its term."""
+        if self._led_term != self.core.term:
+            self._led_term, self._led_at = self.core.term, now
+        return self._led_at
+
     def _described_voters(self) -> list[Member] | None:
         """The voters with node and zone, where those were not known when they were added."""
         described = []
