Open a controller's and a storage replica's file by one function, and drop what nobody used

Need: found on reading the change again. Two places set a damaged file aside in the same lines; a reply that could not be used was treated in two equal branches; a fence that already stood was written again for each page of a scan.

Change: open_or_set_aside in durable/record_file.py; one branch; the fence is written once, and later pages wait behind it. Removed: counters, a field, a parameter, an envelope and a list of reachable replicas that nobody read. Behaviour as it was; wire as it was.

--- a/wheatring/controller/api.py
+++ b/wheatring/controller/api.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import json
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
@@ -42,8 +43,6 @@
 
 
 def _error(reason: str) -> bytes:
-    import json
-
     return json.dumps({"error": reason}).encode()
 
 
@@ -102,8 +101,7 @@
         if parts == ["config", "describe"]:
             return DescribeConfiguration()
         if len(parts) == 3 and parts[0] == RETIRE and parts[2] == START:
-            controller = self._controller
-            return StartRetirement(parts[1], controller.reachable_storage(), controller.retirement_needs())
+            return StartRetirement(parts[1], self._controller.retirement_needs())
         if len(parts) == 3 and parts[0] == RETIRE and parts[2] == DESCRIBE:
             return DescribeRetirement(parts[1])
         raise BadOrder(404, "no such order")
--- a/wheatring/controller/commands.py
+++ b/wheatring/controller/commands.py
@@ -98,7 +98,6 @@
     """Empty a storage machine."""
 
     node: str
-    reachable: frozenset[str]  # replica ids of the storage members that are alive
     needed: int  # members that have to be left
 
     def apply(self, state: ControlState) -> Outcome:
--- a/wheatring/controller/node.py
+++ b/wheatring/controller/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from random import Random
 
 from wheatring.consensus.types import State, entry_position
@@ -27,7 +26,6 @@
     OperatorReply,
     OperatorRequest,
     Presence,
-    StatusReply,
 )
 
 MAINTENANCE_SECONDS = 0.1  # between looks at members and voters
@@ -116,9 +114,6 @@
             answering = asyncio.create_task(self._answer_forwarded(connection, envelope))
             self._answering.add(answering)
             answering.add_done_callback(self._answering.discard)
-        elif kind == "status_request":
-            reply = StatusReply(json=json.dumps(self.status()).encode())
-            connection.send(Envelope(call=envelope.call, reply=True, status_reply=reply))
 
     def _on_presence(self, presence: Presence) -> None:
         now = self.host.now()
@@ -300,10 +295,6 @@
         """Storage machines that have to be left after a retirement."""
         return 2 * self.losses + 1
 
-    def reachable_storage(self) -> frozenset[str]:
-        """Replica ids of the storage members that have spoken lately."""
-        return self._presences.reachable_storage(self.host.now())
-
     # For subscribers and for people
 
     async def _beat(self) -> None:
--- a/wheatring/controller/presences.py
+++ b/wheatring/controller/presences.py
@@ -11,7 +11,6 @@
 FORWARD_SECONDS = 0.3  # between two words of one process that are passed on to the leader
 SILENT_SECONDS = 3.0  # after which a process is not passed on, and a learner is given up
 FORGET_SECONDS = 30.0
-RECENT_SECONDS = 2.0  # within which a storage replica counts as reachable
 
 
 @dataclass(slots=True)
@@ -124,7 +123,3 @@
             if other is None or report.age < other.age:
                 newest[member.address] = report
         return {report.member.replica_id: report for report in newest.values()}
-
-    def reachable_storage(self, now: float) -> frozenset[str]:
-        """Replica ids of the storage replicas that have spoken lately."""
-        return frozenset(i for i, report in self.storage(now).items() if report.age < RECENT_SECONDS)
--- a/wheatring/controller/store.py
+++ b/wheatring/controller/store.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import hashlib
-import os
 import secrets
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
 from wheatring.durable.committer import Committer
-from wheatring.durable.record_file import DamagedFile, RecordFile
+from wheatring.durable.record_file import RecordFile, open_or_set_aside
 from wheatring.transport.messages_pb2 import ConsensusRecord, ControlState, Entry, HardState, Member
 
 FILE_NAME = "consensus"
@@ -46,22 +45,16 @@
     """The file of one controller."""
 
     def __init__(self, folder: Path) -> None:
-        os.makedirs(folder, exist_ok=True)
-        self._folder = folder
-        self._file = RecordFile(folder / FILE_NAME)
+        self._path = folder / FILE_NAME
+        self._file: RecordFile
         self.committer: Committer
 
     def open(self, address: str, seeds: Sequence[str], bootstrap: bool, live: Callable[[], bytes]) -> Loaded:
         """Read the file, or begin a new one. A damaged file counts as a lost disk. Raises DiskError."""
-        try:
-            payloads = self._file.open()
-        except DamagedFile:
-            self._file.path.rename(self._file.path.with_suffix(".damaged"))
-            self._file = RecordFile(self._folder / FILE_NAME)
-            payloads = self._file.open()
-            bootstrap = False
+        opened = open_or_set_aside(self._path)
+        self._file = opened.file
         loaded = Loaded("", HardState(), Entry())
-        for payload in payloads:
+        for payload in opened.payloads:
             record = ConsensusRecord.FromString(payload)
             loaded.replica_id = record.replica_id or loaded.replica_id
             if record.HasField("hard_state"):
@@ -71,7 +64,7 @@
             if record.soft_state:
                 loaded.soft_version, loaded.soft_state = record.soft_version, record.soft_state
         if not loaded.replica_id:
-            loaded = self._begin(address, seeds, bootstrap)
+            loaded = self._begin(address, seeds, bootstrap and not opened.damaged)
         replica_id = loaded.replica_id
         self.committer = Committer(
             self._file,
--- a/wheatring/discovery/platform_list.py
+++ b/wheatring/discovery/platform_list.py
@@ -50,7 +50,6 @@
         self._url = f"http://{address}/instances"
         self._pause = 1 / max(calls_per_second, 0.1)
         self._client: httpx.AsyncClient | None = None
-        self.calls = 0
 
     async def prepare(self) -> httpx.AsyncClient:
         """Load the library and make the client, once."""
@@ -79,7 +78,6 @@
         client = await self.prepare()
         import httpx
 
-        self.calls += 1
         try:
             response = await client.get(self._url, params={"pageToken": token} if token else None)
             if response.status_code != httpx.codes.OK:
--- a/wheatring/durable/record_file.py
+++ b/wheatring/durable/record_file.py
@@ -11,6 +11,7 @@
 import struct
 import zlib
 from collections.abc import Iterable
+from dataclasses import dataclass
 from pathlib import Path
 
 MARKER = b"\xc5WRr"
@@ -66,7 +67,6 @@
 
     def __init__(self, path: Path) -> None:
         self.path = path
-        self.records: list[bytes] = []  # what was found at opening; the owner clears it when it has read them
         self.size = 0  # bytes of sound frames
         self._batch = 0
         self._descriptor = -1
@@ -161,3 +161,25 @@
             os.fsync(folder)
         finally:
             os.close(folder)
+
+
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """A file that is ready, what it held, and whether one that could not be read was set aside for it."""
+
+    file: RecordFile
+    payloads: list[bytes]
+    damaged: bool
+
+
+def open_or_set_aside(path: Path) -> Opened:
+    """Open a file; a damaged one is kept under another name and an empty one begun. Raises DiskError."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    file = RecordFile(path)
+    try:
+        return Opened(file, file.open(), damaged=False)
+    except DamagedFile:
+        file.close()
+        path.rename(path.with_suffix(".damaged"))
+    file = RecordFile(path)
+    return Opened(file, file.open(), damaged=True)
--- a/wheatring/sidecar/upstream.py
+++ b/wheatring/sidecar/upstream.py
@@ -172,7 +172,6 @@
 
     def __init__(self) -> None:
         self._resting: dict[str, deque[UpstreamConnection]] = {}
-        self.connects = 0
 
     async def connect(self, endpoint: str, address: str, seconds: float) -> UpstreamConnection:
         """A resting connection or a new one. Raises AttemptFailed, and then nothing was sent."""
@@ -185,7 +184,6 @@
                 return connection
             connection.abort()
         host, _, port = address.rpartition(":")
-        self.connects += 1
         try:
             async with asyncio.timeout(min(seconds, CONNECT_SECONDS)):
                 _, connection = await loop.create_connection(
--- a/wheatring/storage/quorum.py
+++ b/wheatring/storage/quorum.py
@@ -188,18 +188,15 @@
                 for task in done:
                     member = running.pop(task)
                     reply = task.result()
-                    if reply is None:
-                        wanted = max(wanted, len(running) + len(replies.by_replica) + 1)
-                        self._suspects[member.replica_id] = loop.time() + SUSPECT_SECONDS
-                    elif reply.status == STORAGE_STATUS_STALE_EPOCH:
+                    if reply is not None and reply.status == STORAGE_STATUS_STALE_EPOCH:
                         self._adopt(reply.placement)
                         return None
-                    elif reply.status == STORAGE_STATUS_DONE:
+                    if reply is not None and reply.status == STORAGE_STATUS_DONE:
                         replies.by_replica[member.replica_id] = reply
                         self._suspects.pop(member.replica_id, None)
                     else:
                         wanted = max(wanted, len(running) + len(replies.by_replica) + 1)
-                        self._suspects[member.replica_id] = loop.time() + SUSPECT_SECONDS
+                        self._suspect([member], loop.time())
                 if enough(key_placement, replies):
                     return replies
                 if not running and len(replies.by_replica) >= wanted:
--- a/wheatring/storage/replica.py
+++ b/wheatring/storage/replica.py
@@ -8,13 +8,12 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import secrets
 from collections.abc import Callable
 from pathlib import Path
 
 from wheatring.durable.committer import Committer
-from wheatring.durable.record_file import DamagedFile, DiskError, RecordFile
+from wheatring.durable.record_file import DiskError, open_or_set_aside
 from wheatring.placement.placement import quorums, replicas_for
 from wheatring.storage.table import Key, RecordTable, placement_key
 from wheatring.transport.messages_pb2 import (
@@ -40,10 +39,9 @@
     """The owner of a replica's table and file."""
 
     def __init__(self, folder: Path, losses: int, clock: Callable[[], float]) -> None:
-        self._folder = folder
+        self._path = folder / FILE_NAME
         self._losses = losses
         self._clock = clock
-        self._file = RecordFile(folder / FILE_NAME)
         self._committer: Committer
         self.table = RecordTable()
         self.identity = ""
@@ -53,23 +51,17 @@
 
     def open(self) -> None:
         """Read the file. A new or damaged one gets a new identity: it then counts as a lost disk."""
-        os.makedirs(self._folder, exist_ok=True)
-        try:
-            payloads = self._file.open()
-        except DamagedFile:
-            self._file.path.rename(self._file.path.with_suffix(".damaged"))
-            self._file = RecordFile(self._folder / FILE_NAME)
-            payloads = self._file.open()
+        opened = open_or_set_aside(self._path)
         now = self._clock()
-        for payload in payloads:
+        for payload in opened.payloads:
             record = StorageRecord.FromString(payload)
             if not self.table.apply(record, now):
                 self.identity = record.identity or self.identity
                 self.fence = max(self.fence, record.fence_epoch)
         if not self.identity:
             self.identity = secrets.token_hex(8)
-            self._file.append([StorageRecord(identity=self.identity).SerializeToString()])
-        self._committer = Committer(self._file, self._live_records, REWRITE_ABOVE)
+            opened.file.append([StorageRecord(identity=self.identity).SerializeToString()])
+        self._committer = Committer(opened.file, self._live_records, REWRITE_ABOVE)
 
     def _live_records(self) -> list[bytes]:
         own = [StorageRecord(identity=self.identity), StorageRecord(fence_epoch=self.fence)]
@@ -101,7 +93,9 @@
         """From now on, also after a restart, refuse older epochs. Raises DiskError."""
         if epoch > self.fence:
             self.fence = epoch
-        await self._write([StorageRecord(fence_epoch=self.fence).SerializeToString()])
+            await self._write([StorageRecord(fence_epoch=epoch).SerializeToString()])
+        else:
+            await self._write([])  # the same fence may still be on its way to the disk
 
     async def handle(self, request: StorageRequest) -> StorageReply:
         """Answer a read, a write or both; the read sees the write."""
--- a/wheatring/transport/connection.py
+++ b/wheatring/transport/connection.py
@@ -51,7 +51,6 @@
         self._buffer = bytearray()
         self._transport: Any = None
         self.alive = False
-        self.context: object = None  # whatever the owner wants to remember of this connection
 
     def connection_made(self, transport: Any) -> None:
         """Called by the event loop."""
--- a/wheatring/turns/conversations.py
+++ b/wheatring/turns/conversations.py
@@ -81,9 +81,9 @@
         except NoSuchTurn as error:
             raise NotSure(f"ancestor {turn_id} was not found") from error
 
-    async def record(self, turn: Turn, seconds: float, also: Sequence[StorageRecord] = ()) -> None:
+    async def record(self, turn: Turn, seconds: float) -> None:
         """Have a turn on enough disks; it may be named as `Previous` from then on. Raises NotSure."""
-        await self._store.write(turn.id, [StorageRecord(turn=turn), *also], seconds)
+        await self._store.write(turn.id, [StorageRecord(turn=turn)], seconds)
         self.cache.put(turn)
         if turn.ancestors:
             self._store.touch(list(turn.ancestors), turn.retention_ms / 1000)
