--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 
 lint: .venv/dev
 	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
 	$(BIN)/mypy
 
 run: build
--- a/tests/stories/fleet.py
+++ b/tests/stories/fleet.py
@@ -150,8 +150,10 @@
         """Whether these stand in one view of just those members, and count on it."""
         views = [self.views_of(name) for name in names]
         one = {(view.view.number, view.view.names) for view in views}
-        return len(one) == 1 and next(iter(one))[1] == {*members} and all(
-            view.sure(self.cluster.now) for view in views
+        return (
+            len(one) == 1
+            and next(iter(one))[1] == {*members}
+            and all(view.sure(self.cluster.now) for view in views)
         )
 
     def changes(self) -> int:
--- a/tests/tier/hostile.py
+++ b/tests/tier/hostile.py
@@ -259,5 +259,3 @@
             assert work.began <= exchange.left_at + GONE_SECONDS, f"{exchange.ident} ran for nobody"
             ended = work.ended if work.ended is not None else self.loop.time()
             assert ended <= exchange.left_at + GONE_SECONDS, f"work for {exchange.ident} went on"
-
-
--- a/wheatring/commands/lab_control.py
+++ b/wheatring/commands/lab_control.py
@@ -15,9 +15,7 @@
         "--walks", type=int, default=200, metavar="N",
         help="control: random ways of each kind (default: 200)",
     )  # fmt: skip
-    parser.add_argument(
-        "--planted", action="store_true", help="control: look for the planted faults instead"
-    )
+    parser.add_argument("--planted", action="store_true", help="control: look for the planted faults instead")
 
 
 def check(args: argparse.Namespace) -> int:
--- a/wheatring/commands/lab_duties.py
+++ b/wheatring/commands/lab_duties.py
@@ -15,7 +15,9 @@
 
 def add(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
-        "cases", nargs="*", metavar="CASE",
+        "cases",
+        nargs="*",
+        metavar="CASE",
         help=f"of {', '.join(CASES)} (default: all); or of {', '.join(AGREED)}; or of {', '.join(PLANNED)}; "
         f"or {LISTS}",
     )
--- a/wheatring/commands/lab_lease.py
+++ b/wheatring/commands/lab_lease.py
@@ -16,7 +16,9 @@
         help="lease: states to look at in each search, at most (default: 300000)",
     )  # fmt: skip
     parser.add_argument(
-        "--jobs", type=int, metavar="N",
+        "--jobs",
+        type=int,
+        metavar="N",
         help="lease, views, plan: processes to work in (default: as many as cores)",
     )
 
--- a/wheatring/consensus/electorate.py
+++ b/wheatring/consensus/electorate.py
@@ -35,8 +35,7 @@
 def has_quorum(entry: Entry, replica_ids: Collection[str]) -> bool:
     """Whether these replicas are a majority of each set of voters of an entry."""
     return all(
-        len(member_ids(voters) & set(replica_ids)) >= majority(len(voters))
-        for voters in _voter_sets(entry)
+        len(member_ids(voters) & set(replica_ids)) >= majority(len(voters)) for voters in _voter_sets(entry)
     )
 
 
--- a/wheatring/lease/views.py
+++ b/wheatring/lease/views.py
@@ -96,7 +96,7 @@
         return self.inside and self.age(now) < SURE and self.stamp.view <= self.view.number
 
     def side(self, now: float) -> str:
-        """"mute", "deaf" or "": see `Watch.side`."""
+        """ "mute", "deaf" or "": see `Watch.side`."""
         return self.watch.side(now) if self.inside else ""
 
     # Time
--- a/wheatring/members/watch.py
+++ b/wheatring/members/watch.py
@@ -160,7 +160,7 @@
         return True
 
     def side(self, now: float) -> str:
-        """"mute": it hears and is not heard. "deaf": it hears nothing. "": neither."""
+        """ "mute": it hears and is not heard. "deaf": it hears nothing. "": neither."""
         if not self.alone(now):
             return ""
         return "mute" if now - self.heard < ALONE else "deaf"
--- a/wheatring/peers/planned.py
+++ b/wheatring/peers/planned.py
@@ -208,4 +208,3 @@
 
 def refused(bad: Told) -> dict[str, Any]:
     return {"code": bad.code, "what": bad.what, "do": bad.do}
-
--- a/wheatring/peers/ruled.py
+++ b/wheatring/peers/ruled.py
@@ -40,9 +40,7 @@
         if trial.host:
             fields[b"host"] = trial.host.encode()
         try:
-            hit = self.table.route(
-                trial.method.encode(), trial.target.encode(), fields, frozenset()
-            )
+            hit = self.table.route(trial.method.encode(), trial.target.encode(), fields, frozenset())
         except TurnedAway as why:
             return f"turned away: {why}"
         if hit is None:
--- a/wheatring/peers/stream.py
+++ b/wheatring/peers/stream.py
@@ -187,4 +187,3 @@
             self.port = None
         for giver in list(self.givers):
             giver.transport.abortConnection()
-
