Take POST /config/update: named items merged by the leader

Change: UpdateConfiguration is a command beside ReplaceConfiguration with the same checks of base, generation and repeats (one function); the merge is controller/update.py, free of I/O. The digest of an update differs from that of a replacement with the same bytes. An unreadable order on a base older than the remembered ones is told 400 now, not 503.

--- /dev/null
+++ b/tests/tier/test_update.py
@@ -0,0 +1,289 @@
+"""Updates of the configuration by named items: what they lead to, and what is refused."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from wheatring.controller.commands import (
+    MAX_TAKEN,
+    Command,
+    Conflict,
+    Done,
+    Invalid,
+    Outcome,
+    ReplaceConfiguration,
+    Unclear,
+    UpdateConfiguration,
+)
+from wheatring.transport.messages_pb2 import ControlState
+
+
+def route(name: str, service: str = "s", **more: Any) -> dict[str, Any]:
+    fixed = {"hostname": "h", "pathPrefix": f"/{name}/", "routeType": "safe", "timeoutMs": 1000, "x": [1.0]}
+    return {"name": name, "backend": service, **fixed, **more}
+
+
+def whole(generation: int, *routes: dict[str, Any]) -> dict[str, Any]:
+    services = [{"name": "s", "engine": {"stride": 9}}, {"name": "t"}]
+    return {"generation": generation, "routes": list(routes), "services": services, "limits": {"n": 2.50}}
+
+
+def body(values: object) -> bytes:
+    return json.dumps(values).encode()
+
+
+def state_with(*routes: dict[str, Any]) -> ControlState:
+    state = ControlState()
+    assert ReplaceConfiguration(0, body(whole(3, *routes))).apply(state) == Done()
+    return state
+
+
+def update(base: int, generation: int, **parts: Any) -> UpdateConfiguration:
+    return UpdateConfiguration(base, body({"generation": generation, **parts}))
+
+
+def test_items_are_set_in_place_added_at_the_end_and_removed() -> None:
+    state = state_with(route("a"), route("b"), route("c"))
+    order = update(
+        3, 9, upsert={"routes": [route("d"), route("b", "t", timeoutMs=5)]}, remove={"routes": ["a"]}
+    )
+    assert order.apply(state) == Done()
+    expected = whole(9, route("b", "t", timeoutMs=5), route("c"), route("d"))
+    assert json.loads(state.configuration) == expected
+    assert state.generation == 9
+
+
+def test_services_are_set_before_routes_are_checked() -> None:
+    state = state_with(route("a"))
+    order = update(3, 4, upsert={"services": [{"name": "u"}], "routes": [route("a", "u")]})
+    assert order.apply(state) == Done()
+    swap = update(4, 5, remove={"services": ["u", "t"]}, upsert={"routes": [route("a")]})
+    assert swap.apply(state) == Done()
+    assert [service["name"] for service in json.loads(state.configuration)["services"]] == ["s"]
+
+
+def test_lists_that_this_project_does_not_know_are_merged_too() -> None:
+    state = ControlState()
+    tenants = whole(3, route("a")) | {"tenants": [{"name": "k", "quota": 1}]}
+    assert ReplaceConfiguration(0, body(tenants)).apply(state) == Done()
+    assert update(3, 4, upsert={"tenants": [{"name": "k", "quota": 2}]}).apply(state) == Done()
+    assert json.loads(state.configuration)["tenants"] == [{"name": "k", "quota": 2}]
+
+
+def test_large_bodies_are_merged() -> None:
+    state = state_with(route("a"))
+    routes = [route(f"r{number}", note="x" * 13_000) for number in range(300)]
+    assert update(3, 4, upsert={"routes": routes}).apply(state) == Done()
+    assert len(state.configuration) > 3_900_000
+    assert json.loads(state.configuration)["routes"][1:] == routes
+
+
+INVALID: dict[str, bytes] = {
+    "cut short": body({"generation": 9, "upsert": {"routes": [route("z")]}})[:-9],
+    "no object": b"[]",
+    "no generation": body({"upsert": {"routes": [route("z")]}}),
+    "an old generation": body({"generation": 3, "upsert": {"routes": [route("z")]}}),
+    "half a generation": body({"generation": 9.5}),
+    "a key twice": b'{"generation": 9, "generation": 10}',
+    "a service that a route names": body({"generation": 9, "remove": {"services": ["s"]}}),
+    "a route to nowhere": body({"generation": 9, "upsert": {"routes": [route("z", "nobody")]}}),
+    "a name set twice": body({"generation": 9, "upsert": {"routes": [route("z"), route("z")]}}),
+    "a name removed twice": body({"generation": 9, "remove": {"routes": ["a", "a"]}}),
+    "set and removed": body(
+        {"generation": 9, "upsert": {"routes": [route("a")]}, "remove": {"routes": ["a"]}}
+    ),
+    "an unknown name to remove": body({"generation": 9, "remove": {"routes": ["nobody"]}}),
+    "weights of 0": body(
+        {"generation": 9, "upsert": {"routes": [route("a", trafficSplit=[{"backend": "s", "weight": 0}])]}}
+    ),
+    "the place of another route": body(
+        {"generation": 9, "upsert": {"routes": [route("z", pathPrefix="/a/")]}}
+    ),
+    "no time": body({"generation": 9, "upsert": {"routes": [route("a", timeoutMs=0)]}}),
+    "an item without a name": body({"generation": 9, "upsert": {"routes": [{"hostname": "h"}]}}),
+    "an item that is none": body({"generation": 9, "upsert": {"routes": ["a"]}}),
+    "no list": body({"generation": 9, "upsert": {"routes": {"a": {}}}}),
+    "no lists": body({"generation": 9, "upsert": [], "remove": []}),
+    "what is no list of items": body({"generation": 9, "upsert": {"limits": [{"name": "n"}]}}),
+    "names that are none": body({"generation": 9, "remove": {"routes": [1]}}),
+}
+
+
+@pytest.mark.parametrize("name", INVALID)
+def test_an_invalid_update_is_refused_and_the_old_configuration_stays(name: str) -> None:
+    state = state_with(route("a"), route("b"))
+    before = state.SerializeToString(deterministic=True)
+    assert isinstance(UpdateConfiguration(3, INVALID[name]).apply(state), Invalid)
+    assert state.SerializeToString(deterministic=True) == before
+
+
+def test_an_order_of_the_other_kind_with_the_same_bytes_is_another_order() -> None:
+    state = ControlState()
+    both = body(whole(3) | {"upsert": {"routes": [route("u")]}})
+    assert ReplaceConfiguration(0, both).apply(state) == Done()
+    assert isinstance(UpdateConfiguration(0, both).apply(state), Conflict)
+    assert ReplaceConfiguration(0, both).apply(state) == Done()
+
+
+def test_a_repeat_is_acknowledged_once_more_and_applied_once() -> None:
+    state = state_with(route("a"))
+    order = update(3, 5, upsert={"routes": [route("b")]})
+    assert order.apply(state) == Done()
+    after = state.configuration
+    assert order.apply(state) == Done()
+    assert state.configuration == after
+    assert isinstance(replace(order, base=4).apply(state), Conflict)
+
+
+def test_what_cannot_be_read_is_invalid_however_old_its_base_is() -> None:
+    state = state_with(route("a"))
+    for number in range(4, 3 * MAX_TAKEN):
+        assert update(number - 1, number).apply(state) == Done()
+    assert isinstance(UpdateConfiguration(1, b'{"generation').apply(state), Invalid)
+    assert isinstance(ReplaceConfiguration(1, b'{"generation').apply(state), Invalid)
+    assert isinstance(update(1, 2).apply(state), Unclear)
+
+
+def test_two_thousand_updates_of_three_hundred_routes_leave_the_state_as_small() -> None:
+    state = state_with(*(route(f"r{number}") for number in range(300)))
+    sizes = []
+    for number in range(2000):
+        changed = {"routes": [route(f"r{number % 300}")]}
+        assert update(number + 3, number + 4, upsert=changed).apply(state) == Done()
+        sizes.append(state.ByteSize())
+    assert sizes[-1] <= sizes[2 * MAX_TAKEN] + 8
+
+
+class Oracle:
+    """A plain picture of the configuration: a map of routes, a list of what was taken."""
+
+    def __init__(self, apply: Callable[[Command, ControlState], Outcome]) -> None:
+        self.apply = apply
+        self.state = ControlState()
+        self.routes: dict[str, dict[str, Any]] = {}
+        self.generation = 0
+        self.taken: list[Command] = []
+
+    def order(self, command: ReplaceConfiguration | UpdateConfiguration) -> None:
+        """Apply an order, and compare outcome and configuration with the picture."""
+        values = json.loads(command.body)
+        outcome = self.apply(command, self.state)
+        if command in self.taken:
+            assert outcome == Done()
+        elif command.base != self.generation:
+            assert isinstance(outcome, Conflict)
+        elif not self._fits(command, values):
+            assert isinstance(outcome, Invalid)
+        else:
+            assert outcome == Done()
+            self._take(command, values)
+        if self.generation:
+            read = json.loads(self.state.configuration)
+            assert read["generation"] == self.state.generation == self.generation
+            assert {r["name"]: r for r in read["routes"]} == self.routes
+
+    def _fits(self, command: Command, values: dict[str, Any]) -> bool:
+        if values["generation"] <= self.generation:
+            return False
+        if isinstance(command, ReplaceConfiguration):
+            return True
+        removed = values["remove"]["routes"]
+        return set(removed) <= set(self.routes) and not set(removed) & {
+            r["name"] for r in values["upsert"]["routes"]
+        }
+
+    def _take(self, command: Command, values: dict[str, Any]) -> None:
+        self.taken.append(command)
+        self.generation = values["generation"]
+        if isinstance(command, ReplaceConfiguration):
+            self.routes = {}
+        else:
+            for name in values["remove"]["routes"]:
+                del self.routes[name]
+        items = values["routes"] if isinstance(command, ReplaceConfiguration) else values["upsert"]["routes"]
+        self.routes |= {item["name"]: item for item in items}
+
+
+NAMES = ("a", "b", "c")
+
+
+def drawn_order(
+    base: int, step: int, kind: str, names: list[str], removed: list[str], mark: int
+) -> ReplaceConfiguration | UpdateConfiguration:
+    routes = [route(name, mark=mark) for name in dict.fromkeys(names)]
+    if kind == "replace":
+        return ReplaceConfiguration(base, body(whole(base + step, *routes)))
+    gone = {"routes": list(dict.fromkeys(removed))}
+    return update(base, base + step, upsert={"routes": routes, "services": [{"name": "s"}]}, remove=gone)
+
+
+class UpdatesMachine(RuleBasedStateMachine):
+    """Any sequence of orders beside the plain picture."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.oracle = Oracle(lambda command, state: command.apply(state))
+        self.sent: list[ReplaceConfiguration | UpdateConfiguration] = []
+
+    @rule(
+        back=st.sampled_from((0, 0, 0, 1, 2)),
+        step=st.sampled_from((0, 1, 1, 2, 3)),
+        kind=st.sampled_from(("replace", "update", "update")),
+        names=st.lists(st.sampled_from(NAMES), max_size=3),
+        removed=st.lists(st.sampled_from(NAMES), max_size=2),
+        mark=st.integers(0, 2),
+    )
+    def change(
+        self, back: int, step: int, kind: str, names: list[str], removed: list[str], mark: int
+    ) -> None:
+        base = max(0, self.oracle.generation - back)
+        self.sent.append(drawn_order(base, step, kind, names, removed, mark))
+        self.oracle.order(self.sent[-1])
+
+    @rule(number=st.integers(0, 5))
+    def repeat(self, number: int) -> None:
+        if number < len(self.sent):
+            self.oracle.order(self.sent[-1 - number])
+
+
+TestUpdates = UpdatesMachine.TestCase
+TestUpdates.settings = settings(max_examples=60, stateful_step_count=25, deadline=None)
+
+
+def _forgetful(command: Command, state: ControlState) -> Outcome:
+    del state.taken[:]
+    return command.apply(state)
+
+
+def _onto_any_base(command: Command, state: ControlState) -> Outcome:
+    if isinstance(command, UpdateConfiguration):
+        command = replace(command, base=state.generation)
+    return command.apply(state)
+
+
+def _applied_twice(command: Command, state: ControlState) -> Outcome:
+    if isinstance(command, UpdateConfiguration) and any(t.digest == command.digest for t in state.taken):
+        state.generation += 1
+    return command.apply(state)
+
+
+@pytest.mark.parametrize("planted", [_forgetful, _onto_any_base, _applied_twice])
+def test_a_planted_fault_is_found(planted: Callable[[Command, ControlState], Outcome]) -> None:
+    random = Random(1)
+    oracle = Oracle(planted)
+    sent = []
+    with pytest.raises(AssertionError):
+        for _ in range(300):
+            names = random.sample(NAMES, random.randint(0, 2))
+            base = max(0, oracle.generation - random.choice((0, 0, 1)))
+            sent.append(drawn_order(base, 1, random.choice(("replace", "update")), names, [], 0))
+            oracle.order(random.choice(sent) if random.random() < 0.3 else sent[-1])
--- a/wheatring/controller/api.py
+++ b/wheatring/controller/api.py
@@ -24,6 +24,7 @@
     ReplaceConfiguration,
     StartRetirement,
     Unclear,
+    UpdateConfiguration,
 )
 from wheatring.controller.node import Controller
 from wheatring.settings.process import Address
@@ -61,6 +62,13 @@
             return OperatorReply(status=503, body=_error(reason))
 
 
+def _base_of(request: OperatorRequest) -> int:
+    """The version that a change builds on. Raises BadOrder."""
+    if not request.base_revision.isdigit():
+        raise BadOrder(400, f"{BASE_HEADER} must be a whole number")
+    return int(request.base_revision)
+
+
 class Orders:
     """Turns the operator's orders into commands, here or at the leader."""
 
@@ -98,9 +106,9 @@
     def _command(self, request: OperatorRequest) -> Command:
         parts = request.path.strip("/").split("/")
         if parts == ["config", "replace"]:
-            if not request.base_revision.isdigit():
-                raise BadOrder(400, f"{BASE_HEADER} must be a whole number")
-            return ReplaceConfiguration(int(request.base_revision), request.body)
+            return ReplaceConfiguration(_base_of(request), request.body)
+        if parts == ["config", "update"]:
+            return UpdateConfiguration(_base_of(request), request.body)
         if parts == ["config", "describe"]:
             return DescribeConfiguration()
         if len(parts) == 3 and parts[0] == RETIRE and parts[2] == START:
@@ -128,6 +136,12 @@
     return await _order(request)
 
 
+@post("/config/update")
+async def update_configuration(request: Request[Any, Any, Any]) -> Response[bytes]:
+    """Set and remove named items of the configuration."""
+    return await _order(request)
+
+
 @get("/config/describe")
 async def describe_configuration(request: Request[Any, Any, Any]) -> Response[bytes]:
     """The newest configuration."""
@@ -166,6 +180,7 @@
     """The HTTP server of one controller, to be run inside the process's event loop."""
     handlers = [
         replace_configuration,
+        update_configuration,
         describe_configuration,
         start_retirement,
         describe_retirement,
--- a/wheatring/controller/commands.py
+++ b/wheatring/controller/commands.py
@@ -69,35 +69,90 @@
     @property
     def digest(self) -> bytes:
         """Tells a repeat of an order from another order."""
-        return hashlib.blake2b(b"%d\n%s" % (self.base, self.body), digest_size=16).digest()
+        return _digest(b"%d\n%s" % (self.base, self.body))
+
+    def result(self, current: bytes) -> bytes:
+        """The configuration afterwards."""
+        return self.body
 
     def apply(self, state: ControlState) -> Outcome:
         """Check against the current version, which is the only one that may be replaced."""
-        digest = self.digest
-        if any(taken.digest == digest for taken in state.taken):
-            return Done()
-        # Imported when it is first needed: cattrs takes a tenth of a second, and no start waits for that.
-        from wheatring.controller.configuration import InvalidConfiguration, parse
-
-        if self.base != state.generation:
-            # What was taken builds on an earlier generation than its own, so a repeat of one that is
-            # forgotten has a base below the newest forgotten generation.
-            if self.base < state.forgotten_generation:
-                return Unclear(f"version {self.base} was replaced too long ago to know by what")
-            return Conflict(f"version {state.generation} is current")
-        try:
-            configuration = parse(self.body)
-        except InvalidConfiguration as error:
-            return Invalid(str(error))
-        if configuration.generation <= state.generation:
-            return Invalid(f"generation: must be above {state.generation}")
-        state.generation = configuration.generation
-        state.configuration = self.body
-        state.taken.add(generation=configuration.generation, digest=digest)
-        while len(state.taken) > MAX_TAKEN:
-            state.forgotten_generation = state.taken[0].generation
-            del state.taken[0]
+        return _change_configuration(state, self)
+
+
+@dataclass(frozen=True, slots=True)
+class UpdateConfiguration:
+    """Set and remove named items of the configuration that it builds on."""
+
+    base: int
+    body: bytes
+
+    @property
+    def digest(self) -> bytes:
+        """Tells a repeat of an order from another order, a replacement with the same body included."""
+        return _digest(b"update %d\n%s" % (self.base, self.body))
+
+    def result(self, current: bytes) -> bytes:
+        """The configuration afterwards. Raises InvalidConfiguration."""
+        from wheatring.controller.update import merge  # brings cattrs, see _change_configuration
+
+        return merge(current, self.body)
+
+    def apply(self, state: ControlState) -> Outcome:
+        """Check against the current version, which is the only one that may be changed."""
+        return _change_configuration(state, self)
+
+
+def _digest(order: bytes) -> bytes:
+    return hashlib.blake2b(order, digest_size=16).digest()
+
+
+def _change_configuration(
+    state: ControlState, command: ReplaceConfiguration | UpdateConfiguration
+) -> Outcome:
+    """Acknowledge a repeat, and take a change of the current version that leads to a valid one."""
+    digest = command.digest
+    if any(taken.digest == digest for taken in state.taken):
         return Done()
+    if command.base != state.generation:
+        return _on_another_base(state, command)
+    # Imported when it is first needed: cattrs takes a tenth of a second, and no start waits for that.
+    from wheatring.controller.configuration import InvalidConfiguration, parse
+
+    try:
+        body = command.result(state.configuration)
+        configuration = parse(body)
+    except InvalidConfiguration as error:
+        return Invalid(str(error))
+    if configuration.generation <= state.generation:
+        return Invalid(f"generation: must be above {state.generation}")
+    state.generation = configuration.generation
+    state.configuration = body
+    state.taken.add(generation=configuration.generation, digest=digest)
+    while len(state.taken) > MAX_TAKEN:
+        state.forgotten_generation = state.taken[0].generation
+        del state.taken[0]
+    return Done()
+
+
+def _on_another_base(
+    state: ControlState, command: ReplaceConfiguration | UpdateConfiguration
+) -> Conflict | Invalid | Unclear:
+    """A change that builds on a version which is not current.
+
+    What was taken builds on an earlier generation than its own, so a repeat of one that is forgotten has a
+    base below the newest forgotten generation. What cannot be read was never taken."""
+    if command.base >= state.forgotten_generation:
+        return Conflict(f"version {state.generation} is current")
+    from wheatring.controller.configuration import InvalidConfiguration, parse
+    from wheatring.controller.update import read_update
+
+    read = parse if isinstance(command, ReplaceConfiguration) else read_update
+    try:
+        read(command.body)
+    except InvalidConfiguration as error:
+        return Invalid(str(error))
+    return Unclear(f"version {command.base} was replaced too long ago to know by what")
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,7 +228,9 @@
     return None
 
 
-Command = ReplaceConfiguration | DescribeConfiguration | StartRetirement | DescribeRetirement
+Command = (
+    ReplaceConfiguration | UpdateConfiguration | DescribeConfiguration | StartRetirement | DescribeRetirement
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/wheatring/controller/configuration.py
+++ b/wheatring/controller/configuration.py
@@ -102,19 +102,15 @@
     raise InvalidConfiguration(f"{text} is no number")
 
 
-def _require(condition: bool, where: str, what: str) -> None:
+def require(condition: bool, where: str, what: str) -> None:
+    """Raises InvalidConfiguration, which tells the place and the fault, unless a condition holds."""
     if not condition:
         raise InvalidConfiguration(f"{where}: {what}")
 
 
 def parse(body: bytes) -> Configuration:
     """Read and check a configuration. Raises InvalidConfiguration."""
-    try:
-        values = json.loads(body, object_pairs_hook=_without_repeated_keys, parse_constant=_not_a_number)
-    except (ValueError, RecursionError) as error:
-        raise InvalidConfiguration(f"cannot be read whole: {error}") from error
-    if not isinstance(values, dict):
-        raise InvalidConfiguration("must be an object")
+    values = read_object(body)
     try:
         configuration = _CONVERTER.structure(values, Configuration)
     except BaseValidationError as error:
@@ -125,40 +121,51 @@
     return configuration
 
 
+def read_object(body: bytes) -> dict[str, Any]:
+    """Read a JSON object in which no key stands twice. Raises InvalidConfiguration."""
+    try:
+        values = json.loads(body, object_pairs_hook=_without_repeated_keys, parse_constant=_not_a_number)
+    except (ValueError, RecursionError) as error:
+        raise InvalidConfiguration(f"cannot be read whole: {error}") from error
+    if not isinstance(values, dict):
+        raise InvalidConfiguration("must be an object")
+    return values
+
+
 def _check(configuration: Configuration) -> None:
-    _require(configuration.generation > 0, "generation", "must be above 0")
+    require(configuration.generation > 0, "generation", "must be above 0")
     names = [service.name for service in configuration.services]
-    _require(len(set(names)) == len(names), "services", "a name stands twice")
-    _require(all(names), "services", "a name is empty")
+    require(len(set(names)) == len(names), "services", "a name stands twice")
+    require(all(names), "services", "a name is empty")
     services = set(names)
     route_names = [route.name for route in configuration.routes]
-    _require(len(set(route_names)) == len(route_names), "routes", "a name stands twice")
+    require(len(set(route_names)) == len(route_names), "routes", "a name stands twice")
     places: set[tuple[str, str]] = set()
     for number, route in enumerate(configuration.routes):
         where = f"routes[{number}]"
         _check_route(where, route, services)
         place = (route.hostname.lower(), route.pathPrefix)
-        _require(place not in places, where, f"shares host and prefix with another route: {place}")
+        require(place not in places, where, f"shares host and prefix with another route: {place}")
         places.add(place)
 
 
 def _check_route(where: str, route: Route, services: set[str]) -> None:
-    _require(bool(route.hostname), f"{where}.hostname", "is empty")
+    require(bool(route.hostname), f"{where}.hostname", "is empty")
     prefix = route.pathPrefix
     bounded = prefix.startswith("/") and prefix.endswith("/")
-    _require(bounded, f"{where}.pathPrefix", "must begin and end with /")
-    _require(route.timeoutMs > 0, f"{where}.timeoutMs", "must be above 0")
-    _require(route.maxAttempts >= 1, f"{where}.maxAttempts", "must be 1 or more")
-    _require(route.retentionS >= 0, f"{where}.retentionS", "must not be negative")
+    require(bounded, f"{where}.pathPrefix", "must begin and end with /")
+    require(route.timeoutMs > 0, f"{where}.timeoutMs", "must be above 0")
+    require(route.maxAttempts >= 1, f"{where}.maxAttempts", "must be 1 or more")
+    require(route.retentionS >= 0, f"{where}.retentionS", "must not be negative")
     if route.backend is not None or route.trafficSplit is None:
-        _require(route.backend is not None, where, "names no service")
-        _require(route.backend in services, f"{where}.backend", f"unknown service {route.backend!r}")
+        require(route.backend is not None, where, "names no service")
+        require(route.backend in services, f"{where}.backend", f"unknown service {route.backend!r}")
     if route.trafficSplit is not None:
         _check_split(f"{where}.trafficSplit", route.trafficSplit, services)
 
 
 def _check_split(where: str, parts: tuple[SplitPart, ...], services: set[str]) -> None:
     for part in parts:
-        _require(part.backend in services, where, f"unknown service {part.backend!r}")
-        _require(part.weight >= 0, where, "a weight is negative")
-    _require(sum(part.weight for part in parts) > 0, where, "the weights add up to 0")
+        require(part.backend in services, where, f"unknown service {part.backend!r}")
+        require(part.weight >= 0, where, "a weight is negative")
+    require(sum(part.weight for part in parts) > 0, where, "the weights add up to 0")
--- a/wheatring/lab/control/invariants.py
+++ b/wheatring/lab/control/invariants.py
@@ -9,7 +9,7 @@
 
 from wheatring.consensus.electorate import has_quorum
 from wheatring.consensus.types import Position, entry_position
-from wheatring.controller.commands import ReplaceConfiguration
+from wheatring.controller.commands import ReplaceConfiguration, UpdateConfiguration
 from wheatring.transport.messages_pb2 import ControlState, Entry, Member
 
 MAX_STATE_BYTES = 8192  # of the small configurations that are ordered here
@@ -24,7 +24,7 @@
     """A change of the configuration whose operator has been told that it was accepted."""
 
     position: Position
-    order: ReplaceConfiguration
+    order: ReplaceConfiguration | UpdateConfiguration
     generation: int
     digest: bytes
     at: float
