--- a/wheatring/budgets/budgets.py
+++ b/wheatring/budgets/budgets.py
@@ -11,7 +11,7 @@
 
 from wheatring.settings.events import log_event
 from wheatring.storage.quorum import NotSure, QuorumClient
-from wheatring.transport.messages_pb2 import BudgetEntry
+from wheatring.transport.messages_pb2 import BudgetEntry, StorageRecord
 
 SETTLE_SECONDS = 5.0  # for which settling is tried
 
@@ -42,6 +42,6 @@
     async def _settle(self, program: str, turn: str, tokens: int) -> None:
         entry = BudgetEntry(program=program, turn=turn, tokens=tokens, settled=True)
         try:
-            await self._store.write_budget(entry, SETTLE_SECONDS)
+            await self._store.write(program, [StorageRecord(budget=entry)], SETTLE_SECONDS)
         except NotSure:
             log_event("budget-not-settled", program=program, turn=turn, tokens=tokens)
--- a/wheatring/storage/table.py
+++ b/wheatring/storage/table.py
@@ -79,7 +79,7 @@
         known = entries.get(entry.turn)
         if known is not None and (known.settled, known.tokens) >= (entry.settled, entry.tokens):
             return False
-        entries[entry.turn] = entry
+        entries[entry.turn] = BudgetEntry(turn=entry.turn, tokens=entry.tokens, settled=entry.settled)
         self._hold(key, record, now + BUDGET_SECONDS)
         return True
 
@@ -105,7 +105,7 @@
         return StorageRecord.FromString(held.payload).turn
 
     def budget(self, program: str) -> list[BudgetEntry]:
-        """All entries of a program."""
+        """All entries of a program, which they do not name again: every turn is sent this list."""
         return list(self._programs.get(program, {}).values())
 
     def expire(self, now: float) -> int:
