Fetch each turn once in a repair, by its id from the first source to name it

Cause: bytes between zones are dear on the new site, and a wiped storage machine read the same turns from eight sources (all members but two), each of which holds half of everything: up to five copies of each crossed the zones. Change: sources list turns by id where the requester asks for that (an older source or requester goes on as before), and each lacking turn is fetched from the first source to name it, the nearest as a rule. A source that fails gives the turns that it was asked for back to the others after 0.5 s. A copy is complete as before: everything that enough sources hold is here and on disk.

--- /dev/null
+++ b/tests/tier/test_repair.py
@@ -0,0 +1,139 @@
+"""What a repair asks its sources for: each turn once, whatever becomes of a source meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.tier.virtual_loop import VirtualLoop
+from wheatring.storage.repair import FETCH_SECONDS, Repair
+from wheatring.storage.replica import Replica
+from wheatring.transport.client import Unreachable
+from wheatring.transport.messages_pb2 import (
+    BudgetEntry,
+    Envelope,
+    Placement,
+    ScanReply,
+    StorageMember,
+    StorageRecord,
+    Turn,
+)
+
+TURNS = [f"t{number}" for number in range(40)]
+
+
+class Source:
+    """A client of one replica, which counts the turns that it sends."""
+
+    def __init__(self, replica: Replica, sent: Counter[str], fails: Callable[[Envelope], bool]) -> None:
+        self._replica = replica
+        self._sent = sent
+        self._fails = fails
+
+    async def call(self, envelope: Envelope, timeout: float) -> Envelope:
+        await asyncio.sleep(0.001)
+        if self._fails(envelope):
+            await asyncio.sleep(timeout)
+            raise Unreachable("silent")
+        reply = await self._replica.scan(envelope.scan_request)
+        self._sent.update(record.turn.id for record in reply.records if record.HasField("turn"))
+        return Envelope(scan_reply=reply)
+
+
+class Sources:
+    """Stands in for the table of clients."""
+
+    def __init__(self) -> None:
+        self.by_address: dict[str, Source] = {}
+
+    def to(self, address: str) -> Source:
+        return self.by_address[address]
+
+
+def opened(folder: Path) -> Replica:
+    folder.mkdir()
+    replica = Replica(folder, 1, lambda: 0.0)
+    replica.open()
+    return replica
+
+
+def records() -> list[StorageRecord]:
+    turns = [StorageRecord(turn=Turn(id=turn, input=b"x" * 100, retention_ms=60_000)) for turn in TURNS]
+    entry = BudgetEntry(program="p", turn="t1", tokens=5, settled=True)
+    return [*turns, StorageRecord(budget=entry)]
+
+
+def repaired(folder: Path, fails: Callable[[str, Envelope], bool]) -> tuple[Counter[str], Replica, float]:
+    """Copy from three sources that all hold everything; `fails` says which calls stay without a reply."""
+    loop = VirtualLoop()
+    sent: Counter[str] = Counter()
+
+    async def play() -> tuple[Replica, float]:
+        sources = Sources()
+        members = []
+        for name in ("a", "b", "c"):
+            replica = opened(folder / name)
+            await replica.store(records())
+            sources.by_address[name] = Source(replica, sent, lambda e, name=name: fails(name, e))  # type: ignore[misc]
+            members.append(StorageMember(replica_id=replica.identity, node=name, address=name))
+        new = opened(folder / "new")
+        following = [*members[:2], StorageMember(replica_id=new.identity, node="new", address="new")]
+        repair = Repair(new, sources, 1)  # type: ignore[arg-type]
+        began = loop.time()
+        repair.follow(Placement(epoch=2, current=members, next=following))
+        async with asyncio.timeout(30):
+            while repair.whole_epoch < 2:
+                await asyncio.sleep(0.001)
+        return new, loop.time() - began
+
+    replica, seconds = run(loop, play)
+    return sent, replica, seconds
+
+
+def run(loop: VirtualLoop, play: Callable[[], Any]) -> Any:
+    return loop.run_until_complete(play())
+
+
+def test_each_turn_is_sent_once(tmp_path: Path) -> None:
+    sent, replica, seconds = repaired(tmp_path, lambda name, envelope: False)
+    assert all(replica.table.holds_turn(turn) for turn in TURNS)
+    assert replica.table.budget("p")[0].tokens == 5
+    assert set(sent.values()) == {1}
+    assert seconds < 0.1
+
+
+@pytest.mark.parametrize("name", ["a", "b", "c"])
+def test_a_source_that_falls_silent_when_asked_holds_nothing_up(tmp_path: Path, name: str) -> None:
+    def fails(source: str, envelope: Envelope) -> bool:
+        return source == name and bool(envelope.scan_request.turn_ids)
+
+    _, replica, seconds = repaired(tmp_path, fails)
+    assert all(replica.table.holds_turn(turn) for turn in TURNS)
+    assert seconds < FETCH_SECONDS + 0.1
+
+
+def test_a_requester_that_does_not_list_turns_is_sent_them_whole(tmp_path: Path) -> None:
+    loop = VirtualLoop()
+
+    async def play() -> ScanReply:
+        from wheatring.transport.messages_pb2 import ScanRequest
+
+        replica = opened(tmp_path / "a")
+        await replica.store(records())
+        member = StorageMember(replica_id="new", node="new", address="new")
+        request = ScanRequest(
+            replica_id=replica.identity,
+            placement=Placement(epoch=2, next=[member]),
+            limit_bytes=1 << 20,
+            requester="new",
+        )
+        return await replica.scan(request)
+
+    reply = run(loop, play)
+    assert [record.turn.id for record in reply.records if record.HasField("turn")] == TURNS
+    assert not reply.turn_ids
--- a/wheatring/storage/repair.py
+++ b/wheatring/storage/repair.py
@@ -1,9 +1,12 @@
-"""Copies what a replica is to hold under the next placement from those that hold it under the current one."""
+"""Copies what a replica is to hold under the next placement from those that hold it under the current one.
+
+Nearly every record is held by several sources, and a turn is large beside its id. So sources list the turns
+that they hold, and each turn that is lacking is fetched from one of them, from the first to name it."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 
 from wheatring.durable.record_file import DiskError
 from wheatring.placement.placement import quorums
@@ -14,6 +17,7 @@
     STORAGE_STATUS_DONE,
     Envelope,
     Placement,
+    ScanReply,
     ScanRequest,
     StorageMember,
 )
@@ -21,6 +25,8 @@
 PAGE_BYTES = 512 * 1024
 PAGE_SECONDS = 1.5  # for one page to come
 RETRY_SECONDS = 0.2
+FETCH_SECONDS = 0.5  # for turns to come at the first try, while other sources wait to be asked for them
+FETCHED_ELSEWHERE_SECONDS = 0.005  # between looks at turns that are on their way from another source
 
 
 def needs_no_copy(identity: str, placement: Placement, losses: int) -> bool:
@@ -88,7 +94,8 @@
         present = [member for member in placement.current if not member.lost]
         others = [member for member in present if member.replica_id != identity]
         needed = sources_needed(placement, self._losses) - (len(present) - len(others))
-        tasks = [asyncio.create_task(self._copy_from(member, placement)) for member in others]
+        fetching: set[str] = set()
+        tasks = [asyncio.create_task(self._copy_from(member, placement, fetching)) for member in others]
         try:
             await _complete(tasks, needed)
         finally:
@@ -104,30 +111,60 @@
             except DiskError:
                 await asyncio.sleep(RETRY_SECONDS)
 
-    async def _copy_from(self, member: StorageMember, placement: Placement) -> None:
-        """Copy page by page; a source that does not answer is asked again."""
+    async def _copy_from(self, member: StorageMember, placement: Placement, fetching: set[str]) -> None:
+        """Copy page by page; a source that does not answer is asked again. `fetching` are the turns that are
+        on their way here from any source."""
         position, done = 0, False
-        client = self._clients.to(member.address)
         while not done:
-            request = ScanRequest(
-                replica_id=member.replica_id,
-                placement=placement,
-                after=position,
-                limit_bytes=PAGE_BYTES,
-                requester=self._replica.identity,
-            )
-            try:
-                envelope = await client.call(Envelope(scan_request=request), PAGE_SECONDS)
-                reply = envelope.scan_reply
-                if reply.status != STORAGE_STATUS_DONE:
-                    await asyncio.sleep(RETRY_SECONDS)
-                    continue
-                await self._replica.store(list(reply.records))
-            except (Unreachable, DiskError):
+            request = ScanRequest(after=position, limit_bytes=PAGE_BYTES, list_turns=True)
+            reply = await self._scan(member, placement, request, PAGE_SECONDS)
+            if reply is None:
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
+            await self._fetch(member, placement, reply.turn_ids, fetching)
             position, done = reply.next, reply.done
 
+    async def _fetch(
+        self, member: StorageMember, placement: Placement, turn_ids: Iterable[str], fetching: set[str]
+    ) -> None:
+        """Have all of these turns here, those from this source that no other one is sending. A source that
+        fails leaves them to the others for a while."""
+        table = self._replica.table
+        seconds = FETCH_SECONDS
+        lacking = {turn_id for turn_id in turn_ids if not table.holds_turn(turn_id)}
+        while lacking:
+            asked = lacking - fetching
+            pause = FETCHED_ELSEWHERE_SECONDS
+            if asked:
+                fetching |= asked
+                try:
+                    reply = await self._scan(member, placement, ScanRequest(turn_ids=sorted(asked)), seconds)
+                finally:
+                    fetching -= asked
+                if reply is not None:
+                    lacking -= asked  # what the source has dropped since it listed it has expired
+                    continue
+                seconds, pause = PAGE_SECONDS, RETRY_SECONDS
+            await asyncio.sleep(pause)
+            lacking = {turn_id for turn_id in lacking if not table.holds_turn(turn_id)}
+
+    async def _scan(
+        self, member: StorageMember, placement: Placement, request: ScanRequest, seconds: float
+    ) -> ScanReply | None:
+        """A source's reply, whose records are stored by then; None where there is none."""
+        request.replica_id = member.replica_id
+        request.placement.CopyFrom(placement)
+        request.requester = self._replica.identity
+        client = self._clients.to(member.address)
+        try:
+            envelope = await client.call(Envelope(scan_request=request), seconds)
+            if envelope.scan_reply.status != STORAGE_STATUS_DONE:
+                return None
+            await self._replica.store(list(envelope.scan_reply.records))
+        except (Unreachable, DiskError):
+            return None
+        return envelope.scan_reply
+
 
 async def _complete(tasks: Sequence[asyncio.Task[None]], needed: int) -> None:
     """Wait until so many of the tasks have ended."""
--- a/wheatring/storage/replica.py
+++ b/wheatring/storage/replica.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 from wheatring.durable.committer import Committer
@@ -167,12 +167,24 @@
             await self.raise_fence(request.placement.epoch)
         except DiskError:
             return ScanReply(status=STORAGE_STATUS_DISK_FAILED)
+        if request.turn_ids:
+            return self._named_turns(request.turn_ids)
         wanted = self._wanted_by(request)
         payloads, position, done = self.table.scan(request.after, request.limit_bytes, wanted)
         reply = ScanReply(status=STORAGE_STATUS_DONE, next=position, done=done)
-        reply.records.extend(StorageRecord.FromString(payload) for payload in payloads)
+        for record in map(StorageRecord.FromString, payloads):
+            if request.list_turns and record.HasField("turn"):
+                reply.turn_ids.append(record.turn.id)
+            else:
+                reply.records.append(record)
         return reply
 
+    def _named_turns(self, turn_ids: Iterable[str]) -> ScanReply:
+        """Those of some turns that are still here."""
+        turns = [self.table.turn(turn_id) for turn_id in turn_ids]
+        records = [StorageRecord(turn=turn) for turn in turns if turn is not None]
+        return ScanReply(status=STORAGE_STATUS_DONE, records=records, done=True)
+
     def _wanted_by(self, request: ScanRequest) -> Callable[[Key], bool]:
         members = list(request.placement.next)
         copies = quorums(len(members), self._losses).copies
--- a/wheatring/storage/table.py
+++ b/wheatring/storage/table.py
@@ -97,6 +97,10 @@
         if held is not None:
             held.expires = max(held.expires, expires)
 
+    def holds_turn(self, turn_id: str) -> bool:
+        """Whether a turn is here."""
+        return ("turn", turn_id, "") in self._held
+
     def turn(self, turn_id: str) -> Turn | None:
         """A turn by its id."""
         held = self._held.get(("turn", turn_id, ""))
