Send lines of turns to a home that all sidecars of a zone know, in their zone

Change: a line has a home by rendezvous hashing on the part that names it, among the endpoints of the zone; sub-agents, which begin many at once, are spread over two. Another zone costs 0.3 of a full batch (0.02 before), ties are broken by lot, and an endpoint that has failed since it last served costs a full batch, fading. What prompts are cached where moved to a module of its own.

--- /dev/null
+++ b/tests/tier/test_prompt_placement.py
@@ -0,0 +1,140 @@
+"""Where a prompt goes: homes of lines, what an endpoint would have to read, and endpoints that fail."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections import Counter
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lapisway import interface as i
+from wheatring.sidecar.decisions import TierBalancer
+from wheatring.sidecar.policy import DEFAULT_POLICY, PolicyError, SidecarPolicy, read_policy
+from wheatring.sidecar.prompt_placement import PromptCaches, PromptPart, home_of
+
+ENDPOINTS = [f"i-{zone}{number}" for zone in "ab" for number in range(6)]
+
+
+def prompt(line: int, sub_agent: int | None = None, tokens: int = 1000) -> tuple[PromptPart, ...]:
+    parts = (PromptPart(b"shared", 500), PromptPart(b"line%d" % line, tokens))
+    return parts if sub_agent is None else (*parts, PromptPart(b"agent%d" % sub_agent, 200))
+
+
+def balancer(zone: str, seed: int, policy: SidecarPolicy = DEFAULT_POLICY) -> TierBalancer:
+    limits = i.Limits(max_attempts=5, max_retry_after=1.0, retry_after=True)
+    cls = i.RequestClass("stream", 0.2, 3.0, late_worth=0.3, effect=i.Effect.UNSAFE, stream=True)
+    found = TierBalancer(i.Settings((cls,), zone=zone, zones=("a", "b"), limits=limits), seed, policy)
+    found.max_attempts["stream"] = 2
+    found.slots = dict.fromkeys(ENDPOINTS, 6)
+    entries = tuple(i.EndpointEntry(name, i.EndpointState.READY, zone=name[2]) for name in ENDPOINTS)
+    found.handle(0.0, i.View(i.ViewKind.FULL, entries))
+    return found
+
+
+def sent_to(found: TierBalancer, now: float, number: int, parts: tuple[PromptPart, ...]) -> str:
+    found.parts[number] = parts
+    sends = [a for a in found.handle(now, i.NewRequest(number, "stream", 3.0)) if isinstance(a, i.Send)]
+    return sends[0].endpoint
+
+
+def end(found: TierBalancer, now: float, number: int, endpoint: str, outcome: i.Outcome) -> None:
+    served = outcome is i.Outcome.SERVED
+    found.handle(now, i.AttemptEnded(number, 0, outcome, endpoint, 0.2, served, None))
+    if served:
+        found.caches.read(now, endpoint, found.parts[number])
+
+
+def test_sidecars_of_a_zone_send_a_line_to_one_endpoint_of_their_zone() -> None:
+    sidecars = [balancer("a", seed) for seed in range(8)]
+    for line in range(30):
+        chosen = {sent_to(sidecar, 1.0, line, prompt(line)) for sidecar in sidecars}
+        assert len(chosen) == 1 and chosen.pop()[2] == "a"
+        for sidecar in sidecars:
+            sidecar.handle(1.0, i.ClientGone(line))
+            for endpoint in sidecar.endpoints.values():
+                endpoint.in_flight = 0
+
+
+@given(st.integers(0, 400), st.sampled_from(ENDPOINTS))
+def test_only_lines_at_home_there_move_when_an_endpoint_goes(line: int, gone: str) -> None:
+    before = home_of(prompt(line), ENDPOINTS, 2)
+    after = home_of(prompt(line), [endpoint for endpoint in ENDPOINTS if endpoint != gone], 2)
+    assert after == before or before == gone
+
+
+def test_lines_are_spread_evenly() -> None:
+    counts = Counter(home_of(prompt(line), ENDPOINTS, 2) for line in range(2400))
+    assert min(counts.values()) > 140 and max(counts.values()) < 260
+
+
+def test_sub_agents_are_spread_over_the_first_in_their_lines_order() -> None:
+    for spread in (1, 2, 3):
+        homes = Counter(home_of(prompt(7, agent), ENDPOINTS, spread) for agent in range(60))
+        assert len(homes) == spread
+        assert home_of(prompt(7), ENDPOINTS, spread) in homes
+
+
+def test_a_prompt_without_a_line_has_no_home() -> None:
+    assert home_of(prompt(1)[:1], ENDPOINTS, 2) is None
+    assert home_of(prompt(1), [], 2) is None
+
+
+def test_what_stands_behind_a_part_that_is_not_held_is_read_too() -> None:
+    caches = PromptCaches(seconds=20.0)
+    parts = prompt(1, 2)
+    assert caches.missing(0.0, "i", parts) == 1700
+    caches.read(0.0, "i", parts[2:])
+    assert caches.missing(1.0, "i", parts) == 1700
+    caches.read(0.0, "i", parts[:1])
+    assert caches.missing(1.0, "i", parts) == 1200
+    assert caches.missing(21.0, "i", parts) == 1700
+
+
+def test_another_one_is_chosen_right_after_a_failure_at_home() -> None:
+    found = balancer("a", 1)
+    for number in range(40):
+        home = sent_to(found, 1.0, 2 * number, prompt(number))
+        end(found, 1.1, 2 * number, home, i.Outcome.ERROR)
+        elsewhere = sent_to(found, 1.2, 2 * number + 1, prompt(number))
+        assert elsewhere != home
+        end(found, 1.3, 2 * number + 1, elsewhere, i.Outcome.SERVED)
+        for endpoint in found.endpoints.values():
+            endpoint.evidence = endpoint.failed = 0.0
+            endpoint.ill = 0
+
+
+def test_the_far_zone_takes_over_where_the_near_one_is_full() -> None:
+    found = balancer("a", 3)
+    zones = Counter(sent_to(found, 1.0, number, prompt(number))[2] for number in range(60))
+    assert zones["b"] >= 5  # 36 places near, of which the last are dearer than the first far ones
+    assert zones["a"] > zones["b"]
+
+
+def test_a_policy_file_sets_what_it_names(tmp_path: Path) -> None:
+    file = tmp_path / "policy.toml"
+    file.write_text("far_cost = 1\nprompt_homes = false\n")
+    assert read_policy(file) == dataclasses.replace(DEFAULT_POLICY, far_cost=1, prompt_homes=False)
+
+
+UNUSABLE = (
+    "far_cost = 'x'",
+    "far_cost = true",
+    "far_cost = -1",
+    "far_cost = nan",
+    "prompt_homes = 1",
+    "sub_agent_spread = 1.5",
+    "nothing = 1",
+    "far_cost =",
+)
+
+
+@pytest.mark.parametrize("text", UNUSABLE)
+def test_a_policy_file_that_cannot_be_used_is_one_line(tmp_path: Path, text: str) -> None:
+    file = tmp_path / "policy.toml"
+    file.write_text(text)
+    with pytest.raises(PolicyError) as error:
+        read_policy(file)
+    assert str(file) in str(error.value) and "\n" not in str(error.value)
--- a/wheatring/sidecar/decisions.py
+++ b/wheatring/sidecar/decisions.py
@@ -13,24 +13,16 @@
 
 from lapisway import interface as i
 from lapisway.policy import Balancer, Endpoint, Request
+from wheatring.sidecar.policy import SidecarPolicy
+from wheatring.sidecar.prompt_placement import LINE_PART, PromptCaches, PromptPart, home_of
 from wheatring.sidecar.routes import Route
 
 MAX_RETRY_AFTER = 1.0  # seconds
 REPORT_SECONDS = 1.0  # for which an endpoint's word of its load counts
-PREFIX_SECONDS = 20.0  # for which a prompt part is taken to be cached where it was last read
-MAX_PREFIXES = 20_000
 MAX_ATTEMPTS = 5
 KNOWN_ANSWERS = 12  # of a route, from which what is usual on it is known
 
 
-@dataclass(frozen=True, slots=True)
-class PromptPart:
-    """A part of a prompt, and its size in tokens."""
-
-    ident: bytes
-    tokens: int
-
-
 @dataclass(slots=True)
 class Call:
     """One request under the decisions of one service."""
@@ -45,12 +37,13 @@
 class TierBalancer(Balancer):
     """The decision module with the tier's limits."""
 
-    def __init__(self, settings: i.Settings, seed: int) -> None:
+    def __init__(self, settings: i.Settings, seed: int, policy: SidecarPolicy) -> None:
         super().__init__(settings, seed)
+        self.policy = policy
         self.max_attempts: dict[str, int] = {}  # by route
         self.slots: dict[str, int] = {}  # by endpoint
         self.parts: dict[int, tuple[PromptPart, ...]] = {}  # by request
-        self.cached: dict[bytes, dict[str, float]] = {}  # by prompt part: endpoint, and when it last read it
+        self.caches = PromptCaches(policy.prefix_seconds)
 
     def may_retry(self, now: float, request: Request, outcome: i.Outcome) -> bool:
         """The attempt limit is the route's."""
@@ -85,59 +78,65 @@
         return endpoint.in_flight
 
     def pick(self, now: float, request: Request) -> tuple[Endpoint | None, list[Endpoint]]:
-        """The lighter of a few, to which the endpoint that holds the longest part of the prompt is added."""
+        """The lighter of a few, to which those are added that hold the longest part of the prompt, and the
+        one where its line is at home."""
         best, drawn = super().pick(now, request)
         parts = self.parts.get(request.ident)
         if best is None or not parts or len(self.ready) < 2:
             return best, drawn
-        holders = [endpoint for endpoint in self._holders(now, parts) if endpoint not in request.attempts]
-        candidates = {endpoint.entry.endpoint: endpoint for endpoint in (*holders, best)}
-        chosen = min(candidates.values(), key=lambda endpoint: self._cost(now, endpoint, parts))
+        home = self._home(parts) if self.policy.prompt_homes else None
+        candidates = {best.entry.endpoint: best}
+        for endpoint in (*self._holders(now, parts), *([home] if home is not None else [])):
+            if endpoint not in request.attempts and self._usable(now, endpoint):
+                candidates[endpoint.entry.endpoint] = endpoint
+
+        def cost(endpoint: Endpoint) -> tuple[float, float]:
+            return self._cost(now, endpoint, parts, endpoint is home), self.random.random()
+
+        chosen = min(candidates.values(), key=cost)
         return chosen, list({e.entry.endpoint: e for e in (*drawn, chosen)}.values())
 
+    def _usable(self, now: float, endpoint: Endpoint) -> bool:
+        """Whether an endpoint is well, or is due to be tried again."""
+        if not endpoint.ill:
+            return True
+        return not self.alone(now, endpoint) and endpoint.in_flight < endpoint.window
+
+    def _home(self, parts: Sequence[PromptPart]) -> Endpoint | None:
+        """Where a line of turns is at home, in this zone if it has its share of the endpoints."""
+        zone = self.settings.zone
+        pool = {e.entry.endpoint: e for e in self.ready if not self.far or e.entry.zone == zone}
+        name = home_of(parts, pool.keys(), self.policy.sub_agent_spread)
+        return pool[name] if name is not None else None
+
     def _holders(self, now: float, parts: Sequence[PromptPart]) -> list[Endpoint]:
         """Endpoints that hold the last part of a prompt that anyone is known to hold."""
         for part in reversed(parts):
-            found = [
-                self.endpoints[name]
-                for name, read_at in self.cached.get(part.ident, {}).items()
-                if now - read_at < PREFIX_SECONDS and name in self.endpoints
-            ]
-            usable = [endpoint for endpoint in found if not (endpoint.ill and self.alone(now, endpoint))]
+            known = self.caches.holders(now, part)
+            found = [self.endpoints[name] for name in known if name in self.endpoints]
+            usable = [endpoint for endpoint in found if self._usable(now, endpoint)]
             if usable:
                 return usable
         return []
 
-    def _cost(self, now: float, endpoint: Endpoint, parts: Sequence[PromptPart]) -> float:
+    def _cost(self, now: float, endpoint: Endpoint, parts: Sequence[PromptPart], is_home: bool) -> float:
         """Load in requests, with what has to be read of the prompt counted as load too."""
-        missing = sum(part.tokens for part in parts)
-        for part in parts:
-            read_at = self.cached.get(part.ident, {}).get(endpoint.entry.endpoint)
-            if read_at is None or now - read_at >= PREFIX_SECONDS:
-                break
-            missing -= part.tokens
+        policy = self.policy
+        missing = self.caches.missing(now, endpoint.entry.endpoint, parts)
+        if is_home:
+            missing = min(missing, sum(part.tokens for part in parts[LINE_PART + 1 :]))
         slots = max(self.slots.get(endpoint.entry.endpoint, 1), 1)
         load = self.occupancy(now, endpoint) / slots
-        far = FAR_COST if endpoint.entry.zone != self.settings.zone else 0.0
-        return load + missing / TOKENS_PER_LOAD + far + max(0.0, self.burden(now, endpoint) - 1) * BURDEN_COST
-
-    def prompt_read(self, now: float, endpoint: str, parts: Sequence[PromptPart]) -> None:
-        """An endpoint has answered a prompt: it holds its parts now."""
-        for part in parts:
-            self.cached.setdefault(part.ident, {})[endpoint] = now
-        while len(self.cached) > MAX_PREFIXES:
-            del self.cached[next(iter(self.cached))]
-
-
-TOKENS_PER_LOAD = 4000.0  # prompt tokens that weigh as much as a full batch
-FAR_COST = 0.02  # of a full batch, for an endpoint in another zone
-BURDEN_COST = 0.2  # of a full batch, for each unit by which an endpoint is slower than usual
+        far = policy.far_cost if endpoint.entry.zone != self.settings.zone else 0.0
+        burden = max(0.0, self.burden(now, endpoint) - 1) * policy.burden_cost
+        failing = policy.failing_cost * self.fade(now, endpoint) if endpoint.evidence else 0.0
+        return load + missing / policy.tokens_per_load + far + burden + failing
 
 
 class ServiceDecisions:
     """Hosts the balancer of one service: events in, each request's actions out into its own queue."""
 
-    def __init__(self, zone: str, zones: tuple[str, ...], seed: int) -> None:
+    def __init__(self, zone: str, zones: tuple[str, ...], seed: int, policy: SidecarPolicy) -> None:
         limits = i.Limits(max_attempts=MAX_ATTEMPTS, max_retry_after=MAX_RETRY_AFTER, retry_after=True)
         settings = i.Settings(
             classes=(i.RequestClass("unknown", 1.0, 1.0, late_worth=0.3),),
@@ -145,7 +144,7 @@
             zones=zones,
             limits=limits,
         )
-        self.balancer = TierBalancer(settings, seed)
+        self.balancer = TierBalancer(settings, seed, policy)
         self.addresses: dict[str, str] = {}
         self._calls: dict[int, Call] = {}
         self._last = 0
--- a/wheatring/sidecar/forwarder.py
+++ b/wheatring/sidecar/forwarder.py
@@ -8,7 +8,8 @@
 from lapisway import interface as i
 from wheatring.http1.parser import Message
 from wheatring.sidecar import headers
-from wheatring.sidecar.decisions import Call, PromptPart, ServiceDecisions
+from wheatring.sidecar.decisions import Call, ServiceDecisions
+from wheatring.sidecar.prompt_placement import PromptPart
 from wheatring.sidecar.routes import Route
 from wheatring.sidecar.upstream import UpstreamConnection, Upstreams
 from wheatring.sidecar.verdict import AttemptFailed, Rejected, Verdict
@@ -202,7 +203,7 @@
         self._release(answer)
         latency = self._now() - answer.begun
         if self.request.parts:
-            self.decisions.balancer.prompt_read(self._now(), answer.endpoint, self.request.parts)
+            self.decisions.balancer.caches.read(self._now(), answer.endpoint, self.request.parts)
         load = reported_load(answer.message)
         self.decisions.ended(self.call, answer.endpoint, i.Outcome.SERVED, latency, load)
 
--- /dev/null
+++ b/wheatring/sidecar/policy.py
@@ -0,0 +1,55 @@
+"""The figures by which a sidecar decides, one field for each mechanism, with its default.
+
+A file may set other ones (`sidecar --policy FILE`, TOML, the names of the fields as keys), so that what a
+mechanism is worth can be measured without a change of the program."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from pathlib import Path
+from typing import Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SidecarPolicy:
+    """Placement of prompts, and how long silence is borne. Costs are parts of an endpoint's full batch."""
+
+    tokens_per_load: float = 4000.0  # prompt tokens to be read that weigh as much as a full batch
+    far_cost: float = 0.3  # for an endpoint in another zone
+    burden_cost: float = 0.2  # for each unit by which an endpoint is slower than usual
+    failing_cost: float = 1.0  # for an endpoint that has failed since it last served; fades within seconds
+    prefix_seconds: float = 20.0  # for which a prompt part is taken to be cached where it was read
+    prompt_homes: bool = True  # lines of turns have a home that all sidecars of a zone know
+    sub_agent_spread: int = 2  # endpoints over which the sub-agents of a line are spread
+
+
+DEFAULT_POLICY = SidecarPolicy()
+
+
+class PolicyError(Exception):
+    """A policy file that cannot be used; the text names the file and the key."""
+
+
+def read_policy(path: Path) -> SidecarPolicy:
+    """Read a policy file. Raises PolicyError."""
+    import tomllib  # needed by this option alone
+
+    try:
+        values = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise PolicyError(f"{path}: {error}") from error
+    fields = {field.name: field.default for field in dataclasses.fields(SidecarPolicy)}
+    for key, value in values.items():
+        if key not in fields:
+            raise PolicyError(f"{path}: {key}: no such key")
+        if not _fits(value, fields[key]):
+            raise PolicyError(f"{path}: {key}: must be like {fields[key]!r}, is {value!r:.40}")
+    return SidecarPolicy(**values)
+
+
+def _fits(value: Any, default: Any) -> bool:
+    if isinstance(default, bool) or isinstance(value, bool):
+        return isinstance(default, bool) and isinstance(value, bool)
+    kinds = (int, float) if isinstance(default, float) else int
+    return isinstance(value, kinds) and math.isfinite(value) and value >= 0
--- a/wheatring/sidecar/process.py
+++ b/wheatring/sidecar/process.py
@@ -15,6 +15,7 @@
 from wheatring.settings.watch import SettingsWatch
 from wheatring.sidecar.client_connection import ClientConnection, ConnectionSettings, Handler
 from wheatring.sidecar.decisions import ServiceDecisions
+from wheatring.sidecar.policy import DEFAULT_POLICY, SidecarPolicy
 from wheatring.sidecar.routes import Limits, RouteTable
 from wheatring.sidecar.service import RequestService
 from wheatring.sidecar.upstream import Upstreams
@@ -35,8 +36,9 @@
 class Sidecar:
     """The owner of all state of one sidecar process."""
 
-    def __init__(self, settings: Settings, random: Random) -> None:
+    def __init__(self, settings: Settings, random: Random, policy: SidecarPolicy = DEFAULT_POLICY) -> None:
         self.settings = settings
+        self._policy = policy
         self._random = random
         self._watch = SettingsWatch(settings)
         self.subscription = Subscription(
@@ -164,7 +166,7 @@
             decisions = self.service.decisions.get(name)
             if decisions is None:
                 seed = self._random.getrandbits(32)
-                decisions = ServiceDecisions(self.settings.zone, tuple(sorted(zones)), seed)
+                decisions = ServiceDecisions(self.settings.zone, tuple(sorted(zones)), seed, self._policy)
                 self.service.decisions[name] = decisions
             decisions.set_endpoints(entries)
         self._upstreams.keep_only(usable)
--- a/wheatring/sidecar/service.py
+++ b/wheatring/sidecar/service.py
@@ -13,9 +13,10 @@
 from wheatring.settings.events import log_event
 from wheatring.sidecar import headers
 from wheatring.sidecar.client_connection import ClientConnection
-from wheatring.sidecar.decisions import PromptPart, ServiceDecisions
+from wheatring.sidecar.decisions import ServiceDecisions
 from wheatring.sidecar.event_stream import Event, EventCutter
 from wheatring.sidecar.forwarder import Answer, Forwarding, OutgoingRequest
+from wheatring.sidecar.prompt_placement import PromptPart
 from wheatring.sidecar.routes import RouteTable
 from wheatring.sidecar.upstream import Upstreams
 from wheatring.sidecar.verdict import AttemptFailed, Rejected, Verdict
--- a/wheatring/tier/__main__.py
+++ b/wheatring/tier/__main__.py
@@ -4,7 +4,7 @@
 
 import click
 
-from wheatring.tier.roles import ROLES
+from wheatring.tier.roles import ROLES, run_sidecar
 
 
 @click.group()
@@ -13,7 +13,15 @@
 
 
 for _name, _run in ROLES.items():
-    main.command(_name, help=_run.__doc__)(_run)
+    if _run is not run_sidecar:
+        main.command(_name, help=_run.__doc__)(_run)
+
+
+@main.command(help=run_sidecar.__doc__)
+@click.option("--policy", type=click.Path(exists=True, dir_okay=False), help="figures to decide by, TOML")
+def sidecar(policy: str | None) -> None:
+    """See run_sidecar."""
+    run_sidecar(policy)
 
 
 @main.command()
--- a/wheatring/tier/roles.py
+++ b/wheatring/tier/roles.py
@@ -2,14 +2,23 @@
 
 from __future__ import annotations
 
-from wheatring.tier.run import run
+import sys
+from pathlib import Path
 
+from wheatring.tier.run import STATUS_CANNOT_START, run
 
-def run_sidecar() -> None:
-    """Serve clients on an edge machine."""
+
+def run_sidecar(policy: str | None = None) -> None:
+    """Serve clients on an edge machine. `policy` is a file of figures to decide by."""
+    from wheatring.sidecar.policy import DEFAULT_POLICY, PolicyError, read_policy
     from wheatring.sidecar.process import Sidecar
 
-    run(Sidecar)
+    try:
+        chosen = read_policy(Path(policy)) if policy is not None else DEFAULT_POLICY
+    except PolicyError as error:
+        print(f"wheatring: {error}", file=sys.stderr)
+        sys.exit(STATUS_CANNOT_START)
+    run(lambda settings, random: Sidecar(settings, random, chosen))
 
 
 def run_controller() -> None:
--- a/wheatring/tier/start.py
+++ b/wheatring/tier/start.py
@@ -4,15 +4,19 @@
 
 import sys
 
-from wheatring.tier.roles import ROLES
+from wheatring.tier.roles import ROLES, run_sidecar
 
 
 def main() -> None:
-    """A single word that names a role runs it; everything else is for the command line."""
-    role = ROLES.get(sys.argv[1]) if len(sys.argv) == 2 else None
-    if role is not None:
-        role()
-        return
+    """A single word that names a role runs it, a sidecar with `--policy FILE` too; everything else is for
+    the command line."""
+    match sys.argv[1:]:
+        case [name] if name in ROLES:
+            ROLES[name]()
+            return
+        case ["sidecar", "--policy", file]:
+            run_sidecar(file)
+            return
     from wheatring.tier.__main__ import main as command_line
 
     command_line()
