Keep the order of bytes on one simulated connection where they arrive at one instant

Cause: a new test failed with a KeyError in its client: two writes of one connection that were due at the same instant changed places, since the loop's timers do not keep the order of equal times. Change: arrivals on one connection are at least a nanosecond apart, also those held back by a cut.

--- a/tests/tier/virtual_loop.py
+++ b/tests/tier/virtual_loop.py
@@ -16,6 +16,7 @@
 
 DEFAULT_DELAY = 0.001  # seconds one way
 DISK_DELAY = 0.0005  # seconds for a write and its sync
+ARRIVAL_STEP = 1e-9  # seconds, at least, between two arrivals on one connection
 SYN_RETRY = 1.0  # seconds after which the system tries an unanswered connect again
 
 
@@ -242,7 +243,7 @@
         """They pass again, and what was held back arrives."""
         self.cuts.discard((source, target))
         for transport, arrive in self._held.pop((source, target), []):
-            self.loop.call_later(self.delay(source, target), arrive, context=transport.context)
+            self._arrive((source, target), transport, arrive)
 
     def kill(self, host: str) -> None:
         """A host's processes are gone: its peers get resets, and it hears nothing more."""
@@ -262,8 +263,12 @@
         if way in self.cuts:
             self._held.setdefault(way, []).append((target, call))
             return
+        self._arrive(way, target, call)
+
+    def _arrive(self, way: tuple[str, str], target: VirtualTransport, call: Callable[[], None]) -> None:
+        """Bytes of one connection keep their order; the loop does not keep that of equal times."""
         due = self.loop.time() + self.delay(*way)
-        due = max(due, self._last_arrival.get(target, 0.0))  # bytes of one connection keep their order
+        due = max(due, self._last_arrival.get(target, 0.0) + ARRIVAL_STEP)
         self._last_arrival[target] = due
         self.loop.call_at(due, call, context=target.context)
 
