--- a/tests/tier/test_sidecar.py
+++ b/tests/tier/test_sidecar.py
@@ -257,3 +257,32 @@
         assert got.status == 504 and 1.9 < got.at - began < 2.1
 
     play(tmp_path, {"b1": ["silent"]}, work)
+
+
+def test_a_silent_endpoint_is_left_for_another_one_where_the_stream_can_be_resumed(tmp_path: Path) -> None:
+    async def work(world: EdgeWorld) -> None:
+        for _ in range(40):
+            assert (await world.request("/resume/x")).whole
+        for endpoint in world.endpoints.values():
+            endpoint.script = ["silent"]
+        world.endpoints["b2"].script = ["stream:3"]
+        began = world.loop.time()
+        got = [await world.request("/resume/x", ident=f"late{number}") for number in range(4)]
+        assert all(received.whole and len(received.events) == 3 for received in got)
+        assert max(world.runs(f"late{number}") for number in range(4)) <= 2
+        assert world.loop.time() - began < 2.0
+
+    play(tmp_path, {"b1": ["stream:2"], "b2": ["stream:2"]}, work)
+
+
+def test_a_stream_that_may_not_be_repeated_waits_for_a_silent_endpoint(tmp_path: Path) -> None:
+    async def work(world: EdgeWorld) -> None:
+        for _ in range(40):
+            assert (await world.request("/stream/x")).whole
+        world.endpoints["b1"].script = ["silent"]
+        began = world.loop.time()
+        got = await world.request("/stream/x", ident="late")
+        assert got.status == 504 and world.runs("late") == 1
+        assert world.loop.time() - began > 1.9
+
+    play(tmp_path, {"b1": ["stream:2"]}, work)
--- a/wheatring/sidecar/decisions.py
+++ b/wheatring/sidecar/decisions.py
@@ -10,9 +10,10 @@
 import asyncio
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from math import inf
 
 from lapisway import interface as i
-from lapisway.policy import Balancer, Endpoint, Request
+from lapisway.policy import MAX_TOKENS, Balancer, Endpoint, Norm, Request
 from wheatring.sidecar.policy import SidecarPolicy
 from wheatring.sidecar.prompt_placement import LINE_PART, PromptCaches, PromptPart, home_of
 from wheatring.sidecar.routes import Route
@@ -146,6 +147,7 @@
         )
         self.balancer = TierBalancer(settings, seed, policy)
         self.addresses: dict[str, str] = {}
+        self._heads = Norm()  # time from a send to the head of a stream's answer
         self._calls: dict[int, Call] = {}
         self._last = 0
 
@@ -189,6 +191,20 @@
         self.balancer.classes[route.name] = cls
         self.balancer.norms.setdefault(route.name, type(self.balancer.norm)())
 
+    def head_time(self, route: Route) -> float:
+        """Seconds after which a stream that can be resumed is tried elsewhere, if nothing has come of it.
+
+        Without end where a retry would not be granted, or too little is known of what is usual."""
+        heads = self._heads
+        granted = self.balancer.tokens > MAX_TOKENS / 2
+        if not self.balancer.policy.head_patience or heads.count < KNOWN_ANSWERS or not granted:
+            return inf
+        return max(route.target, heads.mean + self.balancer.policy.head_patience * heads.deviation)
+
+    def head_came(self, seconds: float) -> None:
+        """The head of a stream's answer has come so long after its request was sent."""
+        self._heads.learn(seconds, known=True)
+
     def ended(
         self, call: Call, endpoint: str, outcome: i.Outcome, latency: float, load: float | None
     ) -> None:
--- a/wheatring/sidecar/forwarder.py
+++ b/wheatring/sidecar/forwarder.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from math import inf
 
 from lapisway import interface as i
 from wheatring.http1.parser import Message
@@ -124,15 +125,15 @@
         self.call.attempts += 1
         begun = self._now()
         connection: UpstreamConnection | None = None
-        give_up = self.request.deadline
-        if self.request.route.kind == "safe":
-            give_up = min(give_up, begun + step.timeout)
+        give_up = min(self.request.deadline, begun + self._patience(step))
         try:
             async with asyncio.timeout_at(give_up):
                 connection = await self._connect(step.endpoint)
                 left = self.request.deadline - self._now()
                 data = self.request.encode(step.endpoint, left)
                 message = await connection.send(data, self.request.request_id)
+                if self.request.route.streaming:
+                    self.decisions.head_came(self._now() - begun)
                 answer = Answer(message, connection, step.endpoint, begun)
                 return await self._judge(answer)
         except AttemptFailed as failed:
@@ -149,6 +150,16 @@
             raise
         return None
 
+    def _patience(self, step: i.Send) -> float:
+        """How long an attempt may go without an answer's head, where it may be repeated (seconds)."""
+        route = self.request.route
+        if route.kind == "safe":
+            return step.timeout
+        last = self.call.attempts >= route.max_attempts
+        if route.effect is not i.Effect.SAFE or last:
+            return inf
+        return self.decisions.head_time(route)
+
     async def _connect(self, endpoint: str) -> UpstreamConnection:
         address = self.decisions.addresses.get(endpoint)
         if address is None:
