Take the zones of a service's endpoints from each list, not from the first one

Cause: a sidecar made its balancers from the first list that it was told, which can hold the first page's zone only. Change: zones are taken from each list of the service.

--- a/tests/tier/test_prompt_placement.py
+++ b/tests/tier/test_prompt_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 from collections import Counter
 from pathlib import Path
@@ -11,7 +12,7 @@
 from hypothesis import strategies as st
 
 from lapisway import interface as i
-from wheatring.sidecar.decisions import TierBalancer
+from wheatring.sidecar.decisions import ServiceDecisions, TierBalancer
 from wheatring.sidecar.policy import DEFAULT_POLICY, PolicyError, SidecarPolicy, read_policy
 from wheatring.sidecar.prompt_placement import PromptCaches, PromptPart, home_of
 
@@ -138,3 +139,19 @@
     with pytest.raises(PolicyError) as error:
         read_policy(file)
     assert str(file) in str(error.value) and "\n" not in str(error.value)
+
+
+def test_zones_are_known_though_the_first_list_holds_one_only() -> None:
+    async def play() -> TierBalancer:
+        decisions = ServiceDecisions("a", 1, DEFAULT_POLICY)
+        listed = [
+            (i.EndpointEntry(name, i.EndpointState.READY, zone=name[2]), f"{name}:80", 6)
+            for name in ENDPOINTS
+        ]
+        decisions.set_endpoints(listed[:6])
+        decisions.set_endpoints(listed)
+        return decisions.balancer
+
+    found = asyncio.run(play())
+    assert {endpoint.entry.zone for endpoint in found.near} == {"a"}
+    assert {endpoint.entry.zone for endpoint in found.far} == {"a", "b"}
--- a/wheatring/sidecar/decisions.py
+++ b/wheatring/sidecar/decisions.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from math import inf
@@ -137,12 +138,11 @@
 class ServiceDecisions:
     """Hosts the balancer of one service: events in, each request's actions out into its own queue."""
 
-    def __init__(self, zone: str, zones: tuple[str, ...], seed: int, policy: SidecarPolicy) -> None:
+    def __init__(self, zone: str, seed: int, policy: SidecarPolicy) -> None:
         limits = i.Limits(max_attempts=MAX_ATTEMPTS, max_retry_after=MAX_RETRY_AFTER, retry_after=True)
         settings = i.Settings(
             classes=(i.RequestClass("unknown", 1.0, 1.0, late_worth=0.3),),
             zone=zone,
-            zones=zones,
             limits=limits,
         )
         self.balancer = TierBalancer(settings, seed, policy)
@@ -159,6 +159,9 @@
         """The service's endpoints, with address and slots, as the list has them now."""
         self.addresses = {entry.endpoint: address for entry, address, _ in entries}
         self.balancer.slots = {entry.endpoint: slots for entry, _, slots in entries}
+        # The first list may hold the endpoints of one zone only, so zones are taken from each list anew.
+        zones = tuple(sorted({entry.zone for entry, _, _ in entries}))
+        self.balancer.settings = dataclasses.replace(self.balancer.settings, zones=zones)
         self._feed(i.View(i.ViewKind.FULL, tuple(entry for entry, _, _ in entries)))
 
     def begin(self, route: Route, time_left: float, parts: tuple[PromptPart, ...]) -> Call:
--- a/wheatring/sidecar/process.py
+++ b/wheatring/sidecar/process.py
@@ -153,9 +153,7 @@
         assert table is not None
         by_service: dict[str, list[tuple[EndpointEntry, str, int]]] = {name: [] for name in table.services}
         usable: set[str] = set()
-        zones = set()
         for endpoint in endpoint_list.endpoints:
-            zones.add(endpoint.zone)
             if endpoint.draining or endpoint.service not in by_service:
                 continue
             entry = EndpointEntry(endpoint.id, EndpointState.READY, zone=endpoint.zone)
@@ -166,7 +164,7 @@
             decisions = self.service.decisions.get(name)
             if decisions is None:
                 seed = self._random.getrandbits(32)
-                decisions = ServiceDecisions(self.settings.zone, tuple(sorted(zones)), seed, self._policy)
+                decisions = ServiceDecisions(self.settings.zone, seed, self._policy)
                 self.service.decisions[name] = decisions
             decisions.set_endpoints(entries)
         self._upstreams.keep_only(usable)
