--- /dev/null
+++ b/tests/tier/test_budget_replies.py
@@ -0,0 +1,52 @@
+"""What replicas send back for budgets: a list for who reserves, nothing for who settles."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from tests.tier.virtual_loop import VirtualLoop
+from wheatring.budgets.budgets import Budgets
+from wheatring.storage.quorum import QuorumClient
+from wheatring.storage.replica import Replica
+from wheatring.transport.messages_pb2 import Envelope, Placement, StorageMember, StorageReply
+
+
+class OneReplica:
+    """Stands in for the table of clients: every address is the same replica."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+        self.replies: list[StorageReply] = []
+
+    def to(self, address: str) -> OneReplica:
+        return self
+
+    async def call(self, envelope: Envelope, timeout: float) -> Envelope:
+        reply = await self._replica.handle(envelope.storage_request)
+        self.replies.append(reply)
+        return Envelope(storage_reply=reply)
+
+
+def test_a_settlement_reads_nothing_back_and_counts_at_the_next_reservation(tmp_path: Path) -> None:
+    loop = VirtualLoop()
+
+    async def play() -> list[StorageReply]:
+        replica = Replica(tmp_path, 0, loop.time)
+        replica.open()
+        member = StorageMember(replica_id=replica.identity, node="s1", address="s1")
+        placement = Placement(epoch=1, current=[member])
+        clients = OneReplica(replica)
+        store = QuorumClient(clients, 0, "z", lambda: placement, lambda newer: None)  # type: ignore[arg-type]
+        budgets = Budgets(store)
+        await budgets.reserve("program", "t1", 60, 100, 1.0)
+        budgets.settle("program", "t1", 10)
+        await asyncio.sleep(0.1)
+        await budgets.reserve("program", "t2", 90, 100, 1.0)  # 10 + 90 fit, 60 + 90 would not
+        return clients.replies
+
+    reserved, settled, again = loop.run_until_complete(play())
+    assert [entry.turn for entry in reserved.budget] == ["t1"]
+    assert not settled.budget
+    assert {entry.turn: entry.tokens for entry in again.budget} == {"t1": 10, "t2": 90}
+    assert not any(entry.program for entry in (*reserved.budget, *again.budget))
