Keep prompts in their zone only where every zone has its share of the endpoints

Cause: with the zones known, a zone with one of four endpoints got a third of the prompts. Change: prompts keep to their zone, and the decision module is told of zones, where each zone has two endpoints or more and four fifths of the mean of all zones or more; else lines have their homes among all endpoints. It goes by the list in force.

--- a/tests/tier/test_prompt_placement.py
+++ b/tests/tier/test_prompt_placement.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from lapisway import interface as i
-from wheatring.sidecar.decisions import ServiceDecisions, TierBalancer
+from wheatring.sidecar.decisions import ServiceDecisions, TierBalancer, are_even
 from wheatring.sidecar.policy import DEFAULT_POLICY, PolicyError, SidecarPolicy, read_policy
 from wheatring.sidecar.prompt_placement import PromptCaches, PromptPart, home_of
 
@@ -32,6 +32,7 @@
     found.slots = dict.fromkeys(ENDPOINTS, 6)
     entries = tuple(i.EndpointEntry(name, i.EndpointState.READY, zone=name[2]) for name in ENDPOINTS)
     found.handle(0.0, i.View(i.ViewKind.FULL, entries))
+    found.zones_carry_themselves = True
     return found
 
 
@@ -107,6 +108,38 @@
             endpoint.ill = 0
 
 
+ENDPOINTS_BY_ZONE = {
+    (6, 6, 5, 5): True,
+    (2, 2, 3): True,
+    (2, 1, 1): False,
+    (1, 1, 1): False,
+    (7, 4, 7): False,
+    (): False,
+}
+
+
+@pytest.mark.parametrize("counts", ENDPOINTS_BY_ZONE)
+def test_zones_carry_themselves_where_all_have_their_share(counts: tuple[int, ...]) -> None:
+    by_zone = {f"z{number}": count for number, count in enumerate(counts)}
+    assert are_even(by_zone, DEFAULT_POLICY) is ENDPOINTS_BY_ZONE[counts]
+
+
+def test_lines_are_spread_over_all_zones_where_these_are_uneven() -> None:
+    sidecars = [balancer(zone, seed) for seed, zone in enumerate("aabb")]
+    for sidecar in sidecars:
+        sidecar.zones_carry_themselves = False
+    chosen: Counter[str] = Counter()
+    for line in range(40):
+        at_home = {sent_to(sidecar, 1.0, line, prompt(line)) for sidecar in sidecars}
+        assert len(at_home) == 1
+        chosen.update(endpoint[2] for endpoint in at_home)
+        for sidecar in sidecars:
+            sidecar.handle(1.0, i.ClientGone(line))
+            for endpoint in sidecar.endpoints.values():
+                endpoint.in_flight = 0
+    assert min(chosen["a"], chosen["b"]) > 10
+
+
 def test_the_far_zone_takes_over_where_the_near_one_is_full() -> None:
     found = balancer("a", 3)
     zones = Counter(sent_to(found, 1.0, number, prompt(number))[2] for number in range(60))
@@ -155,3 +188,4 @@
     found = asyncio.run(play())
     assert {endpoint.entry.zone for endpoint in found.near} == {"a"}
     assert {endpoint.entry.zone for endpoint in found.far} == {"a", "b"}
+    assert found.zones_carry_themselves
--- a/wheatring/sidecar/decisions.py
+++ b/wheatring/sidecar/decisions.py
@@ -9,7 +9,8 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from math import inf
 
@@ -36,6 +37,13 @@
     steps: asyncio.Queue[i.Action] = field(default_factory=asyncio.Queue)
 
 
+def are_even(endpoints_by_zone: Mapping[str, int], policy: SidecarPolicy) -> bool:
+    """Whether every zone can carry its own traffic: no zone has far less than its share of the endpoints."""
+    least = min(endpoints_by_zone.values(), default=0)
+    share = sum(endpoints_by_zone.values()) / max(len(endpoints_by_zone), 1)
+    return least >= policy.least_in_zone and least >= policy.least_zone_share * share
+
+
 class TierBalancer(Balancer):
     """The decision module with the tier's limits."""
 
@@ -46,6 +54,7 @@
         self.slots: dict[str, int] = {}  # by endpoint
         self.parts: dict[int, tuple[PromptPart, ...]] = {}  # by request
         self.caches = PromptCaches(policy.prefix_seconds)
+        self.zones_carry_themselves = False  # so that prompts stay in their zone
 
     def may_retry(self, now: float, request: Request, outcome: i.Outcome) -> bool:
         """The attempt limit is the route's."""
@@ -105,12 +114,14 @@
         return not self.alone(now, endpoint) and endpoint.in_flight < endpoint.window
 
     def _home(self, parts: Sequence[PromptPart]) -> Endpoint | None:
-        """Where a line of turns is at home, in this zone if it has its share of the endpoints."""
-        zone = self.settings.zone
-        pool = {e.entry.endpoint: e for e in self.ready if not self.far or e.entry.zone == zone}
+        """Where a line of turns is at home: in this zone, where zones carry themselves."""
+        pool = {e.entry.endpoint: e for e in self.ready if not self._is_far(e)}
         name = home_of(parts, pool.keys(), self.policy.sub_agent_spread)
         return pool[name] if name is not None else None
 
+    def _is_far(self, endpoint: Endpoint) -> bool:
+        return self.zones_carry_themselves and endpoint.entry.zone != self.settings.zone
+
     def _holders(self, now: float, parts: Sequence[PromptPart]) -> list[Endpoint]:
         """Endpoints that hold the last part of a prompt that anyone is known to hold."""
         for part in reversed(parts):
@@ -129,7 +140,7 @@
             missing = min(missing, sum(part.tokens for part in parts[LINE_PART + 1 :]))
         slots = max(self.slots.get(endpoint.entry.endpoint, 1), 1)
         load = self.occupancy(now, endpoint) / slots
-        far = policy.far_cost if endpoint.entry.zone != self.settings.zone else 0.0
+        far = policy.far_cost if self._is_far(endpoint) else 0.0
         burden = max(0.0, self.burden(now, endpoint) - 1) * policy.burden_cost
         failing = policy.failing_cost * self.fade(now, endpoint) if endpoint.evidence else 0.0
         return load + missing / policy.tokens_per_load + far + burden + failing
@@ -160,8 +171,11 @@
         self.addresses = {entry.endpoint: address for entry, address, _ in entries}
         self.balancer.slots = {entry.endpoint: slots for entry, _, slots in entries}
         # The first list may hold the endpoints of one zone only, so zones are taken from each list anew.
-        zones = tuple(sorted({entry.zone for entry, _, _ in entries}))
+        by_zone = Counter(entry.zone for entry, _, _ in entries)
+        even = are_even(by_zone, self.balancer.policy)
+        zones = tuple(sorted(by_zone)) if even else ()
         self.balancer.settings = dataclasses.replace(self.balancer.settings, zones=zones)
+        self.balancer.zones_carry_themselves = even
         self._feed(i.View(i.ViewKind.FULL, tuple(entry for entry, _, _ in entries)))
 
     def begin(self, route: Route, time_left: float, parts: tuple[PromptPart, ...]) -> Call:
--- a/wheatring/sidecar/policy.py
+++ b/wheatring/sidecar/policy.py
@@ -17,6 +17,8 @@
 
     tokens_per_load: float = 4000.0  # prompt tokens to be read that weigh as much as a full batch
     far_cost: float = 0.3  # for an endpoint in another zone
+    least_in_zone: int = 2  # endpoints of each zone, below which prompts go to any zone
+    least_zone_share: float = 0.8  # of the mean of all zones, likewise
     burden_cost: float = 0.2  # for each unit by which an endpoint is slower than usual
     failing_cost: float = 1.0  # for an endpoint that has failed since it last served; fades within seconds
     head_patience: float = 8.0  # mean deviations past the mean, after which a silent stream goes elsewhere
