--- a/wheatring/storage/table.py
+++ b/wheatring/storage/table.py
@@ -102,8 +102,7 @@
         return ("turn", turn_id, "") in self._held
 
     def renew(self, turn_id: str, now: float) -> bool:
-        """Keep a turn and its ancestors for their full time from now on, as if it had come now. Returns whether
-        it is here."""
+        """Keep a turn and its ancestors for their full time from now on. Returns whether it is here."""
         key = ("turn", turn_id, "")
         held = self._held.get(key)
         if held is None:
