Give each endpoint connection one owner, and each response one head

Cause: read_full_body released the connection of a streaming route's answer other than 200, and record_success released it again, so two later requests could take the same connection. A large plain answer whose deadline passed in its body got the head of a 504 into it, as nothing knew that a head had left. Found beside them: a complete response that is no complete stream left its connection open for good; the rest of a resumed stream was read from a 404; an answer that is no stream had no deadline on a streaming route, and one that broke off cut the client's connection without any response.

Change: the pool hands out an AcquiredConnection, which is returned once; a second release, or any use behind it, raises ConnectionReturnedError. ClientConnection keeps how much of its response was written: a second head raises ResponseStartedError, send_error cuts off what has begun, and a handler that leaves a response incomplete ends the connection. http1 was read for the same faults: each end takes the attempt out of the connection before it settles it, and reject() checks for an answer under way; nothing was changed there.

--- a/wheatring/sidecar/client_connection.py
+++ b/wheatring/sidecar/client_connection.py
@@ -5,12 +5,14 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Any
 
 from wheatring.event_log import log_event
 from wheatring.http1.exceptions import MalformedMessageError
 from wheatring.http1.parser import Message, MessageParser
 from wheatring.http1.responses import REASON_PHRASES, encode_response
+from wheatring.sidecar.exceptions import ResponseStartedError
 from wheatring.sidecar.route_table import Limits
 
 MAX_PIPELINED_BYTES = 256 * 1024  # that a client may send ahead while a request is in flight
@@ -18,6 +20,14 @@
 RequestHandler = Callable[["ClientConnection", Message, float], Awaitable[None]]
 
 
+class ResponseState(Enum):
+    """How much of the response to the request in flight has been written."""
+
+    NOT_STARTED = "not started"
+    HEAD_SENT = "head sent"  # what may follow is the rest of the body, or the end of the connection
+    COMPLETE = "complete"
+
+
 @dataclass(slots=True)
 class ConnectionSettings:
     """What all client connections of a sidecar share; replaced as a whole when it changes."""
@@ -59,6 +69,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._received_at = 0.0
         self._is_ended = False
+        self._response_state = ResponseState.COMPLETE  # of no request yet
+        self._is_chunked = False
 
     # Called by the event loop
 
@@ -129,6 +141,7 @@
             return
         self._clear_timer()
         self._keep_alive = message.keep_alive
+        self._response_state = ResponseState.NOT_STARTED
         self._task = asyncio.get_running_loop().create_task(self._serve(message))
 
     async def _serve(self, message: Message) -> None:
@@ -143,6 +156,10 @@
             self._task = None
         if self._is_ended:
             return
+        if self._response_state is not ResponseState.COMPLETE:
+            log_event("request-broken", error=f"response {self._response_state.value}")
+            self.abort_response()
+            return
         if not self._keep_alive or self._settings().is_closing:
             self.close()
             return
@@ -175,13 +192,24 @@
 
     # Responses
 
+    @property
+    def is_response_started(self) -> bool:
+        """Whether a head has been sent, so that no other response can be."""
+        return self._response_state is not ResponseState.NOT_STARTED
+
+    def _begin_response(self, state: ResponseState) -> None:
+        if self.is_response_started:
+            raise ResponseStartedError(f"response {self._response_state.value}")
+        self._response_state = state
+
     def _connection_field(self) -> bytes:
         if self._settings().is_closing and not self._reader.has_partial_message:
             self._keep_alive = False
         return b"" if self._keep_alive else b"Connection: close\r\n"
 
     def send_response(self, status: int, fields: bytes = b"", body: bytes = b"") -> None:
-        """Write a complete response; `fields` are encoded header lines."""
+        """Write a complete response; `fields` are encoded header lines. Raises ResponseStartedError."""
+        self._begin_response(ResponseState.COMPLETE)
         reason = REASON_PHRASES.get(status, b"OK")
         closing = self._connection_field()
         head = b"HTTP/1.1 %d %s\r\n%s%sContent-Length: %d\r\n\r\n" % (
@@ -194,24 +222,35 @@
         self._transport.write(head + body)
 
     def start_response(self, status: int, fields: bytes, length: int | None = None) -> None:
-        """Write the head of a response whose body follows; without a length it is chunked."""
+        """Write the head of a response whose body follows; without a length it is chunked.
+
+        Raises ResponseStartedError.
+        """
+        self._begin_response(ResponseState.HEAD_SENT)
+        self._is_chunked = length is None
         reason = REASON_PHRASES.get(status, b"OK")
         framing = b"Transfer-Encoding: chunked\r\n" if length is None else b"Content-Length: %d\r\n" % length
         closing = self._connection_field()
         self._transport.write(b"HTTP/1.1 %d %s\r\n%s%s%s\r\n" % (status, reason, fields, framing, closing))
 
-    def write_chunk(self, data: bytes) -> None:
-        """Write a chunk of a body without a length."""
-        if data:
-            self._transport.write(b"%x\r\n%s\r\n" % (len(data), data))
-
     def write_body(self, data: bytes) -> None:
-        """Write a part of a body with a length."""
+        """Write a part of the body of a response whose head was written."""
+        if self._is_chunked and data:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
         self._transport.write(data)
 
-    def finish_chunked_response(self) -> None:
-        """Write the last chunk of a body without a length."""
-        self._transport.write(b"0\r\n\r\n")
+    def finish_response(self) -> None:
+        """End a response whose body was written completely."""
+        self._response_state = ResponseState.COMPLETE
+        if self._is_chunked:
+            self._transport.write(b"0\r\n\r\n")
+
+    def send_error(self, status: int, fields: bytes = b"", body: bytes = b"") -> None:
+        """Write a complete error response, or cut off the response whose head was sent before."""
+        if self.is_response_started:
+            self.abort_response()
+        else:
+            self.send_response(status, fields, body)
 
     async def drain(self) -> None:
         """Wait for a client that reads slowly."""
--- a/wheatring/sidecar/connection_pool.py
+++ b/wheatring/sidecar/connection_pool.py
@@ -1,4 +1,4 @@
-"""Idle connections to endpoints, and the connects for new ones."""
+"""Idle connections to endpoints, the connects for new ones, and one request's exclusive use of each."""
 
 from __future__ import annotations
 
@@ -6,21 +6,66 @@
 from collections import deque
 
 from wheatring.balancer.interface import Outcome
+from wheatring.http1.parser import Message
 from wheatring.sidecar.endpoint_connection import EndpointConnection
-from wheatring.sidecar.exceptions import AttemptFailedError, ExecutionState
+from wheatring.sidecar.exceptions import AttemptFailedError, ConnectionReturnedError, ExecutionState
 
 CONNECT_TIMEOUT_SECONDS = 0.6
 MAX_IDLE_PER_ENDPOINT = 64
 
 
+class AcquiredConnection:
+    """One request's exclusive use of a connection, which it returns once: by `release` or by `abort`.
+
+    A connection that was returned may carry another request's response, so all but `abort` raises
+    ConnectionReturnedError from then on.
+    """
+
+    def __init__(self, connection: EndpointConnection, pool: EndpointConnectionPool) -> None:
+        self._connection: EndpointConnection | None = connection  # None once it was returned
+        self._pool = pool
+
+    def _held(self) -> EndpointConnection:
+        if self._connection is None:
+            raise ConnectionReturnedError("the connection was returned to its pool")
+        return self._connection
+
+    async def send(self, data: bytes, request_id: bytes) -> Message:
+        """Write a request and return the head of its response. Raises AttemptFailedError."""
+        return await self._held().send(data, request_id)
+
+    async def read_body(self) -> tuple[bytes, bool]:
+        """Return more of the response's body, and whether that was all. Raises AttemptFailedError."""
+        return await self._held().read_body()
+
+    def release(self, message: Message) -> None:
+        """Return a connection whose response, `message`, was read to its end.
+
+        Raises
+        ------
+        ConnectionReturnedError
+            It was returned before: a second owner would share it with the next request.
+        """
+        connection = self._held()
+        self._connection = None
+        connection.finish_response(message, asyncio.get_running_loop().time())
+        self._pool.keep(connection)
+
+    def abort(self) -> None:
+        """End a connection that was not returned yet; without effect on one that was."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.abort()
+
+
 class EndpointConnectionPool:
     """Idle connections by endpoint, and the connects for new ones."""
 
     def __init__(self) -> None:
         self._idle: dict[str, deque[EndpointConnection]] = {}
 
-    async def acquire(self, endpoint: str, address: str, timeout_seconds: float) -> EndpointConnection:
-        """Return an idle connection or a new one.
+    async def acquire(self, endpoint: str, address: str, timeout_seconds: float) -> AcquiredConnection:
+        """Return the exclusive use of an idle connection or of a new one.
 
         Raises AttemptFailedError, and then nothing was sent.
         """
@@ -30,7 +75,7 @@
         while idle:
             connection = idle.pop()
             if connection.is_usable and connection.address == address and now < connection.idle_until:
-                return connection
+                return AcquiredConnection(connection, self)
             connection.abort()
         host, _, port = address.rpartition(":")
         try:
@@ -42,10 +87,10 @@
             raise AttemptFailedError(
                 ExecutionState.NOT_RUN, Outcome.CONNECT_FAILED, f"connect: {error!r}"
             ) from error
-        return connection
+        return AcquiredConnection(connection, self)
 
-    def release(self, connection: EndpointConnection) -> None:
-        """Keep a connection whose response was read to its end, if it may be used again."""
+    def keep(self, connection: EndpointConnection) -> None:
+        """Keep a connection that nobody uses for a next request, if it may carry one."""
         if not connection.is_reusable:
             return
         idle = self._idle.setdefault(connection.endpoint, deque())
--- a/wheatring/sidecar/endpoint_response.py
+++ b/wheatring/sidecar/endpoint_response.py
@@ -6,7 +6,7 @@
 
 from wheatring.http1.parser import Message
 from wheatring.sidecar import headers
-from wheatring.sidecar.endpoint_connection import EndpointConnection
+from wheatring.sidecar.connection_pool import AcquiredConnection
 
 
 @dataclass(slots=True)
@@ -17,7 +17,7 @@
     """
 
     message: Message
-    connection: EndpointConnection
+    connection: AcquiredConnection
     endpoint: str
     sent_at: float
 
--- a/wheatring/sidecar/exceptions.py
+++ b/wheatring/sidecar/exceptions.py
@@ -34,5 +34,13 @@
     retry_after_seconds: float = 0.0  # 0: the response has no Retry-After
 
 
+class ConnectionReturnedError(RuntimeError):
+    """A connection was used or released by a request that had returned it before: a fault of the program."""
+
+
+class ResponseStartedError(RuntimeError):
+    """A second head was to be written into a response: a fault of the program."""
+
+
 class PolicyError(Exception):
     """A policy file that cannot be used; the text names the file and the key."""
--- a/wheatring/sidecar/forwarder.py
+++ b/wheatring/sidecar/forwarder.py
@@ -8,8 +8,7 @@
 
 from wheatring.balancer import interface as i
 from wheatring.sidecar import headers
-from wheatring.sidecar.connection_pool import EndpointConnectionPool
-from wheatring.sidecar.endpoint_connection import EndpointConnection
+from wheatring.sidecar.connection_pool import AcquiredConnection, EndpointConnectionPool
 from wheatring.sidecar.endpoint_response import EndpointResponse, ErrorResponse, reported_load
 from wheatring.sidecar.exceptions import AttemptFailedError, ExecutionState, RequestRejectedError
 from wheatring.sidecar.outgoing_request import OutgoingRequest
@@ -87,7 +86,8 @@
         """Send to one endpoint; return None where that has failed and the balancer knows it."""
         self.balanced_request.attempt_count += 1
         sent_at = self._now()
-        connection: EndpointConnection | None = None
+        connection: AcquiredConnection | None = None
+        response: EndpointResponse | None = None
         give_up_at = min(self.request.deadline, sent_at + self._head_timeout(action))
         try:
             async with asyncio.timeout_at(give_up_at):
@@ -96,18 +96,18 @@
                 message = await connection.send(data, self.request.request_id)
                 if self.request.route.is_streaming:
                     self.balancer.record_head_latency(self._now() - sent_at)
-                response = EndpointResponse(message, connection, action.endpoint, sent_at)
-                return await self._classify(response)
+                response = await self._classify(
+                    EndpointResponse(message, connection, action.endpoint, sent_at)
+                )
         except AttemptFailedError as failed:
             self.record_failure(action.endpoint, sent_at, failed)
         except TimeoutError:
             self.record_failure(action.endpoint, sent_at, _timed_out(connection))
-        except asyncio.CancelledError:
-            # The client has gone: closing the connection has the endpoint stop, too.
-            if connection is not None:
+        finally:
+            if response is None and connection is not None:
+                # The attempt has failed, or the client has gone: closing has the endpoint stop, too.
                 connection.abort()
-            raise
-        return None
+        return response
 
     def _head_timeout(self, action: i.Send) -> float:
         """Return how long an attempt may go without a response's head, where it may be repeated (seconds)."""
@@ -119,7 +119,7 @@
             return inf
         return self.balancer.head_timeout_seconds(route)
 
-    async def _connect(self, endpoint: str) -> EndpointConnection:
+    async def _connect(self, endpoint: str) -> AcquiredConnection:
         address = self.balancer.addresses.get(endpoint)
         if address is None:
             raise AttemptFailedError(
@@ -135,37 +135,36 @@
             self.balancer.record_load(response.endpoint, load)
         if status == STATUS_MISDIRECTED or headers.NOT_EXECUTED in message.fields:
             await self.read_full_body(response)
+            response.connection.release(message)
             raise AttemptFailedError(ExecutionState.NOT_RUN, i.Outcome.REJECTED, f"refused with {status}")
         if headers.SIGNATURE not in message.fields:
             # Something between the sidecar and the endpoint has answered: whether it ran is unknown.
-            response.connection.abort()
             raise AttemptFailedError(
                 ExecutionState.MAY_HAVE_RUN, i.Outcome.RESET, f"status {status} without a signature"
             )
         if status >= 500:
             body = await self.read_full_body(response)
+            response.connection.release(message)
             self.error_response = ErrorResponse(status, message.end_to_end_lines(), body)
             raise AttemptFailedError(ExecutionState.RAN, i.Outcome.ERROR, f"status {status}")
         self._response = response
         return response
 
     async def read_full_body(self, response: EndpointResponse) -> bytes:
-        """Return all of a response's body. Raises AttemptFailedError where it breaks off."""
+        """Return all of a response's body. Raises AttemptFailedError where it breaks off.
+
+        The connection stays with the request.
+        """
         chunks = [response.message.body]
         is_complete = not response.message.is_open
         while not is_complete:
             data, is_complete = await response.connection.read_body()
             chunks.append(data)
-        self._release(response)
         return b"".join(chunks)
 
-    def _release(self, response: EndpointResponse) -> None:
-        response.connection.finish_response(response.message, self._now())
-        self.connections.release(response.connection)
-
     def record_failure(self, endpoint: str, sent_at: float, failed: AttemptFailedError) -> None:
         """Report a failed attempt to the balancer, whose next action follows."""
-        self._response = None
+        self._end_response()
         if failed.execution is not ExecutionState.NOT_RUN:
             self.may_have_run = True
             if failed.execution is ExecutionState.MAY_HAVE_RUN:
@@ -176,7 +175,7 @@
     def record_success(self, response: EndpointResponse) -> None:
         """Report a response that was read to its end."""
         self._response = None
-        self._release(response)
+        response.connection.release(response.message)
         now = self._now()
         if self.request.prompt_segments:
             caches = self.balancer.balancer.prefix_caches
@@ -185,20 +184,25 @@
 
     def close(self) -> None:
         """End the request, in whatever state it is."""
-        response, self._response = self._response, None
+        response = self._end_response()
         if response is not None:
-            response.connection.abort()
             self._finish_attempt(response, i.Outcome.CANCELLED, None)
         self.balancer.finish_request(self.balanced_request)
 
+    def _end_response(self) -> EndpointResponse | None:
+        """End the connection of the response that is being read, and return that response."""
+        response, self._response = self._response, None
+        if response is not None:
+            response.connection.abort()
+        return response
+
     def _finish_attempt(self, response: EndpointResponse, outcome: i.Outcome, load: float | None) -> None:
         latency = self._now() - response.sent_at
         self.balancer.finish_attempt(self.balanced_request, response.endpoint, outcome, latency, load)
 
 
-def _timed_out(connection: EndpointConnection | None) -> AttemptFailedError:
-    """Return the failure of an attempt without a response in time, and end its connection."""
+def _timed_out(connection: AcquiredConnection | None) -> AttemptFailedError:
+    """Return the failure of an attempt without a response in time."""
     if connection is None:
         return AttemptFailedError(ExecutionState.NOT_RUN, i.Outcome.CONNECT_FAILED, "no answer in time")
-    connection.abort()
     return AttemptFailedError(ExecutionState.MAY_HAVE_RUN, i.Outcome.TIMED_OUT, "no answer in time")
--- a/wheatring/sidecar/plain_requests.py
+++ b/wheatring/sidecar/plain_requests.py
@@ -31,7 +31,7 @@
             error = forwarder.error_response
             if error is None:
                 raise
-            client.send_response(error.status, error.fields, error.body)
+            client.send_error(error.status, error.fields, error.body)
         finally:
             forwarder.close()
 
@@ -46,6 +46,9 @@
             except AttemptFailedError as failed:
                 forwarder.record_failure(response.endpoint, response.sent_at, failed)
             except TimeoutError:
+                if client.is_response_started:
+                    self._break_off(client, "the answer was not whole in time")
+                    return
                 raise RequestRejectedError(504, "the answer was not whole in time") from None
 
     async def _pass_on(
@@ -73,18 +76,21 @@
         """Pass a large response on as it comes; `body` is what has come so far."""
         message = response.message
         client.start_response(response.status, message.end_to_end_lines(), message.content_length)
-        write = client.write_chunk if message.content_length is None else client.write_body
-        write(body)
+        client.write_body(body)
         is_complete = False
         try:
             while not is_complete:
                 data, is_complete = await response.connection.read_body()
-                write(data)
+                client.write_body(data)
                 await client.drain()
-        except (AttemptFailedError, TimeoutError) as error:
-            log_event("answer-broken-off", error=repr(error))
-            client.abort_response()
+        except AttemptFailedError as failed:
+            self._break_off(client, repr(failed))
             return
-        if message.content_length is None:
-            client.finish_chunked_response()
+        client.finish_response()
         forwarder.record_success(response)
+
+    @staticmethod
+    def _break_off(client: ClientConnection, reason: str) -> None:
+        """Cut off a response whose head has left: nothing but the rest of its body may follow."""
+        log_event("answer-broken-off", error=reason)
+        client.abort_response()
--- a/wheatring/sidecar/request_service.py
+++ b/wheatring/sidecar/request_service.py
@@ -70,7 +70,7 @@
         fields = b"Wheatring-Request-Id: %s\r\n" % message.fields.get(headers.REQUEST_ID, b"")
         if rejected.retry_after_seconds > 0:
             fields += b"Retry-After: %.3f\r\n" % rejected.retry_after_seconds
-        client.send_response(rejected.status, fields)
+        client.send_error(rejected.status, fields)
         if rejected.status not in UNLOGGED_STATUSES:
             request_id = headers.decode_text(message.fields.get(headers.REQUEST_ID))
             log_event("rejected", request=request_id, status=rejected.status, reason=rejected.reason)
--- a/wheatring/sidecar/streaming_requests.py
+++ b/wheatring/sidecar/streaming_requests.py
@@ -44,7 +44,6 @@
         self.request = request
         self.turn = turn
         self.forwarder = forwarder
-        self.is_started = False  # the head of the response has been sent
 
     async def pass_on(self) -> bool:
         """Pass the stream on to its last event; return False where the response was no stream.
@@ -60,29 +59,36 @@
         """
         while True:
             response = await self.forwarder.next_response()
-            if not self.is_started:
-                if response.status != 200:
-                    body = await self.forwarder.read_full_body(response)
-                    self.client.send_response(response.status, response.message.end_to_end_lines(), body)
-                    self.forwarder.record_success(response)
-                    return False
-                self.client.start_response(response.status, response.message.end_to_end_lines())
-                self.is_started = True
+            is_stream = response.status == 200
             try:
                 async with asyncio.timeout_at(self.request.deadline):
-                    await self._copy_events(response)
+                    if is_stream:
+                        await self._copy_events(response)
+                    else:
+                        await self._copy_body(response)
                     break
             except AttemptFailedError as failed:
                 self.forwarder.record_failure(response.endpoint, response.sent_at, failed)
                 if not self.request.route.is_resumable:
                     raise
         self.forwarder.record_success(response)
-        return True
+        return is_stream
+
+    async def _copy_body(self, response: EndpointResponse) -> None:
+        """Pass on a response that is no stream. Raises AttemptFailedError where it breaks off."""
+        if self.client.is_response_started:
+            raise AttemptFailedError(
+                ExecutionState.RAN, Outcome.ERROR, f"status {response.status} for the rest of a stream"
+            )
+        body = await self.forwarder.read_full_body(response)
+        self.client.send_response(response.status, response.message.end_to_end_lines(), body)
 
     async def _copy_events(self, response: EndpointResponse) -> None:
         """Pass events on as they come. Raises AttemptFailedError where the stream breaks off."""
         parser = EventParser()
         message = response.message
+        if not self.client.is_response_started:
+            self.client.start_response(response.status, message.end_to_end_lines())
         data, is_complete = message.body, not message.is_open
         while True:
             events = parser.feed(data) if data else []
@@ -111,12 +117,22 @@
             passed.append(event.raw)
             self.turn.delivered_events += 1
             self.turn.output.append(event.data + b"\n")
-        self.client.write_chunk(b"".join(passed))
+        self.client.write_body(b"".join(passed))
 
-    def cut(self, reason: str) -> None:
-        """End the client's connection, so that the response does not look complete."""
-        log_event("stream-cut", request=headers.decode_text(self.request.request_id), reason=reason)
-        self.client.abort_response()
+    def end_with_error(self, rejected: RequestRejectedError) -> None:
+        """End a stream that will not be complete: cut it off, or pass on the endpoint's own error.
+
+        Raises RequestRejectedError where nothing has been sent and no endpoint has stated an error.
+        """
+        error_response = self.forwarder.error_response
+        if self.client.is_response_started:
+            request_id = headers.decode_text(self.request.request_id)
+            log_event("stream-cut", request=request_id, reason=rejected.reason)
+            self.client.abort_response()
+        elif error_response is not None:
+            self.client.send_response(error_response.status, error_response.fields, error_response.body)
+        else:
+            raise rejected
 
 
 class StreamingRequestHandler:
@@ -191,28 +207,21 @@
             raise RequestRejectedError(503, str(error), STORE_RETRY_AFTER_SECONDS) from error
 
     async def _answer(self, stream: ResponseStream, chain: list[Turn]) -> None:
-        forwarder = stream.forwarder
         try:
             if await stream.pass_on():
                 if stream.request.route.is_retained:
                     await self._record(stream.request, stream.turn, chain)
-                stream.client.finish_chunked_response()
+                stream.client.finish_response()
         except TimeoutError:
-            stream.cut("the stream was not whole in time")
+            stream.end_with_error(RequestRejectedError(504, "the stream was not whole in time"))
         except QuorumNotReachedError as error:
-            stream.cut(f"the turn could not be recorded: {error}")
+            stream.end_with_error(RequestRejectedError(503, f"the turn could not be recorded: {error}"))
         except AttemptFailedError as failed:
-            stream.cut(f"the stream broke off: {failed.reason}")
+            stream.end_with_error(RequestRejectedError(502, f"the stream broke off: {failed.reason}"))
         except RequestRejectedError as rejected:
-            if stream.is_started:
-                stream.cut(f"the stream broke off and was not resumed: {rejected.reason}")
-            elif forwarder.error_response is not None:
-                error_response = forwarder.error_response
-                stream.client.send_response(error_response.status, error_response.fields, error_response.body)
-            else:
-                raise
+            stream.end_with_error(rejected)
         finally:
-            forwarder.close()
+            stream.forwarder.close()
 
     async def _record(self, request: OutgoingRequest, turn: TurnInProgress, chain: list[Turn]) -> None:
         """Have the turn on disk before the end of its response leaves. Raises QuorumNotReachedError.
