Expect both reasons against a member that reads format 1 only

Cause: the rig's case of skew compared the list of members named with one name, but a member that lacks a plan's format and the windows that came with it is refused for both, as tests of skew have it.

Change: the case compares members and codes: exactly these two of this member. A test without the rig holds that a plan with windows is refused for these two.

--- a/tests/skew/test_requirements.py
+++ b/tests/skew/test_requirements.py
@@ -8,13 +8,19 @@
 
 from tests.skew.generated_plans import ALL, WEIGHTS, plans
 from wheatring.lab.agreement.plan_driver import encode_body
+from wheatring.lab.live.plan_cases import OLD_FORMAT_CODES
 from wheatring.plan.document import (
     Plan,
     PlanRoute,
     PlanWindow,
     Ramp,
 )
-from wheatring.skew.capabilities import FEATURE_FORMATS, LEGACY_CAPABILITIES, Capabilities
+from wheatring.skew.capabilities import (
+    FEATURE_FORMATS,
+    LEGACY_CAPABILITIES,
+    Capabilities,
+    local_capabilities,
+)
 from wheatring.skew.requirements import Requirements, requirements_of, unmet_requirements
 
 
@@ -85,3 +91,11 @@
     assert [one.do for one in older] == ["Push the same plan in format 1, or upgrade it to read 3."]
     few = msgspec.structs.replace(ALL, routes=1)
     assert unmet_requirements(needed(Plan(format=1, routes=(route, route))), few)[0].code == "too-many-routes"
+
+
+def test_a_member_that_reads_format_1_only_lacks_the_format_and_what_came_with_it() -> None:
+    window = PlanWindow(name="w", route="one", weights={"b": 1}, start="2026-10-25T01:30:00", length=1)
+    plan = Plan(format=1, routes=(PlanRoute(name="one", weights=WEIGHTS),), windows=(window,))
+    restricted = local_capabilities([1], version=str)
+    reasons = unmet_requirements(needed(plan), restricted, "d7")
+    assert sorted((each.member, each.code) for each in reasons) == [("d7", code) for code in OLD_FORMAT_CODES]
--- a/wheatring/lab/live/plan_cases.py
+++ b/wheatring/lab/live/plan_cases.py
@@ -19,6 +19,7 @@
 from wheatring.lab.live.links.link_state import LinkState
 from wheatring.lab.live.singleton_role_cases import Measurement
 from wheatring.lab.live.view_cases import SETTLE_SECONDS, WAIT_SECONDS, ViewHistory
+from wheatring.skew.errors import CapabilityMissingError, FormatUnreadableError
 
 LARGE_PLAN_BYTES = 100_000  # bytes of a large plan
 WINDOW_LEAD_SECONDS = 25.0  # seconds from now to a window's opening: more than the lead of a plan
@@ -128,6 +129,10 @@
     return wrong + [f"plan {number} has two bodies" for number in twice]
 
 
+# Of a member that reads format 1 only, for a plan with windows: it lacks them, and the format they came with.
+OLD_FORMAT_CODES = (CapabilityMissingError.code, FormatUnreadableError.code)
+
+
 def plan(rig: FleetRig, random: Random) -> Iterator[Measurement]:  # noqa: ARG001 - one signature for all cases
     """Commit a large plan, then one while the leader is killed."""
     names = list(rig.members)
@@ -172,11 +177,12 @@
     number = plan_status(rig, "d3")["newest"]
     since = propose(rig, "d3", document("windows", window=3600.0))
     how = wait_until_ended(rig, "d3")
-    named = [one["member"] for one in how["reasons"]]
+    took = time.monotonic() - since
+    reasons = [(reason["member"], reason["code"]) for reason in how["reasons"]]
+    is_named = reasons == [(old, code) for code in OLD_FORMAT_CODES]
     yield Measurement(
-        how["state"] == "refused" and named == [old] and plan_status(rig, "d3")["newest"] == number,
-        f"one that reads format 1 only: {how['state']} after {time.monotonic() - since:.1f} s, "
-        f"named {named}, {how['reasons'][:1]}",
+        how["state"] == "refused" and is_named and plan_status(rig, "d3")["newest"] == number,
+        f"one that reads format 1 only: {how['state']} after {took:.1f} s, for {reasons}",
     )
     restart_old_member("")
     ViewHistory(rig).wait_for_same_view(names, len(names))
