Convert a reported start by the present clock where that was stepped back

Cause: sidecars convert the Unix time of an endpoint's start by an offset taken at their own start. After all clocks were stepped back by more than a cold time, an endpoint that started counted as that much older, so as warm, and got an even share at once.

Change: StartTimes converts a start that is reported for the first time by the present offset where Unix time is behind by more than 0.1 s; a start that is reported again keeps its instant.

--- a/tests/system/drawn_settings.py
+++ b/tests/system/drawn_settings.py
@@ -33,6 +33,20 @@
 FAULT_KINDS = [event.kind for event in load("small").scenario.events if event.kind != "sidecar_restart"]
 
 
+class ExtremeRandom(Random):
+    """Random numbers of which two in five are the least or nearly the greatest, or lie in the middle."""
+
+    EXTREMES = (0.0, 1 - 2**-53, 0.5)
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(f"extreme {seed}")
+
+    def random(self) -> float:
+        """Return a number from 0 on, below 1; what else is drawn follows from such numbers."""
+        number = super().random()
+        return self.EXTREMES[int(number * 7.5)] if number < 0.4 else (number - 0.4) / 0.6
+
+
 class Day(NamedTuple):
     plan: Plan
     beside: dict[str, Any]  # settings of which the lab knows nothing, by path/to/key
--- a/wheatring/core/clock.py
+++ b/wheatring/core/clock.py
@@ -44,6 +44,6 @@
         timer: Timer = self.reactor.callLater(max(0.0, instant - self.now()), call, *args)
         return timer
 
-    def from_unix_ms(self, stamp: float) -> float:
-        """Return the instant of a Unix time in milliseconds; 0, which means long ago, stays 0."""
-        return stamp / 1000 - self.unix_offset if stamp > 0 else 0.0
+    def present_unix_offset(self) -> float:
+        """Return what to add to an instant for its Unix time by now: other if that was stepped since."""
+        return self.unix() - self.now()
--- a/wheatring/http1/endpoint_entries.py
+++ b/wheatring/http1/endpoint_entries.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from math import isfinite
 from typing import Any
 
@@ -16,10 +16,45 @@
     "DRAINING": EndpointState.DRAINING,
     "DELETED": EndpointState.GONE,
 }
+# Unix time that is behind by more, against the monotonic clock, was stepped back; less is drift or rounding.
+MIN_CLOCK_STEP_SECONDS = 0.1
+
 READY = EndpointState.READY  # looked up once: the lookup of an enum's member is slow
 
 
-def parse_list(data: object, kind: ViewKind | None, clock: Clock) -> tuple[View, dict[str, str]]:
+class StartTimes:
+    """When endpoints started, as instants, from the Unix times in milliseconds that discovery reports.
+
+    A time that is reported again keeps its instant: another would pass for a restart. A new one is converted
+    by the clock of this process's start, or by the present one if that was stepped back since: an endpoint
+    that started after the step would else count as older than it is, and as warm before it is.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._known: dict[str, tuple[float, float]] = {}  # Unix time in ms and instant, by endpoint
+
+    def instant(self, endpoint: str, unix_ms: float) -> float:
+        """Return the instant of an endpoint's start; 0, which means long ago, stays 0."""
+        if unix_ms <= 0:
+            return 0.0
+        known = self._known.get(endpoint)
+        if known is not None and known[0] == unix_ms:
+            return known[1]
+        instant = unix_ms / 1000 - self._offset()
+        self._known[endpoint] = unix_ms, instant
+        return instant
+
+    def _offset(self) -> float:
+        at_start, present = self._clock.unix_offset, self._clock.present_unix_offset()
+        return present if present < at_start - MIN_CLOCK_STEP_SECONDS else at_start
+
+    def retain_only(self, endpoints: Container[str]) -> None:
+        """Forget all other endpoints, which are no longer listed."""
+        self._known = {name: known for name, known in self._known.items() if name in endpoints}
+
+
+def parse_list(data: object, kind: ViewKind | None, start_times: StartTimes) -> tuple[View, dict[str, str]]:
     """Read a decoded report; without a kind it states its own. Entries that can't be read are left out.
 
     Returns
@@ -42,12 +77,14 @@
     addresses: dict[str, str] = {}
     for item in items:
         try:
-            entry, location = parse_entry(item, clock)
+            entry, location = parse_entry(item, start_times)
         except (ValueError, OverflowError) as error:  # one bad entry must not cost the others
             log.line("bad-entry", why=str(error))
             continue
         entries.append(entry)
         addresses[entry.endpoint] = location
+    if kind is not ViewKind.DELTA:
+        start_times.retain_only(addresses)
     return View(kind, tuple(entries), version), addresses
 
 
@@ -58,7 +95,7 @@
     return value
 
 
-def parse_entry(item: object, clock: Clock) -> tuple[EndpointEntry, str]:
+def parse_entry(item: object, start_times: StartTimes) -> tuple[EndpointEntry, str]:
     """Read one entry of the list.
 
     Returns
@@ -80,7 +117,7 @@
         raise InvalidEndpointListError(f"lifecycle: {lifecycle!r}")
     state = STATES_BY_LIFECYCLE[lifecycle]
     try:
-        return _parse_attributes(name, state, item, clock)
+        return _parse_attributes(name, state, item, start_times)
     except (ValueError, OverflowError):
         if state is READY:
             raise
@@ -88,7 +125,7 @@
 
 
 def _parse_attributes(
-    name: str, state: EndpointState, item: Mapping[str, Any], clock: Clock
+    name: str, state: EndpointState, item: Mapping[str, Any], start_times: StartTimes
 ) -> tuple[EndpointEntry, str]:
     location = ""
     if state is not EndpointState.GONE:
@@ -101,6 +138,6 @@
         machine_type=str(item.get("machineType") or ""),
         cell=int(_number(item, "cell", 0)),
         rating=_number(item, "weight", 1.0) or 1.0,
-        started_at=clock.from_unix_ms(_number(item, "startedAtMs", 0)),
+        started_at=start_times.instant(name, _number(item, "startedAtMs", 0)),
     )
     return entry, location
--- a/wheatring/http1/endpoint_list.py
+++ b/wheatring/http1/endpoint_list.py
@@ -23,7 +23,7 @@
     DiscoveryClient,
     HttpDiscoveryClient,
 )
-from wheatring.http1.endpoint_entries import READY, parse_list
+from wheatring.http1.endpoint_entries import READY, StartTimes, parse_list
 from wheatring.http1.exceptions import InvalidEndpointListError
 from wheatring.http1.superseded_calls import SupersededCalls, discard
 from wheatring.lifecycle.freshness import Freshness
@@ -72,6 +72,7 @@
     ) -> None:
         self.is_pushed = is_pushed
         self.clock = clock
+        self.start_times = StartTimes(clock)
         self.freshness = freshness
         self.asking = asking
         self.addresses = addresses
@@ -355,7 +356,7 @@
         InvalidEndpointListError
             It is none.
         """
-        view, addresses = parse_list(data, kind, self.clock)
+        view, addresses = parse_list(data, kind, self.start_times)
         is_full = view.kind is not ViewKind.DELTA
         self._update_addresses(addresses, is_full)
         # Changes of an older list than the present one, as of a discovery that has started anew, count as
