--- a/tests/balancer/recorded_decisions.py
+++ b/tests/balancer/recorded_decisions.py
@@ -17,9 +17,9 @@
 from wheatring.balancer import interface as i
 from wheatring.balancer.balancer import Balancer
 from wheatring.balancer.settings_reader import JsonSettings, settings_from
-from wheatring.sidecar.policy import DEFAULT_POLICY
-from wheatring.sidecar.prefix_placement import PromptSegment
-from wheatring.sidecar.tier_balancer import TierBalancer
+from wheatring.tier.sidecar.policy import DEFAULT_POLICY
+from wheatring.tier.sidecar.prefix_placement import PromptSegment
+from wheatring.tier.sidecar.tier_balancer import TierBalancer
 
 DATA = Path(__file__).parent / "data"
 WORLDS = ("calm", "crowded", "several-copies", "second-tier", "sidecar")
--- /dev/null
+++ b/tests/common/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what both programs share."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -17,8 +17,8 @@
 from tests.support.world import NO_OPERATORS, LoopbackSockets, World, keep_scripted_peers
 from wheatring.balancer import interface as i
 from wheatring.balancer.balancer import Balancer
+from wheatring.daemon.operator_properties import OperatorProperties
 from wheatring.lab.live import fleet_rig
-from wheatring.operator_properties import OperatorProperties
 
 # No verdict by the machine's speed: what a test costs is told by --durations.
 settings.register_profile("counts", deadline=None)
--- /dev/null
+++ b/tests/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the sidecar in service, by package."""
--- a/tests/admin/test_service.py
+++ b/tests/daemon/admin/test_service.py
@@ -19,9 +19,9 @@
     keep_scripted_peers,
     list_body,
 )
-from wheatring.admin import server
 from wheatring.balancer import interface as i
 from wheatring.balancer.endpoint_pool import REINSTATED_SPREAD_SECONDS
+from wheatring.daemon.admin import server
 
 Make = Callable[..., World]
 
--- a/tests/admin/test_upgrade.py
+++ b/tests/daemon/admin/test_upgrade.py
@@ -16,8 +16,8 @@
 
 from tests.support.process import platform_config
 from tests.support.world import WAIT_LIMIT_SECONDS, Peer, Wire, entry
-from wheatring.lifecycle.shutdown_schedule import MIN_IDLE_SECONDS
-from wheatring.ops.capture.replay import replay
+from wheatring.daemon.lifecycle.shutdown_schedule import MIN_IDLE_SECONDS
+from wheatring.daemon.ops.capture.replay import replay
 
 
 def start_process(tmp_path: Path, name: str, **changes: Any) -> subprocess.Popen[str]:
--- a/tests/config/test_platform_file.py
+++ b/tests/daemon/config/test_platform_file.py
@@ -13,11 +13,12 @@
 import pytest
 
 from tests.support.process import platform_config
-from wheatring import lazy_imports, log, serving
 from wheatring.__main__ import main
 from wheatring.balancer.settings_reader import JsonSettings
-from wheatring.config import platform_file
-from wheatring.config.exceptions import PlatformFileError
+from wheatring.common import log
+from wheatring.daemon import lazy_imports, serving
+from wheatring.daemon.config import platform_file
+from wheatring.daemon.config.exceptions import PlatformFileError
 
 HUGE = 10**400  # a whole number that no float holds
 DEEP: Any = []  # as deep as JSON is read
--- a/tests/core/test_retries.py
+++ b/tests/daemon/core/test_retries.py
@@ -9,13 +9,13 @@
 import pytest
 
 from tests.conftest import Copy
-from tests.http1.attempts import kept_connection
+from tests.daemon.http1.attempts import kept_connection
 from tests.support.world import World
 from wheatring.balancer import backoff
 from wheatring.balancer import interface as i
-from wheatring.core.exchange import Attempt
-from wheatring.http1 import connection_pool
-from wheatring.http1.endpoint_connection import EndpointConnection
+from wheatring.daemon.core.exchange import Attempt
+from wheatring.daemon.http1 import connection_pool
+from wheatring.daemon.http1.endpoint_connection import EndpointConnection
 
 Make = Callable[..., World]
 
--- a/tests/http1/attempts.py
+++ b/tests/daemon/http1/attempts.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 from tests.support.world import Peer, Wire, World
-from wheatring import log
-from wheatring.core.exchange import Answer, Request
-from wheatring.http1.parser import ForwardedRequest
+from wheatring.common import log
+from wheatring.common.http_parser import ForwardedRequest
+from wheatring.daemon.core.exchange import Answer, Request
 
 LATE_REQUEST = ForwardedRequest(b"POST /late HTTP/1.1\r\n", b"")
 
--- a/tests/http1/test_bodies.py
+++ b/tests/daemon/http1/test_bodies.py
@@ -20,11 +20,11 @@
 
 from tests.support.process import platform_config, wait_for_line
 from tests.support.world import WAIT_LIMIT_SECONDS, Peer, Wire, World, entry
-from wheatring import log
-from wheatring.core.body import WINDOW_LIMITS_BYTES, Body, BodyMemory
-from wheatring.http1 import caller_lifecycle, response_forwarder
-from wheatring.http1.body_sender import BodySender
-from wheatring.http1.parser import BUFFERED_BODY_BYTES, MessageParser
+from wheatring.common import log
+from wheatring.common.body import WINDOW_LIMITS_BYTES, Body, BodyMemory
+from wheatring.common.http_parser import BUFFERED_BODY_BYTES, MessageParser
+from wheatring.daemon.http1 import caller_lifecycle, response_forwarder
+from wheatring.daemon.http1.body_sender import BodySender
 
 Make = Callable[..., World]
 LARGE = bytes(range(256)) * 800  # 200 kB
--- a/tests/http1/test_caller_connection.py
+++ b/tests/daemon/http1/test_caller_connection.py
@@ -20,8 +20,8 @@
 from tests.support.virtual_sockets import VirtualSockets
 from tests.support.world import WAIT_LIMIT_SECONDS, LoopbackSockets, Peer, Wire, World, entry, list_body
 from wheatring.balancer import backoff
-from wheatring.http1 import caller_connection, caller_lifecycle
-from wheatring.http1.caller_state import ArrivalTimes, CallerState
+from wheatring.daemon.http1 import caller_connection, caller_lifecycle
+from wheatring.daemon.http1.caller_state import ArrivalTimes, CallerState
 
 Make = Callable[..., World]
 LARGE = b"x" * 60000
--- a/tests/http1/test_drawn_ends.py
+++ b/tests/daemon/http1/test_drawn_ends.py
@@ -10,12 +10,12 @@
 
 import pytest
 
-from tests.http1.test_shutdown import leave
+from tests.daemon.http1.test_shutdown import leave
 from tests.support.virtual_sockets import VirtualSockets
 from tests.support.world import Wire, World
-from wheatring.http1.caller_connection import CallerConnection
-from wheatring.http1.endpoint_connection import EndpointConnection
-from wheatring.http1.parser import Message, MessageParser
+from wheatring.common.http_parser import Message, MessageParser
+from wheatring.daemon.http1.caller_connection import CallerConnection
+from wheatring.daemon.http1.endpoint_connection import EndpointConnection
 
 Make = Callable[..., World]
 FAULTS = {"unexpected", "answer-broken", "request-broken", "attempt-broken", "exchange-broken", "overdue"}
--- a/tests/http1/test_endpoint_connection.py
+++ b/tests/daemon/http1/test_endpoint_connection.py
@@ -9,13 +9,13 @@
 
 import pytest
 
-from tests.http1.attempts import accept_request, apply_list, kept_connection, submit
-from tests.pools.pools_world import TWO, PoolsWorld
-from tests.pools.test_pool_set import submit_routed
+from tests.daemon.http1.attempts import accept_request, apply_list, kept_connection, submit
+from tests.daemon.pools.pools_world import TWO, PoolsWorld
+from tests.daemon.pools.test_pool_set import submit_routed
 from tests.support.world import Peer, World, entry
 from wheatring.balancer.interface import Outcome
-from wheatring.core.exchange import Answer, AnswerKind, Attempt, Request
-from wheatring.http1 import connection_pool
+from wheatring.daemon.core.exchange import Answer, AnswerKind, Attempt, Request
+from wheatring.daemon.http1 import connection_pool
 
 Make = Callable[..., World]
 
--- a/tests/http1/test_endpoint_faults.py
+++ b/tests/daemon/http1/test_endpoint_faults.py
@@ -6,14 +6,14 @@
 
 import pytest
 
-from tests.http1.attempts import kept_connection, submit
+from tests.daemon.http1.attempts import kept_connection, submit
 from tests.support.world import World
-from wheatring.core.exchange import Answer, AnswerKind
-from wheatring.http1 import connection_pool
-from wheatring.http1.connection_pool import ConnectionPool
-from wheatring.http1.endpoint_connection import EndpointConnection
-from wheatring.http1.endpoint_list import EndpointList
-from wheatring.http1.request_sender import RequestSender
+from wheatring.daemon.core.exchange import Answer, AnswerKind
+from wheatring.daemon.http1 import connection_pool
+from wheatring.daemon.http1.connection_pool import ConnectionPool
+from wheatring.daemon.http1.endpoint_connection import EndpointConnection
+from wheatring.daemon.http1.endpoint_list import EndpointList
+from wheatring.daemon.http1.request_sender import RequestSender
 
 Make = Callable[..., World]
 
--- a/tests/http1/test_endpoint_list.py
+++ b/tests/daemon/http1/test_endpoint_list.py
@@ -16,9 +16,9 @@
 from tests.support import world as worlds
 from tests.support.virtual_sockets import VirtualSockets
 from tests.support.world import Peer, Wire, World, entry, list_body
-from wheatring import log
-from wheatring.http1 import discovery_client
-from wheatring.lifecycle.notification_deadline import RETRY_WITHIN_SECONDS
+from wheatring.common import log
+from wheatring.daemon.http1 import discovery_client
+from wheatring.daemon.lifecycle.notification_deadline import RETRY_WITHIN_SECONDS
 
 Make = Callable[..., World]
 WATCH = "GET /v1/servers?index=7&wait=50000"
--- a/tests/http1/test_list_freshness.py
+++ b/tests/daemon/http1/test_list_freshness.py
@@ -7,8 +7,8 @@
 import pytest
 
 from tests.support.world import Peer, World, entry, list_body
-from wheatring.http1 import discovery_client, endpoint_list
-from wheatring.lifecycle import freshness
+from wheatring.daemon.http1 import discovery_client, endpoint_list
+from wheatring.daemon.lifecycle import freshness
 
 Make = Callable[..., World]
 WATCH = "GET /v1/servers?index=7&wait=50000"
--- a/tests/http1/test_parser.py
+++ b/tests/daemon/http1/test_parser.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from wheatring.http1.parser import Message, MessageParser
+from wheatring.common.http_parser import Message, MessageParser
 
 REQUESTS = (
     b"GET /a HTTP/1.1\r\nX-A: 1\r\n\r\n"
--- a/tests/http1/test_requests.py
+++ b/tests/daemon/http1/test_requests.py
@@ -10,11 +10,11 @@
 from twisted.logger import globalLogPublisher
 
 from tests.support.world import LoopbackSockets, World, entry, list_body
-from wheatring import log
 from wheatring.balancer import interface as i
-from wheatring.core.exchange import Request
-from wheatring.http1 import caller_connection, caller_lifecycle, endpoint_connection
-from wheatring.http1.parser import ForwardedRequest
+from wheatring.common import log
+from wheatring.common.http_parser import ForwardedRequest
+from wheatring.daemon.core.exchange import Request
+from wheatring.daemon.http1 import caller_connection, caller_lifecycle, endpoint_connection
 
 Make = Callable[..., World]
 
--- a/tests/http1/test_shutdown.py
+++ b/tests/daemon/http1/test_shutdown.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from tests.http1.test_bodies import LARGE, body, head, no_room, post
+from tests.daemon.http1.test_bodies import LARGE, body, head, no_room, post
 from tests.support.world import LoopbackSockets, World
-from wheatring import log
-from wheatring.http1 import caller_lifecycle, server
+from wheatring.common import log
+from wheatring.daemon.http1 import caller_lifecycle, server
 
 Make = Callable[..., World]
 HEALTH = b"GET /healthz HTTP/1.1\r\n\r\n"
--- a/tests/http1/test_start_times.py
+++ b/tests/daemon/http1/test_start_times.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from wheatring.core.clock import Clock
-from wheatring.http1.endpoint_entries import StartTimes
+from wheatring.daemon.core.clock import Clock
+from wheatring.daemon.http1.endpoint_entries import StartTimes
 
 EPOCH = 1_700_000_000.0
 UP_SECONDS = 100.0  # for which the process has run
--- a/tests/lifecycle/test_descriptor_limit.py
+++ b/tests/daemon/lifecycle/test_descriptor_limit.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wheatring.lifecycle.descriptor_limit import descriptor_limit
+from wheatring.daemon.lifecycle.descriptor_limit import descriptor_limit
 
 POLLS = st.lists(st.tuples(st.booleans(), st.integers(0, 400), st.booleans()), max_size=40)
 
--- a/tests/lifecycle/test_drain.py
+++ b/tests/daemon/lifecycle/test_drain.py
@@ -4,7 +4,7 @@
 
 from itertools import pairwise
 
-from wheatring.lifecycle.drain import CLOSED_BY_SECONDS, Drain
+from wheatring.daemon.lifecycle.drain import CLOSED_BY_SECONDS, Drain
 
 
 def test_callers_are_disconnected_in_even_steps_and_all_in_time() -> None:
--- a/tests/lifecycle/test_endpoint_overrides.py
+++ b/tests/daemon/lifecycle/test_endpoint_overrides.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from wheatring.balancer.interface import EndpointEntry, EndpointState, View, ViewKind
-from wheatring.lifecycle.endpoint_overrides import EndpointOverrides
+from wheatring.daemon.lifecycle.endpoint_overrides import EndpointOverrides
 
 NAMES = st.sampled_from("abc")
 STATES = st.sampled_from(list(EndpointState))
--- a/tests/lifecycle/test_freshness.py
+++ b/tests/daemon/lifecycle/test_freshness.py
@@ -10,8 +10,8 @@
 import pytest
 
 from wheatring.balancer.interface import Outcome
-from wheatring.lifecycle import freshness
-from wheatring.lifecycle.freshness import (
+from wheatring.daemon.lifecycle import freshness
+from wheatring.daemon.lifecycle.freshness import (
     MAX_ASK_INTERVAL_SECONDS,
     MAX_ASK_RATE,
     MAX_EMPTY_SECONDS,
--- a/tests/lifecycle/test_handover.py
+++ b/tests/daemon/lifecycle/test_handover.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from wheatring.lifecycle.handover import HandoverFolder
-from wheatring.lifecycle.operator_orders import OperatorOrders, OrdersError, parse_orders
+from wheatring.daemon.lifecycle.handover import HandoverFolder
+from wheatring.daemon.lifecycle.operator_orders import OperatorOrders, OrdersError, parse_orders
 
 
 @pytest.mark.parametrize(
--- a/tests/lifecycle/test_list_request_schedule.py
+++ b/tests/daemon/lifecycle/test_list_request_schedule.py
@@ -9,12 +9,12 @@
 from hypothesis import strategies as st
 
 from tests.lab.direct.direct_world import CallRecorder, Time
+from wheatring.daemon.lifecycle import list_request_schedule
+from wheatring.daemon.lifecycle.list_request_schedule import ListRequestSchedule
 from wheatring.lab.models.discovery import Registry
 from wheatring.lab.models.endpoint_list_history import RegisteredNode
 from wheatring.lab.models.list_request import ListReply, ListRequest
 from wheatring.lab.plan import DiscoveryPlan
-from wheatring.lifecycle import list_request_schedule
-from wheatring.lifecycle.list_request_schedule import ListRequestSchedule
 
 LINES = 10
 
--- a/tests/lifecycle/test_long_outage.py
+++ b/tests/daemon/lifecycle/test_long_outage.py
@@ -8,8 +8,8 @@
 
 from tests.support.virtual_sockets import VirtualSockets
 from tests.support.world import World, entry, list_body
-from wheatring import log
-from wheatring.lifecycle.freshness import MAX_ASK_INTERVAL_SECONDS, Freshness
+from wheatring.common import log
+from wheatring.daemon.lifecycle.freshness import MAX_ASK_INTERVAL_SECONDS, Freshness
 
 FAILED = 1100  # more than the doublings that a float takes
 
--- a/tests/lifecycle/test_notification_deadline.py
+++ b/tests/daemon/lifecycle/test_notification_deadline.py
@@ -15,11 +15,11 @@
 
 from tests.conftest import Copy, entries
 from wheatring.balancer import interface as i
-from wheatring.http1.discovery_client import CONNECT_TIMEOUT_SECONDS, WATCH_WAIT_SECONDS
-from wheatring.lifecycle import list_request_schedule
-from wheatring.lifecycle.freshness import Freshness
-from wheatring.lifecycle.list_request_schedule import ListRequestSchedule
-from wheatring.lifecycle.notification_deadline import (
+from wheatring.daemon.http1.discovery_client import CONNECT_TIMEOUT_SECONDS, WATCH_WAIT_SECONDS
+from wheatring.daemon.lifecycle import list_request_schedule
+from wheatring.daemon.lifecycle.freshness import Freshness
+from wheatring.daemon.lifecycle.list_request_schedule import ListRequestSchedule
+from wheatring.daemon.lifecycle.notification_deadline import (
     ANSWER_SECONDS,
     HANGING_CALL_SECONDS,
     RETRY_WITHIN_SECONDS,
--- a/tests/lifecycle/test_shutdown_schedule.py
+++ b/tests/daemon/lifecycle/test_shutdown_schedule.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from wheatring.balancer.interface import Idempotency, RequestClass
-from wheatring.lifecycle.shutdown_schedule import (
+from wheatring.daemon.lifecycle.shutdown_schedule import (
     CLOSE_IDLE_SECONDS,
     CLOSE_IDLE_WITH_SUCCESSOR_SECONDS,
     HORIZONS_SECONDS,
--- a/tests/lifecycle/test_stored_files.py
+++ b/tests/daemon/lifecycle/test_stored_files.py
@@ -7,8 +7,8 @@
 import shutil
 from pathlib import Path
 
-from wheatring.lifecycle.handover import HandoverFolder
-from wheatring.lifecycle.operator_orders import OperatorOrders
+from wheatring.daemon.lifecycle.handover import HandoverFolder
+from wheatring.daemon.lifecycle.operator_orders import OperatorOrders
 
 DATA = Path(__file__).parent / "data"
 OLDER = 1700000000000000001  # the start of the process that wrote them
--- a/tests/ops/test_audit.py
+++ b/tests/daemon/ops/test_audit.py
@@ -13,10 +13,11 @@
 
 from tests.support.process import running_process, wait_for_line
 from tests.support.world import WAIT_LIMIT_SECONDS, Wire
-from wheatring import log, operator_properties
 from wheatring.__main__ import main
-from wheatring.core.clock import Clock
-from wheatring.ops import audit
+from wheatring.common import log
+from wheatring.daemon import operator_properties
+from wheatring.daemon.core.clock import Clock
+from wheatring.daemon.ops import audit
 
 KEY = "0a" * 32
 
--- a/tests/ops/test_capture.py
+++ b/tests/daemon/ops/test_capture.py
@@ -20,13 +20,13 @@
 
 from tests.support.process import running_process, wait_for_line, write_platform_config
 from tests.support.world import SETTINGS, WAIT_LIMIT_SECONDS, Peer, Wire, World, entry, list_body
-from wheatring import operator_properties
 from wheatring.__main__ import main
 from wheatring.balancer import interface as i
 from wheatring.balancer.balancer import Balancer
-from wheatring.config.platform_file import read_settings
-from wheatring.core.clock import Clock
-from wheatring.ops.capture import record, ring
+from wheatring.daemon import operator_properties
+from wheatring.daemon.config.platform_file import read_settings
+from wheatring.daemon.core.clock import Clock
+from wheatring.daemon.ops.capture import record, ring
 
 Make = Callable[..., World]
 DECISION = re.compile(
--- a/tests/ops/test_drills.py
+++ b/tests/daemon/ops/test_drills.py
@@ -15,9 +15,9 @@
 
 from tests.support.process import running_process, wait_for_line
 from tests.support.world import WAIT_LIMIT_SECONDS, Wire, World
-from wheatring import operator_properties
 from wheatring.__main__ import main
-from wheatring.ops import drills
+from wheatring.daemon import operator_properties
+from wheatring.daemon.ops import drills
 
 Make = Callable[..., World]
 KEY = "00ff" * 16
--- a/tests/ops/test_tokens.py
+++ b/tests/daemon/ops/test_tokens.py
@@ -11,9 +11,9 @@
 import pytest
 
 from tests.support.world import Wire, World
-from wheatring import operator_properties
 from wheatring.__main__ import main
-from wheatring.ops import tokens
+from wheatring.daemon import operator_properties
+from wheatring.daemon.ops import tokens
 
 Make = Callable[..., World]
 OLD, NEW = "aa" * 32, "bb" * 32
--- a/tests/pools/pools_world.py
+++ b/tests/daemon/pools/pools_world.py
@@ -8,9 +8,9 @@
 
 from tests.support.virtual_sockets import VirtualSockets
 from tests.support.world import LoopbackSockets, Wire, World, entry
-from wheatring.config.project_file import read
+from wheatring.daemon.config.project_file import read
 from wheatring.daemon.configuration import first_invalid_route, reload_configuration
-from wheatring.pools.pool_set import PoolSet
+from wheatring.daemon.pools.pool_set import PoolSet
 
 TWO = """
 [pool.old]
--- a/tests/pools/test_endpoint_selection.py
+++ b/tests/daemon/pools/test_endpoint_selection.py
@@ -6,10 +6,10 @@
 from hypothesis import strategies as st
 
 from wheatring.balancer.interface import EndpointEntry, EndpointState, View, ViewKind
-from wheatring.config.project_file import PoolTable
-from wheatring.lifecycle.endpoint_overrides import EndpointListState
-from wheatring.pools.connection_budget import ConnectionUsage, available
-from wheatring.pools.endpoint_selection import EndpointSelection
+from wheatring.daemon.config.project_file import PoolTable
+from wheatring.daemon.lifecycle.endpoint_overrides import EndpointListState
+from wheatring.daemon.pools.connection_budget import ConnectionUsage, available
+from wheatring.daemon.pools.endpoint_selection import EndpointSelection
 
 MINIMUMS = st.lists(st.integers(0, 4), min_size=1, max_size=4)
 
--- a/tests/pools/test_pool_set.py
+++ b/tests/daemon/pools/test_pool_set.py
@@ -10,17 +10,17 @@
 
 import pytest
 
-from tests.pools.pools_world import TWO, PoolsWorld
+from tests.daemon.pools.pools_world import TWO, PoolsWorld
 from tests.support.virtual_sockets import VirtualSockets
 from tests.support.world import LoopbackSockets, Peer, entry, keep_scripted_peers, list_body
 from wheatring.balancer import interface as i
-from wheatring.core.exchange import Answer, AnswerKind
-from wheatring.errors import OperatorError
-from wheatring.http1.parser import BUFFERED_BODY_BYTES, ForwardedRequest
-from wheatring.pools import pool_set
-from wheatring.pools.active_route import RoutedRequest
-from wheatring.pools.exceptions import BadWeightsError, UnknownPoolError, UnknownRouteError
-from wheatring.pools.routed_pool import InertBalancer
+from wheatring.common.errors import OperatorError
+from wheatring.common.http_parser import BUFFERED_BODY_BYTES, ForwardedRequest
+from wheatring.daemon.core.exchange import Answer, AnswerKind
+from wheatring.daemon.pools import pool_set
+from wheatring.daemon.pools.active_route import RoutedRequest
+from wheatring.daemon.pools.exceptions import BadWeightsError, UnknownPoolError, UnknownRouteError
+from wheatring.daemon.pools.routed_pool import InertBalancer
 
 Make = Callable[..., PoolsWorld]
 ONE = TWO.replace("old = 3, new = 1", "new = 1").replace('[pool.old]\nzone = "a"\n', "")
--- a/tests/routes/pool_world.py
+++ b/tests/daemon/routes/pool_world.py
@@ -7,11 +7,11 @@
 from math import exp, log, sqrt
 from random import Random
 
+from wheatring.daemon.routes.admission import Admission, Outcome, Rejection, admit
+from wheatring.daemon.routes.limit_settings import PoolLimitSettings
+from wheatring.daemon.routes.limiters import PoolLimiter, RouteLimiter
 from wheatring.lab.models.cpu import Cpu
 from wheatring.lab.net.time import VirtualTime
-from wheatring.routes.admission import Admission, Outcome, Rejection, admit
-from wheatring.routes.limit_settings import PoolLimitSettings
-from wheatring.routes.limiters import PoolLimiter, RouteLimiter
 
 CORES = 8
 MEAN = 0.02  # seconds of work of a job
--- a/tests/routes/test_adaptive_limit.py
+++ b/tests/daemon/routes/test_adaptive_limit.py
@@ -8,9 +8,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.routes.pool_world import CORES, MEAN, PEAK, PoolWorld
-from wheatring.routes.adaptive_limit import AdaptiveLimit
-from wheatring.routes.limit_settings import AdaptiveLimitSettings, PoolLimitSettings
+from tests.daemon.routes.pool_world import CORES, MEAN, PEAK, PoolWorld
+from wheatring.daemon.routes.adaptive_limit import AdaptiveLimit
+from wheatring.daemon.routes.limit_settings import AdaptiveLimitSettings, PoolLimitSettings
 
 
 def goodput(world: PoolWorld, load: float, seconds: int, seed: int) -> list[float]:
--- a/tests/routes/test_admission.py
+++ b/tests/daemon/routes/test_admission.py
@@ -10,11 +10,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.routes.pool_world import PEAK, PoolWorld
-from wheatring.routes import limit_settings as v
-from wheatring.routes.admission import Admission, Outcome, Rejection, admit
-from wheatring.routes.exceptions import AlreadyFinishedError
-from wheatring.routes.limiters import PoolLimiter, RouteLimiter
+from tests.daemon.routes.pool_world import PEAK, PoolWorld
+from wheatring.daemon.routes import limit_settings as v
+from wheatring.daemon.routes.admission import Admission, Outcome, Rejection, admit
+from wheatring.daemon.routes.exceptions import AlreadyFinishedError
+from wheatring.daemon.routes.limiters import PoolLimiter, RouteLimiter
 
 
 def pool(now: float = 0.0, **limits: object) -> PoolLimiter:
--- a/tests/routes/test_callers.py
+++ b/tests/daemon/routes/test_callers.py
@@ -8,10 +8,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.routes.pool_world import PEAK, PoolWorld
-from wheatring.routes.admission import Admission, Outcome, Rejection, admit
-from wheatring.routes.callers import CallerTable, max_min_level
-from wheatring.routes.limit_settings import (
+from tests.daemon.routes.pool_world import PEAK, PoolWorld
+from wheatring.daemon.routes.admission import Admission, Outcome, Rejection, admit
+from wheatring.daemon.routes.callers import CallerTable, max_min_level
+from wheatring.daemon.routes.limit_settings import (
     AdaptiveLimitSettings,
     CallerLimitSettings,
     CallerTableSettings,
@@ -19,7 +19,7 @@
     PoolLimitSettings,
     RateSettings,
 )
-from wheatring.routes.limiters import PoolLimiter
+from wheatring.daemon.routes.limiters import PoolLimiter
 
 HUNDREDTHS = st.integers(0, 10_000).map(lambda number: number / 100)
 
--- a/tests/routes/test_split.py
+++ b/tests/daemon/routes/test_split.py
@@ -8,8 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wheatring.routes.definitions import WeightedPool
-from wheatring.routes.split import CountedSplit, RendezvousSplit
+from wheatring.daemon.routes.definitions import WeightedPool
+from wheatring.daemon.routes.split import CountedSplit, RendezvousSplit
 
 WEIGHTS = st.lists(st.integers(0, 40), min_size=1, max_size=7).filter(any)
 
--- a/tests/routes/test_table.py
+++ b/tests/daemon/routes/test_table.py
@@ -9,14 +9,14 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from tests.routes.measure_table import KINDS, routes
-from wheatring.routes import table as table_module
-from wheatring.routes.definitions import ClassSource, HeaderMatch, Route, RouteMatch, WeightedPool
-from wheatring.routes.exceptions import InvalidRequestError
-from wheatring.routes.explain import explain
-from wheatring.routes.expressions import MAX_PATH_BYTES, ExpressionSet
-from wheatring.routes.table import Fields, RoutingTable
-from wheatring.routes.target import Strictness, Target
+from tests.daemon.routes.measure_table import KINDS, routes
+from wheatring.daemon.routes import table as table_module
+from wheatring.daemon.routes.definitions import ClassSource, HeaderMatch, Route, RouteMatch, WeightedPool
+from wheatring.daemon.routes.exceptions import InvalidRequestError
+from wheatring.daemon.routes.explain import explain
+from wheatring.daemon.routes.expressions import MAX_PATH_BYTES, ExpressionSet
+from wheatring.daemon.routes.table import Fields, RoutingTable
+from wheatring.daemon.routes.target import Strictness, Target
 
 POOLS, CLASS = (WeightedPool("menu"),), ClassSource(first_part=True)
 
--- a/tests/routes/test_target.py
+++ b/tests/daemon/routes/test_target.py
@@ -8,8 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wheatring.routes.exceptions import InvalidRequestError
-from wheatring.routes.target import Strictness, Target, normalize_path, normalize_target
+from wheatring.daemon.routes.exceptions import InvalidRequestError
+from wheatring.daemon.routes.target import Strictness, Target, normalize_path, normalize_target
 
 ORDER = (Strictness.STRICT, Strictness.PLAIN, Strictness.LENIENT)
 
--- a/tests/routes/test_tiers.py
+++ b/tests/daemon/routes/test_tiers.py
@@ -10,8 +10,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wheatring.routes.limit_settings import TierSettings
-from wheatring.routes.tiers import Capacity, TierSelector
+from wheatring.daemon.routes.limit_settings import TierSettings
+from wheatring.daemon.routes.tiers import Capacity, TierSelector
 
 STANDBY = Capacity(10, 10)
 
--- a/tests/system/membership/conftest.py
+++ b/tests/daemon/system/membership/conftest.py
@@ -12,7 +12,7 @@
 import pytest
 from pytest_bdd import given, parsers, then, when
 
-from tests.system.membership.fleet import ScenarioFleet
+from tests.daemon.system.membership.fleet import ScenarioFleet
 from wheatring.lab.leases.cluster import PARTITIONED
 
 JOINED = 40.0  # seconds within which a fleet that starts together agrees
--- a/tests/system/membership/fleet.py
+++ b/tests/daemon/system/membership/fleet.py
@@ -11,16 +11,16 @@
 from itertools import pairwise
 from random import Random
 
+from wheatring.fleet.lease.component import FleetComponent, Instant
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.membership_views import MembershipViews
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet, first_voters
+from wheatring.fleet.members.timing import SwimTiming
+from wheatring.fleet.members.view import View
+from wheatring.fleet.peers.agreement import LEADER_SETTINGS, Agreement
 from wheatring.lab.leases.cluster import Cluster, Node
 from wheatring.lab.live.links.link_state import LinkState
-from wheatring.lease.component import FleetComponent, Instant
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.membership_views import MembershipViews
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet, first_voters
-from wheatring.members.timing import SwimTiming
-from wheatring.members.view import View
-from wheatring.peers.agreement import LEADER_SETTINGS, Agreement
 
 POLL_SECONDS = 0.1  # seconds of virtual time between two looks at whether something is so
 
--- a/tests/system/test_drawn_settings.py
+++ b/tests/daemon/system/test_drawn_settings.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from tests.system.drawn_settings import Day, ExtremeRandom, drawn
+from tests.daemon.system.drawn_settings import Day, ExtremeRandom, drawn
 from wheatring.lab.plan import Plan
 
 DATA = Path(__file__).parent / "data"
--- a/tests/system/test_process.py
+++ b/tests/daemon/system/test_process.py
@@ -16,9 +16,10 @@
 
 from tests.support.process import platform_config, running_process, wait_for_line, write_platform_config
 from tests.support.world import SETTINGS, WAIT_LIMIT_SECONDS, Peer, Wire, entry, list_body
-from wheatring import commands, lazy_imports
+from wheatring import commands
 from wheatring.__main__ import main, parse_simple
-from wheatring.config import platform_file
+from wheatring.daemon import lazy_imports
+from wheatring.daemon.config import platform_file
 
 
 def test_on_sigterm_it_answers_what_it_has_accepted_and_then_ends(tmp_path: Path) -> None:
--- a/tests/system/test_reload.py
+++ b/tests/daemon/system/test_reload.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from tests.config.test_platform_file import DEEP
+from tests.daemon.config.test_platform_file import DEEP
 from tests.support.process import platform_config, running_process, wait_for_line
 from tests.support.world import SETTINGS, WAIT_LIMIT_SECONDS, Peer, Wire, entry, list_body
 
--- a/tests/lease/builders.py
+++ b/tests/fleet/lease/builders.py
@@ -4,11 +4,11 @@
 
 from random import Random
 
-from wheatring.lease.acceptor import Acceptor
-from wheatring.lease.messages import Accepted, Prepare, Promise, ProposalNumber, Propose
-from wheatring.lease.proposer import Proposer
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet
+from wheatring.fleet.lease.acceptor import Acceptor
+from wheatring.fleet.lease.messages import Accepted, Prepare, Promise, ProposalNumber, Propose
+from wheatring.fleet.lease.proposer import Proposer
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet
 
 TIMING = LeaseTiming()
 THREE = VoterSet(("v1", "v2", "v3"))
--- a/tests/lease/test_acceptor.py
+++ b/tests/fleet/lease/test_acceptor.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from tests.lease.builders import LEASE, THREE, TIMING, acceptor, prepare, propose
-from wheatring.lease.messages import Accepted, Promise, ProposalNumber, Propose, Rejection, Release
+from tests.fleet.lease.builders import LEASE, THREE, TIMING, acceptor, prepare, propose
+from wheatring.fleet.lease.messages import Accepted, Promise, ProposalNumber, Propose, Rejection, Release
 
 
 def test_an_acceptor_that_has_started_abstains_for_a_complete_lease() -> None:
--- a/tests/lease/test_electorate.py
+++ b/tests/fleet/lease/test_electorate.py
@@ -4,13 +4,13 @@
 
 from random import Random
 
-from wheatring.lease.acceptor import Acceptor
-from wheatring.lease.electorate import Electorate
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet
-from wheatring.members.membership import Membership
-from wheatring.members.messages import MemberInfo
-from wheatring.members.timing import SwimTiming
+from wheatring.fleet.lease.acceptor import Acceptor
+from wheatring.fleet.lease.electorate import Electorate
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet
+from wheatring.fleet.members.membership import Membership
+from wheatring.fleet.members.messages import MemberInfo
+from wheatring.fleet.members.timing import SwimTiming
 
 ME = MemberInfo("me", "127.0.0.1", 7001, 2)
 
--- a/tests/lease/test_fencing.py
+++ b/tests/fleet/lease/test_fencing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wheatring.lease.fencing import FencingGuard
+from wheatring.fleet.lease.fencing import FencingGuard
 
 
 def test_a_receiver_rejects_an_older_token() -> None:
--- a/tests/lease/test_membership_views.py
+++ b/tests/fleet/lease/test_membership_views.py
@@ -6,11 +6,11 @@
 
 import pytest
 
+from wheatring.fleet.members.edge_monitor import EARLY_CHECK_SECONDS, EdgeMonitor
 from wheatring.lab.agreement import view_days
 from wheatring.lab.agreement.view_cases import CaseRun, Measurement, measure
 from wheatring.lab.agreement.view_fleet import views_of
 from wheatring.lab.leases.cluster import PARTITIONED
-from wheatring.members.edge_monitor import EARLY_CHECK_SECONDS, EdgeMonitor
 
 SIZE = 15
 
--- a/tests/lease/test_proposer.py
+++ b/tests/fleet/lease/test_proposer.py
@@ -4,9 +4,9 @@
 
 from random import Random
 
-from tests.lease.builders import LEASE, THREE, TIMING, acceptor, elected
-from wheatring.lease.messages import Accepted, Promise, Propose
-from wheatring.lease.proposer import AddressedRequest, Proposer
+from tests.fleet.lease.builders import LEASE, THREE, TIMING, acceptor, elected
+from wheatring.fleet.lease.messages import Accepted, Promise, Propose
+from wheatring.fleet.lease.proposer import AddressedRequest, Proposer
 
 
 def test_a_renewal_that_nobody_answers_stays_one_round_and_then_others_may_propose() -> None:
--- a/tests/lease/test_recorded_messages.py
+++ b/tests/fleet/lease/test_recorded_messages.py
@@ -13,7 +13,7 @@
 import msgspec
 import pytest
 
-from wheatring.lease.messages import (
+from wheatring.fleet.lease.messages import (
     Accepted,
     AcceptorRequest,
     AcceptorResponse,
@@ -26,7 +26,7 @@
     Rejection,
     Release,
 )
-from wheatring.lease.register_messages import (
+from wheatring.fleet.lease.register_messages import (
     NO_ENTRY,
     AcceptorState,
     Entry,
--- a/tests/lease/test_register_acceptor.py
+++ b/tests/fleet/lease/test_register_acceptor.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+from wheatring.fleet.lease.payloads import digest
+from wheatring.fleet.lease.register_acceptor import RegisterAcceptor
+from wheatring.fleet.lease.register_messages import AcceptorState, Entry, RegisterAccept, RegisterPrepare
+from wheatring.fleet.lease.replicated_register import ReplicatedRegister
 from wheatring.lab.agreement.register_orders import OrderRun
-from wheatring.lease.payloads import digest
-from wheatring.lease.register_acceptor import RegisterAcceptor
-from wheatring.lease.register_messages import AcceptorState, Entry, RegisterAccept, RegisterPrepare
-from wheatring.lease.replicated_register import ReplicatedRegister
 
 LEADER = ("v1", 1)
 
--- a/tests/lease/test_replicated_register.py
+++ b/tests/fleet/lease/test_replicated_register.py
@@ -4,10 +4,10 @@
 
 import pytest
 
+from wheatring.fleet.lease.replicated_register import ReplicatedRegister
 from wheatring.lab.agreement.planted_faults import REGISTER_FAULTS, VIEW_FAULTS
 from wheatring.lab.agreement.register_orders import OrderRun, run_order
 from wheatring.lab.agreement.view_checks import find_in_register, find_in_views
-from wheatring.lease.replicated_register import ReplicatedRegister
 
 
 def test_of_one_number_there_is_one_entry_whatever_the_order_of_messages() -> None:
--- a/tests/lease/test_singleton_role.py
+++ b/tests/fleet/lease/test_singleton_role.py
@@ -4,9 +4,9 @@
 
 from random import Random
 
-from tests.lease.builders import LEASE, THREE, TIMING
-from wheatring.lease.messages import Accepted, Promise, Release
-from wheatring.lease.singleton_role import SingletonRole
+from tests.fleet.lease.builders import LEASE, THREE, TIMING
+from wheatring.fleet.lease.messages import Accepted, Promise, Release
+from wheatring.fleet.lease.singleton_role import SingletonRole
 
 
 def test_a_holder_that_does_nothing_steps_down_and_is_excluded() -> None:
--- a/tests/lease/test_voters.py
+++ b/tests/fleet/lease/test_voters.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from tests.lease.builders import LEASE, TIMING
-from wheatring.lease.acceptor import Acceptor
-from wheatring.lease.messages import Prepare, ProposalNumber, Propose, Rejection
-from wheatring.lease.voters import VoterSet
+from tests.fleet.lease.builders import LEASE, TIMING
+from wheatring.fleet.lease.acceptor import Acceptor
+from wheatring.fleet.lease.messages import Prepare, ProposalNumber, Propose, Rejection
+from wheatring.fleet.lease.voters import VoterSet
 
 
 def test_voters_are_changed_in_two_steps_and_the_second_waits_for_the_first() -> None:
--- a/tests/members/test_cut_detector.py
+++ b/tests/fleet/members/test_cut_detector.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from wheatring.members.cut_detector import (
+from wheatring.fleet.members.cut_detector import (
     INDIRECT_CHECK_SECONDS,
     JOIN_GATHER_SECONDS,
     JOIN_HOLD_SECONDS,
@@ -18,11 +18,11 @@
     UNSURE_WAIT_SECONDS,
     CutDetector,
 )
-from wheatring.members.edge_monitor import DOWN_AFTER_SECONDS
-from wheatring.members.messages import MemberInfo
-from wheatring.members.rejoin_penalties import MAX_REJOIN_WAIT_SECONDS, PENALTY_HALF_LIFE_SECONDS
-from wheatring.members.view import Rings, View
-from wheatring.members.view_messages import ViewMember
+from wheatring.fleet.members.edge_monitor import DOWN_AFTER_SECONDS
+from wheatring.fleet.members.messages import MemberInfo
+from wheatring.fleet.members.rejoin_penalties import MAX_REJOIN_WAIT_SECONDS, PENALTY_HALF_LIFE_SECONDS
+from wheatring.fleet.members.view import Rings, View
+from wheatring.fleet.members.view_messages import ViewMember
 
 NAMES = [f"n{number:02}" for number in range(24)]
 RINGS = Rings(NAMES)
--- a/tests/members/test_membership.py
+++ b/tests/fleet/members/test_membership.py
@@ -7,14 +7,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from wheatring.lab.leases.cluster import PARTITIONED, Cluster
-from wheatring.lab.live.links.link_state import LinkState
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet
-from wheatring.members.facts import FactStore
-from wheatring.members.member_table import MAX_MEMBERS, MemberTable
-from wheatring.members.membership import Membership
-from wheatring.members.messages import (
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet
+from wheatring.fleet.members.facts import FactStore
+from wheatring.fleet.members.member_table import MAX_MEMBERS, MemberTable
+from wheatring.fleet.members.membership import Membership
+from wheatring.fleet.members.messages import (
     ALIVE,
     DEAD,
     LEFT,
@@ -27,8 +25,10 @@
     SyncRequest,
     SyncResponse,
 )
-from wheatring.members.timing import SwimTiming
-from wheatring.members.update_queue import PIGGYBACK_BYTES, UpdateQueue
+from wheatring.fleet.members.timing import SwimTiming
+from wheatring.fleet.members.update_queue import PIGGYBACK_BYTES, UpdateQueue
+from wheatring.lab.leases.cluster import PARTITIONED, Cluster
+from wheatring.lab.live.links.link_state import LinkState
 
 PACE = SwimTiming()
 
--- a/tests/members/test_recorded_messages.py
+++ b/tests/fleet/members/test_recorded_messages.py
@@ -13,7 +13,7 @@
 import msgspec
 import pytest
 
-from wheatring.members.messages import (
+from wheatring.fleet.members.messages import (
     SUSPECT,
     Ack,
     Fact,
@@ -26,8 +26,8 @@
     SyncRequest,
     SyncResponse,
 )
-from wheatring.members.view import View, ViewChange, decode_change, decode_members, encode_change
-from wheatring.members.view_messages import (
+from wheatring.fleet.members.view import View, ViewChange, decode_change, decode_members, encode_change
+from wheatring.fleet.members.view_messages import (
     HealthCheck,
     HealthCheckResponse,
     IndirectCheckRequest,
--- a/tests/peers/test_datagram_codec.py
+++ b/tests/fleet/peers/test_datagram_codec.py
@@ -6,16 +6,16 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from wheatring.lease.messages import Prepare, ProposalNumber
-from wheatring.members.messages import MemberInfo, MemberUpdate, Ping, SyncResponse
-from wheatring.peers.datagram_codec import (
+from wheatring.fleet.lease.messages import Prepare, ProposalNumber
+from wheatring.fleet.members.messages import MemberInfo, MemberUpdate, Ping, SyncResponse
+from wheatring.fleet.peers.datagram_codec import (
     CLOCK_SET_BACK_SECONDS,
     MAX_DATAGRAM_BYTES,
     MAX_SENDERS,
     REPLAY_WINDOW,
     DatagramCodec,
 )
-from wheatring.peers.exceptions import DatagramRejectedError
+from wheatring.fleet.peers.exceptions import DatagramRejectedError
 
 KEY, OTHER = bytes(16), bytes([1]) * 16
 
--- a/tests/peers/test_list_sharing.py
+++ b/tests/fleet/peers/test_list_sharing.py
@@ -13,17 +13,17 @@
 from hypothesis import strategies as st
 
 from wheatring.balancer.interface import EndpointEntry, EndpointState, View, ViewKind
-from wheatring.core.clock import Clock
-from wheatring.lab.live.fleet_rig import FleetRig
-from wheatring.lab.live.list_service import ListServiceStub
-from wheatring.lease.messages import Heartbeat
-from wheatring.lifecycle.freshness import Freshness
-from wheatring.lifecycle.watch_delegation import (
+from wheatring.daemon.core.clock import Clock
+from wheatring.daemon.lifecycle.freshness import Freshness
+from wheatring.daemon.lifecycle.watch_delegation import (
     LEADER_TIMEOUT_SECONDS,
     TAKEOVER_SPREAD_SECONDS,
     WatchDelegation,
 )
-from wheatring.peers.list_sharing import ListSharing
+from wheatring.fleet.lease.messages import Heartbeat
+from wheatring.fleet.peers.list_sharing import ListSharing
+from wheatring.lab.live.fleet_rig import FleetRig
+from wheatring.lab.live.list_service import ListServiceStub
 
 TERM = 1.0
 PER_S = 20.0
--- a/tests/peers/test_plan_coordinator.py
+++ b/tests/fleet/peers/test_plan_coordinator.py
@@ -7,15 +7,15 @@
 from datetime import UTC, datetime
 from typing import Any
 
+from wheatring.fleet.lease.component import FleetComponent, Instant
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet, first_voters
+from wheatring.fleet.members.timing import SwimTiming
+from wheatring.fleet.peers.agreement import LEADER_SETTINGS, Agreement
+from wheatring.fleet.peers.options import PlanOptions
+from wheatring.fleet.peers.plan_coordinator import PlanCoordinator
 from wheatring.lab.leases.cluster import START_UNIX_MS, Cluster, Node
-from wheatring.lease.component import FleetComponent, Instant
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet, first_voters
-from wheatring.members.timing import SwimTiming
-from wheatring.peers.agreement import LEADER_SETTINGS, Agreement
-from wheatring.peers.options import PlanOptions
-from wheatring.peers.plan_coordinator import PlanCoordinator
 
 BASE = {"a": 3, "b": 1}
 
--- a/tests/peers/test_recorded_frames.py
+++ b/tests/fleet/peers/test_recorded_frames.py
@@ -8,12 +8,12 @@
 
 import pytest
 
-from wheatring.core.clock import Clock
-from wheatring.lease.messages import Heartbeat, Prepare, ProposalNumber
-from wheatring.lease.payloads import digest
-from wheatring.members.messages import SUSPECT, Fact, MemberInfo, MemberUpdate, Ping
-from wheatring.peers.body_transfer import _REPLY_HEAD, _REQUEST_HEAD, BodyRequest, BodyTransfers
-from wheatring.peers.datagram_codec import DatagramCodec
+from wheatring.daemon.core.clock import Clock
+from wheatring.fleet.lease.messages import Heartbeat, Prepare, ProposalNumber
+from wheatring.fleet.lease.payloads import digest
+from wheatring.fleet.members.messages import SUSPECT, Fact, MemberInfo, MemberUpdate, Ping
+from wheatring.fleet.peers.body_transfer import _REPLY_HEAD, _REQUEST_HEAD, BodyRequest, BodyTransfers
+from wheatring.fleet.peers.datagram_codec import DatagramCodec
 
 RECORDED = json.loads((Path(__file__).parent / "data" / "recorded_frames.json").read_text(encoding="utf-8"))
 KEY = bytes(range(32))
--- a/tests/plan/test_agent.py
+++ b/tests/fleet/plan/test_agent.py
@@ -4,20 +4,16 @@
 
 import pytest
 
-from wheatring.errors import OperatorError
-from wheatring.lab.agreement.plan_days import PLANTED_FAULTS, find_fault, play
-from wheatring.lab.agreement.plan_fleet import PlanFleet, ScriptedCheck, body_of
-from wheatring.lab.leases.cluster import PARTITIONED
-from wheatring.lab.live.links.link_state import LinkState
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.lease.payloads import digest
-from wheatring.lease.register_leader import Phase
-from wheatring.lease.register_messages import Entry, NewestQuery
-from wheatring.members.view import View
-from wheatring.plan.compatibility import Reason
-from wheatring.plan.errors import PlanFormatUnknownError, PlanNoViewError, PlanRolloutInProgressError
-from wheatring.plan.leader import STATE_TIMEOUT_SECONDS
-from wheatring.plan.messages import (
+from wheatring.common.errors import OperatorError
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.lease.payloads import digest
+from wheatring.fleet.lease.register_leader import Phase
+from wheatring.fleet.lease.register_messages import Entry, NewestQuery
+from wheatring.fleet.members.view import View
+from wheatring.fleet.plan.compatibility import Reason
+from wheatring.fleet.plan.errors import PlanFormatUnknownError, PlanNoViewError, PlanRolloutInProgressError
+from wheatring.fleet.plan.leader import STATE_TIMEOUT_SECONDS
+from wheatring.fleet.plan.messages import (
     PlanStored,
     ProposePlan,
     RolloutState,
@@ -27,7 +23,11 @@
     truncate,
     unpack_reasons,
 )
-from wheatring.plan.proposals import MAX_PENDING_PROPOSALS, PROPOSAL_TIMEOUT_SECONDS
+from wheatring.fleet.plan.proposals import MAX_PENDING_PROPOSALS, PROPOSAL_TIMEOUT_SECONDS
+from wheatring.lab.agreement.plan_days import PLANTED_FAULTS, find_fault, play
+from wheatring.lab.agreement.plan_fleet import PlanFleet, ScriptedCheck, body_of
+from wheatring.lab.leases.cluster import PARTITIONED
+from wheatring.lab.live.links.link_state import LinkState
 
 
 def world(size: int = 6, seed: int = 1, judged: float | None = None, **more: object) -> PlanFleet:
--- a/tests/plan/test_messages.py
+++ b/tests/fleet/plan/test_messages.py
@@ -9,10 +9,10 @@
 import msgspec
 import pytest
 
-from wheatring.lease.payloads import digest
-from wheatring.peers.compiled_plan import compile_plan
-from wheatring.plan.document import Plan, PlanHeader, PlanMatch, PlanRoute, PlanWindow, Ramp, Trial
-from wheatring.plan.messages import (
+from wheatring.fleet.lease.payloads import digest
+from wheatring.fleet.peers.compiled_plan import compile_plan
+from wheatring.fleet.plan.document import Plan, PlanHeader, PlanMatch, PlanRoute, PlanWindow, Ramp, Trial
+from wheatring.fleet.plan.messages import (
     AnyPlanMessage,
     GroupedReason,
     PlanStored,
@@ -21,8 +21,8 @@
     RolloutStatus,
     StorePlan,
 )
-from wheatring.plan.parser import encode_plan, parse_plan
-from wheatring.skew.trials import AnswerChain
+from wheatring.fleet.plan.parser import encode_plan, parse_plan
+from wheatring.fleet.skew.trials import AnswerChain
 
 DATA = Path(__file__).parent / "data"
 RECORDED: dict[str, str] = json.loads((DATA / "recorded_messages.json").read_text(encoding="utf-8"))
--- a/tests/plan/test_parser.py
+++ b/tests/fleet/plan/test_parser.py
@@ -9,12 +9,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from wheatring.errors import OperatorError, kinds
-from wheatring.lease.payloads import MAX_PAYLOAD_BYTES
-from wheatring.plan import errors
-from wheatring.plan.compiler import compile_routes
-from wheatring.plan.document import Plan, PlanMatch, PlanRoute, PlanWindow, Ramp, Trial
-from wheatring.plan.parser import encode_plan, parse_plan
+from wheatring.common.errors import OperatorError, kinds
+from wheatring.fleet.lease.payloads import MAX_PAYLOAD_BYTES
+from wheatring.fleet.plan import errors
+from wheatring.fleet.plan.compiler import compile_routes
+from wheatring.fleet.plan.document import Plan, PlanMatch, PlanRoute, PlanWindow, Ramp, Trial
+from wheatring.fleet.plan.parser import encode_plan, parse_plan
 
 ROUTE: dict[str, Any] = {"name": "shop", "match": {"prefix": "/shop"}, "weights": {"blue": 9, "green": 1}}
 WINDOW: dict[str, Any] = {
--- a/tests/schedule/calendar_plans.py
+++ b/tests/fleet/schedule/calendar_plans.py
@@ -7,8 +7,8 @@
 
 from hypothesis import strategies as st
 
-from wheatring.plan.document import Plan, PlanRoute, PlanWindow
-from wheatring.schedule.windows import openings
+from wheatring.fleet.plan.document import Plan, PlanRoute, PlanWindow
+from wheatring.fleet.schedule.windows import openings
 
 BASE = {"a": 90, "b": 10}
 
--- a/tests/schedule/test_activation.py
+++ b/tests/fleet/schedule/test_activation.py
@@ -9,17 +9,17 @@
 
 import pytest
 
-from wheatring.plan.document import Plan, PlanRoute, PlanWindow, Ramp
-from wheatring.schedule import activation as module
-from wheatring.schedule.activation import (
+from wheatring.fleet.plan.document import Plan, PlanRoute, PlanWindow, Ramp
+from wheatring.fleet.schedule import activation as module
+from wheatring.fleet.schedule.activation import (
     CONFIRMATION_SECONDS,
     LEAD_SECONDS,
     START_SECONDS,
     ScheduleUpdate,
     WeightSchedule,
 )
-from wheatring.schedule.fleet_clock import UNKNOWN, Reading
-from wheatring.schedule.timetable import Timetable
+from wheatring.fleet.schedule.fleet_clock import UNKNOWN, Reading
+from wheatring.fleet.schedule.timetable import Timetable
 
 T0 = 1_800_000_000.0  # Unix seconds at which a case begins; its own clock reads 0 then
 BASE, INSIDE = {"a": 1}, {"b": 1}
--- a/tests/schedule/test_fleet_clock.py
+++ b/tests/fleet/schedule/test_fleet_clock.py
@@ -11,18 +11,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wheatring.lab.leases.cluster import PARTITIONED, START_UNIX_MS, Cluster, Node
-from wheatring.lab.live.links.link_state import LinkState
-from wheatring.lease.component import FleetComponent, Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet
-from wheatring.members.messages import Address
-from wheatring.members.timing import SwimTiming
-from wheatring.peers.agreement import VIEW_MESSAGES
-from wheatring.plan.document import Plan, PlanRoute, PlanWindow
-from wheatring.schedule.activation import WeightSchedule
-from wheatring.schedule.fleet_clock import (
+from wheatring.fleet.lease.component import FleetComponent, Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet
+from wheatring.fleet.members.messages import Address
+from wheatring.fleet.members.timing import SwimTiming
+from wheatring.fleet.peers.agreement import VIEW_MESSAGES
+from wheatring.fleet.plan.document import Plan, PlanRoute, PlanWindow
+from wheatring.fleet.schedule.activation import WeightSchedule
+from wheatring.fleet.schedule.fleet_clock import (
     UNKNOWN,
     FleetClock,
     PendingRequest,
@@ -30,8 +28,10 @@
     TimeInterval,
     majority_interval,
 )
-from wheatring.schedule.messages import AnyScheduleMessage, TimeRequest, TimeResponse
-from wheatring.schedule.timetable import Timetable
+from wheatring.fleet.schedule.messages import AnyScheduleMessage, TimeRequest, TimeResponse
+from wheatring.fleet.schedule.timetable import Timetable
+from wheatring.lab.leases.cluster import PARTITIONED, START_UNIX_MS, Cluster, Node
+from wheatring.lab.live.links.link_state import LinkState
 
 TRUE = START_UNIX_MS / 1000  # Unix seconds at the cluster's 0
 OPENS = 120.0  # seconds from there
--- a/tests/schedule/test_messages.py
+++ b/tests/fleet/schedule/test_messages.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from wheatring.schedule.messages import AnyScheduleMessage, TimeRequest, TimeResponse
+from wheatring.fleet.schedule.messages import AnyScheduleMessage, TimeRequest, TimeResponse
 
 DATA = Path(__file__).parent / "data" / "recorded_messages.json"
 RECORDED: dict[str, str] = json.loads(DATA.read_text(encoding="utf-8"))
--- a/tests/schedule/test_timetable.py
+++ b/tests/fleet/schedule/test_timetable.py
@@ -7,11 +7,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.schedule.calendar_plans import BASE, plan, unix, window
-from wheatring.plan.document import Plan, PlanWindow, Ramp
-from wheatring.schedule.timetable import Timetable, blend
-from wheatring.schedule.validation import validate_windows
-from wheatring.schedule.windows import openings
+from tests.fleet.schedule.calendar_plans import BASE, plan, unix, window
+from wheatring.fleet.plan.document import Plan, PlanWindow, Ramp
+from wheatring.fleet.schedule.timetable import Timetable, blend
+from wheatring.fleet.schedule.validation import validate_windows
+from wheatring.fleet.schedule.windows import openings
 
 
 def test_a_step_takes_its_share_of_the_sum_whatever_the_unit_of_the_weights() -> None:
--- a/tests/schedule/test_validation.py
+++ b/tests/fleet/schedule/test_validation.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from tests.schedule.calendar_plans import plan, window
-from wheatring.plan.document import PlanWindow, Ramp
-from wheatring.schedule import errors
-from wheatring.schedule.validation import validate_windows
+from tests.fleet.schedule.calendar_plans import plan, window
+from wheatring.fleet.plan.document import PlanWindow, Ramp
+from wheatring.fleet.schedule import errors
+from wheatring.fleet.schedule.validation import validate_windows
 
 REFUSED: list[tuple[type[errors.WindowError], list[PlanWindow]]] = [
     (errors.WindowRouteUnknownError, [window(route="x")]),
--- a/tests/schedule/test_windows.py
+++ b/tests/fleet/schedule/test_windows.py
@@ -10,10 +10,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.schedule.calendar_plans import BASE, NEAR, NIGHTLY, RULES, ZONES, opens, plan, unix, window
-from wheatring.schedule.timetable import Timetable
-from wheatring.schedule.validation import validate_windows
-from wheatring.schedule.windows import openings
+from tests.fleet.schedule.calendar_plans import BASE, NEAR, NIGHTLY, RULES, ZONES, opens, plan, unix, window
+from wheatring.fleet.schedule.timetable import Timetable
+from wheatring.fleet.schedule.validation import validate_windows
+from wheatring.fleet.schedule.windows import openings
 
 
 def test_a_repeated_half_past_one_is_the_first_of_the_two() -> None:
--- a/tests/skew/generated_plans.py
+++ b/tests/fleet/skew/generated_plans.py
@@ -4,8 +4,7 @@
 
 from hypothesis import strategies as st
 
-from wheatring.lab.agreement.plan_driver import ToyEvaluator
-from wheatring.plan.document import (
+from wheatring.fleet.plan.document import (
     NEWEST_FORMAT,
     Plan,
     PlanHeader,
@@ -14,8 +13,9 @@
     PlanWindow,
     Ramp,
 )
-from wheatring.skew.capabilities import local_capabilities
-from wheatring.skew.trials import AnswerChain
+from wheatring.fleet.skew.capabilities import local_capabilities
+from wheatring.fleet.skew.trials import AnswerChain
+from wheatring.lab.agreement.plan_driver import ToyEvaluator
 
 ALL = local_capabilities(version=str)
 
--- a/tests/skew/test_bisection.py
+++ b/tests/fleet/skew/test_bisection.py
@@ -6,15 +6,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.skew.generated_plans import WEIGHTS, answered, plans
-from wheatring.lab.agreement.plan_driver import ToyEvaluator
-from wheatring.plan.document import (
+from tests.fleet.skew.generated_plans import WEIGHTS, answered, plans
+from wheatring.fleet.plan.document import (
     Plan,
     PlanRoute,
     Trial,
 )
-from wheatring.skew.bisection import Bisection, PrefixAnswer
-from wheatring.skew.trials import AnswerChain
+from wheatring.fleet.skew.bisection import Bisection, PrefixAnswer
+from wheatring.fleet.skew.trials import AnswerChain
+from wheatring.lab.agreement.plan_driver import ToyEvaluator
 
 
 class Odd(ToyEvaluator):
--- a/tests/skew/test_capabilities.py
+++ b/tests/fleet/skew/test_capabilities.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from wheatring.skew.capabilities import local_capabilities
-from wheatring.skew.errors import (
+from wheatring.fleet.skew.capabilities import local_capabilities
+from wheatring.fleet.skew.errors import (
     FormatsUnknownError,
 )
 
--- a/tests/skew/test_capability_table.py
+++ b/tests/fleet/skew/test_capability_table.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from tests.skew.generated_plans import ALL
-from wheatring.members.messages import MemberInfo
-from wheatring.members.view_messages import ViewMember
-from wheatring.skew.capabilities import LEGACY_CAPABILITIES
-from wheatring.skew.capability_table import LEGACY_AFTER_SECONDS, MAX_PROCESSES, CapabilityTable
+from tests.fleet.skew.generated_plans import ALL
+from wheatring.fleet.members.messages import MemberInfo
+from wheatring.fleet.members.view_messages import ViewMember
+from wheatring.fleet.skew.capabilities import LEGACY_CAPABILITIES
+from wheatring.fleet.skew.capability_table import LEGACY_AFTER_SECONDS, MAX_PROCESSES, CapabilityTable
 
 
 def test_what_is_known_of_processes_is_bounded_and_of_one_start_only() -> None:
--- a/tests/skew/test_checker.py
+++ b/tests/fleet/skew/test_checker.py
@@ -9,14 +9,14 @@
 import msgspec
 import pytest
 
+from wheatring.fleet.plan.compatibility import CheckStage
+from wheatring.fleet.plan.document import Plan
+from wheatring.fleet.skew.capabilities import Capabilities, local_capabilities
+from wheatring.fleet.skew.capability_table import LEGACY_AFTER_SECONDS
+from wheatring.fleet.skew.checker import CompatibilityChecker
 from wheatring.lab.agreement.plan_driver import PlanDriver, ToyEvaluator, draw_plan
 from wheatring.lab.agreement.skew_days import Day, OpenGate, OutlivesItsView, SilentIsYes
 from wheatring.lab.live.links.link_state import LinkState
-from wheatring.plan.compatibility import CheckStage
-from wheatring.plan.document import Plan
-from wheatring.skew.capabilities import Capabilities, local_capabilities
-from wheatring.skew.capability_table import LEGACY_AFTER_SECONDS
-from wheatring.skew.checker import CompatibilityChecker
 
 NEWER, OLDER = local_capabilities(version=str), local_capabilities([1], version=str)
 
--- a/tests/skew/test_coordinator.py
+++ b/tests/fleet/skew/test_coordinator.py
@@ -4,21 +4,21 @@
 
 from typing import Any
 
-from tests.skew.generated_plans import ALL, DAY
-from wheatring.members.messages import MemberInfo
-from wheatring.members.view import View
-from wheatring.members.view_messages import ViewMember
-from wheatring.plan.compatibility import CheckStage, Reason
-from wheatring.skew.capabilities import local_capabilities
-from wheatring.skew.coordinator import CheckCoordinator
-from wheatring.skew.messages import (
+from tests.fleet.skew.generated_plans import ALL, DAY
+from wheatring.fleet.members.messages import MemberInfo
+from wheatring.fleet.members.view import View
+from wheatring.fleet.members.view_messages import ViewMember
+from wheatring.fleet.plan.compatibility import CheckStage, Reason
+from wheatring.fleet.skew.capabilities import local_capabilities
+from wheatring.fleet.skew.coordinator import CheckCoordinator
+from wheatring.fleet.skew.messages import (
     AnswerRequest,
     CapabilityRequest,
     CapabilityResponse,
     TrialRequest,
     TrialResult,
 )
-from wheatring.skew.requirements import Requirements
+from wheatring.fleet.skew.requirements import Requirements
 
 NEWER = local_capabilities(version=str)
 
@@ -116,7 +116,7 @@
 
 
 def test_messages_of_another_process_or_rollout_count_for_nobody() -> None:
-    from wheatring.members.view import View
+    from wheatring.fleet.members.view import View
 
     view = View(1, 1, (ViewMember(MemberInfo("n1", "127.0.0.1", 1), 5),))
     push = CheckCoordinator(0.0, 77, b"d" * 16, Requirements(), DAY, view)
--- a/tests/skew/test_messages.py
+++ b/tests/fleet/skew/test_messages.py
@@ -9,8 +9,8 @@
 import msgspec
 import pytest
 
-from wheatring.skew.capabilities import Capabilities
-from wheatring.skew.messages import (
+from wheatring.fleet.skew.capabilities import Capabilities
+from wheatring.fleet.skew.messages import (
     AnswerRequest,
     AnswerResponse,
     AnySkewMessage,
@@ -19,7 +19,7 @@
     TrialRequest,
     TrialResult,
 )
-from wheatring.skew.minimum_format import decode_minimum, encode_minimum
+from wheatring.fleet.skew.minimum_format import decode_minimum, encode_minimum
 
 DATA = Path(__file__).parent / "data" / "recorded_messages.json"
 RECORDED: dict[str, str] = json.loads(DATA.read_text(encoding="utf-8"))
--- a/tests/skew/test_minimum_format.py
+++ b/tests/fleet/skew/test_minimum_format.py
@@ -5,18 +5,23 @@
 import msgspec
 import pytest
 
-from tests.skew.generated_plans import ALL
-from wheatring.plan.document import (
+from tests.fleet.skew.generated_plans import ALL
+from wheatring.fleet.plan.document import (
     NEWEST_FORMAT,
 )
-from wheatring.skew.capabilities import LEGACY_CAPABILITIES
-from wheatring.skew.errors import (
+from wheatring.fleet.skew.capabilities import LEGACY_CAPABILITIES
+from wheatring.fleet.skew.errors import (
     BelowMinimumError,
     MinimumInUseError,
     MinimumUnknownError,
 )
-from wheatring.skew.minimum_format import admission_refusals, change_minimum, decode_minimum, encode_minimum
-from wheatring.skew.requirements import Requirements
+from wheatring.fleet.skew.minimum_format import (
+    admission_refusals,
+    change_minimum,
+    decode_minimum,
+    encode_minimum,
+)
+from wheatring.fleet.skew.requirements import Requirements
 
 
 def test_the_floor_rises_only_where_all_read_it_and_falls_only_where_no_plan_needs_it() -> None:
--- a/tests/skew/test_requirements.py
+++ b/tests/fleet/skew/test_requirements.py
@@ -6,22 +6,22 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.skew.generated_plans import ALL, WEIGHTS, plans
-from wheatring.lab.agreement.plan_driver import encode_body
-from wheatring.lab.live.plan_cases import OLD_FORMAT_CODES
-from wheatring.plan.document import (
+from tests.fleet.skew.generated_plans import ALL, WEIGHTS, plans
+from wheatring.fleet.plan.document import (
     Plan,
     PlanRoute,
     PlanWindow,
     Ramp,
 )
-from wheatring.skew.capabilities import (
+from wheatring.fleet.skew.capabilities import (
     FEATURE_FORMATS,
     LEGACY_CAPABILITIES,
     Capabilities,
     local_capabilities,
 )
-from wheatring.skew.requirements import Requirements, requirements_of, unmet_requirements
+from wheatring.fleet.skew.requirements import Requirements, requirements_of, unmet_requirements
+from wheatring.lab.agreement.plan_driver import encode_body
+from wheatring.lab.live.plan_cases import OLD_FORMAT_CODES
 
 
 def needed(plan: Plan) -> Requirements:
--- a/tests/lab/direct/direct_world.py
+++ b/tests/lab/direct/direct_world.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from wheatring.balancer.interface import Idempotency, Limits, Outcome, RequestClass, Settings
-from wheatring.core.exchange import Attempt
+from wheatring.daemon.core.exchange import Attempt
 from wheatring.lab.direct.links import DirectLinks
 from wheatring.lab.direct.node import DirectNode
 from wheatring.lab.direct.sidecar import DirectSidecar, SidecarConfig, SidecarNetwork
--- a/tests/lab/leases/test_checks.py
+++ b/tests/lab/leases/test_checks.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from tests.lease.builders import TIMING
+from tests.fleet.lease.builders import TIMING
+from wheatring.fleet.lease.timing import LeaseTiming
 from wheatring.lab.leases import days
 from wheatring.lab.leases.handover import LOSS_KINDS, handover
 from wheatring.lab.leases.model import Bounds, Model
 from wheatring.lab.leases.planted_faults import PLANTED_FAULTS, PlantedFault
 from wheatring.lab.leases.search import search
-from wheatring.lease.timing import LeaseTiming
 
 
 @pytest.mark.parametrize("bounds", [Bounds(ticks=14, faults=0), Bounds(ticks=6, faults=1)])
--- a/tests/lab/wire/test_http.py
+++ b/tests/lab/wire/test_http.py
@@ -10,8 +10,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from wheatring.http1.exceptions import MalformedMessageError
-from wheatring.http1.parser import MessageParser
+from wheatring.common.exceptions import MalformedMessageError
+from wheatring.common.http_parser import MessageParser
 from wheatring.lab.correlation import OriginalRequest
 from wheatring.lab.plan import ClassPlan
 from wheatring.lab.wire.http import MalformedMessageError as PeerMalformedMessageError
--- a/tests/lab/wire/test_http_peers.py
+++ b/tests/lab/wire/test_http_peers.py
@@ -27,7 +27,7 @@
     says,
 )
 from tests.support.world import reactor
-from wheatring.core.clock import Clock
+from wheatring.daemon.core.clock import Clock
 from wheatring.lab.correlation import CorrelationTable, OriginalRequest
 from wheatring.lab.models.discovery import Registry
 from wheatring.lab.models.received_attempt import AttemptOutcome
--- a/tests/support/virtual_loop.py
+++ b/tests/support/virtual_loop.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from wheatring.durable.exceptions import DiskError
+from wheatring.tier.durable.exceptions import DiskError
 
 DEFAULT_DELAY_SECONDS = 0.001  # seconds one link
 DISK_DELAY_SECONDS = 0.0005  # seconds for a write and its sync
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -22,11 +22,11 @@
 from twisted.internet.threads import blockingCallFromThread
 
 from tests.support.virtual_sockets import VirtualSockets
-from wheatring import log
 from wheatring.balancer import balancer
-from wheatring.config.platform_file import PlatformConfig, read_settings
+from wheatring.common import log
+from wheatring.daemon.config.platform_file import PlatformConfig, read_settings
+from wheatring.daemon.operator_properties import OperatorProperties
 from wheatring.daemon.sidecar import Sidecar
-from wheatring.operator_properties import OperatorProperties
 
 reactor: Any = installed
 T = TypeVar("T")
--- a/tests/budgets/test_token_budgets.py
+++ b/tests/tier/budgets/test_token_budgets.py
@@ -6,10 +6,10 @@
 from pathlib import Path
 
 from tests.support.virtual_loop import VirtualLoop
-from wheatring.budgets.token_budgets import TokenBudgets
-from wheatring.storage.quorum_client import QuorumClient
-from wheatring.storage.replica import Replica
-from wheatring.transport.messages_pb2 import Envelope, Placement, StorageMember, StorageReply
+from wheatring.tier.budgets.token_budgets import TokenBudgets
+from wheatring.tier.storage.quorum_client import QuorumClient
+from wheatring.tier.storage.replica import Replica
+from wheatring.tier.transport.messages_pb2 import Envelope, Placement, StorageMember, StorageReply
 
 
 class SingleReplicaClients:
--- a/tests/consensus/test_electorate.py
+++ b/tests/tier/consensus/test_electorate.py
@@ -4,8 +4,8 @@
 
 from itertools import chain, combinations
 
-from wheatring.consensus.electorate import change_voters, finish_change, has_quorum
-from wheatring.transport.messages_pb2 import Entry, Member
+from wheatring.tier.consensus.electorate import change_voters, finish_change, has_quorum
+from wheatring.tier.transport.messages_pb2 import Entry, Member
 
 
 def voter(number: int) -> Member:
--- a/tests/controller/test_commands.py
+++ b/tests/tier/controller/test_commands.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from wheatring.controller.commands import (
+from wheatring.tier.controller.commands import (
     MAX_COMPLETED_RETIREMENTS,
     MAX_REMEMBERED_CONFIGURATIONS,
     Accepted,
@@ -20,9 +20,9 @@
     ReplaceConfiguration,
     StartRetirement,
 )
-from wheatring.controller.configuration import parse
-from wheatring.controller.exceptions import InvalidConfigurationError
-from wheatring.transport.messages_pb2 import ControlState
+from wheatring.tier.controller.configuration import parse
+from wheatring.tier.controller.exceptions import InvalidConfigurationError
+from wheatring.tier.transport.messages_pb2 import ControlState
 
 
 def valid_configuration(generation: int = 7, **changed: Any) -> dict[str, Any]:
--- a/tests/controller/test_configuration_update.py
+++ b/tests/tier/controller/test_configuration_update.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
-from wheatring.controller.commands import (
+from wheatring.tier.controller.commands import (
     MAX_REMEMBERED_CONFIGURATIONS,
     Accepted,
     Command,
@@ -24,7 +24,7 @@
     ReplaceConfiguration,
     UpdateConfiguration,
 )
-from wheatring.transport.messages_pb2 import ControlState
+from wheatring.tier.transport.messages_pb2 import ControlState
 
 
 def route(name: str, service: str = "s", **more: Any) -> dict[str, Any]:
--- a/tests/controller/test_consensus_store.py
+++ b/tests/tier/controller/test_consensus_store.py
@@ -5,8 +5,8 @@
 import shutil
 from pathlib import Path
 
-from wheatring.controller.consensus_store import ConsensusStore
-from wheatring.transport.messages_pb2 import ControlState
+from wheatring.tier.controller.consensus_store import ConsensusStore
+from wheatring.tier.transport.messages_pb2 import ControlState
 
 WRITTEN_BY_C345874 = Path(__file__).parent / "data" / "consensus"
 SEEDS = ["10.0.0.1", "10.0.0.2", "10.0.0.3"]
--- a/tests/controller/test_storage_membership.py
+++ b/tests/tier/controller/test_storage_membership.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from tests.placement.storage_members import members
-from wheatring.controller.storage_membership import StorageReport, complete_retirements, next_placement
-from wheatring.storage.copy_rules import can_skip_copy, copy_sources_required
-from wheatring.transport.messages_pb2 import ControlState, Placement, StorageMember
+from tests.tier.placement.storage_members import members
+from wheatring.tier.controller.storage_membership import StorageReport, complete_retirements, next_placement
+from wheatring.tier.storage.copy_rules import can_skip_copy, copy_sources_required
+from wheatring.tier.transport.messages_pb2 import ControlState, Placement, StorageMember
 
 
 def reports_of(*numbers: int, complete_epoch: int = 0, age: float = 0.1) -> dict[str, StorageReport]:
--- a/tests/controller/test_voter_selection.py
+++ b/tests/tier/controller/test_voter_selection.py
@@ -5,8 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wheatring.controller.voter_selection import Candidate, next_voters
-from wheatring.transport.messages_pb2 import Member
+from wheatring.tier.controller.voter_selection import Candidate, next_voters
+from wheatring.tier.transport.messages_pb2 import Member
 
 
 def voter(number: int) -> Member:
--- a/tests/durable/test_record_file.py
+++ b/tests/tier/durable/test_record_file.py
@@ -11,8 +11,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from wheatring.durable.exceptions import DamagedRecordFileError, DiskError
-from wheatring.durable.record_file import RecordFile
+from wheatring.tier.durable.exceptions import DamagedRecordFileError, DiskError
+from wheatring.tier.durable.record_file import RecordFile
 
 PAYLOADS = st.lists(st.binary(max_size=60), min_size=1, max_size=4)
 
--- a/tests/tier/hostile_world.py
+++ b/tests/tier/hostile_world.py
@@ -13,7 +13,7 @@
 from tests.support.virtual_loop import CURRENT_INCARNATION, Incarnation
 from tests.tier.sidecar_world import SERVICE_PORT, EndpointConnection, EndpointStub, SidecarWorld
 from tests.tier.world import FRONT_PORT
-from wheatring.http1.parser import Message, MessageParser
+from wheatring.common.http_parser import Message, MessageParser
 
 WORK_SECONDS = 0.02  # that an endpoint takes for an answer
 SURPLUS_SECONDS = 0.05  # after an answer, until a surplus one comes
--- a/tests/placement/storage_members.py
+++ b/tests/tier/placement/storage_members.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wheatring.transport.messages_pb2 import StorageMember
+from wheatring.tier.transport.messages_pb2 import StorageMember
 
 
 def members(*numbers: int) -> list[StorageMember]:
--- a/tests/placement/test_key_placement.py
+++ b/tests/tier/placement/test_key_placement.py
@@ -8,9 +8,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.placement.storage_members import members
-from wheatring.placement.key_placement import place_key, quorum_sizes, replicas_for
-from wheatring.transport.messages_pb2 import Placement
+from tests.tier.placement.storage_members import members
+from wheatring.tier.placement.key_placement import place_key, quorum_sizes, replicas_for
+from wheatring.tier.transport.messages_pb2 import Placement
 
 
 @given(count=st.integers(1, 9), losses=st.integers(0, 2))
--- a/tests/sidecar/loopback.py
+++ b/tests/tier/sidecar/loopback.py
@@ -11,12 +11,12 @@
 from typing import Any
 
 from wheatring.balancer.interface import EndpointEntry, EndpointState
-from wheatring.sidecar.client_connection import ClientConnection, ConnectionSettings, RequestHandler
-from wheatring.sidecar.connection_pool import EndpointConnectionPool
-from wheatring.sidecar.policy import DEFAULT_POLICY
-from wheatring.sidecar.request_service import RequestService
-from wheatring.sidecar.route_table import Limits, RouteTable
-from wheatring.sidecar.service_balancer import ListedEndpoint, ServiceBalancer
+from wheatring.tier.sidecar.client_connection import ClientConnection, ConnectionSettings, RequestHandler
+from wheatring.tier.sidecar.connection_pool import EndpointConnectionPool
+from wheatring.tier.sidecar.policy import DEFAULT_POLICY
+from wheatring.tier.sidecar.request_service import RequestService
+from wheatring.tier.sidecar.route_table import Limits, RouteTable
+from wheatring.tier.sidecar.service_balancer import ListedEndpoint, ServiceBalancer
 
 SERVICE = "svc"
 HOST = "127.0.0.1"
--- a/tests/sidecar/test_connection_ownership.py
+++ b/tests/tier/sidecar/test_connection_ownership.py
@@ -6,11 +6,11 @@
 
 import pytest
 
-from tests.sidecar.loopback import EndpointExchange, exchange, route, running
-from wheatring.http1.parser import MessageParser
-from wheatring.sidecar.connection_pool import AcquiredConnection, EndpointConnectionPool
-from wheatring.sidecar.endpoint_connection import EndpointConnection
-from wheatring.sidecar.exceptions import ConnectionReturnedError
+from tests.tier.sidecar.loopback import EndpointExchange, exchange, route, running
+from wheatring.common.http_parser import MessageParser
+from wheatring.tier.sidecar.connection_pool import AcquiredConnection, EndpointConnectionPool
+from wheatring.tier.sidecar.endpoint_connection import EndpointConnection
+from wheatring.tier.sidecar.exceptions import ConnectionReturnedError
 
 STREAM = route("/stream/", "streaming")
 RESUMABLE = route("/resume/", "streaming", resumable=True, maxAttempts=3)
--- a/tests/sidecar/test_prefix_placement.py
+++ b/tests/tier/sidecar/test_prefix_placement.py
@@ -12,11 +12,11 @@
 from hypothesis import strategies as st
 
 from wheatring.balancer import interface as i
-from wheatring.sidecar.exceptions import PolicyError
-from wheatring.sidecar.policy import DEFAULT_POLICY, SidecarPolicy, read_policy
-from wheatring.sidecar.prefix_placement import PrefixCacheTracker, PromptSegment, home_endpoint
-from wheatring.sidecar.service_balancer import ListedEndpoint, ServiceBalancer
-from wheatring.sidecar.tier_balancer import TierBalancer, are_zones_balanced
+from wheatring.tier.sidecar.exceptions import PolicyError
+from wheatring.tier.sidecar.policy import DEFAULT_POLICY, SidecarPolicy, read_policy
+from wheatring.tier.sidecar.prefix_placement import PrefixCacheTracker, PromptSegment, home_endpoint
+from wheatring.tier.sidecar.service_balancer import ListedEndpoint, ServiceBalancer
+from wheatring.tier.sidecar.tier_balancer import TierBalancer, are_zones_balanced
 
 ENDPOINTS = [f"i-{zone}{number}" for zone in "ab" for number in range(6)]
 
--- a/tests/sidecar/test_response_head.py
+++ b/tests/tier/sidecar/test_response_head.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from tests.sidecar.loopback import EndpointExchange, exchange, listening, route, running
-from wheatring.http1.parser import Message
-from wheatring.sidecar.client_connection import ClientConnection
-from wheatring.sidecar.exceptions import ResponseStartedError
+from tests.tier.sidecar.loopback import EndpointExchange, exchange, listening, route, running
+from wheatring.common.http_parser import Message
+from wheatring.tier.sidecar.client_connection import ClientConnection
+from wheatring.tier.sidecar.exceptions import ResponseStartedError
 
 SAFE = route("/safe/", "safe")
 UNSAFE = route("/unsafe/", "unsafe")
--- a/tests/sidecar/test_response_matching.py
+++ b/tests/tier/sidecar/test_response_matching.py
@@ -10,8 +10,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from tests.sidecar.test_request_service import SAFE, UNSAFE
 from tests.tier.hostile_world import BEHAVIOURS, HostileWorld
+from tests.tier.sidecar.test_request_service import SAFE, UNSAFE
 
 MAX_ATTEMPTS = 3  # of the routes
 
--- a/tests/sidecar/test_route_table.py
+++ b/tests/tier/sidecar/test_route_table.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from wheatring.sidecar.route_table import RouteTable
+from wheatring.tier.sidecar.route_table import RouteTable
 
 
 def table(*weights: float) -> RouteTable:
--- a/tests/tier/sidecar_world.py
+++ b/tests/tier/sidecar_world.py
@@ -15,8 +15,8 @@
 
 from tests.support.virtual_loop import CURRENT_INCARNATION, Incarnation
 from tests.tier.world import FRONT_PORT, World
-from wheatring.http1.parser import Message, MessageParser
-from wheatring.transport.messages_pb2 import Endpoint, EndpointList
+from wheatring.common.http_parser import Message, MessageParser
+from wheatring.tier.transport.messages_pb2 import Endpoint, EndpointList
 
 SERVICE_PORT = 9000
 
--- a/tests/storage/test_copy_rules.py
+++ b/tests/tier/storage/test_copy_rules.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from wheatring.placement.key_placement import quorum_sizes
-from wheatring.storage.copy_rules import can_skip_copy, copy_sources_required
-from wheatring.transport.messages_pb2 import Placement, StorageMember
+from wheatring.tier.placement.key_placement import quorum_sizes
+from wheatring.tier.storage.copy_rules import can_skip_copy, copy_sources_required
+from wheatring.tier.transport.messages_pb2 import Placement, StorageMember
 
 MAX_MEMBERS = 6
 
--- a/tests/storage/test_repair.py
+++ b/tests/tier/storage/test_repair.py
@@ -11,11 +11,11 @@
 import pytest
 
 from tests.support.virtual_loop import VirtualLoop
-from wheatring.storage.copier import FETCH_TIMEOUT_SECONDS
-from wheatring.storage.repair import Repair
-from wheatring.storage.replica import Replica
-from wheatring.transport.exceptions import PeerUnreachableError
-from wheatring.transport.messages_pb2 import (
+from wheatring.tier.storage.copier import FETCH_TIMEOUT_SECONDS
+from wheatring.tier.storage.repair import Repair
+from wheatring.tier.storage.replica import Replica
+from wheatring.tier.transport.exceptions import PeerUnreachableError
+from wheatring.tier.transport.messages_pb2 import (
     BudgetEntry,
     Envelope,
     Placement,
@@ -157,7 +157,7 @@
     loop = VirtualLoop()
 
     async def play() -> ScanReply:
-        from wheatring.transport.messages_pb2 import ScanRequest
+        from wheatring.tier.transport.messages_pb2 import ScanRequest
 
         replica = opened(tmp_path / "a")
         await replica.store(records())
--- a/tests/storage/test_replica.py
+++ b/tests/tier/storage/test_replica.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from wheatring.storage.replica import Replica
-from wheatring.transport.messages_pb2 import (
+from wheatring.tier.storage.replica import Replica
+from wheatring.tier.transport.messages_pb2 import (
     STORAGE_STATUS_DONE,
     STORAGE_STATUS_STALE_EPOCH,
     BudgetEntry,
--- a/tests/tier/test_command_line.py
+++ b/tests/tier/test_command_line.py
@@ -12,9 +12,9 @@
 import pytest
 from click.testing import CliRunner
 
-from wheatring.boot_settings.exceptions import SettingsError
-from wheatring.boot_settings.settings import read_settings
 from wheatring.tier.__main__ import main
+from wheatring.tier.boot_settings.exceptions import SettingsError
+from wheatring.tier.boot_settings.settings import read_settings
 
 VALID: dict[str, Any] = {
     "node": "n1",
--- a/tests/transport/test_client.py
+++ b/tests/tier/transport/test_client.py
@@ -7,11 +7,11 @@
 import pytest
 
 from tests.support.virtual_loop import CURRENT_INCARNATION, Incarnation, VirtualLoop
-from wheatring.transport.client import CONNECT_TIMEOUT_SECONDS, EnvelopeClient
-from wheatring.transport.connection import EnvelopeConnection
-from wheatring.transport.exceptions import PeerUnreachableError
-from wheatring.transport.messages_pb2 import Envelope, StatusReply, StatusRequest
-from wheatring.transport.server import EnvelopeServer
+from wheatring.tier.transport.client import CONNECT_TIMEOUT_SECONDS, EnvelopeClient
+from wheatring.tier.transport.connection import EnvelopeConnection
+from wheatring.tier.transport.exceptions import PeerUnreachableError
+from wheatring.tier.transport.messages_pb2 import Envelope, StatusReply, StatusRequest
+from wheatring.tier.transport.server import EnvelopeServer
 
 PORT = 7000
 
--- a/tests/transport/test_messages.py
+++ b/tests/tier/transport/test_messages.py
@@ -10,7 +10,7 @@
 from google.protobuf.descriptor import FieldDescriptor
 from google.protobuf.message import Message
 
-from wheatring.transport import messages_pb2
+from wheatring.tier.transport import messages_pb2
 
 # By message and, where it has alternatives, the number of the one that is set. Names are those of c345874.
 GOLDEN: dict[str, str] = json.loads((Path(__file__).parent / "data" / "messages.json").read_text())
--- a/tests/tier/world.py
+++ b/tests/tier/world.py
@@ -19,21 +19,21 @@
 from typing import Any
 
 from tests.support.virtual_loop import CURRENT_INCARNATION, Incarnation, VirtualLoop
-from wheatring.boot_settings.settings import Address, Settings, Tolerance
-from wheatring.budgets.exceptions import BudgetExceededError
-from wheatring.budgets.token_budgets import TokenBudgets
-from wheatring.consensus.types import State
-from wheatring.controller.api import OperatorApi
-from wheatring.controller.controller import Controller
-from wheatring.sidecar.process import SidecarProcess
-from wheatring.storage.exceptions import QuorumNotReachedError
-from wheatring.storage.process import StorageProcess
-from wheatring.storage.quorum_client import QuorumClient
-from wheatring.subscription.client import Subscription
-from wheatring.transport.client import ClientTable
-from wheatring.transport.messages_pb2 import ROLE_SIDECAR, EndpointList, OperatorRequest, Presence, Turn
-from wheatring.turns.conversations import Conversations
-from wheatring.turns.exceptions import TurnNotFoundError
+from wheatring.tier.boot_settings.settings import Address, Settings, Tolerance
+from wheatring.tier.budgets.exceptions import BudgetExceededError
+from wheatring.tier.budgets.token_budgets import TokenBudgets
+from wheatring.tier.consensus.types import State
+from wheatring.tier.controller.api import OperatorApi
+from wheatring.tier.controller.controller import Controller
+from wheatring.tier.sidecar.process import SidecarProcess
+from wheatring.tier.storage.exceptions import QuorumNotReachedError
+from wheatring.tier.storage.process import StorageProcess
+from wheatring.tier.storage.quorum_client import QuorumClient
+from wheatring.tier.subscription.client import Subscription
+from wheatring.tier.transport.client import ClientTable
+from wheatring.tier.transport.messages_pb2 import ROLE_SIDECAR, EndpointList, OperatorRequest, Presence, Turn
+from wheatring.tier.turns.conversations import Conversations
+from wheatring.tier.turns.exceptions import TurnNotFoundError
 
 CONTROL_PORT, INTERNAL_PORT, FRONT_PORT = 8000, 7000, 8100
 OPERATOR_TIMEOUT_SECONDS = 1.0  # that an operator waits for one controller
--- a/wheatring/__main__.py
+++ b/wheatring/__main__.py
@@ -5,7 +5,7 @@
 import sys
 from collections.abc import Sequence
 
-from wheatring import operator_properties, serving
+from wheatring.daemon import operator_properties, serving
 
 
 def parse_simple(words: Sequence[str]) -> tuple[str | None, bool, str | None] | None:
--- a/wheatring/balancer/settings.py
+++ b/wheatring/balancer/settings.py
@@ -1,7 +1,7 @@
 """Settings of a balancer: request classes, limits and the deployment's rules.
 
 All times and durations are seconds (float). Values are checked when a setting is made; a ValueError names the
-field at fault (`wheatring.config` translates it).
+field at fault (`wheatring.daemon.config` translates it).
 """
 
 from __future__ import annotations
--- a/wheatring/commands/__init__.py
+++ b/wheatring/commands/__init__.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from wheatring import operator_properties
 from wheatring.commands import fleet, lab
+from wheatring.daemon import operator_properties
 
 if TYPE_CHECKING:
     Commands = argparse._SubParsersAction[argparse.ArgumentParser]
@@ -82,7 +82,7 @@
 
 def check_config(args: argparse.Namespace) -> int:
     """Tell whether the project's own file can be used."""
-    from wheatring.config.exceptions import ProjectFileError
+    from wheatring.daemon.config.exceptions import ProjectFileError
     from wheatring.daemon.configuration import read_configuration
 
     try:
@@ -96,7 +96,7 @@
 
 def sign_drill(args: argparse.Namespace) -> int:
     """Print a drill's plan with its signature."""
-    from wheatring.ops import drills
+    from wheatring.daemon.ops import drills
 
     drill = operator_properties.read(operator_file_path(args)).drill
     print(drills.sign_plan(drill if args.plan is None else replace(drill, plan=args.plan)))
@@ -105,7 +105,7 @@
 
 def verify_audit(args: argparse.Namespace) -> int:
     """Print the first bad line of a saved audit log."""
-    from wheatring.ops import audit
+    from wheatring.daemon.ops import audit
 
     with Path(args.file).open("rb") as file:
         fault = audit.verify(file)
@@ -116,7 +116,7 @@
 
 def issue_token(args: argparse.Namespace) -> int:
     """Print a token. Raises NotIssued where it can't be made."""
-    from wheatring.ops import tokens
+    from wheatring.daemon.ops import tokens
 
     if args.ttl < 1:
         raise tokens.TokenNotIssuedError("--ttl: must be 1 or more")
@@ -127,7 +127,7 @@
 
 def replay_capture(args: argparse.Namespace) -> int:
     """Print each decision of a capture that this program takes differently."""
-    from wheatring.ops.capture import replay
+    from wheatring.daemon.ops.capture import replay
 
     return 0 if replay.replay(args.folder, print) else 1
 
--- a/wheatring/commands/fleet.py
+++ b/wheatring/commands/fleet.py
@@ -25,7 +25,7 @@
     """Ask one sidecar for the fleet as it knows it, and print that."""
     import http.client
 
-    from wheatring import address
+    from wheatring.common import address
 
     try:
         host, port = address.parse(args.address)
--- a/wheatring/commands/lab_live.py
+++ b/wheatring/commands/lab_live.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from wheatring import address
+from wheatring.common import address
 
 if TYPE_CHECKING:
     from wheatring.lab.outcome import Outcome
--- a/wheatring/core/body.py
+++ b/wheatring/common/body.py
@@ -12,7 +12,7 @@
 
 from collections import deque
 
-from wheatring.core.exceptions import BodyNotReplayableError
+from wheatring.common.exceptions import BodyNotReplayableError
 
 COALESCE_BELOW_BYTES = 16 * 1024  # smaller buffers are joined
 WINDOW_LIMITS_BYTES = (16 * 1024, 64 * 1024)  # the smallest and the largest window
--- a/wheatring/http1/exceptions.py
+++ b/wheatring/common/exceptions.py
@@ -1,4 +1,4 @@
-"""Errors of the HTTP/1.1 side."""
+"""Errors of HTTP/1.1 messages and of bodies in transit."""
 
 from __future__ import annotations
 
@@ -17,5 +17,5 @@
         self.status = status
 
 
-class InvalidEndpointListError(ValueError):
-    """An endpoint list, or an entry of one, that can't be read."""
+class BodyNotReplayableError(ValueError):
+    """A body can't be read again: its start has been released."""
--- a/wheatring/http1/parser.py
+++ b/wheatring/common/http_parser.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from wheatring.core.body import Body
-from wheatring.http1.exceptions import MalformedMessageError
+from wheatring.common.body import Body
+from wheatring.common.exceptions import MalformedMessageError
 
 MAX_HEAD_BYTES = 16 * 1024
 BUFFERED_BODY_BYTES = 64 * 1024  # a larger body comes open
--- a/wheatring/admin/server.py
+++ b/wheatring/daemon/admin/server.py
@@ -13,11 +13,11 @@
 from twisted.internet.tcp import Port
 from twisted.python.failure import Failure
 
-from wheatring import log
-from wheatring.admin.dispatch import Operations, Reply, dispatch
-from wheatring.core.clock import Clock, Timer
-from wheatring.http1.exceptions import MalformedMessageError
-from wheatring.http1.parser import MessageParser
+from wheatring.common import log
+from wheatring.common.exceptions import MalformedMessageError
+from wheatring.common.http_parser import MessageParser
+from wheatring.daemon.admin.dispatch import Operations, Reply, dispatch
+from wheatring.daemon.core.clock import Clock, Timer
 
 MAX_CONNECTIONS = 24
 # Accepted at one event at most. All that came with them is read before the next event, so a complete call is
--- a/wheatring/admin/service.py
+++ b/wheatring/daemon/admin/service.py
@@ -1,7 +1,7 @@
 """Carries out the operators' calls, in this process and by shared files in another one of the same sidecar.
 
-It connects the decisions of `wheatring.lifecycle` to what they steer: the endpoint list that the balancer
-sees, the connections of callers, and the connections that all processes of the sidecar may have.
+It connects the decisions of `wheatring.daemon.lifecycle` to what they steer: the endpoint list that the
+balancer sees, the connections of callers, and the connections that all processes of the sidecar may have.
 """
 
 from __future__ import annotations
@@ -10,13 +10,13 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from wheatring import log
-from wheatring.core.clock import Clock
-from wheatring.lifecycle.descriptor_limit import descriptor_limit
-from wheatring.lifecycle.drain import MIN_IDLE_SECONDS, Drain
-from wheatring.lifecycle.endpoint_overrides import EndpointOverrides
-from wheatring.lifecycle.handover import HandoverFolder, OtherProcess
-from wheatring.lifecycle.operator_orders import OperatorOrders
+from wheatring.common import log
+from wheatring.daemon.core.clock import Clock
+from wheatring.daemon.lifecycle.descriptor_limit import descriptor_limit
+from wheatring.daemon.lifecycle.drain import MIN_IDLE_SECONDS, Drain
+from wheatring.daemon.lifecycle.endpoint_overrides import EndpointOverrides
+from wheatring.daemon.lifecycle.handover import HandoverFolder, OtherProcess
+from wheatring.daemon.lifecycle.operator_orders import OperatorOrders
 
 POLL_INTERVAL_SECONDS = 0.1  # between two looks at the shared files; the rules on drains leave 2.5 s
 CLOSE_INTERVAL_SECONDS = 0.05  # between two rounds of closing connections in a drain
--- a/wheatring/config/exceptions.py
+++ b/wheatring/daemon/config/exceptions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wheatring.errors import UncodedError
+from wheatring.common.errors import UncodedError
 
 MAX_TEXT_CHARACTERS = 300  # of a line on what is wrong
 
--- a/wheatring/config/platform_file.py
+++ b/wheatring/daemon/config/platform_file.py
@@ -14,10 +14,10 @@
 from pathlib import Path
 from typing import Any
 
-from wheatring import address
 from wheatring.balancer.interface import Idempotency, Settings
 from wheatring.balancer.settings_reader import JsonSettings, describe_value, settings_from
-from wheatring.config.exceptions import PlatformFileError, PlatformFileUnreadableError
+from wheatring.common import address
+from wheatring.daemon.config.exceptions import PlatformFileError, PlatformFileUnreadableError
 
 DEFAULT_SOCKETS = 1024
 MIN_SOCKETS = 64
--- a/wheatring/config/project_file.py
+++ b/wheatring/daemon/config/project_file.py
@@ -16,8 +16,8 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from wheatring.address import MAX_PORT
-from wheatring.config.exceptions import KeyFileError, ProjectFileError, ProjectFileUnreadableError
+from wheatring.common.address import MAX_PORT
+from wheatring.daemon.config.exceptions import KeyFileError, ProjectFileError, ProjectFileUnreadableError
 
 _CallsPerSecond = Annotated[float, Meta(gt=0.0, le=1e6)]
 _Seconds = Annotated[float, Meta(ge=0.0, le=3600.0)]
@@ -97,7 +97,7 @@
 class RouteTable(Table, frozen=True, kw_only=True):
     """`[route.NAME]`: which requests, and the pools that they go to.
 
-    `wheatring.routes.definitions` checks the texts. `deadline` is in seconds.
+    `wheatring.daemon.routes.definitions` checks the texts. `deadline` is in seconds.
     """
 
     host: str = ""
--- a/wheatring/daemon/configuration.py
+++ b/wheatring/daemon/configuration.py
@@ -9,14 +9,15 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
-from wheatring import log, operator_properties
-from wheatring.config import platform_file
-from wheatring.config.exceptions import PlatformFileError, ProjectFileError, RestartRequiredError
+from wheatring.common import log
+from wheatring.daemon import operator_properties
+from wheatring.daemon.config import platform_file
+from wheatring.daemon.config.exceptions import PlatformFileError, ProjectFileError, RestartRequiredError
 
 if TYPE_CHECKING:  # imported only where there is a file
-    from wheatring.config.project_file import InvalidKey, ProjectFile
-    from wheatring.daemon.sidecar import Sidecar
-    from wheatring.lifecycle.list_request_schedule import RequestPace
+    from wheatring.daemon.config.project_file import InvalidKey, ProjectFile
+    from wheatring.daemon.interface import SidecarParts
+    from wheatring.daemon.lifecycle.list_request_schedule import RequestPace
 
 
 def read_configuration(path: str | None) -> ProjectFile | None:
@@ -29,7 +30,7 @@
     """
     if path is None:
         return None
-    from wheatring.config import project_file
+    from wheatring.daemon.config import project_file
 
     return project_file.read(path, first_invalid_route)
 
@@ -38,14 +39,14 @@
     """Return the first key of a route that the routing table rejects, and why; None where there is none."""
     if not configuration.route:
         return None
-    from wheatring.pools.route_tables import first_invalid_key
+    from wheatring.daemon.pools.route_tables import first_invalid_key
 
     return first_invalid_key(configuration)
 
 
 def list_pace(configuration: ProjectFile) -> RequestPace:
     """Return how often the endpoint list may be asked for, as the file says."""
-    from wheatring.lifecycle.list_request_schedule import RequestPace
+    from wheatring.daemon.lifecycle.list_request_schedule import RequestPace
 
     asking = configuration.list
     return RequestPace(asking.first_per_s, asking.first_longest, asking.per_s, asking.likely_per_s)
@@ -56,14 +57,14 @@
     return os.environ.get("TMPDIR") or "/tmp"
 
 
-def reload_all(sidecar: Sidecar, environment: Mapping[str, str], operators_path: str | None) -> None:
+def reload_all(sidecar: SidecarParts, environment: Mapping[str, str], operators_path: str | None) -> None:
     """Read the operators', the project's and the platform's file again, in this order."""
     reload_operators(sidecar, operators_path)
     reload_configuration(sidecar)
     reload_platform(sidecar, environment)
 
 
-def reload_operators(sidecar: Sidecar, path: str | None) -> None:
+def reload_operators(sidecar: SidecarParts, path: str | None) -> None:
     """Read the operators' file again."""
     try:
         properties = operator_properties.read(path)
@@ -77,7 +78,7 @@
         sidecar.apply_operators(properties)
 
 
-def reload_configuration(sidecar: Sidecar) -> None:
+def reload_configuration(sidecar: SidecarParts) -> None:
     """Read the project's own file again, where there is one."""
     try:
         configuration = read_configuration(sidecar.configuration_path)
@@ -91,7 +92,7 @@
         log.line("config-reloaded")
 
 
-def _reload_features(sidecar: Sidecar, configuration: ProjectFile) -> None:
+def _reload_features(sidecar: SidecarParts, configuration: ProjectFile) -> None:
     """Let pools and fleet take up the file; ProjectFileError where they take up nothing of it."""
     pools = sidecar.pools
     if (pools is None) != (not configuration.route):
@@ -99,7 +100,7 @@
     if pools is not None and (why := pools.rejection(configuration)):  # before the fleet has changed anything
         raise ProjectFileError(why)
     if sidecar.fleet is not None:
-        from wheatring.peers.reload import reload_fleet
+        from wheatring.fleet.peers.reload import reload_fleet
 
         reload_fleet(sidecar.fleet, configuration)
     elif configuration.fleet is not None:
@@ -108,7 +109,7 @@
         pools.reload(configuration, list_pace(configuration))
 
 
-def reload_platform(sidecar: Sidecar, environment: Mapping[str, str]) -> None:
+def reload_platform(sidecar: SidecarParts, environment: Mapping[str, str]) -> None:
     """Read the platform's file again: of it, only the address of discovery changes without a restart."""
     try:
         platform = platform_file.read(environment, is_reload=True)
--- a/wheatring/core/driver.py
+++ b/wheatring/daemon/core/driver.py
@@ -5,10 +5,10 @@
 from collections import deque
 from typing import Protocol
 
-from wheatring import log
 from wheatring.balancer import interface as i
-from wheatring.core.clock import Clock
-from wheatring.core.exchange import Answer, AnswerKind, Attempt, Exchange, Request
+from wheatring.common import log
+from wheatring.daemon.core.clock import Clock
+from wheatring.daemon.core.exchange import Answer, AnswerKind, Attempt, Exchange, Request
 
 NOT_SENT = i.Outcome.NOT_SENT  # looked up once: the lookup of an enum's member is slow
 
--- a/wheatring/core/exceptions.py
+++ b/wheatring/daemon/core/exceptions.py
@@ -21,7 +21,3 @@
         self.status = status
         self.header_lines = header_lines
         self.body = body
-
-
-class BodyNotReplayableError(ValueError):
-    """A body can't be read again: its start has been released."""
--- a/wheatring/core/exchange.py
+++ b/wheatring/daemon/core/exchange.py
@@ -13,10 +13,10 @@
 
 from twisted.internet.defer import Deferred
 
-from wheatring import log
 from wheatring.balancer.interface import Outcome, View
-from wheatring.core.clock import Clock, Timer
-from wheatring.lifecycle.shutdown_schedule import LatencyHistory, OpenRequest, ShutdownSchedule
+from wheatring.common import log
+from wheatring.daemon.core.clock import Clock, Timer
+from wheatring.daemon.lifecycle.shutdown_schedule import LatencyHistory, OpenRequest, ShutdownSchedule
 
 
 class AnswerKind(Enum):
--- a/wheatring/daemon/features.py
+++ b/wheatring/daemon/features.py
@@ -10,20 +10,20 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from wheatring.config.exceptions import ProjectFileError
+from wheatring.daemon.config.exceptions import ProjectFileError
 from wheatring.daemon.configuration import list_pace, temporary_folder
 
 if TYPE_CHECKING:  # what belongs to a feature is imported once that is turned on
     from wheatring.balancer.interface import View
-    from wheatring.config.project_file import ProjectFile
-    from wheatring.core.body import BodyMemory
-    from wheatring.daemon.sidecar import Sidecar
+    from wheatring.common.body import BodyMemory
+    from wheatring.daemon.config.project_file import ProjectFile
+    from wheatring.daemon.interface import SidecarParts
 
     OnView = Callable[[View], None]
 
 
 def add_pools(
-    sidecar: Sidecar,
+    sidecar: SidecarParts,
     configuration: ProjectFile,
     max_node_connections: int,
     body_room: BodyMemory,
@@ -36,9 +36,9 @@
     ProjectFileError
         The routes don't go with the rest.
     """
-    from wheatring.pools.connection_budget import ConnectionBudget
-    from wheatring.pools.pool_set import PoolSet
-    from wheatring.pools.routed_pool import PoolEnvironment
+    from wheatring.daemon.pools.connection_budget import ConnectionBudget
+    from wheatring.daemon.pools.pool_set import PoolSet
+    from wheatring.daemon.pools.routed_pool import PoolEnvironment
 
     path = sidecar.configuration_path
     assert path is not None
@@ -61,17 +61,17 @@
     return pools.on_list
 
 
-def add_admin(sidecar: Sidecar, on_view: OnView) -> OnView:
+def add_admin(sidecar: SidecarParts, on_view: OnView) -> OnView:
     """Let operators call this sidecar; what discovery says of endpoints passes what they have ordered."""
-    from wheatring.admin.server import AdminServer
-    from wheatring.admin.service import AdminService
-    from wheatring.lifecycle.endpoint_overrides import EndpointOverrides
-    from wheatring.lifecycle.handover import HandoverFolder
+    from wheatring.daemon.admin.server import AdminServer
+    from wheatring.daemon.admin.service import AdminService
+    from wheatring.daemon.lifecycle.endpoint_overrides import EndpointOverrides
+    from wheatring.daemon.lifecycle.handover import HandoverFolder
 
     if sidecar.pools is None:
         overrides = EndpointOverrides(on_view)
     else:
-        from wheatring.pools.manual_overrides import AllPoolsOverrides
+        from wheatring.daemon.pools.manual_overrides import AllPoolsOverrides
 
         overrides = AllPoolsOverrides(on_view, sidecar.pools)
     folder = HandoverFolder(temporary_folder(), sidecar.platform.name, round(sidecar.clock.now() * 1e9))
@@ -85,19 +85,19 @@
     return overrides.view
 
 
-def add_audit(sidecar: Sidecar) -> None:
+def add_audit(sidecar: SidecarParts) -> None:
     """Keep the audit log."""
-    from wheatring.ops.audit import Audit
+    from wheatring.daemon.ops.audit import Audit
 
     sidecar.audit = Audit(sidecar.platform.name, sidecar.clock, sidecar.first_operators.audit.file)
     sidecar.cleanup.callback(sidecar.audit.close)
 
 
-def add_fleet(sidecar: Sidecar, configuration: ProjectFile, on_view: OnView) -> OnView:
+def add_fleet(sidecar: SidecarParts, configuration: ProjectFile, on_view: OnView) -> OnView:
     """Exchange messages with the other sidecars, and carry out the duties that this one acquires."""
-    from wheatring.admin.dispatch import MAX_PLAN_BYTES
-    from wheatring.peers.assembly import build_fleet
-    from wheatring.peers.operator_calls import PlanCalls, role_calls
+    from wheatring.daemon.admin.dispatch import MAX_PLAN_BYTES
+    from wheatring.fleet.peers.assembly import build_fleet
+    from wheatring.fleet.peers.operator_calls import PlanCalls, role_calls
 
     set_weights = None if sidecar.pools is None else sidecar.pools.router.apply_plan_weights
     fleet, sharing = build_fleet(
@@ -113,10 +113,10 @@
     return on_view if sharing is None else sharing.on_list
 
 
-def add_capture(sidecar: Sidecar) -> None:
+def add_capture(sidecar: SidecarParts) -> None:
     """Record all decisions, with what they were made from."""
-    from wheatring.ops.capture import record
-    from wheatring.ops.capture.ring import CaptureRing
+    from wheatring.daemon.ops.capture import record
+    from wheatring.daemon.ops.capture.ring import CaptureRing
 
     options, platform, clock = sidecar.first_operators.capture, sidecar.platform, sidecar.clock
     folder = options.folder or temporary_folder()
--- a/wheatring/http1/body_sender.py
+++ b/wheatring/daemon/http1/body_sender.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Callable
 
-from wheatring.core.body import Body, no_listener
-from wheatring.http1.connection import Transport
+from wheatring.common.body import Body, no_listener
+from wheatring.daemon.http1.connection import Transport
 
 LAST_CHUNK = b"0\r\n\r\n"
 
--- a/wheatring/http1/caller_connection.py
+++ b/wheatring/daemon/http1/caller_connection.py
@@ -11,18 +11,18 @@
 from math import ceil
 from typing import TYPE_CHECKING, Any
 
-from wheatring import log
-from wheatring.core.body import Body, no_listener
-from wheatring.core.exceptions import RequestRejectedError
-from wheatring.core.exchange import Answer, AnswerKind, Request
-from wheatring.http1.body_sender import BodySender
-from wheatring.http1.caller_lifecycle import CallerLifecycle
-from wheatring.http1.exceptions import MalformedMessageError
-from wheatring.http1.parser import BUFFERED_BODY_BYTES, MAX_HEAD_BYTES, ForwardedRequest, Message
-from wheatring.http1.responses import encode_response
+from wheatring.common import log
+from wheatring.common.body import Body, no_listener
+from wheatring.common.exceptions import MalformedMessageError
+from wheatring.common.http_parser import BUFFERED_BODY_BYTES, MAX_HEAD_BYTES, ForwardedRequest, Message
+from wheatring.common.http_responses import encode_response
+from wheatring.daemon.core.exceptions import RequestRejectedError
+from wheatring.daemon.core.exchange import Answer, AnswerKind, Request
+from wheatring.daemon.http1.body_sender import BodySender
+from wheatring.daemon.http1.caller_lifecycle import CallerLifecycle
 
 if TYPE_CHECKING:
-    from wheatring.http1.caller_lifecycle import CallerServer
+    from wheatring.daemon.http1.caller_lifecycle import CallerServer
 
 SERVED, REFUSED = AnswerKind.SERVED, AnswerKind.REFUSED  # looked up once: that of an enum's member is slow
 
--- a/wheatring/http1/caller_lifecycle.py
+++ b/wheatring/daemon/http1/caller_lifecycle.py
@@ -14,21 +14,21 @@
 from twisted.internet.protocol import connectionDone
 from zope.interface import implementer  # type: ignore[import-untyped]
 
-from wheatring.core.body import Body
-from wheatring.core.exchange import Request
-from wheatring.http1.body_sender import BodySender
-from wheatring.http1.caller_state import ArrivalTimes, CallerState, caller_state
-from wheatring.http1.connection import Connection
-from wheatring.http1.parser import BUFFERED_BODY_BYTES, MAX_BODY_BYTES, ForwardedRequest
-from wheatring.http1.responses import encode_response
+from wheatring.common.body import Body
+from wheatring.common.http_parser import BUFFERED_BODY_BYTES, MAX_BODY_BYTES, ForwardedRequest
+from wheatring.common.http_responses import encode_response
+from wheatring.daemon.core.exchange import Request
+from wheatring.daemon.http1.body_sender import BodySender
+from wheatring.daemon.http1.caller_state import ArrivalTimes, CallerState, caller_state
+from wheatring.daemon.http1.connection import Connection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from typing import Any, Protocol
 
-    from wheatring.core.clock import Clock
-    from wheatring.core.exchange import Exchange
-    from wheatring.http1.parser import Message
+    from wheatring.common.http_parser import Message
+    from wheatring.daemon.core.clock import Clock
+    from wheatring.daemon.core.exchange import Exchange
 
     class CallerServer(Protocol):
         """The server, as far as a connection uses it."""
--- a/wheatring/http1/connection.py
+++ b/wheatring/daemon/http1/connection.py
@@ -11,8 +11,8 @@
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
-from wheatring import log
-from wheatring.http1.parser import MessageParser
+from wheatring.common import log
+from wheatring.common.http_parser import MessageParser
 
 
 class Transport(Protocol):
--- a/wheatring/http1/connection_pool.py
+++ b/wheatring/daemon/http1/connection_pool.py
@@ -12,14 +12,14 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
-from wheatring import log
 from wheatring.balancer.interface import EndpointState, Outcome, View, ViewKind
-from wheatring.core.body import BodyMemory
-from wheatring.core.clock import Clock, Timer
-from wheatring.core.exchange import Attempt, Exchange
-from wheatring.http1.connection import has_undelivered_bytes
-from wheatring.http1.endpoint_connection import EndpointAddress, EndpointConnection
-from wheatring.http1.parser import ForwardedRequest
+from wheatring.common import log
+from wheatring.common.body import BodyMemory
+from wheatring.common.http_parser import ForwardedRequest
+from wheatring.daemon.core.clock import Clock, Timer
+from wheatring.daemon.core.exchange import Attempt, Exchange
+from wheatring.daemon.http1.connection import has_undelivered_bytes
+from wheatring.daemon.http1.endpoint_connection import EndpointAddress, EndpointConnection
 
 # Some endpoints answer a request a second time, some milliseconds late. On a connection that carries the next
 # request by then, the duplicate would pass for its answer. So a connection that has rested is used first, and
--- a/wheatring/http1/discovery_client.py
+++ b/wheatring/daemon/http1/discovery_client.py
@@ -8,12 +8,12 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
-from wheatring import log
-from wheatring.core.clock import Clock, Timer
-from wheatring.http1.connection import Connection
-from wheatring.http1.exceptions import MalformedMessageError
-from wheatring.http1.parser import Message
-from wheatring.lifecycle.notification_deadline import CALL_TIMEOUT_SECONDS
+from wheatring.common import log
+from wheatring.common.exceptions import MalformedMessageError
+from wheatring.common.http_parser import Message
+from wheatring.daemon.core.clock import Clock, Timer
+from wheatring.daemon.http1.connection import Connection
+from wheatring.daemon.lifecycle.notification_deadline import CALL_TIMEOUT_SECONDS
 
 MAX_LIST_BYTES = 4 * 1024 * 1024
 # A watch asks discovery to wait so long for a change: it takes few calls a second from all sidecars together.
--- a/wheatring/http1/endpoint_connection.py
+++ b/wheatring/daemon/http1/endpoint_connection.py
@@ -4,23 +4,23 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from wheatring import log
 from wheatring.balancer.interface import Outcome
-from wheatring.core.body import Body, no_listener
-from wheatring.core.clock import Timer
-from wheatring.core.exchange import Attempt
-from wheatring.http1.connection import Connection
-from wheatring.http1.exceptions import MalformedMessageError
-from wheatring.http1.parser import BUFFERED_BODY_BYTES, MAX_BODY_BYTES, ForwardedRequest, Message
-from wheatring.http1.request_sender import RequestSender
-from wheatring.http1.response_forwarder import ResponseForwarder, stream_due_at
+from wheatring.common import log
+from wheatring.common.body import Body, no_listener
+from wheatring.common.exceptions import MalformedMessageError
+from wheatring.common.http_parser import BUFFERED_BODY_BYTES, MAX_BODY_BYTES, ForwardedRequest, Message
+from wheatring.daemon.core.clock import Timer
+from wheatring.daemon.core.exchange import Attempt
+from wheatring.daemon.http1.connection import Connection
+from wheatring.daemon.http1.request_sender import RequestSender
+from wheatring.daemon.http1.response_forwarder import ResponseForwarder, stream_due_at
 
 if TYPE_CHECKING:
     from typing import Any, Protocol
 
-    from wheatring.core.body import BodyMemory
-    from wheatring.core.clock import Clock
-    from wheatring.core.exchange import Exchange
+    from wheatring.common.body import BodyMemory
+    from wheatring.daemon.core.clock import Clock
+    from wheatring.daemon.core.exchange import Exchange
 
     class ConnectionOwner(Protocol):
         """The connection pool, as far as a connection uses it."""
--- a/wheatring/http1/endpoint_entries.py
+++ b/wheatring/daemon/http1/endpoint_entries.py
@@ -6,10 +6,10 @@
 from math import isfinite
 from typing import Any
 
-from wheatring import address, log
 from wheatring.balancer.interface import EndpointEntry, EndpointState, View, ViewKind
-from wheatring.core.clock import Clock
-from wheatring.http1.exceptions import InvalidEndpointListError
+from wheatring.common import address, log
+from wheatring.daemon.core.clock import Clock
+from wheatring.daemon.http1.exceptions import InvalidEndpointListError
 
 STATES_BY_LIFECYCLE = {
     "SERVING": EndpointState.READY,
--- a/wheatring/http1/endpoint_list.py
+++ b/wheatring/daemon/http1/endpoint_list.py
@@ -14,21 +14,21 @@
 from math import inf
 from typing import Any
 
-from wheatring import log
 from wheatring.balancer.interface import Outcome, View, ViewKind
-from wheatring.core.clock import Clock, Timer
-from wheatring.http1.discovery_client import (
+from wheatring.common import log
+from wheatring.daemon.core.clock import Clock, Timer
+from wheatring.daemon.http1.discovery_client import (
     FULL_LIST_SECONDS,
     WATCH_WAIT_SECONDS,
     DiscoveryClient,
     HttpDiscoveryClient,
 )
-from wheatring.http1.endpoint_entries import READY, StartTimes, parse_list
-from wheatring.http1.exceptions import InvalidEndpointListError
-from wheatring.http1.superseded_calls import SupersededCalls, discard
-from wheatring.lifecycle.freshness import Freshness
-from wheatring.lifecycle.list_request_schedule import ListRequestSchedule
-from wheatring.lifecycle.notification_deadline import ANSWER_SECONDS
+from wheatring.daemon.http1.endpoint_entries import READY, StartTimes, parse_list
+from wheatring.daemon.http1.exceptions import InvalidEndpointListError
+from wheatring.daemon.http1.superseded_calls import SupersededCalls, discard
+from wheatring.daemon.lifecycle.freshness import Freshness
+from wheatring.daemon.lifecycle.list_request_schedule import ListRequestSchedule
+from wheatring.daemon.lifecycle.notification_deadline import ANSWER_SECONDS
 
 # A call has failed so long after the end of its wait; one for the whole list after FULL_LIST_SECONDS.
 CALL_SLACK_SECONDS = 1.5
--- a/wheatring/http1/listener.py
+++ b/wheatring/daemon/http1/listener.py
@@ -9,7 +9,7 @@
 
 from twisted.internet.tcp import Port
 
-from wheatring import log
+from wheatring.common import log
 
 SO_ATTACH_REUSEPORT_CBPF = 51  # of asm-generic/socket.h; Python has no name for it
 BPF_RETURN = 0x06  # BPF_RET | BPF_K, the classic filter's instruction that returns a constant
--- a/wheatring/http1/request_builder.py
+++ b/wheatring/daemon/http1/request_builder.py
@@ -9,10 +9,10 @@
 from typing import TYPE_CHECKING, Any
 
 from wheatring.balancer.interface import Idempotency, RequestClass
-from wheatring.core.body import Body, BodyMemory
-from wheatring.core.exceptions import RequestRejectedError
-from wheatring.core.exchange import Exchange, Request
-from wheatring.http1.parser import ForwardedRequest, Message
+from wheatring.common.body import Body, BodyMemory
+from wheatring.common.http_parser import ForwardedRequest, Message
+from wheatring.daemon.core.exceptions import RequestRejectedError
+from wheatring.daemon.core.exchange import Exchange, Request
 
 if TYPE_CHECKING:
     from typing import Protocol
--- a/wheatring/http1/request_sender.py
+++ b/wheatring/daemon/http1/request_sender.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from wheatring.http1.body_sender import BodySender
+from wheatring.daemon.http1.body_sender import BodySender
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from wheatring.http1.connection import Transport
-    from wheatring.http1.parser import ForwardedRequest
+    from wheatring.common.http_parser import ForwardedRequest
+    from wheatring.daemon.http1.connection import Transport
 
 
 class RequestSender:
--- a/wheatring/http1/response_forwarder.py
+++ b/wheatring/daemon/http1/response_forwarder.py
@@ -5,13 +5,50 @@
 from math import inf
 from typing import TYPE_CHECKING
 
-from wheatring.core.body import Body, no_listener
-from wheatring.http1.connection import call_after_read
-from wheatring.http1.parser import BUFFERED_BODY_BYTES
+from wheatring.common.body import Body, no_listener
+from wheatring.common.http_parser import BUFFERED_BODY_BYTES
+from wheatring.daemon.http1.connection import call_after_read
 
 if TYPE_CHECKING:
-    from wheatring.http1.endpoint_connection import EndpointConnection
-    from wheatring.http1.parser import Message
+    from typing import Any, Protocol
+
+    from wheatring.common.http_parser import Message, MessageParser
+    from wheatring.daemon.core.clock import Clock
+
+    class ForwardingPool(Protocol):
+        """The pool of a connection, as far as it is used here."""
+
+        reactor: Any
+        clock: Clock
+
+    class ForwardingConnection(Protocol):
+        """The endpoint connection that an answer comes on, as far as it is used here."""
+
+        parser: MessageParser
+        transport: Any
+        stream: ResponseForwarder | None
+        is_connected: bool
+        close_code: str
+
+        @property
+        def pool(self) -> ForwardingPool:
+            """Its pool."""
+
+        def start_stall_timer(self, seconds: float) -> None:
+            """Reject the answer if nothing more comes for so long."""
+
+        def stop_stall_timer(self) -> None:
+            """Cancel the stall timer."""
+
+        def keep_or_close(self, keep_alive: bool) -> None:
+            """Keep the connection for the next attempt, or close it if that can't be."""
+
+        def reject_answer(self, reason: str) -> None:
+            """Fail the attempt: what came is no answer."""
+
+        def abort(self, code: str) -> None:
+            """End the connection at once."""
+
 
 # Without another byte, after which a forwarded answer counts as malformed. That is long: it can't be had
 # elsewhere any more, and its caller waits for the rest.
@@ -49,7 +86,7 @@
     """
 
     def __init__(
-        self, connection: EndpointConnection, body: Body, keep_alive: bool, head_read_at: float
+        self, connection: ForwardingConnection, body: Body, keep_alive: bool, head_read_at: float
     ) -> None:
         self.connection = connection
         self.body = body
--- a/wheatring/http1/server.py
+++ b/wheatring/daemon/http1/server.py
@@ -9,19 +9,19 @@
 from twisted.internet.protocol import ServerFactory
 
 from wheatring.balancer.interface import RequestClass
-from wheatring.core.body import BodyMemory
-from wheatring.core.clock import Clock, Timer
-from wheatring.core.exceptions import RequestRejectedError
-from wheatring.core.exchange import Exchange, Request
-from wheatring.http1.caller_connection import CallerConnection
-from wheatring.http1.caller_state import CallerState
-from wheatring.http1.connection import call_after_read, has_hung_up
-from wheatring.http1.listener import open_listener, open_shared_listener
-from wheatring.http1.parser import Message
-from wheatring.http1.request_builder import RequestBuilder
+from wheatring.common.body import BodyMemory
+from wheatring.common.http_parser import Message
+from wheatring.daemon.core.clock import Clock, Timer
+from wheatring.daemon.core.exceptions import RequestRejectedError
+from wheatring.daemon.core.exchange import Exchange, Request
+from wheatring.daemon.http1.caller_connection import CallerConnection
+from wheatring.daemon.http1.caller_state import CallerState
+from wheatring.daemon.http1.connection import call_after_read, has_hung_up
+from wheatring.daemon.http1.listener import open_listener, open_shared_listener
+from wheatring.daemon.http1.request_builder import RequestBuilder
 
 if TYPE_CHECKING:
-    from wheatring.http1.request_builder import Authorizer, Router
+    from wheatring.daemon.http1.request_builder import Authorizer, Router
 
 # The states in which a connection may lose its place to a caller that waits for one.
 EVICTABLE = frozenset((CallerState.RESTING, CallerState.READING, CallerState.CLOSING, CallerState.SHUT))
--- a/wheatring/http1/superseded_calls.py
+++ b/wheatring/daemon/http1/superseded_calls.py
@@ -6,7 +6,7 @@
 from functools import partial
 from typing import Any
 
-from wheatring.http1.discovery_client import DiscoveryClient
+from wheatring.daemon.http1.discovery_client import DiscoveryClient
 
 
 def discard(client: DiscoveryClient, code: str) -> None:
--- a/wheatring/lifecycle/freshness.py
+++ b/wheatring/daemon/lifecycle/freshness.py
@@ -26,8 +26,8 @@
 from random import Random
 
 from wheatring.balancer.interface import Outcome, Settings
-from wheatring.lifecycle.list_request_schedule import DEFAULT_PACE, ListRequestSchedule, RequestPace
-from wheatring.lifecycle.notification_deadline import HANGING_CALL_SECONDS, NotificationDeadline
+from wheatring.daemon.lifecycle.list_request_schedule import DEFAULT_PACE, ListRequestSchedule, RequestPace
+from wheatring.daemon.lifecycle.notification_deadline import HANGING_CALL_SECONDS, NotificationDeadline
 
 SUSPECT_NODE_SECONDS = 6.0  # node-seconds of suspicion
 MAX_EMPTY_SECONDS = 1.0
--- a/wheatring/lifecycle/handover.py
+++ b/wheatring/daemon/lifecycle/handover.py
@@ -21,8 +21,8 @@
 from typing import NamedTuple
 from urllib.parse import quote
 
-from wheatring import log
-from wheatring.lifecycle.operator_orders import OperatorOrders, OrdersError, parse_orders
+from wheatring.common import log
+from wheatring.daemon.lifecycle.operator_orders import OperatorOrders, OrdersError, parse_orders
 
 
 class OtherProcess(NamedTuple):
--- a/wheatring/lifecycle/list_request_schedule.py
+++ b/wheatring/daemon/lifecycle/list_request_schedule.py
@@ -37,7 +37,7 @@
 from random import Random
 from typing import NamedTuple
 
-from wheatring.lifecycle.notification_deadline import (
+from wheatring.daemon.lifecycle.notification_deadline import (
     CALL_TIMEOUT_SECONDS,
     HANGING_CALL_SECONDS,
     NOTIFIED_AFTER_REACHABLE_SECONDS,
--- a/wheatring/lifecycle/watch_delegation.py
+++ b/wheatring/daemon/lifecycle/watch_delegation.py
@@ -10,7 +10,7 @@
   TAKEOVER_SPREAD_SECONDS, so that each has asked within the platform's 10 s since its last notification.
 
 What the leader says of endpoints that drain or have gone counts at once, as it only makes sidecars send less:
-see `wheatring.peers.list_sharing`. That there is a new endpoint only its own list tells a sidecar.
+see `wheatring.fleet.peers.list_sharing`. That there is a new endpoint only its own list tells a sidecar.
 
 Pure: instants in seconds are handed in.
 """
@@ -19,7 +19,7 @@
 
 from math import inf
 
-from wheatring.lifecycle.freshness import EXPECTED_ANSWER_RATE
+from wheatring.daemon.lifecycle.freshness import EXPECTED_ANSWER_RATE
 
 LEADER_TIMEOUT_SECONDS = 4.0
 TAKEOVER_SPREAD_SECONDS = 4.0
--- a/wheatring/operator_properties.py
+++ b/wheatring/daemon/operator_properties.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import TypeVar
 
-from wheatring.errors import UncodedError
+from wheatring.common.errors import UncodedError
 
 T = TypeVar("T")
 
--- a/wheatring/ops/audit.py
+++ b/wheatring/daemon/ops/audit.py
@@ -17,9 +17,9 @@
 from stat import S_ISFIFO, S_ISSOCK
 from urllib.parse import quote
 
-from wheatring import log
-from wheatring.core.clock import Clock, Timer
-from wheatring.operator_properties import OperatorProperties
+from wheatring.common import log
+from wheatring.daemon.core.clock import Clock, Timer
+from wheatring.daemon.operator_properties import OperatorProperties
 
 MAX_UNWRITTEN_LINES = 1000  # that wait for a reader of standard error
 RETRY_SECONDS = 0.05  # between tries while nobody reads it
--- a/wheatring/ops/capture/replay.py
+++ b/wheatring/daemon/ops/capture/replay.py
@@ -13,8 +13,8 @@
 from wheatring.balancer import interface as i
 from wheatring.balancer.balancer import Balancer
 from wheatring.balancer.settings_reader import JsonSettings, settings_from
-from wheatring.ops.capture.record import REPORT_FIELDS, Recorder
-from wheatring.ops.capture.ring import CUT_MARK, files_in
+from wheatring.daemon.ops.capture.record import REPORT_FIELDS, Recorder
+from wheatring.daemon.ops.capture.ring import CUT_MARK, files_in
 
 _IDLE = re.compile(r"(:[0-9]+)/[^/ ]*/")  # what the pool held, of which the module knows nothing
 
--- a/wheatring/ops/capture/ring.py
+++ b/wheatring/daemon/ops/capture/ring.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 from urllib.parse import quote, unquote
 
-from wheatring import log
-from wheatring.core.clock import Clock, Timer
+from wheatring.common import log
+from wheatring.daemon.core.clock import Clock, Timer
 
 FLUSH_SECONDS = 0.2  # in which lines are written
 BATCH_BYTES = 16 * 1024  # that are written at once
--- a/wheatring/ops/drills.py
+++ b/wheatring/daemon/ops/drills.py
@@ -12,12 +12,12 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
-from wheatring import log
 from wheatring.balancer.backoff import MIN_RETRY_AFTER
 from wheatring.balancer.interface import Limits, RequestClass
-from wheatring.core.clock import Clock, Timer
-from wheatring.core.exchange import Answer, AnswerKind, Exchange, Request
-from wheatring.operator_properties import PARTS_PER_PERCENT, Drill, OperatorFileError
+from wheatring.common import log
+from wheatring.daemon.core.clock import Clock, Timer
+from wheatring.daemon.core.exchange import Answer, AnswerKind, Exchange, Request
+from wheatring.daemon.operator_properties import PARTS_PER_PERCENT, Drill, OperatorFileError
 
 # Before its deadline, or a quarter of its remaining time, at which a request is delayed no more.
 DEADLINE_MARGIN_SECONDS = 0.25
--- a/wheatring/ops/tokens.py
+++ b/wheatring/daemon/ops/tokens.py
@@ -13,10 +13,10 @@
 from base64 import urlsafe_b64decode, urlsafe_b64encode
 from collections.abc import Mapping
 
-from wheatring.core.clock import Clock
-from wheatring.core.exceptions import RequestRejectedError
-from wheatring.errors import UncodedError
-from wheatring.operator_properties import OperatorFileError, Tokens
+from wheatring.common.errors import UncodedError
+from wheatring.daemon.core.clock import Clock
+from wheatring.daemon.core.exceptions import RequestRejectedError
+from wheatring.daemon.operator_properties import OperatorFileError, Tokens
 
 _BEARER = re.compile(rb"bearer +(\S.*)", re.IGNORECASE)
 _CODED = re.compile(rb"[A-Za-z0-9_-]+")
--- a/wheatring/pools/active_route.py
+++ b/wheatring/daemon/pools/active_route.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from wheatring.core.exchange import Request
-from wheatring.pools.routed_pool import RoutedPool
-from wheatring.routes.definitions import Route
-from wheatring.routes.split import split_for
+from wheatring.daemon.core.exchange import Request
+from wheatring.daemon.pools.routed_pool import RoutedPool
+from wheatring.daemon.routes.definitions import Route
+from wheatring.daemon.routes.split import split_for
 
 
 @dataclass(slots=True, eq=False, kw_only=True)
--- a/wheatring/pools/connection_budget.py
+++ b/wheatring/daemon/pools/connection_budget.py
@@ -11,9 +11,9 @@
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
-from wheatring.core.exchange import Attempt
-from wheatring.http1.connection_pool import ConnectionPool
-from wheatring.http1.endpoint_connection import EndpointConnection
+from wheatring.daemon.core.exchange import Attempt
+from wheatring.daemon.http1.connection_pool import ConnectionPool
+from wheatring.daemon.http1.endpoint_connection import EndpointConnection
 
 
 class ConnectionUsage(NamedTuple):
--- a/wheatring/pools/endpoint_selection.py
+++ b/wheatring/daemon/pools/endpoint_selection.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 
 from wheatring.balancer.interface import EndpointEntry, EndpointState, View, ViewKind
-from wheatring.config.project_file import PoolTable
+from wheatring.daemon.config.project_file import PoolTable
 
 GONE = EndpointState.GONE
 
--- a/wheatring/pools/exceptions.py
+++ b/wheatring/daemon/pools/exceptions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wheatring.errors import OperatorError
+from wheatring.common.errors import OperatorError
 
 
 class UnknownRouteError(OperatorError):
--- a/wheatring/pools/manual_overrides.py
+++ b/wheatring/daemon/pools/manual_overrides.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 
 from wheatring.balancer.interface import View
-from wheatring.lifecycle.endpoint_overrides import EndpointOverrides
+from wheatring.daemon.lifecycle.endpoint_overrides import EndpointOverrides
 
 if TYPE_CHECKING:
-    from wheatring.pools.pool_set import PoolSet
+    from wheatring.daemon.pools.pool_set import PoolSet
 
 
 class AllPoolsOverrides(EndpointOverrides):
--- a/wheatring/pools/pool_set.py
+++ b/wheatring/daemon/pools/pool_set.py
@@ -12,16 +12,16 @@
 from collections.abc import Mapping
 from typing import Any, Protocol
 
-from wheatring import log
 from wheatring.balancer.interface import View
-from wheatring.config.exceptions import ProjectFileError
-from wheatring.config.project_file import PoolTable, ProjectFile
-from wheatring.lifecycle.endpoint_overrides import EndpointListState
-from wheatring.lifecycle.list_request_schedule import RequestPace
-from wheatring.pools.active_route import RoutedRequest
-from wheatring.pools.request_router import RequestRouter
-from wheatring.pools.route_tables import route_from
-from wheatring.pools.routed_pool import PoolEnvironment, RoutedPool
+from wheatring.common import log
+from wheatring.daemon.config.exceptions import ProjectFileError
+from wheatring.daemon.config.project_file import PoolTable, ProjectFile
+from wheatring.daemon.lifecycle.endpoint_overrides import EndpointListState
+from wheatring.daemon.lifecycle.list_request_schedule import RequestPace
+from wheatring.daemon.pools.active_route import RoutedRequest
+from wheatring.daemon.pools.request_router import RequestRouter
+from wheatring.daemon.pools.route_tables import route_from
+from wheatring.daemon.pools.routed_pool import PoolEnvironment, RoutedPool
 
 POLL_SECONDS = 0.1  # between two looks at what is staged and what leaves
 LIST_WAIT_SECONDS = 5.0  # for the lists of new pools, before the routes go to them without
--- a/wheatring/pools/request_router.py
+++ b/wheatring/daemon/pools/request_router.py
@@ -9,18 +9,18 @@
 
 from collections.abc import Mapping
 
-from wheatring import log
-from wheatring.core.clock import Clock
-from wheatring.core.exceptions import RequestRejectedError
-from wheatring.core.exchange import Attempt, Exchange, Request
-from wheatring.errors import OperatorError
-from wheatring.http1.parser import Message
-from wheatring.pools.active_route import ActiveRoute, RoutedRequest
-from wheatring.pools.exceptions import BadWeightsError, UnknownPoolError, UnknownRouteError
-from wheatring.pools.routed_pool import RoutedPool
-from wheatring.routes.definitions import Route, WeightedPool
-from wheatring.routes.exceptions import InvalidRequestError
-from wheatring.routes.table import RoutingTable
+from wheatring.common import log
+from wheatring.common.errors import OperatorError
+from wheatring.common.http_parser import Message
+from wheatring.daemon.core.clock import Clock
+from wheatring.daemon.core.exceptions import RequestRejectedError
+from wheatring.daemon.core.exchange import Attempt, Exchange, Request
+from wheatring.daemon.pools.active_route import ActiveRoute, RoutedRequest
+from wheatring.daemon.pools.exceptions import BadWeightsError, UnknownPoolError, UnknownRouteError
+from wheatring.daemon.pools.routed_pool import RoutedPool
+from wheatring.daemon.routes.definitions import Route, WeightedPool
+from wheatring.daemon.routes.exceptions import InvalidRequestError
+from wheatring.daemon.routes.table import RoutingTable
 
 LOG_INTERVAL_SECONDS = 1.0  # between two log lines on requests rejected for one reason
 
--- a/wheatring/pools/route_tables.py
+++ b/wheatring/daemon/pools/route_tables.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from wheatring.config.project_file import InvalidKey, ProjectFile, RouteTable
-from wheatring.routes.definitions import ClassSource, HeaderMatch, Route, RouteMatch, WeightedPool
-from wheatring.routes.split import split_for
-from wheatring.routes.table import RoutingTable
+from wheatring.daemon.config.project_file import InvalidKey, ProjectFile, RouteTable
+from wheatring.daemon.routes.definitions import ClassSource, HeaderMatch, Route, RouteMatch, WeightedPool
+from wheatring.daemon.routes.split import split_for
+from wheatring.daemon.routes.table import RoutingTable
 
 
 def route_from(name: str, table: RouteTable) -> Route:
--- a/wheatring/pools/routed_pool.py
+++ b/wheatring/daemon/pools/routed_pool.py
@@ -18,15 +18,15 @@
 from typing import Any
 
 from wheatring.balancer.interface import Action, Event, Outcome, Settings, View, ViewKind
-from wheatring.config.project_file import PoolTable
-from wheatring.core.body import BodyMemory
-from wheatring.core.clock import Clock
-from wheatring.core.exchange import Exchange
-from wheatring.lifecycle.endpoint_overrides import EndpointListState, EndpointOverrides
-from wheatring.lifecycle.list_request_schedule import RequestPace
-from wheatring.pools.connection_budget import BudgetedPool, ConnectionBudget
-from wheatring.pools.endpoint_selection import EndpointSelection
-from wheatring.serving_pool import ServingPool
+from wheatring.common.body import BodyMemory
+from wheatring.daemon.config.project_file import PoolTable
+from wheatring.daemon.core.clock import Clock
+from wheatring.daemon.core.exchange import Exchange
+from wheatring.daemon.lifecycle.endpoint_overrides import EndpointListState, EndpointOverrides
+from wheatring.daemon.lifecycle.list_request_schedule import RequestPace
+from wheatring.daemon.pools.connection_budget import BudgetedPool, ConnectionBudget
+from wheatring.daemon.pools.endpoint_selection import EndpointSelection
+from wheatring.daemon.serving_pool import ServingPool
 
 EMPTY_LIST = {"generation": 0, "instances": []}  # of a pool that has just been made
 
--- a/wheatring/routes/adaptive_limit.py
+++ b/wheatring/daemon/routes/adaptive_limit.py
@@ -14,7 +14,7 @@
 
 from math import exp, inf, log
 
-from wheatring.routes.limit_settings import AdaptiveLimitSettings
+from wheatring.daemon.routes.limit_settings import AdaptiveLimitSettings
 
 NEAR_BASE_RATIO = 1.2  # a latency within this factor of the base is the base
 NEAR_BASE_STEPS = 3.0  # steps upwards while a latency is that near
--- a/wheatring/routes/admission.py
+++ b/wheatring/daemon/routes/admission.py
@@ -9,9 +9,9 @@
 
 from enum import Enum
 
-from wheatring.routes.callers import Caller
-from wheatring.routes.exceptions import AlreadyFinishedError
-from wheatring.routes.limiters import ClassState, PoolLimiter, RouteLimiter
+from wheatring.daemon.routes.callers import Caller
+from wheatring.daemon.routes.exceptions import AlreadyFinishedError
+from wheatring.daemon.routes.limiters import ClassState, PoolLimiter, RouteLimiter
 
 
 class Outcome(Enum):
--- a/wheatring/routes/callers.py
+++ b/wheatring/daemon/routes/callers.py
@@ -12,8 +12,8 @@
 from collections.abc import Iterator, Mapping
 from math import exp, inf
 
-from wheatring.routes.gcra import NEVER_USED
-from wheatring.routes.limit_settings import CallerTableSettings, FairShareSettings
+from wheatring.daemon.routes.gcra import NEVER_USED
+from wheatring.daemon.routes.limit_settings import CallerTableSettings, FairShareSettings
 
 MAX_EVICTION_ATTEMPTS = 8  # entries with requests in flight that are passed over in search of one to evict
 NEGLIGIBLE_REQUESTS = 1e-3  # fewer count as none
--- a/wheatring/routes/definitions.py
+++ b/wheatring/daemon/routes/definitions.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 from math import isfinite
 
-from wheatring.routes.exceptions import InvalidRequestError
-from wheatring.routes.target import Strictness, normalize_host, normalize_path
+from wheatring.daemon.routes.exceptions import InvalidRequestError
+from wheatring.daemon.routes.target import Strictness, normalize_host, normalize_path
 
 MAX_WEIGHT = 1_000_000
 MAX_DEADLINE_SECONDS = 3600.0
--- a/wheatring/routes/explain.py
+++ b/wheatring/daemon/routes/explain.py
@@ -5,13 +5,13 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from wheatring.routes.definitions import Route, WeightedPool
-from wheatring.routes.exceptions import InvalidRequestError
-from wheatring.routes.expressions import MAX_PATH_BYTES, ExpressionSet
-from wheatring.routes.match import mismatches, precedence
-from wheatring.routes.split import split_for
-from wheatring.routes.table import Fields, ResolvedRoute, RoutingTable
-from wheatring.routes.target import Target
+from wheatring.daemon.routes.definitions import Route, WeightedPool
+from wheatring.daemon.routes.exceptions import InvalidRequestError
+from wheatring.daemon.routes.expressions import MAX_PATH_BYTES, ExpressionSet
+from wheatring.daemon.routes.match import mismatches, precedence
+from wheatring.daemon.routes.split import split_for
+from wheatring.daemon.routes.table import Fields, ResolvedRoute, RoutingTable
+from wheatring.daemon.routes.target import Target
 
 MAX_LOSING_ROUTES = 10  # that are listed besides the one that won
 
--- a/wheatring/routes/expressions.py
+++ b/wheatring/daemon/routes/expressions.py
@@ -10,7 +10,7 @@
 
 from collections.abc import Sequence
 
-from wheatring.routes.exceptions import InvalidRequestError
+from wheatring.daemon.routes.exceptions import InvalidRequestError
 
 MAX_PROGRAM_STEPS = 256  # of one expression, in RE2's program
 MAX_TOTAL_STEPS = 20 * 1024  # of all expressions of one host
--- a/wheatring/routes/gcra.py
+++ b/wheatring/daemon/routes/gcra.py
@@ -7,7 +7,7 @@
 
 from fractions import Fraction
 
-from wheatring.routes.limit_settings import RateSettings
+from wheatring.daemon.routes.limit_settings import RateSettings
 
 NANOSECONDS_PER_SECOND = 1_000_000_000
 NEVER_USED = -(10**40)  # the theoretical arrival time of a key that has not been used
--- a/wheatring/routes/limiters.py
+++ b/wheatring/daemon/routes/limiters.py
@@ -6,10 +6,10 @@
 from random import Random
 from typing import NamedTuple
 
-from wheatring.routes.adaptive_limit import AdaptiveLimit
-from wheatring.routes.callers import Caller, CallerTable
-from wheatring.routes.gcra import NEVER_USED, Gcra
-from wheatring.routes.limit_settings import ClassPriority, PoolLimitSettings, RouteLimitSettings
+from wheatring.daemon.routes.adaptive_limit import AdaptiveLimit
+from wheatring.daemon.routes.callers import Caller, CallerTable
+from wheatring.daemon.routes.gcra import NEVER_USED, Gcra
+from wheatring.daemon.routes.limit_settings import ClassPriority, PoolLimitSettings, RouteLimitSettings
 
 FLOOR_KEPT_SECONDS = 2.0  # since a class last asked, in which its floor is kept free for it
 ABOVE_MEAN_ROOM_FACTOR = 1.5  # times the room, to be left by a caller that has had more than the mean
--- a/wheatring/routes/match.py
+++ b/wheatring/daemon/routes/match.py
@@ -19,8 +19,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from wheatring.routes.definitions import HeaderMatch, RouteMatch
-from wheatring.routes.target import Target
+from wheatring.daemon.routes.definitions import HeaderMatch, RouteMatch
+from wheatring.daemon.routes.target import Target
 
 Precedence = tuple[int, ...]
 
--- a/wheatring/routes/split.py
+++ b/wheatring/daemon/routes/split.py
@@ -6,7 +6,7 @@
 from math import log
 from typing import Protocol
 
-from wheatring.routes.definitions import Route, WeightedPool
+from wheatring.daemon.routes.definitions import Route, WeightedPool
 
 DEFICIT_RESOLUTION = 1 << 20  # parts of a request in which a deficit is kept when weights change
 HASH_BITS = 53  # of a customer's hash that are used: as many as a float keeps exactly
--- a/wheatring/routes/table.py
+++ b/wheatring/daemon/routes/table.py
@@ -12,11 +12,11 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
-from wheatring.routes.definitions import Route
-from wheatring.routes.exceptions import InvalidRequestError
-from wheatring.routes.expressions import ExpressionSet
-from wheatring.routes.match import condition_key, precedence
-from wheatring.routes.target import Strictness, Target, normalize_target
+from wheatring.daemon.routes.definitions import Route
+from wheatring.daemon.routes.exceptions import InvalidRequestError
+from wheatring.daemon.routes.expressions import ExpressionSet
+from wheatring.daemon.routes.match import condition_key, precedence
+from wheatring.daemon.routes.target import Strictness, Target, normalize_target
 
 MAX_SCANNED_ROUTES = 8  # of one host and path; more are indexed by the value of a header
 
--- a/wheatring/routes/target.py
+++ b/wheatring/daemon/routes/target.py
@@ -30,7 +30,7 @@
 from typing import NamedTuple
 from urllib.parse import quote_from_bytes, unquote_to_bytes
 
-from wheatring.routes.exceptions import InvalidRequestError
+from wheatring.daemon.routes.exceptions import InvalidRequestError
 
 MAX_PORT = 65535
 UNESCAPED_MARKS = "!$&'()*+,=:@"  # not escaped in a segment, besides the unreserved characters
--- a/wheatring/routes/tiers.py
+++ b/wheatring/daemon/routes/tiers.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from math import inf
 
-from wheatring.routes.limit_settings import TierSettings, check_number
+from wheatring.daemon.routes.limit_settings import TierSettings, check_number
 
 # Of the load, to a degraded tier: so that nothing is passed on and nothing comes back at the same instant.
 MAX_DEGRADED_SHARE = 0.95
--- a/wheatring/serving.py
+++ b/wheatring/daemon/serving.py
@@ -9,9 +9,10 @@
 import time
 from typing import Any
 
-from wheatring import lazy_imports, log, operator_properties
-from wheatring.config import platform_file
-from wheatring.config.exceptions import PlatformFileError, ProjectFileError
+from wheatring.common import log
+from wheatring.daemon import lazy_imports, operator_properties
+from wheatring.daemon.config import platform_file
+from wheatring.daemon.config.exceptions import PlatformFileError, ProjectFileError
 from wheatring.daemon.configuration import read_configuration
 from wheatring.daemon.sidecar import Sidecar
 
--- a/wheatring/serving_pool.py
+++ b/wheatring/daemon/serving_pool.py
@@ -12,14 +12,14 @@
 
 from wheatring.balancer.balancer import Balancer
 from wheatring.balancer.interface import Settings, View
-from wheatring.core.body import BodyMemory
-from wheatring.core.clock import Clock
-from wheatring.core.driver import Driver
-from wheatring.core.exchange import Exchange
-from wheatring.http1.connection_pool import ConnectionPool
-from wheatring.http1.endpoint_list import EndpointList
-from wheatring.lifecycle.freshness import list_schedules
-from wheatring.lifecycle.list_request_schedule import DEFAULT_PACE, RequestPace
+from wheatring.common.body import BodyMemory
+from wheatring.daemon.core.clock import Clock
+from wheatring.daemon.core.driver import Driver
+from wheatring.daemon.core.exchange import Exchange
+from wheatring.daemon.http1.connection_pool import ConnectionPool
+from wheatring.daemon.http1.endpoint_list import EndpointList
+from wheatring.daemon.lifecycle.freshness import list_schedules
+from wheatring.daemon.lifecycle.list_request_schedule import DEFAULT_PACE, RequestPace
 
 
 class ServingPool:
--- a/wheatring/daemon/shutdown.py
+++ b/wheatring/daemon/shutdown.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from wheatring import log
-from wheatring.lifecycle.shutdown_schedule import ShutdownSchedule
+from wheatring.common import log
+from wheatring.daemon.lifecycle.shutdown_schedule import ShutdownSchedule
 
 if TYPE_CHECKING:
-    from wheatring.daemon.sidecar import Sidecar
+    from wheatring.daemon.interface import SidecarParts
 
 SHUTDOWN_POLL_SECONDS = 0.02  # between two looks at what is still to be done before the process ends
 
@@ -16,7 +16,7 @@
 class GracefulShutdown:
     """Runs from the stop signal to the end of the process. `leaving` decides, this carries out."""
 
-    def __init__(self, sidecar: Sidecar) -> None:
+    def __init__(self, sidecar: SidecarParts) -> None:
         self.sidecar = sidecar
         admin = sidecar.admin_service
         settings = sidecar.platform.settings
--- a/wheatring/daemon/sidecar.py
+++ b/wheatring/daemon/sidecar.py
@@ -8,24 +8,24 @@
 from contextlib import ExitStack
 from typing import TYPE_CHECKING, Any
 
-from wheatring import log
-from wheatring.config import platform_file
+from wheatring.common import log
+from wheatring.daemon.config import platform_file
 from wheatring.daemon.configuration import list_pace, reload_all
+from wheatring.daemon.operator_properties import OperatorProperties
 from wheatring.daemon.shutdown import GracefulShutdown
-from wheatring.operator_properties import OperatorProperties
 
 if TYPE_CHECKING:  # what belongs to a feature is imported once that is turned on
-    from wheatring.admin.server import AdminServer
-    from wheatring.admin.service import AdminService
     from wheatring.balancer.interface import View
-    from wheatring.config.project_file import ProjectFile
-    from wheatring.core.body import BodyMemory
-    from wheatring.ops.audit import Audit
-    from wheatring.ops.capture.ring import CaptureRing
-    from wheatring.ops.drills import Drills
-    from wheatring.peers.fleet_runtime import FleetRuntime
-    from wheatring.peers.list_sharing import ListSharing
-    from wheatring.pools.pool_set import PoolSet
+    from wheatring.common.body import BodyMemory
+    from wheatring.daemon.admin.server import AdminServer
+    from wheatring.daemon.admin.service import AdminService
+    from wheatring.daemon.config.project_file import ProjectFile
+    from wheatring.daemon.ops.audit import Audit
+    from wheatring.daemon.ops.capture.ring import CaptureRing
+    from wheatring.daemon.ops.drills import Drills
+    from wheatring.daemon.pools.pool_set import PoolSet
+    from wheatring.fleet.peers.fleet_runtime import FleetRuntime
+    from wheatring.fleet.peers.list_sharing import ListSharing
 
 RESERVED_DESCRIPTORS = 24  # for the log, the reactor, listening sockets, the configuration, discovery calls
 ADMIN_DESCRIPTORS = 32  # and for operators' calls with their socket, and files that two processes share
@@ -68,7 +68,7 @@
         configuration_path: str | None = None,
         configuration: ProjectFile | None = None,
     ) -> None:
-        from wheatring.core.clock import Clock
+        from wheatring.daemon.core.clock import Clock
 
         self.reactor = reactor
         self.platform = platform
@@ -102,10 +102,10 @@
 
     def _wire_core(self, configuration: ProjectFile | None) -> tuple[BodyMemory, int]:
         """Make the parts that every sidecar has; return the room for bodies and the node connections."""
-        from wheatring.core.body import body_memory_for
-        from wheatring.core.exchange import Exchange
-        from wheatring.http1.server import Server
-        from wheatring.serving_pool import ServingPool
+        from wheatring.common.body import body_memory_for
+        from wheatring.daemon.core.exchange import Exchange
+        from wheatring.daemon.http1.server import Server
+        from wheatring.daemon.serving_pool import ServingPool
 
         platform, settings = self.platform, self.platform.settings
         has_admin = platform.control is not None
@@ -238,7 +238,7 @@
         if self.audit is not None:
             self.audit.record_key_changes(self.operators, operators)
         if self.drills is None and operators.drill != self.operators.drill:
-            from wheatring.ops.drills import Drills
+            from wheatring.daemon.ops.drills import Drills
 
             limits = self.platform.settings.limits
             self.drills = Drills(self.exchange, self.clock, self.server.classes, limits, self.record)
@@ -246,7 +246,7 @@
         if self.drills is not None:
             self.drills.switch(operators.drill)
         if operators.tokens.keys:
-            from wheatring.ops.tokens import TokenGuard
+            from wheatring.daemon.ops.tokens import TokenGuard
 
             self.server.authorizer = TokenGuard(operators.tokens, self.clock)
         else:
--- a/wheatring/lease/acceptor.py
+++ b/wheatring/fleet/lease/acceptor.py
@@ -14,7 +14,7 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
-from wheatring.lease.messages import (
+from wheatring.fleet.lease.messages import (
     NO_PROPOSAL,
     Accepted,
     AcceptorRequest,
@@ -26,8 +26,8 @@
     Rejection,
     Release,
 )
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet
 
 
 class Grant(NamedTuple):
--- a/wheatring/lease/acceptor_recovery.py
+++ b/wheatring/fleet/lease/acceptor_recovery.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable, Sequence
 from math import inf
 
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.register_acceptor import RegisterAcceptor
-from wheatring.lease.register_learner import RegisterLearner
-from wheatring.lease.register_messages import AcceptorState
-from wheatring.members.messages import MemberInfo
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.register_acceptor import RegisterAcceptor
+from wheatring.fleet.lease.register_learner import RegisterLearner
+from wheatring.fleet.lease.register_messages import AcceptorState
+from wheatring.fleet.members.messages import MemberInfo
 
 MAX_RECOVERY_LEASES = 4  # lease lengths after which an acceptor answers though it has not heard all others
 MAX_RECOVERY_PEERS = 40  # members that an acceptor which started asks at once
--- a/wheatring/lease/component.py
+++ b/wheatring/fleet/lease/component.py
@@ -4,7 +4,7 @@
 
 from typing import Any, NamedTuple, Protocol
 
-from wheatring.members.messages import Address
+from wheatring.fleet.members.messages import Address
 
 Outgoing = tuple[Address, Any]  # a message, and the member's address that it goes to
 
--- a/wheatring/lease/electorate.py
+++ b/wheatring/fleet/lease/electorate.py
@@ -5,11 +5,11 @@
 from collections.abc import Sequence
 from typing import Any
 
-from wheatring.lease.acceptor import Acceptor
-from wheatring.lease.component import Outgoing
-from wheatring.lease.voters import VoterSet, numbered_voter
-from wheatring.members.membership import Membership
-from wheatring.members.messages import LEFT, Address, MemberInfo
+from wheatring.fleet.lease.acceptor import Acceptor
+from wheatring.fleet.lease.component import Outgoing
+from wheatring.fleet.lease.voters import VoterSet, numbered_voter
+from wheatring.fleet.members.membership import Membership
+from wheatring.fleet.members.messages import LEFT, Address, MemberInfo
 
 
 class Electorate:
--- a/wheatring/lease/fleet.py
+++ b/wheatring/fleet/lease/fleet.py
@@ -13,10 +13,10 @@
 
 from msgspec import structs
 
-from wheatring.lease.acceptor import Acceptor
-from wheatring.lease.component import FleetComponent, Instant, Outgoing
-from wheatring.lease.electorate import Electorate
-from wheatring.lease.messages import (
+from wheatring.fleet.lease.acceptor import Acceptor
+from wheatring.fleet.lease.component import FleetComponent, Instant, Outgoing
+from wheatring.fleet.lease.electorate import Electorate
+from wheatring.fleet.lease.messages import (
     Accepted,
     AcceptorRequest,
     AcceptorResponse,
@@ -28,14 +28,14 @@
     Rejection,
     Release,
 )
-from wheatring.lease.payloads import FetchRequest, PayloadStore
-from wheatring.lease.relay import Relay
-from wheatring.lease.role_manager import RoleManager
-from wheatring.lease.singleton_role import RoleSettings, lease_names
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet
-from wheatring.members.membership import Membership
-from wheatring.members.messages import (
+from wheatring.fleet.lease.payloads import FetchRequest, PayloadStore
+from wheatring.fleet.lease.relay import Relay
+from wheatring.fleet.lease.role_manager import RoleManager
+from wheatring.fleet.lease.singleton_role import RoleSettings, lease_names
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet
+from wheatring.fleet.members.membership import Membership
+from wheatring.fleet.members.messages import (
     Ack,
     Address,
     MemberInfo,
@@ -46,7 +46,7 @@
     SyncRequest,
     SyncResponse,
 )
-from wheatring.members.timing import SwimTiming
+from wheatring.fleet.members.timing import SwimTiming
 
 FleetMessage = SwimMessage | AcceptorRequest | AcceptorResponse | LeaseReleased | Heartbeat
 
--- a/wheatring/lease/join_requester.py
+++ b/wheatring/fleet/lease/join_requester.py
@@ -4,11 +4,11 @@
 
 from math import inf
 
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.view_installer import ViewInstaller
-from wheatring.lease.view_sender import ViewSender
-from wheatring.members.view_messages import JoinDeferred, JoinRequest
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.view_installer import ViewInstaller
+from wheatring.fleet.lease.view_sender import ViewSender
+from wheatring.fleet.members.view_messages import JoinDeferred, JoinRequest
 
 JOIN_REQUEST_INTERVAL_SECONDS = 1.0  # from one join request of a sidecar to the next
 MAX_DEFERRAL_SECONDS = 10.0  # for which a leader can have it wait
--- a/wheatring/lease/leader_stamps.py
+++ b/wheatring/fleet/lease/leader_stamps.py
@@ -4,7 +4,7 @@
 
 from math import inf
 
-from wheatring.members.view_messages import HealthCheckResponse, LeaderStamp
+from wheatring.fleet.members.view_messages import HealthCheckResponse, LeaderStamp
 
 STAMP_VALID_SECONDS = 10.0  # for which a leader's stamp counts
 STAMP_INTERVAL_SECONDS = 1.0  # from one stamp to the next
--- a/wheatring/lease/membership_views.py
+++ b/wheatring/fleet/lease/membership_views.py
@@ -13,20 +13,20 @@
 
 from typing import get_args
 
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.join_requester import JoinRequester
-from wheatring.lease.leader_stamps import LeaderStamps
-from wheatring.lease.register_messages import Entry
-from wheatring.lease.replicated_register import ReplicatedRegister
-from wheatring.lease.view_installer import ViewInstaller
-from wheatring.lease.view_leader import ViewLeader
-from wheatring.lease.view_monitor import ViewMonitor
-from wheatring.lease.view_sender import ViewSender
-from wheatring.members.edge_monitor import Isolation
-from wheatring.members.messages import Address
-from wheatring.members.view import View, ViewChange
-from wheatring.members.view_messages import (
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.join_requester import JoinRequester
+from wheatring.fleet.lease.leader_stamps import LeaderStamps
+from wheatring.fleet.lease.register_messages import Entry
+from wheatring.fleet.lease.replicated_register import ReplicatedRegister
+from wheatring.fleet.lease.view_installer import ViewInstaller
+from wheatring.fleet.lease.view_leader import ViewLeader
+from wheatring.fleet.lease.view_monitor import ViewMonitor
+from wheatring.fleet.lease.view_sender import ViewSender
+from wheatring.fleet.members.edge_monitor import Isolation
+from wheatring.fleet.members.messages import Address
+from wheatring.fleet.members.view import View, ViewChange
+from wheatring.fleet.members.view_messages import (
     HealthCheck,
     HealthCheckResponse,
     IndirectCheckRequest,
--- a/wheatring/lease/payloads.py
+++ b/wheatring/fleet/lease/payloads.py
@@ -6,7 +6,7 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
-from wheatring.lease.exceptions import PayloadTooLargeError
+from wheatring.fleet.lease.exceptions import PayloadTooLargeError
 
 MAX_PAYLOAD_BYTES = 256 * 1024  # of one payload
 MAX_STORE_BYTES = 2 * 1024 * 1024  # of all payloads together
--- a/wheatring/lease/proposer.py
+++ b/wheatring/fleet/lease/proposer.py
@@ -15,7 +15,7 @@
 from math import inf
 from random import Random
 
-from wheatring.lease.messages import (
+from wheatring.fleet.lease.messages import (
     Accepted,
     AcceptorRequest,
     AcceptorResponse,
@@ -26,8 +26,8 @@
     Rejection,
     Release,
 )
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet
 
 AddressedRequest = tuple[str, AcceptorRequest]  # an acceptor's name among the voters, and what it is sent
 
--- a/wheatring/lease/register_acceptor.py
+++ b/wheatring/fleet/lease/register_acceptor.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.register_learner import RegisterLearner
-from wheatring.lease.register_messages import (
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.register_learner import RegisterLearner
+from wheatring.fleet.lease.register_messages import (
     NO_ENTRY,
     AcceptorState,
     Entry,
     RegisterAccept,
     RegisterPrepare,
 )
-from wheatring.members.messages import Address
+from wheatring.fleet.members.messages import Address
 
 FETCH_INTERVAL_SECONDS = 0.5  # until a payload is asked for again
 
--- a/wheatring/lease/register_leader.py
+++ b/wheatring/fleet/lease/register_leader.py
@@ -18,11 +18,11 @@
 from enum import Enum
 from math import inf
 
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.lease.exceptions import RegisterNotReadyError
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.register_learner import RegisterLearner
-from wheatring.lease.register_messages import (
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.lease.exceptions import RegisterNotReadyError
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.register_learner import RegisterLearner
+from wheatring.fleet.lease.register_messages import (
     MAX_INLINE_BYTES,
     NO_ENTRY,
     AcceptorState,
@@ -30,7 +30,7 @@
     RegisterAccept,
     RegisterPrepare,
 )
-from wheatring.members.messages import Address
+from wheatring.fleet.members.messages import Address
 
 LEADER_ROLE = "lead"  # the role whose holder leads all registers
 BROADCASTS = 3  # how often a leader broadcasts what is chosen, each time by other members,
--- a/wheatring/lease/register_learner.py
+++ b/wheatring/fleet/lease/register_learner.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable
 from math import inf
 
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.payloads import FetchRequest
-from wheatring.lease.register_messages import NO_ENTRY, Entry, EntryChosen, NewestQuery
-from wheatring.members.messages import Address
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.payloads import FetchRequest
+from wheatring.fleet.lease.register_messages import NO_ENTRY, Entry, EntryChosen, NewestQuery
+from wheatring.fleet.members.messages import Address
 
 FETCH_RETRY_SECONDS = 0.3  # from a payload that wasn't there to the next attempt
 SYNC_INTERVAL_SECONDS = 5.0  # from one query for the newest entry to the next
--- a/wheatring/lease/relay.py
+++ b/wheatring/fleet/lease/relay.py
@@ -9,8 +9,8 @@
 
 from msgspec import structs
 
-from wheatring.lease.component import Outgoing
-from wheatring.members.membership import Membership
+from wheatring.fleet.lease.component import Outgoing
+from wheatring.fleet.members.membership import Membership
 
 MAX_RELAY_TARGETS = 64  # members to whom one relays a message, at most
 
--- a/wheatring/lease/replicated_register.py
+++ b/wheatring/fleet/lease/replicated_register.py
@@ -17,13 +17,13 @@
 
 from typing import get_args
 
-from wheatring.lease.acceptor_recovery import AcceptorRecovery
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.register_acceptor import RegisterAcceptor
-from wheatring.lease.register_leader import RegisterLeader
-from wheatring.lease.register_learner import OnChosen, RegisterLearner
-from wheatring.lease.register_messages import (
+from wheatring.fleet.lease.acceptor_recovery import AcceptorRecovery
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.register_acceptor import RegisterAcceptor
+from wheatring.fleet.lease.register_leader import RegisterLeader
+from wheatring.fleet.lease.register_learner import OnChosen, RegisterLearner
+from wheatring.fleet.lease.register_messages import (
     RECOVERY_EPOCH,
     AcceptorState,
     Entry,
@@ -33,7 +33,7 @@
     RegisterMessage,
     RegisterPrepare,
 )
-from wheatring.members.messages import Address
+from wheatring.fleet.members.messages import Address
 
 
 class ReplicatedRegister:
--- a/wheatring/lease/role_manager.py
+++ b/wheatring/fleet/lease/role_manager.py
@@ -6,14 +6,14 @@
 from math import inf
 from random import Random
 
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.lease.electorate import Electorate
-from wheatring.lease.messages import AcceptorResponse, LeaseReleased
-from wheatring.lease.singleton_role import KnownHolder, RoleChange, RoleSettings, SingletonRole
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet
-from wheatring.members.membership import Membership
-from wheatring.members.messages import Fact, MemberInfo
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.lease.electorate import Electorate
+from wheatring.fleet.lease.messages import AcceptorResponse, LeaseReleased
+from wheatring.fleet.lease.singleton_role import KnownHolder, RoleChange, RoleSettings, SingletonRole
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet
+from wheatring.fleet.members.membership import Membership
+from wheatring.fleet.members.messages import Fact, MemberInfo
 
 MAX_CANDIDATES = 5  # sidecars that bid for a role at the same time
 CANDIDACY_INTERVAL_SECONDS = 0.5  # between two checks of who is a candidate
--- a/wheatring/lease/singleton_role.py
+++ b/wheatring/fleet/lease/singleton_role.py
@@ -9,10 +9,10 @@
 from random import Random
 from typing import NamedTuple
 
-from wheatring.lease.messages import AcceptorResponse
-from wheatring.lease.proposer import AddressedRequest, Proposer
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet
+from wheatring.fleet.lease.messages import AcceptorResponse
+from wheatring.fleet.lease.proposer import AddressedRequest, Proposer
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet
 
 IDLE_EXCLUSION_LEASES = 10.0  # lease lengths for which a holder that did nothing is no candidate
 
--- a/wheatring/lease/view_installer.py
+++ b/wheatring/fleet/lease/view_installer.py
@@ -7,14 +7,14 @@
 from math import inf
 from typing import NamedTuple
 
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.payloads import FetchRequest, digest
-from wheatring.lease.register_learner import FETCH_RETRY_SECONDS
-from wheatring.lease.register_messages import Entry
-from wheatring.members.messages import Address
-from wheatring.members.view import Rings, View, ViewChange, decode_change, decode_members
-from wheatring.members.view_messages import ViewMember
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.payloads import FetchRequest, digest
+from wheatring.fleet.lease.register_learner import FETCH_RETRY_SECONDS
+from wheatring.fleet.lease.register_messages import Entry
+from wheatring.fleet.members.messages import Address
+from wheatring.fleet.members.view import Rings, View, ViewChange, decode_change, decode_members
+from wheatring.fleet.members.view_messages import ViewMember
 
 OnInstalled = Callable[[Instant, View, ViewChange], list[Outgoing]]  # gets the view before, and its change
 
--- a/wheatring/lease/view_leader.py
+++ b/wheatring/fleet/lease/view_leader.py
@@ -5,20 +5,20 @@
 from collections.abc import Callable
 from math import inf
 
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.join_requester import JOIN_REQUEST_INTERVAL_SECONDS
-from wheatring.lease.leader_stamps import LeaderStamps
-from wheatring.lease.payloads import digest
-from wheatring.lease.register_leader import LEADER_ROLE
-from wheatring.lease.replicated_register import ReplicatedRegister
-from wheatring.lease.view_installer import ViewInstaller
-from wheatring.lease.view_monitor import MAX_NAMES_PER_MESSAGE, ViewMonitor
-from wheatring.lease.view_sender import ViewSender
-from wheatring.members.cut_detector import CutDetector, Deferral, chunks
-from wheatring.members.messages import ALIVE, Address
-from wheatring.members.view import View, ViewChange, encode_change
-from wheatring.members.view_messages import (
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.join_requester import JOIN_REQUEST_INTERVAL_SECONDS
+from wheatring.fleet.lease.leader_stamps import LeaderStamps
+from wheatring.fleet.lease.payloads import digest
+from wheatring.fleet.lease.register_leader import LEADER_ROLE
+from wheatring.fleet.lease.replicated_register import ReplicatedRegister
+from wheatring.fleet.lease.view_installer import ViewInstaller
+from wheatring.fleet.lease.view_monitor import MAX_NAMES_PER_MESSAGE, ViewMonitor
+from wheatring.fleet.lease.view_sender import ViewSender
+from wheatring.fleet.members.cut_detector import CutDetector, Deferral, chunks
+from wheatring.fleet.members.messages import ALIVE, Address
+from wheatring.fleet.members.view import View, ViewChange, encode_change
+from wheatring.fleet.members.view_messages import (
     IndirectCheckRequest,
     JoinDeferred,
     JoinRequest,
--- a/wheatring/lease/view_monitor.py
+++ b/wheatring/fleet/lease/view_monitor.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.leader_stamps import LeaderStamps
-from wheatring.lease.replicated_register import ReplicatedRegister
-from wheatring.lease.view_installer import ViewInstaller
-from wheatring.lease.view_sender import ViewSender
-from wheatring.members.edge_monitor import STALL_SECONDS, EdgeMonitor, Isolation
-from wheatring.members.indirect_checks import IndirectChecks
-from wheatring.members.messages import Address, SyncRequest
-from wheatring.members.view_messages import (
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.leader_stamps import LeaderStamps
+from wheatring.fleet.lease.replicated_register import ReplicatedRegister
+from wheatring.fleet.lease.view_installer import ViewInstaller
+from wheatring.fleet.lease.view_sender import ViewSender
+from wheatring.fleet.members.edge_monitor import STALL_SECONDS, EdgeMonitor, Isolation
+from wheatring.fleet.members.indirect_checks import IndirectChecks
+from wheatring.fleet.members.messages import Address, SyncRequest
+from wheatring.fleet.members.view_messages import (
     HealthCheck,
     HealthCheckResponse,
     IndirectCheckRequest,
--- a/wheatring/lease/view_sender.py
+++ b/wheatring/fleet/lease/view_sender.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from wheatring.lease.component import Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.view_installer import ViewInstaller
-from wheatring.members.view_messages import ViewMessage
+from wheatring.fleet.lease.component import Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.view_installer import ViewInstaller
+from wheatring.fleet.members.view_messages import ViewMessage
 
 
 class ViewSender:
--- a/wheatring/members/cut_detector.py
+++ b/wheatring/fleet/members/cut_detector.py
@@ -14,10 +14,10 @@
 from math import ceil, inf
 from typing import NamedTuple
 
-from wheatring.members.edge_monitor import DOWN_AFTER_SECONDS, REPORT_AFTER_SECONDS
-from wheatring.members.rejoin_penalties import RejoinPenalties
-from wheatring.members.view import Rings, View
-from wheatring.members.view_messages import ViewMember
+from wheatring.fleet.members.edge_monitor import DOWN_AFTER_SECONDS, REPORT_AFTER_SECONDS
+from wheatring.fleet.members.rejoin_penalties import RejoinPenalties
+from wheatring.fleet.members.view import Rings, View
+from wheatring.fleet.members.view_messages import ViewMember
 
 REPORT_VALID_SECONDS = 3.5  # for which a report counts
 HIGH_WATERMARK, LOW_WATERMARK = 5 / 6, 1 / 3  # parts of the observers that make a member down, or unsure
--- a/wheatring/members/facts.py
+++ b/wheatring/fleet/members/facts.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Collection
 
-from wheatring.members.messages import Fact
+from wheatring.fleet.members.messages import Fact
 
 PIGGYBACK_BYTES = 200  # of facts in one datagram
 MAX_VALUE_BYTES = 120
--- a/wheatring/members/gossip_state.py
+++ b/wheatring/fleet/members/gossip_state.py
@@ -5,10 +5,10 @@
 from collections.abc import Collection
 from math import inf
 
-from wheatring.members.facts import FactStore
-from wheatring.members.local_health import LocalHealth
-from wheatring.members.member_table import MemberRecord, MemberStatus, MemberTable
-from wheatring.members.messages import (
+from wheatring.fleet.members.facts import FactStore
+from wheatring.fleet.members.local_health import LocalHealth
+from wheatring.fleet.members.member_table import MemberRecord, MemberStatus, MemberTable
+from wheatring.fleet.members.messages import (
     ALIVE,
     DEAD,
     LEFT,
@@ -19,8 +19,8 @@
     MemberInfo,
     MemberUpdate,
 )
-from wheatring.members.timing import SwimTiming
-from wheatring.members.update_queue import UpdateQueue
+from wheatring.fleet.members.timing import SwimTiming
+from wheatring.fleet.members.update_queue import UpdateQueue
 
 
 class GossipState:
--- a/wheatring/members/indirect_checks.py
+++ b/wheatring/fleet/members/indirect_checks.py
@@ -5,7 +5,7 @@
 from math import inf
 from typing import NamedTuple
 
-from wheatring.members.messages import Address
+from wheatring.fleet.members.messages import Address
 
 ATTEMPTS = 3  # how often each member is checked,
 ATTEMPT_INTERVAL_SECONDS = 0.3  # the time between these,
--- a/wheatring/members/member_table.py
+++ b/wheatring/fleet/members/member_table.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from wheatring.members.messages import ALIVE, DEAD, LEFT, SUSPECT, MemberInfo, MemberUpdate
+from wheatring.fleet.members.messages import ALIVE, DEAD, LEFT, SUSPECT, MemberInfo, MemberUpdate
 
 MAX_MEMBERS = 4000
 MAX_SOURCES = 8  # members noted that suspect one
--- a/wheatring/members/membership.py
+++ b/wheatring/fleet/members/membership.py
@@ -11,8 +11,8 @@
 from math import inf
 from random import Random
 
-from wheatring.members.gossip_state import GossipState
-from wheatring.members.messages import (
+from wheatring.fleet.members.gossip_state import GossipState
+from wheatring.fleet.members.messages import (
     ALIVE,
     LEFT,
     Ack,
@@ -26,9 +26,9 @@
     SyncRequest,
     SyncResponse,
 )
-from wheatring.members.prober import OutgoingSwim, Prober
-from wheatring.members.timing import SwimTiming
-from wheatring.members.update_queue import batches
+from wheatring.fleet.members.prober import OutgoingSwim, Prober
+from wheatring.fleet.members.timing import SwimTiming
+from wheatring.fleet.members.update_queue import batches
 
 MAX_LEAVE_NOTICES = 6  # members that are told when one leaves
 MAX_SYNC_UPDATES = 10  # of members that aren't present, in one request
--- a/wheatring/members/prober.py
+++ b/wheatring/fleet/members/prober.py
@@ -6,9 +6,9 @@
 from random import Random
 from typing import NamedTuple
 
-from wheatring.members.gossip_state import GossipState
-from wheatring.members.member_table import MemberRecord
-from wheatring.members.messages import (
+from wheatring.fleet.members.gossip_state import GossipState
+from wheatring.fleet.members.member_table import MemberRecord
+from wheatring.fleet.members.messages import (
     ALIVE,
     Ack,
     Address,
@@ -18,7 +18,7 @@
     SwimMessage,
     SyncRequest,
 )
-from wheatring.members.timing import SwimTiming
+from wheatring.fleet.members.timing import SwimTiming
 
 OutgoingSwim = tuple[Address, SwimMessage]
 MAX_INDIRECT_PROBES = 64  # probes for others at once
--- a/wheatring/members/update_queue.py
+++ b/wheatring/fleet/members/update_queue.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection, Iterable, Iterator
 from itertools import chain, islice
 
-from wheatring.members.messages import MemberUpdate
+from wheatring.fleet.members.messages import MemberUpdate
 
 PIGGYBACK_BYTES = 900  # of updates in one datagram
 MAX_SCANNED_UPDATES = 40  # updates considered for one message
--- a/wheatring/members/view.py
+++ b/wheatring/fleet/members/view.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from wheatring.members.view_messages import ViewMember
+from wheatring.fleet.members.view_messages import ViewMember
 
 RING_COUNT = 6
 
--- a/wheatring/members/view_messages.py
+++ b/wheatring/fleet/members/view_messages.py
@@ -10,7 +10,7 @@
 
 from msgspec import Struct
 
-from wheatring.members.messages import GossipMessage, MemberInfo
+from wheatring.fleet.members.messages import GossipMessage, MemberInfo
 
 
 class ViewMember(NamedTuple):
--- a/wheatring/peers/agreement.py
+++ b/wheatring/fleet/peers/agreement.py
@@ -7,18 +7,18 @@
 
 from typing import TYPE_CHECKING, Any
 
-from wheatring.lease.component import FleetComponent, Instant, Outgoing
-from wheatring.lease.fleet import Fleet, FleetMessage
-from wheatring.lease.membership_views import MembershipViews
-from wheatring.lease.register_leader import LEADER_ROLE
-from wheatring.lease.register_messages import RegisterMessage
-from wheatring.lease.singleton_role import RoleSettings
-from wheatring.members.view_messages import ViewMessage
-from wheatring.peers.options import PlanOptions
-from wheatring.peers.status_values import shown_age
+from wheatring.fleet.lease.component import FleetComponent, Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet, FleetMessage
+from wheatring.fleet.lease.membership_views import MembershipViews
+from wheatring.fleet.lease.register_leader import LEADER_ROLE
+from wheatring.fleet.lease.register_messages import RegisterMessage
+from wheatring.fleet.lease.singleton_role import RoleSettings
+from wheatring.fleet.members.view_messages import ViewMessage
+from wheatring.fleet.peers.options import PlanOptions
+from wheatring.fleet.peers.status_values import shown_age
 
 if TYPE_CHECKING:  # what belongs to plans is imported with them
-    from wheatring.peers.plan_coordinator import PlanCoordinator
+    from wheatring.fleet.peers.plan_coordinator import PlanCoordinator
 
 LEADER_SETTINGS = RoleSettings(LEADER_ROLE, voters_only=True)
 VIEW_MESSAGES: Any = FleetMessage | RegisterMessage | ViewMessage
@@ -27,9 +27,9 @@
 
 def messages_with_plans() -> Any:
     """Return the union of all message types, those of plans among them."""
-    from wheatring.plan.messages import AnyPlanMessage
-    from wheatring.schedule.messages import AnyScheduleMessage
-    from wheatring.skew.messages import AnySkewMessage
+    from wheatring.fleet.plan.messages import AnyPlanMessage
+    from wheatring.fleet.schedule.messages import AnyScheduleMessage
+    from wheatring.fleet.skew.messages import AnySkewMessage
 
     return VIEW_MESSAGES | AnyPlanMessage | AnySkewMessage | AnyScheduleMessage
 
@@ -44,7 +44,7 @@
         self.views = MembershipViews(at, fleet)
         self.plan: PlanCoordinator | None = None
         if plan is not None:
-            from wheatring.peers.plan_coordinator import PlanCoordinator
+            from wheatring.fleet.peers.plan_coordinator import PlanCoordinator
 
             self.plan = PlanCoordinator(at, fleet, self.views, plan)
         fleet.components += self.deciders
--- a/wheatring/peers/assembly.py
+++ b/wheatring/fleet/peers/assembly.py
@@ -7,18 +7,18 @@
 from random import Random
 from typing import Any
 
-from wheatring import address, log
 from wheatring.balancer.interface import View
-from wheatring.config import platform_file, project_file
-from wheatring.core.clock import Clock
-from wheatring.lease.singleton_role import RoleSettings
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet, first_voters
-from wheatring.members.messages import MemberInfo
-from wheatring.peers.fleet_runtime import FleetRuntime
-from wheatring.peers.list_sharing import ListSharing
-from wheatring.peers.options import FleetOptions, PlanOptions
-from wheatring.peers.role_workers import HttpRoleWorker, PassiveWorker, RoleWorker
+from wheatring.common import address, log
+from wheatring.daemon.config import platform_file, project_file
+from wheatring.daemon.core.clock import Clock
+from wheatring.fleet.lease.singleton_role import RoleSettings
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet, first_voters
+from wheatring.fleet.members.messages import MemberInfo
+from wheatring.fleet.peers.fleet_runtime import FleetRuntime
+from wheatring.fleet.peers.list_sharing import ListSharing
+from wheatring.fleet.peers.options import FleetOptions, PlanOptions
+from wheatring.fleet.peers.role_workers import HttpRoleWorker, PassiveWorker, RoleWorker
 
 SetWeights = Callable[[str, Mapping[str, int]], None]
 
@@ -77,7 +77,7 @@
         for name, table in configuration.duty.items()
     ]
     if fleet.view:
-        from wheatring.peers.agreement import LEADER_SETTINGS
+        from wheatring.fleet.peers.agreement import LEADER_SETTINGS
 
         roles.append(LEADER_SETTINGS)
     plan = None if configuration.plan is None else plan_options(configuration.plan, set_weights)
--- a/wheatring/peers/body_transfer.py
+++ b/wheatring/fleet/peers/body_transfer.py
@@ -20,11 +20,11 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.python.failure import Failure
 
-from wheatring import log
-from wheatring.core.clock import Clock, Timer
-from wheatring.lease.payloads import MAX_PAYLOAD_BYTES, FetchRequest, digest
-from wheatring.peers.datagram_codec import MAX_DATAGRAM_BYTES, DatagramCodec
-from wheatring.peers.exceptions import DatagramRejectedError
+from wheatring.common import log
+from wheatring.daemon.core.clock import Clock, Timer
+from wheatring.fleet.lease.payloads import MAX_PAYLOAD_BYTES, FetchRequest, digest
+from wheatring.fleet.peers.datagram_codec import MAX_DATAGRAM_BYTES, DatagramCodec
+from wheatring.fleet.peers.exceptions import DatagramRejectedError
 
 TRANSFER_TIMEOUT_SECONDS = 5.0  # for one body
 MAX_SENDERS, MAX_REQUESTERS = 12, 4  # connections at once, by direction
--- a/wheatring/peers/change_log.py
+++ b/wheatring/fleet/peers/change_log.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from wheatring import log
-from wheatring.lease.fleet import Fleet
-from wheatring.members.messages import STATES
+from wheatring.common import log
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.members.messages import STATES
 
 if TYPE_CHECKING:  # what belongs to agreed views is imported with them
-    from wheatring.lease.membership_views import MembershipViews
+    from wheatring.fleet.lease.membership_views import MembershipViews
 
 
 class ChangeLog:
