--- a/wheatring/peers/compiled_plan.py
+++ b/wheatring/fleet/peers/compiled_plan.py
@@ -9,15 +9,15 @@
 from collections.abc import Mapping, Sequence
 from datetime import tzinfo
 
-from wheatring.plan.compiler import CompiledRoutes, compile_routes
-from wheatring.plan.document import Plan, Trial
-from wheatring.plan.parser import parse_plan
-from wheatring.routes.definitions import WeightedPool
-from wheatring.routes.exceptions import InvalidRequestError
-from wheatring.routes.split import RendezvousSplit
-from wheatring.schedule import zones
-from wheatring.schedule.timetable import Timetable
-from wheatring.schedule.validation import validate_windows
+from wheatring.daemon.routes.definitions import WeightedPool
+from wheatring.daemon.routes.exceptions import InvalidRequestError
+from wheatring.daemon.routes.split import RendezvousSplit
+from wheatring.fleet.plan.compiler import CompiledRoutes, compile_routes
+from wheatring.fleet.plan.document import Plan, Trial
+from wheatring.fleet.plan.parser import parse_plan
+from wheatring.fleet.schedule import zones
+from wheatring.fleet.schedule.timetable import Timetable
+from wheatring.fleet.schedule.validation import validate_windows
 
 
 def compile_plan(body: bytes) -> tuple[Plan, CompiledPlan]:
--- a/wheatring/peers/datagram_codec.py
+++ b/wheatring/fleet/peers/datagram_codec.py
@@ -21,8 +21,8 @@
 import msgspec
 from msgspec import Struct
 
-from wheatring.lease.fleet import FleetMessage
-from wheatring.peers.exceptions import DatagramRejectedError
+from wheatring.fleet.lease.fleet import FleetMessage
+from wheatring.fleet.peers.exceptions import DatagramRejectedError
 
 FORMAT_VERSION = 1
 MAC_BYTES = 16
--- a/wheatring/peers/datagram_socket.py
+++ b/wheatring/fleet/peers/datagram_socket.py
@@ -8,11 +8,11 @@
 
 from twisted.internet import protocol
 
-from wheatring import log
-from wheatring.core.clock import Clock
-from wheatring.members.messages import Address
-from wheatring.peers.datagram_codec import DatagramCodec
-from wheatring.peers.exceptions import DatagramRejectedError
+from wheatring.common import log
+from wheatring.daemon.core.clock import Clock
+from wheatring.fleet.members.messages import Address
+from wheatring.fleet.peers.datagram_codec import DatagramCodec
+from wheatring.fleet.peers.exceptions import DatagramRejectedError
 
 LOG_INTERVAL_SECONDS = 60.0  # between two log lines of one cause
 
--- a/wheatring/peers/fleet_runtime.py
+++ b/wheatring/fleet/peers/fleet_runtime.py
@@ -9,28 +9,28 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from wheatring import log
-from wheatring.core.clock import Clock, Timer
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.lease.fleet import Fleet, FleetMessage
-from wheatring.lease.messages import Heartbeat
-from wheatring.lease.singleton_role import RoleChange
-from wheatring.lease.voters import VoterSet
-from wheatring.members.messages import Address
-from wheatring.members.timing import SwimTiming
-from wheatring.peers import fleet_status
-from wheatring.peers.change_log import ChangeLog
-from wheatring.peers.datagram_codec import MAX_DATAGRAM_BYTES, DatagramCodec
-from wheatring.peers.datagram_socket import DatagramSocket
-from wheatring.peers.list_sharing import ListSharing
-from wheatring.peers.options import FleetOptions
-from wheatring.peers.role_workers import RoleWorker
-from wheatring.peers.status_values import OperatorAnswer
+from wheatring.common import log
+from wheatring.daemon.core.clock import Clock, Timer
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet, FleetMessage
+from wheatring.fleet.lease.messages import Heartbeat
+from wheatring.fleet.lease.singleton_role import RoleChange
+from wheatring.fleet.lease.voters import VoterSet
+from wheatring.fleet.members.messages import Address
+from wheatring.fleet.members.timing import SwimTiming
+from wheatring.fleet.peers import fleet_status
+from wheatring.fleet.peers.change_log import ChangeLog
+from wheatring.fleet.peers.datagram_codec import MAX_DATAGRAM_BYTES, DatagramCodec
+from wheatring.fleet.peers.datagram_socket import DatagramSocket
+from wheatring.fleet.peers.list_sharing import ListSharing
+from wheatring.fleet.peers.options import FleetOptions
+from wheatring.fleet.peers.role_workers import RoleWorker
+from wheatring.fleet.peers.status_values import OperatorAnswer
 
 if TYPE_CHECKING:  # what belongs to agreed views is imported with them
-    from wheatring.config.project_file import ProjectFile
-    from wheatring.peers.agreement import Agreement
-    from wheatring.peers.body_transfer import BodyTransfers
+    from wheatring.daemon.config.project_file import ProjectFile
+    from wheatring.fleet.peers.agreement import Agreement
+    from wheatring.fleet.peers.body_transfer import BodyTransfers
 
 PORT_RETRY_SECONDS = 0.1  # until the next try to bind the port, which an older process of this name may have
 MIN_TIMER_SECONDS = 0.001  # between two calls of the deciders' clockwork
@@ -85,8 +85,8 @@
 
     def _prepare_agreement(self) -> Any:
         """Make what agreed views and plans need; return the messages that it knows by them."""
-        from wheatring.peers.agreement import VIEW_MESSAGES, Agreement, messages_with_plans
-        from wheatring.peers.body_transfer import BodyRequest, BodyTransfers
+        from wheatring.fleet.peers.agreement import VIEW_MESSAGES, Agreement, messages_with_plans
+        from wheatring.fleet.peers.body_transfer import BodyRequest, BodyTransfers
 
         options = self.options
         self.make_agreement = partial(Agreement, plan=options.plan)
--- a/wheatring/peers/fleet_status.py
+++ b/wheatring/fleet/peers/fleet_status.py
@@ -4,10 +4,10 @@
 
 from typing import Any
 
-from wheatring.lease.component import Instant
-from wheatring.lease.fleet import Fleet
-from wheatring.members.messages import STATES
-from wheatring.peers.datagram_socket import DatagramSocket
+from wheatring.fleet.lease.component import Instant
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.members.messages import STATES
+from wheatring.fleet.peers.datagram_socket import DatagramSocket
 
 
 def member_rows(fleet: Fleet, at: Instant) -> list[dict[str, Any]]:
--- a/wheatring/peers/list_sharing.py
+++ b/wheatring/fleet/peers/list_sharing.py
@@ -9,12 +9,12 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from wheatring import log
 from wheatring.balancer.interface import EndpointState, View, ViewKind
-from wheatring.core.clock import Clock, Timer
-from wheatring.lease.messages import Heartbeat
-from wheatring.lifecycle.endpoint_overrides import EndpointOverrides
-from wheatring.lifecycle.watch_delegation import WatchDelegation
+from wheatring.common import log
+from wheatring.daemon.core.clock import Clock, Timer
+from wheatring.daemon.lifecycle.endpoint_overrides import EndpointOverrides
+from wheatring.daemon.lifecycle.watch_delegation import WatchDelegation
+from wheatring.fleet.lease.messages import Heartbeat
 
 HEARTBEAT_INTERVAL_SECONDS = 1.0  # of the holder
 WATCH_CHECK_SECONDS = 0.25  # between two checks whether to watch
--- a/wheatring/peers/operator_calls.py
+++ b/wheatring/fleet/peers/operator_calls.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from wheatring.config import project_file
-from wheatring.peers.fleet_runtime import FleetRuntime
+from wheatring.daemon.config import project_file
+from wheatring.fleet.peers.fleet_runtime import FleetRuntime
 
 MIN_WAIT_SECONDS = 1.0  # that an operator is told to wait for a turn to be out of service
 
--- a/wheatring/peers/options.py
+++ b/wheatring/fleet/peers/options.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
-from wheatring.lease.singleton_role import RoleSettings
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet
-from wheatring.members.messages import Address, MemberInfo
+from wheatring.fleet.lease.singleton_role import RoleSettings
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet
+from wheatring.fleet.members.messages import Address, MemberInfo
 
 
 class PlanOptions(NamedTuple):
--- a/wheatring/peers/plan_coordinator.py
+++ b/wheatring/fleet/peers/plan_coordinator.py
@@ -8,25 +8,25 @@
 from math import inf
 from typing import Any, NamedTuple
 
-from wheatring.errors import OperatorError
-from wheatring.lease.component import FleetComponent, Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.membership_views import MembershipViews
-from wheatring.lease.register_leader import LEADER_ROLE
-from wheatring.lease.register_messages import Entry
-from wheatring.lease.replicated_register import ReplicatedRegister
-from wheatring.members.messages import Address
-from wheatring.members.view_messages import ViewMember
-from wheatring.peers.compiled_plan import compile_plan
-from wheatring.peers.options import PlanOptions
-from wheatring.peers.status_values import OperatorAnswer, shown_age
-from wheatring.plan.agent import PlanAgent
-from wheatring.plan.document import CommittedPlan
-from wheatring.schedule.activation import WeightSchedule
-from wheatring.schedule.fleet_clock import FleetClock
-from wheatring.schedule.timetable import Timetable
-from wheatring.skew.capabilities import local_capabilities
-from wheatring.skew.checker import CompatibilityChecker
+from wheatring.common.errors import OperatorError
+from wheatring.fleet.lease.component import FleetComponent, Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.membership_views import MembershipViews
+from wheatring.fleet.lease.register_leader import LEADER_ROLE
+from wheatring.fleet.lease.register_messages import Entry
+from wheatring.fleet.lease.replicated_register import ReplicatedRegister
+from wheatring.fleet.members.messages import Address
+from wheatring.fleet.members.view_messages import ViewMember
+from wheatring.fleet.peers.compiled_plan import compile_plan
+from wheatring.fleet.peers.options import PlanOptions
+from wheatring.fleet.peers.status_values import OperatorAnswer, shown_age
+from wheatring.fleet.plan.agent import PlanAgent
+from wheatring.fleet.plan.document import CommittedPlan
+from wheatring.fleet.schedule.activation import WeightSchedule
+from wheatring.fleet.schedule.fleet_clock import FleetClock
+from wheatring.fleet.schedule.timetable import Timetable
+from wheatring.fleet.skew.capabilities import local_capabilities
+from wheatring.fleet.skew.checker import CompatibilityChecker
 
 EXCLUSION_LEASES = 10.0  # lease lengths for which one that is unfit to lead is no candidate
 FIRST_PLAN_RETRY_SECONDS = 5.0
--- a/wheatring/peers/reload.py
+++ b/wheatring/fleet/peers/reload.py
@@ -4,10 +4,10 @@
 
 from msgspec import structs
 
-from wheatring.config import project_file
-from wheatring.config.exceptions import RestartRequiredError, VotersInForceError
-from wheatring.peers.assembly import voters_of
-from wheatring.peers.fleet_runtime import FleetRuntime
+from wheatring.daemon.config import project_file
+from wheatring.daemon.config.exceptions import RestartRequiredError, VotersInForceError
+from wheatring.fleet.peers.assembly import voters_of
+from wheatring.fleet.peers.fleet_runtime import FleetRuntime
 
 RELOADABLE_KEYS = frozenset({"voters", "voters_next", "key_file"})  # of the table `[fleet]`
 
--- a/wheatring/peers/role_workers.py
+++ b/wheatring/fleet/peers/role_workers.py
@@ -20,10 +20,10 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.python.failure import Failure
 
-from wheatring import log
-from wheatring.core.clock import Clock, Timer
-from wheatring.http1.exceptions import MalformedMessageError
-from wheatring.http1.parser import MessageParser
+from wheatring.common import log
+from wheatring.common.exceptions import MalformedMessageError
+from wheatring.common.http_parser import MessageParser
+from wheatring.daemon.core.clock import Clock, Timer
 
 CALL_TIMEOUT_SECONDS = 2.0  # for one call, and for its connection before that
 MAX_ANSWER_BYTES = 16_384  # of an answer's body
--- a/wheatring/plan/agent.py
+++ b/wheatring/fleet/plan/agent.py
@@ -15,19 +15,19 @@
 from collections.abc import Callable
 from typing import Any, get_args
 
-from wheatring.errors import OperatorError
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.membership_views import MembershipViews
-from wheatring.lease.payloads import FetchRequest
-from wheatring.lease.register_messages import Entry
-from wheatring.lease.replicated_register import ReplicatedRegister
-from wheatring.members.messages import Address, MemberInfo
-from wheatring.plan.compatibility import CompatibilityCheck, Reason
-from wheatring.plan.compiler import CompiledRoutes, compile_routes
-from wheatring.plan.document import CommittedPlan
-from wheatring.plan.leader import RolloutLeader
-from wheatring.plan.messages import (
+from wheatring.common.errors import OperatorError
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.membership_views import MembershipViews
+from wheatring.fleet.lease.payloads import FetchRequest
+from wheatring.fleet.lease.register_messages import Entry
+from wheatring.fleet.lease.replicated_register import ReplicatedRegister
+from wheatring.fleet.members.messages import Address, MemberInfo
+from wheatring.fleet.plan.compatibility import CompatibilityCheck, Reason
+from wheatring.fleet.plan.compiler import CompiledRoutes, compile_routes
+from wheatring.fleet.plan.document import CommittedPlan
+from wheatring.fleet.plan.leader import RolloutLeader
+from wheatring.fleet.plan.messages import (
     AnyPlanMessage,
     PlanStored,
     ProposePlan,
@@ -35,10 +35,10 @@
     StorePlan,
     truncate,
 )
-from wheatring.plan.parser import parse_plan
-from wheatring.plan.proposals import RESEND_SECONDS, Proposal, ProposalLog, find_leader
-from wheatring.plan.rollout import reason_from
-from wheatring.plan.status import committed_status, leader_status, proposal_status, reason_records
+from wheatring.fleet.plan.parser import parse_plan
+from wheatring.fleet.plan.proposals import RESEND_SECONDS, Proposal, ProposalLog, find_leader
+from wheatring.fleet.plan.rollout import reason_from
+from wheatring.fleet.plan.status import committed_status, leader_status, proposal_status, reason_records
 
 STEP_SECONDS = 0.1  # from one step of a rollout to the next, at the leader
 IDLE_SECONDS = 0.5  # between ticks without a rollout
--- a/wheatring/plan/compatibility.py
+++ b/wheatring/fleet/plan/compatibility.py
@@ -9,9 +9,9 @@
 from enum import Enum
 from typing import NamedTuple, Protocol
 
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.members.view import View
-from wheatring.plan.document import Plan
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.members.view import View
+from wheatring.fleet.plan.document import Plan
 
 
 class CheckStage(Enum):
--- a/wheatring/plan/compiler.py
+++ b/wheatring/fleet/plan/compiler.py
@@ -4,8 +4,10 @@
 
 from typing import NamedTuple
 
-from wheatring.plan.document import Plan, PlanRoute, PlanWindow
-from wheatring.plan.errors import (
+from wheatring.daemon.routes.definitions import ClassSource, HeaderMatch, Route, RouteMatch, WeightedPool
+from wheatring.daemon.routes.table import RoutingTable
+from wheatring.fleet.plan.document import Plan, PlanRoute, PlanWindow
+from wheatring.fleet.plan.errors import (
     PlanRoutesClashError,
     PlanUnreadableError,
     PlanWeightsEmptyError,
@@ -13,9 +15,7 @@
     PlanWindowUnknownPoolError,
     PlanWindowUnknownRouteError,
 )
-from wheatring.plan.parser import quote
-from wheatring.routes.definitions import ClassSource, HeaderMatch, Route, RouteMatch, WeightedPool
-from wheatring.routes.table import RoutingTable
+from wheatring.fleet.plan.parser import quote
 
 
 class CompiledRoutes(NamedTuple):
--- a/wheatring/plan/distribution.py
+++ b/wheatring/fleet/plan/distribution.py
@@ -9,11 +9,11 @@
 from collections.abc import Sequence
 from math import ceil
 
-from wheatring.lease.component import Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.members.view_messages import ViewMember
-from wheatring.plan.messages import StorePlan
-from wheatring.plan.rollout import Rollout, process_key
+from wheatring.fleet.lease.component import Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.members.view_messages import ViewMember
+from wheatring.fleet.plan.messages import StorePlan
+from wheatring.fleet.plan.rollout import Rollout, process_key
 
 DISTRIBUTION_STEPS = 10  # leader steps in which all members of a large fleet are first asked
 RETRY_SECONDS = 1.0  # until a member that has not stored the body is asked again
--- a/wheatring/plan/explanations.py
+++ b/wheatring/fleet/plan/explanations.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Sequence
 
-from wheatring.members.view_messages import ViewMember
-from wheatring.plan.compatibility import Reason
-from wheatring.plan.errors import (
+from wheatring.fleet.members.view_messages import ViewMember
+from wheatring.fleet.plan.compatibility import Reason
+from wheatring.fleet.plan.errors import (
     PlanMembersLostError,
     PlanNotCheckedError,
     PlanNotCommittedError,
@@ -14,8 +14,8 @@
     PlanNoViewError,
     PlanViewUnstableError,
 )
-from wheatring.plan.messages import RolloutState
-from wheatring.plan.rollout import Rollout, reason_from
+from wheatring.fleet.plan.messages import RolloutState
+from wheatring.fleet.plan.rollout import Rollout, reason_from
 
 MEMBERS_PER_ALLOWED_LOSS = 5  # one of so many members may leave during a rollout, and one in any case
 MAX_VIEW_CHANGES = 3  # from so many on, the changes of the view are named as what kept a plan back
--- a/wheatring/plan/leader.py
+++ b/wheatring/fleet/plan/leader.py
@@ -25,35 +25,35 @@
 
 from collections import OrderedDict
 
-from wheatring.errors import OperatorError
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.membership_views import MembershipViews
-from wheatring.lease.payloads import MAX_PAYLOAD_BYTES, FetchRequest
-from wheatring.lease.register_leader import LEADER_ROLE
-from wheatring.lease.register_messages import Entry
-from wheatring.lease.replicated_register import ReplicatedRegister
-from wheatring.members.messages import Address
-from wheatring.members.view_messages import ViewMember
-from wheatring.plan.compatibility import CheckStage, CompatibilityCheck, Reason, Verdict
-from wheatring.plan.compiler import compile_routes
-from wheatring.plan.distribution import RETRY_SECONDS, request_storage
-from wheatring.plan.errors import (
+from wheatring.common.errors import OperatorError
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.membership_views import MembershipViews
+from wheatring.fleet.lease.payloads import MAX_PAYLOAD_BYTES, FetchRequest
+from wheatring.fleet.lease.register_leader import LEADER_ROLE
+from wheatring.fleet.lease.register_messages import Entry
+from wheatring.fleet.lease.replicated_register import ReplicatedRegister
+from wheatring.fleet.members.messages import Address
+from wheatring.fleet.members.view_messages import ViewMember
+from wheatring.fleet.plan.compatibility import CheckStage, CompatibilityCheck, Reason, Verdict
+from wheatring.fleet.plan.compiler import compile_routes
+from wheatring.fleet.plan.distribution import RETRY_SECONDS, request_storage
+from wheatring.fleet.plan.errors import (
     PlanNotFetchedError,
     PlanNoViewError,
     PlanOvertakenError,
     PlanRolloutInProgressError,
     PlanTooLargeError,
 )
-from wheatring.plan.explanations import (
+from wheatring.fleet.plan.explanations import (
     explain_lost_members,
     explain_pending,
     explain_timeout,
     explain_uncommitted,
 )
-from wheatring.plan.messages import PlanStored, ProposePlan, RolloutState, RolloutStatus, pack_reasons
-from wheatring.plan.parser import parse_plan
-from wheatring.plan.rollout import ProposalKey, Rollout, process_key, reason_from
+from wheatring.fleet.plan.messages import PlanStored, ProposePlan, RolloutState, RolloutStatus, pack_reasons
+from wheatring.fleet.plan.parser import parse_plan
+from wheatring.fleet.plan.rollout import ProposalKey, Rollout, process_key, reason_from
 
 STATE_TIMEOUT_SECONDS = {
     RolloutState.PROPOSED: 10.0,
--- a/wheatring/plan/messages.py
+++ b/wheatring/fleet/plan/messages.py
@@ -13,8 +13,8 @@
 
 from msgspec import Struct
 
-from wheatring.members.messages import Address
-from wheatring.plan.compatibility import Reason
+from wheatring.fleet.members.messages import Address
+from wheatring.fleet.plan.compatibility import Reason
 
 MAX_REASONS_BYTES = 800  # of all reasons in one message, estimated from above
 MAX_TEXT_BYTES = 240  # of one text in a reason
--- a/wheatring/plan/parser.py
+++ b/wheatring/fleet/plan/parser.py
@@ -14,9 +14,9 @@
 import msgspec
 from msgspec import Struct
 
-from wheatring.lease.payloads import MAX_PAYLOAD_BYTES
-from wheatring.plan.document import NEWEST_FORMAT, OLDEST_FORMAT, Plan, Weight
-from wheatring.plan.errors import (
+from wheatring.fleet.lease.payloads import MAX_PAYLOAD_BYTES
+from wheatring.fleet.plan.document import NEWEST_FORMAT, OLDEST_FORMAT, Plan, Weight
+from wheatring.fleet.plan.errors import (
     PlanFormatTooLowError,
     PlanFormatUnknownError,
     PlanTooLargeError,
--- a/wheatring/plan/proposals.py
+++ b/wheatring/fleet/plan/proposals.py
@@ -16,31 +16,31 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.membership_views import MembershipViews
-from wheatring.lease.payloads import MAX_PAYLOAD_BYTES
-from wheatring.lease.register_leader import LEADER_ROLE
-from wheatring.lease.register_messages import Entry
-from wheatring.lease.replicated_register import ReplicatedRegister
-from wheatring.members.messages import Address
-from wheatring.plan.compatibility import Reason
-from wheatring.plan.compiler import compile_routes
-from wheatring.plan.errors import (
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.membership_views import MembershipViews
+from wheatring.fleet.lease.payloads import MAX_PAYLOAD_BYTES
+from wheatring.fleet.lease.register_leader import LEADER_ROLE
+from wheatring.fleet.lease.register_messages import Entry
+from wheatring.fleet.lease.replicated_register import ReplicatedRegister
+from wheatring.fleet.members.messages import Address
+from wheatring.fleet.plan.compatibility import Reason
+from wheatring.fleet.plan.compiler import compile_routes
+from wheatring.fleet.plan.errors import (
     PlanLeaderLostError,
     PlanNoViewError,
     PlanRolloutInProgressError,
     PlanTooLargeError,
 )
-from wheatring.plan.messages import (
+from wheatring.fleet.plan.messages import (
     FINAL_STATES,
     ProposePlan,
     RolloutState,
     RolloutStatus,
     unpack_reasons,
 )
-from wheatring.plan.parser import parse_plan
-from wheatring.plan.rollout import reason_from
+from wheatring.fleet.plan.parser import parse_plan
+from wheatring.fleet.plan.rollout import reason_from
 
 RESEND_SECONDS = 1.0  # until a proposal that is not final is sent again; spread by a tenth either way
 PROPOSAL_TIMEOUT_SECONDS = 60.0  # from the proposal until its outcome counts as unknown
--- a/wheatring/plan/rollout.py
+++ b/wheatring/fleet/plan/rollout.py
@@ -5,13 +5,13 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from wheatring.errors import OperatorError
-from wheatring.members.messages import Address
-from wheatring.members.view import View
-from wheatring.members.view_messages import ViewMember
-from wheatring.plan.compatibility import CheckStage, Reason, Verdict
-from wheatring.plan.document import Plan
-from wheatring.plan.messages import RolloutState
+from wheatring.common.errors import OperatorError
+from wheatring.fleet.members.messages import Address
+from wheatring.fleet.members.view import View
+from wheatring.fleet.members.view_messages import ViewMember
+from wheatring.fleet.plan.compatibility import CheckStage, Reason, Verdict
+from wheatring.fleet.plan.document import Plan
+from wheatring.fleet.plan.messages import RolloutState
 
 ProcessKey = tuple[str, int]  # a member's process: its name, and its incarnation
 ProposalKey = tuple[str, int]  # a proposal: the sidecar that made it, and its number there
--- a/wheatring/plan/status.py
+++ b/wheatring/fleet/plan/status.py
@@ -5,10 +5,10 @@
 from collections.abc import Iterable
 from typing import Any
 
-from wheatring.plan.compatibility import Reason
-from wheatring.plan.document import CommittedPlan
-from wheatring.plan.leader import RolloutLeader
-from wheatring.plan.proposals import Proposal
+from wheatring.fleet.plan.compatibility import Reason
+from wheatring.fleet.plan.document import CommittedPlan
+from wheatring.fleet.plan.leader import RolloutLeader
+from wheatring.fleet.plan.proposals import Proposal
 
 
 def committed_status(committed: CommittedPlan | None) -> dict[str, Any]:
--- a/wheatring/schedule/activation.py
+++ b/wheatring/fleet/schedule/activation.py
@@ -25,9 +25,9 @@
 from math import inf
 from typing import NamedTuple
 
-from wheatring.schedule.events import LogEvent
-from wheatring.schedule.fleet_clock import MAX_UNCERTAINTY_SECONDS, Reading
-from wheatring.schedule.timetable import OpeningKey, OpenWindow, Timetable, Weights
+from wheatring.fleet.schedule.events import LogEvent
+from wheatring.fleet.schedule.fleet_clock import MAX_UNCERTAINTY_SECONDS, Reading
+from wheatring.fleet.schedule.timetable import OpeningKey, OpenWindow, Timetable, Weights
 
 LEAD_SECONDS = 15.0  # from a plan's commit to its being in force
 CONFIRMATION_SECONDS = 10.0  # for which a confirmation counts, as `leader_stamps.STAMP_VALID_SECONDS`
--- a/wheatring/schedule/fleet_clock.py
+++ b/wheatring/fleet/schedule/fleet_clock.py
@@ -24,12 +24,12 @@
 from math import inf, isfinite
 from typing import NamedTuple
 
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.voters import VoterSet
-from wheatring.members.messages import Address
-from wheatring.schedule.events import LogEvent
-from wheatring.schedule.messages import AnyScheduleMessage, TimeRequest, TimeResponse
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.voters import VoterSet
+from wheatring.fleet.members.messages import Address
+from wheatring.fleet.schedule.events import LogEvent
+from wheatring.fleet.schedule.messages import AnyScheduleMessage, TimeRequest, TimeResponse
 
 MAX_UNCERTAINTY_SECONDS = 0.25  # of a time that is sure
 VOTER_ERROR_SECONDS = 0.025  # of a voter's clock, its reading in whole ms among it
--- a/wheatring/schedule/recurrence.py
+++ b/wheatring/fleet/schedule/recurrence.py
@@ -14,7 +14,7 @@
 
 from dateutil.rrule import DAILY, HOURLY, MONTHLY, WEEKLY, YEARLY, rrule, weekday
 
-from wheatring.schedule.errors import (
+from wheatring.fleet.schedule.errors import (
     WindowRuleTooLongError,
     WindowRuleTooOftenError,
     WindowRuleUnreadableError,
--- a/wheatring/schedule/timetable.py
+++ b/wheatring/fleet/schedule/timetable.py
@@ -16,8 +16,8 @@
 from math import gcd, inf
 from typing import NamedTuple
 
-from wheatring.plan.document import Plan
-from wheatring.schedule.windows import MICROSECONDS, Window
+from wheatring.fleet.plan.document import Plan
+from wheatring.fleet.schedule.windows import MICROSECONDS, Window
 
 DAY_MICROSECONDS = 86_400 * MICROSECONDS
 MAX_DAYS = 16  # whose steps are cached
--- a/wheatring/schedule/validation.py
+++ b/wheatring/fleet/schedule/validation.py
@@ -11,8 +11,8 @@
 from datetime import timedelta
 from itertools import pairwise
 
-from wheatring.plan.document import Plan, PlanRoute, PlanWindow
-from wheatring.schedule.errors import (
+from wheatring.fleet.plan.document import Plan, PlanRoute, PlanWindow
+from wheatring.fleet.schedule.errors import (
     WindowExceptionUnusedError,
     WindowNameDuplicateError,
     WindowNeverOpensError,
@@ -22,8 +22,8 @@
     WindowsTooManyStepsError,
     WindowWeightsEmptyError,
 )
-from wheatring.schedule.windows import LOCAL_TIME_FORMAT, MICROSECONDS, SEARCH_YEARS, Opening, Window
-from wheatring.schedule.zones import to_unix
+from wheatring.fleet.schedule.windows import LOCAL_TIME_FORMAT, MICROSECONDS, SEARCH_YEARS, Opening, Window
+from wheatring.fleet.schedule.zones import to_unix
 
 OVERLAP_HORIZON_SECONDS = 400 * 86_400
 MAX_STEPS_PER_DAY = 20_000  # of all windows of a plan
--- a/wheatring/schedule/windows.py
+++ b/wheatring/fleet/schedule/windows.py
@@ -14,15 +14,15 @@
 from typing import NamedTuple
 from zlib import crc32
 
-from wheatring.plan.document import PlanWindow
-from wheatring.schedule.errors import (
+from wheatring.fleet.plan.document import PlanWindow
+from wheatring.fleet.schedule.errors import (
     WindowExceptionUnreadableError,
     WindowRuleTooLongError,
     WindowStartUnreadableError,
     WindowZoneUnknownError,
 )
-from wheatring.schedule.recurrence import RecurrenceRule, SearchLimitError, parse_rule
-from wheatring.schedule.zones import load_zone, to_local, to_unix
+from wheatring.fleet.schedule.recurrence import RecurrenceRule, SearchLimitError, parse_rule
+from wheatring.fleet.schedule.zones import load_zone, to_local, to_unix
 
 SEARCH_YEARS = 12  # in which a window that ever opens does so: from 2096 to 2104 there is no leap day
 BLOCK_SECONDS = 64 * 86_400  # of openings that are worked out at once
--- a/wheatring/skew/capabilities.py
+++ b/wheatring/fleet/skew/capabilities.py
@@ -6,9 +6,9 @@
 
 from msgspec import Struct
 
-from wheatring.lease.payloads import MAX_PAYLOAD_BYTES
-from wheatring.plan.document import NEWEST_FORMAT, OLDEST_FORMAT
-from wheatring.skew.errors import FormatsUnknownError
+from wheatring.fleet.lease.payloads import MAX_PAYLOAD_BYTES
+from wheatring.fleet.plan.document import NEWEST_FORMAT, OLDEST_FORMAT
+from wheatring.fleet.skew.errors import FormatsUnknownError
 
 # What a plan may use besides fixed weights by host, path and method, and the format that each came with.
 FEATURE_FORMATS = {
--- a/wheatring/skew/capability_table.py
+++ b/wheatring/fleet/skew/capability_table.py
@@ -5,8 +5,8 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-from wheatring.members.view_messages import ViewMember
-from wheatring.skew.capabilities import LEGACY_CAPABILITIES, Capabilities
+from wheatring.fleet.members.view_messages import ViewMember
+from wheatring.fleet.skew.capabilities import LEGACY_CAPABILITIES, Capabilities
 
 MAX_PROCESSES = 4000  # whose capabilities are kept
 MAX_PENDING = 1000  # processes that are asked at a time
--- a/wheatring/skew/checker.py
+++ b/wheatring/fleet/skew/checker.py
@@ -20,23 +20,23 @@
 from math import inf
 from typing import get_args
 
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.members.messages import Address
-from wheatring.members.view import View
-from wheatring.members.view_messages import JoinRequest, ViewMember
-from wheatring.plan.compatibility import CheckStage, Reason, Verdict
-from wheatring.plan.document import OLDEST_FORMAT, Plan
-from wheatring.skew.capabilities import Capabilities
-from wheatring.skew.capability_table import CapabilityTable
-from wheatring.skew.coordinator import STEP_SECONDS, CheckCoordinator
-from wheatring.skew.errors import (
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.members.messages import Address
+from wheatring.fleet.members.view import View
+from wheatring.fleet.members.view_messages import JoinRequest, ViewMember
+from wheatring.fleet.plan.compatibility import CheckStage, Reason, Verdict
+from wheatring.fleet.plan.document import OLDEST_FORMAT, Plan
+from wheatring.fleet.skew.capabilities import Capabilities
+from wheatring.fleet.skew.capability_table import CapabilityTable
+from wheatring.fleet.skew.coordinator import STEP_SECONDS, CheckCoordinator
+from wheatring.fleet.skew.errors import (
     BodyMissingError,
     CapabilitiesUnknownError,
     CommittedPlanUnreadableError,
     MinimumNotLeadingError,
 )
-from wheatring.skew.messages import (
+from wheatring.fleet.skew.messages import (
     AnswerRequest,
     AnswerResponse,
     AnySkewMessage,
@@ -45,15 +45,15 @@
     TrialRequest,
     TrialResult,
 )
-from wheatring.skew.minimum_format import (
+from wheatring.fleet.skew.minimum_format import (
     admission_refusals,
     capabilities_unknown,
     change_minimum,
     decode_minimum,
 )
-from wheatring.skew.participant import CheckParticipant, CompilePlan
-from wheatring.skew.requirements import Requirements, refusal, requirements_of
-from wheatring.skew.trials import DAY_SECONDS
+from wheatring.fleet.skew.participant import CheckParticipant, CompilePlan
+from wheatring.fleet.skew.requirements import Requirements, refusal, requirements_of
+from wheatring.fleet.skew.trials import DAY_SECONDS
 
 
 class CompatibilityChecker:
--- a/wheatring/skew/coordinator.py
+++ b/wheatring/fleet/skew/coordinator.py
@@ -16,14 +16,14 @@
 
 from math import inf
 
-from wheatring.lease.component import Outgoing
-from wheatring.members.view import View
-from wheatring.members.view_messages import ViewMember
-from wheatring.plan.compatibility import CheckStage, Reason, Verdict
-from wheatring.skew.bisection import Bisection, PrefixAnswer
-from wheatring.skew.capabilities import Capabilities, describe_version_differences
-from wheatring.skew.errors import AnswersDifferError, CompileFailedError, MemberSilentError
-from wheatring.skew.messages import (
+from wheatring.fleet.lease.component import Outgoing
+from wheatring.fleet.members.view import View
+from wheatring.fleet.members.view_messages import ViewMember
+from wheatring.fleet.plan.compatibility import CheckStage, Reason, Verdict
+from wheatring.fleet.skew.bisection import Bisection, PrefixAnswer
+from wheatring.fleet.skew.capabilities import Capabilities, describe_version_differences
+from wheatring.fleet.skew.errors import AnswersDifferError, CompileFailedError, MemberSilentError
+from wheatring.fleet.skew.messages import (
     AnswerRequest,
     AnswerResponse,
     CapabilityRequest,
@@ -31,7 +31,7 @@
     TrialRequest,
     TrialResult,
 )
-from wheatring.skew.requirements import Requirements, refusal, unmet_requirements
+from wheatring.fleet.skew.requirements import Requirements, refusal, unmet_requirements
 
 ProcessKey = tuple[str, int]  # a member's process: its name, and its incarnation
 
--- a/wheatring/skew/errors.py
+++ b/wheatring/fleet/skew/errors.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from wheatring.errors import OperatorError
+from wheatring.common.errors import OperatorError
 
 
 class FormatUnreadableError(OperatorError):
--- a/wheatring/skew/messages.py
+++ b/wheatring/fleet/skew/messages.py
@@ -8,7 +8,7 @@
 
 from msgspec import Struct
 
-from wheatring.skew.capabilities import Capabilities
+from wheatring.fleet.skew.capabilities import Capabilities
 
 
 class CapabilityRequest(Struct, frozen=True, array_like=True, tag_field="w", tag="survey"):
--- a/wheatring/skew/minimum_format.py
+++ b/wheatring/fleet/skew/minimum_format.py
@@ -15,16 +15,16 @@
 
 import msgspec
 
-from wheatring.plan.compatibility import Reason
-from wheatring.plan.document import NEWEST_FORMAT, OLDEST_FORMAT
-from wheatring.skew.capabilities import Capabilities, describe_formats
-from wheatring.skew.errors import (
+from wheatring.fleet.plan.compatibility import Reason
+from wheatring.fleet.plan.document import NEWEST_FORMAT, OLDEST_FORMAT
+from wheatring.fleet.skew.capabilities import Capabilities, describe_formats
+from wheatring.fleet.skew.errors import (
     BelowMinimumError,
     CapabilitiesUnknownError,
     MinimumInUseError,
     MinimumUnknownError,
 )
-from wheatring.skew.requirements import Requirements, refusal, unmet_requirements
+from wheatring.fleet.skew.requirements import Requirements, refusal, unmet_requirements
 
 MAX_NAMED = 20  # members that one error names
 
--- a/wheatring/skew/participant.py
+++ b/wheatring/fleet/skew/participant.py
@@ -16,14 +16,14 @@
 from collections.abc import Callable
 from math import inf
 
-from wheatring.errors import OperatorError
-from wheatring.lease.component import Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.payloads import FetchRequest
-from wheatring.members.messages import Address
-from wheatring.plan.document import Plan
-from wheatring.skew.capabilities import Capabilities
-from wheatring.skew.messages import (
+from wheatring.common.errors import OperatorError
+from wheatring.fleet.lease.component import Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.payloads import FetchRequest
+from wheatring.fleet.members.messages import Address
+from wheatring.fleet.plan.document import Plan
+from wheatring.fleet.skew.capabilities import Capabilities
+from wheatring.fleet.skew.messages import (
     AnswerRequest,
     AnswerResponse,
     CapabilityRequest,
@@ -31,7 +31,7 @@
     TrialRequest,
     TrialResult,
 )
-from wheatring.skew.trials import AnswerChain, PlanEvaluator
+from wheatring.fleet.skew.trials import AnswerChain, PlanEvaluator
 
 CompilePlan = Callable[[bytes], tuple[Plan, PlanEvaluator]]
 """Parses and compiles a body; raises OperatorError or ValueError for one that can't be read."""
--- a/wheatring/skew/requirements.py
+++ b/wheatring/fleet/skew/requirements.py
@@ -8,10 +8,10 @@
 
 from typing import NamedTuple
 
-from wheatring.errors import OperatorError
-from wheatring.plan.compatibility import Reason
-from wheatring.plan.document import NEWEST_FORMAT, OLDEST_FORMAT, Plan, PlanRoute, PlanWindow
-from wheatring.skew.capabilities import (
+from wheatring.common.errors import OperatorError
+from wheatring.fleet.plan.compatibility import Reason
+from wheatring.fleet.plan.document import NEWEST_FORMAT, OLDEST_FORMAT, Plan, PlanRoute, PlanWindow
+from wheatring.fleet.skew.capabilities import (
     FEATURE_FORMATS,
     FEATURE_LIBRARIES,
     RE2,
@@ -19,7 +19,7 @@
     Capabilities,
     describe_formats,
 )
-from wheatring.skew.errors import (
+from wheatring.fleet.skew.errors import (
     CapabilityMissingError,
     FormatUnreadableError,
     TooManyBytesError,
--- a/wheatring/skew/trials.py
+++ b/wheatring/fleet/skew/trials.py
@@ -22,7 +22,7 @@
 
 import msgspec
 
-from wheatring.plan.document import Plan, PlanMatch, PlanRoute, PlanWindow, Trial
+from wheatring.fleet.plan.document import Plan, PlanMatch, PlanRoute, PlanWindow, Trial
 
 MAX_REQUESTS, MAX_INSTANTS = 20_000, 6000  # generated from one plan
 INSTANT_COST = 10  # requests that take as long to answer as one instant
--- a/wheatring/lab/agreement/plan_days.py
+++ b/wheatring/lab/agreement/plan_days.py
@@ -14,15 +14,15 @@
 from random import Random
 from typing import NamedTuple
 
-from wheatring.errors import OperatorError
+from wheatring.common.errors import OperatorError
+from wheatring.fleet.lease.component import Instant
+from wheatring.fleet.members.view_messages import ViewMember
+from wheatring.fleet.plan.compatibility import CheckStage, Verdict
+from wheatring.fleet.plan.leader import RolloutLeader
+from wheatring.fleet.plan.rollout import Rollout
 from wheatring.lab.agreement.plan_fleet import VOTERS, Outcome, PlanFleet, body_of
 from wheatring.lab.leases.cluster import PARTITIONED, Node
 from wheatring.lab.live.links.link_state import LinkState
-from wheatring.lease.component import Instant
-from wheatring.members.view_messages import ViewMember
-from wheatring.plan.compatibility import CheckStage, Verdict
-from wheatring.plan.leader import RolloutLeader
-from wheatring.plan.rollout import Rollout
 
 FLEET_SIZE, LATE_MEMBERS = 7, 2  # members, and of them those that start only with a fault
 FIRST_PROPOSAL_SECONDS = 15.0  # from the start
--- a/wheatring/lab/agreement/plan_driver.py
+++ b/wheatring/lab/agreement/plan_driver.py
@@ -14,21 +14,21 @@
 
 import msgspec
 
-from wheatring.errors import OperatorError
-from wheatring.lease.component import FleetComponent, Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.membership_views import MembershipViews
-from wheatring.lease.register_leader import LEADER_ROLE
-from wheatring.lease.register_messages import Entry
-from wheatring.lease.replicated_register import ReplicatedRegister
-from wheatring.members.view import View
-from wheatring.members.view_messages import ViewMember
-from wheatring.plan.compatibility import CheckStage, Reason
-from wheatring.plan.document import Plan, PlanMatch, PlanRoute, PlanWindow, Ramp, Trial
-from wheatring.skew.capabilities import Capabilities
-from wheatring.skew.checker import CompatibilityChecker
-from wheatring.skew.participant import CompilePlan
-from wheatring.skew.requirements import requirements_of, unmet_requirements
+from wheatring.common.errors import OperatorError
+from wheatring.fleet.lease.component import FleetComponent, Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.membership_views import MembershipViews
+from wheatring.fleet.lease.register_leader import LEADER_ROLE
+from wheatring.fleet.lease.register_messages import Entry
+from wheatring.fleet.lease.replicated_register import ReplicatedRegister
+from wheatring.fleet.members.view import View
+from wheatring.fleet.members.view_messages import ViewMember
+from wheatring.fleet.plan.compatibility import CheckStage, Reason
+from wheatring.fleet.plan.document import Plan, PlanMatch, PlanRoute, PlanWindow, Ramp, Trial
+from wheatring.fleet.skew.capabilities import Capabilities
+from wheatring.fleet.skew.checker import CompatibilityChecker
+from wheatring.fleet.skew.participant import CompilePlan
+from wheatring.fleet.skew.requirements import requirements_of, unmet_requirements
 
 STEP_SECONDS = 0.1  # from one check of the verdict to the next
 
--- a/wheatring/lab/agreement/plan_fleet.py
+++ b/wheatring/lab/agreement/plan_fleet.py
@@ -8,24 +8,24 @@
 
 from msgspec import Struct, field
 
+from wheatring.fleet.lease.component import FleetComponent, Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.membership_views import MembershipViews
+from wheatring.fleet.lease.payloads import digest
+from wheatring.fleet.lease.register_leader import LEADER_ROLE
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet, first_voters
+from wheatring.fleet.members.timing import SwimTiming
+from wheatring.fleet.members.view import View
+from wheatring.fleet.peers.agreement import LEADER_SETTINGS
+from wheatring.fleet.plan.agent import PlanAgent
+from wheatring.fleet.plan.compatibility import CheckStage, Reason, Verdict
+from wheatring.fleet.plan.document import CommittedPlan, Plan, PlanMatch, PlanRoute
+from wheatring.fleet.plan.leader import RolloutLeader
+from wheatring.fleet.plan.messages import FINAL_STATES, RolloutState
+from wheatring.fleet.plan.parser import encode_plan, parse_plan
+from wheatring.fleet.plan.proposals import Proposal
 from wheatring.lab.leases.cluster import Cluster, Node
-from wheatring.lease.component import FleetComponent, Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.membership_views import MembershipViews
-from wheatring.lease.payloads import digest
-from wheatring.lease.register_leader import LEADER_ROLE
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet, first_voters
-from wheatring.members.timing import SwimTiming
-from wheatring.members.view import View
-from wheatring.peers.agreement import LEADER_SETTINGS
-from wheatring.plan.agent import PlanAgent
-from wheatring.plan.compatibility import CheckStage, Reason, Verdict
-from wheatring.plan.document import CommittedPlan, Plan, PlanMatch, PlanRoute
-from wheatring.plan.leader import RolloutLeader
-from wheatring.plan.messages import FINAL_STATES, RolloutState
-from wheatring.plan.parser import encode_plan, parse_plan
-from wheatring.plan.proposals import Proposal
 
 VOTERS = 3
 TERMS = LeaseTiming()
--- a/wheatring/lab/agreement/planted_faults.py
+++ b/wheatring/lab/agreement/planted_faults.py
@@ -5,26 +5,26 @@
 from math import inf
 from typing import Any, NamedTuple
 
-from wheatring.lab.agreement import view_days
-from wheatring.lab.agreement.register_orders import MakeRegister
-from wheatring.lab.agreement.view_fleet import MakePieces as FleetMakes
-from wheatring.lease.component import FleetComponent, Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.membership_views import MembershipViews
-from wheatring.lease.register_leader import Phase
-from wheatring.lease.register_messages import (
+from wheatring.fleet.lease.component import FleetComponent, Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.membership_views import MembershipViews
+from wheatring.fleet.lease.register_leader import Phase
+from wheatring.fleet.lease.register_messages import (
     NO_ENTRY,
     EntryChosen,
     RegisterAccept,
     RegisterMessage,
     RegisterPrepare,
 )
-from wheatring.lease.replicated_register import ReplicatedRegister
-from wheatring.members.cut_detector import CutDetector
-from wheatring.members.messages import Address
-from wheatring.members.view import Rings, View
-from wheatring.members.view_messages import HealthCheckResponse, ViewMessage
-from wheatring.peers.agreement import Agreement
+from wheatring.fleet.lease.replicated_register import ReplicatedRegister
+from wheatring.fleet.members.cut_detector import CutDetector
+from wheatring.fleet.members.messages import Address
+from wheatring.fleet.members.view import Rings, View
+from wheatring.fleet.members.view_messages import HealthCheckResponse, ViewMessage
+from wheatring.fleet.peers.agreement import Agreement
+from wheatring.lab.agreement import view_days
+from wheatring.lab.agreement.register_orders import MakeRegister
+from wheatring.lab.agreement.view_fleet import MakePieces as FleetMakes
 
 
 class ForgetsPromise(ReplicatedRegister):
--- a/wheatring/lab/agreement/register_orders.py
+++ b/wheatring/lab/agreement/register_orders.py
@@ -12,14 +12,14 @@
 from types import SimpleNamespace
 from typing import Any, NamedTuple
 
-from wheatring.lease.component import Instant
-from wheatring.lease.payloads import FetchRequest, PayloadStore
-from wheatring.lease.register_leader import LEADER_ROLE
-from wheatring.lease.register_messages import Entry, EntryChosen
-from wheatring.lease.replicated_register import ReplicatedRegister
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet
-from wheatring.members.messages import Address, MemberInfo
+from wheatring.fleet.lease.component import Instant
+from wheatring.fleet.lease.payloads import FetchRequest, PayloadStore
+from wheatring.fleet.lease.register_leader import LEADER_ROLE
+from wheatring.fleet.lease.register_messages import Entry, EntryChosen
+from wheatring.fleet.lease.replicated_register import ReplicatedRegister
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet
+from wheatring.fleet.members.messages import Address, MemberInfo
 
 STEPS = 500
 STEP_SECONDS = 0.05
--- a/wheatring/lab/agreement/skew_days.py
+++ b/wheatring/lab/agreement/skew_days.py
@@ -13,27 +13,27 @@
 from collections.abc import Callable, Iterator
 from random import Random
 
+from wheatring.fleet.lease.component import FleetComponent, Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.membership_views import MembershipViews
+from wheatring.fleet.lease.register_messages import Entry
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet, first_voters
+from wheatring.fleet.members.timing import SwimTiming
+from wheatring.fleet.members.view import View
+from wheatring.fleet.members.view_messages import ViewMember
+from wheatring.fleet.peers.agreement import LEADER_SETTINGS
+from wheatring.fleet.plan.compatibility import Reason
+from wheatring.fleet.plan.document import Plan
+from wheatring.fleet.skew.capabilities import LEGACY_CAPABILITIES, Capabilities, local_capabilities
+from wheatring.fleet.skew.checker import CompatibilityChecker
+from wheatring.fleet.skew.coordinator import CheckCoordinator
+from wheatring.fleet.skew.messages import TrialResult
+from wheatring.fleet.skew.participant import CompilePlan
+from wheatring.fleet.skew.requirements import requirements_of, unmet_requirements
 from wheatring.lab.agreement.plan_driver import PlanDriver, compile_body, draw_plan
 from wheatring.lab.leases.cluster import Cluster, Node
 from wheatring.lab.live.links.link_state import LinkState
-from wheatring.lease.component import FleetComponent, Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.membership_views import MembershipViews
-from wheatring.lease.register_messages import Entry
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet, first_voters
-from wheatring.members.timing import SwimTiming
-from wheatring.members.view import View
-from wheatring.members.view_messages import ViewMember
-from wheatring.peers.agreement import LEADER_SETTINGS
-from wheatring.plan.compatibility import Reason
-from wheatring.plan.document import Plan
-from wheatring.skew.capabilities import LEGACY_CAPABILITIES, Capabilities, local_capabilities
-from wheatring.skew.checker import CompatibilityChecker
-from wheatring.skew.coordinator import CheckCoordinator
-from wheatring.skew.messages import TrialResult
-from wheatring.skew.participant import CompilePlan
-from wheatring.skew.requirements import requirements_of, unmet_requirements
 
 VOTERS = 3
 Programs = dict[
--- a/wheatring/lab/agreement/view_days.py
+++ b/wheatring/lab/agreement/view_days.py
@@ -20,11 +20,11 @@
 
 from msgspec import Struct, field
 
+from wheatring.fleet.lease.leader_stamps import STAMP_VALID_SECONDS
+from wheatring.fleet.lease.timing import LeaseTiming
 from wheatring.lab.agreement.view_fleet import MakePieces, make_agreement, make_cluster, views_of
 from wheatring.lab.leases.cluster import PARTITIONED, Node
 from wheatring.lab.live.links.link_state import LinkState
-from wheatring.lease.leader_stamps import STAMP_VALID_SECONDS
-from wheatring.lease.timing import LeaseTiming
 
 Kind = Literal["mixed", "together", "half", "late"]
 KINDS: tuple[Kind, ...] = ("mixed", "together", "half", "late")
--- a/wheatring/lab/direct/clock.py
+++ b/wheatring/lab/direct/clock.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from wheatring.core.clock import Clock
+from wheatring.daemon.core.clock import Clock
 from wheatring.lab.timers import PlayedTime, Timer
 
 
--- a/wheatring/lab/direct/connection_pool.py
+++ b/wheatring/lab/direct/connection_pool.py
@@ -8,12 +8,12 @@
 from collections import deque
 from collections.abc import Mapping
 
-from wheatring import log
 from wheatring.balancer.interface import Outcome, View
-from wheatring.core.clock import Timer
-from wheatring.core.exchange import Attempt, Exchange
-from wheatring.http1.connection_pool import IDLE_FRACTION, SWEEP_SECONDS, ConnectionTable, update_ready
-from wheatring.http1.endpoint_connection import EndpointAddress
+from wheatring.common import log
+from wheatring.daemon.core.clock import Timer
+from wheatring.daemon.core.exchange import Attempt, Exchange
+from wheatring.daemon.http1.connection_pool import IDLE_FRACTION, SWEEP_SECONDS, ConnectionTable, update_ready
+from wheatring.daemon.http1.endpoint_connection import EndpointAddress
 from wheatring.lab.direct.clock import DirectClock
 from wheatring.lab.direct.links import Links
 from wheatring.lab.direct.node import DirectNode
--- a/wheatring/lab/direct/endpoint_list.py
+++ b/wheatring/lab/direct/endpoint_list.py
@@ -7,19 +7,19 @@
 from typing import Any, Protocol
 
 from wheatring.balancer.interface import View
-from wheatring.core.clock import Timer
-from wheatring.http1.discovery_client import (
+from wheatring.daemon.core.clock import Timer
+from wheatring.daemon.http1.discovery_client import (
     CONNECT_TIMEOUT_SECONDS,
     WATCH_WAIT_SECONDS,
     AnswerCallback,
     DiscoveryClient,
 )
-from wheatring.http1.endpoint_list import EndpointList
+from wheatring.daemon.http1.endpoint_list import EndpointList
+from wheatring.daemon.lifecycle.freshness import Freshness
+from wheatring.daemon.lifecycle.list_request_schedule import ListRequestSchedule
 from wheatring.lab.direct.clock import DirectClock
 from wheatring.lab.direct.links import Links
 from wheatring.lab.models.endpoint_list_json import list_reply_json
-from wheatring.lifecycle.freshness import Freshness
-from wheatring.lifecycle.list_request_schedule import ListRequestSchedule
 
 
 class Pending(Protocol):
--- a/wheatring/lab/direct/environment.py
+++ b/wheatring/lab/direct/environment.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from wheatring.config.platform_file import PlatformConfig
+from wheatring.daemon.config.platform_file import PlatformConfig
 from wheatring.lab.direct.links import DirectLinks
 from wheatring.lab.direct.node import DirectNode
 from wheatring.lab.direct.sidecar import DirectSidecar, SidecarConfig, SidecarNetwork
--- a/wheatring/lab/direct/node.py
+++ b/wheatring/lab/direct/node.py
@@ -2,17 +2,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
-from wheatring.lab.direct.links import Links
+from wheatring.lab.direct.links import Link, Links
 from wheatring.lab.event_recorder import EventRecorder
 from wheatring.lab.models.received_attempt import ReceivedAttempt
 from wheatring.lab.plan import TierPlan
 from wheatring.lab.timers import PlayedTime
 
-if TYPE_CHECKING:
-    from wheatring.lab.direct.connection_pool import DirectConnection
-
 
 class MachineFaults(Protocol):
     """The part of a machine's faults that its server uses."""
@@ -48,6 +45,36 @@
         """Handle that a request's connection was closed before its response."""
 
 
+class ConnectingSidecar(Protocol):
+    """The sidecar's pool that a connection is of."""
+
+    host: str
+
+
+class NodeConnection(Protocol):
+    """A connection, as far as the node's end uses it; see `connection_pool.DirectConnection`."""
+
+    received: ReceivedAttempt | None
+    has_begun: bool
+    handshake: float
+    node_idle: float
+    reply_arrival: float
+    backward: Link
+
+    @property
+    def pool(self) -> ConnectingSidecar:
+        """The pool at the sidecar's end."""
+
+    def refused(self) -> None:
+        """Fail the connect, if it is still under way."""
+
+    def accepted(self) -> None:
+        """Bring the connection up at the sidecar's end."""
+
+    def ended(self) -> None:
+        """Close the sidecar's end."""
+
+
 class DirectNode:
     """The server of one machine; `down` is called when its process has ended or its host is back."""
 
@@ -68,11 +95,11 @@
         self.recorder = recorder
         self.round_trips = tier.handshake_rtts
         self.idle_seconds = tier.conn_idle
-        self.connections: dict[DirectConnection, None] = {}  # accepted, in the order in which they came
+        self.connections: dict[NodeConnection, None] = {}  # accepted, in the order in which they came
 
     # Connects
 
-    def handle_connect(self, connection: DirectConnection) -> None:
+    def handle_connect(self, connection: NodeConnection) -> None:
         """Handle a connect that has arrived, late where a fault delays connects."""
         delay = self.machine.faults.connect_delay
         if delay > 0 and self.machine.running:
@@ -80,7 +107,7 @@
         else:
             self.accept(connection)
 
-    def accept(self, connection: DirectConnection) -> None:
+    def accept(self, connection: NodeConnection) -> None:
         """Accept or refuse a connect, or leave it unanswered where the table of connections is full."""
         machine = self.machine
         if not machine.running or machine.faults.refuses_connections:
@@ -100,7 +127,7 @@
 
     # Requests
 
-    def request(self, connection: DirectConnection, attempt: ReceivedAttempt) -> None:
+    def request(self, connection: NodeConnection, attempt: ReceivedAttempt) -> None:
         """Handle the last byte of a request, unless its connection has been closed on this side."""
         if connection not in self.connections:
             return
@@ -114,7 +141,7 @@
             connection.has_begun = True
             self.machine.receive(attempt)
 
-    def start_attempt(self, connection: DirectConnection, attempt: ReceivedAttempt) -> None:
+    def start_attempt(self, connection: NodeConnection, attempt: ReceivedAttempt) -> None:
         """Start the attempt, as the handshake is over."""
         if connection.received is attempt:
             connection.has_begun = True
@@ -122,7 +149,7 @@
 
     # Ends
 
-    def drop(self, connection: DirectConnection) -> None:
+    def drop(self, connection: NodeConnection) -> None:
         """Remove this end of a connection, for whatever reason."""
         if connection not in self.connections:
             return
@@ -136,7 +163,7 @@
                 self.recorder.ended(self.name, attempt.ident)
         self.machine.disconnect()
 
-    def close(self, connection: DirectConnection) -> None:
+    def close(self, connection: NodeConnection) -> None:
         """Close a connection from this side."""
         self.drop(connection)
         connection.backward.send(connection.reply_arrival, connection.ended)
@@ -146,7 +173,7 @@
         for connection in list(self.connections):
             self.close(connection)
 
-    def check_idle(self, connection: DirectConnection) -> None:
+    def check_idle(self, connection: NodeConnection) -> None:
         """Close a connection that has been idle for too long."""
         if connection not in self.connections:
             return
--- a/wheatring/lab/direct/sidecar.py
+++ b/wheatring/lab/direct/sidecar.py
@@ -9,8 +9,10 @@
 
 from wheatring.balancer.balancer import Balancer
 from wheatring.balancer.interface import Settings
-from wheatring.core.driver import Driver
-from wheatring.core.exchange import Exchange, Request
+from wheatring.daemon.core.driver import Driver
+from wheatring.daemon.core.exchange import Exchange, Request
+from wheatring.daemon.lifecycle.freshness import list_schedules
+from wheatring.daemon.lifecycle.shutdown_schedule import ShutdownSchedule
 from wheatring.daemon.shutdown import SHUTDOWN_POLL_SECONDS
 from wheatring.daemon.sidecar import NODE_CONNECTION_SHARE, RESERVED_DESCRIPTORS
 from wheatring.lab.direct.clock import DirectClock
@@ -20,8 +22,6 @@
 from wheatring.lab.direct.node import DirectNode
 from wheatring.lab.event_recorder import EventRecorder
 from wheatring.lab.timers import PlayedTime
-from wheatring.lifecycle.freshness import list_schedules
-from wheatring.lifecycle.shutdown_schedule import ShutdownSchedule
 
 if TYPE_CHECKING:
     from wheatring.lab.direct.sidecar_client import DirectRequest, DirectSidecarClient
--- a/wheatring/lab/direct/sidecar_client.py
+++ b/wheatring/lab/direct/sidecar_client.py
@@ -5,20 +5,32 @@
 from collections import deque
 from collections.abc import Mapping
 from math import ceil
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-from wheatring.core.exchange import Answer, AnswerKind, Request
+from wheatring.daemon.core.exchange import Answer, AnswerKind, Request
 from wheatring.lab.direct.links import Links
 from wheatring.lab.event_recorder import EventRecorder, ResponseKind
 from wheatring.lab.models.request_transport import ResponseCallback
 from wheatring.lab.timers import PlayedTime
 
-if TYPE_CHECKING:
-    from wheatring.lab.direct.sidecar import DirectSidecar
-
 SERVED, REFUSED = AnswerKind.SERVED, AnswerKind.REFUSED  # looked up once: an enum takes its time
 
 
+class ListeningSidecar(Protocol):
+    """The process of a sidecar, as far as its callers meet it."""
+
+    is_open: bool  # it takes requests
+
+    def take(self, request: DirectRequest) -> None:
+        """Accept a request that has arrived, or have it wait in the backlog."""
+
+    def finish(self, request: DirectRequest) -> None:
+        """Remove a request that has been answered."""
+
+    def abandon(self, request: DirectRequest) -> None:
+        """Withdraw a request whose caller has closed its connection."""
+
+
 class DirectRequest:
     """One request in flight.
 
@@ -58,7 +70,7 @@
         self.done = done
         self.forward, self.backward = client.links[sidecar]
         self.is_over = False
-        self.process: DirectSidecar | None = None  # that has taken it
+        self.process: ListeningSidecar | None = None  # that has taken it
         self.core_request: Request | None = None
 
     def send(self) -> None:
@@ -164,7 +176,7 @@
         self.links = {
             name: (links.link(here, there), links.link(there, here)) for name, (here, there) in hosts.items()
         }
-        self.running: dict[str, DirectSidecar] = {}
+        self.running: dict[str, ListeningSidecar] = {}
         self.max_connections = max_connections
         self.open_counts = dict.fromkeys(max_connections or (), 0)
         self.waiting: dict[str, deque[DirectRequest]] = {name: deque() for name in max_connections or ()}
--- a/wheatring/lab/leases/cluster.py
+++ b/wheatring/lab/leases/cluster.py
@@ -8,15 +8,15 @@
 from random import Random
 from typing import Any
 
+from wheatring.fleet.lease.component import FleetComponent, Instant, Outgoing
+from wheatring.fleet.lease.fleet import Fleet
+from wheatring.fleet.lease.payloads import FetchRequest
+from wheatring.fleet.lease.singleton_role import RoleChange, RoleSettings
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet
+from wheatring.fleet.members.messages import Address, MemberInfo
+from wheatring.fleet.members.timing import SwimTiming
 from wheatring.lab.live.links.link_state import LinkState, datagram
-from wheatring.lease.component import FleetComponent, Instant, Outgoing
-from wheatring.lease.fleet import Fleet
-from wheatring.lease.payloads import FetchRequest
-from wheatring.lease.singleton_role import RoleChange, RoleSettings
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet
-from wheatring.members.messages import Address, MemberInfo
-from wheatring.members.timing import SwimTiming
 
 START_UNIX_MS = 1_700_000_000_000  # Unix time, ms, at which days begin
 FETCH_TIMEOUT_SECONDS = 2.0  # after which a payload that does not come is given up
--- a/wheatring/lab/leases/days.py
+++ b/wheatring/lab/leases/days.py
@@ -10,13 +10,13 @@
 
 from msgspec import Struct, field
 
+from wheatring.fleet.lease.fencing import FencingGuard
+from wheatring.fleet.lease.singleton_role import RoleChange, RoleSettings
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet, first_voters
+from wheatring.fleet.members.timing import SwimTiming
 from wheatring.lab.leases.cluster import PARTITIONED, Cluster, Node
 from wheatring.lab.live.links.link_state import LinkState
-from wheatring.lease.fencing import FencingGuard
-from wheatring.lease.singleton_role import RoleChange, RoleSettings
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet, first_voters
-from wheatring.members.timing import SwimTiming
 
 ROLE = "duty"
 DAY_SECONDS = 60.0  # seconds
--- a/wheatring/lab/leases/handover.py
+++ b/wheatring/lab/leases/handover.py
@@ -6,11 +6,11 @@
 from random import Random
 from typing import Literal, NamedTuple
 
+from wheatring.fleet.lease.singleton_role import RoleChange, RoleSettings
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet, first_voters
+from wheatring.fleet.members.timing import SwimTiming
 from wheatring.lab.leases.cluster import PARTITIONED, Cluster, Node
-from wheatring.lease.singleton_role import RoleChange, RoleSettings
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet, first_voters
-from wheatring.members.timing import SwimTiming
 
 LossKind = Literal["kill", "stall", "cut", "deaf", "unheard", "release"]
 LOSS_KINDS: tuple[LossKind, ...] = ("kill", "stall", "cut", "deaf", "unheard", "release")
--- a/wheatring/lab/leases/membership.py
+++ b/wheatring/lab/leases/membership.py
@@ -8,13 +8,13 @@
 
 import msgspec
 
+from wheatring.fleet.lease.fleet import FleetMessage
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet, first_voters
+from wheatring.fleet.members.messages import ALIVE, DEAD, SUSPECT
+from wheatring.fleet.members.timing import SwimTiming
 from wheatring.lab.leases.cluster import Cluster, Node
 from wheatring.lab.live.links.link_state import LinkState
-from wheatring.lease.fleet import FleetMessage
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet, first_voters
-from wheatring.members.messages import ALIVE, DEAD, SUSPECT
-from wheatring.members.timing import SwimTiming
 
 FRAME_BYTES = 50  # of a datagram besides its message
 JOINED_AFTER_SECONDS = 40.0  # from the start until it is measured
--- a/wheatring/lab/leases/model.py
+++ b/wheatring/lab/leases/model.py
@@ -25,11 +25,11 @@
 
 from msgspec import structs
 
-from wheatring.lease.acceptor import Acceptor
-from wheatring.lease.fencing import FencingGuard
-from wheatring.lease.proposer import Proposer
-from wheatring.lease.timing import LeaseTiming
-from wheatring.lease.voters import VoterSet
+from wheatring.fleet.lease.acceptor import Acceptor
+from wheatring.fleet.lease.fencing import FencingGuard
+from wheatring.fleet.lease.proposer import Proposer
+from wheatring.fleet.lease.timing import LeaseTiming
+from wheatring.fleet.lease.voters import VoterSet
 
 LEASE = "duty/0"
 UPTIME_TICKS = 100.0  # ticks that the voters have been up for at the start
--- a/wheatring/lab/leases/planted_faults.py
+++ b/wheatring/lab/leases/planted_faults.py
@@ -6,13 +6,13 @@
 from math import inf
 from typing import NamedTuple
 
+from wheatring.fleet.lease.acceptor import Acceptor
+from wheatring.fleet.lease.fencing import FencingGuard
+from wheatring.fleet.lease.messages import AcceptorRequest, AcceptorResponse, Promise, Release
+from wheatring.fleet.lease.proposer import AddressedRequest, Proposer
+from wheatring.fleet.lease.timing import LeaseTiming
 from wheatring.lab.leases.model import Bounds, Deciders, Model
 from wheatring.lab.leases.search import SearchResult, search
-from wheatring.lease.acceptor import Acceptor
-from wheatring.lease.fencing import FencingGuard
-from wheatring.lease.messages import AcceptorRequest, AcceptorResponse, Promise, Release
-from wheatring.lease.proposer import AddressedRequest, Proposer
-from wheatring.lease.timing import LeaseTiming
 
 
 class NotAbstaining(Acceptor):
--- a/wheatring/lab/live/bench/relay.py
+++ b/wheatring/lab/live/bench/relay.py
@@ -14,7 +14,7 @@
 from twisted.internet.protocol import ClientFactory, Protocol, ServerFactory, connectionDone
 from twisted.python.failure import Failure
 
-from wheatring.http1.connection import Transport
+from wheatring.daemon.http1.connection import Transport
 
 reactor: Any = installed
 
--- a/wheatring/lab/live/client_connection.py
+++ b/wheatring/lab/live/client_connection.py
@@ -10,8 +10,8 @@
 import socket
 from typing import Any, Protocol
 
-from wheatring.http1.exceptions import MalformedMessageError
-from wheatring.http1.parser import MessageParser
+from wheatring.common.exceptions import MalformedMessageError
+from wheatring.common.http_parser import MessageParser
 
 MAX_READ_BYTES = 262_144
 MAX_CACHED_HEADS = 256  # heads remembered; a server that makes each one anew is read the long way
--- a/wheatring/lab/live/nodes.py
+++ b/wheatring/lab/live/nodes.py
@@ -13,7 +13,7 @@
 from random import Random
 from typing import Any
 
-from wheatring.core.clock import Clock
+from wheatring.daemon.core.clock import Clock
 from wheatring.lab.correlation import CorrelationTable
 from wheatring.lab.event_recorder import EventRecorder
 from wheatring.lab.live.links.link_controller import LinkController
--- a/wheatring/lab/live/plan_cases.py
+++ b/wheatring/lab/live/plan_cases.py
@@ -15,11 +15,11 @@
 from tempfile import TemporaryDirectory
 from typing import Any, NamedTuple
 
+from wheatring.fleet.skew.errors import CapabilityMissingError, FormatUnreadableError
 from wheatring.lab.live.fleet_rig import FleetRig
 from wheatring.lab.live.links.link_state import LinkState
 from wheatring.lab.live.singleton_role_cases import Measurement
 from wheatring.lab.live.view_cases import SETTLE_SECONDS, WAIT_SECONDS, ViewHistory
-from wheatring.skew.errors import CapabilityMissingError, FormatUnreadableError
 
 LARGE_PLAN_BYTES = 100_000  # bytes of a large plan
 WINDOW_LEAD_SECONDS = 25.0  # seconds from now to a window's opening: more than the lead of a plan
--- a/wheatring/lab/live/play.py
+++ b/wheatring/lab/live/play.py
@@ -21,7 +21,7 @@
 from twisted.internet import reactor as installed
 from twisted.logger import globalLogBeginner
 
-from wheatring.core.clock import Clock
+from wheatring.daemon.core.clock import Clock
 from wheatring.lab.correlation import CorrelationTable
 from wheatring.lab.live import tally
 from wheatring.lab.live.lifecycles import Lifecycles
--- a/wheatring/lab/live/role_call_target.py
+++ b/wheatring/lab/live/role_call_target.py
@@ -6,8 +6,8 @@
 import time
 from typing import Any, NamedTuple
 
+from wheatring.fleet.lease.fencing import FencingGuard
 from wheatring.lab.live.stub_server import Handler, StubServer
-from wheatring.lease.fencing import FencingGuard
 
 
 class RoleCall(NamedTuple):
--- a/wheatring/lab/live/sidecar_slots.py
+++ b/wheatring/lab/live/sidecar_slots.py
@@ -10,7 +10,7 @@
 from random import Random
 from typing import Any
 
-from wheatring.core.clock import Clock, Timer
+from wheatring.daemon.core.clock import Clock, Timer
 from wheatring.lab.live.links.link_controller import LinkController
 from wheatring.lab.live.sidecar import Sidecar, configuration, port_in
 from wheatring.lab.live.watch import Watch
--- a/wheatring/lab/model_checker/consensus_model.py
+++ b/wheatring/lab/model_checker/consensus_model.py
@@ -10,18 +10,6 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, replace
 
-from wheatring.consensus.replica import Replica
-from wheatring.consensus.types import Effects, Position, State, entry_position
-from wheatring.controller.commands import (
-    Accepted,
-    Conflict,
-    Indeterminate,
-    ReplaceConfiguration,
-    UpdateConfiguration,
-    apply_batch,
-)
-from wheatring.controller.consensus_store import first_entry, seed_member
-from wheatring.controller.voter_selection import Candidate, next_voters
 from wheatring.lab.model_checker.exceptions import InvariantViolationError
 from wheatring.lab.model_checker.invariants import Acknowledged, History, generation_of
 from wheatring.lab.model_checker.simulated_machine import (
@@ -30,7 +18,19 @@
     ReplicaFactory,
     SimulatedMachine,
 )
-from wheatring.transport.messages_pb2 import Entry, HardState
+from wheatring.tier.consensus.replica import Replica
+from wheatring.tier.consensus.types import Effects, Position, State, entry_position
+from wheatring.tier.controller.commands import (
+    Accepted,
+    Conflict,
+    Indeterminate,
+    ReplaceConfiguration,
+    UpdateConfiguration,
+    apply_batch,
+)
+from wheatring.tier.controller.consensus_store import first_entry, seed_member
+from wheatring.tier.controller.voter_selection import Candidate, next_voters
+from wheatring.tier.transport.messages_pb2 import Entry, HardState
 
 MAX_IN_FLIGHT = 24  # messages; the oldest one is lost beyond them
 UNHEARD_SECONDS = 9.0  # for which a voter that is to be replaced has not been heard from
@@ -426,7 +426,7 @@
 
 def _without_history(data: bytes) -> bytes:
     """Return a state without its accepted changes, for the mutant that does not replicate them."""
-    from wheatring.transport.messages_pb2 import ControlState
+    from wheatring.tier.transport.messages_pb2 import ControlState
 
     state = ControlState.FromString(data)
     del state.accepted[:]
--- a/wheatring/lab/model_checker/consensus_mutants.py
+++ b/wheatring/lab/model_checker/consensus_mutants.py
@@ -6,13 +6,13 @@
 from dataclasses import dataclass
 from random import Random
 
-from wheatring.consensus.electorate import finish_change, has_quorum
-from wheatring.consensus.replica import Replica
-from wheatring.consensus.types import Effects, Position, State, Timing, entry_position
 from wheatring.lab.model_checker.consensus_model import Rules
 from wheatring.lab.model_checker.search import SearchResult, random_walk
 from wheatring.lab.model_checker.simulated_machine import ReplicaFactory
-from wheatring.transport.messages_pb2 import (
+from wheatring.tier.consensus.electorate import finish_change, has_quorum
+from wheatring.tier.consensus.replica import Replica
+from wheatring.tier.consensus.types import Effects, Position, State, Timing, entry_position
+from wheatring.tier.transport.messages_pb2 import (
     AppendReply,
     AppendRequest,
     Entry,
--- a/wheatring/lab/model_checker/invariants.py
+++ b/wheatring/lab/model_checker/invariants.py
@@ -7,11 +7,11 @@
 from functools import lru_cache
 from itertools import combinations
 
-from wheatring.consensus.electorate import has_quorum
-from wheatring.consensus.types import Position, entry_position
-from wheatring.controller.commands import ReplaceConfiguration, UpdateConfiguration
 from wheatring.lab.model_checker.exceptions import InvariantViolationError
-from wheatring.transport.messages_pb2 import ControlState, Entry, Member
+from wheatring.tier.consensus.electorate import has_quorum
+from wheatring.tier.consensus.types import Position, entry_position
+from wheatring.tier.controller.commands import ReplaceConfiguration, UpdateConfiguration
+from wheatring.tier.transport.messages_pb2 import ControlState, Entry, Member
 
 MAX_STATE_BYTES = 8192  # of the small configurations that the models use
 
--- a/wheatring/lab/model_checker/search.py
+++ b/wheatring/lab/model_checker/search.py
@@ -8,10 +8,10 @@
 from functools import lru_cache
 from random import Random
 
-from wheatring.consensus.types import State, entry_position
 from wheatring.lab.model_checker.consensus_model import Model, Rules
 from wheatring.lab.model_checker.exceptions import InvariantViolationError
 from wheatring.lab.model_checker.trace import minimize, play
+from wheatring.tier.consensus.types import State, entry_position
 
 SETTLE_SECONDS = 8.0  # of simulated time, in which the system has to recover once faults have ended
 MAX_DELIVERIES_PER_TIMER = 400  # messages in a row without a timer
--- a/wheatring/lab/model_checker/simulated_machine.py
+++ b/wheatring/lab/model_checker/simulated_machine.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass, field, replace
 from random import Random
 
-from wheatring.consensus.replica import Replica
-from wheatring.consensus.types import Message, Timing, Write
-from wheatring.transport.messages_pb2 import ConsensusRecord, Entry, HardState, Member
+from wheatring.tier.consensus.replica import Replica
+from wheatring.tier.consensus.types import Message, Timing, Write
+from wheatring.tier.transport.messages_pb2 import ConsensusRecord, Entry, HardState, Member
 
 REPLY_NUMBERS_PER_INCARNATION = 1 << 20  # between the first reply numbers of two incarnations
 
--- a/wheatring/lab/model_checker/storage_model.py
+++ b/wheatring/lab/model_checker/storage_model.py
@@ -12,14 +12,14 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from wheatring.controller.commands import StartRetirement
-from wheatring.controller.storage_membership import StorageReport, complete_retirements, next_placement
 from wheatring.lab.model_checker.exceptions import InvariantViolationError
 from wheatring.lab.model_checker.search import SearchResult
-from wheatring.placement.key_placement import KeyPlacement, place_key, quorum_sizes, replicas_for
-from wheatring.storage.copy_rules import can_skip_copy, copy_sources_required
-from wheatring.storage.record_table import RecordTable
-from wheatring.transport.messages_pb2 import (
+from wheatring.tier.controller.commands import StartRetirement
+from wheatring.tier.controller.storage_membership import StorageReport, complete_retirements, next_placement
+from wheatring.tier.placement.key_placement import KeyPlacement, place_key, quorum_sizes, replicas_for
+from wheatring.tier.storage.copy_rules import can_skip_copy, copy_sources_required
+from wheatring.tier.storage.record_table import RecordTable
+from wheatring.tier.transport.messages_pb2 import (
     ControlState,
     Placement,
     StorageMember,
--- a/wheatring/lab/model_checker/storage_mutants.py
+++ b/wheatring/lab/model_checker/storage_mutants.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass
 from random import Random
 
-from wheatring.controller.commands import StartRetirement
 from wheatring.lab.model_checker.exceptions import InvariantViolationError
 from wheatring.lab.model_checker.search import SearchResult
 from wheatring.lab.model_checker.storage_model import Operation, StorageModel, StorageRules, random_walk
-from wheatring.placement.key_placement import place_key
+from wheatring.tier.controller.commands import StartRetirement
+from wheatring.tier.placement.key_placement import place_key
 
 
 @dataclass(frozen=True, slots=True)
--- a/wheatring/lab/net/handshake.py
+++ b/wheatring/lab/net/handshake.py
@@ -2,15 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from wheatring.lab.net.links import OPEN, Stream
+from wheatring.lab.net.sockets import CONNECTED, CONNECTING, Socket, SocketHost
 
-if TYPE_CHECKING:
-    from wheatring.lab.net.network import Host
-    from wheatring.lab.net.sockets import Socket
-
-NEW, LISTENING, CONNECTING, CONNECTED = range(4)  # states of a socket
 MAX_CONNECT_TRIES = 7  # a connect is asked for anew after 1, 3, 7, ... s; after the last one it has timed out
 
 
@@ -39,7 +33,7 @@
     client.process.time.at(since + 2 ** (count + 1) - 1, _send_syn, client, since, count + 1)
 
 
-def _receive_syn(client: Socket, host: Host, since: float, count: int, waited: bool) -> None:
+def _receive_syn(client: Socket, host: SocketHost, since: float, count: int, waited: bool) -> None:
     """Take a connect at the host: it is refused, dropped or answered."""
     time = client.process.time
     assert client.remote is not None
--- a/wheatring/lab/net/links.py
+++ b/wheatring/lab/net/links.py
@@ -6,13 +6,10 @@
 from errno import EWOULDBLOCK
 from math import inf, log
 from random import Random
-from typing import TYPE_CHECKING
+from typing import Any, Generic, Protocol, TypeVar
 
 from wheatring.lab.net.time import VirtualTime
 
-if TYPE_CHECKING:
-    from wheatring.lab.net.sockets import Socket
-
 RESEND_SECONDS = 0.2  # seconds until what got lost is sent again, doubled each time ...
 MAX_RESEND_SECONDS = 120.0  # ... up to this
 
@@ -54,7 +51,7 @@
         self.jitter = jitter
         self._random = random.random
         self.silent = False  # nothing comes through
-        self.stalled: list[Stream] = []  # to go on once something does again
+        self.stalled: list[Stream[Any]] = []  # to go on once something does again
         self.slow(1.0)
 
     def slow(self, factor: float) -> None:
@@ -80,7 +77,45 @@
 RST = 3
 
 
-class Stream:
+class TimedProcess(Protocol):
+    """The process of an end, which has a clock."""
+
+    time: VirtualTime
+
+
+class StreamEnd(Protocol):
+    """An end of a connection, as far as what carries its bytes uses it; see `sockets.Socket`."""
+
+    watcher: Any
+    closed: bool
+    is_deaf: bool
+    chunks: deque[tuple[bytes, float]]
+    out: Any  # the stream that leaves this end
+
+    @property
+    def process(self) -> TimedProcess:
+        """The process that it is of."""
+
+    def wake(self) -> None:
+        """Have whoever waits for this end look at it."""
+
+    def receive_control(self, what: object) -> None:
+        """Take a control packet."""
+
+    def reset_by_late_bytes(self) -> None:
+        """Answer bytes with a reset that came after this end had said that it reads no more."""
+
+    def timed_out(self) -> None:
+        """End the connection by a time-out."""
+
+    def end_handshake(self) -> None:
+        """Note that its handshake is over, in whatever way."""
+
+
+EndT = TypeVar("EndT", bound=StreamEnd)
+
+
+class Stream(Generic[EndT]):
     """One direction of one connection.
 
     `used` bytes of its window are in flight, unread, or read without the sender knowing of it yet.
@@ -92,7 +127,7 @@
     )  # fmt: skip
 
     def __init__(
-        self, ends: tuple[Socket, Socket], link: Link, back: Link, window: int, segment: int, give_up: float
+        self, ends: tuple[EndT, EndT], link: Link, back: Link, window: int, segment: int, give_up: float
     ) -> None:
         self.time: VirtualTime = ends[0].process.time
         self.link = link
--- a/wheatring/lab/net/network.py
+++ b/wheatring/lab/net/network.py
@@ -10,10 +10,9 @@
 from math import inf
 from random import Random
 
-from wheatring.lab.net.handshake import CONNECTED
 from wheatring.lab.net.links import Link
 from wheatring.lab.net.process import Process
-from wheatring.lab.net.sockets import Socket
+from wheatring.lab.net.sockets import CONNECTED, Socket, SocketHost
 from wheatring.lab.net.time import VirtualTime
 from wheatring.lab.plan import NetPlan
 
@@ -45,7 +44,7 @@
             if self._port not in self.listeners:
                 return self._port
 
-    def link(self, other: Host) -> Link:
+    def link(self, other: SocketHost) -> Link:
         """Return the link to another host, or to itself."""
         link = self.links.get(other.name)
         if link is None:
@@ -96,7 +95,7 @@
             host = self.hosts[name] = Host(self, name)
         return host
 
-    def lay(self, source: Host, target: Host) -> Link:
+    def lay(self, source: SocketHost, target: SocketHost) -> Link:
         """Return a new link from one host to another."""
         plan = self.plan
         if source is not target and "" in (source.zone, target.zone):
@@ -173,7 +172,7 @@
         for name in hosts:
             self.host(name).clock_offset += seconds
 
-    def _is_cut(self, source: Host, target: Host) -> bool:
+    def _is_cut(self, source: SocketHost, target: SocketHost) -> bool:
         if source is target:
             return False
         here, there = source.name, target.name
@@ -182,7 +181,7 @@
             for hosts, others, one_way in self._cuts
         )
 
-    def _factor(self, source: Host, target: Host) -> float:
+    def _factor(self, source: SocketHost, target: SocketHost) -> float:
         factor = 1.0
         if source is not target:
             here, there = source.name, target.name
--- a/wheatring/lab/net/process.py
+++ b/wheatring/lab/net/process.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from itertools import count
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from twisted.internet.defer import Deferred, fail
 from twisted.internet.error import AlreadyCalled, AlreadyCancelled, DNSLookupError
@@ -14,19 +14,31 @@
 from twisted.python import failure
 from zope.interface import implementer  # type: ignore[import-untyped]
 
-from wheatring.lab.net.handshake import CONNECTED, LISTENING
-from wheatring.lab.net.sockets import Socket
+from wheatring.lab.net import handshake
+from wheatring.lab.net.sockets import CONNECTED, LISTENING, Socket, SocketHost, SocketNetwork
 from wheatring.lab.net.time import Event, VirtualTime
 from wheatring.lab.net.transports import Connector, LimitedPort, Port, log_failure
 
-if TYPE_CHECKING:
-    from wheatring.lab.net.network import Host, Network
-
 lost: Any = failure.Failure(CONNECTION_LOST)  # type: ignore[no-untyped-call]
 
 WAITING, SOON, CALLED, CANCELLED = range(4)
 
 
+class ProcessHost(SocketHost, Protocol):
+    """The host of a process; see `network.Host`."""
+
+    clock_offset: float
+    processes: list[Process]
+
+
+class ProcessNetwork(SocketNetwork, Protocol):
+    """The network of a process; see `network.Network`."""
+
+    time: VirtualTime
+    epoch: float
+    clock_offset: float
+
+
 class Delayed:
     """What `callLater` returns: Twisted's IDelayedCall."""
 
@@ -111,7 +123,7 @@
     `descriptors` are the sockets that it holds, in the order in which they were opened.
     """
 
-    def __init__(self, network: Network, host: Host, name: str) -> None:
+    def __init__(self, network: ProcessNetwork, host: ProcessHost, name: str) -> None:
         self.network = network
         self.host = host
         self.name = name
@@ -133,6 +145,16 @@
         offset = network.epoch + network.clock_offset + self.host.clock_offset
         return self.time.instant - self.time.start + offset
 
+    # Handshakes
+
+    def start_connect(self, socket: Socket) -> None:
+        """Begin the handshake of a socket that connects."""
+        handshake.start_connect(socket)
+
+    def complete_handshake(self, socket: Socket) -> None:
+        """Take the last packet of a handshake at the listening side."""
+        handshake.complete_handshake(socket)
+
     # Calls
 
     def callLater(self, delay: float, callable: Callable[..., Any], *args: object, **kw: object) -> Delayed:  # noqa: N802 - Twisted's name
--- a/wheatring/lab/net/sockets.py
+++ b/wheatring/lab/net/sockets.py
@@ -10,18 +10,74 @@
 import socket
 import struct
 from collections import deque
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable
+from typing import Any, Protocol
 
-from wheatring.lab.net import handshake
-from wheatring.lab.net.handshake import CONNECTED, CONNECTING, LISTENING, NEW
-from wheatring.lab.net.links import FIN, OPEN, RST, Stream
+from wheatring.lab.net.links import FIN, OPEN, RST, Link, Stream
+from wheatring.lab.net.time import VirtualTime
+from wheatring.lab.plan import NetPlan
 
-if TYPE_CHECKING:
-    from wheatring.lab.net.process import Process
+NEW, LISTENING, CONNECTING, CONNECTED = range(4)  # states of a socket
 
 Address = tuple[str, int]
 
 
+class SocketHost(Protocol):
+    """The host of a socket; see `network.Host`."""
+
+    name: str
+    zone: str
+    vanished: bool
+    listeners: dict[int, Socket]
+    refusing: set[int]
+    full: set[int]
+    connect_delays: dict[int, float]
+    on_refused: dict[int, Callable[[str], None]]
+
+    def free_port(self) -> int:
+        """Return a port that nobody listens at."""
+
+    def link(self, other: SocketHost) -> Link:
+        """Return the link to another host, or to itself."""
+
+
+class SocketNetwork(Protocol):
+    """The network of a socket; see `network.Network`."""
+
+    plan: NetPlan
+    give_up: float
+
+    def host(self, name: str) -> SocketHost:
+        """Return a host by name."""
+
+
+class SocketProcess(Protocol):
+    """The process of a socket; see `process.Process`."""
+
+    time: VirtualTime
+    number: Callable[[], int]
+
+    @property
+    def host(self) -> SocketHost:
+        """The host that it runs on."""
+
+    @property
+    def network(self) -> SocketNetwork:
+        """The network of its host."""
+
+    def opened(self, socket: Socket) -> None:
+        """Take a socket among those that it holds."""
+
+    def shut(self, socket: Socket) -> None:
+        """Forget a socket that it has closed."""
+
+    def start_connect(self, socket: Socket) -> None:
+        """Begin the handshake of a socket that connects."""
+
+    def complete_handshake(self, socket: Socket) -> None:
+        """Take the last packet of a handshake at the listening side."""
+
+
 class Socket:
     """One TCP socket of a process. `watcher` is the Twisted transport or port that waits for it, if any."""
 
@@ -49,10 +105,10 @@
         "watcher",
     )  # fmt: skip
 
-    out: Stream
-    into: Stream
+    out: Stream[Socket]
+    into: Stream[Socket]
 
-    def __init__(self, process: Process) -> None:
+    def __init__(self, process: SocketProcess) -> None:
         self.process = process
         self.watcher: Any = None
         self.state = NEW
@@ -172,7 +228,7 @@
                 self.local = (self.local[0], self.process.host.free_port())
             self.state = CONNECTING
             self.remote = address
-            handshake.start_connect(self)
+            self.process.start_connect(self)
             return errno.EINPROGRESS
         if self.broken:
             return self.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) or errno.ECONNREFUSED
@@ -271,7 +327,7 @@
             self.eof = True
             self.wake()
         elif what == OPEN:
-            handshake.complete_handshake(self)
+            self.process.complete_handshake(self)
 
     def over(self, error: int) -> None:
         """End the connection without a FIN, by a reset or a time-out."""
--- a/wheatring/lab/planted_faults.py
+++ b/wheatring/lab/planted_faults.py
@@ -49,7 +49,7 @@
     Fault(
         "written-when-over",
         "a connect that comes up late writes its attempt though the request is over",
-        "wheatring.http1.connection_pool:_NewConnection.connectionMade",
+        "wheatring.daemon.http1.connection_pool:_NewConnection.connectionMade",
         "if self.first_attempt.may_be_sent and self.pool.exchange.check_in_time(self.first_attempt):",
         "if True:",
         "faults",
@@ -58,7 +58,7 @@
     Fault(
         "kept-unclean",
         "a connection with bytes left on it is kept for the next attempt",
-        "wheatring.http1.endpoint_connection:EndpointConnection.keep_or_close",
+        "wheatring.daemon.http1.endpoint_connection:EndpointConnection.keep_or_close",
         "if not self.is_flushed or self.parser.has_partial_message:",
         "if False:",
         "faults",
@@ -75,7 +75,7 @@
     Fault(
         "answer-lost",
         "a request whose attempt has timed out is not notified of it",
-        "wheatring.core.exchange:Exchange._time_out",
+        "wheatring.daemon.core.exchange:Exchange._time_out",
         "self._stop_attempt(attempt, outcome)",
         "pass",
         "faults",
@@ -83,7 +83,7 @@
     Fault(
         "timer-kept",
         "the timer against overdue requests is not cancelled when a request is answered",
-        "wheatring.core.exchange:Exchange._finish",
+        "wheatring.daemon.core.exchange:Exchange._finish",
         "request.overdue_timer.cancel()",
         "pass",
         "faults",
@@ -99,7 +99,7 @@
     Fault(
         "reset-never-ran",
         "a connection that breaks after the request's last byte counts as proof that nothing ran",
-        "wheatring.http1.endpoint_connection:EndpointConnection.fail_attempt",
+        "wheatring.daemon.http1.endpoint_connection:EndpointConnection.fail_attempt",
         "Outcome.RESET if self.is_flushed else Outcome.CONNECT_FAILED",
         "Outcome.CONNECT_FAILED",
         "faults",
@@ -116,7 +116,7 @@
     Fault(
         "caller-kept",
         "the request of a caller that has disconnected stays open",
-        "wheatring.core.exchange:Exchange.withdraw",
+        "wheatring.daemon.core.exchange:Exchange.withdraw",
         "self._finish(request)",
         "pass",
         "faults",
@@ -124,7 +124,7 @@
     Fault(
         "half-answer-served",
         "an answer that ends before its length is passed on as whole",
-        "wheatring.http1.parser:MessageParser.end_of_input",
+        "wheatring.common.http_parser:MessageParser.end_of_input",
         "if self.state is not _UNTIL_CLOSE:",
         "if self.message is None:",
         "faults",
@@ -133,7 +133,7 @@
     Fault(
         "watch-not-renewed",
         "a watch that has failed is not begun again",
-        "wheatring.http1.endpoint_list:EndpointList.cancel_watch",
+        "wheatring.daemon.http1.endpoint_list:EndpointList.cancel_watch",
         "self.is_watching = False",
         'self.is_watching = code == "watch-failed"',
         "faults",
@@ -141,7 +141,7 @@
     Fault(
         "closed-with-jobs",
         "once stopping, it closes connections whose callers wait for answers",
-        "wheatring.http1.server:Server.close_unanswered",
+        "wheatring.daemon.http1.server:Server.close_unanswered",
         "case CallerState.RESTING:",
         'case CallerState.BUSY:\n                connection.close("stopping")\n'
         "            case CallerState.RESTING:",
--- a/wheatring/lab/scale/hollow_sidecars.py
+++ b/wheatring/lab/scale/hollow_sidecars.py
@@ -16,16 +16,16 @@
 import time
 from random import Random
 
-from wheatring.boot_settings.settings import Settings, read_settings
-from wheatring.budgets.exceptions import BudgetExceededError
-from wheatring.budgets.token_budgets import TokenBudgets
-from wheatring.storage.exceptions import QuorumNotReachedError
-from wheatring.storage.quorum_client import QuorumClient
-from wheatring.subscription.client import Subscription
-from wheatring.transport.client import ClientTable
-from wheatring.transport.connection import TRAFFIC
-from wheatring.transport.messages_pb2 import ROLE_SIDECAR, Presence, Turn
-from wheatring.turns.conversations import Conversations
+from wheatring.tier.boot_settings.settings import Settings, read_settings
+from wheatring.tier.budgets.exceptions import BudgetExceededError
+from wheatring.tier.budgets.token_budgets import TokenBudgets
+from wheatring.tier.storage.exceptions import QuorumNotReachedError
+from wheatring.tier.storage.quorum_client import QuorumClient
+from wheatring.tier.subscription.client import Subscription
+from wheatring.tier.transport.client import ClientTable
+from wheatring.tier.transport.connection import TRAFFIC
+from wheatring.tier.transport.messages_pb2 import ROLE_SIDECAR, Presence, Turn
+from wheatring.tier.turns.conversations import Conversations
 
 INPUT_BYTES, OUTPUT_BYTES = 4300, 640  # of a turn, as the small sites have them
 TURNS_PER_PROGRAM = 11
--- a/wheatring/lab/wire/environment.py
+++ b/wheatring/lab/wire/environment.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING
 
 from wheatring.balancer.interface import TimerDue
-from wheatring.config.platform_file import PlatformConfig
+from wheatring.daemon.config.platform_file import PlatformConfig
+from wheatring.daemon.operator_properties import OperatorProperties
 from wheatring.daemon.sidecar import Sidecar
 from wheatring.lab.models.discovery import Registry
 from wheatring.lab.models.machine import Machine
@@ -28,7 +29,6 @@
     sidecar_hosts,
     zones,
 )
-from wheatring.operator_properties import OperatorProperties
 
 if TYPE_CHECKING:
     from wheatring.lab.world.world import World
--- a/wheatring/lab/world/environment.py
+++ b/wheatring/lab/world/environment.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from wheatring.config.platform_file import PlatformConfig
+from wheatring.daemon.config.platform_file import PlatformConfig
 from wheatring.lab import plan
 from wheatring.lab.models.discovery import Registry
 from wheatring.lab.models.machine import Machine
--- a/wheatring/lab/world/sidecar_slots.py
+++ b/wheatring/lab/world/sidecar_slots.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Any
 
-from wheatring.config.platform_file import PlatformConfig, read_settings
+from wheatring.daemon.config.platform_file import PlatformConfig, read_settings
 from wheatring.lab.plan import Plan
 from wheatring.lab.settings import sidecar_settings
 from wheatring.lab.timers import Timer, Timers
--- a/wheatring/lab/world/world.py
+++ b/wheatring/lab/world/world.py
@@ -11,7 +11,7 @@
 
 from twisted.logger import globalLogPublisher
 
-from wheatring import log
+from wheatring.common import log
 from wheatring.lab.correlation import CorrelationTable
 from wheatring.lab.models.clients import Clients
 from wheatring.lab.models.deduplication import EffectDeduplicator
--- a/wheatring/tier/__main__.py
+++ b/wheatring/tier/__main__.py
@@ -30,10 +30,10 @@
 @click.argument("file", type=click.Path(exists=True, dir_okay=False))
 def check(file: str) -> None:
     """Check a settings file or an operator's configuration; every error is one line with its path."""
-    from wheatring.boot_settings.exceptions import SettingsError
-    from wheatring.boot_settings.settings import read_settings
-    from wheatring.controller.configuration import parse
-    from wheatring.controller.exceptions import InvalidConfigurationError
+    from wheatring.tier.boot_settings.exceptions import SettingsError
+    from wheatring.tier.boot_settings.settings import read_settings
+    from wheatring.tier.controller.configuration import parse
+    from wheatring.tier.controller.exceptions import InvalidConfigurationError
 
     body = Path(file).read_bytes()
     try:
--- a/wheatring/boot_settings/settings.py
+++ b/wheatring/tier/boot_settings/settings.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any
 
-from wheatring.boot_settings.exceptions import SettingsError
+from wheatring.tier.boot_settings.exceptions import SettingsError
 
 SETTINGS_VARIABLE = "WHEATRING_BOOT"
 MAX_PORT = 65535
--- a/wheatring/boot_settings/watch.py
+++ b/wheatring/tier/boot_settings/watch.py
@@ -5,9 +5,9 @@
 import asyncio
 from pathlib import Path
 
-from wheatring.boot_settings.exceptions import SettingsError
-from wheatring.boot_settings.settings import Settings, read_settings
-from wheatring.event_log import log_event
+from wheatring.tier.boot_settings.exceptions import SettingsError
+from wheatring.tier.boot_settings.settings import Settings, read_settings
+from wheatring.tier.event_log import log_event
 
 POLL_SECONDS = 1.0
 
--- a/wheatring/budgets/token_budgets.py
+++ b/wheatring/tier/budgets/token_budgets.py
@@ -10,11 +10,11 @@
 
 import asyncio
 
-from wheatring.budgets.exceptions import BudgetExceededError
-from wheatring.event_log import log_event
-from wheatring.storage.exceptions import QuorumNotReachedError
-from wheatring.storage.quorum_client import QuorumClient
-from wheatring.transport.messages_pb2 import BudgetEntry, StorageRecord
+from wheatring.tier.budgets.exceptions import BudgetExceededError
+from wheatring.tier.event_log import log_event
+from wheatring.tier.storage.exceptions import QuorumNotReachedError
+from wheatring.tier.storage.quorum_client import QuorumClient
+from wheatring.tier.transport.messages_pb2 import BudgetEntry, StorageRecord
 
 SETTLE_TIMEOUT_SECONDS = 5.0
 
--- a/wheatring/consensus/election.py
+++ b/wheatring/tier/consensus/election.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from wheatring.consensus.electorate import has_quorum
-from wheatring.consensus.replication import Replication
-from wheatring.consensus.types import Effects, Outgoing, State, Write, entry_position
-from wheatring.transport.messages_pb2 import Member, VoteReply, VoteRequest
+from wheatring.tier.consensus.electorate import has_quorum
+from wheatring.tier.consensus.replication import Replication
+from wheatring.tier.consensus.types import Effects, Outgoing, State, Write, entry_position
+from wheatring.tier.transport.messages_pb2 import Member, VoteReply, VoteRequest
 
 
 class Election(Replication):
--- a/wheatring/consensus/electorate.py
+++ b/wheatring/tier/consensus/electorate.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Callable, Collection, Iterable
 
-from wheatring.transport.messages_pb2 import Entry, Member
+from wheatring.tier.transport.messages_pb2 import Entry, Member
 
 
 def member_ids(members: Iterable[Member]) -> set[str]:
--- a/wheatring/consensus/replica.py
+++ b/wheatring/tier/consensus/replica.py
@@ -19,10 +19,10 @@
 
 from collections.abc import Iterable
 
-from wheatring.consensus.election import Election
-from wheatring.consensus.electorate import change_voters
-from wheatring.consensus.types import Effects, Message, Position, State, Write, entry_position
-from wheatring.transport.messages_pb2 import AppendReply, AppendRequest, Member, VoteReply, VoteRequest
+from wheatring.tier.consensus.election import Election
+from wheatring.tier.consensus.electorate import change_voters
+from wheatring.tier.consensus.types import Effects, Message, Position, State, Write, entry_position
+from wheatring.tier.transport.messages_pb2 import AppendReply, AppendRequest, Member, VoteReply, VoteRequest
 
 
 class Replica(Election):
--- a/wheatring/consensus/replication.py
+++ b/wheatring/tier/consensus/replication.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from wheatring.consensus.electorate import finish_change, has_quorum, is_joint, quorum_value
-from wheatring.consensus.state import ReplicaState
-from wheatring.consensus.types import (
+from wheatring.tier.consensus.electorate import finish_change, has_quorum, is_joint, quorum_value
+from wheatring.tier.consensus.state import ReplicaState
+from wheatring.tier.consensus.types import (
     Effects,
     Outgoing,
     Position,
@@ -13,7 +13,7 @@
     Write,
     entry_position,
 )
-from wheatring.transport.messages_pb2 import AppendReply, AppendRequest, Entry, TimeoutNow
+from wheatring.tier.transport.messages_pb2 import AppendReply, AppendRequest, Entry, TimeoutNow
 
 RESEND_AFTER_HEARTBEATS = 3  # an entry not acknowledged after so many heartbeats is sent once more
 MAX_TRACKED_REPLIES = 32  # newest replies whose echo by the leader still counts
--- a/wheatring/consensus/state.py
+++ b/wheatring/tier/consensus/state.py
@@ -9,8 +9,8 @@
 from random import Random
 from typing import Self
 
-from wheatring.consensus.electorate import all_voters, is_joint, member_ids
-from wheatring.consensus.types import (
+from wheatring.tier.consensus.electorate import all_voters, is_joint, member_ids
+from wheatring.tier.consensus.types import (
     NEVER_SECONDS,
     Effects,
     Position,
@@ -20,7 +20,7 @@
     Write,
     entry_position,
 )
-from wheatring.transport.messages_pb2 import ConsensusRecord, Entry, HardState, Member
+from wheatring.tier.transport.messages_pb2 import ConsensusRecord, Entry, HardState, Member
 
 
 class ReplicaState:
--- a/wheatring/consensus/types.py
+++ b/wheatring/tier/consensus/types.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from wheatring.transport.messages_pb2 import (
+from wheatring.tier.transport.messages_pb2 import (
     AppendReply,
     AppendRequest,
     ConsensusRecord,
--- a/wheatring/controller/api.py
+++ b/wheatring/tier/controller/api.py
@@ -10,8 +10,8 @@
 import uvicorn
 from litestar import Litestar, MediaType, Request, Response, get, post
 
-from wheatring.boot_settings.settings import Address
-from wheatring.controller.commands import (
+from wheatring.tier.boot_settings.settings import Address
+from wheatring.tier.controller.commands import (
     Accepted,
     Command,
     Conflict,
@@ -25,10 +25,10 @@
     StartRetirement,
     UpdateConfiguration,
 )
-from wheatring.controller.controller import Controller
-from wheatring.controller.exceptions import InvalidRequestError, NoLeaderError
-from wheatring.transport.exceptions import PeerUnreachableError
-from wheatring.transport.messages_pb2 import OperatorReply, OperatorRequest
+from wheatring.tier.controller.controller import Controller
+from wheatring.tier.controller.exceptions import InvalidRequestError, NoLeaderError
+from wheatring.tier.transport.exceptions import PeerUnreachableError
+from wheatring.tier.transport.messages_pb2 import OperatorReply, OperatorRequest
 
 BASE_HEADER = "Wheatring-Base-Revision"
 MAX_BODY_BYTES = 16 * 1024 * 1024
--- a/wheatring/controller/command_queue.py
+++ b/wheatring/tier/controller/command_queue.py
@@ -11,10 +11,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from wheatring.consensus.types import State
-from wheatring.controller.commands import Command, Outcome, apply_batch
-from wheatring.controller.consensus_host import ConsensusHost
-from wheatring.controller.exceptions import NoLeaderError
+from wheatring.tier.consensus.types import State
+from wheatring.tier.controller.commands import Command, Outcome, apply_batch
+from wheatring.tier.controller.consensus_host import ConsensusHost
+from wheatring.tier.controller.exceptions import NoLeaderError
 
 LEADER_WAIT_SECONDS = 0.7  # for a leader to be known, before a request is answered 503
 COMMIT_TIMEOUT_SECONDS = 2.0  # for a change to be committed, before its outcome is called indeterminate
--- a/wheatring/controller/commands.py
+++ b/wheatring/tier/controller/commands.py
@@ -13,8 +13,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from wheatring.controller.exceptions import InvalidConfigurationError
-from wheatring.transport.messages_pb2 import ControlState, Retirement
+from wheatring.tier.controller.exceptions import InvalidConfigurationError
+from wheatring.tier.transport.messages_pb2 import ControlState, Retirement
 
 MAX_REMEMBERED_CONFIGURATIONS = 128  # accepted ones, by their digests, so that a retry is accepted again
 MAX_COMPLETED_RETIREMENTS = 32  # that are remembered
@@ -95,7 +95,7 @@
     def result(self, current: bytes) -> bytes:
         """Return the configuration afterwards. Raises InvalidConfigurationError."""
         # Imported late for cattrs, as in _change_configuration.
-        from wheatring.controller.configuration_update import merge
+        from wheatring.tier.controller.configuration_update import merge
 
         return merge(current, self.body)
 
@@ -118,7 +118,7 @@
     if command.base != state.generation:
         return _outcome_for_stale_base(state, command)
     # Imported when it is first needed: cattrs takes a tenth of a second, for which no start should wait.
-    from wheatring.controller.configuration import parse
+    from wheatring.tier.controller.configuration import parse
 
     try:
         body = command.result(state.configuration)
@@ -146,8 +146,8 @@
     """
     if command.base >= state.forgotten_generation:
         return Conflict(f"version {state.generation} is current")
-    from wheatring.controller.configuration import parse
-    from wheatring.controller.configuration_update import read_update
+    from wheatring.tier.controller.configuration import parse
+    from wheatring.tier.controller.configuration_update import read_update
 
     read = parse if isinstance(command, ReplaceConfiguration) else read_update
     try:
--- a/wheatring/controller/configuration.py
+++ b/wheatring/tier/controller/configuration.py
@@ -14,7 +14,7 @@
 import cattrs
 from cattrs.errors import BaseValidationError
 
-from wheatring.controller.exceptions import InvalidConfigurationError
+from wheatring.tier.controller.exceptions import InvalidConfigurationError
 
 
 class RouteType(Enum):
--- a/wheatring/controller/configuration_update.py
+++ b/wheatring/tier/controller/configuration_update.py
@@ -11,8 +11,8 @@
 from collections.abc import Mapping
 from typing import Any
 
-from wheatring.controller.configuration import read_object, require
-from wheatring.controller.exceptions import InvalidConfigurationError
+from wheatring.tier.controller.configuration import read_object, require
+from wheatring.tier.controller.exceptions import InvalidConfigurationError
 
 GENERATION, UPSERT, REMOVE, NAME = "generation", "upsert", "remove", "name"
 EMPTY_CONFIGURATION: Mapping[str, Any] = {"routes": [], "services": []}
--- a/wheatring/controller/consensus_host.py
+++ b/wheatring/tier/controller/consensus_host.py
@@ -8,14 +8,14 @@
 from pathlib import Path
 from random import Random
 
-from wheatring.boot_settings.settings import Settings
-from wheatring.consensus.replica import Replica
-from wheatring.consensus.types import Effects, Message, Position, State, Timing, Write, entry_position
-from wheatring.controller.consensus_store import ConsensusStore
-from wheatring.durable.exceptions import DiskError
-from wheatring.event_log import log_event
-from wheatring.transport.client import ClientTable
-from wheatring.transport.messages_pb2 import ConsensusRecord, Envelope, HardState, Member
+from wheatring.tier.boot_settings.settings import Settings
+from wheatring.tier.consensus.replica import Replica
+from wheatring.tier.consensus.types import Effects, Message, Position, State, Timing, Write, entry_position
+from wheatring.tier.controller.consensus_store import ConsensusStore
+from wheatring.tier.durable.exceptions import DiskError
+from wheatring.tier.event_log import log_event
+from wheatring.tier.transport.client import ClientTable
+from wheatring.tier.transport.messages_pb2 import ConsensusRecord, Envelope, HardState, Member
 
 RECENT_QUORUM_SECONDS = 1.0  # without an answer of a quorum, after which a leader may be deposed already
 
--- a/wheatring/controller/consensus_store.py
+++ b/wheatring/tier/controller/consensus_store.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from wheatring.durable.committer import Committer
-from wheatring.durable.record_file import RecordFile, open_or_quarantine
-from wheatring.transport.messages_pb2 import ConsensusRecord, ControlState, Entry, HardState, Member
+from wheatring.tier.durable.committer import Committer
+from wheatring.tier.durable.record_file import RecordFile, open_or_quarantine
+from wheatring.tier.transport.messages_pb2 import ConsensusRecord, ControlState, Entry, HardState, Member
 
 FILE_NAME = "consensus"
 REWRITE_ABOVE_BYTES = 4 * 1024 * 1024
--- a/wheatring/controller/controller.py
+++ b/wheatring/tier/controller/controller.py
@@ -6,19 +6,19 @@
 from collections.abc import Awaitable, Callable
 from random import Random
 
-from wheatring.boot_settings.settings import Settings
-from wheatring.consensus.types import State
-from wheatring.controller.command_queue import LEADER_WAIT_SECONDS, CommandQueue
-from wheatring.controller.commands import Command, Outcome
-from wheatring.controller.consensus_host import CONSENSUS_MESSAGES, RECENT_QUORUM_SECONDS, ConsensusHost
-from wheatring.controller.endpoint_list_poller import EndpointListPoller
-from wheatring.controller.membership_manager import MembershipManager
-from wheatring.discovery.platform_list import EndpointListReader
-from wheatring.event_log import log_event
-from wheatring.subscription.server import SUBSCRIBER_HEARTBEAT_SECONDS, Subscribers
-from wheatring.transport.connection import EnvelopeConnection
-from wheatring.transport.messages_pb2 import Envelope, OperatorReply, OperatorRequest
-from wheatring.transport.server import EnvelopeServer
+from wheatring.tier.boot_settings.settings import Settings
+from wheatring.tier.consensus.types import State
+from wheatring.tier.controller.command_queue import LEADER_WAIT_SECONDS, CommandQueue
+from wheatring.tier.controller.commands import Command, Outcome
+from wheatring.tier.controller.consensus_host import CONSENSUS_MESSAGES, RECENT_QUORUM_SECONDS, ConsensusHost
+from wheatring.tier.controller.endpoint_list_poller import EndpointListPoller
+from wheatring.tier.controller.membership_manager import MembershipManager
+from wheatring.tier.discovery.platform_list import EndpointListReader
+from wheatring.tier.event_log import log_event
+from wheatring.tier.subscription.server import SUBSCRIBER_HEARTBEAT_SECONDS, Subscribers
+from wheatring.tier.transport.connection import EnvelopeConnection
+from wheatring.tier.transport.messages_pb2 import Envelope, OperatorReply, OperatorRequest
+from wheatring.tier.transport.server import EnvelopeServer
 
 FORWARD_TIMEOUT_SECONDS = 0.8  # for the leader to answer a request that has come to another controller
 VOTE_HANDOVER_SECONDS = 0.6  # for another replica to be given the vote of one that shuts down
--- a/wheatring/controller/endpoint_list_poller.py
+++ b/wheatring/tier/controller/endpoint_list_poller.py
@@ -4,11 +4,11 @@
 
 import asyncio
 
-from wheatring.consensus.types import State
-from wheatring.controller.consensus_host import ConsensusHost
-from wheatring.discovery.exceptions import EndpointListUnavailableError
-from wheatring.discovery.platform_list import EndpointListReader
-from wheatring.event_log import log_event
+from wheatring.tier.consensus.types import State
+from wheatring.tier.controller.consensus_host import ConsensusHost
+from wheatring.tier.discovery.exceptions import EndpointListUnavailableError
+from wheatring.tier.discovery.platform_list import EndpointListReader
+from wheatring.tier.event_log import log_event
 
 POLL_FRACTION_OF_DRAIN = 0.42  # of the time in which sends to a draining endpoint have to end
 MIN_POLL_SECONDS = 0.3
--- a/wheatring/controller/membership_manager.py
+++ b/wheatring/tier/controller/membership_manager.py
@@ -5,14 +5,14 @@
 import asyncio
 from collections.abc import Callable
 
-from wheatring.boot_settings.settings import Settings
-from wheatring.consensus.types import NEVER_SECONDS, State, entry_position
-from wheatring.controller.consensus_host import ConsensusHost
-from wheatring.controller.presence_table import PresenceChange, PresenceTable, member_of
-from wheatring.controller.storage_membership import complete_retirements, next_placement
-from wheatring.controller.voter_selection import Candidate, next_voters
-from wheatring.event_log import log_event
-from wheatring.transport.messages_pb2 import ROLE_CONTROLLER, ControlState, Envelope, Member, Presence
+from wheatring.tier.boot_settings.settings import Settings
+from wheatring.tier.consensus.types import NEVER_SECONDS, State, entry_position
+from wheatring.tier.controller.consensus_host import ConsensusHost
+from wheatring.tier.controller.presence_table import PresenceChange, PresenceTable, member_of
+from wheatring.tier.controller.storage_membership import complete_retirements, next_placement
+from wheatring.tier.controller.voter_selection import Candidate, next_voters
+from wheatring.tier.event_log import log_event
+from wheatring.tier.transport.messages_pb2 import ROLE_CONTROLLER, ControlState, Envelope, Member, Presence
 
 MAINTENANCE_SECONDS = 0.1  # between two checks of members and voters
 ANNOUNCE_SECONDS = 0.3  # between two presences of a controller to the leader
--- a/wheatring/controller/presence_table.py
+++ b/wheatring/tier/controller/presence_table.py
@@ -6,9 +6,15 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from wheatring.consensus.types import NEVER_SECONDS
-from wheatring.controller.storage_membership import StorageReport
-from wheatring.transport.messages_pb2 import ROLE_CONTROLLER, ROLE_STORAGE, Member, Presence, StorageMember
+from wheatring.tier.consensus.types import NEVER_SECONDS
+from wheatring.tier.controller.storage_membership import StorageReport
+from wheatring.tier.transport.messages_pb2 import (
+    ROLE_CONTROLLER,
+    ROLE_STORAGE,
+    Member,
+    Presence,
+    StorageMember,
+)
 
 FORWARD_INTERVAL_SECONDS = 0.3  # between two unchanged presences of one process sent on to the leader
 PRESENCE_TIMEOUT_SECONDS = 3.0  # after which a presence is not forwarded, and a learner is removed
--- a/wheatring/controller/process.py
+++ b/wheatring/tier/controller/process.py
@@ -11,10 +11,10 @@
 from random import Random
 from typing import Any
 
-from wheatring.boot_settings.settings import Settings
-from wheatring.controller.controller import Controller
-from wheatring.discovery.platform_list import PlatformListReader
-from wheatring.role_process import RoleProcess
+from wheatring.tier.boot_settings.settings import Settings
+from wheatring.tier.controller.controller import Controller
+from wheatring.tier.discovery.platform_list import PlatformListReader
+from wheatring.tier.role_process import RoleProcess
 
 SETTINGS_POLL_SECONDS = 0.5
 ELECTION_WAIT_SECONDS = 0.5  # for an election to end, before the libraries are loaded
@@ -46,7 +46,7 @@
         if self._reader is not None:
             await self._reader.prepare()
         loop = asyncio.get_running_loop()
-        api = await loop.run_in_executor(None, importlib.import_module, "wheatring.controller.api")
+        api = await loop.run_in_executor(None, importlib.import_module, "wheatring.tier.controller.api")
         self._server = api.make_server(self.controller, self._address)
         await self._server.serve()
 
--- a/wheatring/controller/storage_membership.py
+++ b/wheatring/tier/controller/storage_membership.py
@@ -17,7 +17,7 @@
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
-from wheatring.transport.messages_pb2 import ControlState, Placement, StorageMember
+from wheatring.tier.transport.messages_pb2 import ControlState, Placement, StorageMember
 
 REPLACE_AFTER_SECONDS = 2.0  # unheard, where another replica is available
 LEAVING_NOTICE_SECONDS = 1.0  # for which the announcement of a shutdown counts
--- a/wheatring/controller/voter_selection.py
+++ b/wheatring/tier/controller/voter_selection.py
@@ -14,8 +14,8 @@
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 
-from wheatring.consensus.electorate import member_ids
-from wheatring.transport.messages_pb2 import Member
+from wheatring.tier.consensus.electorate import member_ids
+from wheatring.tier.transport.messages_pb2 import Member
 
 UNREACHABLE_AFTER_SECONDS = 1.5
 
--- a/wheatring/discovery/platform_list.py
+++ b/wheatring/tier/discovery/platform_list.py
@@ -10,8 +10,8 @@
 import importlib
 from typing import TYPE_CHECKING, Any, Protocol
 
-from wheatring.discovery.exceptions import EndpointListUnavailableError
-from wheatring.transport.messages_pb2 import Endpoint, EndpointList
+from wheatring.tier.discovery.exceptions import EndpointListUnavailableError
+from wheatring.tier.transport.messages_pb2 import Endpoint, EndpointList
 
 if TYPE_CHECKING:
     import httpx
--- a/wheatring/durable/committer.py
+++ b/wheatring/tier/durable/committer.py
@@ -12,8 +12,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple
 
-from wheatring.durable.exceptions import DiskError
-from wheatring.durable.record_file import RecordFile
+from wheatring.tier.durable.exceptions import DiskError
+from wheatring.tier.durable.record_file import RecordFile
 
 
 class PendingWrite(NamedTuple):
--- a/wheatring/durable/record_file.py
+++ b/wheatring/tier/durable/record_file.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from wheatring.durable.exceptions import DamagedRecordFileError, DiskError
+from wheatring.tier.durable.exceptions import DamagedRecordFileError, DiskError
 
 MARKER = b"\xc5WRr"
 _FRAME_HEADER = struct.Struct(">4sIQI")  # marker, payload length (bytes), batch number, CRC-32
--- a/wheatring/placement/key_placement.py
+++ b/wheatring/tier/placement/key_placement.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from wheatring.transport.messages_pb2 import Placement, StorageMember
+from wheatring.tier.transport.messages_pb2 import Placement, StorageMember
 
 
 @dataclass(frozen=True, slots=True)
--- a/wheatring/role_process.py
+++ b/wheatring/tier/role_process.py
@@ -7,8 +7,8 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from wheatring.boot_settings.settings import Settings
-from wheatring.boot_settings.watch import SettingsWatch
+from wheatring.tier.boot_settings.settings import Settings
+from wheatring.tier.boot_settings.watch import SettingsWatch
 
 
 class RoleProcess(ABC):
--- a/wheatring/tier/roles.py
+++ b/wheatring/tier/roles.py
@@ -10,9 +10,9 @@
 
 def run_sidecar(policy: str | None = None) -> None:
     """Serve clients on an edge machine. `policy` is a file of figures to decide by."""
-    from wheatring.sidecar.exceptions import PolicyError
-    from wheatring.sidecar.policy import DEFAULT_POLICY, read_policy
-    from wheatring.sidecar.process import SidecarProcess
+    from wheatring.tier.sidecar.exceptions import PolicyError
+    from wheatring.tier.sidecar.policy import DEFAULT_POLICY, read_policy
+    from wheatring.tier.sidecar.process import SidecarProcess
 
     try:
         chosen = read_policy(Path(policy)) if policy is not None else DEFAULT_POLICY
@@ -24,14 +24,14 @@
 
 def run_controller() -> None:
     """Keep the control state on a core machine."""
-    from wheatring.controller.process import ControllerProcess
+    from wheatring.tier.controller.process import ControllerProcess
 
     run(ControllerProcess)
 
 
 def run_storage() -> None:
     """Keep turns and budgets on a storage machine."""
-    from wheatring.storage.process import StorageProcess
+    from wheatring.tier.storage.process import StorageProcess
 
     run(StorageProcess)
 
--- a/wheatring/tier/run.py
+++ b/wheatring/tier/run.py
@@ -10,11 +10,11 @@
 from collections.abc import Callable
 from random import Random
 
-from wheatring.boot_settings.exceptions import SettingsError
-from wheatring.boot_settings.settings import Settings, read_settings, settings_path
-from wheatring.durable.exceptions import DiskError
-from wheatring.event_log import log_event, start_logging
-from wheatring.role_process import RoleProcess
+from wheatring.tier.boot_settings.exceptions import SettingsError
+from wheatring.tier.boot_settings.settings import Settings, read_settings, settings_path
+from wheatring.tier.durable.exceptions import DiskError
+from wheatring.tier.event_log import log_event, start_logging
+from wheatring.tier.role_process import RoleProcess
 
 STATUS_CANNOT_START = 2  # exit status
 
--- a/wheatring/sidecar/client_connection.py
+++ b/wheatring/tier/sidecar/client_connection.py
@@ -8,12 +8,12 @@
 from enum import Enum
 from typing import Any
 
-from wheatring.event_log import log_event
-from wheatring.http1.exceptions import MalformedMessageError
-from wheatring.http1.parser import Message, MessageParser
-from wheatring.http1.responses import REASON_PHRASES, encode_response
-from wheatring.sidecar.exceptions import ResponseStartedError
-from wheatring.sidecar.route_table import Limits
+from wheatring.common.exceptions import MalformedMessageError
+from wheatring.common.http_parser import Message, MessageParser
+from wheatring.common.http_responses import REASON_PHRASES, encode_response
+from wheatring.tier.event_log import log_event
+from wheatring.tier.sidecar.exceptions import ResponseStartedError
+from wheatring.tier.sidecar.route_table import Limits
 
 MAX_PIPELINED_BYTES = 256 * 1024  # that a client may send ahead while a request is in flight
 
--- a/wheatring/sidecar/connection_pool.py
+++ b/wheatring/tier/sidecar/connection_pool.py
@@ -6,9 +6,9 @@
 from collections import deque
 
 from wheatring.balancer.interface import Outcome
-from wheatring.http1.parser import Message
-from wheatring.sidecar.endpoint_connection import EndpointConnection
-from wheatring.sidecar.exceptions import AttemptFailedError, ConnectionReturnedError, ExecutionState
+from wheatring.common.http_parser import Message
+from wheatring.tier.sidecar.endpoint_connection import EndpointConnection
+from wheatring.tier.sidecar.exceptions import AttemptFailedError, ConnectionReturnedError, ExecutionState
 
 CONNECT_TIMEOUT_SECONDS = 0.6
 MAX_IDLE_PER_ENDPOINT = 64
--- a/wheatring/sidecar/endpoint_connection.py
+++ b/wheatring/tier/sidecar/endpoint_connection.py
@@ -12,10 +12,10 @@
 from typing import Any
 
 from wheatring.balancer.interface import Outcome
-from wheatring.http1.exceptions import MalformedMessageError
-from wheatring.http1.parser import Message, MessageParser
-from wheatring.sidecar.exceptions import AttemptFailedError, ExecutionState
-from wheatring.sidecar.headers import KEEP_ALIVE, REQUEST_ID
+from wheatring.common.exceptions import MalformedMessageError
+from wheatring.common.http_parser import Message, MessageParser
+from wheatring.tier.sidecar.exceptions import AttemptFailedError, ExecutionState
+from wheatring.tier.sidecar.headers import KEEP_ALIVE, REQUEST_ID
 
 MAX_BODY_BYTES = 256 * 1024 * 1024
 HIGH_WATER_BYTES = 256 * 1024  # of a response that may be buffered here for a slow client
--- a/wheatring/sidecar/endpoint_response.py
+++ b/wheatring/tier/sidecar/endpoint_response.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass
 
-from wheatring.http1.parser import Message
-from wheatring.sidecar import headers
-from wheatring.sidecar.connection_pool import AcquiredConnection
+from wheatring.common.http_parser import Message
+from wheatring.tier.sidecar import headers
+from wheatring.tier.sidecar.connection_pool import AcquiredConnection
 
 
 @dataclass(slots=True)
--- a/wheatring/sidecar/forwarder.py
+++ b/wheatring/tier/sidecar/forwarder.py
@@ -7,12 +7,12 @@
 from math import inf
 
 from wheatring.balancer import interface as i
-from wheatring.sidecar import headers
-from wheatring.sidecar.connection_pool import AcquiredConnection, EndpointConnectionPool
-from wheatring.sidecar.endpoint_response import EndpointResponse, ErrorResponse, reported_load
-from wheatring.sidecar.exceptions import AttemptFailedError, ExecutionState, RequestRejectedError
-from wheatring.sidecar.outgoing_request import OutgoingRequest
-from wheatring.sidecar.service_balancer import BalancedRequest, ServiceBalancer
+from wheatring.tier.sidecar import headers
+from wheatring.tier.sidecar.connection_pool import AcquiredConnection, EndpointConnectionPool
+from wheatring.tier.sidecar.endpoint_response import EndpointResponse, ErrorResponse, reported_load
+from wheatring.tier.sidecar.exceptions import AttemptFailedError, ExecutionState, RequestRejectedError
+from wheatring.tier.sidecar.outgoing_request import OutgoingRequest
+from wheatring.tier.sidecar.service_balancer import BalancedRequest, ServiceBalancer
 
 MIN_RETRY_AFTER_SECONDS = 0.05
 STATUS_MISDIRECTED = 421  # the address is another endpoint's now
--- a/wheatring/sidecar/outgoing_request.py
+++ b/wheatring/tier/sidecar/outgoing_request.py
@@ -4,10 +4,10 @@
 
 from dataclasses import dataclass
 
-from wheatring.http1.parser import Message
-from wheatring.sidecar import headers
-from wheatring.sidecar.prefix_placement import PromptSegment
-from wheatring.sidecar.route_table import Route
+from wheatring.common.http_parser import Message
+from wheatring.tier.sidecar import headers
+from wheatring.tier.sidecar.prefix_placement import PromptSegment
+from wheatring.tier.sidecar.route_table import Route
 
 MAX_PRIORITY = 9  # of the header, whose values are 0 to 9
 
--- a/wheatring/sidecar/plain_requests.py
+++ b/wheatring/tier/sidecar/plain_requests.py
@@ -5,12 +5,12 @@
 import asyncio
 from collections.abc import Callable
 
-from wheatring.event_log import log_event
-from wheatring.sidecar.client_connection import ClientConnection
-from wheatring.sidecar.endpoint_response import EndpointResponse
-from wheatring.sidecar.exceptions import AttemptFailedError, RequestRejectedError
-from wheatring.sidecar.forwarder import Forwarder
-from wheatring.sidecar.outgoing_request import OutgoingRequest
+from wheatring.tier.event_log import log_event
+from wheatring.tier.sidecar.client_connection import ClientConnection
+from wheatring.tier.sidecar.endpoint_response import EndpointResponse
+from wheatring.tier.sidecar.exceptions import AttemptFailedError, RequestRejectedError
+from wheatring.tier.sidecar.forwarder import Forwarder
+from wheatring.tier.sidecar.outgoing_request import OutgoingRequest
 
 STREAMING_THRESHOLD_BYTES = 256 * 1024  # of a body; a longer one is passed on before it is complete
 
--- a/wheatring/sidecar/policy.py
+++ b/wheatring/tier/sidecar/policy.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-from wheatring.sidecar.exceptions import PolicyError
+from wheatring.tier.sidecar.exceptions import PolicyError
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wheatring/sidecar/process.py
+++ b/wheatring/tier/sidecar/process.py
@@ -7,22 +7,22 @@
 from random import Random
 
 from wheatring.balancer.interface import EndpointEntry, EndpointState
-from wheatring.boot_settings.settings import Settings
-from wheatring.budgets.token_budgets import TokenBudgets
-from wheatring.event_log import log_event
-from wheatring.http1.parser import Message
-from wheatring.role_process import RoleProcess
-from wheatring.sidecar.client_connection import ClientConnection, ConnectionSettings, RequestHandler
-from wheatring.sidecar.connection_pool import EndpointConnectionPool
-from wheatring.sidecar.policy import DEFAULT_POLICY, SidecarPolicy
-from wheatring.sidecar.request_service import RequestService
-from wheatring.sidecar.route_table import Limits, RouteTable
-from wheatring.sidecar.service_balancer import ListedEndpoint, ServiceBalancer
-from wheatring.storage.quorum_client import QuorumClient
-from wheatring.subscription.client import Subscription
-from wheatring.transport.client import ClientTable
-from wheatring.transport.messages_pb2 import ROLE_SIDECAR, EndpointList, Presence
-from wheatring.turns.conversations import Conversations
+from wheatring.common.http_parser import Message
+from wheatring.tier.boot_settings.settings import Settings
+from wheatring.tier.budgets.token_budgets import TokenBudgets
+from wheatring.tier.event_log import log_event
+from wheatring.tier.role_process import RoleProcess
+from wheatring.tier.sidecar.client_connection import ClientConnection, ConnectionSettings, RequestHandler
+from wheatring.tier.sidecar.connection_pool import EndpointConnectionPool
+from wheatring.tier.sidecar.policy import DEFAULT_POLICY, SidecarPolicy
+from wheatring.tier.sidecar.request_service import RequestService
+from wheatring.tier.sidecar.route_table import Limits, RouteTable
+from wheatring.tier.sidecar.service_balancer import ListedEndpoint, ServiceBalancer
+from wheatring.tier.storage.quorum_client import QuorumClient
+from wheatring.tier.subscription.client import Subscription
+from wheatring.tier.transport.client import ClientTable
+from wheatring.tier.transport.messages_pb2 import ROLE_SIDECAR, EndpointList, Presence
+from wheatring.tier.turns.conversations import Conversations
 
 PRESENCE_INTERVAL_SECONDS = 2.0
 SWEEP_INTERVAL_SECONDS = 0.5
--- a/wheatring/sidecar/request_service.py
+++ b/wheatring/tier/sidecar/request_service.py
@@ -5,20 +5,20 @@
 import asyncio
 from random import Random
 
-from wheatring.budgets.token_budgets import TokenBudgets
-from wheatring.event_log import log_event
-from wheatring.http1.parser import Message
-from wheatring.sidecar import headers
-from wheatring.sidecar.client_connection import ClientConnection
-from wheatring.sidecar.connection_pool import EndpointConnectionPool
-from wheatring.sidecar.exceptions import RequestRejectedError
-from wheatring.sidecar.forwarder import Forwarder
-from wheatring.sidecar.outgoing_request import OutgoingRequest, parse_prompt_segments
-from wheatring.sidecar.plain_requests import PlainRequestHandler
-from wheatring.sidecar.route_table import Route, RouteTable
-from wheatring.sidecar.service_balancer import ServiceBalancer
-from wheatring.sidecar.streaming_requests import StreamingRequestHandler
-from wheatring.turns.conversations import Conversations
+from wheatring.common.http_parser import Message
+from wheatring.tier.budgets.token_budgets import TokenBudgets
+from wheatring.tier.event_log import log_event
+from wheatring.tier.sidecar import headers
+from wheatring.tier.sidecar.client_connection import ClientConnection
+from wheatring.tier.sidecar.connection_pool import EndpointConnectionPool
+from wheatring.tier.sidecar.exceptions import RequestRejectedError
+from wheatring.tier.sidecar.forwarder import Forwarder
+from wheatring.tier.sidecar.outgoing_request import OutgoingRequest, parse_prompt_segments
+from wheatring.tier.sidecar.plain_requests import PlainRequestHandler
+from wheatring.tier.sidecar.route_table import Route, RouteTable
+from wheatring.tier.sidecar.service_balancer import ServiceBalancer
+from wheatring.tier.sidecar.streaming_requests import StreamingRequestHandler
+from wheatring.tier.turns.conversations import Conversations
 
 CONFIGURATION_RETRY_AFTER_SECONDS = 0.2
 CONFIGURATION_TIMEOUT_SECONDS = 0.8  # that a request waits for the first configuration of a sidecar's life
--- a/wheatring/sidecar/service_balancer.py
+++ b/wheatring/tier/sidecar/service_balancer.py
@@ -11,10 +11,10 @@
 
 from wheatring.balancer import interface as i
 from wheatring.balancer.latency_estimate import LatencyEstimate
-from wheatring.sidecar.policy import SidecarPolicy
-from wheatring.sidecar.prefix_placement import PromptSegment
-from wheatring.sidecar.route_table import Route
-from wheatring.sidecar.tier_balancer import (
+from wheatring.tier.sidecar.policy import SidecarPolicy
+from wheatring.tier.sidecar.prefix_placement import PromptSegment
+from wheatring.tier.sidecar.route_table import Route
+from wheatring.tier.sidecar.tier_balancer import (
     MAX_ATTEMPTS,
     MIN_LATENCY_SAMPLES,
     TierBalancer,
--- a/wheatring/sidecar/streaming_requests.py
+++ b/wheatring/tier/sidecar/streaming_requests.py
@@ -6,21 +6,21 @@
 from collections.abc import Callable, Sequence
 
 from wheatring.balancer.interface import Outcome
-from wheatring.budgets.exceptions import BudgetExceededError
-from wheatring.budgets.token_budgets import TokenBudgets
-from wheatring.event_log import log_event
-from wheatring.sidecar import headers
-from wheatring.sidecar.client_connection import ClientConnection
-from wheatring.sidecar.endpoint_response import EndpointResponse
-from wheatring.sidecar.event_stream import Event, EventParser
-from wheatring.sidecar.exceptions import AttemptFailedError, ExecutionState, RequestRejectedError
-from wheatring.sidecar.forwarder import Forwarder
-from wheatring.sidecar.outgoing_request import OutgoingRequest
-from wheatring.sidecar.turn_in_progress import TurnInProgress, parse_turn
-from wheatring.storage.exceptions import QuorumNotReachedError
-from wheatring.transport.messages_pb2 import Turn
-from wheatring.turns.conversations import Conversations, build_prompt_body
-from wheatring.turns.exceptions import TurnNotFoundError
+from wheatring.tier.budgets.exceptions import BudgetExceededError
+from wheatring.tier.budgets.token_budgets import TokenBudgets
+from wheatring.tier.event_log import log_event
+from wheatring.tier.sidecar import headers
+from wheatring.tier.sidecar.client_connection import ClientConnection
+from wheatring.tier.sidecar.endpoint_response import EndpointResponse
+from wheatring.tier.sidecar.event_stream import Event, EventParser
+from wheatring.tier.sidecar.exceptions import AttemptFailedError, ExecutionState, RequestRejectedError
+from wheatring.tier.sidecar.forwarder import Forwarder
+from wheatring.tier.sidecar.outgoing_request import OutgoingRequest
+from wheatring.tier.sidecar.turn_in_progress import TurnInProgress, parse_turn
+from wheatring.tier.storage.exceptions import QuorumNotReachedError
+from wheatring.tier.transport.messages_pb2 import Turn
+from wheatring.tier.turns.conversations import Conversations, build_prompt_body
+from wheatring.tier.turns.exceptions import TurnNotFoundError
 
 STORE_TIMEOUT_SECONDS = 1.2  # for turns and budgets to be read before a turn begins
 STORE_TIMEOUT_FRACTION = 0.5  # of the time that a turn has, which they may take at most
--- a/wheatring/sidecar/tier_balancer.py
+++ b/wheatring/tier/sidecar/tier_balancer.py
@@ -13,8 +13,8 @@
 from wheatring.balancer.active_request import ActiveRequest
 from wheatring.balancer.balancer import Balancer
 from wheatring.balancer.endpoint import Endpoint
-from wheatring.sidecar.policy import SidecarPolicy
-from wheatring.sidecar.prefix_placement import (
+from wheatring.tier.sidecar.policy import SidecarPolicy
+from wheatring.tier.sidecar.prefix_placement import (
     CONVERSATION_SEGMENT,
     PrefixCacheTracker,
     PromptSegment,
--- a/wheatring/sidecar/turn_in_progress.py
+++ b/wheatring/tier/sidecar/turn_in_progress.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass, field
 
-from wheatring.http1.parser import Message
-from wheatring.sidecar import headers
+from wheatring.common.http_parser import Message
+from wheatring.tier.sidecar import headers
 
 
 @dataclass(slots=True)
--- a/wheatring/storage/budget_entries.py
+++ b/wheatring/tier/storage/budget_entries.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from wheatring.transport.messages_pb2 import BudgetEntry
+from wheatring.tier.transport.messages_pb2 import BudgetEntry
 
 
 def budget_entry_rank(entry: BudgetEntry) -> tuple[bool, int]:
--- a/wheatring/storage/copier.py
+++ b/wheatring/tier/storage/copier.py
@@ -10,11 +10,11 @@
 import asyncio
 from collections.abc import Iterable, Sequence
 
-from wheatring.durable.exceptions import DiskError
-from wheatring.storage.replica import Replica
-from wheatring.transport.client import ClientTable
-from wheatring.transport.exceptions import PeerUnreachableError
-from wheatring.transport.messages_pb2 import (
+from wheatring.tier.durable.exceptions import DiskError
+from wheatring.tier.storage.replica import Replica
+from wheatring.tier.transport.client import ClientTable
+from wheatring.tier.transport.exceptions import PeerUnreachableError
+from wheatring.tier.transport.messages_pb2 import (
     STORAGE_STATUS_DONE,
     Envelope,
     Placement,
--- a/wheatring/storage/copy_rules.py
+++ b/wheatring/tier/storage/copy_rules.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from wheatring.placement.key_placement import quorum_sizes
-from wheatring.transport.messages_pb2 import Placement
+from wheatring.tier.placement.key_placement import quorum_sizes
+from wheatring.tier.transport.messages_pb2 import Placement
 
 
 def can_skip_copy(identity: str, placement: Placement, losses: int) -> bool:
--- a/wheatring/storage/process.py
+++ b/wheatring/tier/storage/process.py
@@ -6,16 +6,16 @@
 from pathlib import Path
 from random import Random
 
-from wheatring.boot_settings.settings import Settings
-from wheatring.event_log import log_event
-from wheatring.role_process import RoleProcess
-from wheatring.storage.repair import Repair
-from wheatring.storage.replica import Replica
-from wheatring.subscription.client import Subscription
-from wheatring.transport.client import ClientTable
-from wheatring.transport.connection import EnvelopeConnection
-from wheatring.transport.messages_pb2 import ROLE_STORAGE, Envelope, Presence
-from wheatring.transport.server import EnvelopeServer
+from wheatring.tier.boot_settings.settings import Settings
+from wheatring.tier.event_log import log_event
+from wheatring.tier.role_process import RoleProcess
+from wheatring.tier.storage.repair import Repair
+from wheatring.tier.storage.replica import Replica
+from wheatring.tier.subscription.client import Subscription
+from wheatring.tier.transport.client import ClientTable
+from wheatring.tier.transport.connection import EnvelopeConnection
+from wheatring.tier.transport.messages_pb2 import ROLE_STORAGE, Envelope, Presence
+from wheatring.tier.transport.server import EnvelopeServer
 
 PRESENCE_INTERVAL_SECONDS = 0.4
 EXPIRY_INTERVAL_SECONDS = 5.0
--- a/wheatring/storage/quorum_client.py
+++ b/wheatring/tier/storage/quorum_client.py
@@ -9,10 +9,10 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from wheatring.placement.key_placement import KeyPlacement, place_key
-from wheatring.storage.budget_entries import merge_budget_entries
-from wheatring.storage.exceptions import QuorumNotReachedError
-from wheatring.storage.quorum_exchange import (
+from wheatring.tier.placement.key_placement import KeyPlacement, place_key
+from wheatring.tier.storage.budget_entries import merge_budget_entries
+from wheatring.tier.storage.exceptions import QuorumNotReachedError
+from wheatring.tier.storage.quorum_exchange import (
     ExchangeRequest,
     QuorumExchange,
     Replies,
@@ -20,9 +20,9 @@
     is_read_and_written,
     is_written,
 )
-from wheatring.storage.suspects import SuspectedMembers
-from wheatring.transport.client import ClientTable
-from wheatring.transport.messages_pb2 import (
+from wheatring.tier.storage.suspects import SuspectedMembers
+from wheatring.tier.transport.client import ClientTable
+from wheatring.tier.transport.messages_pb2 import (
     BudgetEntry,
     Envelope,
     Placement,
--- a/wheatring/storage/quorum_exchange.py
+++ b/wheatring/tier/storage/quorum_exchange.py
@@ -10,11 +10,11 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
-from wheatring.placement.key_placement import KeyPlacement
-from wheatring.storage.suspects import SuspectedMembers
-from wheatring.transport.client import ClientTable
-from wheatring.transport.exceptions import PeerUnreachableError
-from wheatring.transport.messages_pb2 import (
+from wheatring.tier.placement.key_placement import KeyPlacement
+from wheatring.tier.storage.suspects import SuspectedMembers
+from wheatring.tier.transport.client import ClientTable
+from wheatring.tier.transport.exceptions import PeerUnreachableError
+from wheatring.tier.transport.messages_pb2 import (
     STORAGE_STATUS_DONE,
     STORAGE_STATUS_STALE_EPOCH,
     Envelope,
--- a/wheatring/storage/record_table.py
+++ b/wheatring/tier/storage/record_table.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 from typing import Literal, NamedTuple
 
-from wheatring.storage.budget_entries import budget_entry_rank
-from wheatring.transport.messages_pb2 import BudgetEntry, StorageRecord, Turn
+from wheatring.tier.storage.budget_entries import budget_entry_rank
+from wheatring.tier.transport.messages_pb2 import BudgetEntry, StorageRecord, Turn
 
 RETENTION_MARGIN_SECONDS = 10.0  # beyond the retention that the route states
 BUDGET_RETENTION_SECONDS = 600.0  # after the last entry of a program
--- a/wheatring/storage/repair.py
+++ b/wheatring/tier/storage/repair.py
@@ -5,13 +5,13 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from wheatring.durable.exceptions import DiskError
-from wheatring.event_log import log_event
-from wheatring.storage.copier import Copier
-from wheatring.storage.copy_rules import can_skip_copy, copy_sources_required
-from wheatring.storage.replica import Replica
-from wheatring.transport.client import ClientTable
-from wheatring.transport.messages_pb2 import Placement
+from wheatring.tier.durable.exceptions import DiskError
+from wheatring.tier.event_log import log_event
+from wheatring.tier.storage.copier import Copier
+from wheatring.tier.storage.copy_rules import can_skip_copy, copy_sources_required
+from wheatring.tier.storage.replica import Replica
+from wheatring.tier.transport.client import ClientTable
+from wheatring.tier.transport.messages_pb2 import Placement
 
 RETRY_DELAY_SECONDS = 0.2  # after a failed write
 
--- a/wheatring/storage/replica.py
+++ b/wheatring/tier/storage/replica.py
@@ -12,12 +12,12 @@
 from collections.abc import Callable, Iterable
 from pathlib import Path
 
-from wheatring.durable.committer import Committer
-from wheatring.durable.exceptions import DiskError
-from wheatring.durable.record_file import open_or_quarantine
-from wheatring.placement.key_placement import quorum_sizes, replicas_for
-from wheatring.storage.record_table import RecordKey, RecordTable
-from wheatring.transport.messages_pb2 import (
+from wheatring.tier.durable.committer import Committer
+from wheatring.tier.durable.exceptions import DiskError
+from wheatring.tier.durable.record_file import open_or_quarantine
+from wheatring.tier.placement.key_placement import quorum_sizes, replicas_for
+from wheatring.tier.storage.record_table import RecordKey, RecordTable
+from wheatring.tier.transport.messages_pb2 import (
     STORAGE_STATUS_DISK_FAILED,
     STORAGE_STATUS_DONE,
     STORAGE_STATUS_STALE_EPOCH,
--- a/wheatring/storage/suspects.py
+++ b/wheatring/tier/storage/suspects.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Sequence
 
-from wheatring.transport.messages_pb2 import StorageMember
+from wheatring.tier.transport.messages_pb2 import StorageMember
 
 SUSPICION_SECONDS = 2.0  # for which a member that did not answer is called last
 
--- a/wheatring/subscription/client.py
+++ b/wheatring/tier/subscription/client.py
@@ -12,10 +12,10 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from wheatring.event_log import log_event
-from wheatring.role_process import RoleProcess
-from wheatring.transport.client import EnvelopeClient
-from wheatring.transport.messages_pb2 import Envelope, Member, Placement, Presence, Subscribe, Update
+from wheatring.tier.event_log import log_event
+from wheatring.tier.role_process import RoleProcess
+from wheatring.tier.transport.client import EnvelopeClient
+from wheatring.tier.transport.messages_pb2 import Envelope, Member, Placement, Presence, Subscribe, Update
 
 UPDATE_TIMEOUT_SECONDS = 0.8  # a controller sends an update every SUBSCRIBER_HEARTBEAT_SECONDS
 MAX_STALENESS_MS = 900  # a controller that has been without a quorum for longer is not believed to be current
--- a/wheatring/subscription/server.py
+++ b/wheatring/tier/subscription/server.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from wheatring.transport.connection import EnvelopeConnection
-from wheatring.transport.messages_pb2 import (
+from wheatring.tier.transport.connection import EnvelopeConnection
+from wheatring.tier.transport.messages_pb2 import (
     ControlState,
     Entry,
     Envelope,
--- a/wheatring/transport/client.py
+++ b/wheatring/tier/transport/client.py
@@ -5,9 +5,9 @@
 import asyncio
 from collections.abc import Callable
 
-from wheatring.transport.connection import EnvelopeConnection
-from wheatring.transport.exceptions import PeerUnreachableError
-from wheatring.transport.messages_pb2 import Envelope
+from wheatring.tier.transport.connection import EnvelopeConnection
+from wheatring.tier.transport.exceptions import PeerUnreachableError
+from wheatring.tier.transport.messages_pb2 import Envelope
 
 # For the attempts to connect, one after the other: an opening packet that was lost, as by a machine without
 # power, is sent again by the system after a second only. The last one leaves time for a distant peer.
--- a/wheatring/transport/connection.py
+++ b/wheatring/tier/transport/connection.py
@@ -11,7 +11,7 @@
 
 from google.protobuf.message import DecodeError
 
-from wheatring.transport.messages_pb2 import Envelope
+from wheatring.tier.transport.messages_pb2 import Envelope
 
 _LENGTH_PREFIX = struct.Struct(">I")
 MAX_FRAME_BYTES = 64 * 1024 * 1024
--- a/wheatring/transport/server.py
+++ b/wheatring/tier/transport/server.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from wheatring.transport.connection import EnvelopeConnection, EnvelopeHandler
+from wheatring.tier.transport.connection import EnvelopeConnection, EnvelopeHandler
 
 LISTEN_BACKLOG = 256
 
--- a/wheatring/turns/conversations.py
+++ b/wheatring/tier/turns/conversations.py
@@ -4,11 +4,11 @@
 
 from collections.abc import Sequence
 
-from wheatring.storage.exceptions import QuorumNotReachedError
-from wheatring.storage.quorum_client import QuorumClient
-from wheatring.transport.messages_pb2 import StorageRecord, Turn
-from wheatring.turns.exceptions import TurnNotFoundError
-from wheatring.turns.turn_cache import TurnCache
+from wheatring.tier.storage.exceptions import QuorumNotReachedError
+from wheatring.tier.storage.quorum_client import QuorumClient
+from wheatring.tier.transport.messages_pb2 import StorageRecord, Turn
+from wheatring.tier.turns.exceptions import TurnNotFoundError
+from wheatring.tier.turns.turn_cache import TurnCache
 
 
 class Conversations:
--- a/wheatring/turns/turn_cache.py
+++ b/wheatring/tier/turns/turn_cache.py
@@ -4,7 +4,7 @@
 
 from collections import OrderedDict
 
-from wheatring.transport.messages_pb2 import Turn
+from wheatring.tier.transport.messages_pb2 import Turn
 
 CACHE_BYTES = 24 * 1024 * 1024
 TURN_OVERHEAD_BYTES = 200
