Compare the facts of a plan's trials where their sentences differ

Cause: members of a compatibility check were compared by digests of sentences written for a person, so a program that words a rejection otherwise would have been refused as one that decides otherwise.

Change: an evaluator returns an Answer (a code, names and numbers, and a reason that is no fact). Each member keeps a second chain of digests, over the facts. Where sentences differ, the coordinator asks for the facts: equal ones are compatible, and others are searched for the first difference among the facts. A member of an earlier program does not answer that, and after 2 s the sentences decide, whose spelling stays (the recorded digest). Two new messages; the recorded ones are as they were. A test that listed all messages of a bisection now tells answers from facts, and holds both.

--- a/tests/fleet/plan/test_messages.py
+++ b/tests/fleet/plan/test_messages.py
@@ -101,3 +101,9 @@
     answers = AnswerChain(*compile_plan((DATA / "recorded_plan.json").read_bytes()), 20_700)
     assert answers.advance(10**6)
     assert (answers.count, answers.result.hex()) == (215, "2a30d0085e00deca2cc431f30a27cf9e")
+
+
+def test_the_facts_of_a_recorded_plan_have_the_recorded_digest() -> None:
+    answers = AnswerChain(*compile_plan((DATA / "recorded_plan.json").read_bytes()), 20_700)
+    assert answers.advance(10**6)
+    assert answers.facts_digest(answers.count).hex() == "db2587ae75a346ce073fe35fcecdd749"
--- a/tests/fleet/skew/test_messages.py
+++ b/tests/fleet/skew/test_messages.py
@@ -16,6 +16,8 @@
     AnySkewMessage,
     CapabilityRequest,
     CapabilityResponse,
+    FactsRequest,
+    FactsResponse,
     TrialRequest,
     TrialResult,
 )
@@ -41,6 +43,10 @@
     "tried": TrialResult(check_id=77, incarnation=5, result=RESULT, count=1000),
     "tried-error": TrialResult(check_id=77, incarnation=5, result=b"", count=0, error="not compiled"),
     "show": AnswerRequest(check_id=77, prefix_length=500),
+    "show-facts": FactsRequest(check_id=77, prefix_length=500),
+    "shown-facts": FactsResponse(
+        77, 5, 500, RESULT, trial="GET /a host=any.test", answer="shop blue=9 green=1"
+    ),
     "shown": AnswerResponse(77, 5, 500, RESULT, trial="GET /a host=any.test", answer="shop blue=9 green=1"),
 }
 
--- a/wheatring/fleet/peers/compiled_plan.py
+++ b/wheatring/fleet/peers/compiled_plan.py
@@ -18,6 +18,7 @@
 from wheatring.fleet.schedule import zones
 from wheatring.fleet.schedule.timetable import Timetable
 from wheatring.fleet.schedule.validation import validate_windows
+from wheatring.fleet.skew.trials import Answer, AnswerCode
 
 
 def compile_plan(body: bytes) -> tuple[Plan, CompiledPlan]:
@@ -42,27 +43,25 @@
         self.routes = compiled.routes
         self.timetable = Timetable(compiled.plan)
 
-    def route(self, trial: Trial) -> str:
-        """Describe the route that a trial's request takes, with its weights at the trial's instant.
-
-        One spelling for all programs: their answers are compared as text.
-        """
+    def route(self, trial: Trial) -> Answer:
+        """Return the route that a trial's request takes, with its weights at the trial's instant."""
         fields = {name.lower().encode(): value.encode() for name, value in trial.headers.items()}
         if trial.host:
             fields[b"host"] = trial.host.encode()
         try:
             match = self.table.resolve(trial.method.encode(), trial.target.encode(), fields, frozenset())
         except InvalidRequestError as error:
-            return f"turned away: {error}"
+            return Answer(AnswerCode.REJECTED, reason=str(error))
         if match is None:
-            return "no route"
+            return Answer(AnswerCode.NO_ROUTE)
         name = match.route.name
         weights = self.weights(name, trial.at) if trial.at is not None else self.timetable.base[name]
-        shown = " ".join(f"{pool}={weight}" for pool, weight in sorted(weights.items()))
+        by_name = tuple(sorted(weights.items()))
         if not match.route.split_by:
-            return f"{name} {shown}"
-        pools = [WeightedPool(pool, weight) for pool, weight in sorted(weights.items())]
-        return f"{name} {shown} to {RendezvousSplit(match.route.split_by, pools).pick(fields)}"
+            return Answer(AnswerCode.ROUTED, name, by_name)
+        pools = [WeightedPool(pool, weight) for pool, weight in by_name]
+        pool = RendezvousSplit(match.route.split_by, pools).pick(fields)
+        return Answer(AnswerCode.ROUTED, name, by_name, pool)
 
     def weights(self, route: str, at: float) -> Mapping[str, int]:
         """Return a route's weights by pool, at an instant in Unix seconds."""
--- a/wheatring/fleet/skew/checker.py
+++ b/wheatring/fleet/skew/checker.py
@@ -42,6 +42,8 @@
     AnySkewMessage,
     CapabilityRequest,
     CapabilityResponse,
+    FactsRequest,
+    FactsResponse,
     TrialRequest,
     TrialResult,
 )
@@ -160,12 +162,12 @@
                 is_own = message.member.member.name == sender
                 if is_own and self.is_plan_stable() and self.admission_refusals(at, message.member):
                     return self._step(at)
-            case CapabilityRequest() | TrialRequest() | AnswerRequest():
+            case CapabilityRequest() | TrialRequest() | AnswerRequest() | FactsRequest():
                 return self.participant.handle(at, address, message)
             case CapabilityResponse():
                 self._record(sender, message)
         if (
-            isinstance(message, CapabilityResponse | TrialResult | AnswerResponse)
+            isinstance(message, CapabilityResponse | TrialResult | AnswerResponse | FactsResponse)
             and self.coordinator is not None
         ):
             self.coordinator.handle(sender, message)
--- a/wheatring/fleet/skew/coordinator.py
+++ b/wheatring/fleet/skew/coordinator.py
@@ -7,6 +7,10 @@
     COMPATIBLE    until the view has a new member             -> SURVEYING for the new ones
     INCOMPATIBLE  a member is silent, lacks something or answers differently; final
 
+Answers are compared by the digests of their sentences, which programs of all versions report. Where these
+differ, the facts decide, if every member reports the digest of its own: other words for the same are no
+difference. A program that knows no facts does not answer, and then the sentences decide.
+
 What must never happen: COMPATIBLE while a member of `view` has not answered both, by the very process that is
 in the view; a silent member counts as compatible; a member that has left is named in a refusal. A member that
 was asked under an earlier view of this check is not asked again.
@@ -28,6 +32,8 @@
     AnswerResponse,
     CapabilityRequest,
     CapabilityResponse,
+    FactsRequest,
+    FactsResponse,
     TrialRequest,
     TrialResult,
 )
@@ -43,6 +49,7 @@
 GATHER_SECONDS = 2.0  # for which other refusals are awaited after the first, to name them all at once
 REQUEST_SPACING_SECONDS = 0.002  # from one member to the next: 1,000 answers come over 2 s
 MAX_BYTES_PER_SECOND = 50e6  # of bodies that leave the leader
+FACTS_TIMEOUT_SECONDS = 2.0  # for the digests of facts, before the sentences decide
 MAX_BISECTIONS = 8  # groups of differing answers that are looked into
 REPORTED_SILENCE_SECONDS = 2.0  # of silence that the verdict reports while the stage still goes on
 
@@ -50,20 +57,25 @@
 class _MemberState:
     """What one member has answered in this check. Instants are monotonic seconds."""
 
-    __slots__ = ("asked_at", "capabilities", "due", "reasons", "result")
+    __slots__ = ("asked_at", "capabilities", "due", "facts", "facts_due", "reasons", "result")
 
     def __init__(self, due: float) -> None:
         self.due = self.asked_at = due  # of the next request, and of the first one in this stage
         self.capabilities: Capabilities | None = None
         self.result: TrialResult | None = None
+        self.facts: bytes | None = None  # the digest of its answers as facts
+        self.facts_due = -inf  # when it is asked for that next
         self.reasons: list[Reason] = []
 
 
 class _Comparison:
     """The search for the first answer in which a member differs from the majority."""
 
-    def __init__(self, differing: ProcessKey, usual: ProcessKey, counts: tuple[int, int]) -> None:
+    def __init__(
+        self, differing: ProcessKey, usual: ProcessKey, counts: tuple[int, int], by_facts: bool
+    ) -> None:
         self.keys = (differing, usual)
+        self.by_facts = by_facts
         self.bisection = Bisection(counts)
         self.due = -inf
 
@@ -89,6 +101,8 @@
         self.placed: dict[ProcessKey, ViewMember] = {}
         self.comparisons: list[_Comparison] | None = None
         self.comparison_deadline = inf
+        self.facts_deadline = inf
+        self.compares_facts = False
         self.failed_since = inf  # when the first member was found that lacks something or fails to compile
         self.reasons: tuple[Reason, ...] = ()  # of the final stage
         self.view_changed(now, view)
@@ -101,7 +115,7 @@
         kept = {key: self.members[key] for key in self.placed if key in self.members}
         added = {key: _MemberState(now + index * REQUEST_SPACING_SECONDS) for index, key in enumerate(new)}
         self.members = {**kept, **added}
-        self.comparisons = None
+        self.comparisons, self.compares_facts = None, False
         if self.stage is CheckStage.COMPATIBLE:
             self.stage = CheckStage.TESTING
         if new and self.stage is CheckStage.TESTING:
@@ -109,7 +123,9 @@
 
     # Answers
 
-    def handle(self, sender: str, message: CapabilityResponse | TrialResult | AnswerResponse) -> None:
+    def handle(
+        self, sender: str, message: CapabilityResponse | TrialResult | AnswerResponse | FactsResponse
+    ) -> None:
         """Take over an answer, if it is to this check and from a process of the view."""
         key = (sender, message.incarnation)
         member = self.members.get(key)
@@ -125,12 +141,15 @@
                     member.result = message
                     failed = refusal(sender, CompileFailedError, message.error)
                     member.reasons = [failed] if message.error else []
-            case AnswerResponse():
+            case FactsResponse() if not message.prefix_length:
+                member.facts = message.result
+            case AnswerResponse() | FactsResponse():
                 self._handle_answer(key, message)
 
-    def _handle_answer(self, key: ProcessKey, message: AnswerResponse) -> None:
+    def _handle_answer(self, key: ProcessKey, message: AnswerResponse | FactsResponse) -> None:
+        by_facts = isinstance(message, FactsResponse)
         for comparison in self.comparisons or ():
-            if key in comparison.keys:
+            if key in comparison.keys and comparison.by_facts is by_facts:
                 answer = PrefixAnswer(message.result, message.trial, message.answer)
                 side = comparison.keys.index(key)
                 comparison.bisection.record(side, message.prefix_length, answer)
@@ -172,7 +191,9 @@
             return self._to(key, TrialRequest(self.check_id, self.digest, size_bytes, self.day))
         return self._to(key, CapabilityRequest(self.check_id, self.digest, size_bytes))
 
-    def _to(self, key: ProcessKey, message: CapabilityRequest | TrialRequest | AnswerRequest) -> Outgoing:
+    def _to(
+        self, key: ProcessKey, message: CapabilityRequest | TrialRequest | AnswerRequest | FactsRequest
+    ) -> Outgoing:
         who = self.placed[key].member
         return (who.host, who.port), message
 
@@ -183,13 +204,18 @@
             return []
         if self.comparisons is None:
             self._compare(now)
+        has_all_facts = all(member.facts is not None for member in self.members.values())
+        if self.comparisons and has_all_facts and not self.compares_facts:
+            self.compares_facts = True
+            self.comparisons = self._comparisons()
         if not self.comparisons:
             self.stage = CheckStage.COMPATIBLE
             return []
         is_done = all(comparison.bisection.is_done for comparison in self.comparisons)
-        if now >= self.comparison_deadline or is_done:
+        is_decisive = has_all_facts or now >= self.facts_deadline
+        if now >= self.comparison_deadline or (is_done and is_decisive):
             return self._refuse(self._differences(self.comparisons))
-        return self._ask_for_prefixes(now, self.comparisons)
+        return self._ask_for_facts(now) + self._ask_for_prefixes(now, self.comparisons)
 
     def _start_testing(self, now: float) -> None:
         """Start the trials, one member after another as fast as the leader can send the body."""
@@ -203,18 +229,25 @@
 
     def _groups(self) -> list[list[ProcessKey]]:
         """Return the members by equal answers, the largest group first; of equal ones the first by name."""
-        groups: dict[tuple[bytes, int], list[ProcessKey]] = {}
+        groups: dict[tuple[bytes | None, int], list[ProcessKey]] = {}
         for key, member in sorted(self.members.items()):
             assert member.result is not None
-            groups.setdefault((member.result.result, member.result.count), []).append(key)
+            digest = member.facts if self.compares_facts else member.result.result
+            groups.setdefault((digest, member.result.count), []).append(key)
         return sorted(groups.values(), key=lambda group: (-len(group), group[0]))
 
     def _compare(self, now: float) -> None:
-        """Start to compare one member of each differing group with one of the largest."""
-        usual, *differing = self._groups()
+        """Start to compare the members' answers, by their sentences at first."""
         self.comparison_deadline = now + BISECTION_TIMEOUT_SECONDS
-        self.comparisons = [
-            _Comparison(group[0], usual[0], (self._trial_count(group[0]), self._trial_count(usual[0])))
+        self.facts_deadline = now + FACTS_TIMEOUT_SECONDS
+        self.comparisons = self._comparisons()
+
+    def _comparisons(self) -> list[_Comparison]:
+        """Return comparisons of one member of each differing group with one of the largest."""
+        usual, *differing = self._groups()
+        usual_count = self._trial_count(usual[0])
+        return [
+            _Comparison(group[0], usual[0], (self._trial_count(group[0]), usual_count), self.compares_facts)
             for group in differing[:MAX_BISECTIONS]
         ]
 
@@ -222,6 +255,14 @@
         result = self.members[key].result
         return result.count if result is not None else 0
 
+    def _ask_for_facts(self, now: float) -> list[Outgoing]:
+        out: list[Outgoing] = []
+        for key, member in self.members.items():
+            if member.facts is None and now >= member.facts_due:
+                member.facts_due = now + RETRY_SECONDS
+                out.append(self._to(key, FactsRequest(self.check_id, 0)))
+        return out
+
     def _ask_for_prefixes(self, now: float, comparisons: list[_Comparison]) -> list[Outgoing]:
         out: list[Outgoing] = []
         for comparison in comparisons:
@@ -230,7 +271,8 @@
             comparison.due = now + RETRY_SECONDS
             for side, key in enumerate(comparison.keys):
                 if (length := comparison.bisection.next_length(side)) is not None:
-                    out.append(self._to(key, AnswerRequest(self.check_id, length)))
+                    request = FactsRequest if comparison.by_facts else AnswerRequest
+                    out.append(self._to(key, request(self.check_id, length)))
         return out
 
     def _differences(self, comparisons: list[_Comparison]) -> list[Reason]:
--- a/wheatring/fleet/skew/messages.py
+++ b/wheatring/fleet/skew/messages.py
@@ -71,6 +71,34 @@
     answer: str
 
 
+class FactsRequest(Struct, frozen=True, array_like=True, tag_field="w", tag="show-facts"):
+    """From the leader: the digest of the facts of your first `prefix_length` trials; 0: of all.
+
+    Programs of before don't know this message and do not answer it.
+    """
+
+    check_id: int
+    prefix_length: int
+
+
+class FactsResponse(Struct, frozen=True, array_like=True, tag_field="w", tag="shown-facts"):
+    """From a member: that digest, and of a prefix the last trial and its answer as a person reads them."""
+
+    check_id: int
+    incarnation: int
+    prefix_length: int
+    result: bytes
+    trial: str = ""
+    answer: str = ""
+
+
 AnySkewMessage = (
-    CapabilityRequest | CapabilityResponse | TrialRequest | TrialResult | AnswerRequest | AnswerResponse
+    CapabilityRequest
+    | CapabilityResponse
+    | TrialRequest
+    | TrialResult
+    | AnswerRequest
+    | AnswerResponse
+    | FactsRequest
+    | FactsResponse
 )
--- a/wheatring/fleet/skew/participant.py
+++ b/wheatring/fleet/skew/participant.py
@@ -28,6 +28,8 @@
     AnswerResponse,
     CapabilityRequest,
     CapabilityResponse,
+    FactsRequest,
+    FactsResponse,
     TrialRequest,
     TrialResult,
 )
@@ -99,7 +101,10 @@
         return out
 
     def handle(
-        self, at: Instant, address: Address, message: CapabilityRequest | TrialRequest | AnswerRequest
+        self,
+        at: Instant,
+        address: Address,
+        message: CapabilityRequest | TrialRequest | AnswerRequest | FactsRequest,
     ) -> list[Outgoing]:
         """Handle a message of a leader."""
         match message:
@@ -109,8 +114,9 @@
                 ]
             case TrialRequest():
                 return self._handle_trial_request(at, address, message)
-            case AnswerRequest():
-                return self._handle_answer_request(at, address, message)
+            case AnswerRequest() | FactsRequest():
+                response = self._show(at, message)
+                return [] if response is None else [(address, response)]
 
     def _handle_trial_request(self, at: Instant, address: Address, message: TrialRequest) -> list[Outgoing]:
         key = (message.digest, message.day)
@@ -156,18 +162,28 @@
         count, result = (run.answers.count, run.answers.result) if run.answers else (0, b"")
         return [(run.address, TrialResult(run.check_id, self.fleet.incarnation, result, count, run.error))]
 
-    def _handle_answer_request(self, at: Instant, address: Address, message: AnswerRequest) -> list[Outgoing]:
-        """Show the digest of a prefix of the answers, and its last trial, where these are complete."""
-        length = message.prefix_length
+    def _show(
+        self, at: Instant, request: AnswerRequest | FactsRequest
+    ) -> AnswerResponse | FactsResponse | None:
+        """Return the digest of a prefix of the answers, and its last trial, where these are complete."""
+        answers = self._complete_answers(at, request.check_id)
+        length = request.prefix_length
+        if answers is None or not 0 <= length <= answers.count:
+            return None
+        me, is_whole = self.fleet.incarnation, length == 0
+        if isinstance(request, FactsRequest) and is_whole:
+            return FactsResponse(request.check_id, me, 0, answers.facts_digest(answers.count))
+        if is_whole:
+            return None
+        trial, answer = map(truncate, answers.show(length - 1))
+        if isinstance(request, FactsRequest):
+            return FactsResponse(request.check_id, me, length, answers.facts_digest(length), trial, answer)
+        return AnswerResponse(request.check_id, me, length, answers.prefix_digest(length), trial, answer)
+
+    def _complete_answers(self, at: Instant, check_id: int) -> AnswerChain | None:
+        """Return the answers of a check once all are there; whoever asks for them keeps them."""
         for run in self.runs.values():
-            answers = run.answers
-            if run.check_id != message.check_id or not run.is_done or not answers:
-                continue
-            if 0 < length <= answers.count:
+            if run.check_id == check_id and run.is_done and run.answers:
                 run.asked_at = at.now
-                trial, answer = answers.show(length - 1)
-                texts = (truncate(trial), truncate(answer))
-                digest = answers.prefix_digest(length)
-                response = AnswerResponse(message.check_id, self.fleet.incarnation, length, digest, *texts)
-                return [(address, response)]
-        return []
+                return run.answers
+        return None
--- a/wheatring/lab/agreement/plan_driver.py
+++ b/wheatring/lab/agreement/plan_driver.py
@@ -29,6 +29,7 @@
 from wheatring.fleet.skew.checker import CompatibilityChecker
 from wheatring.fleet.skew.participant import CompilePlan
 from wheatring.fleet.skew.requirements import requirements_of, unmet_requirements
+from wheatring.fleet.skew.trials import Answer, AnswerCode
 
 STEP_SECONDS = 0.1  # from one check of the verdict to the next
 
@@ -56,13 +57,13 @@
         self.plan = plan
         self.odd = odd
 
-    def route(self, trial: Trial) -> str:
-        """Return the name of the route that a request takes."""
+    def route(self, trial: Trial) -> Answer:
+        """Return the route that a request takes, by its name alone."""
         path = trial.target if self.odd else trial.target + "/"
         for route in self.plan.routes:
             if path.startswith(route.match.prefix + ("" if self.odd else "/")):
-                return route.name
-        return "none"
+                return Answer(AnswerCode.ROUTED, route.name)
+        return Answer(AnswerCode.ROUTED, "none")
 
     def zone(self, name: str) -> tzinfo:
         """Return a time zone."""
