--- a/Makefile
+++ b/Makefile
@@ -32,16 +32,16 @@
 
 .venv/built: requirements.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
-	$(BIN)/pip install -q -r requirements.txt
+	$(BIN)/pip install -q --only-binary=:all: -r requirements.txt
 	$(BIN)/python -m compileall -q .venv/lib
 	touch $@
 
 .venv/lab: .venv/built pyproject.toml
-	$(BIN)/pip install -q -r requirements.txt -e '.[lab]'
+	$(BIN)/pip install -q --only-binary=:all: -r requirements.txt -e '.[lab]'
 	touch $@
 
 .venv/dev: .venv/built pyproject.toml
-	$(BIN)/pip install -q -r requirements.txt -e '.[dev]'
+	$(BIN)/pip install -q --only-binary=:all: -r requirements.txt -e '.[dev]'
 	touch $@
 
 # A small whole tier on loopback with stand-in endpoints and platform, and a conversation through it.
@@ -49,12 +49,12 @@
 	$(BIN)/python -m wheatring.tier demo
 
 .venv/tier: .venv/built pyproject.toml
-	$(BIN)/pip install -q -r requirements.txt -e '.[tier]'
+	$(BIN)/pip install -q --only-binary=:all: -r requirements.txt -e '.[tier]'
 	touch $@
 
 # What the roles in deploy/system.toml run: libraries and a precompiled copy of the program, all under target/.
 system:
-	test target/deps/.built -nt requirements-tier.txt || { $(PYTHON) -m pip install -q --upgrade --target target/deps \
+	test target/deps/.built -nt requirements-tier.txt || { $(PYTHON) -m pip install -q --only-binary=:all: --upgrade --target target/deps \
 	  -r requirements-tier.txt && $(PYTHON) -m compileall -q target/deps; touch target/deps/.built; }
 	rm -rf target/app && mkdir -p target/app
 	cp -r wheatring target/app/
