--- /dev/null
+++ b/tests/tier/storage/test_record_table.py
@@ -0,0 +1,76 @@
+"""What a replica's table keeps, for how long, and how it is read page by page."""
+
+from __future__ import annotations
+
+from wheatring.tier.storage.record_table import (
+    BUDGET_RETENTION_SECONDS,
+    RETENTION_MARGIN_SECONDS,
+    RecordTable,
+)
+from wheatring.tier.transport.messages_pb2 import BudgetEntry, StorageRecord, Turn
+
+RETENTION_SECONDS = 60.0
+
+
+def turn(turn_id: str, *ancestors: str) -> StorageRecord:
+    retention_ms = int(RETENTION_SECONDS * 1000)
+    return StorageRecord(turn=Turn(id=turn_id, ancestors=ancestors, retention_ms=retention_ms))
+
+
+def budget(turn_id: str) -> StorageRecord:
+    return StorageRecord(budget=BudgetEntry(program="p", turn=turn_id, tokens=5))
+
+
+def test_a_turn_that_is_known_is_no_change_and_is_kept_for_longer() -> None:
+    table = RecordTable()
+    assert table.apply(turn("t1"), 0.0)
+    assert not table.apply(turn("t1"), 50.0)
+    assert len(table.payloads()) == 1
+    assert table.expire(50.0 + RETENTION_SECONDS + RETENTION_MARGIN_SECONDS - 0.1) == 0
+    assert table.expire(50.0 + RETENTION_SECONDS + RETENTION_MARGIN_SECONDS) == 1
+    assert not table.has_turn("t1")
+
+
+def test_a_turn_keeps_its_ancestors() -> None:
+    table = RecordTable()
+    table.apply(turn("t1"), 0.0)
+    table.apply(turn("t2", "t1"), 50.0)
+    assert table.expire(100.0) == 0 and table.has_turn("t1")
+
+
+def test_only_a_turn_that_is_here_is_renewed() -> None:
+    table = RecordTable()
+    assert not table.renew_turn("t1", 0.0)
+    table.apply(turn("t1"), 0.0)
+    assert table.renew_turn("t1", 60.0)
+    assert table.expire(100.0) == 0
+    assert table.turn("t1") is not None and table.turn("t2") is None
+
+
+def test_what_expires_is_dropped_with_the_budget_that_it_is_part_of() -> None:
+    table = RecordTable()
+    table.apply(turn("t1"), 0.0)
+    table.apply(budget("t1"), 0.0)
+    table.apply(budget("t2"), 10.0)
+    assert table.expire(RETENTION_SECONDS + RETENTION_MARGIN_SECONDS) == 1
+    assert [entry.turn for entry in table.budget_entries("p")] == ["t1", "t2"]
+    assert table.expire(BUDGET_RETENTION_SECONDS) == 1
+    assert [entry.turn for entry in table.budget_entries("p")] == ["t2"]
+    assert table.expire(BUDGET_RETENTION_SECONDS + 10.0) == 1
+    assert table.budget_entries("p") == [] and table.payloads() == []
+
+
+def test_a_scan_returns_what_is_wanted_page_by_page() -> None:
+    table = RecordTable()
+    for number in range(6):
+        table.apply(turn(f"t{number}"), 0.0)
+    size = len(table.payloads()[0])
+    position, pages = 0, []
+    while True:
+        page = table.scan(position, 2 * size, lambda key: key.placement_key != "t1")
+        pages.append([StorageRecord.FromString(payload).turn.id for payload in page.payloads])
+        position = page.position
+        if page.is_last:
+            break
+    assert pages == [["t0", "t2"], ["t3", "t4"], ["t5"]]
+    assert table.scan(position, size, lambda _key: True) == ([], position, True)
--- a/tests/tier/storage/test_repair.py
+++ b/tests/tier/storage/test_repair.py
@@ -16,12 +16,15 @@
 from wheatring.tier.storage.replica import Replica
 from wheatring.tier.transport.exceptions import PeerUnreachableError
 from wheatring.tier.transport.messages_pb2 import (
+    STORAGE_STATUS_DISK_FAILED,
+    STORAGE_STATUS_STALE_EPOCH,
     BudgetEntry,
     Envelope,
     Placement,
     ScanReply,
     StorageMember,
     StorageRecord,
+    StorageStatus,
     Turn,
 )
 
@@ -173,3 +176,85 @@
     reply = run(loop, play)
     assert [record.turn.id for record in reply.records if record.HasField("turn")] == TURNS
     assert not reply.turn_ids
+
+
+class StatusSource(Source):
+    """A source that refuses its first calls with a status of its own."""
+
+    def __init__(self, replica: Replica, status: StorageStatus, refusals: int) -> None:
+        super().__init__(replica, Counter(), lambda _envelope: False)
+        self.status = status
+        self.refusals = refusals
+
+    async def call(self, envelope: Envelope, timeout: float) -> Envelope:
+        if self.refusals:
+            self.refusals -= 1
+            await asyncio.sleep(0.001)
+            return Envelope(scan_reply=ScanReply(status=self.status, done=True))
+        return await super().call(envelope, timeout)
+
+
+@pytest.mark.parametrize("status", [STORAGE_STATUS_STALE_EPOCH, STORAGE_STATUS_DISK_FAILED])
+def test_a_source_that_refuses_is_no_source_that_has_nothing(tmp_path: Path, status: StorageStatus) -> None:
+    loop = VirtualLoop()
+
+    async def play() -> Replica:
+        sources = Sources()
+        source = opened(tmp_path / "a")
+        await source.store(records())
+        sources.by_address["a"] = StatusSource(source, status, refusals=3)
+        new = opened(tmp_path / "new")
+        member, other = (
+            StorageMember(replica_id=r.identity, address=name) for r, name in ((source, "a"), (new, "n"))
+        )
+        repair = Repair(new, sources, 1)  # type: ignore[arg-type]
+        repair.on_placement(Placement(epoch=2, current=[member], next=[member, other]))
+        async with asyncio.timeout(10):
+            while repair.complete_epoch < 2:
+                await asyncio.sleep(0.001)
+        return new
+
+    replica = run(loop, play)
+    assert all(replica.table.has_turn(turn) for turn in TURNS)
+
+
+def test_a_placement_that_is_old_or_names_others_asks_nothing_of_a_replica(tmp_path: Path) -> None:
+    loop = VirtualLoop()
+
+    async def play() -> tuple[Replica, list[int]]:
+        sources = Sources()
+        replica = opened(tmp_path / "a")
+        me = StorageMember(replica_id=replica.identity, address="a")
+        other = StorageMember(replica_id="other", address="b")
+        repair = Repair(replica, sources, 1)  # type: ignore[arg-type]
+        seen = []
+        for placement in (
+            Placement(epoch=2, current=[me], next=[me]),
+            Placement(epoch=1, current=[other], next=[other, me]),  # a source that nobody could ask
+            Placement(epoch=3, current=[me], next=[other]),
+            Placement(epoch=3, current=[other], next=[other, me]),
+        ):
+            repair.on_placement(placement)
+            await asyncio.sleep(1.0)
+            seen.append(repair.complete_epoch)
+        return replica, seen
+
+    replica, seen = run(loop, play)
+    assert seen == [2, 2, 2, 2]
+    assert replica.placement.epoch == 3 and replica.fence_epoch == 2
+
+
+def test_a_copy_that_was_complete_before_a_restart_is_not_made_again(tmp_path: Path) -> None:
+    loop = VirtualLoop()
+
+    async def play() -> int:
+        replica = opened(tmp_path / "a")
+        await replica.record_complete_epoch(5)
+        other = StorageMember(replica_id="other", address="b")
+        me = StorageMember(replica_id=replica.identity, address="a")
+        repair = Repair(replica, Sources(), 1)  # type: ignore[arg-type]
+        repair.on_placement(Placement(epoch=5, current=[other], next=[other, me]))
+        await asyncio.sleep(1.0)
+        return replica.fence_epoch
+
+    assert run(loop, play) == 0
--- a/tests/tier/storage/test_replica.py
+++ b/tests/tier/storage/test_replica.py
@@ -6,17 +6,23 @@
 import secrets
 import shutil
 from pathlib import Path
+from typing import Any
 
 import pytest
 
+from wheatring.tier.storage import replica as replica_module
 from wheatring.tier.storage.replica import Replica
 from wheatring.tier.transport.messages_pb2 import (
     STORAGE_STATUS_DONE,
     STORAGE_STATUS_STALE_EPOCH,
+    STORAGE_STATUS_WRONG_REPLICA,
     BudgetEntry,
+    Placement,
+    ScanRequest,
     StorageRecord,
     StorageReply,
     StorageRequest,
+    StorageStatus,
     Turn,
 )
 
@@ -91,3 +97,67 @@
     asyncio.run(fence())
     assert asyncio.run(ask(6)).status == STORAGE_STATUS_STALE_EPOCH
     assert asyncio.run(ask(7)).status == STORAGE_STATUS_DONE
+
+
+def answer(replica: Replica, **fields: Any) -> StorageReply:
+    request = StorageRequest(**{"replica_id": replica.identity, "epoch": 1, **fields})
+    return asyncio.run(replica.handle_request(request))
+
+
+def test_a_request_for_another_replica_is_refused_and_stores_nothing(tmp_path: Path) -> None:
+    replica = opened(tmp_path)
+    reply = answer(replica, replica_id="other", records=[turn(1)])
+    assert reply.status == STORAGE_STATUS_WRONG_REPLICA
+    assert len(replica.table) == 0
+
+
+def test_a_request_under_an_older_placement_learns_the_newer_one(tmp_path: Path) -> None:
+    replica = opened(tmp_path)
+    newer, older = Placement(epoch=4), Placement(epoch=3)
+    replica.adopt_placement(newer)
+    replica.adopt_placement(older)
+    reply = answer(replica, epoch=3, records=[turn(1)])
+    assert (reply.status, reply.placement) == (STORAGE_STATUS_STALE_EPOCH, newer)
+    assert answer(replica, epoch=4).status == STORAGE_STATUS_DONE
+
+
+def test_a_conversation_is_answered_with_the_ancestors_that_are_here_and_not_known(tmp_path: Path) -> None:
+    replica = opened(tmp_path)
+    asyncio.run(replica.store([turn(1), turn(2, "t1"), turn(4, "t1", "t2", "t3")]))
+    alone = answer(replica, turn_ids=["t4", "t9"])
+    assert [found.id for found in alone.turns] == ["t4"]
+    whole = answer(replica, turn_ids=["t4"], with_ancestors=True)
+    assert sorted(found.id for found in whole.turns) == ["t1", "t2", "t4"]  # t3 is not here
+    rest = answer(replica, turn_ids=["t4"], with_ancestors=True, known_turn_ids=["t2"])
+    assert sorted(found.id for found in rest.turns) == ["t1", "t4"]
+
+
+def test_only_the_newest_ancestors_are_sent_where_all_would_be_too_many_bytes(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    replica = opened(tmp_path)
+    first, second = turn(1), turn(2, "t1")
+    monkeypatch.setattr(replica_module, "MAX_ANCESTORS_BYTES", len(second.turn.input + second.turn.output))
+    asyncio.run(replica.store([first, second, turn(3, "t1", "t2")]))
+    found = answer(replica, turn_ids=["t3"], with_ancestors=True)
+    assert sorted(each.id for each in found.turns) == ["t2", "t3"]
+
+
+@pytest.mark.parametrize(
+    ("identity", "epoch", "status"),
+    [
+        ("other", 5, STORAGE_STATUS_WRONG_REPLICA),
+        (None, 3, STORAGE_STATUS_STALE_EPOCH),
+        (None, 4, STORAGE_STATUS_DONE),
+    ],
+)
+def test_a_scan_is_answered_for_this_replica_under_no_older_placement(
+    tmp_path: Path, identity: str | None, epoch: int, status: StorageStatus
+) -> None:
+    replica = opened(tmp_path)
+    replica.adopt_placement(Placement(epoch=4))
+    request = ScanRequest(
+        replica_id=identity or replica.identity, placement=Placement(epoch=epoch), limit_bytes=1
+    )
+    assert asyncio.run(replica.handle_scan(request)).status == status
+    assert replica.fence_epoch == (epoch if status == STORAGE_STATUS_DONE else 0)
