--- a/tests/balancer/test_outlier_ejection.py
+++ b/tests/balancer/test_outlier_ejection.py
@@ -112,7 +112,9 @@
         )
     assert copy.balancer.pool.endpoints["a"].ejections
     copy.view(i.EndpointEntry("a", started_at=copy.now - 0.5), kind=i.ViewKind.DELTA)
-    assert not copy.balancer.pool.endpoints["a"].ejections and not copy.balancer.ejector.are_most_unhealthy()
+    assert (
+        not copy.balancer.pool.endpoints["a"].ejections and not copy.balancer.ejector.is_majority_unhealthy()
+    )
 
 
 def test_an_ejected_endpoint_gets_one_request_then_one_more_with_each_answer_until_it_is_healthy(
--- a/tests/balancer/test_thin_traffic.py
+++ b/tests/balancer/test_thin_traffic.py
@@ -71,9 +71,9 @@
     copy.now += 20.0
     for name in FIVE:
         for _ in range(2):
-            if not copy.balancer.ejector.are_most_unhealthy():
+            if not copy.balancer.ejector.is_majority_unhealthy():
                 visit(copy, name, 1.0)
-    assert copy.balancer.ejector.are_most_unhealthy()
+    assert copy.balancer.ejector.is_majority_unhealthy()
     sent = Counter(copy.send("get").endpoint for _ in range(60))
     assert len(sent) == len(FIVE)
 
--- a/tests/daemon/config/test_project_file.py
+++ b/tests/daemon/config/test_project_file.py
@@ -75,7 +75,7 @@
     tables: dict[str, type[msgspec.Struct]] = {
         "[list]": project_file.ListTable,
         "[fleet]": project_file.FleetTable,
-        "[duty.NAME]": project_file.DutyTable,
+        "[duty.NAME]": project_file.RoleTable,
         "[plan]": project_file.PlanTable,
         "[pool.NAME]": project_file.PoolTable,
         "[route.NAME]": project_file.RouteTable,
--- a/tests/daemon/http1/test_bodies.py
+++ b/tests/daemon/http1/test_bodies.py
@@ -305,7 +305,7 @@
 def test_a_body_that_comes_too_slowly_is_given_up(make: Make, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(caller_lifecycle, "HEAD_SECONDS", 0.0)
     monkeypatch.setattr(caller_lifecycle, "MIN_BODY_BYTES_PER_SECOND", 1e12)
-    monkeypatch.setattr(caller_lifecycle, "BODY_SILENCE_SECONDS", 1e9)
+    monkeypatch.setattr(caller_lifecycle, "BODY_IDLE_TIMEOUT_SECONDS", 1e9)
     caller = post(make(), len(LARGE))
     caller.send(LARGE[:100000])
     assert caller.read()[0].split()[1] == "408"
--- a/tests/daemon/http1/test_caller_connection.py
+++ b/tests/daemon/http1/test_caller_connection.py
@@ -157,7 +157,7 @@
     node.read()
     node.send(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + b"x" * 100_000)
     comes_to(CallerState.STREAMING)
-    world.run(lambda: world.sidecar.server.close_unanswered(is_late=True))
+    world.run(lambda: world.sidecar.server.close_unanswered(is_final=True))
     node.send(b"x" * 100_000)
     assert wire.read()[2] == b"x" * 200_000
     comes_to(CallerState.RESTING)
--- a/tests/daemon/http1/test_shutdown.py
+++ b/tests/daemon/http1/test_shutdown.py
@@ -136,7 +136,7 @@
     head(wire)
     connection = only_connection(world)
     world.run(lambda: setattr(connection, "state_since", -1e9))
-    world.run(lambda: world.sidecar.server.close_unanswered(is_late=True))
+    world.run(lambda: world.sidecar.server.close_unanswered(is_final=True))
     passed: list[bool] = []
     later = world.reactor.callLater
     world.run(lambda: later(0, later, 0, later, 0, passed.append, True))  # it takes two turns
--- a/tests/daemon/lifecycle/test_handover.py
+++ b/tests/daemon/lifecycle/test_handover.py
@@ -41,14 +41,14 @@
 def test_only_a_process_that_holds_its_lock_counts_as_alive(tmp_path: Path) -> None:
     one, two = HandoverFolder(str(tmp_path), "n", 1), HandoverFolder(str(tmp_path), "n", 2)
     assert one.state_limit(lambda newest, _others: 9 if newest else 0) == (9, [])
-    assert not two.is_alone()
+    assert not two.is_only_process()
     stated, others = two.state_limit(lambda newest, others: others[0] if newest else 0)
     assert (stated, [other.started_ns for other in others]) == (9, [1])
     assert one.state_limit(lambda newest, _others: int(newest))[0] == 0  # the older one now
     os.close(two._own)  # killed: its file stays, its lock does not
     assert two.own_file.exists()
     assert one.state_limit(lambda _newest, others: len(others)) == (0, [])
-    assert not two.own_file.exists() and one.is_alone()
+    assert not two.own_file.exists() and one.is_only_process()
     one.leave()
     assert not one.own_file.exists()
 
@@ -59,4 +59,4 @@
         frozenset("a")
     )
     assert folder.state_limit(lambda _newest, _others: 7) == (7, [])
-    assert folder.is_alone() and folder.changed_orders() is None
+    assert folder.is_only_process() and folder.changed_orders() is None
--- a/tests/fleet/lease/test_acceptor.py
+++ b/tests/fleet/lease/test_acceptor.py
@@ -34,19 +34,19 @@
     granting.receive(0, 0, propose("a", 1))
     granting.receive(1, 0, propose("a", 2))
     granting.receive(1.1, 0, Release(LEASE, ProposalNumber(1, "a", 1), 9, THREE.digest))
-    assert granting.holder_of(1.2, LEASE) is not None
+    assert granting.owner_of(1.2, LEASE) is not None
     granting.receive(1.3, 0, Release(LEASE, ProposalNumber(2, "a", 1), 9, THREE.digest))
-    assert granting.holder_of(1.4, LEASE) is None
+    assert granting.owner_of(1.4, LEASE) is None
 
 
 def test_a_retransmitted_proposal_lasts_no_longer_and_a_new_round_does() -> None:
     granting = acceptor()
     granting.receive(0, 0, propose("a"))
     assert isinstance(granting.receive(2.0, 0, propose("a")), Accepted)
-    found = granting.holder_of(2.0, LEASE)
+    found = granting.owner_of(2.0, LEASE)
     assert found is not None and found[2] == pytest.approx(1.0)
     granting.receive(2.0, 0, Propose(LEASE, ProposalNumber(1, "a", 1), 2, THREE.digest, 5, 3.0, True))
-    found = granting.holder_of(2.0, LEASE)
+    found = granting.owner_of(2.0, LEASE)
     assert found is not None and found[2] == pytest.approx(3.0)
 
 
--- a/tests/fleet/lease/test_proposer.py
+++ b/tests/fleet/lease/test_proposer.py
@@ -13,7 +13,7 @@
     proposer = elected(0.0)
     proposer.tick(proposer.due)
     number, said = proposer.round, 0
-    while proposer.is_holder(proposer.due):
+    while proposer.owns_lease(proposer.due):
         said += len(proposer.tick(proposer.due))
         assert proposer.round == number
     assert said > 30
@@ -38,8 +38,8 @@
 
 def test_a_lease_runs_from_before_it_was_requested() -> None:
     proposer = elected(10.0)
-    assert proposer.epoch_to_act(10.0 + TIMING.holder_seconds - 0.01) == 8
-    assert proposer.epoch_to_act(10.0 + TIMING.holder_seconds) is None
+    assert proposer.epoch_to_act(10.0 + TIMING.owner_seconds - 0.01) == 8
+    assert proposer.epoch_to_act(10.0 + TIMING.owner_seconds) is None
 
 
 def test_a_holder_that_was_stopped_gets_no_further_lease_by_its_late_renewal() -> None:
@@ -47,7 +47,7 @@
     proposer.tick(TIMING.renew_seconds)
     ballot, number = proposer.proposal, proposer.round
     later = (
-        TIMING.renew_seconds + TIMING.holder_seconds - 0.1
+        TIMING.renew_seconds + TIMING.owner_seconds - 0.1
     )  # the renewal would still count, the term is over
     for name in ("v1", "v2", "v3"):
         proposer.receive(later, name, Accepted(LEASE, ballot, number))
--- a/tests/fleet/members/test_recorded_messages.py
+++ b/tests/fleet/members/test_recorded_messages.py
@@ -36,7 +36,7 @@
     JoinRequest,
     LeaderStamp,
     MissedCheck,
-    SilenceReport,
+    UnresponsiveReport,
     ViewMember,
     ViewMessage,
 )
@@ -61,7 +61,7 @@
     "here": HealthCheckResponse(5, *PIGGYBACK, 12, LeaderStamp(34, 8, 12, 4), 0.75),
     "here-defaults": HealthCheckResponse(5),
     "miss": MissedCheck(12, "n3"),
-    "report": SilenceReport(12, (("n3", 2.5), ("n4", 6.0))),
+    "report": UnresponsiveReport(12, (("n3", 2.5), ("n4", 6.0))),
     "knock": JoinRequest(12, PLACED),
     "wait": JoinDeferred(12, 1.5, "it went out again and again (cost 2.0)"),
     "doubt": IndirectCheckRequest(12, 3, ("n3", "n4")),
--- a/tests/fleet/skew/test_minimum_format.py
+++ b/tests/fleet/skew/test_minimum_format.py
@@ -11,8 +11,8 @@
 )
 from wheatring.fleet.skew.capabilities import LEGACY_CAPABILITIES
 from wheatring.fleet.skew.errors import (
-    BelowMinimumError,
     MinimumInUseError,
+    MinimumNotMetError,
     MinimumUnknownError,
 )
 from wheatring.fleet.skew.minimum_format import (
@@ -26,7 +26,7 @@
 
 def test_the_floor_rises_only_where_all_read_it_and_falls_only_where_no_plan_needs_it() -> None:
     known = [("n1", ALL), ("n2", LEGACY_CAPABILITIES)]
-    with pytest.raises(BelowMinimumError, match=r"floor 2 is not read by 1 of 2: n2 \(1\)"):
+    with pytest.raises(MinimumNotMetError, match=r"floor 2 is not read by 1 of 2: n2 \(1\)"):
         change_minimum(2, 1, None, known)
     assert decode_minimum(change_minimum(3, 1, None, known[:1])) == 3
     settled = Requirements(format=2, written=2)
--- a/wheatring/balancer/admission.py
+++ b/wheatring/balancer/admission.py
@@ -86,7 +86,7 @@
     def _usable_endpoints(self, now: float) -> list[Endpoint]:
         """Return the endpoints that are not ejected; all where most are unhealthy, which is load then."""
         ready, ejector = self.pool.ready, self.ejector
-        if ejector.are_most_unhealthy():
+        if ejector.is_majority_unhealthy():
             return ready
         return [each for each in ready if not each.ejections or not ejector.is_ejected(now, each)]
 
--- a/wheatring/balancer/outlier_ejection.py
+++ b/wheatring/balancer/outlier_ejection.py
@@ -83,11 +83,11 @@
         than the fleet, it is this balancer's own network path that is bad.
         """
         until_turn = endpoint.ejected_until_turn
-        if now - self.throughput.served_at < 1 and self.are_most_unhealthy():
+        if now - self.throughput.served_at < 1 and self.is_majority_unhealthy():
             until_turn = min(until_turn, endpoint.ejected_at_turn + 1)
         return self.turns < until_turn and now < endpoint.ejected_until
 
-    def are_most_unhealthy(self) -> bool:
+    def is_majority_unhealthy(self) -> bool:
         """Whether more than half of the ready endpoints are unhealthy."""
         ready = self.pool.ready
         return 2 * len([each for each in ready if each.ejections]) > len(ready)
@@ -96,5 +96,5 @@
         """Whether an attempt may go to an endpoint now, as far as its health goes."""
         if not endpoint.ejections:
             return True
-        is_full = endpoint.in_flight >= endpoint.probation_limit and not self.are_most_unhealthy()
+        is_full = endpoint.in_flight >= endpoint.probation_limit and not self.is_majority_unhealthy()
         return not is_full and not self.is_ejected(now, endpoint)
--- a/wheatring/balancer/selection.py
+++ b/wheatring/balancer/selection.py
@@ -76,7 +76,7 @@
         for source in sources:
             yield self._draw(source)
         last = pool.ready if scope is None else scope
-        if self.ejector.are_most_unhealthy():
+        if self.ejector.is_majority_unhealthy():
             yield self._draw(last)
         else:  # draws would miss the few that are not ejected
             yield self.random.sample(last, len(last))
--- a/wheatring/balancer/settings_reader.py
+++ b/wheatring/balancer/settings_reader.py
@@ -102,7 +102,7 @@
         except (ValueError, KeyError, OverflowError) as bad:
             raise WireFormatError(f"setting {path}: cannot read {describe_value(self.values[path])}") from bad
 
-    def paths_below(self, path: str) -> list[str]:
+    def nested_paths(self, path: str) -> list[str]:
         """Return the paths of all that stands below one, for names that are not known beforehand."""
         return [inner for inner in self.values if inner.startswith(f"{path}.")]
 
@@ -157,14 +157,14 @@
     def get(self, path: str, read: Callable[[str], T], default: T) -> T:
         """Return the value at a path, or the default; WireFormatError if what it is in is no object."""
         if path not in self.values:
-            self.paths_below(path.rpartition(".")[0])
+            self.nested_paths(path.rpartition(".")[0])
         return super().get(path, read, default)
 
-    def paths_below(self, path: str) -> list[str]:
+    def nested_paths(self, path: str) -> list[str]:
         """Return the paths of all that stands below one; WireFormatError if it is no object."""
         if not isinstance(self.values.get(path, {}), dict):
             raise WireFormatError(f"setting {path}: not an object: {describe_value(self.values[path])}")
-        return super().paths_below(path)
+        return super().nested_paths(path)
 
     def count(self, path: str) -> int:
         """Return how many items the list at a path has; WireFormatError if it is no list."""
@@ -211,7 +211,7 @@
         contract=contract,
         goal=goal,
         prices={
-            path.removeprefix("prices."): given.require(path, float) for path in given.paths_below("prices")
+            path.removeprefix("prices."): given.require(path, float) for path in given.nested_paths("prices")
         },
     )
 
--- a/wheatring/balancer/simulator.py
+++ b/wheatring/balancer/simulator.py
@@ -73,17 +73,17 @@
         """Answer batches until the input ends. Raises WireFormatError on a line that can't be read."""
         for line_number, text in self.lines:
             self.line_number = line_number
-            words = text.rstrip("\r\n").split(" ")
-            if words[0] != "BATCH":
-                raise WireFormatError(f"BATCH expected, not {words[0]!r}")
-            _, clock, number = words
+            fields = text.rstrip("\r\n").split(" ")
+            if fields[0] != "BATCH":
+                raise WireFormatError(f"BATCH expected, not {fields[0]!r}")
+            _, clock, number = fields
             self._now = int(clock) / MICROSECONDS_PER_SECOND
             int(number)
             self.batch = f"batch {number}"
             self.out.write("\n".join([*self._reply_to_batch(), f"DONE {number}\n"]))
             self.out.flush()
 
-    def _next_words(self) -> list[str]:
+    def _next_fields(self) -> list[str]:
         for line_number, text in self.lines:
             self.line_number = line_number
             return text.rstrip("\r\n").split(" ")
@@ -93,36 +93,36 @@
         reply = Reply()
         self._instance = ""
         while True:
-            words = self._next_words()
-            keyword = words[0]
+            fields = self._next_fields()
+            keyword = fields[0]
             if keyword == "OVER_TO_YOU":
-                (_,) = words
+                (_,) = fields
                 return reply.lines
             if keyword == "DIRECTORY":
-                _, page, size = words
+                _, page, size = fields
                 self.endpoint_lists[int(page)] = self._read_endpoints(int(size))
             elif keyword == "SWITCH_TO":
-                _, self._instance = words
+                _, self._instance = fields
             elif not self._instance:
                 raise WireFormatError(f"{keyword} before any SWITCH_TO")
             elif keyword == "BEGIN":
-                settings = settings_from(SettingPairs(words[2:]))
-                self.balancers[self._instance] = Balancer(settings, int(words[1]))
+                settings = settings_from(SettingPairs(fields[2:]))
+                self.balancers[self._instance] = Balancer(settings, int(fields[1]))
             elif keyword == "STOP":
-                (_,) = words
+                (_,) = fields
                 self.balancers.pop(self._instance, None)
             else:
-                self._handle(words, reply)
+                self._handle(fields, reply)
 
     def _read_endpoints(self, size: int) -> tuple[EndpointEntry, ...]:
-        return tuple(parse_endpoint(self._next_words()) for _ in range(size))
+        return tuple(parse_endpoint(self._next_fields()) for _ in range(size))
 
-    def _handle(self, words: Sequence[str], reply: Reply) -> None:
+    def _handle(self, fields: Sequence[str], reply: Reply) -> None:
         """Pass an event on to the present instance, and add its actions to the reply."""
-        event = self._parse_event(words)
+        event = self._parse_event(fields)
         instance = self._instance
         if instance not in self.balancers:
-            raise WireFormatError(f"{words[0]} for {instance}, which has not begun")
+            raise WireFormatError(f"{fields[0]} for {instance}, which has not begun")
         try:
             actions = self.balancers[instance].handle(self._now, event)
         except Exception as error:  # whatever it is, the simulator wants it reported
@@ -130,17 +130,17 @@
         else:
             reply.add_actions(instance, actions)
 
-    def _parse_event(self, words: Sequence[str]) -> Event:
-        keyword = words[0]
+    def _parse_event(self, fields: Sequence[str]) -> Event:
+        keyword = fields[0]
         if keyword == "VIEW":
-            return self._parse_view(words)
+            return self._parse_view(fields)
         parse = EVENT_PARSERS.get(keyword)
         if parse is None:
             raise WireFormatError(f"unknown event {keyword!r}")
-        return parse(words)
+        return parse(fields)
 
-    def _parse_view(self, words: Sequence[str]) -> View:
-        _, version, scope, page = words
+    def _parse_view(self, fields: Sequence[str]) -> View:
+        _, version, scope, page = fields
         kind = VIEW_KINDS[scope]
         entries = () if kind is ViewKind.FAILED else self.endpoint_lists[int(page)]
         return View(kind, entries, int(version))
--- a/wheatring/balancer/simulator_messages.py
+++ b/wheatring/balancer/simulator_messages.py
@@ -1,4 +1,4 @@
-"""The simulator's lines: one event or one action each, in words with spaces between. `-` is nothing.
+"""The simulator's lines: one event or one action each, in fields with spaces between. `-` is nothing.
 
 Times on the wire are whole microseconds.
 """
@@ -85,9 +85,9 @@
     return report
 
 
-def parse_endpoint(words: Sequence[str]) -> EndpointEntry:
+def parse_endpoint(fields: Sequence[str]) -> EndpointEntry:
     """Return one line of an endpoint list."""
-    keyword, endpoint, zone, machine_type, cell, state, rating, started = words
+    keyword, endpoint, zone, machine_type, cell, state, rating, started = fields
     if keyword != "ITEM":
         raise WireFormatError(f"ITEM expected, not {keyword}")
     return EndpointEntry(
@@ -101,8 +101,8 @@
     )
 
 
-def _new_request(words: Sequence[str]) -> Event:
-    _, request, class_name, tenant, key, remaining, hint, flags_text = words
+def _new_request(fields: Sequence[str]) -> Event:
+    _, request, class_name, tenant, key, remaining, hint, flags_text = fields
     flags = 0 if flags_text == "-" else int(flags_text)
     return NewRequest(
         int(request),
@@ -116,8 +116,8 @@
     )
 
 
-def _attempt_ended(words: Sequence[str]) -> Event:
-    _, request, latency, attempt, is_over, outcome, endpoint, report = words
+def _attempt_ended(fields: Sequence[str]) -> Event:
+    _, request, latency, attempt, is_over, outcome, endpoint, report = fields
     return AttemptEnded(
         request=int(request),
         attempt=int(attempt),
@@ -129,28 +129,28 @@
     )
 
 
-def _committed(words: Sequence[str]) -> Event:
-    _, request, _, _, _ = words
+def _committed(fields: Sequence[str]) -> Event:
+    _, request, _, _, _ = fields
     return Committed(int(request))
 
 
-def _health_check_ended(words: Sequence[str]) -> Event:
-    _, endpoint, outcome, latency, report = words
+def _health_check_ended(fields: Sequence[str]) -> Event:
+    _, endpoint, outcome, latency, report = fields
     return HealthCheckEnded(endpoint, OUTCOMES[outcome], _seconds(latency), parse_load_report(report))
 
 
-def _request_abandoned(words: Sequence[str]) -> Event:
-    _, request = words
+def _request_abandoned(fields: Sequence[str]) -> Event:
+    _, request = fields
     return RequestAbandoned(int(request))
 
 
-def _timer_due(words: Sequence[str]) -> Event:
-    _, token = words
+def _timer_due(fields: Sequence[str]) -> Event:
+    _, token = fields
     return TimerDue(int(token))
 
 
-def _peer_message(words: Sequence[str]) -> Event:
-    _, sender, data = words
+def _peer_message(fields: Sequence[str]) -> Event:
+    _, sender, data = fields
     return PeerMessage(int(sender), b"" if data == "-" else bytes.fromhex(data))
 
 
--- a/wheatring/common/body.py
+++ b/wheatring/common/body.py
@@ -14,7 +14,7 @@
 
 from wheatring.common.exceptions import BodyNotReplayableError
 
-COALESCE_BELOW_BYTES = 16 * 1024  # smaller buffers are joined
+MAX_COALESCED_BYTES = 16 * 1024  # smaller buffers are joined
 WINDOW_LIMITS_BYTES = (16 * 1024, 64 * 1024)  # the smallest and the largest window
 WINDOWS_PER_MEMORY = 256  # a window is this part of the memory
 
@@ -104,10 +104,10 @@
         self.end_offset += len(data)
         self.memory.used_bytes += len(data)
         newest = self.buffers[-1] if self.next_index < len(self.buffers) else None
-        if isinstance(newest, bytearray) and len(newest) < COALESCE_BELOW_BYTES:
+        if isinstance(newest, bytearray) and len(newest) < MAX_COALESCED_BYTES:
             newest += data
         else:
-            self.buffers.append(bytearray(data) if len(data) < COALESCE_BELOW_BYTES else data)
+            self.buffers.append(bytearray(data) if len(data) < MAX_COALESCED_BYTES else data)
         self.release_taken()
 
     def mark_broken(self) -> None:
--- a/wheatring/daemon/admin/service.py
+++ b/wheatring/daemon/admin/service.py
@@ -248,7 +248,7 @@
         self.clock.at(self.clock.now() + POLL_INTERVAL_SECONDS, self.poll)
         if (orders := self.folder.changed_orders()) is not None:
             self.apply(orders)
-        if self.other_processes or not self.folder.is_alone():
+        if self.other_processes or not self.folder.is_only_process():
             self.share_connections()
         if not self.is_open and not self.server.is_stopping:
             is_overdue = self.clock.now() - self.started_at >= MAX_OPEN_DELAY_SECONDS
--- a/wheatring/daemon/config/project_file.py
+++ b/wheatring/daemon/config/project_file.py
@@ -46,7 +46,7 @@
 MAX_KEY_BYTES = 64
 NAME = re.compile(r"[a-z][a-z0-9-]{0,31}")
 NAME_RULE = "a name is lower-case letters, digits and hyphens, 32 at most"
-RESERVED_DUTY = "lead"  # that fleets with a view have themselves
+RESERVED_ROLE_NAME = "lead"  # that fleets with a view have themselves
 
 
 class FleetTable(Table, frozen=True, kw_only=True):
@@ -64,7 +64,7 @@
     view: bool = False  # whether all agree on a numbered set of members
 
 
-class DutyTable(Table, frozen=True, kw_only=True):
+class RoleTable(Table, frozen=True, kw_only=True):
     """`[duty.NAME]`: a singleton role, or one of `places` holders. `idle` and `every` are in seconds."""
 
     work: Literal["call", "list", "turns", "none"]
@@ -124,13 +124,13 @@
 
     list: ListTable = ListTable()
     fleet: FleetTable | None = None
-    duty: dict[str, DutyTable] = {}
+    duty: dict[str, RoleTable] = {}
     plan: PlanTable | None = None
     pool: dict[str, PoolTable] = {}
     route: dict[str, RouteTable] = {}
 
 
-NAMED_TABLES: dict[str, type[Table]] = {"duty": DutyTable, "pool": PoolTable, "route": RouteTable}
+NAMED_TABLES: dict[str, type[Table]] = {"duty": RoleTable, "pool": PoolTable, "route": RouteTable}
 
 
 class InvalidKey(NamedTuple):
@@ -222,9 +222,9 @@
     return None if fleet.seeds else InvalidKey("fleet.seeds", "must name one at least")
 
 
-def _check_duties(duties: dict[str, DutyTable]) -> InvalidKey | None:
+def _check_duties(duties: dict[str, RoleTable]) -> InvalidKey | None:
     for name, duty in duties.items():
-        if name == RESERVED_DUTY:
+        if name == RESERVED_ROLE_NAME:
             return InvalidKey(f"duty.{name}", "is the name of a duty that fleets with a view have themselves")
         if not NAME.fullmatch(name):
             return InvalidKey(f"duty.{name}", NAME_RULE)
--- a/wheatring/daemon/core/driver.py
+++ b/wheatring/daemon/core/driver.py
@@ -61,7 +61,7 @@
         self.queued_events: deque[i.Event] = deque()
         self.is_busy = False
         exchange.on_request = self.add_request
-        exchange.on_caller_left = self.report_caller_left
+        exchange.on_caller_left = self.report_caller_disconnected
         exchange.on_attempt_ended = self.report_attempt_ended
         exchange.on_committed = self.report_committed
 
@@ -72,13 +72,13 @@
         number = self.last_id = self.last_id + 1
         request.decision_id = number
         self.open_requests[number] = request
-        seconds_left = min(request.deadline - self.clock.now(), request.time_limit)
-        event = i.NewRequest(number, request.class_name, seconds_left)
+        remaining_seconds = min(request.deadline - self.clock.now(), request.time_limit)
+        event = i.NewRequest(number, request.class_name, remaining_seconds)
         if request.is_retry:
             event.is_client_retry = True
         self.feed(event)
 
-    def report_caller_left(self, request: Request) -> None:
+    def report_caller_disconnected(self, request: Request) -> None:
         """Tell the balancer, if it knows of the request, that no answer is due any more."""
         if request.decision_id:
             self.feed(i.RequestAbandoned(request.decision_id))
--- a/wheatring/daemon/http1/caller_lifecycle.py
+++ b/wheatring/daemon/http1/caller_lifecycle.py
@@ -61,7 +61,7 @@
 HEAD_SECONDS = 2.6
 # A body is to bring another byte in so long, and so many bytes a second from then on: half of what the
 # slowest callers send.
-BODY_SILENCE_SECONDS = 2.0
+BODY_IDLE_TIMEOUT_SECONDS = 2.0
 MIN_BODY_BYTES_PER_SECOND = 32 * 1024
 UNREAD_ANSWER_SECONDS = (
     180.0  # in which a caller is to read a buffer of a large answer: 1 kB/s is fast enough
@@ -289,7 +289,7 @@
         """Return whether what is awaited of a request takes too long."""
         if self.parser.message is None:
             return now > self.state_since + HEAD_SECONDS
-        if now > self.last_progress_at + BODY_SILENCE_SECONDS:
+        if now > self.last_progress_at + BODY_IDLE_TIMEOUT_SECONDS:
             return True
         spent = now - self.state_since - HEAD_SECONDS
         return spent > self.parser.body_bytes / MIN_BODY_BYTES_PER_SECOND
--- a/wheatring/daemon/http1/endpoint_connection.py
+++ b/wheatring/daemon/http1/endpoint_connection.py
@@ -144,8 +144,8 @@
     @property
     def is_unsent(self) -> bool:
         """Whether no byte of the present request has left."""
-        has_begun = self.request_sender is not None and self.request_sender.has_begun
-        return self.attempt is not None and not has_begun
+        has_started = self.request_sender is not None and self.request_sender.has_started
+        return self.attempt is not None and not has_started
 
     def cancel_attempt(self) -> None:
         """Stop working on the attempt: to an endpoint, cancelling is closing."""
--- a/wheatring/daemon/http1/request_sender.py
+++ b/wheatring/daemon/http1/request_sender.py
@@ -43,9 +43,9 @@
         self.unwritten = b""
         self.body_sender: BodySender | None = None
 
-    def start(self, request: ForwardedRequest, time_left_ms: int) -> None:
+    def start(self, request: ForwardedRequest, remaining_ms: int) -> None:
         """Write the request, with the time that is left for it in its head."""
-        head = b"%sX-Time-Left-Ms: %d\r\n\r\n" % (request.head, time_left_ms)
+        head = b"%sX-Time-Left-Ms: %d\r\n\r\n" % (request.head, remaining_ms)
         if request.stream is None:
             self.unwritten = head + request.body
             self.transport.registerProducer(self, False)
@@ -61,7 +61,7 @@
         )
 
     @property
-    def has_begun(self) -> bool:
+    def has_started(self) -> bool:
         """Whether a byte of the request may have left."""
         has_sent = self.body_sender is not None and self.body_sender.has_sent
         return self.is_flushed or bool(self.transport.dataBuffer) or has_sent
--- a/wheatring/daemon/http1/server.py
+++ b/wheatring/daemon/http1/server.py
@@ -234,14 +234,14 @@
             listener.stopListening()
             self.listener = None
 
-    def close_unanswered(self, is_patient: bool = False, is_late: bool = False) -> None:
+    def close_unanswered(self, is_patient: bool = False, is_final: bool = False) -> None:
         """Close the connections without a request under way, as no caller can connect any more.
 
         Also those of callers that take too long to send a request, unless `is_patient` with large ones, or to
-        read its answer: shorter, if `is_late`.
+        read its answer: shorter, if `is_final`.
         """
         now = self.clock.now()
-        flush_seconds = BRIEF_FLUSH_SECONDS if is_late else FLUSH_SECONDS
+        flush_seconds = BRIEF_FLUSH_SECONDS if is_final else FLUSH_SECONDS
         for connection in list(self.connections):
             match connection.state:
                 case CallerState.CLOSING | CallerState.SHUT:
--- a/wheatring/daemon/lifecycle/handover.py
+++ b/wheatring/daemon/lifecycle/handover.py
@@ -107,7 +107,7 @@
             self._warn(bad)
             return limit(True, []), []
 
-    def is_alone(self) -> bool:
+    def is_only_process(self) -> bool:
         """Whether no other process seems to be here, so that there is nothing to agree on."""
         try:
             return not any(path != self.own_file for path in self._files())
--- a/wheatring/daemon/ops/capture/record.py
+++ b/wheatring/daemon/ops/capture/record.py
@@ -30,7 +30,7 @@
 REPORT_FIELDS = ("in_flight", "queue", "utilization", "latency", "rate", "error_rate")
 
 
-def quote_word(text: str) -> str:
+def quote_token(text: str) -> str:
     """Return a text as one word of a line: quoted as in URLs; an empty one is `-`."""
     return "%2D" if text == "-" else quote(text, safe="", errors="surrogatepass") or "-"
 
@@ -41,10 +41,10 @@
 
 def _entry(entry: i.EndpointEntry) -> str:
     words = (
-        quote_word(entry.endpoint),
+        quote_token(entry.endpoint),
         entry.state.value,
-        quote_word(entry.zone),
-        quote_word(entry.machine_type),
+        quote_token(entry.zone),
+        quote_token(entry.machine_type),
     )
     owed = ("owed",) if entry.is_reinstated else ()
     return ",".join((*words, f"{entry.cell}", _number(entry.rating), _number(entry.started_at), *owed))
@@ -106,8 +106,8 @@
                 candidates, chosen = "", "-"
                 if isinstance(action, i.Send):
                     candidates = "".join(map(self.candidate, action.candidates))
-                    chosen = quote_word(action.endpoint)
-                about = f"{ms} {quote_word(asked.ident)} {quote_word(asked.class_name)} {left}"
+                    chosen = quote_token(action.endpoint)
+                about = f"{ms} {quote_token(asked.ident)} {quote_token(asked.class_name)} {left}"
                 self.write(f"d {about}{candidates} {chosen} {self.action(action)}")
             if of not in self.balancer.requests:
                 self.requests.pop(of, None)
@@ -118,16 +118,16 @@
     def candidate(self, drawn: i.Candidate) -> str:
         """Return a candidate as a line tells it."""
         report = _number(drawn.reported)
-        return f" {quote_word(drawn.endpoint)}:{drawn.in_flight}/{self.idle(drawn.endpoint)}/{report}"
+        return f" {quote_token(drawn.endpoint)}:{drawn.in_flight}/{self.idle(drawn.endpoint)}/{report}"
 
     def event(self, when: str, event: i.Event) -> str:
         """Return the line of an event."""
         match event:
             case i.NewRequest(number, name, left):
-                about = f"{number} {quote_word(self.ident(number))} {quote_word(name)}"
+                about = f"{number} {quote_token(self.ident(number))} {quote_token(name)}"
                 return f"r {when} {about} {left!r} {event.is_client_retry:d}"
             case i.AttemptEnded(number, attempt, outcome, node, latency, closed, report):
-                about = f"{number} {attempt} {outcome.value} {quote_word(node)} {latency!r} {closed:d}"
+                about = f"{number} {attempt} {outcome.value} {quote_token(node)} {latency!r} {closed:d}"
                 return f"o {when} {about} {_report(report)}"
             case i.RequestAbandoned(number):
                 return f"g {when} {number}"
@@ -152,7 +152,7 @@
                 return f"timer {token} {delay!r}"
             case i.Subscribe(on):
                 return f"Subscribe {on}"
-        return " ".join(quote_word(str(part)) for part in (type(action).__name__, *_values(action)))
+        return " ".join(quote_token(str(part)) for part in (type(action).__name__, *_values(action)))
 
 
 def _values(action: i.Action) -> list[object]:
@@ -161,4 +161,4 @@
 
 def header(name: str, seed: int, offset: float, settings: Mapping[str, Any]) -> tuple[str, str]:
     """Return the two lines that begin the record of a start."""
-    return f"h {quote_word(name)} seed={seed:016x}", f"s {offset!r} {json.dumps(settings)}"
+    return f"h {quote_token(name)} seed={seed:016x}", f"s {offset!r} {json.dumps(settings)}"
--- a/wheatring/daemon/ops/capture/replay.py
+++ b/wheatring/daemon/ops/capture/replay.py
@@ -19,7 +19,7 @@
 _IDLE = re.compile(r"(:[0-9]+)/[^/ ]*/")  # what the pool held, of which the module knows nothing
 
 
-def _word(text: str) -> str:
+def _token(text: str) -> str:
     return "" if text == "-" else unquote(text, errors="surrogatepass")
 
 
@@ -30,7 +30,7 @@
 def _entry(text: str) -> i.EndpointEntry:
     name, state, zone, kind, cell, rating, started, *owed = text.split(",")
     return i.EndpointEntry(
-        _word(name), i.EndpointState(state), _word(zone), _word(kind), int(cell), float(rating),
+        _token(name), i.EndpointState(state), _token(zone), _token(kind), int(cell), float(rating),
         float(started), owed == ["owed"],
     )  # fmt: skip
 
@@ -42,10 +42,10 @@
 def _event(kind: str, parts: list[str]) -> i.Event:
     match kind, parts:
         case "r", [number, _, name, left, repeat]:
-            return i.NewRequest(int(number), _word(name), float(left), is_client_retry=repeat == "1")
+            return i.NewRequest(int(number), _token(name), float(left), is_client_retry=repeat == "1")
         case "o", [number, attempt, outcome, node, latency, closed, report]:
             return i.AttemptEnded(
-                int(number), int(attempt), i.Outcome(outcome), _word(node), float(latency), closed == "1",
+                int(number), int(attempt), i.Outcome(outcome), _token(node), float(latency), closed == "1",
                 _report(report),
             )  # fmt: skip
         case "g", [number]:
@@ -145,7 +145,7 @@
         assert self.recorder is not None
         now, event = float(parts[1]), _event(kind, parts[2:])
         if isinstance(event, i.NewRequest):
-            self.idents[event.request] = _word(parts[3])
+            self.idents[event.request] = _token(parts[3])
         with suppress(Exception):  # a line of the record says that it broke
             self.recorder.handle(now, event)
         self.due.popleft()  # the event itself
--- a/wheatring/daemon/ops/tokens.py
+++ b/wheatring/daemon/ops/tokens.py
@@ -22,7 +22,7 @@
 _CODED = re.compile(rb"[A-Za-z0-9_-]+")
 _FIELDS = ("kid", "holder", "rights", "exp")
 _EXP = re.compile(r"[0-9]{1,12}")
-_HOLDER = re.compile(r"[!-:<-~]+")  # all that can be seen in ASCII, but for the semicolon
+_PRINTABLE = re.compile(r"[!-:<-~]+")  # all that can be seen in ASCII, but for the semicolon
 _RIGHT = re.compile(r"[!-+.-:<-~-]+")  # nor, in a right, the comma
 
 
@@ -80,7 +80,7 @@
     """Return a token for these rights, good until `exp` in Unix time. Raises TokenNotIssuedError."""
     if not settings.issue:
         raise TokenNotIssuedError("tokens.issue.kid: not set")
-    if not _HOLDER.fullmatch(holder):
+    if not _PRINTABLE.fullmatch(holder):
         raise TokenNotIssuedError("--holder: only printable ASCII without spaces and semicolons")
     if not all(map(_RIGHT.fullmatch, rights.split(","))):
         raise TokenNotIssuedError("--rights: classes with commas between, without spaces and semicolons")
--- a/wheatring/daemon/pools/request_router.py
+++ b/wheatring/daemon/pools/request_router.py
@@ -35,7 +35,7 @@
         self.table = RoutingTable(())
         self.rejections: dict[str, tuple[float, int]] = {}  # by reason: when to log next, how many since
         front.on_request = lambda request: pool_of(request).driver.add_request(request)
-        front.on_caller_left = lambda request: pool_of(request).driver.report_caller_left(request)
+        front.on_caller_left = lambda request: pool_of(request).driver.report_caller_disconnected(request)
         front.on_committed = lambda request: pool_of(request).driver.report_committed(request)
         front.on_attempt_ended = self.on_attempt_ended
 
--- a/wheatring/daemon/routes/adaptive_limit.py
+++ b/wheatring/daemon/routes/adaptive_limit.py
@@ -16,8 +16,8 @@
 
 from wheatring.daemon.routes.limit_settings import AdaptiveLimitSettings
 
-NEAR_BASE_RATIO = 1.2  # a latency within this factor of the base is the base
-NEAR_BASE_STEPS = 3.0  # steps upwards while a latency is that near
+BASELINE_TOLERANCE_RATIO = 1.2  # a latency within this factor of the base is the base
+BASELINE_TOLERANCE_STEPS = 3.0  # steps upwards while a latency is that near
 UNEXPLAINED_RATIO = 4.0  # times the base: a queue has grown below the limit, which is far too high
 QUEUE_RATIO = 0.8  # there was a queue if half the limit brings the latency below this part
 MIN_WINDOW_FACTOR = 0.5  # no window reduces the limit by more
@@ -143,7 +143,9 @@
         factor = settings.tolerance * self.base_latency / mean_latency
         if factor < 1.0:
             size *= max(factor, MIN_WINDOW_FACTOR)
-        steps = NEAR_BASE_STEPS if mean_latency <= NEAR_BASE_RATIO * self.base_latency else 1.0
+        steps = (
+            BASELINE_TOLERANCE_STEPS if mean_latency <= BASELINE_TOLERANCE_RATIO * self.base_latency else 1.0
+        )
         self._set_size(size + max(1.0, steps * settings.step * size))
         self._highest_size = max(self._highest_size, self.size)
         has_fallen = self.size < PROBE_FALL_RATIO * self._highest_size
@@ -197,8 +199,8 @@
         base = self.base_latency
         is_known = (
             self._is_base_probed
-            and base <= NEAR_BASE_RATIO * mean_latency
-            and mean_latency <= NEAR_BASE_RATIO * base
+            and base <= BASELINE_TOLERANCE_RATIO * mean_latency
+            and mean_latency <= BASELINE_TOLERANCE_RATIO * base
         )
         is_unexplained = not self._is_base_probed and mean_latency > UNEXPLAINED_RATIO * base
         has_queue = mean_latency < QUEUE_RATIO * self._latency_before_halving or is_unexplained
--- a/wheatring/daemon/shutdown.py
+++ b/wheatring/daemon/shutdown.py
@@ -52,8 +52,8 @@
         if keep := leaving.max_idle(now):
             server.close_idle(keep, leaving.min_idle_seconds)
         else:
-            is_late = now >= leaving.deadline
-            server.close_unanswered(is_patient=leaving.has_successor and not is_late, is_late=is_late)
+            is_final = now >= leaving.deadline
+            server.close_unanswered(is_patient=leaving.has_successor and not is_final, is_final=is_final)
 
     def _cut_short(self, now: float) -> None:
         """Give up the requests that are still open."""
--- a/wheatring/fleet/lease/acceptor.py
+++ b/wheatring/fleet/lease/acceptor.py
@@ -35,7 +35,7 @@
 
     proposal: ProposalNumber
     epoch: int
-    seconds_left: float
+    remaining_seconds: float
 
 
 class _LeaseState:
@@ -127,7 +127,7 @@
             self.voters_in_force = message.voters_digest
         return Accepted(*_header(message))
 
-    def holder_of(self, now: float, lease: str) -> Grant | None:
+    def owner_of(self, now: float, lease: str) -> Grant | None:
         """Return the grant by which a lease is held; None: nobody holds it by this acceptor."""
         state = self.leases[lease]
         if now >= state.held_until:
--- a/wheatring/fleet/lease/membership_views.py
+++ b/wheatring/fleet/lease/membership_views.py
@@ -35,7 +35,7 @@
     JoinRequest,
     LeaderStamp,
     MissedCheck,
-    SilenceReport,
+    UnresponsiveReport,
     ViewMessage,
 )
 
@@ -118,7 +118,7 @@
                 return self.monitor.handle_health_response(at, sender, address, message)
             case MissedCheck():
                 self.monitor.edge_monitor.check_early(now, message.name)
-            case SilenceReport():
+            case UnresponsiveReport():
                 return self.leader.handle_report(at, sender, message)
             case JoinRequest():
                 return self.leader.handle_join_request(now, sender, address, message)
@@ -145,4 +145,4 @@
 
     def leave(self, at: Instant) -> list[Outgoing]:  # noqa: ARG002 - each event bears its instant
         """Ask to be removed at once."""
-        return self.sender.to_all_voters(SilenceReport(self.view.number, ((self.fleet.me.name, 0.0),)))
+        return self.sender.to_all_voters(UnresponsiveReport(self.view.number, ((self.fleet.me.name, 0.0),)))
--- a/wheatring/fleet/lease/proposer.py
+++ b/wheatring/fleet/lease/proposer.py
@@ -62,7 +62,7 @@
         self.granted_by: dict[str, int] = {}  # acceptors that have promised, or granted, in this round
         self.rejected_by: dict[str, float] = {}  # those that have rejected, and for how many seconds
 
-    def is_holder(self, now: float) -> bool:
+    def owns_lease(self, now: float) -> bool:
         """Return whether it holds the lease."""
         return now < self.held_until
 
@@ -72,7 +72,7 @@
         To be asked right before every act, each time with a clock read after all that the act needs was at
         hand: a stall between the two would let it act after the lease's end.
         """
-        return self.epoch if self.is_holder(now) else None
+        return self.epoch if self.owns_lease(now) else None
 
     # Events
 
@@ -98,7 +98,7 @@
 
     def note_released(self, now: float, is_next: bool) -> None:
         """Take note that the lease is free by what somebody says; `is_next`: this proposer is to have it."""
-        if self.rank is None or self.is_holder(now) or self.is_preparing or self.is_proposing:
+        if self.rank is None or self.owns_lease(now) or self.is_preparing or self.is_proposing:
             return
         delay = 0.0
         if not is_next:
@@ -118,15 +118,15 @@
             # is something to renew: each new one would have the acceptors keep the lease for its full length
             # again, though this process may be heard and hear nothing itself.
             is_in_time = now < self.round_started + self.timing.round_timeout_seconds
-            if is_in_time or (self.is_renewing and self.is_holder(now)):
+            if is_in_time or (self.is_renewing and self.owns_lease(now)):
                 return self._send_requests(now)
             self.is_preparing = self.is_proposing = False
-            if not self.is_holder(now):
+            if not self.owns_lease(now):
                 # Whom nobody answers is cut off, and may still be heard: others are to have their attempt.
                 is_answered = self.granted_by or self.rejected_by
                 self._schedule_retry(now, 0.0 if is_answered else self.timing.lease_seconds / 2)
                 return []
-        if self.is_holder(now) and self.highest_promised <= self.proposal.number:
+        if self.owns_lease(now) and self.highest_promised <= self.proposal.number:
             return self._propose(now, now)
         return self._prepare(now)
 
@@ -155,7 +155,7 @@
         if not is_this_round or voter not in self.voters.names:
             return False
         is_open = self.is_preparing or self.is_proposing
-        return is_open and now < self.round_started + self.timing.holder_seconds
+        return is_open and now < self.round_started + self.timing.owner_seconds
 
     # Rounds
 
@@ -174,7 +174,7 @@
     def _start_round(self, now: float, started: float) -> None:
         self.round += 1
         self.round_started = started
-        self.is_renewing = self.is_holder(now)
+        self.is_renewing = self.owns_lease(now)
         self.granted_by, self.rejected_by = {}, {}
 
     def _send_requests(self, now: float) -> list[AddressedRequest]:
@@ -188,7 +188,7 @@
         return [(voter, message) for voter in self.voters.names if voter not in answered]
 
     def _handle_majority(self, now: float) -> list[AddressedRequest]:
-        if self.is_renewing and not self.is_holder(now):
+        if self.is_renewing and not self.owns_lease(now):
             # Too late: its lease has ended meanwhile, so what comes is another lease, with another epoch.
             self.is_preparing = self.is_proposing = False
             self.due = now
@@ -202,7 +202,7 @@
 
     def _handle_elected(self, now: float) -> None:
         self.is_proposing = False
-        self.held_until = self.round_started + self.timing.holder_seconds
+        self.held_until = self.round_started + self.timing.owner_seconds
         self.note_epoch(self.epoch)
         self.due = max(now, self.round_started + self.timing.renew_seconds)
 
--- a/wheatring/fleet/lease/role_manager.py
+++ b/wheatring/fleet/lease/role_manager.py
@@ -9,7 +9,7 @@
 from wheatring.fleet.lease.component import Instant, Outgoing
 from wheatring.fleet.lease.electorate import Electorate
 from wheatring.fleet.lease.messages import AcceptorResponse, LeaseReleased
-from wheatring.fleet.lease.singleton_role import KnownHolder, RoleChange, RoleSettings, SingletonRole
+from wheatring.fleet.lease.singleton_role import KnownOwner, RoleChange, RoleSettings, SingletonRole
 from wheatring.fleet.lease.timing import LeaseTiming
 from wheatring.fleet.lease.voters import VoterSet
 from wheatring.fleet.members.membership import Membership
@@ -151,14 +151,14 @@
             alive = [member for member in alive if not voters.isdisjoint(self.electorate.voter_names(member))]
         if not self.settings[name].prefers_zone:
             return alive
-        holder = self.last_known_holder(name).name
+        holder = self.last_known_owner(name).name
         zone = next((member.zone for member in alive if member.name == holder), "")
         return sorted(alive, key=lambda member: (member.zone != zone, member.number, member.name))
 
-    def last_known_holder(self, name: str, slot: int = 0) -> KnownHolder:
+    def last_known_owner(self, name: str, slot: int = 0) -> KnownOwner:
         """Return who holds or last held a slot, as far as was heard, and in which epoch."""
         fact = self.members.gossip.facts.facts.get(f"{name}/{slot}")
-        return KnownHolder(fact.value, fact.version) if fact is not None else KnownHolder("", 0)
+        return KnownOwner(fact.value, fact.version) if fact is not None else KnownOwner("", 0)
 
     def report_changes(self, at: Instant) -> None:
         """Report what it has come to hold, or holds no more."""
--- a/wheatring/fleet/lease/singleton_role.py
+++ b/wheatring/fleet/lease/singleton_role.py
@@ -36,7 +36,7 @@
     reason: str = ""
 
 
-class KnownHolder(NamedTuple):
+class KnownOwner(NamedTuple):
     """Who holds or last held a slot of a role, as far as was heard; "" and 0: nobody."""
 
     name: str
@@ -145,36 +145,36 @@
         """Do what is due, and step down where nothing was done for too long."""
         out: list[AddressedRequest] = []
         is_idle = now >= self.last_active + self.idle_seconds
-        if self.held_lease is not None and is_idle and self.held_lease.is_holder(now):
+        if self.held_lease is not None and is_idle and self.held_lease.owns_lease(now):
             return self.step_down(now, IDLE_EXCLUSION_LEASES * self.timing.lease_seconds)
         for proposer in self.proposers:
             out += proposer.tick(now)
-        return out + self._update_held_lease(now)
+        return out + self._update_owned_lease(now)
 
     def receive(self, now: float, voter: str, message: AcceptorResponse) -> list[AddressedRequest]:
         """Handle an acceptor's answer."""
         out: list[AddressedRequest] = []
         for proposer in self._proposers_for(message.lease):
-            out += proposer.receive(now, voter, message) + self._update_held_lease(now)
+            out += proposer.receive(now, voter, message) + self._update_owned_lease(now)
         return out
 
     def _proposers_for(self, lease: str) -> list[Proposer]:
         """Return the proposer of a lease, if it is one of this role's."""
         return [proposer for proposer in self.proposers if proposer.lease == lease]
 
-    def _update_held_lease(self, now: float) -> list[AddressedRequest]:
+    def _update_owned_lease(self, now: float) -> list[AddressedRequest]:
         """Note which lease is held: one is enough.
 
         A holder stops bidding for the other slots, and bids for all again when it has lost its lease.
         """
         out: list[AddressedRequest] = []
-        if self.held_lease is not None and not self.held_lease.is_holder(now):
+        if self.held_lease is not None and not self.held_lease.owns_lease(now):
             self.held_lease = None
             for slot, proposer in enumerate(self.proposers):
                 out += proposer.set_rank(now, self._rank_for_slot(slot))
         if self.held_lease is not None:
             return out
-        held = [proposer for proposer in self.proposers if proposer.is_holder(now)]
+        held = [proposer for proposer in self.proposers if proposer.owns_lease(now)]
         if held:
             self.held_lease = held[0]
             self.last_active = now
--- a/wheatring/fleet/lease/timing.py
+++ b/wheatring/fleet/lease/timing.py
@@ -18,7 +18,7 @@
     max_clock_drift: float = 0.01  # as a part of 1
 
     @property
-    def holder_seconds(self) -> float:
+    def owner_seconds(self) -> float:
         """How long a holder relies on its lease, from before it sent the round's first request."""
         return self.lease_seconds * (1 - self.max_clock_drift) / (1 + self.max_clock_drift)
 
@@ -27,7 +27,7 @@
         """How long an acceptor that has started grants nothing.
 
         Whatever it has forgotten is over by then: a round, from the first request to the lease's end, lasts
-        `holder_seconds` on the proposer's clock at most.
+        `owner_seconds` on the proposer's clock at most.
         """
         return self.lease_seconds
 
@@ -37,7 +37,7 @@
 
         A holder that is heard and hears nothing keeps the others waiting for this long and one lease.
         """
-        return self.holder_seconds / 4
+        return self.owner_seconds / 4
 
     @property
     def retransmit_seconds(self) -> float:
--- a/wheatring/fleet/lease/view_leader.py
+++ b/wheatring/fleet/lease/view_leader.py
@@ -22,7 +22,7 @@
     IndirectCheckRequest,
     JoinDeferred,
     JoinRequest,
-    SilenceReport,
+    UnresponsiveReport,
     ViewMember,
 )
 
@@ -73,7 +73,7 @@
 
     # Events
 
-    def handle_report(self, at: Instant, sender: str, message: SilenceReport) -> list[Outgoing]:
+    def handle_report(self, at: Instant, sender: str, message: UnresponsiveReport) -> list[Outgoing]:
         """Take note of a member's report, and decide at once if it says that the member leaves."""
         if sender not in self.installer.view.names:
             return []
--- a/wheatring/fleet/lease/view_monitor.py
+++ b/wheatring/fleet/lease/view_monitor.py
@@ -17,7 +17,7 @@
     IndirectCheckRequest,
     IndirectCheckResult,
     MissedCheck,
-    SilenceReport,
+    UnresponsiveReport,
 )
 
 MAX_NAMES_PER_MESSAGE = 60
@@ -80,7 +80,7 @@
             out += self._check_indirectly(name)
         silent = self.edge_monitor.due_report(at.now)
         if silent is not None:
-            report = SilenceReport(self.installer.view.number, silent[:MAX_NAMES_PER_MESSAGE])
+            report = UnresponsiveReport(self.installer.view.number, silent[:MAX_NAMES_PER_MESSAGE])
             out += self.sender.to_all_voters(report)
         return out
 
--- a/wheatring/fleet/members/cut_detector.py
+++ b/wheatring/fleet/members/cut_detector.py
@@ -122,28 +122,28 @@
 
     # Watermarks
 
-    def _is_reported(self, now: float, name: str, observer: str, min_silence: float) -> bool:
+    def _is_reported(self, now: float, name: str, observer: str, min_unanswered: float) -> bool:
         """Return whether an observer's report counts against a member."""
         report = self.reports.get(observer)
         if report is None or now - report.received > REPORT_VALID_SECONDS:
             return False
         silence = report.silent.get(name)
-        return silence is not None and silence + now - report.received >= min_silence
+        return silence is not None and silence + now - report.received >= min_unanswered
 
     def _is_leaving(self, now: float, name: str) -> bool:
         """Return whether a member has reported itself, as one that leaves does."""
         return self._is_reported(now, name, name, 0.0)
 
     def suspected_members(
-        self, now: float, view: View, rings: Rings, min_silence: float = DOWN_AFTER_SECONDS
+        self, now: float, view: View, rings: Rings, min_unanswered: float = DOWN_AFTER_SECONDS
     ) -> SuspectedMembers:
-        """Return who is down, and who is unsure, by silences of `min_silence` seconds."""
+        """Return who is down, and who is unsure, by silences of `min_unanswered` seconds."""
         named = {name for report in self.reports.values() for name in report.silent} & view.names
         reported_by = {
             name: [
                 observer
                 for observer in rings.observers(name)
-                if self._is_reported(now, name, observer, min_silence)
+                if self._is_reported(now, name, observer, min_unanswered)
             ]
             for name in sorted(named)
         }
@@ -252,14 +252,14 @@
                 deferred.append(Deferral(placed, wait, self.rejoin_penalties.penalty(now, name)))
             else:
                 admitted.append(placed)
-        if not admitted or self._is_admission_held(now, view, rings):
+        if not admitted or self._is_admission_paused(now, view, rings):
             return Admissions([], deferred)
         self.first_join_request = self.last_join_request = -inf
         for placed in admitted:
             del self.join_requests[placed.member.name]
         return Admissions(admitted, deferred)
 
-    def _is_admission_held(self, now: float, view: View, rings: Rings) -> bool:
+    def _is_admission_paused(self, now: float, view: View, rings: Rings) -> bool:
         """Return whether more join requests, or a removal, are awaited first."""
         is_quiet = now >= self.last_join_request + JOIN_QUIET_SECONDS
         if not is_quiet and now < self.first_join_request + JOIN_GATHER_SECONDS:
--- a/wheatring/fleet/members/indirect_checks.py
+++ b/wheatring/fleet/members/indirect_checks.py
@@ -17,7 +17,7 @@
     leader: Address
     sequence: int
     names: tuple[str, ...]
-    attempts_left: int
+    remaining_attempts: int
     due: float
 
 
@@ -46,14 +46,14 @@
 
     def due_checks(self, now: float) -> list[str]:
         """Return the names of the members to check now."""
-        self.active = [check for check in self.active if check.attempts_left > 0 or now < check.due]
+        self.active = [check for check in self.active if check.remaining_attempts > 0 or now < check.due]
         names: list[str] = []
         for index, check in enumerate(self.active):
             if now >= check.due:
                 names += check.names
-                left = check.attempts_left - 1
+                left = check.remaining_attempts - 1
                 due = now + (ATTEMPT_INTERVAL_SECONDS if left else ANSWER_WAIT_SECONDS)
-                self.active[index] = check._replace(attempts_left=left, due=due)
+                self.active[index] = check._replace(remaining_attempts=left, due=due)
         return names
 
     def note_reached(self, name: str) -> list[CheckRequester]:
--- a/wheatring/fleet/members/view_messages.py
+++ b/wheatring/fleet/members/view_messages.py
@@ -61,7 +61,7 @@
     name: str
 
 
-class SilenceReport(ViewMessageBase, frozen=True, tag="report"):
+class UnresponsiveReport(ViewMessageBase, frozen=True, tag="report"):
     """Observer to the voters: its subjects that do not answer, and for how many seconds.
 
     With the sender's own name it says that the sender leaves.
@@ -101,7 +101,7 @@
     HealthCheck
     | HealthCheckResponse
     | MissedCheck
-    | SilenceReport
+    | UnresponsiveReport
     | JoinRequest
     | JoinDeferred
     | IndirectCheckRequest
--- a/wheatring/fleet/peers/assembly.py
+++ b/wheatring/fleet/peers/assembly.py
@@ -110,7 +110,7 @@
 
 
 def role_worker(
-    reactor: Any, clock: Clock, runtime: FleetRuntime, name: str, table: project_file.DutyTable
+    reactor: Any, clock: Clock, runtime: FleetRuntime, name: str, table: project_file.RoleTable
 ) -> RoleWorker:
     """Build the worker of a role other than `list`."""
     if table.call is None:
--- a/wheatring/fleet/peers/list_sharing.py
+++ b/wheatring/fleet/peers/list_sharing.py
@@ -37,7 +37,7 @@
         """Watch it no more, and keep what is known."""
 
 
-class ListRoleHolder(Protocol):
+class ListRoleWorker(Protocol):
     """The fleet, as the holder of the role asks and uses it."""
 
     def active_epoch(self, role: str) -> int | None:
@@ -59,7 +59,7 @@
     def __init__(
         self,
         clock: Clock,
-        fleet: ListRoleHolder,
+        fleet: ListRoleWorker,
         role: str,
         copies: int,
         number: int,
--- a/wheatring/fleet/skew/checker.py
+++ b/wheatring/fleet/skew/checker.py
@@ -204,7 +204,7 @@
         ------
         MinimumNotLeadingError
             This sidecar does not lead, or an entry is being committed.
-        MinimumUnknownError, MinimumInUseError, BelowMinimumError
+        MinimumUnknownError, MinimumInUseError, MinimumNotMetError
             The format is refused.
         CapabilitiesUnknownError
             Members are still being asked for their capabilities.
--- a/wheatring/fleet/skew/coordinator.py
+++ b/wheatring/fleet/skew/coordinator.py
@@ -51,7 +51,7 @@
 MAX_BYTES_PER_SECOND = 50e6  # of bodies that leave the leader
 FACTS_TIMEOUT_SECONDS = 2.0  # for the digests of facts, before the sentences decide
 MAX_BISECTIONS = 8  # groups of differing answers that are looked into
-REPORTED_SILENCE_SECONDS = 2.0  # of silence that the verdict reports while the stage still goes on
+REPORT_UNANSWERED_AFTER_SECONDS = 2.0  # of silence that the verdict reports while the stage still goes on
 
 
 class _MemberState:
@@ -315,7 +315,7 @@
             late = [
                 key
                 for key, member in self.members.items()
-                if self._is_pending(member) and now >= member.asked_at + REPORTED_SILENCE_SECONDS
+                if self._is_pending(member) and now >= member.asked_at + REPORT_UNANSWERED_AFTER_SECONDS
             ]
             failures = [reason for member in self.members.values() for reason in member.reasons]
             reasons = (*failures, *(self._silent(now, key) for key in late))
--- a/wheatring/fleet/skew/errors.py
+++ b/wheatring/fleet/skew/errors.py
@@ -78,7 +78,7 @@
     do = "Push again; the leader no longer holds the bytes that it was to judge."
 
 
-class BelowMinimumError(OperatorError):
+class MinimumNotMetError(OperatorError):
     """A process or a member doesn't read the fleet's minimum format."""
 
     code = "below-floor"
--- a/wheatring/fleet/skew/minimum_format.py
+++ b/wheatring/fleet/skew/minimum_format.py
@@ -19,9 +19,9 @@
 from wheatring.fleet.plan.document import NEWEST_FORMAT, OLDEST_FORMAT
 from wheatring.fleet.skew.capabilities import Capabilities, describe_formats
 from wheatring.fleet.skew.errors import (
-    BelowMinimumError,
     CapabilitiesUnknownError,
     MinimumInUseError,
+    MinimumNotMetError,
     MinimumUnknownError,
 )
 from wheatring.fleet.skew.requirements import Requirements, refusal, unmet_requirements
@@ -67,7 +67,7 @@
         advice = f"Upgrade it to a program that reads format {minimum}."
         if newest > minimum:
             advice = f"Raise the floor to what it reads, or have it read format {minimum} again."
-        reasons.append(refusal(member, BelowMinimumError, what, advice))
+        reasons.append(refusal(member, MinimumNotMetError, what, advice))
     if committed is None:
         return reasons
     return reasons + unmet_requirements(committed, capabilities, member)
@@ -86,7 +86,7 @@
         This program doesn't know the format.
     MinimumInUseError
         The committed plan needs a higher one.
-    BelowMinimumError
+    MinimumNotMetError
         A member doesn't read it.
     """
     if not OLDEST_FORMAT <= format <= NEWEST_FORMAT:
@@ -101,7 +101,7 @@
     ]
     if below:
         what = f"floor {format} is not read by {len(below)} of {len(known)}"
-        raise BelowMinimumError(f"{what}: {_list_names(below)}")
+        raise MinimumNotMetError(f"{what}: {_list_names(below)}")
     return encode_minimum(format)
 
 
--- a/wheatring/lab/leases/days.py
+++ b/wheatring/lab/leases/days.py
@@ -100,7 +100,7 @@
     def inject(self, fault: Fault) -> None:
         """Begin a fault, and schedule its end."""
         cluster = self.cluster
-        holder = next((name for name in sorted(self.holders) if self.is_holder(cluster.nodes[name])), "n0")
+        holder = next((name for name in sorted(self.holders) if self.owns_lease(cluster.nodes[name])), "n0")
         names = tuple(dict.fromkeys(holder if name == "holder" else name for name in fault.nodes))
         others = [name for name in cluster.nodes if name not in names]
         over = cluster.now + max(0.0, fault.duration)
@@ -149,7 +149,7 @@
             self.cluster.schedule(over + 1.5, self.cluster.start, node)
 
     def _stop_until(self, node: Node, over: float) -> None:
-        if self.is_holder(node):
+        if self.owns_lease(node):
             self.lost_at = self.cluster.now
         self.cluster.stop(node)
         self.cluster.schedule(over, self.cluster.resume, node)
@@ -157,14 +157,14 @@
     def kill(self, name: str) -> None:
         """Kill a node's process."""
         node = self.cluster.nodes[name]
-        if self.is_holder(node):
+        if self.owns_lease(node):
             self.lost_at = self.cluster.now
         self.holders.discard(name)
         self.cluster.kill(node)
 
     # Rules
 
-    def is_holder(self, node: Node) -> bool:
+    def owns_lease(self, node: Node) -> bool:
         """Return whether a node holds the role at this true instant, by the very clock it would read."""
         if node.fleet is None:
             return False
@@ -178,7 +178,7 @@
             self.holders.discard(node.name)
             return
         for name in sorted(self.holders):
-            if name != node.name and self.is_holder(self.cluster.nodes[name]):
+            if name != node.name and self.owns_lease(self.cluster.nodes[name]):
                 day.breaches.append(f"{now:.3f} s: {name} and {node.name} hold it")
         if change.epoch <= self.last_epoch:
             day.breaches.append(f"{now:.3f} s: term {change.epoch} after {self.last_epoch}")
--- a/wheatring/tier/sidecar/client_connection.py
+++ b/wheatring/tier/sidecar/client_connection.py
@@ -197,7 +197,7 @@
         """Whether a head has been sent, so that no other response can be."""
         return self._response_state is not ResponseState.NOT_STARTED
 
-    def _begin_response(self, state: ResponseState) -> None:
+    def _mark_response(self, state: ResponseState) -> None:
         if self.is_response_started:
             raise ResponseStartedError(f"response {self._response_state.value}")
         self._response_state = state
@@ -209,7 +209,7 @@
 
     def send_response(self, status: int, fields: bytes = b"", body: bytes = b"") -> None:
         """Write a complete response; `fields` are encoded header lines. Raises ResponseStartedError."""
-        self._begin_response(ResponseState.COMPLETE)
+        self._mark_response(ResponseState.COMPLETE)
         reason = REASON_PHRASES.get(status, b"OK")
         closing = self._connection_field()
         head = b"HTTP/1.1 %d %s\r\n%s%sContent-Length: %d\r\n\r\n" % (
@@ -226,7 +226,7 @@
 
         Raises ResponseStartedError.
         """
-        self._begin_response(ResponseState.HEAD_SENT)
+        self._mark_response(ResponseState.HEAD_SENT)
         self._is_chunked = length is None
         reason = REASON_PHRASES.get(status, b"OK")
         framing = b"Transfer-Encoding: chunked\r\n" if length is None else b"Content-Length: %d\r\n" % length
--- a/wheatring/tier/sidecar/connection_pool.py
+++ b/wheatring/tier/sidecar/connection_pool.py
@@ -25,18 +25,18 @@
         self._connection: EndpointConnection | None = connection  # None once it was returned
         self._pool = pool
 
-    def _held(self) -> EndpointConnection:
+    def _in_use(self) -> EndpointConnection:
         if self._connection is None:
             raise ConnectionReturnedError("the connection was returned to its pool")
         return self._connection
 
     async def send(self, data: bytes, request_id: bytes) -> Message:
         """Write a request and return the head of its response. Raises AttemptFailedError."""
-        return await self._held().send(data, request_id)
+        return await self._in_use().send(data, request_id)
 
     async def read_body(self) -> tuple[bytes, bool]:
         """Return more of the response's body, and whether that was all. Raises AttemptFailedError."""
-        return await self._held().read_body()
+        return await self._in_use().read_body()
 
     def release(self, message: Message) -> None:
         """Return a connection whose response, `message`, was read to its end.
@@ -46,7 +46,7 @@
         ConnectionReturnedError
             It was returned before: a second owner would share it with the next request.
         """
-        connection = self._held()
+        connection = self._in_use()
         self._connection = None
         connection.finish_response(message, asyncio.get_running_loop().time())
         self._pool.keep(connection)
--- a/wheatring/tier/subscription/client.py
+++ b/wheatring/tier/subscription/client.py
@@ -20,7 +20,7 @@
 UPDATE_TIMEOUT_SECONDS = 0.8  # a controller sends an update every SUBSCRIBER_HEARTBEAT_SECONDS
 MAX_STALENESS_MS = 900  # a controller that has been without a quorum for longer is not believed to be current
 FIRST_UPDATE_TIMEOUT_SECONDS = 0.5  # after the connection was asked for
-MIN_STAY_SECONDS = 0.6  # with a stale controller, before the next one is tried
+MIN_SUBSCRIPTION_SECONDS = 0.6  # with a stale controller, before the next one is tried
 CHECK_SECONDS = 0.1  # between two checks of the controller, where it reports nothing wrong
 
 
@@ -173,7 +173,7 @@
         timeout = UPDATE_TIMEOUT_SECONDS if has_update else FIRST_UPDATE_TIMEOUT_SECONDS
         if now - self._updated_at > timeout or not client.is_reachable(started_at, now):
             return False
-        return not self._is_stopping and not (self._is_stale and now - started_at > MIN_STAY_SECONDS)
+        return not self._is_stopping and not (self._is_stale and now - started_at > MIN_SUBSCRIPTION_SECONDS)
 
     def _on_envelope(self, envelope: Envelope) -> None:
         if envelope.HasField("update"):
