Keep the phase of a proposer's round in one enum

Cause: two flags, of which never both may be set, said what the round under way is for.

Change: ProposerPhase (idle, preparing, proposing) stands for both; the lab's model of leases takes it into its states.

Result: behaviour as before: tests of leases, of the lab's lease checks and the types pass.

--- a/wheatring/fleet/lease/proposer.py
+++ b/wheatring/fleet/lease/proposer.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from math import inf
 from random import Random
 
@@ -32,6 +33,14 @@
 AddressedRequest = tuple[str, AcceptorRequest]  # an acceptor's name among the voters, and what it is sent
 
 
+class ProposerPhase(Enum):
+    """What the round under way is for."""
+
+    IDLE = "no round is under way"
+    PREPARING = "acceptors are to promise the number of a proposal"
+    PROPOSING = "acceptors are to accept it"
+
+
 class Proposer:
     """One process's bid for one lease.
 
@@ -53,7 +62,7 @@
         self.proposal = ProposalNumber(0, name, incarnation)
         self.round = 0
         self.round_started = 0.0  # the instant that this round's lease runs from
-        self.is_preparing = self.is_proposing = False
+        self.phase = ProposerPhase.IDLE
         self.is_renewing = False  # the round is to extend the lease that it holds
         self.highest_promised = 0  # the highest number that an acceptor has promised to another proposal
         self.epoch = 0  # of the lease held or proposed,
@@ -91,14 +100,14 @@
         self.due = inf if self.rank is None else now + self.timing.lease_seconds
         if self.round == 0:
             return []
-        self.is_preparing = self.is_proposing = False
+        self.phase = ProposerPhase.IDLE
         self.round += 1
         message = Release(self.lease, self.proposal, self.round, self.voters.digest)
         return [(voter, message) for voter in self.voters.names]
 
     def note_released(self, now: float, is_next: bool) -> None:
         """Take note that the lease is free by what somebody says; `is_next`: this proposer is to have it."""
-        if self.rank is None or self.owns_lease(now) or self.is_preparing or self.is_proposing:
+        if self.rank is None or self.owns_lease(now) or self.phase is not ProposerPhase.IDLE:
             return
         delay = 0.0
         if not is_next:
@@ -113,14 +122,14 @@
         """Do what is due. Earlier than that it does nothing."""
         if now < self.due or self.rank is None:
             return []
-        if self.is_preparing or self.is_proposing:
+        if self.phase is not ProposerPhase.IDLE:
             # Retransmit to those that have not answered. A renewal goes on as the same round as long as there
             # is something to renew: each new one would have the acceptors keep the lease for its full length
             # again, though this process may be heard and hear nothing itself.
             is_in_time = now < self.round_started + self.timing.round_timeout_seconds
             if is_in_time or (self.is_renewing and self.owns_lease(now)):
                 return self._send_requests(now)
-            self.is_preparing = self.is_proposing = False
+            self.phase = ProposerPhase.IDLE
             if not self.owns_lease(now):
                 # Whom nobody answers is cut off, and may still be heard: others are to have their attempt.
                 is_answered = self.granted_by or self.rejected_by
@@ -135,9 +144,9 @@
         if not self._is_awaited(now, voter, message):
             return []
         match message:
-            case Promise() if self.is_preparing:
+            case Promise() if self.phase is ProposerPhase.PREPARING:
                 self.granted_by[voter] = message.epoch
-            case Accepted() if self.is_proposing:
+            case Accepted() if self.phase is ProposerPhase.PROPOSING:
                 self.granted_by[voter] = 0
             case Rejection():
                 self._handle_rejection(voter, message)
@@ -154,7 +163,7 @@
         is_this_round = message.proposal == self.proposal and message.round == self.round
         if not is_this_round or voter not in self.voters.names:
             return False
-        is_open = self.is_preparing or self.is_proposing
+        is_open = self.phase is not ProposerPhase.IDLE
         return is_open and now < self.round_started + self.timing.owner_seconds
 
     # Rounds
@@ -162,12 +171,12 @@
     def _prepare(self, now: float) -> list[AddressedRequest]:
         number = max(self.proposal.number, self.highest_promised) + 1
         self.proposal = self.proposal._replace(number=number)
-        self.is_preparing, self.is_proposing = True, False
+        self.phase = ProposerPhase.PREPARING
         self._start_round(now, now)
         return self._send_requests(now)
 
     def _propose(self, now: float, started: float) -> list[AddressedRequest]:
-        self.is_preparing, self.is_proposing = False, True
+        self.phase = ProposerPhase.PROPOSING
         self._start_round(now, started)
         return self._send_requests(now)
 
@@ -182,7 +191,7 @@
         self.due = now + self.timing.retransmit_seconds
         header, digest = (self.lease, self.proposal, self.round), self.voters.digest
         message: AcceptorRequest = Prepare(*header, digest)
-        if self.is_proposing:
+        if self.phase is ProposerPhase.PROPOSING:
             message = Propose(*header, digest, self.epoch, self.timing.lease_seconds, self.is_renewing)
         answered = self.granted_by.keys() | self.rejected_by.keys()
         return [(voter, message) for voter in self.voters.names if voter not in answered]
@@ -190,10 +199,10 @@
     def _handle_majority(self, now: float) -> list[AddressedRequest]:
         if self.is_renewing and not self.owns_lease(now):
             # Too late: its lease has ended meanwhile, so what comes is another lease, with another epoch.
-            self.is_preparing = self.is_proposing = False
+            self.phase = ProposerPhase.IDLE
             self.due = now
             return []
-        if self.is_preparing:
+        if self.phase is ProposerPhase.PREPARING:
             if not self.is_renewing:
                 self.epoch = max(self.highest_epoch, *self.granted_by.values()) + 1
             return self._propose(now, self.round_started)
@@ -201,7 +210,7 @@
         return []
 
     def _handle_elected(self, now: float) -> None:
-        self.is_proposing = False
+        self.phase = ProposerPhase.IDLE
         self.held_until = self.round_started + self.timing.owner_seconds
         self.note_epoch(self.epoch)
         self.due = max(now, self.round_started + self.timing.renew_seconds)
@@ -215,7 +224,7 @@
 
     def _handle_majority_lost(self, now: float) -> None:
         """End a round that no majority can come of; the next one waits until enough acceptors are free."""
-        self.is_preparing = self.is_proposing = False
+        self.phase = ProposerPhase.IDLE
         free = [voter for voter in self.voters.names if voter not in self.rejected_by]
         waits = iter(sorted((seconds, voter) for voter, seconds in self.rejected_by.items()))
         delay = 0.0
--- a/wheatring/lab/leases/model.py
+++ b/wheatring/lab/leases/model.py
@@ -143,7 +143,7 @@
                            hash(frozenset(of[name]))))  # fmt: skip
         voters.sort()
         proposers = tuple(
-            (c.incarnation, c.due, c.proposal, c.round, c.round_started, c.is_preparing, c.is_proposing,
+            (c.incarnation, c.due, c.proposal, c.round, c.round_started, c.phase,
              c.is_renewing, c.highest_promised, c.epoch, c.highest_epoch, c.held_until, name in self.stopped)
             for name, c in self.proposers.items()
         )  # fmt: skip
