Group the long argument lists of the lab's pool, endpoint list and node server

Cause: three constructors of the lab took ten and eleven arguments.

Change: SidecarLinks (a sidecar's name, host and links), ConnectionLimits and NodeNetwork carry what belongs together; the constructors take six to nine arguments.

--- a/tests/lab/wire/http_peers.py
+++ b/tests/lab/wire/http_peers.py
@@ -20,7 +20,7 @@
 from wheatring.lab.net import Network, VirtualTime
 from wheatring.lab.plan import ClassPlan, DiscoveryPlan, NetPlan, TierPlan
 from wheatring.lab.wire.discovery_server import DiscoveryServer
-from wheatring.lab.wire.node_server import NodeServer
+from wheatring.lab.wire.node_server import NodeNetwork, NodeServer
 from wheatring.lab.wire.request_format import RequestFormat
 from wheatring.lab.wire.sidecar_client import SidecarClient
 
@@ -153,7 +153,8 @@
         self.origins = CorrelationTable(Random(2))
         self.machine = Machine(book, cap)
         full = partial(self.net.full, "127.0.0.3", 80)
-        rest = (self.time, Random(3), self.origins, FORMS, book, "at {}".format, lambda _host: 0.002, full)
+        network = NodeNetwork("at {}".format, lambda _host: 0.002, full)
+        rest = (self.time, Random(3), self.origins, FORMS, book, network)
         self.peer = NodeServer(self.machine, TIER, *rest)
         self.node.listenTCP(80, self.peer)
         plan = DiscoveryPlan(period=0.5, spread=0.0, lines_per_s=1000.0, call_lines=9.0)
--- a/tests/lab/wire/test_http_peers.py
+++ b/tests/lab/wire/test_http_peers.py
@@ -34,7 +34,7 @@
 from wheatring.lab.net.transports import Transport
 from wheatring.lab.plan import DiscoveryPlan
 from wheatring.lab.wire.discovery_server import DiscoveryServer
-from wheatring.lab.wire.node_server import NodeServer
+from wheatring.lab.wire.node_server import NodeNetwork, NodeServer
 from wheatring.lab.wire.sidecar_client import SidecarClient
 
 __all__ = ["no_errors"]
@@ -375,7 +375,7 @@
     timers, origins = Clock(reactor), CorrelationTable(Random(5))
     log = EventLog(timers)
     book: Any = log
-    rest = (timers, Random(6), origins, FORMS, book, "at {}".format, lambda _host: 0.0)
+    rest = (timers, Random(6), origins, FORMS, book, NodeNetwork("at {}".format, lambda _host: 0.0))
     over: Deferred[Any] = Deferred()
     ports: list[Any] = []
     ends: list[str] = []
--- a/wheatring/lab/direct/connection_pool.py
+++ b/wheatring/lab/direct/connection_pool.py
@@ -7,6 +7,7 @@
 
 from collections import deque
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from wheatring.balancer.interface import Outcome, View
 from wheatring.common import log
@@ -15,7 +16,7 @@
 from wheatring.daemon.http1.connection_pool import IDLE_FRACTION, SWEEP_SECONDS, ConnectionTable, update_ready
 from wheatring.daemon.http1.endpoint_connection import EndpointAddress
 from wheatring.lab.direct.clock import DirectClock
-from wheatring.lab.direct.links import Links
+from wheatring.lab.direct.links import SidecarLinks
 from wheatring.lab.direct.node import DirectNode
 from wheatring.lab.event_recorder import EventRecorder
 from wheatring.lab.models.received_attempt import AttemptOutcome, ReceivedAttempt
@@ -212,6 +213,14 @@
                 self.pool.exchange.end_attempt(attempt, RESET)
 
 
+class ConnectionLimits(NamedTuple):
+    """What holds for a sidecar's connections to nodes; `max_connections` counts those under way too."""
+
+    connect_seconds: float
+    idle_seconds: float
+    max_connections: int
+
+
 class DirectConnectionPool(ConnectionTable[DirectConnection]):
     """Starts attempts, and keeps clean connections for the next ones; the one used last is reused first.
 
@@ -219,37 +228,27 @@
     ----------
     nodes
         Who listens, or did last, at each address as the endpoint list gives it (host:port).
-    connect_time, idle
-        Time-outs in seconds.
-    max_connections
-        Connections and connects under way at most.
     """
 
     def __init__(
         self,
-        name: str,
-        host: str,
+        place: SidecarLinks,
         nodes: Mapping[str, DirectNode],
         clock: DirectClock,
         exchange: Exchange,
-        links: Links,
         recorder: EventRecorder,
-        connect_time: float,
-        idle: float,
-        max_connections: int,
+        limits: ConnectionLimits,
     ) -> None:
         super().__init__()
-        self.name = name
-        self.host = host
+        self.name, self.host, self.links = place
         self.nodes = nodes
         self.clock = clock
         self.time = clock.time
         self.exchange = exchange
-        self.links = links
         self.recorder = recorder
-        self.connect_time = connect_time
-        self.idle_timeout = idle * IDLE_FRACTION
-        self.max_connections = max_connections
+        self.connect_time = limits.connect_seconds
+        self.idle_timeout = limits.idle_seconds * IDLE_FRACTION
+        self.max_connections = limits.max_connections
         self.connecting: dict[DirectConnection, None] = {}  # under way, in the order in which they began
         exchange.start_attempt = self.start
         exchange.close_idle = self.close_idle
--- a/wheatring/lab/direct/endpoint_list.py
+++ b/wheatring/lab/direct/endpoint_list.py
@@ -18,7 +18,7 @@
 from wheatring.daemon.lifecycle.freshness import Freshness
 from wheatring.daemon.lifecycle.list_request_schedule import ListRequestSchedule
 from wheatring.lab.direct.clock import DirectClock
-from wheatring.lab.direct.links import Links
+from wheatring.lab.direct.links import SidecarLinks
 from wheatring.lab.models.endpoint_list_json import list_reply_json
 
 
@@ -172,12 +172,10 @@
 
     def __init__(
         self,
+        place: SidecarLinks,
         clock: DirectClock,
-        name: str,
-        host: str,
         discovery: tuple[str, int],
         registry: Registry,
-        links: Links,
         addresses: dict[str, str],
         on_view: Callable[[View], None],
         freshness: Freshness,
@@ -185,10 +183,8 @@
         pushed: bool,
     ) -> None:
         self.clock: DirectClock
-        self.name = name
-        self.host = host
+        self.name, self.host, self.links = place
         self.registry = registry
-        self.links = links
         super().__init__(None, clock, discovery, addresses, on_view, freshness, request_schedule, pushed)
 
     def create_client(self) -> DiscoveryClient:
--- a/wheatring/lab/direct/links.py
+++ b/wheatring/lab/direct/links.py
@@ -10,7 +10,7 @@
 from functools import partial
 from math import log
 from random import Random
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from wheatring.lab.plan import NetPlan
 from wheatring.lab.timers import PlayedTime
@@ -50,6 +50,14 @@
         """Return whether a message sent now arrives without being sent again."""
 
 
+class SidecarLinks(NamedTuple):
+    """One sidecar's place on the links."""
+
+    name: str
+    host: str
+    links: Links
+
+
 class DirectLink:
     """A path whose delay is a minimum and an exponential part; what is sent into a partition waits."""
 
--- a/wheatring/lab/direct/sidecar.py
+++ b/wheatring/lab/direct/sidecar.py
@@ -16,9 +16,9 @@
 from wheatring.daemon.shutdown import SHUTDOWN_POLL_SECONDS
 from wheatring.daemon.sidecar import NODE_CONNECTION_SHARE, RESERVED_DESCRIPTORS
 from wheatring.lab.direct.clock import DirectClock
-from wheatring.lab.direct.connection_pool import DirectConnectionPool
+from wheatring.lab.direct.connection_pool import ConnectionLimits, DirectConnectionPool
 from wheatring.lab.direct.endpoint_list import DirectEndpointList, Registry
-from wheatring.lab.direct.links import Links
+from wheatring.lab.direct.links import Links, SidecarLinks
 from wheatring.lab.direct.node import DirectNode
 from wheatring.lab.event_recorder import EventRecorder
 from wheatring.lab.timers import PlayedTime
@@ -122,28 +122,22 @@
     def _create_pool(self, config: SidecarConfig, network: SidecarNetwork) -> DirectConnectionPool:
         limits = config.settings.limits
         return DirectConnectionPool(
-            self.name,
-            self.host,
+            SidecarLinks(self.name, self.host, network.links),
             network.nodes,
             self.clock,
             self.exchange,
-            network.links,
             self.recorder,
-            limits.connect_timeout,
-            limits.idle_timeout,
-            config.max_node_connections,
+            ConnectionLimits(limits.connect_timeout, limits.idle_timeout, config.max_node_connections),
         )
 
     def _create_endpoint_list(self, config: SidecarConfig, network: SidecarNetwork) -> DirectEndpointList:
         settings = config.settings
         request_schedule, freshness = list_schedules(settings, config.seed, self.clock.now())
         return DirectEndpointList(
+            SidecarLinks(self.name, self.host, network.links),
             self.clock,
-            self.name,
-            self.host,
             network.discovery,
             network.registry,
-            network.links,
             self.pool.addresses,
             self.driver.feed,
             freshness,
--- a/wheatring/lab/live/nodes.py
+++ b/wheatring/lab/live/nodes.py
@@ -25,7 +25,7 @@
 from wheatring.lab.models.next_tier import NextTierClient
 from wheatring.lab.models.traffic import call_work_samplers
 from wheatring.lab.plan import EventPlan, NodePlan, Plan
-from wheatring.lab.wire.node_server import NodeServer
+from wheatring.lab.wire.node_server import NodeNetwork, NodeServer
 from wheatring.lab.wire.request_format import RequestFormat
 from wheatring.lab.wire.sidecar_client import SidecarClient
 
@@ -101,9 +101,10 @@
         made = Node(node, machine)
         for sidecar, zone in self.callers[node.tier]:
             trip = 2 * (plan.net.same if zone == node.zone else plan.net.cross)
+            network = NodeNetwork(partial(_this, sidecar), partial(_that, trip))
             made.peers[sidecar] = NodeServer(
                 machine, tier, self.clock, Random(f"{plan.seed}:spoilt:{node.name}:{sidecar}"),
-                self.origins, self.forms, self.recorder, partial(_this, sidecar), partial(_that, trip),
+                self.origins, self.forms, self.recorder, network,
             )  # fmt: skip
         return made
 
--- a/wheatring/lab/wire/environment.py
+++ b/wheatring/lab/wire/environment.py
@@ -19,7 +19,7 @@
 from wheatring.lab.net.process import Delayed, Process, waiting
 from wheatring.lab.plan import EventPlan, NodePlan
 from wheatring.lab.wire.discovery_server import DiscoveryServer
-from wheatring.lab.wire.node_server import NodeServer
+from wheatring.lab.wire.node_server import NodeNetwork, NodeServer
 from wheatring.lab.wire.request_format import RequestFormat
 from wheatring.lab.wire.sidecar_client import SidecarClient
 from wheatring.lab.world.environment import (
@@ -122,9 +122,11 @@
             self.world.origins,
             self.request_format,
             self.recorder,
-            self.sidecar_of,
-            lambda host: self.round_trip(node.host, host),
-            lambda full: self.net.full(node.host, PORT, full),
+            NodeNetwork(
+                self.sidecar_of,
+                lambda host: self.round_trip(node.host, host),
+                lambda full: self.net.full(node.host, PORT, full),
+            ),
         )
         self.net.full(node.host, PORT, False)
         process.listenTCP(PORT, server, LISTEN_BACKLOG, node.host)
--- a/wheatring/lab/wire/node_server.py
+++ b/wheatring/lab/wire/node_server.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from random import Random
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from twisted.internet import protocol
 from twisted.internet.protocol import ServerFactory
@@ -255,10 +255,10 @@
         self.server.remove(self)
 
 
-class NodeServer(ServerFactory):
-    """The listening side of one node.
+class NodeNetwork(NamedTuple):
+    """What a node's server knows of its network.
 
-    Parameters
+    Attributes
     ----------
     sidecar_of
         Gives the sidecar that connects from a host.
@@ -267,6 +267,15 @@
     on_full
         Called when the table of connections becomes full and when it is full no more, so that a network can
         leave connects unanswered.
+    """
+
+    sidecar_of: Callable[[str], str]
+    round_trip: Callable[[str], float]
+    on_full: Callable[[bool], None] | None = None
+
+
+class NodeServer(ServerFactory):
+    """The listening side of one node.
 
     Notes
     -----
@@ -284,9 +293,7 @@
         origins: CorrelationTable,
         request_format: RequestFormat,
         recorder: EventRecorder,
-        sidecar_of: Callable[[str], str],
-        round_trip: Callable[[str], float],
-        on_full: Callable[[bool], None] | None = None,
+        network: NodeNetwork,
     ) -> None:
         self.node = node
         self.timers = timers
@@ -294,9 +301,7 @@
         self.origins = origins
         self.request_format = request_format
         self.recorder = recorder
-        self.sidecar_of = sidecar_of
-        self.round_trip = round_trip
-        self.on_full = on_full
+        self.network = network
         self.idle_seconds = tier.conn_idle
         self.handshake_rtts = tier.handshake_rtts
         self.connections: dict[NodeConnection, None] = {}  # in the order in which they came
@@ -309,7 +314,9 @@
         if wait is None:
             return None
         return NodeConnection(
-            self, self.sidecar_of(addr.host), wait + self.handshake_rtts * self.round_trip(addr.host)
+            self,
+            self.network.sidecar_of(addr.host),
+            wait + self.handshake_rtts * self.network.round_trip(addr.host),
         )
 
     def update_full(self) -> None:
@@ -317,8 +324,8 @@
         is_full = self.node.is_full
         if is_full != self.is_full:
             self.is_full = is_full
-            if self.on_full is not None:
-                self.on_full(is_full)
+            if self.network.on_full is not None:
+                self.network.on_full(is_full)
 
     def remove(self, connection: NodeConnection) -> None:
         """Remove a connection that has ended."""
