--- a/tests/tier/budgets/test_token_budgets.py
+++ b/tests/tier/budgets/test_token_budgets.py
@@ -5,7 +5,10 @@
 import asyncio
 from pathlib import Path
 
+import pytest
+
 from tests.support.virtual_loop import VirtualLoop
+from wheatring.tier.budgets.exceptions import BudgetExceededError
 from wheatring.tier.budgets.token_budgets import TokenBudgets
 from wheatring.tier.storage.quorum_client import QuorumClient
 from wheatring.tier.storage.replica import Replica
@@ -50,3 +53,27 @@
     assert not settled.budget
     assert {entry.turn: entry.tokens for entry in again.budget} == {"t1": 10, "t2": 90}
     assert not any(entry.program for entry in (*reserved.budget, *again.budget))
+
+
+@pytest.mark.parametrize(("tokens", "is_refused"), [(40, False), (41, True)])
+def test_a_turn_may_take_what_the_other_turns_leave_and_no_more(
+    tmp_path: Path, tokens: int, is_refused: bool
+) -> None:
+    loop = VirtualLoop()
+
+    async def play() -> bool:
+        replica = Replica(tmp_path, 0, loop.time)
+        replica.open()
+        placement = Placement(epoch=1, current=[StorageMember(replica_id=replica.identity, address="s1")])
+        clients = SingleReplicaClients(replica)
+        store = QuorumClient(clients, 0, "z", lambda: placement, lambda _newer: None)  # type: ignore[arg-type]
+        budgets = TokenBudgets(store)
+        await budgets.reserve("program", "t1", 60, 100, 1.0)
+        await budgets.reserve("program", "t1", 60, 100, 1.0)  # its own reservation does not count against it
+        try:
+            await budgets.reserve("program", "t2", tokens, 100, 1.0)
+        except BudgetExceededError:
+            return True
+        return False
+
+    assert loop.run_until_complete(play()) is is_refused
--- a/tests/tier/placement/test_key_placement.py
+++ b/tests/tier/placement/test_key_placement.py
@@ -10,7 +10,7 @@
 
 from tests.tier.placement.storage_members import members
 from wheatring.tier.placement.key_placement import place_key, quorum_sizes, replicas_for
-from wheatring.tier.transport.messages_pb2 import Placement
+from wheatring.tier.transport.messages_pb2 import Placement, StorageMember
 
 
 @given(count=st.integers(1, 9), losses=st.integers(0, 2))
@@ -33,6 +33,22 @@
     assert len({member.replica_id for member in chosen}) == 3
 
 
+@given(key=st.text(max_size=12), zones=st.integers(1, 7), copies=st.integers(1, 5))
+def test_no_key_has_more_copies_than_wanted_however_many_zones_there_are(
+    key: str, zones: int, copies: int
+) -> None:
+    many = [StorageMember(replica_id=f"r{n}", zone=f"z{n % zones}") for n in range(2 * 7)]
+    chosen = replicas_for(key, many, copies)
+    assert len({member.replica_id for member in chosen}) == len(chosen) == copies
+    assert len({member.zone for member in chosen}) == min(zones, copies)
+
+
+def test_a_set_that_is_empty_has_no_say() -> None:
+    placement = Placement(epoch=1, current=members(0, 1, 2))
+    assert len(place_key("k", placement, 1).groups) == 1
+    assert place_key("k", Placement(epoch=1), 1).members == ()
+
+
 def test_a_member_that_comes_takes_only_its_share() -> None:
     before, after = members(*range(8)), members(*range(9))
     moved = 0
