Keep no connection whose endpoint answered before it took the whole request

Cause: an endpoint may answer before it has read a long body and read on later. Its connection went to the next request at once, which then waited behind the rest of that body until its deadline.

Change: a connection is not reusable while its transport, or the system for its socket, still holds bytes that the peer has not taken.

--- a/wheatring/tier/sidecar/endpoint_connection.py
+++ b/wheatring/tier/sidecar/endpoint_connection.py
@@ -9,6 +9,9 @@
 
 import asyncio
 import re
+from fcntl import ioctl
+from struct import Struct
+from termios import TIOCOUTQ
 from typing import Any
 
 from wheatring.balancer.interface import Outcome
@@ -22,9 +25,21 @@
 DEFAULT_IDLE_SECONDS = 0.4  # for which a connection is kept where the endpoint does not say
 IDLE_TIMEOUT_FRACTION = 0.6  # of the endpoint's own time-out: closer to it a request may meet the close
 
+_INT = Struct("i")
 _TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
 
 
+def has_undelivered_bytes(transport: Any) -> bool:
+    """Whether a transport, or its socket if it has one, holds bytes that the peer has not taken yet."""
+    if transport.get_write_buffer_size():
+        return True
+    connection = transport.get_extra_info("socket")
+    if connection is None or connection.fileno() < 0:
+        return False
+    queued = ioctl(connection.fileno(), TIOCOUTQ, bytes(_INT.size))
+    return bool(_INT.unpack(queued)[0])
+
+
 class EndpointConnection(asyncio.Protocol):
     """One connection to one endpoint."""
 
@@ -148,9 +163,14 @@
         return AttemptFailedError(ExecutionState.MAY_HAVE_RUN, Outcome.RESET, reason)
 
     def finish_response(self, message: Message, now: float) -> None:
-        """Note that the response was read to its end: the connection may be kept for a next request."""
+        """Note that the response was read to its end: the connection may be kept for a next request.
+
+        Not where the endpoint has answered before it took the whole request: the next one would wait behind
+        the rest of that body for as long as the endpoint does not read it.
+        """
         self._is_busy = False
         is_clean = message.keep_alive and not self._reader.has_partial_message and self.is_usable
+        is_clean = is_clean and not has_undelivered_bytes(self._transport)
         self.is_reusable = is_clean
         if not is_clean:
             self.abort()
