Go by the transport's buffer where the system cannot tell what a peer has taken

Cause: the question to the system for a socket's queue raised OSError where that is not answered, and would have broken the request whose connection is returned.

Change: as in the sidecar in service, no answer counts as nothing queued; the transport's own buffer still counts.

Result: a test with a descriptor that is no socket fails without the change; tests of the tier's sidecar pass.

--- a/tests/tier/sidecar/test_early_responses.py
+++ b/tests/tier/sidecar/test_early_responses.py
@@ -5,10 +5,12 @@
 import asyncio
 import socket
 import struct
+from pathlib import Path
 
 import pytest
 
 from tests.tier.sidecar.loopback import HOST, LoopbackSidecar, exchange, listening, route
+from wheatring.tier.sidecar.endpoint_connection import has_undelivered_bytes
 
 SAFE = route("/safe/", "safe", maxAttempts=1)
 UNSAFE = route("/unsafe/", "unsafe", maxAttempts=1)
@@ -115,3 +117,29 @@
     raw = asyncio.run(run_scenario())
     assert raw.startswith(b"HTTP/1.1 " + status)
     assert raw.endswith(b"half") is not is_reset
+
+
+class SilentSystemTransport:
+    """A transport whose system cannot tell what the peer has taken."""
+
+    def __init__(self, buffered: int, fileno: int) -> None:
+        self.buffered = buffered
+        self._fileno = fileno
+
+    def get_write_buffer_size(self) -> int:
+        return self.buffered
+
+    def get_extra_info(self, _name: str) -> SilentSystemTransport:
+        return self
+
+    def fileno(self) -> int:
+        return self._fileno
+
+
+@pytest.mark.parametrize(("buffered", "has_bytes"), [(0, False), (1, True)])
+def test_where_the_system_cannot_tell_the_transport_s_own_buffer_decides(
+    buffered: int, has_bytes: bool, tmp_path: Path
+) -> None:
+    with (tmp_path / "no-socket").open("w") as file:
+        assert has_undelivered_bytes(SilentSystemTransport(buffered, file.fileno())) is has_bytes
+    assert has_undelivered_bytes(SilentSystemTransport(buffered, -1)) is has_bytes
--- a/wheatring/tier/sidecar/endpoint_connection.py
+++ b/wheatring/tier/sidecar/endpoint_connection.py
@@ -36,7 +36,10 @@
     connection = transport.get_extra_info("socket")
     if connection is None or connection.fileno() < 0:
         return False
-    queued = ioctl(connection.fileno(), TIOCOUTQ, bytes(_INT.size))
+    try:
+        queued = ioctl(connection.fileno(), TIOCOUTQ, bytes(_INT.size))
+    except OSError:  # not a system that can tell
+        return False
     return bool(_INT.unpack(queued)[0])
 
 
