--- a/tests/lab/world/test_world.py
+++ b/tests/lab/world/test_world.py
@@ -5,11 +5,13 @@
 import os
 import subprocess
 import sys
+import threading
 from concurrent.futures import ThreadPoolExecutor
 
 import msgspec
 import pytest
 
+from wheatring.common import log
 from wheatring.lab.plan import Plan
 from wheatring.lab.planted_faults import FAULTS, planted
 from wheatring.lab.play import play
@@ -136,3 +138,24 @@
     )
     served = [second.in_time + second.late for second in outcome.seconds]
     assert served[0] == 0 and served[3] > 0 and outcome.breaches == []
+
+
+def test_what_another_thread_logs_is_no_part_of_the_day() -> None:
+    """A reactor of real sidecars may run in the same process, as in the tests of the suite."""
+    is_over = threading.Event()
+    count = 0
+
+    def log_faults() -> None:
+        nonlocal count
+        while not is_over.wait(0.001):
+            log.line("overdue", job="another")
+            count += 1
+
+    thread = threading.Thread(target=log_faults)
+    thread.start()
+    try:
+        outcome = play(small(1), "wire")
+    finally:
+        is_over.set()
+        thread.join()
+    assert count > 10 and outcome.breaches == []
--- a/wheatring/lab/world/world.py
+++ b/wheatring/lab/world/world.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from random import Random
+from threading import get_ident
 from typing import Any, NamedTuple, TextIO
 
 from twisted.logger import globalLogPublisher
@@ -272,6 +273,7 @@
                 self.time.at(START, self.slots.up, slot)
         self.event_scheduler.schedule(self.day_start, plan.events)
         self.time.at(self.day_start, self.clients.start)
+        self.thread = get_ident()
         observer: Any = self.on_failure_logged
         globalLogPublisher.addObserver(observer)
         try:
@@ -291,7 +293,7 @@
         taken for what the sidecars did.
         """
         failure = event.get("log_failure") or event.get("failure")
-        if failure is None:
+        if failure is None or get_ident() != self.thread:
             return
         if self.environment.active_sidecar() in self.slots.by_name:
             log.log_twisted_failure(event)
@@ -303,7 +305,12 @@
         raise why
 
     def on_log_entry(self, event: str, values: Mapping[str, object]) -> None:
-        """Take in a line that a sidecar logs."""
+        """Take in a line that a sidecar logs.
+
+        Not one of another thread, in which a program may run real sidecars beside this day.
+        """
+        if get_ident() != self.thread:
+            return
         if event in SIDECAR_FAULT_CODES:
             self.checker.fault(self.environment.active_sidecar(), log.format_entry(event, values))
         elif event == "endpoint-connection" and values.get("code") in ("connect-failed", "not-up-in-time"):
