Show that sidecars refuse everything for good once clients have left

Cause: an attempt whose client leaves before the head of its answer is never reported as ended, so the count of requests at the endpoint stays too high.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -139,8 +139,23 @@
     return answer
 
 
+async def call_and_leave(
+    host: str, port: int, target: str, headers: dict[str, str], body: bytes, after_s: float
+) -> Answer:
+    """Send one POST on a new connection, and close it if there is no answer after some time."""
+    try:
+        async with asyncio.timeout(after_s):
+            return await call(host, port, "POST", target, headers, body)
+    except TimeoutError:
+        return Answer(headers.get("Wheatring-Request-Id", ""), error="the client has left")
+
+
 class Endpoint:
-    """A sound endpoint: a stream of events on POST, with the id and the stamp that the pages ask for."""
+    """A sound endpoint: answers with the id and the stamp that the pages ask for.
+
+    With `work_s` it is a plain service, which works that long on a request and then answers 800 bytes, and
+    drops a request whose connection closes; else it answers with a stream of events.
+    """
 
     def __init__(self, record: Record, instance: str, service: str, host: str, zone: str) -> None:
         self.record = record
@@ -152,6 +167,7 @@
         self.running = 0
         self.events = 4
         self.event_interval_s = 0.005
+        self.work_s = 0.0
         self.runs: list[tuple[float, str]] = []  # time and request id of everything that was run
         self.on_run: Callable[[str, bytes], None] = lambda _request_id, _body: None
         self._server: asyncio.Server | None = None
@@ -184,11 +200,16 @@
                 first, headers = await _read_head(reader)
                 body = bytearray()
                 await _read_body(reader, headers, body)
-                await self._answer(writer, first, headers, bytes(body))
+                await self._answer(reader, writer, first, headers, bytes(body))
         writer.close()
 
     async def _answer(
-        self, writer: asyncio.StreamWriter, first: list[str], headers: dict[str, str], body: bytes
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        first: list[str],
+        headers: dict[str, str],
+        body: bytes,
     ) -> None:
         request_id = headers.get("wheatring-request-id", "")
         common = f"Wheatring-Request-Id: {request_id}\r\nKeep-Alive: timeout=5\r\n"
@@ -203,6 +224,11 @@
         self.record.write(f"run {request_id} at {self.instance}: {first[0]} {first[1]}, {len(body)} bytes")
         self.running += 1
         try:
+            if self.work_s:
+                await self._work(reader)
+                writer.write(f"HTTP/1.1 200 OK\r\n{stamp}Content-Length: 800\r\n\r\n".encode() + b"x" * 800)
+                await writer.drain()
+                return
             writer.write(
                 f"HTTP/1.1 200 OK\r\n{stamp}Content-Type: text/event-stream\r\n"
                 "Transfer-Encoding: chunked\r\n\r\n".encode()
@@ -217,6 +243,14 @@
         finally:
             self.running -= 1
 
+    async def _work(self, reader: asyncio.StreamReader) -> None:
+        """Work on a plain request. Raises ConnectionError if its connection closes meanwhile."""
+        end = time.monotonic() + self.work_s
+        while (remaining := end - time.monotonic()) > 0:
+            await asyncio.sleep(min(remaining, 0.005))
+            if reader.at_eof() or reader.exception() is not None:
+                raise ConnectionResetError
+
 
 class Platform:
     """The platform's list of endpoints, on one page."""
@@ -260,6 +294,7 @@
         self.edge = {zone: f"127.{net}.4.{number}" for number, zone in enumerate(ZONES, 1)}
         self.platform = Platform(f"127.{net}.9.1")
         self.processes: dict[tuple[str, str], subprocess.Popen[bytes]] = {}
+        self.endpoint_type = Endpoint
         self.generation = 0
         self.configuration: dict[str, object] = {}
 
@@ -363,7 +398,7 @@
                 number += 1
                 zone = ZONES[number % len(ZONES)]
                 host = f"127.{self.net}.8.{number}"
-                endpoint = Endpoint(self.record, f"i-{number:08x}", service, host, zone)
+                endpoint = self.endpoint_type(self.record, f"i-{number:08x}", service, host, zone)
                 await endpoint.start()
                 self.platform.endpoints.append(endpoint)
         await self.platform.start()
