Log what expires on a storage replica, and what a copy was listed by each source

Cause: the log could not tell a copy that was listed too few turns from one whose listed turns had expired, nor when a replica dropped its records. Change: `source-copied` names the turns listed by a source and those of them that were absent when they were fetched; `records-expired` the records dropped.

--- a/wheatring/tier/storage/copier.py
+++ b/wheatring/tier/storage/copier.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable, Sequence
 
 from wheatring.tier.durable.exceptions import DiskError
+from wheatring.tier.event_log import log_event
 from wheatring.tier.storage.replica import Replica
 from wheatring.tier.transport.client import ClientTable
 from wheatring.tier.transport.exceptions import PeerUnreachableError
@@ -53,14 +54,23 @@
     async def _copy_from(self, source: StorageMember) -> None:
         """Copy one source page by page, and retry a page that fails."""
         position, is_last = 0, False
+        listed_count = absent_count = 0
         while not is_last:
             request = ScanRequest(after=position, limit_bytes=PAGE_BYTES, list_turns=True)
             reply = await self._scan(source, request, PAGE_TIMEOUT_SECONDS)
             if reply is None:
                 await asyncio.sleep(RETRY_DELAY_SECONDS)
                 continue
-            await self._fetch(source, self._missing_turn_ids(reply.turn_ids))
+            listed_count += len(reply.turn_ids)
+            absent_count += await self._fetch(source, self._missing_turn_ids(reply.turn_ids))
             position, is_last = reply.next, reply.done
+        log_event(
+            "source-copied",
+            source=source.node,
+            epoch=self._placement.epoch,
+            listed=listed_count,
+            absent=absent_count,
+        )
 
     def _missing_turn_ids(self, turn_ids: Iterable[str]) -> set[str]:
         """Return the turns that the replica lacks; renew the retention of the others once per copy."""
@@ -74,12 +84,14 @@
                 missing_ids.add(turn_id)
         return missing_ids
 
-    async def _fetch(self, source: StorageMember, missing_ids: set[str]) -> None:
+    async def _fetch(self, source: StorageMember, missing_ids: set[str]) -> int:
         """Wait until the replica holds all of these turns, and fetch those not in flight from another source.
 
+        Returns the number of turns that the source has listed but no longer holds, because they have expired.
         After a failed fetch, its turns are free for the other sources until the retry delay has passed.
         """
         table = self._replica.table
+        absent_count = 0
         timeout_seconds = FETCH_TIMEOUT_SECONDS
         while missing_ids:
             requested_ids = missing_ids - self._turn_ids_in_flight
@@ -93,11 +105,13 @@
                 finally:
                     self._turn_ids_in_flight -= requested_ids
                 if reply is not None:
-                    missing_ids -= requested_ids  # a listed turn that is not in the reply has expired
+                    absent_count += len(requested_ids) - len(reply.records)
+                    missing_ids -= requested_ids
                     continue
                 timeout_seconds, delay_seconds = PAGE_TIMEOUT_SECONDS, RETRY_DELAY_SECONDS
             await asyncio.sleep(delay_seconds)
             missing_ids = {turn_id for turn_id in missing_ids if not table.has_turn(turn_id)}
+        return absent_count
 
     async def _scan(
         self, source: StorageMember, request: ScanRequest, timeout_seconds: float
--- a/wheatring/tier/storage/replica.py
+++ b/wheatring/tier/storage/replica.py
@@ -16,6 +16,7 @@
 from wheatring.tier.durable.committer import Committer
 from wheatring.tier.durable.exceptions import DiskError
 from wheatring.tier.durable.record_file import open_or_quarantine
+from wheatring.tier.event_log import log_event
 from wheatring.tier.placement.key_placement import quorum_sizes, replicas_for
 from wheatring.tier.storage.record_table import RecordKey, RecordTable
 from wheatring.tier.transport.messages_pb2 import (
@@ -134,7 +135,9 @@
         """Remove expired records periodically until cancelled."""
         while True:
             await asyncio.sleep(interval_seconds)
-            self.table.expire(self._clock())
+            count = self.table.expire(self._clock())
+            if count:
+                log_event("records-expired", records=count, left=len(self.table))
 
     # Epochs
 
