Keep a turn as long as any turn that goes on from it, on every replica that stores it

Callers saw: conversations older than their retention and in use got 503 for good once one storage machine had lost its disk. Cause: each replica dropped a turn by its own time, which a later turn extended only where it was stored itself; where the two turns were on different pairs of the three replicas, one disk was left. Change: a replica asks all other members for how long they need the turns that it is about to drop, and drops nothing without replies of all but `losses` members of each set; a replica that stores a turn knows until when its ancestors are needed, also those that it does not store. Why this works: an acknowledged turn is on `losses` + 1 disks and names all its ancestors, so one of the replying replicas knows it, whatever messages were lost. Request and reply have one more field each; an older replica answers without it and counts as one that needs nothing.

--- a/tests/tier/placement/test_key_placement.py
+++ b/tests/tier/placement/test_key_placement.py
@@ -9,7 +9,12 @@
 from hypothesis import strategies as st
 
 from tests.tier.placement.storage_members import members
-from wheatring.tier.placement.key_placement import place_key, quorum_sizes, replicas_for
+from wheatring.tier.placement.key_placement import (
+    has_replies_of_all_but,
+    place_key,
+    quorum_sizes,
+    replicas_for,
+)
 from wheatring.tier.transport.messages_pb2 import Placement, StorageMember
 
 
@@ -113,3 +118,27 @@
     assert not any(lost_ids & {m.replica_id for m in place_key(key, after, losses).members} for _ in "x")
     for written in write_quorums(before, key, losses):
         assert all(written & read for read in read_quorums(after, key, losses))
+
+
+@given(
+    key=st.text(max_size=12),
+    losses=st.integers(0, 2),
+    current=st.sets(st.integers(0, 8), min_size=3),
+    following=st.one_of(st.just(set()), st.sets(st.integers(0, 8), min_size=3)),
+    replied=st.sets(st.integers(0, 8)),
+)
+def test_replies_of_all_but_the_tolerated_losses_contain_a_read_quorum_of_any_key(
+    key: str, losses: int, current: set[int], following: set[int], replied: set[int]
+) -> None:
+    placement = Placement(epoch=2, current=members(*current), next=members(*following))
+    replied_ids = {f"r{number}" for number in replied}
+    if has_replies_of_all_but(losses, placement, replied_ids):
+        assert place_key(key, placement, losses).has_read_quorum(replied_ids)
+
+
+def test_lost_member_counts_as_one_that_has_not_replied() -> None:
+    placement = Placement(epoch=2, current=members(0, 1, 2))
+    assert has_replies_of_all_but(1, placement, {"r0", "r1"})
+    placement.current[1].lost = True
+    assert not has_replies_of_all_but(1, placement, {"r0", "r1"})
+    assert has_replies_of_all_but(1, placement, {"r0", "r2"})
--- a/tests/tier/storage/test_record_table.py
+++ b/tests/tier/storage/test_record_table.py
@@ -38,6 +38,37 @@
     assert table.expire(100.0) == 0 and table.has_turn("t1")
 
 
+def test_ancestor_stored_elsewhere_is_needed_for_as_long_as_its_descendant() -> None:
+    lifetime_seconds = RETENTION_SECONDS + RETENTION_MARGIN_SECONDS
+    table = RecordTable()
+    table.apply(turn("t2", "t1"), 0.0)
+    table.apply(turn("t3", "t1", "t2"), 50.0)
+    assert table.remaining_seconds("t1", 60.0) == 50.0 + lifetime_seconds - 60.0
+    assert table.remaining_seconds("t2", 60.0) == 50.0 + lifetime_seconds - 60.0
+    assert table.remaining_seconds("t9", 60.0) == 0.0
+    table.expire(50.0 + lifetime_seconds)
+    assert table.remaining_seconds("t1", 60.0) == 0.0
+
+
+def test_turn_that_is_stored_after_its_descendant_is_kept_as_long() -> None:
+    table = RecordTable()
+    table.apply(turn("t2", "t1"), 50.0)
+    table.apply(turn("t1"), 0.0)
+    assert table.expire(100.0) == 0 and table.has_turn("t1")
+
+
+def test_expired_turns_in_use_elsewhere_are_not_removed() -> None:
+    table = RecordTable()
+    for turn_id in ("t1", "t2"):
+        table.apply(turn(turn_id), 0.0)
+    table.apply(budget("t1"), 0.0)
+    now = BUDGET_RETENTION_SECONDS
+    assert table.expired_turn_ids(0.0) == []
+    assert table.expired_turn_ids(now) == ["t1", "t2"]
+    assert table.expire(now, {"t2"}) == 2
+    assert not table.has_turn("t1") and table.has_turn("t2")
+
+
 def test_renew_extends_a_stored_turn_and_ignores_an_unknown_one() -> None:
     table = RecordTable()
     assert not table.renew_turn("t1", 0.0)
--- a/tests/tier/test_scenarios.py
+++ b/tests/tier/test_scenarios.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.tier.random_scenario import draw
+from tests.tier.random_scenario import draw, draw_conversations
 from tests.tier.scenario import Player, parse
 
 FILES = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
@@ -20,3 +20,8 @@
 @pytest.mark.parametrize("seed", range(1, 25))
 def test_random_scenario(seed: int, tmp_path: Path) -> None:
     Player(draw(seed), tmp_path).play()
+
+
+@pytest.mark.parametrize("seed", range(1, 13))
+def test_random_conversations_outlast_the_retention(seed: int, tmp_path: Path) -> None:
+    Player(draw_conversations(seed), tmp_path).play()
--- a/wheatring/tier/placement/key_placement.py
+++ b/wheatring/tier/placement/key_placement.py
@@ -88,6 +88,18 @@
         return all(len(group.replica_ids & replied) >= group.read_quorum for group in self.groups)
 
 
+def has_replies_of_all_but(losses: int, placement: Placement, replied: set[str]) -> bool:
+    """Whether at most `losses` members of each set have not replied.
+
+    Then any record that has been acknowledged, whatever its key, is on one of the replicas that have replied.
+    """
+    member_sets = [members for members in (placement.current, placement.next) if members]
+    return all(
+        sum(not member.lost and member.replica_id in replied for member in members) >= len(members) - losses
+        for members in member_sets
+    )
+
+
 def place_key(key: str, placement: Placement, losses: int) -> KeyPlacement:
     """Return the placement of a key; lost members count towards the quorum sizes but are never called."""
     groups = []
--- a/wheatring/tier/storage/process.py
+++ b/wheatring/tier/storage/process.py
@@ -9,6 +9,7 @@
 from wheatring.tier.boot_settings.settings import Settings
 from wheatring.tier.event_log import log_event
 from wheatring.tier.role_process import RoleProcess
+from wheatring.tier.storage.expirer import Expirer
 from wheatring.tier.storage.repair import Repair
 from wheatring.tier.storage.replica import Replica
 from wheatring.tier.subscription.client import Subscription
@@ -18,7 +19,6 @@
 from wheatring.tier.transport.server import EnvelopeServer
 
 PRESENCE_INTERVAL_SECONDS = 0.4
-EXPIRY_INTERVAL_SECONDS = 5.0
 COMPLETION_POLL_SECONDS = 0.05
 STOP_MARGIN_SECONDS = 1.5  # part of the grace period that is reserved for closing before SIGKILL
 STOP_POLL_SECONDS = 0.05
@@ -36,6 +36,7 @@
         self.replica = Replica(Path(settings.data_folder or "."), losses, loop.time)
         self._peers = ClientTable(settings.storage_port)
         self.repair = Repair(self.replica, self._peers, losses)
+        self._expirer = Expirer(self.replica, self._peers, losses, loop.time)
         self.server = EnvelopeServer(self._on_envelope)
         self.subscription = Subscription.for_role(
             self, self._presence, PRESENCE_INTERVAL_SECONDS, self._on_view_change, random
@@ -51,7 +52,7 @@
         for coroutine in (
             self.subscription.run(),
             self._watch.run(),
-            self.replica.run_expirer(EXPIRY_INTERVAL_SECONDS),
+            self._expirer.run(),
             self._announce_completed_copies(),
         ):
             self._start_task(coroutine)
--- a/wheatring/tier/storage/quorum_client.py
+++ b/wheatring/tier/storage/quorum_client.py
@@ -129,8 +129,9 @@
     def extend_retention(self, turn_ids: Sequence[str], retention_seconds: float) -> None:
         """Ask all members to keep turns for longer, without waiting for replies.
 
-        This is needed only if there are more members than copies of a turn. Otherwise each member that stores
-        the newest turn holds its ancestors too, and extends their retention itself.
+        This spares replicas the question whether they may remove a turn (see `expirer`). It is worth its
+        messages only if most members that store the turns do not store the newest one, which extends the
+        retention of its ancestors: if there are more members than copies of a turn.
         """
         placement = self._placement()
         if len(placement.current) <= 2 * self._losses + 1:
--- a/wheatring/tier/storage/record_table.py
+++ b/wheatring/tier/storage/record_table.py
@@ -3,11 +3,14 @@
 Turns are immutable. Of several budget entries for one turn, a settled entry replaces a reserved one, and of
 two entries of the same kind the larger one wins. Times are seconds on a monotonic clock. A replica that has
 restarted keeps all records for their full retention again, because it cannot tell how long it was down.
+
+A turn is needed for as long as any of its descendants. The table therefore also keeps, for each ancestor that
+another replica stores, the time until which the descendants on this replica need it.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass
 from typing import Literal, NamedTuple
 
@@ -64,6 +67,7 @@
         self._records: dict[RecordKey, StoredRecord] = {}
         self._keys_by_sequence: dict[int, RecordKey] = {}
         self._budgets: dict[str, dict[str, BudgetEntry]] = {}  # by program, then by turn
+        self._needed_until: dict[str, float] = {}  # by the ids of ancestors that are not stored here
         self._last_sequence = 0
 
     def __len__(self) -> int:
@@ -83,13 +87,20 @@
         turn = record.turn
         expires_at = now + turn.retention_ms / 1000 + RETENTION_MARGIN_SECONDS
         for ancestor in turn.ancestors:
-            self.extend_expiry(ancestor, expires_at)
+            self._need_ancestor(ancestor, expires_at)
         if key in self._records:
             self.extend_expiry(turn.id, expires_at)
             return False
-        self._store(key, record, expires_at)
+        self._store(key, record, max(expires_at, self._needed_until.pop(turn.id, 0.0)))
         return True
 
+    def _need_ancestor(self, turn_id: str, expires_at: float) -> None:
+        """Keep an ancestor at least until `expires_at`, or remember that another replica has to."""
+        if self.has_turn(turn_id):
+            self.extend_expiry(turn_id, expires_at)
+        else:
+            self._needed_until[turn_id] = max(self._needed_until.get(turn_id, 0.0), expires_at)
+
     def _apply_budget(self, key: RecordKey, record: StorageRecord, now: float) -> bool:
         entry = record.budget
         entries = self._budgets.setdefault(entry.program, {})
@@ -114,6 +125,12 @@
         if stored is not None:
             stored.expires_at = max(stored.expires_at, expires_at)
 
+    def remaining_seconds(self, turn_id: str, now: float) -> float:
+        """Return for how long this replica still needs a turn, whether it is stored here or not."""
+        stored = self._records.get(_turn_key(turn_id))
+        needed_until = self._needed_until.get(turn_id, 0.0) if stored is None else stored.expires_at
+        return max(0.0, needed_until - now)
+
     def has_turn(self, turn_id: str) -> bool:
         """Whether the table has a turn."""
         return _turn_key(turn_id) in self._records
@@ -141,9 +158,21 @@
         """
         return list(self._budgets.get(program, {}).values())
 
-    def expire(self, now: float) -> int:
-        """Remove expired records; return their number."""
-        expired = [key for key, stored in self._records.items() if stored.expires_at <= now]
+    def expired_turn_ids(self, now: float) -> list[str]:
+        """Return the ids of the turns whose retention is over."""
+        return [key.placement_key for key in self._expired_keys(now) if key.kind == "turn"]
+
+    def _expired_keys(self, now: float) -> list[RecordKey]:
+        return [key for key, stored in self._records.items() if stored.expires_at <= now]
+
+    def expire(self, now: float, kept_turn_ids: Collection[str] = ()) -> int:
+        """Remove expired records except the turns in `kept_turn_ids`; return their number."""
+        self._needed_until = {i: until for i, until in self._needed_until.items() if until > now}
+        expired = [
+            key
+            for key in self._expired_keys(now)
+            if key.kind == "budget" or key.placement_key not in kept_turn_ids
+        ]
         for key in expired:
             stored = self._records.pop(key)
             del self._keys_by_sequence[stored.sequence]
--- a/wheatring/tier/storage/replica.py
+++ b/wheatring/tier/storage/replica.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import secrets
 from collections.abc import Callable, Iterable
 from pathlib import Path
@@ -16,7 +15,6 @@
 from wheatring.tier.durable.committer import Committer
 from wheatring.tier.durable.exceptions import DiskError
 from wheatring.tier.durable.record_file import open_or_quarantine
-from wheatring.tier.event_log import log_event
 from wheatring.tier.placement.key_placement import quorum_sizes, replicas_for
 from wheatring.tier.storage.record_table import RecordKey, RecordTable
 from wheatring.tier.transport.messages_pb2 import (
@@ -131,14 +129,6 @@
         """Restart the retention of a turn; return whether this replica holds it."""
         return self.table.renew_turn(turn_id, self._clock())
 
-    async def run_expirer(self, interval_seconds: float) -> None:
-        """Remove expired records periodically until cancelled."""
-        while True:
-            await asyncio.sleep(interval_seconds)
-            count = self.table.expire(self._clock())
-            if count:
-                log_event("records-expired", records=count, left=len(self.table))
-
     # Epochs
 
     def adopt_placement(self, placement: Placement) -> None:
@@ -146,6 +136,11 @@
         if placement.epoch > self.placement.epoch:
             self.placement = placement
 
+    @property
+    def has_current_placement(self) -> bool:
+        """Whether a placement is known that is no older than this replica's fence."""
+        return self.placement.epoch > 0 and self.placement.epoch >= self.fence_epoch
+
     async def raise_fence(self, epoch: int) -> None:
         """Reject requests under older epochs from now on, also after a restart. Raises DiskError."""
         if epoch > self.fence_epoch:
@@ -178,6 +173,8 @@
         if request.program:
             reply.budget.extend(self.table.budget_entries(request.program))
         self._add_turns(request, reply)
+        for turn_id in request.needed_turn_ids:
+            reply.remaining_retention_ms.append(int(self.table.remaining_seconds(turn_id, now) * 1000))
         if request.records:
             # Even if nothing has changed, an earlier write of the same records may still be in flight.
             try:
