Begin the copy of a storage replica's source anew when the source has restarted

Callers saw: 404 for turns answered whole seconds before, after a storage machine had lost its disk, one that it copied from had been restarted meanwhile, and later lost its disk too. Cause: a copy went on from its position in the source's order of changes, which a restarted source counts anew from its file; where the file has been compacted, the records between the two numbers were never listed, and the copy was recorded as complete. Evidence: no listed turn was absent when it was fetched; in a trial that only logged the restart, a copy went on from 252 at a source whose changes were 1 to 2067 by then, and 12 of 60 turns got 404. Change: a source counts from a number that it draws at each start, begins anew for a position that is not its own, and names the number in its replies; a copy begins anew when that changes, and after each failed call to a source of the earlier version, which names none. Why this works: no position outlives the numbering that it was counted in, whichever of the two replicas knows of it. Files are as before; the reply has one more field.

--- a/tests/tier/scenario.py
+++ b/tests/tier/scenario.py
@@ -304,6 +304,14 @@
             if await self.world.record(writers[number % len(writers)], turn, previous):
                 previous = turn
 
+    async def do_reserves(self, writer: str, program: str, count: str, pause: str) -> None:
+        """Reserve a token for a turn and settle it, then for the next one, `count` times."""
+        for number in range(int(count)):
+            turn = f"{program}-{number}"
+            await self.world.reserve(writer, program, turn, 1, int(count))
+            await self.world.settle_budget(writer, program, turn, 1)
+            await asyncio.sleep(float(pause))
+
     async def do_turns(self, writer: str, count: str, pause: str) -> None:
         """Record a conversation of `count` turns."""
         await self.do_conversation(count, pause, writer)
--- a/tests/tier/storage/test_record_table.py
+++ b/tests/tier/storage/test_record_table.py
@@ -105,3 +105,16 @@
             break
     assert pages == [["t0", "t2"], ["t3", "t4"], ["t5"]]
     assert table.scan(position, size, lambda _key: True) == ([], position, True)
+
+
+def test_scan_from_a_position_of_another_numbering_begins_anew() -> None:
+    earlier, restarted = RecordTable(numbering=1000), RecordTable(numbering=2000)
+    for number in range(3):
+        earlier.apply(turn(f"t{number}"), 0.0)
+        restarted.apply(turn(f"t{number}"), 0.0)
+    size = len(earlier.payloads()[0])
+    position = earlier.scan(0, 2 * size, lambda _key: True).position
+    assert [earlier.is_position(p) for p in (0, position, 1003, 1004)] == [False, True, True, False]
+    for after in (0, 2, position, 2004, 2**63):
+        assert len(restarted.scan(after, 10 * size, lambda _key: True).payloads) == 3
+    assert len(restarted.scan(2001, 10 * size, lambda _key: True).payloads) == 2
--- a/tests/tier/storage/test_repair.py
+++ b/tests/tier/storage/test_repair.py
@@ -11,7 +11,10 @@
 import pytest
 
 from tests.support.virtual_loop import VirtualLoop
+from wheatring.tier.durable.record_file import RecordFile
+from wheatring.tier.storage import copier
 from wheatring.tier.storage.copier import FETCH_TIMEOUT_SECONDS
+from wheatring.tier.storage.record_table import RecordTable
 from wheatring.tier.storage.repair import Repair
 from wheatring.tier.storage.replica import Replica
 from wheatring.tier.transport.exceptions import PeerUnreachableError
@@ -182,6 +185,80 @@
     assert not reply.turn_ids
 
 
+class RestartingSource(Source):
+    """A source that restarts from a compacted file behind its third page.
+
+    An earlier version numbers its changes from 1 on and does not name its numbering.
+    """
+
+    def __init__(self, folder: Path, was_earlier: bool, is_earlier: bool) -> None:
+        self._folder = folder
+        self._is_earlier = is_earlier
+        self._pages = 0
+        replica = open_replica(folder)
+        super().__init__(replica, Counter(), lambda _envelope: False)
+        self._names_numbering = not was_earlier
+        if was_earlier:
+            replica.table = RecordTable()
+
+    async def restart(self) -> None:
+        """Restart from a file with the newest records only."""
+        file = RecordFile(self._folder / "records")
+        file.open()
+        file.rewrite(self.replica._live_records())
+        file.close()
+        replica = Replica(self._folder, 1, lambda: 0.0)
+        if self._is_earlier:
+            replica.table = RecordTable()
+        replica.open()
+        self.replica = replica
+        self._names_numbering = not self._is_earlier
+
+    async def call(self, envelope: Envelope, timeout: float) -> Envelope:
+        if envelope.scan_request.list_turns:
+            self._pages += 1
+            if self._pages == 4:
+                await self.restart()
+                raise PeerUnreachableError("source", "connection lost")
+        reply = await super().call(envelope, timeout)
+        if not self._names_numbering:
+            reply.scan_reply.ClearField("numbering")
+        return reply
+
+
+@pytest.mark.parametrize("was_earlier", [False, True])
+@pytest.mark.parametrize("is_earlier", [False, True])
+def test_copy_lacks_nothing_of_a_source_that_restarts_from_a_compacted_file(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, was_earlier: bool, is_earlier: bool
+) -> None:
+    """The source numbered its changes anew, lower than the position from which the copy went on."""
+    monkeypatch.setattr(copier, "PAGE_BYTES", 500)
+    loop = VirtualLoop()
+
+    async def scenario() -> Replica:
+        source = RestartingSource(tmp_path / "a", was_earlier, is_earlier)
+        for tokens in range(1, 60):  # superseded changes, which the compacted file no longer has
+            entry = BudgetEntry(program="p", turn="t0", tokens=tokens)
+            await source.replica.store([StorageRecord(budget=entry)])
+        await source.replica.store(records())
+        sources = Sources()
+        sources.by_address["a"] = source
+        new = open_replica(tmp_path / "new")
+        member = StorageMember(replica_id=source.replica.identity, node="a", address="a")
+        other = StorageMember(replica_id=new.identity, node="n", address="n")
+        repair = Repair(new, sources, 1)  # type: ignore[arg-type]
+        repair.on_placement(Placement(epoch=2, current=[member], next=[member, other]))
+        async with asyncio.timeout(30):
+            while repair.complete_epoch < 2:
+                await asyncio.sleep(0.001)
+        assert source._pages > 4
+        return new
+
+    replica = run(loop, scenario)
+    assert [turn for turn in TURNS if not replica.table.has_turn(turn)] == []
+    assert {entry.turn: entry.tokens for entry in replica.table.budget_entries("p")} == {"t0": 59, "t1": 5}
+
+
 class StatusSource(Source):
     """A source that rejects its first calls with a given status."""
 
--- a/tests/tier/test_sweeps.py
+++ b/tests/tier/test_sweeps.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.tier.scenario import Player, parse
+from wheatring.tier.storage import copier, replica
 
 
 def _run(folder: Path, name: str, text: str) -> Player:
@@ -36,6 +37,22 @@
     _run(tmp_path, f"{fault.split()[0]}-{tenths}", text)
 
 
+@pytest.mark.parametrize("source", ["s2", "s3"])
+@pytest.mark.parametrize("milliseconds", range(30, 200, 20))
+def test_source_restarts_from_a_compacted_file_during_a_copy(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, source: str, milliseconds: int
+) -> None:
+    """A copy went on from its old position, so it lacked turns when the source lost its disk."""
+    monkeypatch.setattr(copier, "PAGE_BYTES", 250)
+    monkeypatch.setattr(replica, "COMPACTION_THRESHOLD_BYTES", 4000)
+    kill_at = 3.3 + milliseconds / 1000
+    text = (
+        "writers 3\n1 turns w1 40 0.05\n1 turns w2 40 0.05\n1 turns w3 40 0.05\n1 reserves w1 p 100 0.01\n"
+        f"3 wipe s1 for 0.3\n{kill_at} kill {source} for 0.8\n9 wipe {source} for 0.3\n"
+    )
+    _run(tmp_path, f"compacted-{milliseconds}", text)
+
+
 @pytest.mark.parametrize("milliseconds", [0, 100, 200, 300])
 def test_second_lost_disk_right_after_a_repair(tmp_path: Path, milliseconds: int) -> None:
     """A disk is lost less than 1 s after the replacement of another one; that repair is complete by then."""
--- a/tests/tier/transport/test_messages.py
+++ b/tests/tier/transport/test_messages.py
@@ -23,6 +23,7 @@
 ADDED: dict[str, dict[int, bytes]] = {
     "StorageRequest": {10: b"R\x07text 10" * 2},
     "StorageReply": {6: b"\x32\x0c" + b"\x86\x80\x80\x80\x80\x20" * 2},
+    "ScanReply": {7: b"\x38\x87\x80\x80\x80\x80\x20"},
 }
 
 
--- a/tests/tier/world.py
+++ b/tests/tier/world.py
@@ -428,6 +428,14 @@
             )
         return "granted"
 
+    async def settle_budget(self, name: str, program: str, turn: str, tokens: int) -> None:
+        """Replace a reservation by the tokens delivered."""
+
+        async def settle(writer: Writer) -> None:
+            writer.budgets.settle(program, turn, tokens)
+
+        await self.as_writer(name, settle)
+
     # Invariants
 
     def check(self) -> None:
--- a/wheatring/tier/storage/copier.py
+++ b/wheatring/tier/storage/copier.py
@@ -52,15 +52,26 @@
                 task.cancel()
 
     async def _copy_from(self, source: StorageMember) -> None:
-        """Copy one source page by page, and retry a page that fails."""
-        position, is_last = 0, False
+        """Copy one source page by page, and retry a page that fails.
+
+        A source that has restarted numbers its changes anew, so its copy begins anew too. A source of an
+        earlier version does not name its numbering, and may have restarted whenever a page fails.
+        """
+        position, numbering, is_last = 0, 0, False
         listed_count = absent_count = 0
         while not is_last:
             request = ScanRequest(after=position, limit_bytes=PAGE_BYTES, list_turns=True)
             reply = await self._scan(source, request, PAGE_TIMEOUT_SECONDS)
             if reply is None:
+                if not numbering:
+                    position = 0
                 await asyncio.sleep(RETRY_DELAY_SECONDS)
                 continue
+            if position and reply.numbering != numbering:
+                log_event("source-restarted", source=source.node, epoch=self._placement.epoch, after=position)
+                position, numbering = 0, reply.numbering
+                continue
+            numbering = reply.numbering
             listed_count += len(reply.turn_ids)
             absent_count += await self._fetch(source, self._missing_turn_ids(reply.turn_ids))
             position, is_last = reply.next, reply.done
--- a/wheatring/tier/storage/record_table.py
+++ b/wheatring/tier/storage/record_table.py
@@ -63,12 +63,22 @@
 class RecordTable:
     """The records of one replica."""
 
-    def __init__(self) -> None:
+    def __init__(self, numbering: int = 0) -> None:
+        """Initialize an empty table.
+
+        Parameters
+        ----------
+        numbering
+            The position before the first change. A replica draws it at each start, so that a position from
+            before its restart is recognized: changes are then counted anew, from a file that may have been
+            compacted.
+        """
+        self.numbering = numbering
         self._records: dict[RecordKey, StoredRecord] = {}
         self._keys_by_sequence: dict[int, RecordKey] = {}
         self._budgets: dict[str, dict[str, BudgetEntry]] = {}  # by program, then by turn
         self._needed_until: dict[str, float] = {}  # by the ids of ancestors that are not stored here
-        self._last_sequence = 0
+        self._last_sequence = numbering
 
     def __len__(self) -> int:
         """Return the number of records."""
@@ -193,7 +203,7 @@
         Parameters
         ----------
         after
-            The position of the previous page; 0 for the first one.
+            The position of the previous page; 0 for the first one, as is a position of another numbering.
         limit_bytes
             The page ends with the record at which it reaches this size.
         is_included
@@ -201,8 +211,8 @@
         """
         payloads: list[bytes] = []
         size_bytes = 0
-        position = after
-        for sequence, key in self._changes_after(after):
+        position = after if self.is_position(after) else self.numbering
+        for sequence, key in self._changes_after(position):
             position = sequence
             if not is_included(key):
                 continue
@@ -213,6 +223,10 @@
                 return ScanPage(payloads, position, is_last=False)
         return ScanPage(payloads, max(position, self._last_sequence), is_last=True)
 
+    def is_position(self, position: int) -> bool:
+        """Whether a position is one of this table's numbering."""
+        return self.numbering <= position <= self._last_sequence
+
     def _changes_after(self, position: int) -> Iterator[tuple[int, RecordKey]]:
         changes = list(self._keys_by_sequence.items())
         return ((sequence, key) for sequence, key in changes if sequence > position)
--- a/wheatring/tier/storage/replica.py
+++ b/wheatring/tier/storage/replica.py
@@ -33,6 +33,7 @@
 
 FILE_NAME = "records"
 COMPACTION_THRESHOLD_BYTES = 24 * 1024 * 1024
+NUMBERING_BITS = 62  # positions, which count on from there, are 64-bit numbers
 MAX_ANCESTORS_BYTES = 32 * 1024 * 1024  # input and output of a turn's ancestors in one reply
 
 
@@ -69,7 +70,7 @@
         self._losses = losses
         self._clock = clock
         self._committer: Committer
-        self.table = RecordTable()
+        self.table = RecordTable(numbering=1 + secrets.randbits(NUMBERING_BITS))
         self.identity = ""
         self.fence_epoch = 0
         self.complete_epoch = 0
@@ -225,7 +226,12 @@
         if request.turn_ids:
             return self._reply_with_turns(request.turn_ids)
         page = self.table.scan(request.after, request.limit_bytes, self._is_placed_on_requester(request))
-        reply = ScanReply(status=STORAGE_STATUS_DONE, next=page.position, done=page.is_last)
+        reply = ScanReply(
+            status=STORAGE_STATUS_DONE,
+            next=page.position,
+            done=page.is_last,
+            numbering=self.table.numbering,
+        )
         for record in map(StorageRecord.FromString, page.payloads):
             if request.list_turns and record.HasField("turn"):
                 reply.turn_ids.append(record.turn.id)
