Keep a turn until one that began within its retention can have ended

Callers would see: with a timeout above 10 s on a route, a turn that goes on from one at the end of its retention is served, and the next one gets 503 for good. Cause: the replicas dropped the earlier turn 10 s after its retention, while the later one, which extends it when it is recorded, was still under way. Evidence: the test, with a timeout of 30 s and a turn of 25 s. Change: a sidecar records a turn with its retention and the timeout of its route. Why this works: a turn that begins within the retention ends within the timeout, and extends then.

--- a/tests/tier/sidecar/test_request_service.py
+++ b/tests/tier/sidecar/test_request_service.py
@@ -23,7 +23,8 @@
     "retained": True,
     "retentionS": 60,
 }
-ROUTES = (SAFE, UNSAFE, ONCE, STREAM, RESUMABLE, TURNS)
+LONG_TURNS = TURNS | {"pathPrefix": "/long/", "retentionS": 20, "timeoutMs": 30_000}
+ROUTES = (SAFE, UNSAFE, ONCE, STREAM, RESUMABLE, TURNS, LONG_TURNS)
 
 Scenario = Callable[[SidecarWorld], Coroutine[Any, Any, None]]
 
@@ -293,3 +294,20 @@
         assert world.loop.time() - started_at > 1.9
 
     run_in_world(tmp_path, {"b1": ["stream:2"]}, scenario)
+
+
+def test_turn_is_kept_until_one_that_began_within_its_retention_has_ended(tmp_path: Path) -> None:
+    """A turn expired during a long one that went on from it, whose conversation could not be read then."""
+
+    async def scenario(world: SidecarWorld) -> None:
+        first = await world.request("/long/x", "POST", b"[one]", request_id="t1")
+        await world.settle(19.5)
+        second = await world.request("/long/x", "POST", b"[two]", request_id="t2", Previous="t1")
+        assert second.received_at - first.received_at > 40.0
+        world.kill("e1")  # with its cache of turns
+        world.start("e1")
+        await world.settle(6.0)
+        third = await world.request("/long/x", "POST", b"[three]", request_id="t3", Previous="t2")
+        assert [first.status, second.status, third.status] == [200, 200, 200]
+
+    run_in_world(tmp_path, {"b1": ["stream:1", "stream:2500", "stream:1"]}, scenario)
--- a/wheatring/tier/sidecar/route_table.py
+++ b/wheatring/tier/sidecar/route_table.py
@@ -41,6 +41,11 @@
         """Whether responses are streams of events."""
         return self.kind == "streaming"
 
+    @property
+    def turn_lifetime_seconds(self) -> float:
+        """For how long a turn is kept: one that goes on from it may begin at the end of its retention."""
+        return self.retention_seconds + self.timeout_seconds
+
     @property
     def idempotency(self) -> Idempotency:
         """Whether a request may run twice; a resumable stream counts, as it continues where it broke off."""
--- a/wheatring/tier/sidecar/streaming_requests.py
+++ b/wheatring/tier/sidecar/streaming_requests.py
@@ -234,7 +234,7 @@
             input=request.message.body,
             output=b"".join(turn.output),
             program=turn.program,
-            retention_ms=int(request.route.retention_seconds * 1000),
+            retention_ms=int(request.route.turn_lifetime_seconds * 1000),
         )
         remaining = request.deadline - asyncio.get_running_loop().time()
         timeout_seconds = min(RECORD_TIMEOUT_SECONDS, max(remaining, MIN_RECORD_TIMEOUT_SECONDS))
