Record a copy as complete only if enough sources were read to their end

Cause: a copy of a source that ended with an exception, a fault of the program, counted as one that was complete; found because a stand-in of the last test raised one. Change: only copies that have returned count; if they are too few, the exception is raised and the replica stays incomplete. Measured: the test failed before and passes.

--- a/tests/tier/storage/test_repair.py
+++ b/tests/tier/storage/test_repair.py
@@ -327,6 +327,30 @@
     assert replica.placement.epoch == 3 and replica.fence_epoch == 2
 
 
+def raise_program_fault(_envelope: Envelope) -> bool:
+    raise ValueError("a fault of the program")
+
+
+def test_copy_that_fails_by_a_fault_of_the_program_is_not_recorded_as_complete(tmp_path: Path) -> None:
+    """A copy that ended with an exception counted as one of the completed ones."""
+    loop = VirtualLoop()
+
+    async def scenario() -> int:
+        sources = Sources()
+        source = open_replica(tmp_path / "a")
+        await source.store(records())
+        sources.by_address["a"] = Source(source, Counter(), raise_program_fault)
+        new = open_replica(tmp_path / "new")
+        member = StorageMember(replica_id=source.identity, node="a", address="a")
+        other = StorageMember(replica_id=new.identity, node="n", address="n")
+        repair = Repair(new, sources, 1)  # type: ignore[arg-type]
+        repair.on_placement(Placement(epoch=2, current=[member], next=[member, other]))
+        await asyncio.sleep(5.0)
+        return repair.complete_epoch
+
+    assert run(loop, scenario) == 0
+
+
 def test_copy_completed_before_a_restart_is_not_repeated(tmp_path: Path) -> None:
     loop = VirtualLoop()
 
--- a/wheatring/tier/storage/copier.py
+++ b/wheatring/tier/storage/copier.py
@@ -143,7 +143,15 @@
 
 
 async def _wait_for_completed(tasks: Sequence[asyncio.Task[None]], required: int) -> None:
-    """Wait until at least `required` tasks have ended."""
+    """Wait until `required` tasks, or all of them, have returned.
+
+    Raises the exception of a task that has failed if too few of the others have returned.
+    """
     running = set(tasks)
-    while running and len(tasks) - len(running) < required:
-        _, running = await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
+    returned_count = 0
+    while running and returned_count < required:
+        ended, running = await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
+        returned_count += sum(task.exception() is None for task in ended)
+    if returned_count < required:
+        for task in tasks:
+            task.result()
