Pass a request of the lab's clients to its transport as one typed message

Cause: both transports, their interface and a stand-in repeated a signature of seven parameters, of which one was a bare flag. Change: `SidecarRequest` carries them; the flag is `is_marked_retry` in all places.

--- a/tests/lab/direct/direct_world.py
+++ b/tests/lab/direct/direct_world.py
@@ -15,6 +15,7 @@
 from wheatring.lab.direct.sidecar_client import DirectRequest, DirectSidecarClient
 from wheatring.lab.models.list_request import ListReply
 from wheatring.lab.models.received_attempt import AttemptOutcome, ReceivedAttempt
+from wheatring.lab.models.request_transport import SidecarRequest
 from wheatring.lab.net.time import VirtualTime
 from wheatring.lab.plan import NetPlan, TierPlan
 
@@ -175,9 +176,8 @@
         return {"instanceId": "n", "hostPort": "m:1", "lifecycle": "SERVING", "startedAtMs": 0, **more}
 
     def send(self, ident: str = "a", index: int = 0, time_left: float = 2.0) -> DirectRequest:
-        return self.client.send(
-            "s", ident, index, time_left, "", False, lambda *end: self.replies.append(end)
-        )
+        request = SidecarRequest("s", ident, index, time_left, key="", is_marked_retry=False)
+        return self.client.send(request, lambda *end: self.replies.append(end))
 
     def outcomes(self) -> list[Outcome | None]:
         return [attempt.outcome for attempt in self.attempts]
--- a/tests/lab/direct/test_direct.py
+++ b/tests/lab/direct/test_direct.py
@@ -13,6 +13,7 @@
 from wheatring.lab.models.endpoint_list_history import EndpointEntry, RegisteredNode
 from wheatring.lab.models.list_request import ListReply
 from wheatring.lab.models.received_attempt import AttemptOutcome
+from wheatring.lab.models.request_transport import SidecarRequest
 
 
 def replying(outcome: AttemptOutcome) -> Callable[[World], None]:
@@ -296,8 +297,10 @@
     hosts = {"s": ("c", "h"), "none": ("c", "x")}
     client = DirectSidecarClient(world.time, world.links, world.recorder, hosts, {"s": 2})
     client.running = world.client.running
-    client.send("none", "x", 0, 2.0, "", False, lambda *end: world.replies.append(end))
-    requests = [client.send("s", ident, 0, 2.0, "", False, lambda *_end: None) for ident in "abcde"]
+    unknown = SidecarRequest("none", "x", 0, 2.0, key="", is_marked_retry=False)
+    client.send(unknown, lambda *end: world.replies.append(end))
+    messages = [SidecarRequest("s", ident, 0, 2.0, key="", is_marked_retry=False) for ident in "abcde"]
+    requests = [client.send(message, lambda *_end: None) for message in messages]
     world.time.play(0.1)
     assert [attempt.ident for attempt in world.machine.attempts] == ["a", "b"]
     assert world.replies == [("unreached", 0.0)]
--- a/tests/lab/models/test_clients.py
+++ b/tests/lab/models/test_clients.py
@@ -13,7 +13,12 @@
 from wheatring.lab.correlation import CorrelationTable, OriginalRequest
 from wheatring.lab.models.clients import Clients
 from wheatring.lab.models.front_load_balancer import FrontLoadBalancer
-from wheatring.lab.models.request_transport import LATE_ANSWER_WAIT, RequestOutcome, ResponseCallback
+from wheatring.lab.models.request_transport import (
+    LATE_ANSWER_WAIT,
+    RequestOutcome,
+    ResponseCallback,
+    SidecarRequest,
+)
 from wheatring.lab.plan import ClassPlan, ClientPlan, EventPlan, Plan, TrafficPlan
 
 EFFECTS: tuple[Literal["safe", "keyed", "unsafe"], ...] = ("safe", "keyed", "unsafe")
@@ -46,22 +51,16 @@
         self.requests: list[tuple[float, str, str, float, bool]] = []
         self.abandoned_count = 0
 
-    def send(
-        self,
-        sidecar: str,
-        ident: str,
-        index: int,  # noqa: ARG002 - the protocol's signature
-        time_left: float,
-        key: str,  # noqa: ARG002 - the protocol's signature
-        is_marked_retry: bool,
-        on_response: ResponseCallback,
-    ) -> ScriptedRequest:
-        self.requests.append((self.time.now() - 1000, sidecar, ident, time_left, is_marked_retry))
-        request = ScriptedRequest(self, on_response)
+    def send(self, request: SidecarRequest, on_response: ResponseCallback) -> ScriptedRequest:
+        sent_at = self.time.now() - 1000
+        self.requests.append(
+            (sent_at, request.sidecar, request.ident, request.time_left, request.is_marked_retry)
+        )
+        pending = ScriptedRequest(self, on_response)
         if self.script:
             outcome, retry_after, seconds = self.script.pop(0)
-            self.time.at(self.time.now() + seconds, request.end, outcome, retry_after)
-        return request
+            self.time.at(self.time.now() + seconds, pending.end, outcome, retry_after)
+        return pending
 
 
 def make_clients(
--- a/tests/lab/wire/http_peers.py
+++ b/tests/lab/wire/http_peers.py
@@ -16,7 +16,7 @@
 from wheatring.lab.models.discovery import Registry
 from wheatring.lab.models.endpoint_list_history import RegisteredNode
 from wheatring.lab.models.received_attempt import AttemptOutcome, ReceivedAttempt
-from wheatring.lab.models.request_transport import PendingRequest
+from wheatring.lab.models.request_transport import PendingRequest, SidecarRequest
 from wheatring.lab.net import Network, VirtualTime
 from wheatring.lab.plan import ClassPlan, DiscoveryPlan, NetPlan, TierPlan
 from wheatring.lab.wire.discovery_server import DiscoveryServer
@@ -190,7 +190,8 @@
 
     def send(self, sidecar: str = "s", index: int = SAFE, key: str = "", run: float = 0.0) -> PendingRequest:
         ident = self.origins.new(OriginalRequest(1, index, 0.1, key))
-        request = self.client.send(sidecar, ident, index, 4.0, key, False, lambda *end: self.ends.append(end))
+        message = SidecarRequest(sidecar, ident, index, 4.0, key, is_marked_retry=False)
+        request = self.client.send(message, lambda *end: self.ends.append(end))
         self.run(run)
         return request
 
--- a/tests/lab/wire/test_http_peers.py
+++ b/tests/lab/wire/test_http_peers.py
@@ -31,6 +31,7 @@
 from wheatring.lab.correlation import CorrelationTable, OriginalRequest
 from wheatring.lab.models.discovery import Registry
 from wheatring.lab.models.received_attempt import AttemptOutcome
+from wheatring.lab.models.request_transport import SidecarRequest
 from wheatring.lab.net.transports import Transport
 from wheatring.lab.plan import DiscoveryPlan
 from wheatring.lab.wire.discovery_server import DiscoveryServer
@@ -418,7 +419,8 @@
         index = len(origins.by_id) % 2
         key = KEY if index else ""
         ident = origins.new(OriginalRequest(1, index, 0.1, key))
-        client.send("s", ident, index, 30.0, key, False, lambda kind, _wait: done(client, kind))
+        request = SidecarRequest("s", ident, index, 30.0, key, is_marked_retry=False)
+        client.send(request, lambda kind, _wait: done(client, kind))
 
     def done(client: SidecarClient, kind: str) -> None:
         ends.append(kind)
--- a/wheatring/lab/direct/sidecar.py
+++ b/wheatring/lab/direct/sidecar.py
@@ -166,7 +166,12 @@
             time_left = cls.deadline  # a caller's deadline is at most that of its class
         answered: Any = request
         core_request = request.core_request = Request(
-            request.ident, cls.name, self.clock.time.instant + time_left, request, request.repeat, answered
+            request.ident,
+            cls.name,
+            self.clock.time.instant + time_left,
+            request,
+            request.is_marked_retry,
+            answered,
         )
         self.in_flight[request] = None
         self.exchange.submit(core_request)
--- a/wheatring/lab/direct/sidecar_client.py
+++ b/wheatring/lab/direct/sidecar_client.py
@@ -10,7 +10,7 @@
 from wheatring.daemon.core.exchange import Answer, AnswerKind, Request
 from wheatring.lab.direct.links import Links
 from wheatring.lab.event_recorder import EventRecorder, ResponseKind
-from wheatring.lab.models.request_transport import ResponseCallback
+from wheatring.lab.models.request_transport import ResponseCallback, SidecarRequest
 from wheatring.lab.timers import PlayedTime
 
 # Bound as globals because looking up enum members is slow.
@@ -49,27 +49,30 @@
         "forward",
         "ident",
         "index",
+        "is_marked_retry",
         "is_over",
         "key",
         "process",
-        "repeat",
         "sidecar",
         "time_left",
     )  # fmt: skip
 
     def __init__(
-        self, client: DirectSidecarClient, sidecar: str, ident: str, index: int, caller_deadline: float,
-        key: str, repeat: bool, done: ResponseCallback,
-    ) -> None:  # fmt: skip
+        self,
+        client: DirectSidecarClient,
+        request: SidecarRequest,
+        caller_deadline: float,
+        done: ResponseCallback,
+    ) -> None:
         self.client = client
-        self.sidecar = sidecar
-        self.ident = ident
-        self.index = index
+        self.sidecar = request.sidecar
+        self.ident = request.ident
+        self.index = request.index
         self.caller_deadline = caller_deadline
-        self.key = key
-        self.repeat = repeat
+        self.key = request.key
+        self.is_marked_retry = request.is_marked_retry
         self.done = done
-        self.forward, self.backward = client.links[sidecar]
+        self.forward, self.backward = client.links[request.sidecar]
         self.is_over = False
         self.process: ListeningSidecar | None = None  # the process that has accepted it
         self.core_request: Request | None = None
@@ -186,26 +189,15 @@
         self.open_counts = dict.fromkeys(max_connections or (), 0)
         self.waiting: dict[str, deque[DirectRequest]] = {name: deque() for name in max_connections or ()}
 
-    def send(
-        self,
-        sidecar: str,
-        ident: str,
-        index: int,
-        time_left: float,
-        key: str,
-        is_marked_retry: bool,
-        on_response: ResponseCallback,
-    ) -> DirectRequest:
+    def send(self, request: SidecarRequest, on_response: ResponseCallback) -> DirectRequest:
         """Send a request to a sidecar; see `models.request_transport.RequestTransport`."""
-        request = DirectRequest(
-            self, sidecar, ident, index, self.time.instant + time_left, key, is_marked_retry, on_response
-        )
-        if self.max_connections and sidecar in self.max_connections:
-            self.waiting[sidecar].append(request)
-            self.send_waiting(sidecar)
+        pending = DirectRequest(self, request, self.time.instant + request.time_left, on_response)
+        if self.max_connections and request.sidecar in self.max_connections:
+            self.waiting[request.sidecar].append(pending)
+            self.send_waiting(request.sidecar)
         else:
-            request.send()
-        return request
+            pending.send()
+        return pending
 
     def send_waiting(self, sidecar: str) -> None:
         """Send waiting requests while connections are available."""
--- a/wheatring/lab/models/clients.py
+++ b/wheatring/lab/models/clients.py
@@ -13,6 +13,7 @@
     PendingRequest,
     RequestOutcome,
     RequestTransport,
+    SidecarRequest,
 )
 from wheatring.lab.models.traffic import Traffic
 from wheatring.lab.plan import Plan
@@ -147,15 +148,15 @@
             self.timer = clients.timers.at(now + (end - now) * patience, self.give_up)
         else:
             self.timer = clients.timers.at(end, self.on_timeout)
-        self.pending = clients.transport.send(
-            sidecar,
-            ident,
-            origin.class_index,
-            end - now,
-            origin.key,
-            plan.marks_retry and self.tries > 1,
-            partial(self.on_response, self.tries),
+        request = SidecarRequest(
+            sidecar=sidecar,
+            ident=ident,
+            index=origin.class_index,
+            time_left=end - now,
+            key=origin.key,
+            is_marked_retry=plan.marks_retry and self.tries > 1,
         )
+        self.pending = clients.transport.send(request, partial(self.on_response, self.tries))
 
     def on_response(self, number: int, outcome: RequestOutcome, retry_after: float) -> None:
         """Handle the outcome of a try, unless the try has timed out."""
--- a/wheatring/lab/models/next_tier.py
+++ b/wheatring/lab/models/next_tier.py
@@ -11,6 +11,7 @@
     PendingRequest,
     RequestOutcome,
     RequestTransport,
+    SidecarRequest,
 )
 from wheatring.lab.models.traffic import Sampler
 from wheatring.lab.timers import Timer, Timers
@@ -63,7 +64,15 @@
         index = origin.class_index
         work = self.work_samplers[index]()
         ident = self.correlation_table.new(OriginalRequest(origin.first, index, work, origin.key))
-        call.pending = transport.send(self.name, ident, index, time_left, origin.key, False, call.on_response)
+        request = SidecarRequest(
+            sidecar=self.name,
+            ident=ident,
+            index=index,
+            time_left=time_left,
+            key=origin.key,
+            is_marked_retry=False,
+        )
+        call.pending = transport.send(request, call.on_response)
 
 
 class _NextTierRequest:
--- a/wheatring/lab/models/request_transport.py
+++ b/wheatring/lab/models/request_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Literal, Protocol
 
 # Seconds past a request's deadline for which its caller keeps the connection open. An answer is then too late
@@ -15,6 +16,35 @@
 ResponseCallback = Callable[[RequestOutcome, float], None]  # (outcome, Retry-After in seconds or 0)
 
 
+@dataclass(frozen=True, slots=True)
+class SidecarRequest:
+    """A request to a sidecar.
+
+    Attributes
+    ----------
+    sidecar
+        The sidecar's name.
+    ident
+        The request's correlation id.
+    index
+        The index of the request's class in the plan.
+    time_left
+        Seconds that the caller will wait. The transport has no time-out: the caller abandons the request
+        after this time.
+    key
+        The idempotency key, "" for none.
+    is_marked_retry
+        Whether the request is marked as a retry.
+    """
+
+    sidecar: str
+    ident: str
+    index: int
+    time_left: float
+    key: str
+    is_marked_retry: bool
+
+
 class PendingRequest(Protocol):
     """A request in flight. It ends either with a call of its callback or by `abandon`."""
 
@@ -25,33 +55,5 @@
 class RequestTransport(Protocol):
     """Sends requests to sidecars, and records which are accepted, answered, lost or abandoned."""
 
-    def send(
-        self,
-        sidecar: str,
-        ident: str,
-        index: int,
-        time_left: float,
-        key: str,
-        is_marked_retry: bool,
-        on_response: ResponseCallback,
-    ) -> PendingRequest:
-        """Send a request to a sidecar.
-
-        Parameters
-        ----------
-        sidecar
-            The sidecar's name.
-        ident
-            The request's correlation id.
-        index
-            The index of the request's class in the plan.
-        time_left
-            Seconds that the caller will wait. The transport has no time-out: the caller abandons the request
-            after this time.
-        key
-            The idempotency key, "" for none.
-        is_marked_retry
-            Whether the request is marked as a retry.
-        on_response
-            Called with the outcome, never synchronously.
-        """
+    def send(self, request: SidecarRequest, on_response: ResponseCallback) -> PendingRequest:
+        """Send a request; `on_response` is called with its outcome, never synchronously."""
--- a/wheatring/lab/wire/sidecar_client.py
+++ b/wheatring/lab/wire/sidecar_client.py
@@ -13,7 +13,7 @@
 from twisted.python.failure import Failure
 
 from wheatring.lab.event_recorder import EventRecorder, ResponseKind
-from wheatring.lab.models.request_transport import PendingRequest, ResponseCallback
+from wheatring.lab.models.request_transport import PendingRequest, ResponseCallback, SidecarRequest
 from wheatring.lab.timers import Timers
 from wheatring.lab.wire.http import MalformedMessageError, Message, MessageParser
 from wheatring.lab.wire.request_format import RequestFormat
@@ -25,26 +25,23 @@
     """One request in flight or waiting for a connection."""
 
     __slots__ = (
-        "connect_attempt", "connection", "deadline", "done", "ident", "index", "is_over", "is_resent", "key",
-        "pool", "repeat",
+        "connect_attempt", "connection", "deadline", "done", "ident", "index", "is_marked_retry", "is_over",
+        "is_resent", "key", "pool",
     )  # fmt: skip
 
     def __init__(
         self,
         pool: _ConnectionPool,
-        ident: str,
-        index: int,
+        request: SidecarRequest,
         deadline: float,
-        key: str,
-        repeat: bool,
         done: ResponseCallback,
     ) -> None:
         self.pool = pool
-        self.ident = ident
-        self.index = index
+        self.ident = request.ident
+        self.index = request.index
         self.deadline = deadline
-        self.key = key
-        self.repeat = repeat
+        self.key = request.key
+        self.is_marked_retry = request.is_marked_retry
         self.done = done
         self.connection: _Connection | None = None  # the connection on which it was sent
         self.connect_attempt: _ConnectAttempt | None = None  # the connect made for it
@@ -96,7 +93,7 @@
         self.has_received = False
         request.connection = self
         data = pool.client.request_format.encode(
-            request.index, request.ident, time_left_ms, request.key, request.repeat
+            request.index, request.ident, time_left_ms, request.key, request.is_marked_retry
         )
         self.written += len(data)
         self.transport.write(data)
@@ -342,24 +339,14 @@
         self.max_connections = max_connections
         self.pools: dict[str, _ConnectionPool] = {}
 
-    def send(
-        self,
-        sidecar: str,
-        ident: str,
-        index: int,
-        time_left: float,
-        key: str,
-        is_marked_retry: bool,
-        on_response: ResponseCallback,
-    ) -> PendingRequest:
+    def send(self, request: SidecarRequest, on_response: ResponseCallback) -> PendingRequest:
         """Send a request to a sidecar; see `models.request_transport.RequestTransport`."""
-        pool = self.pools.get(sidecar)
+        pool = self.pools.get(request.sidecar)
         if pool is None:
-            pool = self.pools[sidecar] = _ConnectionPool(self, sidecar)
-        deadline = self.timers.now() + time_left
-        request = _PendingRequest(pool, ident, index, deadline, key, is_marked_retry, on_response)
-        pool.submit(request)
-        return request
+            pool = self.pools[request.sidecar] = _ConnectionPool(self, request.sidecar)
+        pending = _PendingRequest(pool, request, self.timers.now() + request.time_left, on_response)
+        pool.submit(pending)
+        return pending
 
     def close(self) -> None:
         """Close the idle connections."""
